--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+export PYTHONPATH := $(CURDIR)/src
+SEED ?= 1
+CELL ?=
+ARGS ?=
+
+.PHONY: setup lint format test demo bench faults
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $@
+
+setup: $(VENV)/.installed
+
+format: setup
+	$(VENV)/bin/ruff check --fix src tests
+	$(VENV)/bin/ruff format src tests
+
+lint: setup
+	$(VENV)/bin/ruff format --check src tests
+	$(VENV)/bin/ruff check src tests
+	$(VENV)/bin/flake8 src tests
+	$(VENV)/bin/mypy
+
+test: setup
+	$(PY) -m pytest $(ARGS)
+
+demo: setup
+	$(PY) -m masticwind_dev.local.main $(ARGS)
+
+bench: setup
+	$(PY) -m masticwind_dev.bench.main $(ARGS)
+
+faults: setup
+	$(PY) -m masticwind_dev.faults.main --seed $(SEED) --cell '$(CELL)' $(ARGS)
--- /dev/null
+++ b/src/masticwind/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: the one process beside each endpoint."""
--- /dev/null
+++ b/src/masticwind/agent/main.py
@@ -0,0 +1,43 @@
+"""Command line of `masticwind-agent`."""
+
+from pathlib import Path
+
+import anyio
+import cyclopts
+
+from masticwind import __version__
+from masticwind.agent.server import Agent
+from masticwind.logs import get_logger
+from masticwind.program import load_or_exit, stop_on_signals
+from masticwind.settings import AgentSettings
+
+cli = cyclopts.App(
+    name='masticwind-agent',
+    help='Serve one endpoint to the entries.',
+    version=__version__,
+)
+
+
+@cli.default
+def serve(settings: Path) -> None:
+    """Serve the endpoint that the YAML file SETTINGS names."""
+    cfg = load_or_exit(settings, AgentSettings)
+    anyio.run(_serve, cfg, backend_options={'use_uvloop': True})
+
+
+async def _serve(cfg: AgentSettings) -> None:
+    async with anyio.create_task_group() as tasks:
+        agent = Agent(cfg, tasks)
+        log = get_logger('agent', cfg.node)
+        log.bind(port=agent.port, endpoint=cfg.endpoint).info('started')
+        tasks.start_soon(stop_on_signals, agent.drain, tasks.cancel_scope)
+        tasks.start_soon(agent.run)
+
+
+def main() -> None:
+    """Run the program."""
+    cli()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/masticwind/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration: model, checks, storage and distribution."""
--- /dev/null
+++ b/src/masticwind/config/model.py
@@ -0,0 +1,135 @@
+"""The operators' configuration as frozen data classes.
+
+One `Configuration` is one generation's content. It is read from YAML files,
+checked as a whole and applied as a whole. Secrets appear only as SHA-256
+digests.
+"""
+
+from dataclasses import dataclass, field
+from typing import Annotated, Final, Literal
+
+import msgspec
+
+Name = Annotated[
+    str, msgspec.Meta(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')
+]
+Digest = Annotated[str, msgspec.Meta(pattern='^sha256:[0-9a-f]{64}$')]
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+NonNegative = Annotated[int, msgspec.Meta(ge=0)]
+Weight = Annotated[float, msgspec.Meta(gt=0, le=1000)]
+TimeoutMs = Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
+
+DEFAULT_TIMEOUT_MS: Final = 30_000
+MAX_TIMEOUT_MS: Final = 3_600_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Zone:
+    """An availability zone and whether it is in service."""
+
+    region: Name
+    in_service: bool = True
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Tier:
+    """A class of service; free tiers use only spare capacity."""
+
+    kind: Literal['paid', 'free']
+    default_timeout_ms: TimeoutMs = DEFAULT_TIMEOUT_MS
+    max_timeout_ms: TimeoutMs = MAX_TIMEOUT_MS
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Team:
+    """A customer: its tier, credentials, weight and limits.
+
+    Limits hold for the whole fleet; zero means no limit.
+    """
+
+    tier: Name
+    token_digests: tuple[Digest, ...] = ()
+    weight: Weight = 1.0
+    requests_per_s: NonNegative = 0
+    tokens_per_s: NonNegative = 0
+    max_in_flight: NonNegative = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Model:
+    """A model: limits, size estimate and how many endpoints carry it.
+
+    `replicas` gives the number of endpoints for each availability zone; no
+    entry leaves the placement in that zone as it is.
+    """
+
+    max_prompt_tokens: Positive = 2_000_000
+    max_output_tokens: Positive = 16_384
+    default_output_tokens: Positive = 256
+    bytes_per_token: Annotated[float, msgspec.Meta(gt=0, le=64)] = 4.0
+    version: str = '1'
+    adapters: tuple[Name, ...] = ()
+    replicas: dict[Name, NonNegative] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Endpoint:
+    """Overrides for one endpoint; endpoints need no entry to be used."""
+
+    in_service: bool = True
+    cold_capacity: NonNegative = 0
+    models: tuple[Name, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallRule:
+    """One call of a plain service; `path` may end with `*`."""
+
+    method: Literal['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
+    path: Annotated[str, msgspec.Meta(pattern=r'^/[^*\s]*\*?$')]
+    repeatable: bool = True
+    timeout_ms: TimeoutMs = DEFAULT_TIMEOUT_MS
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlainService:
+    """A plain service beside the engines and the calls that it offers."""
+
+    calls: tuple[CallRule, ...]
+    checks_fencing: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Operator:
+    """An operator's credential for the administration API."""
+
+    token_digests: tuple[Digest, ...]
+    role: Literal['reader', 'writer'] = 'reader'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Configuration:
+    """Everything that operators state, as one unit."""
+
+    zones: dict[Name, Zone] = field(default_factory=dict)
+    tiers: dict[Name, Tier] = field(default_factory=dict)
+    teams: dict[Name, Team] = field(default_factory=dict)
+    models: dict[Name, Model] = field(default_factory=dict)
+    endpoints: dict[Name, Endpoint] = field(default_factory=dict)
+    services: dict[Name, PlainService] = field(default_factory=dict)
+    operators: dict[Name, Operator] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Generation:
+    """A configuration with the number under which it was accepted.
+
+    Generation zero is the empty configuration of a process that has learned
+    none yet.
+    """
+
+    number: int
+    config: Configuration
+
+
+EMPTY: Final = Generation(number=0, config=Configuration())
--- /dev/null
+++ b/src/masticwind/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/masticwind/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the endpoints and their HTTP adapters."""
--- /dev/null
+++ b/src/masticwind/engines/http.py
@@ -0,0 +1,272 @@
+"""HTTP adapters of the endpoints.
+
+The engine's interface is JSON over HTTP; a generated stream is a sequence
+of JSON lines, the last of which says how many tokens there were.
+"""
+
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from http import HTTPStatus
+from typing import Final, TypeVar
+
+import msgspec
+
+from masticwind.engines.base import (
+    CacheEvents,
+    Done,
+    Engine,
+    EngineEvent,
+    EngineOrder,
+    EngineReport,
+    EngineRequest,
+    RunningRequest,
+    Service,
+    ServiceAnswer,
+    ServiceRequest,
+    Tokens,
+)
+from masticwind.errors import ErrorKind, Failure
+from masticwind.httpclient import (
+    BrokenStreamError,
+    HttpAnswer,
+    HttpClient,
+    HttpStream,
+)
+
+_Content = TypeVar('_Content')
+
+CONTROL_TIMEOUT_S: Final = 2.0
+# An engine that is alive writes a line, at least an empty one, this often.
+STREAM_SILENCE_S: Final = 30.0
+MAX_REASON_CHARS: Final = 200
+_BUSY: Final = (
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+)
+
+
+class _Line(msgspec.Struct):
+    offset: int = 0
+    tokens: tuple[str, ...] = ()
+    end: bool = False
+    count: int = 0
+    cached_tokens: int = 0
+    error: str = ''
+
+
+class _GenerateBody(msgspec.Struct, omit_defaults=True):
+    id: str
+    model: str
+    prompt: str
+    prompt_tokens: int
+    max_tokens: int
+    priority: int = 0
+    prefill_only: bool = False
+    prefill_tokens: int = 0
+    resume_offset: int = 0
+    imported: tuple[str, ...] = ()
+
+
+class _Held(msgspec.Struct):
+    handle: str
+
+
+class HttpEngine(Engine):
+    """A model engine over HTTP."""
+
+    def __init__(self, base_url: str) -> None:
+        self._client: Final = HttpClient(base_url)
+
+    @asynccontextmanager
+    async def generate(
+        self,
+        req: EngineRequest,
+    ) -> AsyncIterator[AsyncIterator[EngineEvent]]:
+        async with self._client.stream(
+            'POST',
+            '/v1/generate',
+            timeout_s=STREAM_SILENCE_S,
+            body=msgspec.json.encode(_generate_body(req)),
+        ) as stream:
+            yield _events(stream)
+
+    async def cancel(self, request_id: str) -> Failure | None:
+        return await self._command('/v1/cancel', {'id': request_id})
+
+    async def running(self) -> Sequence[RunningRequest] | Failure:
+        return await self._fetch('/v1/running', list[RunningRequest])
+
+    async def report(self) -> EngineReport | Failure:
+        return await self._fetch('/v1/report', EngineReport)
+
+    async def cache_events(self, after: int) -> CacheEvents | Failure:
+        return await self._fetch(f'/v1/cache/events?after={after}', CacheEvents)
+
+    async def export_cache(
+        self,
+        request_id: str,
+        model: str,
+        prompt: bytes,
+        tokens: int,
+        imported: tuple[str, ...] = (),
+    ) -> str | Failure:
+        answer = await self._client.request(
+            'POST',
+            '/v1/cache/hold',
+            timeout_s=STREAM_SILENCE_S,
+            body=msgspec.json.encode(
+                {
+                    'id': request_id,
+                    'model': model,
+                    'prompt': prompt.decode(),
+                    'tokens': tokens,
+                    'imported': imported,
+                }
+            ),
+        )
+        failure = _command_failure(answer)
+        if failure is not None:
+            return failure
+        assert isinstance(answer, HttpAnswer)
+        return msgspec.json.decode(answer.body, type=_Held).handle
+
+    async def import_cache(self, handle: str) -> Failure | None:
+        return await self._command('/v1/cache/import', {'handle': handle})
+
+    async def drop_cache(self, handle: str) -> Failure | None:
+        return await self._command('/v1/cache/drop', {'handle': handle})
+
+    async def caches(self) -> dict[str, int] | Failure:
+        return await self._fetch('/v1/cache/held', dict[str, int])
+
+    async def order(self, order: EngineOrder) -> Failure | None:
+        return await self._command('/v1/orders', order)
+
+    async def _command(self, path: str, content: object) -> Failure | None:
+        answer = await self._client.request(
+            'POST',
+            path,
+            timeout_s=CONTROL_TIMEOUT_S,
+            body=msgspec.json.encode(content),
+        )
+        return _command_failure(answer)
+
+    async def _fetch(
+        self, path: str, kind: type[_Content]
+    ) -> _Content | Failure:
+        answer = await self._client.request(
+            'GET',
+            path,
+            timeout_s=CONTROL_TIMEOUT_S,
+        )
+        failure = _command_failure(answer)
+        if failure is not None:
+            return failure
+        assert isinstance(answer, HttpAnswer)
+        try:
+            return msgspec.json.decode(answer.body, type=kind)
+        except msgspec.DecodeError as exc:
+            return Failure(kind=ErrorKind.INTERNAL, reason=str(exc))
+
+
+class HttpService(Service):
+    """A plain service over HTTP."""
+
+    def __init__(self, base_url: str) -> None:
+        self._client: Final = HttpClient(base_url)
+
+    async def call(self, req: ServiceRequest) -> ServiceAnswer | Failure:
+        answer = await self._client.request(
+            req.method,
+            req.path,
+            timeout_s=req.timeout_s,
+            body=req.body,
+            headers=[
+                (name.encode('latin-1'), value.encode('latin-1'))
+                for name, value in req.headers
+            ],
+        )
+        if isinstance(answer, Failure):
+            return answer
+        return ServiceAnswer(
+            answer.status,
+            answer.headers.get('content-type', ''),
+            answer.body,
+        )
+
+    async def healthy(self) -> bool:
+        answer = await self._client.request(
+            'GET',
+            '/health',
+            timeout_s=CONTROL_TIMEOUT_S,
+        )
+        return isinstance(answer, HttpAnswer) and answer.status == HTTPStatus.OK
+
+
+def _generate_body(req: EngineRequest) -> _GenerateBody:
+    return _GenerateBody(
+        id=req.request_id,
+        model=req.model,
+        prompt=req.prompt.decode(),
+        prompt_tokens=req.prompt_tokens,
+        max_tokens=req.max_tokens,
+        priority=req.priority,
+        prefill_only=req.prefill_only,
+        prefill_tokens=req.prefill_tokens,
+        resume_offset=req.resume_offset,
+        imported=req.imported,
+    )
+
+
+def _command_failure(answer: HttpAnswer | Failure) -> Failure | None:
+    if isinstance(answer, Failure):
+        return answer
+    if answer.status == HTTPStatus.OK:
+        return None
+    text = answer.body[:MAX_REASON_CHARS].decode(errors='replace')
+    reason = f'status {answer.status}: {text}'
+    if answer.status in _BUSY:
+        return Failure(kind=ErrorKind.NO_CAPACITY, reason=reason)
+    if answer.status == HTTPStatus.CONFLICT:
+        return Failure(kind=ErrorKind.CONFLICT, reason=reason)
+    return Failure(kind=ErrorKind.INTERNAL, reason=reason)
+
+
+async def _events(stream: HttpStream | Failure) -> AsyncIterator[EngineEvent]:
+    if isinstance(stream, Failure):
+        yield stream
+        return
+    if stream.status in _BUSY:
+        yield Failure(
+            kind=ErrorKind.NO_CAPACITY,
+            reason=f'status {stream.status}',
+        )
+        return
+    if stream.status != HTTPStatus.OK:
+        yield Failure(
+            kind=ErrorKind.FAILED_AFTER_START,
+            reason=f'status {stream.status}',
+        )
+        return
+    rest = b''
+    try:
+        async for chunk in stream.chunks:
+            *lines, rest = (rest + chunk).split(b'\n')
+            for line in lines:
+                yield _event(line)
+    except (BrokenStreamError, msgspec.DecodeError) as exc:
+        yield Failure(kind=ErrorKind.FAILED_AFTER_START, reason=str(exc))
+        return
+    yield Failure(
+        kind=ErrorKind.FAILED_AFTER_START,
+        reason='the stream has no end marker',
+    )
+
+
+def _event(text: bytes) -> EngineEvent:
+    line = msgspec.json.decode(text, type=_Line)
+    if line.error:
+        return Failure(kind=ErrorKind.FAILED_AFTER_START, reason=line.error)
+    if line.end:
+        return Done(line.count, line.cached_tokens)
+    return Tokens(line.offset, line.tokens)
--- /dev/null
+++ b/src/masticwind/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: callers' HTTP, admission, routing and relay."""
--- /dev/null
+++ b/src/masticwind/entry/main.py
@@ -0,0 +1,43 @@
+"""Command line of `masticwind-entry`."""
+
+from pathlib import Path
+
+import anyio
+import cyclopts
+
+from masticwind import __version__
+from masticwind.entry.server import Entry
+from masticwind.logs import get_logger
+from masticwind.program import load_or_exit, stop_on_signals
+from masticwind.settings import EntrySettings
+
+cli = cyclopts.App(
+    name='masticwind-entry',
+    help='Serve callers of models and plain services.',
+    version=__version__,
+)
+
+
+@cli.default
+def serve(settings: Path) -> None:
+    """Serve callers as the YAML file SETTINGS says."""
+    cfg = load_or_exit(settings, EntrySettings)
+    anyio.run(_serve, cfg, backend_options={'use_uvloop': True})
+
+
+async def _serve(cfg: EntrySettings) -> None:
+    async with anyio.create_task_group() as tasks:
+        entry = Entry(cfg)
+        log = get_logger('entry', cfg.node)
+        log.bind(port=entry.port).info('started')
+        tasks.start_soon(stop_on_signals, entry.drain, tasks.cancel_scope)
+        tasks.start_soon(entry.run)
+
+
+def main() -> None:
+    """Run the program."""
+    cli()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/masticwind/entry/peers.py
@@ -0,0 +1,206 @@
+"""Connections of an entry to its agents, and what it knows of their load.
+
+A link outlives its connection: when a connection is lost, attempts that are
+under way are told, and told again when the link has a new connection, so
+that they can resume.
+"""
+
+import enum
+import time
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from masticwind.config.current import CurrentConfig
+from masticwind.errors import Failure
+from masticwind.node import Node
+from masticwind.platform.base import Instance, InstanceList
+from masticwind.protocol.channel import Channel
+from masticwind.protocol.dialer import keep_connected
+from masticwind.protocol.listener import PeerHandler
+from masticwind.protocol.messages import (
+    Accepted,
+    AnyMessage,
+    CallResult,
+    End,
+    Heartbeat,
+    Load,
+    Message,
+    Output,
+    Refused,
+    Reserved,
+    Revoked,
+)
+from masticwind.settings import Address, EntrySettings
+
+MS_PER_S: Final = 1000
+AttemptKey = tuple[str, int]
+
+
+class LinkEvent(enum.Enum):
+    """What happened to the connection under an attempt."""
+
+    LOST = 'lost'
+    RESTORED = 'restored'
+
+
+AttemptMessage = (
+    Accepted | Refused | Output | End | Revoked | CallResult | Reserved
+)
+
+
+class Inbox:
+    """What has arrived for one attempt and was not read yet."""
+
+    def __init__(self) -> None:
+        self._items: Final = deque[AttemptMessage | LinkEvent]()
+        self._wake = anyio.Event()
+
+    def put(self, item: AttemptMessage | LinkEvent) -> None:
+        """Add an item."""
+        self._items.append(item)
+        self._wake.set()
+
+    async def get(self) -> AttemptMessage | LinkEvent:
+        """Wait for the next item."""
+        while not self._items:
+            self._wake = anyio.Event()
+            await self._wake.wait()
+        return self._items.popleft()
+
+
+class AgentLink(PeerHandler):
+    """One agent as this entry sees it."""
+
+    def __init__(self, instance: Instance) -> None:
+        self.instance: Final = instance
+        self.load_view: Load | None = None
+        self.load_at = 0.0
+        self.incarnation = ''
+        self.endpoint = ''
+        self.leaving = False
+        self.outstanding_tokens = 0
+        self.outstanding = 0
+        self._channel: Channel | None = None
+        self._inboxes: Final[dict[AttemptKey, Inbox]] = {}
+
+    @property
+    def connected(self) -> bool:
+        """Whether messages can be sent now."""
+        return self._channel is not None and not self._channel.closed
+
+    def send(self, message: Message) -> bool:
+        """Send a control message; false if there is no connection."""
+        return self._channel is not None and self._channel.send(message)
+
+    @property
+    def channel(self) -> Channel | None:
+        """The current connection."""
+        return self._channel
+
+    def open(self, key: AttemptKey) -> Inbox:
+        """Register an attempt and return its inbox."""
+        inbox = Inbox()
+        self._inboxes[key] = inbox
+        return inbox
+
+    def close(self, key: AttemptKey) -> None:
+        """Drop whatever still arrives for an attempt."""
+        self._inboxes.pop(key, None)
+
+    def load(self) -> None:
+        """An entry reports no load."""
+
+    def opened(self, channel: Channel) -> None:
+        """Use a new connection and tell the attempts."""
+        self._channel = channel
+        self.incarnation = channel.peer.incarnation
+        self.endpoint = channel.peer.endpoint
+        self._tell(LinkEvent.RESTORED)
+
+    def lost(self, channel: Channel) -> None:
+        """Tell the attempts that the connection is gone."""
+        if self._channel is channel:
+            self._channel = None
+            self._tell(LinkEvent.LOST)
+
+    async def handle(self, channel: Channel, message: AnyMessage) -> None:
+        """Take a heartbeat, or pass a message to its attempt."""
+        if isinstance(message, Heartbeat):
+            if message.load is not None:
+                self.load_view = message.load
+                self.load_at = time.monotonic()
+        elif isinstance(message, AttemptMessage):
+            inbox = self._inboxes.get((message.request_id, message.attempt))
+            if inbox is not None:
+                inbox.put(message)
+
+    def _tell(self, event: LinkEvent) -> None:
+        for inbox in self._inboxes.values():
+            inbox.put(event)
+
+
+@dataclass(frozen=True, slots=True)
+class PoolParts:
+    """What an agent pool works with."""
+
+    cfg: EntrySettings
+    node: Node
+    config: CurrentConfig
+    instances: InstanceList
+
+
+class AgentPool:
+    """The links of this entry, kept in step with the instance list."""
+
+    def __init__(self, parts: PoolParts) -> None:
+        self._parts: Final = parts
+        self._links: Final[dict[tuple[str, int], AgentLink]] = {}
+        self._scopes: Final[dict[tuple[str, int], anyio.CancelScope]] = {}
+
+    @property
+    def links(self) -> Sequence[AgentLink]:
+        """All links, connected or not."""
+        return tuple(self._links.values())
+
+    async def run(self) -> None:
+        """Follow the instance list until cancelled."""
+        interval_s = self._parts.cfg.instances_poll_ms / MS_PER_S
+        async with anyio.create_task_group() as tasks:
+            while True:
+                listed = await self._parts.instances.instances()
+                if not isinstance(listed, Failure):
+                    self._update(listed, tasks)
+                await anyio.sleep(interval_s)
+
+    def _update(self, listed: Sequence[Instance], tasks: TaskGroup) -> None:
+        wanted = {
+            (one.host, one.port): one for one in listed if one.role == 'agent'
+        }
+        for address, instance in wanted.items():
+            link = self._links.get(address)
+            if link is None:
+                link = AgentLink(instance)
+                self._links[address] = link
+                tasks.start_soon(self._keep, address, link)
+            link.leaving = instance.state == 'leaving'
+        for address in list(self._links):
+            if address in wanted or self._links[address].connected:
+                continue
+            self._links.pop(address)
+            self._scopes.pop(address).cancel()
+
+    async def _keep(self, address: tuple[str, int], link: AgentLink) -> None:
+        with anyio.CancelScope() as scope:
+            self._scopes[address] = scope
+            await keep_connected(
+                Address(host=address[0], port=address[1]),
+                self._parts.node,
+                self._parts.cfg.peers,
+                self._parts.config,
+                link,
+            )
--- /dev/null
+++ b/src/masticwind/entry/server.py
@@ -0,0 +1,62 @@
+"""The entry as one object: HTTP server, agent pool and configuration."""
+
+from typing import Final
+
+import anyio
+
+from masticwind.config.current import CurrentConfig
+from masticwind.config.distribute import ConfigWatcher
+from masticwind.config.store import ConfigStore
+from masticwind.entry.app import AppParts, EntryApp
+from masticwind.entry.peers import AgentPool, PoolParts
+from masticwind.entry.relay import Relay
+from masticwind.entry.router import make_router
+from masticwind.node import Node
+from masticwind.platform.http import HttpInstanceList, HttpKeyValue
+from masticwind.settings import EntrySettings
+from masticwind.web import WebServer
+
+DRAIN_POLL_S: Final = 0.05
+MS_PER_S: Final = 1000
+
+
+class Entry:
+    """Serves callers."""
+
+    def __init__(self, cfg: EntrySettings) -> None:
+        self._cfg: Final = cfg
+        self.config: Final = CurrentConfig()
+        node = Node(role='entry', name=cfg.node, zone=cfg.zone)
+        self.pool: Final = AgentPool(
+            PoolParts(
+                cfg,
+                node,
+                self.config,
+                HttpInstanceList(cfg.platform),
+            )
+        )
+        relay = Relay(self.pool, make_router(cfg), self.config)
+        self.app: Final = EntryApp(AppParts(cfg, self.config, relay))
+        self._server: Final = WebServer(self.app, cfg.listen)
+
+    @property
+    def port(self) -> int:
+        """TCP port of the HTTP server."""
+        return self._server.port
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.pool.run)
+            store = ConfigStore(HttpKeyValue(self._cfg.platform))
+            tasks.start_soon(ConfigWatcher(store, self.config).run)
+            await self._server.run()
+            tasks.cancel_scope.cancel()
+
+    async def drain(self) -> None:
+        """Take nothing new and wait until the running requests have ended."""
+        self.app.draining = True
+        with anyio.move_on_after(self._cfg.drain_timeout_ms / MS_PER_S):
+            while self.app.active:
+                await anyio.sleep(DRAIN_POLL_S)
+        self._server.stop()
--- /dev/null
+++ b/src/masticwind/errors.py
@@ -0,0 +1,127 @@
+"""The closed list of error kinds and the answer that each one gives.
+
+Expected failures are values, not exceptions: a function that can fail
+returns either its result or a `Failure`, which carries a kind from the
+closed list and a reason for people. Only the HTTP edge turns a kind into a
+status, through `ANSWERS`.
+
+    outcome = await claims.claim(key)
+    if isinstance(outcome, Failure):
+        return outcome
+"""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Final
+
+
+class Run(enum.StrEnum):
+    """Whether the work of a request can have run."""
+
+    NOT_RUN = 'not_run'
+    MAY_HAVE_RUN = 'may_have_run'
+    RAN = 'ran'
+
+
+class ErrorKind(enum.StrEnum):
+    """Every way in which a request can end other than with its answer."""
+
+    BAD_REQUEST = 'bad_request'
+    TOO_LARGE = 'too_large'
+    BODY_TIMEOUT = 'body_timeout'
+    UNAUTHENTICATED = 'unauthenticated'
+    FORBIDDEN = 'forbidden'
+    NOT_FOUND = 'not_found'
+    METHOD_NOT_ALLOWED = 'method_not_allowed'
+    UNKNOWN_MODEL = 'unknown_model'
+    TIMEOUT_OUT_OF_RANGE = 'timeout_out_of_range'
+    KEY_REUSED = 'key_reused'
+    DUPLICATE = 'duplicate'
+    CONFLICT = 'conflict'
+    INVALID_CONFIG = 'invalid_config'
+    RATE_LIMITED = 'rate_limited'
+    OVERLOADED = 'overloaded'
+    NO_CAPACITY = 'no_capacity'
+    ZONE_OUT = 'zone_out'
+    DRAINING = 'draining'
+    PLATFORM_DOWN = 'platform_down'
+    REVOKED = 'revoked'
+    CANCELLED = 'cancelled'
+    FAILED_AFTER_START = 'failed_after_start'
+    TIMED_OUT = 'timed_out'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    INTERNAL = 'internal'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Failure:
+    """A sentinel value that stands for a result that could not be had.
+
+    `retry_after_ms` is the time in milliseconds after which a new request
+    is worth sending; zero gives no hint.
+    """
+
+    kind: ErrorKind
+    reason: str
+    retry_after_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller is told for one error kind."""
+
+    status: int
+    run: Run
+    repeat_safe: bool
+
+
+ANSWERS: Final[Mapping[ErrorKind, Answer]] = MappingProxyType(
+    {
+        ErrorKind.BAD_REQUEST: Answer(400, Run.NOT_RUN, repeat_safe=False),
+        ErrorKind.TOO_LARGE: Answer(413, Run.NOT_RUN, repeat_safe=False),
+        ErrorKind.BODY_TIMEOUT: Answer(408, Run.NOT_RUN, repeat_safe=True),
+        ErrorKind.UNAUTHENTICATED: Answer(401, Run.NOT_RUN, repeat_safe=False),
+        ErrorKind.FORBIDDEN: Answer(403, Run.NOT_RUN, repeat_safe=False),
+        ErrorKind.NOT_FOUND: Answer(404, Run.NOT_RUN, repeat_safe=False),
+        ErrorKind.METHOD_NOT_ALLOWED: Answer(
+            405, Run.NOT_RUN, repeat_safe=False
+        ),
+        ErrorKind.UNKNOWN_MODEL: Answer(404, Run.NOT_RUN, repeat_safe=False),
+        ErrorKind.TIMEOUT_OUT_OF_RANGE: Answer(
+            400,
+            Run.NOT_RUN,
+            repeat_safe=False,
+        ),
+        ErrorKind.KEY_REUSED: Answer(422, Run.NOT_RUN, repeat_safe=False),
+        ErrorKind.DUPLICATE: Answer(409, Run.MAY_HAVE_RUN, repeat_safe=False),
+        ErrorKind.CONFLICT: Answer(409, Run.NOT_RUN, repeat_safe=False),
+        ErrorKind.INVALID_CONFIG: Answer(422, Run.NOT_RUN, repeat_safe=False),
+        ErrorKind.RATE_LIMITED: Answer(429, Run.NOT_RUN, repeat_safe=True),
+        ErrorKind.OVERLOADED: Answer(503, Run.NOT_RUN, repeat_safe=True),
+        ErrorKind.NO_CAPACITY: Answer(503, Run.NOT_RUN, repeat_safe=True),
+        ErrorKind.ZONE_OUT: Answer(503, Run.NOT_RUN, repeat_safe=True),
+        ErrorKind.DRAINING: Answer(503, Run.NOT_RUN, repeat_safe=True),
+        ErrorKind.PLATFORM_DOWN: Answer(503, Run.NOT_RUN, repeat_safe=True),
+        ErrorKind.REVOKED: Answer(503, Run.NOT_RUN, repeat_safe=True),
+        ErrorKind.CANCELLED: Answer(499, Run.MAY_HAVE_RUN, repeat_safe=False),
+        ErrorKind.FAILED_AFTER_START: Answer(
+            502,
+            Run.MAY_HAVE_RUN,
+            repeat_safe=False,
+        ),
+        ErrorKind.TIMED_OUT: Answer(504, Run.MAY_HAVE_RUN, repeat_safe=False),
+        ErrorKind.OUTCOME_UNKNOWN: Answer(
+            504,
+            Run.MAY_HAVE_RUN,
+            repeat_safe=False,
+        ),
+        ErrorKind.INTERNAL: Answer(500, Run.MAY_HAVE_RUN, repeat_safe=False),
+    }
+)
+
+
+def not_run(kind: ErrorKind) -> bool:
+    """Tell whether an error of this kind guarantees that nothing ran."""
+    return ANSWERS[kind].run is Run.NOT_RUN
--- /dev/null
+++ b/src/masticwind/httpclient.py
@@ -0,0 +1,168 @@
+"""HTTP client for the platform's services and the endpoints.
+
+It separates two kinds of failure: nothing was sent, and something was sent
+but no whole answer came. Only the first allows a "not run".
+"""
+
+import ssl
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Final
+
+import httpcore
+
+from masticwind.errors import ErrorKind, Failure
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+KEEP_ALIVE_S: Final = 30
+
+_NOT_SENT: Final = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    httpcore.UnsupportedProtocol,
+)
+_BROKEN: Final = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    ssl.SSLError,
+    OSError,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole HTTP answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpStream:
+    """An HTTP answer whose body is still arriving."""
+
+    status: int
+    chunks: AsyncIterator[bytes]
+
+
+class HttpClient:
+    """A pool of connections to one base URL."""
+
+    def __init__(self, base_url: str, max_connections: int = 256) -> None:
+        self._base: Final = base_url.rstrip('/')
+        self._pool: Final = httpcore.AsyncConnectionPool(
+            max_connections=max_connections,
+            max_keepalive_connections=max_connections,
+            keepalive_expiry=KEEP_ALIVE_S,
+        )
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        body: bytes = b'',
+        headers: Headers = (),
+    ) -> HttpAnswer | Failure:
+        """Make one request and read the whole answer.
+
+        Returns a `Failure` of kind `no_capacity` if nothing was sent and of
+        kind `outcome_unknown` if the request may have had an effect.
+        """
+        try:
+            response = await self._pool.request(
+                method,
+                f'{self._base}{path}',
+                headers=_with_length(headers, body),
+                content=body,
+                extensions={'timeout': _timeouts(timeout_s)},
+            )
+        except _NOT_SENT as exc:
+            return _failure(ErrorKind.NO_CAPACITY, exc)
+        except _BROKEN as exc:
+            return _failure(ErrorKind.OUTCOME_UNKNOWN, exc)
+        return HttpAnswer(
+            response.status,
+            _header_map(response.headers),
+            response.content,
+        )
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        body: bytes = b'',
+        headers: Headers = (),
+    ) -> AsyncIterator[HttpStream | Failure]:
+        """Make one request and iterate over the body as it arrives.
+
+        An iteration that breaks off raises `BrokenStreamError`.
+        """
+        opened = False
+        try:
+            async with self._pool.stream(
+                method,
+                f'{self._base}{path}',
+                headers=_with_length(headers, body),
+                content=body,
+                extensions={'timeout': _timeouts(timeout_s)},
+            ) as response:
+                opened = True
+                yield HttpStream(response.status, _chunks(response))
+        except _NOT_SENT as exc:
+            if opened:
+                raise
+            yield _failure(ErrorKind.NO_CAPACITY, exc)
+        except _BROKEN as exc:
+            if opened:
+                raise
+            yield _failure(ErrorKind.FAILED_AFTER_START, exc)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+
+class BrokenStreamError(Exception):
+    """A streamed answer broke off before its end."""
+
+
+async def _chunks(response: httpcore.Response) -> AsyncIterator[bytes]:
+    try:
+        async for chunk in response.aiter_stream():
+            yield chunk
+    except _BROKEN as exc:
+        raise BrokenStreamError(type(exc).__name__) from exc
+
+
+def _failure(kind: ErrorKind, exc: Exception) -> Failure:
+    return Failure(kind=kind, reason=f'{type(exc).__name__}: {exc}')
+
+
+def _with_length(headers: Headers, body: bytes) -> list[tuple[bytes, bytes]]:
+    return [*headers, (b'content-length', str(len(body)).encode())]
+
+
+def _timeouts(timeout_s: float) -> dict[str, float]:
+    return {
+        'connect': timeout_s,
+        'read': timeout_s,
+        'write': timeout_s,
+        'pool': timeout_s,
+    }
+
+
+def _header_map(headers: Headers) -> dict[str, str]:
+    return {
+        key.decode('latin-1').lower(): value.decode('latin-1')
+        for key, value in headers
+    }
--- /dev/null
+++ b/src/masticwind/logs.py
@@ -0,0 +1,52 @@
+"""Logging set-up: one JSON object per line on standard error.
+
+    log = get_logger('entry', 'e1')
+    log.bind(request_id=req_id).warning('attempt_lost')
+
+Messages are event names in snake case; what varies is bound as fields.
+"""
+
+import sys
+from typing import TYPE_CHECKING
+
+import msgspec
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Logger, Message
+
+
+def _write_line(message: 'Message') -> None:
+    record = message.record
+    line: dict[str, object] = {
+        'time': record['time'].isoformat(),
+        'level': record['level'].name.lower(),
+        'event': record['message'],
+        **record['extra'],
+    }
+    exc = record['exception']
+    if exc is not None:
+        line['error'] = repr(exc.value)
+        line['traceback'] = _format_traceback(exc.traceback)
+    sys.stderr.write(f'{msgspec.json.encode(line, enc_hook=str).decode()}\n')
+
+
+def _format_traceback(traceback: object) -> list[str]:
+    frames: list[str] = []
+    while traceback is not None:
+        code = traceback.tb_frame.f_code  # type: ignore[attr-defined]
+        lineno = traceback.tb_lineno  # type: ignore[attr-defined]
+        frames.append(f'{code.co_filename}:{lineno} {code.co_name}')
+        traceback = traceback.tb_next  # type: ignore[attr-defined]
+    return frames
+
+
+def configure_logs(level: str) -> None:
+    """Send logs of `level` and above to standard error as JSON lines."""
+    logger.remove()
+    logger.add(_write_line, level=level.upper(), catch=False)
+
+
+def get_logger(program: str, node: str) -> 'Logger':
+    """Return a logger that names the program and the instance."""
+    return logger.bind(program=program, node=node)
--- /dev/null
+++ b/src/masticwind/node.py
@@ -0,0 +1,32 @@
+"""Identity of this process towards its peers."""
+
+import secrets
+from dataclasses import dataclass, field
+from typing import Literal
+
+from masticwind.protocol.handshake import new_nonce
+from masticwind.protocol.messages import PROTOCOL_VERSION, Hello
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Node:
+    """Name, role and place; the incarnation is new at each start."""
+
+    role: Literal['entry', 'agent', 'ctl']
+    name: str
+    zone: str
+    endpoint: str = ''
+    incarnation: str = field(default_factory=lambda: secrets.token_hex(8))
+
+    def hello(self, generation: int) -> Hello:
+        """Return a `Hello` with a fresh nonce for one connection."""
+        return Hello(
+            version=PROTOCOL_VERSION,
+            role=self.role,
+            node=self.name,
+            zone=self.zone,
+            incarnation=self.incarnation,
+            nonce=new_nonce(),
+            generation=generation,
+            endpoint=self.endpoint,
+        )
--- /dev/null
+++ b/src/masticwind/planner/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of models on endpoints."""
--- /dev/null
+++ b/src/masticwind/platform/http.py
@@ -0,0 +1,217 @@
+"""HTTP adapters of the platform's services."""
+
+from collections.abc import Sequence
+from http import HTTPStatus
+from typing import Final
+from urllib.parse import quote
+
+import msgspec
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.httpclient import HttpAnswer, HttpClient
+from masticwind.platform.base import (
+    MAX_VALUE_BYTES,
+    Conflict,
+    Instance,
+    InstanceList,
+    KeyValue,
+    Lease,
+    Unknown,
+    Versioned,
+    WeightStore,
+    WriteResult,
+    Written,
+)
+from masticwind.settings import PlatformSettings
+
+MS_PER_S: Final = 1000
+_REFUSED: Final = (
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+)
+
+
+class _Granted(msgspec.Struct):
+    lease_id: str
+    fencing: int
+
+
+class HttpKeyValue(KeyValue):
+    """The key-value service over HTTP."""
+
+    def __init__(self, cfg: PlatformSettings) -> None:
+        self._client: Final = HttpClient(cfg.key_value_url)
+        self._timeout_s: Final = cfg.timeout_ms / MS_PER_S
+
+    async def get(self, key: str) -> Versioned | Failure:
+        answer = await self._ask('GET', _key_path(key))
+        return _versioned(answer)
+
+    async def compare_and_swap(
+        self,
+        key: str,
+        value: bytes,
+        expected: int,
+        lease_id: str = '',
+    ) -> WriteResult:
+        if len(value) > MAX_VALUE_BYTES:
+            return Failure(
+                kind=ErrorKind.TOO_LARGE,
+                reason=f'value of {key} is over {MAX_VALUE_BYTES} bytes',
+            )
+        path = f'{_key_path(key)}?expected={expected}'
+        if lease_id:
+            path = f'{path}&lease={quote(lease_id, safe="")}'
+        return _written(await self._ask('PUT', path, value))
+
+    async def delete(self, key: str, expected: int) -> WriteResult:
+        path = f'{_key_path(key)}?expected={expected}'
+        return _written(await self._ask('DELETE', path))
+
+    async def keys(self, prefix: str) -> tuple[str, ...] | Failure:
+        answer = await self._ask(
+            'GET', f'/v1/keys?prefix={quote(prefix, safe="")}'
+        )
+        if isinstance(answer, Failure):
+            return _down(answer.reason)
+        if answer.status != HTTPStatus.OK:
+            return _down(f'status {answer.status}')
+        return msgspec.json.decode(answer.body, type=tuple[str, ...])
+
+    async def watch(
+        self,
+        key: str,
+        after: int,
+        wait_s: float,
+    ) -> Versioned | Failure:
+        wait_ms = int(wait_s * MS_PER_S)
+        path = (
+            f'/v1/watch/{quote(key, safe="")}?after={after}&wait_ms={wait_ms}'
+        )
+        answer = await self._client.request(
+            'GET',
+            path,
+            timeout_s=wait_s + self._timeout_s,
+        )
+        return _versioned(answer)
+
+    async def grant(self, ttl_s: float) -> Lease | Failure:
+        ttl_ms = int(ttl_s * MS_PER_S)
+        answer = await self._ask('POST', f'/v1/leases?ttl_ms={ttl_ms}')
+        if isinstance(answer, Failure):
+            return _down(answer.reason)
+        if answer.status != HTTPStatus.OK:
+            return _down(f'status {answer.status}')
+        granted = msgspec.json.decode(answer.body, type=_Granted)
+        return Lease(granted.lease_id, granted.fencing, ttl_s)
+
+    async def keep_alive(self, lease: Lease) -> Lease | Failure:
+        answer = await self._ask('PUT', f'/v1/leases/{lease.lease_id}')
+        if isinstance(answer, Failure):
+            return _down(answer.reason)
+        if answer.status == HTTPStatus.NOT_FOUND:
+            return Failure(
+                kind=ErrorKind.CONFLICT, reason='the lease has ended'
+            )
+        if answer.status != HTTPStatus.OK:
+            return _down(f'status {answer.status}')
+        return lease
+
+    async def revoke(self, lease: Lease) -> None:
+        await self._ask('DELETE', f'/v1/leases/{lease.lease_id}')
+
+    async def _ask(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+    ) -> HttpAnswer | Failure:
+        return await self._client.request(
+            method,
+            path,
+            timeout_s=self._timeout_s,
+            body=body,
+        )
+
+
+class HttpInstanceList(InstanceList):
+    """The platform's instance list over HTTP."""
+
+    def __init__(self, cfg: PlatformSettings) -> None:
+        self._client: Final = HttpClient(cfg.instances_url)
+        self._timeout_s: Final = cfg.timeout_ms / MS_PER_S
+
+    async def instances(self) -> Sequence[Instance] | Failure:
+        answer = await self._client.request(
+            'GET',
+            '/v1/instances',
+            timeout_s=self._timeout_s,
+        )
+        if isinstance(answer, Failure):
+            return _down(answer.reason)
+        if answer.status != HTTPStatus.OK:
+            return _down(f'status {answer.status}')
+        try:
+            return msgspec.json.decode(answer.body, type=list[Instance])
+        except msgspec.DecodeError as exc:
+            return _down(str(exc))
+
+
+class HttpWeightStore(WeightStore):
+    """The weight store over HTTP."""
+
+    def __init__(self, cfg: PlatformSettings) -> None:
+        self._client: Final = HttpClient(cfg.weights_url)
+        self._timeout_s: Final = cfg.timeout_ms / MS_PER_S
+
+    async def acquire(self, model: str, version: str) -> Failure | None:
+        path = f'/v1/weights/{quote(model, safe="")}/{quote(version, safe="")}'
+        answer = await self._client.request(
+            'POST',
+            path,
+            timeout_s=self._timeout_s,
+        )
+        if isinstance(answer, Failure):
+            return _down(answer.reason)
+        if answer.status == HTTPStatus.OK:
+            return None
+        if answer.status != HTTPStatus.TOO_MANY_REQUESTS:
+            return _down(f'status {answer.status}')
+        wait_s = float(answer.headers.get('retry-after', '1'))
+        return Failure(
+            kind=ErrorKind.RATE_LIMITED,
+            reason='the weight store is busy',
+            retry_after_ms=int(wait_s * MS_PER_S),
+        )
+
+
+def _key_path(key: str) -> str:
+    return f'/v1/kv/{quote(key, safe="")}'
+
+
+def _down(reason: str) -> Failure:
+    return Failure(kind=ErrorKind.PLATFORM_DOWN, reason=reason)
+
+
+def _versioned(answer: HttpAnswer | Failure) -> Versioned | Failure:
+    if isinstance(answer, Failure):
+        return _down(answer.reason)
+    if answer.status == HTTPStatus.NOT_FOUND:
+        return Versioned(None, int(answer.headers.get('x-revision', '0')))
+    if answer.status != HTTPStatus.OK:
+        return _down(f'status {answer.status}')
+    return Versioned(answer.body, int(answer.headers['x-revision']))
+
+
+def _written(answer: HttpAnswer | Failure) -> WriteResult:
+    if isinstance(answer, Failure):
+        if answer.kind is ErrorKind.NO_CAPACITY:
+            return _down(answer.reason)
+        return Unknown(answer.reason)
+    if answer.status == HTTPStatus.OK:
+        return Written(int(answer.headers['x-revision']))
+    if answer.status == HTTPStatus.PRECONDITION_FAILED:
+        return Conflict(int(answer.headers['x-revision']))
+    if answer.status in _REFUSED:
+        return _down(f'status {answer.status}')
+    return Unknown(f'status {answer.status}')
--- /dev/null
+++ b/src/masticwind/program.py
@@ -0,0 +1,56 @@
+"""What the serving programs share: start-up and shutdown."""
+
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Final, TypeVar
+
+import anyio
+from loguru import logger
+
+from masticwind.errors import Failure
+from masticwind.logs import configure_logs
+from masticwind.settings import read_settings
+
+EXIT_USAGE: Final = 2
+EXIT_CUT_SHORT: Final = 3
+
+_Settings = TypeVar('_Settings')
+
+
+def load_or_exit(path: Path, kind: type[_Settings]) -> _Settings:
+    """Read settings, or print one line and exit with code 2."""
+    cfg = read_settings(path, kind)
+    if isinstance(cfg, Failure):
+        sys.stderr.write(f'{cfg.reason}\n')
+        sys.exit(EXIT_USAGE)
+    configure_logs(cfg.log_level)  # type: ignore[attr-defined]
+    return cfg
+
+
+async def stop_on_signals(
+    drain: Callable[[], Awaitable[None]],
+    scope: anyio.CancelScope,
+) -> None:
+    """Drain at the first SIGTERM or SIGINT; cut short at the second."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with anyio.create_task_group() as tasks:
+            first = True
+            async for signum in signals:
+                if not first:
+                    logger.bind(signal=signum).warning('shutdown_cut_short')
+                    break
+                first = False
+                logger.bind(signal=signum).info('shutdown_started')
+                tasks.start_soon(_drain, drain, scope)
+            scope.cancel()
+
+
+async def _drain(
+    drain: Callable[[], Awaitable[None]],
+    scope: anyio.CancelScope,
+) -> None:
+    await drain()
+    logger.info('shutdown_complete')
+    scope.cancel()
--- /dev/null
+++ b/src/masticwind/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between the system's own processes."""
--- /dev/null
+++ b/src/masticwind/protocol/dialer.py
@@ -0,0 +1,69 @@
+"""Opens inner connections and replaces them when they fail."""
+
+import random
+from typing import Final
+
+import anyio
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
+
+from masticwind.config.current import CurrentConfig
+from masticwind.errors import ErrorKind, Failure
+from masticwind.node import Node
+from masticwind.protocol.channel import Channel, authenticate
+from masticwind.protocol.codec import MAX_FRAME_BYTES
+from masticwind.protocol.listener import PeerHandler, serve_channel
+from masticwind.settings import Address, PeerSettings
+
+MS_PER_S: Final = 1000
+FIRST_DELAY_S: Final = 0.05
+MAX_DELAY_S: Final = 2.0
+
+
+async def dial(
+    address: Address,
+    node: Node,
+    cfg: PeerSettings,
+    config: CurrentConfig,
+) -> Channel | Failure:
+    """Connect to a peer and authenticate both sides."""
+    timeout_s = cfg.connect_timeout_ms / MS_PER_S
+    try:
+        conn = await connect(
+            f'ws://{address.host}:{address.port}/',
+            compression=None,
+            ping_interval=None,
+            max_size=MAX_FRAME_BYTES,
+            open_timeout=timeout_s,
+            close_timeout=1,
+            proxy=None,
+        )
+    except (OSError, WebSocketException) as exc:
+        return Failure(kind=ErrorKind.NO_CAPACITY, reason=str(exc))
+    own = node.hello(config.number)
+    channel = await authenticate(conn, own, cfg, 'dialer')
+    if isinstance(channel, Failure):
+        conn.transport.abort()
+    return channel
+
+
+async def keep_connected(
+    address: Address,
+    node: Node,
+    cfg: PeerSettings,
+    config: CurrentConfig,
+    handler: PeerHandler,
+) -> None:
+    """Keep one connection to a peer open until cancelled.
+
+    Retries back off exponentially with full jitter, so that peers that lost
+    the same instance do not all return at once.
+    """
+    delay_s = FIRST_DELAY_S
+    while True:
+        channel = await dial(address, node, cfg, config)
+        if not isinstance(channel, Failure):
+            delay_s = FIRST_DELAY_S
+            await serve_channel(channel, cfg, config, handler)
+        await anyio.sleep(random.uniform(0, delay_s))
+        delay_s = min(MAX_DELAY_S, delay_s * 2)
--- /dev/null
+++ b/src/masticwind/protocol/messages.py
@@ -0,0 +1,290 @@
+"""All messages of the inner protocol.
+
+Messages are encoded as CBOR arrays that begin with a short tag. Fields are
+only ever appended, each with a default, so that neighbouring releases can
+talk during a rolling replacement. Times are in milliseconds, sizes in bytes,
+work in tokens.
+"""
+
+from typing import Annotated, Final, Literal
+
+import msgspec
+
+PROTOCOL_VERSION: Final = 1
+CHUNK_BYTES: Final = 262_144
+INLINE_BODY_BYTES: Final = 65_536
+MAX_OUTPUT_TOKENS_PER_MESSAGE: Final = 4096
+
+Id = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+Text = Annotated[str, msgspec.Meta(max_length=4096)]
+NonNegative = Annotated[int, msgspec.Meta(ge=0)]
+
+
+LoadState = Literal['serving', 'cold', 'draining', 'out', 'down']
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True):
+    """Base of all messages."""
+
+
+class Hello(Message, frozen=True, tag='hello'):
+    """First message of both sides of a connection."""
+
+    version: int
+    role: Literal['entry', 'agent', 'ctl']
+    node: Id
+    zone: Id
+    incarnation: Id
+    nonce: Annotated[bytes, msgspec.Meta(min_length=16, max_length=64)]
+    generation: NonNegative = 0
+    endpoint: Annotated[str, msgspec.Meta(max_length=256)] = ''
+
+
+class Proof(Message, frozen=True, tag='proof'):
+    """Keyed digest over both `Hello` messages."""
+
+    digest: Annotated[bytes, msgspec.Meta(min_length=32, max_length=32)]
+
+
+class Load(Message, frozen=True, tag='load'):
+    """An agent's own view of its endpoint.
+
+    `slots` is the number of further requests that the endpoint can take
+    now; in a cold start it is what remains of the cold capacity.
+    """
+
+    state: LoadState
+    kind: Literal['engine', 'service'] = 'engine'
+    service: str = ''
+    models: tuple[str, ...] = ()
+    slots: NonNegative = 0
+    running: NonNegative = 0
+    queued: NonNegative = 0
+    paid_work_tokens: NonNegative = 0
+    free_work_tokens: NonNegative = 0
+    prefill_tokens_per_s: float = 0
+    memory_free_tokens: NonNegative = 0
+    memory_total_tokens: NonNegative = 0
+    long_running: NonNegative = 0
+
+
+class Heartbeat(Message, frozen=True, tag='beat'):
+    """Sent by both sides at a fixed interval."""
+
+    sequence: NonNegative
+    generation: NonNegative
+    load: Load | None = None
+
+
+class CacheBlocks(Message, frozen=True, tag='blocks'):
+    """Prefix blocks that entered or left the endpoint's cache."""
+
+    added: tuple[int, ...] = ()
+    removed: tuple[int, ...] = ()
+    reset: bool = False
+
+
+class Offer(Message, frozen=True, tag='offer'):
+    """Ask an agent to run a model request.
+
+    The body is the prompt as UTF-8. It is in `body` where it is small;
+    otherwise `Body` messages follow after `Accepted`.
+    """
+
+    request_id: Id
+    attempt: NonNegative
+    team: Id
+    paid: bool
+    model: Id
+    prompt_tokens: NonNegative
+    max_tokens: NonNegative
+    timeout_ms: NonNegative
+    generation: NonNegative
+    body_bytes: NonNegative
+    body: bytes = b''
+    prefix: tuple[int, ...] = ()
+    weight: float = 1.0
+    trace: str = ''
+    resume_offset: NonNegative = 0
+    share_of: str = ''
+
+
+class Body(Message, frozen=True, tag='body'):
+    """A chunk of the body of an accepted offer."""
+
+    request_id: Id
+    attempt: NonNegative
+    chunk: bytes
+    last: bool
+
+
+class Accepted(Message, frozen=True, tag='accepted'):
+    """The agent has queued the request."""
+
+    request_id: Id
+    attempt: NonNegative
+    predicted_ms: NonNegative = 0
+
+
+class Refused(Message, frozen=True, tag='refused'):
+    """The agent has not run the request and never will."""
+
+    request_id: Id
+    attempt: NonNegative
+    kind: str
+    reason: Text
+    retry_after_ms: NonNegative = 0
+
+
+class Output(Message, frozen=True, tag='output'):
+    """Generated tokens; `offset` counts the tokens before these."""
+
+    request_id: Id
+    attempt: NonNegative
+    offset: NonNegative
+    tokens: tuple[str, ...]
+
+
+class End(Message, frozen=True, tag='end'):
+    """The request has ended after `count` tokens; empty `kind` means done."""
+
+    request_id: Id
+    attempt: NonNegative
+    count: NonNegative
+    kind: str = ''
+    reason: Text = ''
+    cached_tokens: NonNegative = 0
+
+
+class Revoke(Message, frozen=True, tag='revoke'):
+    """Withdraw a request that should not run any more."""
+
+    request_id: Id
+    attempt: NonNegative
+
+
+class Revoked(Message, frozen=True, tag='revoked'):
+    """Answer to `Revoke`; `started` tells whether it can have run."""
+
+    request_id: Id
+    attempt: NonNegative
+    started: bool
+
+
+class Cancel(Message, frozen=True, tag='cancel'):
+    """The caller has left: stop the request and free what it holds."""
+
+    request_id: Id
+    attempt: NonNegative
+
+
+class Resume(Message, frozen=True, tag='resume'):
+    """Continue a request on this connection from `offset` tokens on."""
+
+    request_id: Id
+    attempt: NonNegative
+    offset: NonNegative
+
+
+class Call(Message, frozen=True, tag='call'):
+    """Ask an agent to make one call of its plain service.
+
+    `claim` is the writer token of the claim of a non-repeatable call and
+    empty for a repeatable one. `fencing` orders claims of one key.
+    """
+
+    request_id: Id
+    attempt: NonNegative
+    team: Id
+    paid: bool
+    method: Id
+    path: Text
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    timeout_ms: NonNegative
+    generation: NonNegative
+    claim: str = ''
+    fencing: NonNegative = 0
+    trace: str = ''
+
+
+class CallResult(Message, frozen=True, tag='result'):
+    """Answer of a plain service; empty `kind` means that it answered."""
+
+    request_id: Id
+    attempt: NonNegative
+    status: NonNegative = 0
+    content_type: str = ''
+    body: bytes = b''
+    kind: str = ''
+    reason: Text = ''
+
+
+class Reserve(Message, frozen=True, tag='reserve'):
+    """Lease memory for one share of a group request."""
+
+    request_id: Id
+    attempt: NonNegative
+    share: NonNegative
+    tokens: NonNegative
+    lease_ms: NonNegative
+    generation: NonNegative
+    paid: bool = True
+
+
+class Reserved(Message, frozen=True, tag='reserved'):
+    """Answer to `Reserve`; empty `kind` means granted."""
+
+    request_id: Id
+    attempt: NonNegative
+    share: NonNegative
+    kind: str = ''
+    reason: Text = ''
+
+
+class Release(Message, frozen=True, tag='release'):
+    """Give back a reserved share."""
+
+    request_id: Id
+    attempt: NonNegative
+    share: NonNegative
+
+
+class ConfigRequest(Message, frozen=True, tag='cfgreq'):
+    """Ask for the head, or for the parts with these digests."""
+
+    digests: tuple[str, ...] = ()
+
+
+class ConfigData(Message, frozen=True, tag='cfgdata'):
+    """The head of a generation, or some parts of it by digest."""
+
+    generation: NonNegative = 0
+    head: bytes = b''
+    parts: dict[str, bytes] = {}
+
+
+AnyMessage = (
+    Hello
+    | Proof
+    | Load
+    | Heartbeat
+    | CacheBlocks
+    | Offer
+    | Body
+    | Accepted
+    | Refused
+    | Output
+    | End
+    | Revoke
+    | Revoked
+    | Cancel
+    | Resume
+    | Call
+    | CallResult
+    | Reserve
+    | Reserved
+    | Release
+    | ConfigRequest
+    | ConfigData
+)
--- /dev/null
+++ b/src/masticwind/settings.py
@@ -0,0 +1,199 @@
+"""Settings of the serving programs and the reader of their YAML files.
+
+A process learns its addresses and its availability zone here. Every value
+has a type, a range and a unit in its name; an error names the file, the key
+and what was expected.
+"""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Literal, TypeVar
+
+import msgspec
+import yaml
+
+from masticwind.errors import ErrorKind, Failure
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+PositiveMs = Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+LogLevel = Literal['debug', 'info', 'warning', 'error']
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
+_Settings = TypeVar('_Settings')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Address:
+    """An IP address and a TCP port; port 0 lets the system choose."""
+
+    host: str = '127.0.0.1'
+    port: Port = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MetricsSettings:
+    """Where statsd datagrams go; no host turns metrics off."""
+
+    host: str = ''
+    port: Port = 8125
+    prefix: str = 'masticwind'
+    flush_ms: PositiveMs = 1000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TraceSettings:
+    """Where spans go: nowhere, or as JSON lines to a file."""
+
+    file: str = ''
+    sample_share: Share = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformSettings:
+    """Base URLs of the platform's services; empty where not used."""
+
+    key_value_url: str = ''
+    instances_url: str = ''
+    weights_url: str = ''
+    timeout_ms: PositiveMs = 1000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerSettings:
+    """The inner protocol: secrets and timing.
+
+    `secrets` lists the valid shared secrets, the one to sign with first. A
+    rotation adds the new secret behind the old one everywhere, then moves it
+    to the front everywhere, then removes the old one.
+    """
+
+    secrets: Annotated[tuple[Name, ...], msgspec.Meta(min_length=1)]
+    secrets_file: str = ''
+    heartbeat_ms: PositiveMs = 500
+    silence_ms: PositiveMs = 1500
+    connect_timeout_ms: PositiveMs = 1000
+    fan_out: Count = 150
+    neighbours: Count = 3
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntrySettings:
+    """Settings of `masticwind-entry`."""
+
+    node: Name
+    zone: Name
+    peers: PeerSettings
+    listen: Address = field(default_factory=Address)
+    inner: Address = field(default_factory=Address)
+    platform: PlatformSettings = field(default_factory=PlatformSettings)
+    metrics: MetricsSettings = field(default_factory=MetricsSettings)
+    traces: TraceSettings = field(default_factory=TraceSettings)
+    log_level: LogLevel = 'info'
+    max_body_bytes: Annotated[
+        int,
+        msgspec.Meta(ge=1024, le=1_073_741_824),
+    ] = 33_554_432
+    body_timeout_ms: PositiveMs = 10_000
+    drain_timeout_ms: PositiveMs = 600_000
+    routing: Literal[
+        'predicted',
+        'round_robin',
+        'random',
+        'least_outstanding',
+    ] = 'predicted'
+    sample_size: Count = 8
+    retry_share: Share = 0.1
+    instances_poll_ms: PositiveMs = 1000
+    watch_config: bool = True
+    planner: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AgentSettings:
+    """Settings of `masticwind-agent`.
+
+    `endpoint` is the name of the endpoint beside which the agent runs and
+    `endpoint_url` the base URL of its interface.
+    """
+
+    node: Name
+    zone: Name
+    endpoint: Name
+    endpoint_url: Name
+    peers: PeerSettings
+    kind: Literal['engine', 'service'] = 'engine'
+    service: str = ''
+    inner: Address = field(default_factory=Address)
+    platform: PlatformSettings = field(default_factory=PlatformSettings)
+    metrics: MetricsSettings = field(default_factory=MetricsSettings)
+    traces: TraceSettings = field(default_factory=TraceSettings)
+    log_level: LogLevel = 'info'
+    max_running: Count = 64
+    max_queued: Count = 1024
+    cold_capacity: Count = 2
+    long_prompt_tokens: Count = 16_384
+    prefill_step_tokens: Count = 8192
+    orphan_grace_ms: PositiveMs = 5000
+    drain_timeout_ms: PositiveMs = 600_000
+
+
+def read_settings(path: Path, kind: type[_Settings]) -> _Settings | Failure:
+    """Read the YAML file at `path` as settings of type `kind`.
+
+    Returns a `Failure` of kind `bad_request` with one line that names the
+    file, the key and what was expected.
+    """
+    try:
+        raw = yaml.safe_load(path.read_text(encoding='utf-8'))
+    except OSError as exc:
+        return _invalid(path, f'cannot be read: {exc.strerror}')
+    except (yaml.YAMLError, UnicodeDecodeError) as exc:
+        return _invalid(path, ' '.join(f'is not YAML: {exc}'.split()))
+    return decode_settings(path, raw, kind)
+
+
+def decode_settings(
+    path: Path,
+    raw: object,
+    kind: type[_Settings],
+) -> _Settings | Failure:
+    """Check `raw`, which was read from `path`, as settings of `kind`."""
+    unknown = unknown_key(raw, kind)
+    if unknown:
+        return _invalid(path, f'key {unknown} is unknown')
+    try:
+        return msgspec.convert(raw, type=kind)
+    except msgspec.ValidationError as exc:
+        return _invalid(path, str(exc))
+
+
+def unknown_key(raw: object, kind: object, where: str = '') -> str:
+    """Return the path of the first key that `kind` does not have.
+
+    msgspec ignores unknown keys in data classes, and a misspelt key with a
+    silent default is the most common settings fault.
+    """
+    if not isinstance(raw, dict):
+        return ''
+    if not hasattr(kind, '__dataclass_fields__'):
+        return ''
+    described = msgspec.inspect.type_info(kind)
+    assert isinstance(described, msgspec.inspect.DataclassType)
+    known = {one.name: one.type for one in described.fields}
+    for key, value in raw.items():
+        here = f'{where}.{key}' if where else str(key)
+        if key not in known:
+            return here
+        inner = getattr(known[key], 'cls', None)
+        if inner is None:
+            continue
+        found = unknown_key(value, inner, here)
+        if found:
+            return found
+    return ''
+
+
+def _invalid(path: Path, reason: str) -> Failure:
+    return Failure(kind=ErrorKind.BAD_REQUEST, reason=f'{path}: {reason}')
--- /dev/null
+++ b/src/masticwind/tokens.py
@@ -0,0 +1,46 @@
+"""Token estimates and prefix block hashes of prompts.
+
+Masticwind runs no tokenizer: the engine's own count is the truth, and an
+estimate from the text's size is enough to place work. Prefix blocks are
+hashed in a chain, so that equal hashes mean equal prefixes from the start.
+"""
+
+from typing import Final
+
+import xxhash
+
+BLOCK_BYTES: Final = 4096
+# Bounds the size of an offer; a million-token prompt has about 1,000 blocks.
+MAX_BLOCKS: Final = 2048
+
+
+def estimate_tokens(size_bytes: int, bytes_per_token: float) -> int:
+    """Return the estimated token count of a text of `size_bytes` bytes."""
+    return max(1, round(size_bytes / bytes_per_token))
+
+
+def prefix_hashes(prompt: bytes) -> tuple[int, ...]:
+    """Return one chained 64-bit hash for each full block of the prompt.
+
+        assert prefix_hashes(a + b)[:len(prefix_hashes(a))] \\
+            == prefix_hashes(a)
+    """
+    view = memoryview(prompt)
+    hashes: list[int] = []
+    seed = 0
+    for start in range(0, len(view) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        if len(hashes) == MAX_BLOCKS:
+            break
+        seed = xxhash.xxh3_64_intdigest(view[start : start + BLOCK_BYTES], seed)
+        hashes.append(seed)
+    return tuple(hashes)
+
+
+def cached_blocks(hashes: tuple[int, ...], cached: frozenset[int]) -> int:
+    """Return how many leading blocks of a prompt are in a set of blocks."""
+    count = 0
+    for block in hashes:
+        if block not in cached:
+            break
+        count += 1
+    return count
--- /dev/null
+++ b/src/masticwind/web.py
@@ -0,0 +1,174 @@
+"""Small helpers for raw ASGI applications and for serving them.
+
+The programs have few routes, so they use ASGI directly. Request bodies are
+read with a size limit and a time limit.
+"""
+
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any, Final, TypeVar
+from urllib.parse import parse_qsl
+
+import anyio
+import msgspec
+import uvicorn
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.settings import Address
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+App = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+_Content = TypeVar('_Content')
+
+JSON_TYPE: Final = b'application/json'
+LISTEN_BACKLOG: Final = 2048
+MAX_HEADER_BYTES: Final = 32_768
+KEEP_ALIVE_S: Final = 60
+# Decoding a larger body on the event loop would stall other requests.
+INLINE_DECODE_BYTES: Final = 262_144
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """A whole HTTP response."""
+
+    status: int
+    body: bytes
+    content_type: bytes = JSON_TYPE
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+def json_response(
+    status: int,
+    content: object,
+    headers: tuple[tuple[bytes, bytes], ...] = (),
+) -> Response:
+    """Return `content` as a JSON response."""
+    return Response(status, msgspec.json.encode(content), headers=headers)
+
+
+async def send_response(send: Send, response: Response) -> None:
+    """Write a whole response."""
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': response.status,
+            'headers': [
+                (b'content-type', response.content_type),
+                (b'content-length', str(len(response.body)).encode()),
+                *response.headers,
+            ],
+        }
+    )
+    await send({'type': 'http.response.body', 'body': response.body})
+
+
+def header(scope: Scope, name: bytes) -> str:
+    """Return a request header, or an empty string.
+
+    `name` is in lower case.
+    """
+    for key, value in scope['headers']:
+        if key == name:
+            return str(value.decode('latin-1'))
+    return ''
+
+
+def query(scope: Scope) -> Mapping[str, str]:
+    """Return the query parameters; the last of a repeated name counts."""
+    return dict(parse_qsl(scope['query_string'].decode('latin-1')))
+
+
+async def read_body(
+    receive: Receive,
+    limit_bytes: int,
+    timeout_s: float,
+) -> bytes | Failure:
+    """Read a request body.
+
+    Returns a `Failure` of kind `too_large`, `body_timeout` or `cancelled`.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    with anyio.move_on_after(timeout_s):
+        while True:
+            event = await receive()
+            if event['type'] == 'http.disconnect':
+                return Failure(
+                    kind=ErrorKind.CANCELLED,
+                    reason='caller disconnected',
+                )
+            chunk = event.get('body', b'')
+            size += len(chunk)
+            if size > limit_bytes:
+                return Failure(
+                    kind=ErrorKind.TOO_LARGE,
+                    reason=f'the body is over {limit_bytes} bytes',
+                )
+            chunks.append(chunk)
+            if not event.get('more_body'):
+                return b''.join(chunks)
+    return Failure(
+        kind=ErrorKind.BODY_TIMEOUT,
+        reason=f'the body did not arrive within {timeout_s:g} s',
+    )
+
+
+async def decode_json(body: bytes, kind: type[_Content]) -> _Content | Failure:
+    """Decode and check a JSON body, off the event loop if it is large."""
+    try:
+        if len(body) <= INLINE_DECODE_BYTES:
+            return msgspec.json.decode(body, type=kind)
+        return await anyio.to_thread.run_sync(_decode, body, kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return Failure(kind=ErrorKind.BAD_REQUEST, reason=str(exc))
+
+
+def _decode(body: bytes, kind: type[_Content]) -> _Content:
+    return msgspec.json.decode(body, type=kind)
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the program."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class WebServer:
+    """Serves an ASGI application on one address until `stop` is called."""
+
+    def __init__(self, app: App, address: Address) -> None:
+        self._socket: Final = socket.create_server(
+            (address.host, address.port),
+            backlog=LISTEN_BACKLOG,
+        )
+        self.port: Final = int(self._socket.getsockname()[1])
+        self._server: Final = _Server(
+            uvicorn.Config(
+                app,
+                loop='none',
+                http='httptools',
+                ws='none',
+                lifespan='off',
+                log_config=None,
+                access_log=False,
+                server_header=False,
+                timeout_keep_alive=KEEP_ALIVE_S,
+                h11_max_incomplete_event_size=MAX_HEADER_BYTES,
+            )
+        )
+
+    async def run(self) -> None:
+        """Serve until stopped; requests in progress are completed."""
+        await self._server.serve(sockets=[self._socket])
+
+    def stop(self) -> None:
+        """Take no new connections and end when the last request has."""
+        self._server.should_exit = True
--- /dev/null
+++ b/src/masticwind_dev/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiments and measurements."""
--- /dev/null
+++ b/src/masticwind_dev/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Fault injection: TCP proxy, process control and the fault matrix."""
--- /dev/null
+++ b/src/masticwind_dev/local/__init__.py
@@ -0,0 +1,1 @@
+"""The local runner: everything in one process, for a first look."""
--- /dev/null
+++ b/src/masticwind_dev/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform's services and the endpoints."""
