--- a/src/masticwind_dev/faults/fleet.py
+++ b/src/masticwind_dev/faults/fleet.py
@@ -1,5 +1,6 @@
 """A fleet of real processes: stand-ins, agents and entries."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -108,7 +109,7 @@
         self.entries[name] = entry
         return entry
 
-    async def publish(self, leaving: frozenset[str] = frozenset()) -> None:
+    async def publish(self, leaving: Collection[str] = ()) -> None:
         """Put the running agents on the platform's instance list."""
         listed = [
             {
