Measure first-token time and service under open-loop load

masticwind-bench starts 15 engine stand-ins and 3 services over three availability zones behind two entries and sends a seeded workload to them. Every variant of an experiment gets the same requests at the same times.

--- /dev/null
+++ b/src/masticwind_dev/bench/main.py
@@ -0,0 +1,158 @@
+"""Command line of `masticwind-bench`."""
+
+from pathlib import Path
+from typing import Annotated, Final
+
+import anyio
+import cyclopts
+import msgspec
+
+from masticwind import __version__
+from masticwind_dev.bench.experiments import (
+    LOADS,
+    VARIANTS,
+    Plan,
+    RunResult,
+    run_free_load,
+    run_load,
+    run_shorts_alone,
+    run_zone_event,
+)
+
+FREE_LOADS: Final = (0.0, 1.0, 3.0)
+DEFAULT_FOLDER: Final = Path('results')
+
+Seconds = Annotated[float, cyclopts.Parameter(help='seconds of arrivals')]
+Seed = Annotated[int, cyclopts.Parameter(help='seed of the workload')]
+Folder = Annotated[Path, cyclopts.Parameter(help='folder for JSON results')]
+
+cli = cyclopts.App(
+    name='masticwind-bench',
+    help='Run load and experiments against a fleet of stand-ins.',
+    version=__version__,
+)
+
+
+@cli.command
+def load(
+    variant: str = 'predicted',
+    factor: float = 0.8,
+    *,
+    duration: Seconds = 40,
+    seed: Seed = 1,
+    folder: Folder = DEFAULT_FOLDER,
+) -> None:
+    """Serve the mix at FACTOR times the capacity."""
+    plan = Plan(duration_s=duration, seed=seed)
+    _keep(
+        folder,
+        f'load-{variant}-{factor}',
+        anyio.run(
+            run_load,
+            plan,
+            variant,
+            factor,
+        ),
+    )
+
+
+@cli.command
+def zones(
+    variant: str = 'predicted',
+    factor: float = 0.5,
+    *,
+    duration: Seconds = 60,
+    seed: Seed = 1,
+    folder: Folder = DEFAULT_FOLDER,
+) -> None:
+    """Take a zone out and back while the mix is served."""
+    plan = Plan(duration_s=duration, seed=seed)
+    _keep(
+        folder,
+        f'zones-{variant}-{factor}',
+        anyio.run(
+            run_zone_event,
+            plan,
+            variant,
+            factor,
+        ),
+    )
+
+
+@cli.command
+def shorts(
+    factor: float = 0.8,
+    *,
+    duration: Seconds = 40,
+    seed: Seed = 1,
+    folder: Folder = DEFAULT_FOLDER,
+) -> None:
+    """Serve only the short requests of the mix."""
+    plan = Plan(duration_s=duration, seed=seed)
+    _keep(
+        folder,
+        f'shorts-{factor}',
+        anyio.run(
+            run_shorts_alone,
+            plan,
+            factor,
+        ),
+    )
+
+
+@cli.command
+def free(
+    factor: float = 1.0,
+    *,
+    duration: Seconds = 40,
+    seed: Seed = 1,
+    folder: Folder = DEFAULT_FOLDER,
+) -> None:
+    """Serve paid work at half the capacity beside FACTOR of free work."""
+    plan = Plan(duration_s=duration, seed=seed)
+    _keep(folder, f'free-{factor}', anyio.run(run_free_load, plan, factor))
+
+
+@cli.default
+def suite(
+    *,
+    duration: Seconds = 40,
+    seed: Seed = 1,
+    folder: Folder = DEFAULT_FOLDER,
+) -> None:
+    """Run every experiment with the same seed."""
+    for variant in VARIANTS:
+        for factor in LOADS:
+            load(variant, factor, duration=duration, seed=seed, folder=folder)
+        zones(variant, duration=duration, seed=seed, folder=folder)
+    shorts(duration=duration, seed=seed, folder=folder)
+    for factor in FREE_LOADS:
+        free(factor, duration=duration, seed=seed, folder=folder)
+
+
+def _keep(folder: Path, name: str, result: RunResult) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / f'{name}.json'
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
+    print(
+        f'{path}: {result.requests} requests, goodput '
+        f'{result.goodput_tokens_per_s:,.0f} tokens/s, '
+        f'cold overruns {result.cold_overruns}, '
+        f'held {result.held_tokens}, refusals {result.refusal_ms}'
+    )
+    for key, one in result.classes.items():
+        first = one.first_token_ms
+        print(
+            f'  {key:12} n={one.requests:5} served={one.served_share:.4f} '
+            f'ttft p50={first.p50:.0f} p95={first.p95:.0f} '
+            f'p99={first.p99:.0f} ms errors={one.errors}'
+        )
+
+
+def main() -> None:
+    """Run the program."""
+    cli()
+
+
+if __name__ == '__main__':
+    main()
