Run a local fleet that serves and checks sample prompts

Log records of libraries go out as JSON lines too; a request that is cancelled at shutdown is logged at debug level, because uvicorn reported it as an error with a traceback.

--- a/src/masticwind/logs.py
+++ b/src/masticwind/logs.py
@@ -6,6 +6,8 @@
 Messages are event names in snake case; what varies is bound as fields.
 """
 
+import asyncio
+import logging
 import sys
 from typing import TYPE_CHECKING
 
@@ -41,10 +43,30 @@
     return frames
 
 
+class _LibraryLogs(logging.Handler):
+    """Passes the libraries' log records on."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        level = record.levelname
+        exc = record.exc_info[1] if record.exc_info else None
+        # A request that is cancelled at shutdown is no error.
+        if isinstance(exc, asyncio.CancelledError):
+            level = 'DEBUG'
+        logger.opt(exception=exc).bind(library=record.name).log(
+            level,
+            record.getMessage(),
+        )
+
+
 def configure_logs(level: str) -> None:
     """Send logs of `level` and above to standard error as JSON lines."""
     logger.remove()
     logger.add(_write_line, level=level.upper(), catch=False)
+    logging.basicConfig(
+        handlers=[_LibraryLogs()],
+        level=logging.WARNING,
+        force=True,
+    )
 
 
 def get_logger(program: str, node: str) -> 'Logger':
--- /dev/null
+++ b/src/masticwind_dev/local/check.py
@@ -0,0 +1,112 @@
+"""Requests that the local runner sends to its own fleet and checks."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from typing import Final
+
+import anyio
+import msgspec
+
+from masticwind.config.store import ConfigStore
+from masticwind.errors import Failure
+from masticwind.httpclient import HttpAnswer, HttpClient
+from masticwind.platform.http import HttpKeyValue
+from masticwind_dev.local.fleet import Fleet
+from masticwind_dev.local.sample import FREE_TOKEN, PAID_TOKEN, ZONES
+from masticwind_dev.standins.answers import expected_answer
+
+TIMEOUT_S: Final = 60.0
+IN_FORCE_S: Final = 5.0
+OUTPUT_TOKENS: Final = 8
+BYTES_PER_TOKEN: Final = 4
+LENGTHS: Final = (1_000, 20_000, 100_000, 1_000_000)
+OK_STATUS: Final = 200
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CheckResult:
+    """What one check found."""
+
+    name: str
+    passed: bool
+    detail: str
+
+
+async def run_checks(fleet: Fleet) -> Sequence[CheckResult]:
+    """Serve prompts of all lengths around a change."""
+    entry = next(iter(fleet.entries.values()))
+    client = HttpClient(f'http://127.0.0.1:{entry.port}')
+    checks = [await _check_prompt(client, length) for length in LENGTHS]
+    checks.append(await _check_zone_change(fleet, client))
+    checks.append(await _check_prompt(client, LENGTHS[0], FREE_TOKEN))
+    await client.close()
+    return checks
+
+
+async def _check_prompt(
+    client: HttpClient,
+    tokens: int,
+    token: str = PAID_TOKEN,
+) -> CheckResult:
+    line = f'reading {tokens} of case 12, humidity 48.5 %. '
+    size = tokens * BYTES_PER_TOKEN
+    text = (line * (size // len(line) + 1))[:size]
+    started = anyio.current_time()
+    answer = await client.request(
+        'POST',
+        '/v1/chat/completions',
+        timeout_s=TIMEOUT_S,
+        body=msgspec.json.encode(
+            {
+                'model': 'standard',
+                'messages': [{'role': 'user', 'content': text}],
+                'max_tokens': OUTPUT_TOKENS,
+            }
+        ),
+        headers=[(b'authorization', f'Bearer {token}'.encode())],
+    )
+    spent_s = anyio.current_time() - started
+    whole = expected_answer(f'user: {text}\n'.encode(), OUTPUT_TOKENS)
+    return CheckResult(
+        name=f'prompt of {tokens:,} tokens as {token}',
+        passed=_text_of(answer) == whole,
+        detail=f'{OUTPUT_TOKENS} tokens in {spent_s:.2f} s',
+    )
+
+
+async def _check_zone_change(
+    fleet: Fleet,
+    client: HttpClient,
+) -> CheckResult:
+    store = ConfigStore(HttpKeyValue(fleet.platform))
+    entry = next(iter(fleet.entries.values()))
+    config = entry.config.config
+    zones = {
+        **config.zones,
+        ZONES[1]: replace(config.zones[ZONES[1]], in_service=False),
+    }
+    number = entry.config.number
+    applied = await store.apply(replace(config, zones=zones), number, 'local')
+    if isinstance(applied, Failure):
+        return CheckResult(
+            name='zone change',
+            passed=False,
+            detail=applied.reason,
+        )
+    started = anyio.current_time()
+    with anyio.move_on_after(IN_FORCE_S):
+        await entry.config.wait_newer(number)
+    spent_s = anyio.current_time() - started
+    served = await _check_prompt(client, LENGTHS[0])
+    return CheckResult(
+        name=f'{ZONES[1]} taken out of service',
+        passed=served.passed and entry.config.number > number,
+        detail=f'in force at the entry after {spent_s:.2f} s, still serving',
+    )
+
+
+def _text_of(answer: HttpAnswer | Failure) -> str:
+    if isinstance(answer, Failure) or answer.status != OK_STATUS:
+        return ''
+    decoded = msgspec.json.decode(answer.body)
+    return str(decoded['choices'][0]['message']['content'])
--- a/src/masticwind_dev/local/fleet.py
+++ b/src/masticwind_dev/local/fleet.py
@@ -42,6 +42,7 @@
     services: dict[str, str] = field(default_factory=dict)
     entries: tuple[str, ...] = ('entry-1',)
     entry_zone: str = 'local-a'
+    entry_port: int = 0
 
 
 class Fleet:
@@ -84,6 +85,7 @@
                 EntrySettings(
                     node=node,
                     zone=self.plan.entry_zone,
+                    listen=Address(port=self.plan.entry_port),
                     peers=self._peers,
                     platform=self.platform,
                     instances_poll_ms=100,
--- /dev/null
+++ b/src/masticwind_dev/local/main.py
@@ -0,0 +1,102 @@
+"""Command line of `masticwind-local`: a fleet in one process, for a look."""
+
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Annotated, Final
+
+import anyio
+import cyclopts
+
+from masticwind import __version__
+from masticwind.logs import configure_logs
+from masticwind_dev.local.check import CheckResult, run_checks
+from masticwind_dev.local.fleet import Fleet, running_fleet
+from masticwind_dev.local.sample import PAID_TOKEN, sample_plan
+
+PORT: Final = 8100
+
+cli = cyclopts.App(
+    name='masticwind-local',
+    help='Run a whole fleet in one process.',
+    version=__version__,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LocalOptions:
+    """What the local runner does after its checks."""
+
+    once: bool
+    port: int
+
+
+@cli.default
+def serve(
+    *,
+    once: Annotated[
+        bool,
+        cyclopts.Parameter(help='check a set of requests and exit'),
+    ] = False,
+    port: Annotated[
+        int,
+        cyclopts.Parameter(help='TCP port of the entry, 0 for any'),
+    ] = PORT,
+    log_level: Annotated[
+        str,
+        cyclopts.Parameter(help='debug, info, warning or error'),
+    ] = 'warning',
+) -> None:
+    """Serve sample requests, print how to call the fleet, and keep serving."""
+    configure_logs(log_level)
+    options = LocalOptions(once=once, port=0 if once else port)
+    failed = anyio.run(
+        _serve,
+        options,
+        backend_options={'use_uvloop': True},
+    )
+    sys.exit(1 if failed else 0)
+
+
+async def _serve(options: LocalOptions) -> bool:
+    async with running_fleet(sample_plan(options.port)) as fleet:
+        checks = await run_checks(fleet)
+        _print_checks(checks)
+        failed = any(not one.passed for one in checks)
+        if options.once or failed:
+            return failed
+        _print_usage(fleet)
+        await anyio.sleep_forever()
+    return False
+
+
+def _print_checks(checks: Sequence[CheckResult]) -> None:
+    for result in checks:
+        mark = 'ok    ' if result.passed else 'FAILED'
+        print(f'{mark} {result.name}: {result.detail}')
+
+
+def _print_usage(fleet: Fleet) -> None:
+    port = next(iter(fleet.entries.values())).port
+    print(
+        f"""
+The fleet serves on http://127.0.0.1:{port}. Ask it something:
+
+  curl -s http://127.0.0.1:{port}/v1/chat/completions \\
+    -H 'Authorization: Bearer {PAID_TOKEN}' \\
+    -H 'X-Request-Timeout-Ms: 10000' \\
+    -d '{{"model": "standard", "max_tokens": 8, "messages":
+         [{{"role": "user", "content": "Summarise case 12."}}]}}'
+
+Stop it with Ctrl-C.""",
+        flush=True,
+    )
+
+
+def main() -> None:
+    """Run the program."""
+    cli()
+
+
+if __name__ == '__main__':
+    main()
