Place models on endpoints by fenced, rate-limited orders

One planner for each availability zone compares the wanted number of endpoints for a model with what agents report and sends one order at a time, under a lease whose time it counts on its own monotonic clock. It does nothing without a fresh report from 80% of the zone's endpoints, without the weight store's permission, or while an earlier order shows no effect. The agent refuses an order with an older fencing token, for engines that ignore it.

--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -7,6 +7,7 @@
 
 from masticwind.agent.calls import CallExecutor
 from masticwind.agent.executor import Executor, ExecutorParts
+from masticwind.agent.orders import OrderKeeper
 from masticwind.config.current import CurrentConfig
 from masticwind.config.distribute import ConfigWatcher
 from masticwind.config.store import ConfigStore
@@ -20,6 +21,7 @@
     Body,
     Call,
     Cancel,
+    EndpointOrder,
     Load,
     Offer,
     Resume,
@@ -38,10 +40,12 @@
         self._cfg: Final = cfg
         self._tasks: Final = tasks
         self.config: Final = CurrentConfig()
+        engine = HttpEngine(cfg.endpoint_url)
         self._executor: Final = Executor(
-            ExecutorParts(cfg, self.config, HttpEngine(cfg.endpoint_url)),
+            ExecutorParts(cfg, self.config, engine),
             tasks,
         )
+        self._orders: Final = OrderKeeper(engine)
         self._calls: Final = CallExecutor(
             cfg,
             self.config,
@@ -118,5 +122,7 @@
                 )
             case Cancel():
                 self._tasks.start_soon(self._executor.cancel, message)
+            case EndpointOrder():
+                self._tasks.start_soon(self._orders.carry_out, message)
             case Call():
                 self._tasks.start_soon(self._calls.call, channel, message)
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -12,7 +12,12 @@
 from masticwind.entry.relay import Relay
 from masticwind.entry.router import make_router
 from masticwind.node import Node
-from masticwind.platform.http import HttpInstanceList, HttpKeyValue
+from masticwind.planner.runner import Planner
+from masticwind.platform.http import (
+    HttpInstanceList,
+    HttpKeyValue,
+    HttpWeightStore,
+)
 from masticwind.settings import EntrySettings
 from masticwind.web import WebServer
 
@@ -48,7 +53,17 @@
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.pool.run)
-            store = ConfigStore(HttpKeyValue(self._cfg.platform))
+            key_value = HttpKeyValue(self._cfg.platform)
+            if self._cfg.planner:
+                planner = Planner(
+                    self._cfg,
+                    self.config,
+                    self.pool,
+                    key_value,
+                    HttpWeightStore(self._cfg.platform),
+                )
+                tasks.start_soon(planner.run)
+            store = ConfigStore(key_value)
             tasks.start_soon(ConfigWatcher(store, self.config).run)
             await self._server.run()
             tasks.cancel_scope.cancel()
--- a/src/masticwind/protocol/messages.py
+++ b/src/masticwind/protocol/messages.py
@@ -250,6 +250,15 @@
     share: NonNegative
 
 
+class EndpointOrder(Message, frozen=True, tag='order'):
+    """A planner's order to an endpoint, with its fencing token."""
+
+    action: Literal['load_model', 'unload_model']
+    model: Id
+    version: Text
+    fencing: NonNegative
+
+
 class ConfigRequest(Message, frozen=True, tag='cfgreq'):
     """Ask for the head, or for the parts with these digests."""
 
@@ -286,5 +295,6 @@
     | Reserved
     | Release
     | ConfigRequest
+    | EndpointOrder
     | ConfigData
 )
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,107 @@
+"""Placement of models: what is ordered, by whom and when nothing is."""
+
+import time
+
+import anyio
+import pytest
+
+from masticwind.agent.orders import OrderKeeper
+from masticwind.config.model import Model
+from masticwind.engines.http import HttpEngine
+from masticwind.planner.leader import MARGIN_S, TTL_S, Leadership
+from masticwind.planner.placement import EndpointView, Order, plan_order
+from masticwind.platform.http import HttpKeyValue
+from masticwind.protocol.messages import EndpointOrder, Load
+from masticwind.settings import Address, PlatformSettings
+from masticwind.web import WebServer
+from masticwind_dev.standins.engine import EngineModel, EngineStandin
+from masticwind_dev.standins.keyvalue import KeyValueStandin
+from tests.scenarios import sample_config
+
+pytestmark = pytest.mark.anyio
+
+
+def _view(name: str, *models: str, work: int = 0) -> EndpointView:
+    load = Load('serving', models=models, paid_work_tokens=work)
+    return EndpointView(endpoint=name, load=load)
+
+
+def test_loads_where_least_work_waits() -> None:
+    """Guards against a reload of a busy endpoint."""
+    order = plan_order(
+        sample_config(models={'standard': Model(replicas={'zone-a': 1})}),
+        'zone-a',
+        [_view('busy', work=10), _view('idle'), _view('other', work=5)],
+    )
+    assert order == Order(
+        endpoint='idle',
+        action='load_model',
+        model='standard',
+        version='1',
+    )
+
+
+def test_nothing_is_ordered_in_doubt() -> None:
+    """Guards against orders from an incomplete view of the zone."""
+    unseen = EndpointView(endpoint='unseen', load=None)
+    order = plan_order(
+        sample_config(models={'standard': Model(replicas={'zone-a': 1})}),
+        'zone-a',
+        [_view('idle'), unseen],
+    )
+    assert order is None
+
+
+def test_unload_only_above_the_wanted_number() -> None:
+    """Guards against a move that leaves a model with too few endpoints."""
+    config = sample_config(models={'standard': Model(replicas={'zone-a': 1})})
+    one = [_view('a', 'standard'), _view('b')]
+    assert plan_order(config, 'zone-a', one) is None
+    two = [_view('a', 'standard', work=9), _view('b', 'standard')]
+    order = plan_order(config, 'zone-a', two)
+    assert order is not None
+    assert (order.endpoint, order.action) == ('b', 'unload_model')
+
+
+def test_zone_without_wanted_number_is_left_alone() -> None:
+    """Guards against orders that no operator asked for."""
+    config = sample_config(models={'standard': Model(replicas={'zone-b': 2})})
+    assert plan_order(config, 'zone-a', [_view('a')]) is None
+
+
+async def test_one_leader_and_none_in_doubt() -> None:
+    """Guards against two planners that both send orders."""
+    standin = KeyValueStandin()
+    server = WebServer(standin.app, Address())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(standin.run)
+        tasks.start_soon(server.run)
+        url = f'http://127.0.0.1:{server.port}'
+        key_value = HttpKeyValue(PlatformSettings(key_value_url=url))
+        first = Leadership(key_value, 'zone-a', 'one')
+        second = Leadership(key_value, 'zone-a', 'two')
+        tasks.start_soon(first.run)
+        with anyio.fail_after(5):
+            while first.fencing_token() is None:
+                await anyio.sleep(0.01)
+        tasks.start_soon(second.run)
+        await anyio.sleep(0.3)
+        assert second.fencing_token() is None
+        # A paused holder wakes when less than the margin is left.
+        first._expires = time.monotonic() + MARGIN_S / 2
+        assert first.fencing_token() is None
+        assert MARGIN_S < TTL_S
+        tasks.cancel_scope.cancel()
+
+
+async def test_agent_refuses_an_older_token() -> None:
+    """Guards against a paused planner whose engine ignores the token."""
+    standin = EngineStandin(EngineModel(models=(), checks_fencing=False))
+    server = WebServer(standin.app, Address())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run)
+        keeper = OrderKeeper(HttpEngine(f'http://127.0.0.1:{server.port}'))
+        await keeper.carry_out(EndpointOrder('load_model', 'new', '1', 7))
+        await keeper.carry_out(EndpointOrder('load_model', 'old', '1', 6))
+        assert standin.model.models == ('new',)
+        tasks.cancel_scope.cancel()
