--- a/src/masticwind_dev/bench/main.py
+++ b/src/masticwind_dev/bench/main.py
@@ -22,6 +22,7 @@
 
 FREE_LOADS: Final = (0.0, 1.0, 3.0)
 DEFAULT_FOLDER: Final = Path('results')
+FIGURES: Final = Path('docs/figures')
 
 Seconds = Annotated[float, cyclopts.Parameter(help='seconds of arrivals')]
 Seed = Annotated[int, cyclopts.Parameter(help='seed of the workload')]
@@ -125,6 +126,22 @@
     print(text.decode())
 
 
+@cli.command
+def report(
+    *,
+    folder: Folder = DEFAULT_FOLDER,
+    target: Annotated[
+        Path,
+        cyclopts.Parameter(help='folder for plots and tables'),
+    ] = FIGURES,
+) -> None:
+    """Write plots and tables from the results in a folder."""
+    # matplotlib takes a second to import, and only this command needs it.
+    from masticwind_dev.bench.report import write_report
+
+    print(write_report(folder, target))
+
+
 @cli.default
 def suite(
     *,
