--- a/src/masticwind/agent/executor.py
+++ b/src/masticwind/agent/executor.py
@@ -7,19 +7,26 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from masticwind.agent.admission import Admission
+from masticwind.agent.cacheview import CacheView
+from masticwind.agent.gate import Gate
 from masticwind.agent.ledger import Ledger
+from masticwind.agent.ramp import Ramp
+from masticwind.agent.rates import Rates
+from masticwind.agent.reconcile import (
+    Reconciler,
+    ReconcilerParts,
+    adopted_request,
+)
 from masticwind.agent.requests import AgentRequest, RequestKey
-from masticwind.agent.scheduler import Scheduler
+from masticwind.agent.runner import Runner, end_with
+from masticwind.agent.running import Running
+from masticwind.agent.scheduler import Scheduler, SchedulerParts
+from masticwind.agent.shares import Shares
+from masticwind.agent.steps import StepFeeder
 from masticwind.budget import Budget
 from masticwind.config.current import CurrentConfig
-from masticwind.engines.base import (
-    Done,
-    Engine,
-    EngineEvent,
-    EngineReport,
-    EngineRequest,
-    Tokens,
-)
+from masticwind.engines.base import Engine, EngineReport
 from masticwind.errors import ErrorKind, Failure
 from masticwind.protocol.channel import Channel
 from masticwind.protocol.messages import (
@@ -28,9 +35,11 @@
     Cancel,
     End,
     Load,
-    LoadState,
     Offer,
     Refused,
+    Release,
+    Reserve,
+    Reserved,
     Resume,
     Revoke,
     Revoked,
@@ -38,9 +47,10 @@
 from masticwind.settings import AgentSettings
 
 REPORT_INTERVAL_S: Final = 0.25
-SWEEP_INTERVAL_S: Final = 0.5
+SWEEP_INTERVAL_S: Final = 0.25
+# Queued requests are looked at this often even if nothing changes.
+QUEUE_INTERVAL_S: Final = 0.05
 MS_PER_S: Final = 1000
-MAX_REVOKED: Final = 100_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,31 +66,70 @@
     """Owns the requests of one engine."""
 
     def __init__(self, parts: ExecutorParts, tasks: TaskGroup) -> None:
-        self._cfg: Final = parts.cfg
-        self._config: Final = parts.config
-        self._engine: Final = parts.engine
+        cfg = parts.cfg
+        self._parts: Final = parts
         self._tasks: Final = tasks
-        self._ledger: Final = Ledger()
-        self._scheduler: Final = Scheduler(parts.cfg, self._ledger)
+        self._rates: Final = Rates()
+        self.ledger: Final = Ledger()
+        self.ramp: Final = Ramp(cfg, self._rates)
+        self.gate: Final = Gate(cfg, parts.config, self.ramp)
+        self.running: Final = Running(cfg)
+        self.scheduler: Final = Scheduler(
+            SchedulerParts(cfg, self.ledger, self._rates, self.running),
+        )
+        self.shares: Final = Shares(self.ledger, parts.engine, tasks)
+        self.reconciler: Final = Reconciler(
+            ReconcilerParts(
+                cfg,
+                parts.engine,
+                self.ledger,
+                self.running,
+                self.shares,
+            ),
+        )
+        self._runner: Final = Runner(
+            cfg,
+            parts.engine,
+            self._rates,
+            self.ramp,
+            self.running,
+            StepFeeder(
+                cfg,
+                parts.engine,
+                self._rates,
+                self.running,
+                self.scheduler,
+            ),
+            self.shares,
+        )
+        self._cache: Final = CacheView(parts.engine)
         self._requests: Final[dict[RequestKey, AgentRequest]] = {}
-        self._revoked: Final[dict[str, float]] = {}
-        self._report: EngineReport | None = None
-        self._running = 0
         self._wake = anyio.Event()
-        self.draining = False
+
+    @property
+    def draining(self) -> bool:
+        """Whether nothing new is taken."""
+        return self.gate.draining
+
+    @draining.setter
+    def draining(self, draining: bool) -> None:
+        self.gate.draining = draining
 
     @property
     def idle(self) -> bool:
-        """Whether no request is queued or running."""
-        return all(req.state == 'ended' for req in self._requests.values())
+        """Whether no request is queued or running and no share is held."""
+        ended = all(req.state == 'ended' for req in self._requests.values())
+        return ended and not self.running and not self.shares
 
     async def run(self) -> None:
         """Start queued requests, read reports and sweep, until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._poll_report)
             tasks.start_soon(self._sweep)
+            tasks.start_soon(self._cache.run)
             while True:
-                await self._wake.wait()
+                with anyio.move_on_after(QUEUE_INTERVAL_S):
+                    await self._wake.wait()
                 self._wake = anyio.Event()
                 self._start_queued()
 
@@ -90,20 +139,21 @@
         if key in self._requests:
             channel.send(Accepted(*key))
             return
-        refusal = self._refusal(offer)
-        if refusal is not None:
+        req = AgentRequest(offer, Budget.from_ms(offer.timeout_ms), channel)
+        req.cached_estimate = self._cache.cached_tokens(offer)
+        predicted = self._decide(req)
+        if isinstance(predicted, Failure):
             channel.send(
                 Refused(
                     *key,
-                    refusal.kind,
-                    refusal.reason,
-                    refusal.retry_after_ms,
+                    predicted.kind,
+                    predicted.reason,
+                    predicted.retry_after_ms,
                 )
             )
             return
-        req = AgentRequest(offer, Budget.from_ms(offer.timeout_ms), channel)
         self._requests[key] = req
-        channel.send(Accepted(*key))
+        channel.send(Accepted(*key, predicted))
         if offer.body_bytes == len(offer.body):
             req.body.extend(offer.body)
             self._enqueue(req)
@@ -114,8 +164,10 @@
         if req is None or req.state != 'receiving':
             return
         req.body.extend(message.chunk)
-        if len(req.body) > req.offer.body_bytes:
-            self._end(req, ErrorKind.BAD_REQUEST, 'body longer than offered')
+        size = len(req.body)
+        wanted = req.offer.body_bytes
+        if size > wanted or (message.last and size < wanted):
+            end_with(req, ErrorKind.BAD_REQUEST, 'body differs from the offer')
         elif message.last:
             self._enqueue(req)
 
@@ -123,35 +175,50 @@
         """Continue a request on a new connection."""
         key = (message.request_id, message.attempt)
         req = self._requests.get(key)
-        if req is None:
-            channel.send(
-                End(
-                    *key,
-                    0,
-                    ErrorKind.NOT_FOUND,
-                    'the agent does not know it',
-                )
-            )
+        if req is not None:
+            req.attach(channel, message.offset)
             return
-        req.attach(channel, message.offset)
+        if self._adopt(channel, message):
+            return
+        channel.send(
+            End(*key, 0, ErrorKind.NOT_FOUND, 'the agent does not know it'),
+        )
 
-    async def revoke(self, channel: Channel, message: Revoke) -> None:
+    def revoke(self, channel: Channel, message: Revoke) -> None:
         """Withdraw a request and say whether it can have run."""
-        self._revoked[message.request_id] = time.monotonic()
-        if len(self._revoked) > MAX_REVOKED:
-            self._revoked.pop(next(iter(self._revoked)))
+        self.gate.revoke(message.request_id)
         key = (message.request_id, message.attempt)
         req = self._requests.get(key)
-        started = req is not None and req.started
+        orphan = req is None and self.reconciler.claim(key) is not None
+        started = orphan or (req is not None and req.started)
         if req is not None:
-            await self._stop(req, ErrorKind.REVOKED)
+            self._stop(req, ErrorKind.REVOKED)
+        self.shares.drop_request(key)
         channel.send(Revoked(*key, started))
 
-    async def cancel(self, message: Cancel) -> None:
+    def cancel(self, message: Cancel) -> None:
         """Stop a request whose caller has left."""
-        req = self._requests.get((message.request_id, message.attempt))
+        key = (message.request_id, message.attempt)
+        req = self._requests.get(key)
         if req is not None:
-            await self._stop(req, ErrorKind.CANCELLED)
+            self._stop(req, ErrorKind.CANCELLED)
+        self.shares.drop_request(key)
+
+    def reserve(self, channel: Channel, message: Reserve) -> None:
+        """Lease memory for a share of a group."""
+        key = (message.request_id, message.attempt, message.share)
+        refusal = None
+        if not self.shares.known(message):
+            refusal = self.gate.closed(message.request_id)
+        refusal = refusal or self.shares.reserve(message)
+        if refusal is None:
+            channel.send(Reserved(*key))
+            return
+        channel.send(Reserved(*key, refusal.kind, refusal.reason))
+
+    def release(self, message: Release) -> None:
+        """Give a share back."""
+        self.shares.drop((message.request_id, message.attempt, message.share))
 
     def detach(self, channel: Channel) -> None:
         """Note that a connection is gone; its requests wait for a resume."""
@@ -161,162 +228,147 @@
 
     def load(self) -> Load:
         """Return the load report for heartbeats."""
-        report = self._report
+        report = self.gate.report
         models = () if report is None else report.models
+        ahead = self.running.prefill_tokens
         return Load(
-            state=self._state(),
+            state=self.gate.state(),
             models=models,
-            slots=max(0, self._capacity() - self._running),
-            running=self._running,
-            queued=len(self._scheduler),
-            paid_work_tokens=self._scheduler.work_tokens(paid=True),
-            free_work_tokens=self._scheduler.work_tokens(paid=False),
-            memory_free_tokens=self._ledger.free_tokens,
-            memory_total_tokens=self._ledger.total_tokens,
+            slots=max(0, self.gate.capacity() - len(self.running)),
+            running=len(self.running),
+            queued=len(self.scheduler),
+            paid_work_tokens=self.scheduler.work_tokens(paid=True)
+            + ahead(paid=True),
+            free_work_tokens=self.scheduler.work_tokens(paid=False)
+            + ahead(paid=False),
+            prefill_tokens_per_s=self._rates.prefill_tokens_per_s,
+            memory_free_tokens=self.ledger.free_tokens,
+            memory_total_tokens=self.ledger.total_tokens,
+            long_running=int(self.running.long_prefill()),
         )
 
-    def _state(self) -> LoadState:
-        if self.draining:
-            return 'draining'
-        if self._report is None:
-            return 'down'
-        if not self._in_service():
-            return 'out'
-        return 'cold' if self._report.cold else 'serving'
-
-    def _in_service(self) -> bool:
-        return self._config.zone_in_service(
-            self._cfg.zone
-        ) and self._config.endpoint_in_service(self._cfg.endpoint)
-
-    def _capacity(self) -> int:
-        if self._report is not None and self._report.cold:
-            return self._cfg.cold_capacity
-        return self._cfg.max_running
-
-    def _refusal(self, offer: Offer) -> Failure | None:
-        if offer.request_id in self._revoked:
-            return Failure(kind=ErrorKind.REVOKED, reason='revoked before')
-        if self.draining:
-            return Failure(kind=ErrorKind.DRAINING, reason='shutting down')
-        if not self._in_service():
-            return Failure(kind=ErrorKind.ZONE_OUT, reason='out of service')
-        if self._report is None:
-            return Failure(kind=ErrorKind.NO_CAPACITY, reason='engine is down')
-        if offer.model not in self._report.models:
+    def _decide(self, req: AgentRequest) -> int | Failure:
+        offer = req.offer
+        closed = self.gate.closed(offer.request_id)
+        if closed is not None:
+            return closed
+        if not self.gate.has_model(offer.model):
             return Failure(kind=ErrorKind.NO_CAPACITY, reason='model not here')
-        if offer.prompt_tokens + offer.max_tokens > self._ledger.total_tokens:
+        if offer.share_of:
+            return self.shares.bind(req) or 0
+        if req.memory_tokens > self.ledger.total_tokens:
             return Failure(kind=ErrorKind.NO_CAPACITY, reason='exceeds memory')
-        if len(self._scheduler) >= self._cfg.max_queued:
-            return Failure(kind=ErrorKind.OVERLOADED, reason='queue is full')
-        return None
+        return Admission(
+            self._parts.cfg,
+            self.scheduler,
+            self.running,
+            self._rates,
+            self.ledger,
+        ).decide(offer, req.cached_estimate, self.gate.capacity())
 
     def _enqueue(self, req: AgentRequest) -> None:
-        self._scheduler.add(req)
-        self._wake.set()
+        if req.state != 'ended':
+            self.scheduler.add(req)
+            self._wake.set()
 
     def _start_queued(self) -> None:
+        self._end_hopeless()
+        capacity = self.gate.capacity()
         while True:
-            req = self._scheduler.take(self._running, self._capacity())
+            req = self.scheduler.take(capacity)
             if req is None:
-                return
-            self._running += 1
-            req.state = 'running'
-            self._tasks.start_soon(self._run_request, req)
+                break
+            self._start(req)
+        for victim in self.scheduler.preemptible(capacity):
+            victim.preempted = True
+            if victim.scope is not None:
+                victim.scope.cancel()
+
+    def _start(self, req: AgentRequest) -> None:
+        req.state = 'running'
+        self.running.add(req)
+        self._tasks.start_soon(self._run_request, req)
 
     async def _run_request(self, req: AgentRequest) -> None:
         try:
-            with anyio.move_on_after(req.budget.remaining_s()):
-                await self._generate(req)
-            if req.end is None:
-                await self._engine.cancel(_engine_id(req))
-                self._end(req, ErrorKind.TIMED_OUT, 'time budget is used up')
+            if not req.preempted and req.end is None:
+                await self._runner.run(req)
         finally:
-            self._running -= 1
-            self._ledger.free(req.key)
+            self.running.remove(req)
+            self.ledger.free(req.key)
+            self.scheduler.charge_end(req)
             self._wake.set()
-
-    async def _generate(self, req: AgentRequest) -> None:
-        req.started = True
-        async with self._engine.generate(_engine_request(req)) as events:
-            async for event in events:
-                self._take_event(req, event)
-                if req.end is not None:
-                    return
-
-    def _take_event(self, req: AgentRequest, event: EngineEvent) -> None:
-        if isinstance(event, Tokens):
-            fresh = event.tokens[len(req.output) - event.offset :]
-            if fresh:
-                req.emit(fresh)
-        elif isinstance(event, Done):
-            req.finish(
-                End(
-                    *req.key,
-                    len(req.output),
-                    cached_tokens=event.cached_tokens,
-                )
-            )
-        else:
-            self._end(req, event.kind, event.reason)
-
-    async def _stop(self, req: AgentRequest, kind: ErrorKind) -> None:
-        if req.state == 'ended':
+        if req.end is None and not req.count:
+            req.requeue()
+            self._enqueue(req)
             return
-        self._scheduler.remove(req)
-        self._end(req, kind, 'withdrawn')
-        if req.started:
-            await self._engine.cancel(_engine_id(req))
-
-    def _end(self, req: AgentRequest, kind: ErrorKind, reason: str) -> None:
-        if req.end is None:
-            req.finish(End(*req.key, len(req.output), kind, reason))
+        req.gone.set()
+        end_with(req, ErrorKind.FAILED_AFTER_START, 'stopped')
+
+    def _end_hopeless(self) -> None:
+        """End queued requests that can no longer finish in time."""
+        for req in self.scheduler.queued():
+            if self.scheduler.slack_s(req) > 0:
+                continue
+            self.scheduler.remove(req)
+            kind = ErrorKind.TIMED_OUT if req.started else ErrorKind.OVERLOADED
+            end_with(req, kind, 'cannot finish in time')
+
+    def _stop(self, req: AgentRequest, kind: ErrorKind) -> None:
+        self.scheduler.remove(req)
+        end_with(req, kind, 'withdrawn')
+        if req.scope is not None:
+            req.scope.cancel()
+
+    def _adopt(self, channel: Channel, message: Resume) -> bool:
+        """Take over a stream that an earlier agent had started."""
+        key = (message.request_id, message.attempt)
+        found = self.reconciler.claim(key)
+        if found is None:
+            return False
+        req = adopted_request(found, message, channel)
+        self._requests[key] = req
+        self.ledger.adopt(key, req.memory_tokens)
+        self._start(req)
+        return True
 
     async def _poll_report(self) -> None:
+        engine = self._parts.engine
         while True:
-            report = await self._engine.report()
-            if isinstance(report, Failure):
-                self._report = None
+            report = await engine.report()
+            # The first look finds what an earlier agent has started.
+            if isinstance(report, Failure) or isinstance(
+                await self.reconciler.look(),
+                Failure,
+            ):
+                self.gate.report = None
             else:
-                self._report = report
-                self._ledger.total_tokens = report.memory_total_tokens
-                self._wake.set()
+                self._take_report(report)
             await anyio.sleep(REPORT_INTERVAL_S)
 
+    def _take_report(self, report: EngineReport) -> None:
+        self.gate.report = report
+        self.ledger.total_tokens = report.memory_total_tokens
+        if self.ramp.take_report(report):
+            self.shares.forget_all()
+            self._cache.reset()
+        self._wake.set()
+
     async def _sweep(self) -> None:
-        grace_s = self._cfg.orphan_grace_ms / MS_PER_S
+        grace_s = self._parts.cfg.orphan_grace_ms / MS_PER_S
         while True:
             await anyio.sleep(SWEEP_INTERVAL_S)
+            self.shares.sweep()
             horizon = time.monotonic() - grace_s
             for req in list(self._requests.values()):
-                await self._sweep_request(req, horizon)
+                self._sweep_request(req, horizon)
 
-    async def _sweep_request(self, req: AgentRequest, horizon: float) -> None:
+    def _sweep_request(self, req: AgentRequest, horizon: float) -> None:
         if req.state == 'ended':
             if req.ended_at < horizon:
                 self._requests.pop(req.key)
             return
         if req.detached_at is not None and req.detached_at < horizon:
-            await self._stop(req, ErrorKind.CANCELLED)
-        elif req.state != 'running' and req.budget.expired():
-            self._expire(req)
-
-    def _expire(self, req: AgentRequest) -> None:
-        self._scheduler.remove(req)
-        self._end(req, ErrorKind.OVERLOADED, 'not started in time')
-
-
-def _engine_id(req: AgentRequest) -> str:
-    return f'{req.offer.request_id}.{req.offer.attempt}'
-
-
-def _engine_request(req: AgentRequest) -> EngineRequest:
-    offer = req.offer
-    return EngineRequest(
-        request_id=_engine_id(req),
-        model=offer.model,
-        prompt=bytes(req.body),
-        prompt_tokens=offer.prompt_tokens,
-        max_tokens=offer.max_tokens,
-        priority=0 if offer.paid else 1,
-    )
+            self._stop(req, ErrorKind.CANCELLED)
+        elif req.state == 'receiving' and req.budget.expired():
+            end_with(req, ErrorKind.OVERLOADED, 'the body came too late')
--- /dev/null
+++ b/src/masticwind/agent/gate.py
@@ -0,0 +1,80 @@
+"""What an agent may take at all: service state, drain and revoked ids."""
+
+import time
+from typing import Final
+
+from masticwind.agent.ramp import Ramp
+from masticwind.config.current import CurrentConfig
+from masticwind.engines.base import EngineReport
+from masticwind.errors import ErrorKind, Failure
+from masticwind.protocol.messages import LoadState
+from masticwind.settings import AgentSettings
+
+MAX_REVOKED: Final = 100_000
+
+
+class Gate:
+    """Owns the engine's last report and the ids of revoked requests."""
+
+    def __init__(
+        self,
+        cfg: AgentSettings,
+        config: CurrentConfig,
+        ramp: Ramp,
+    ) -> None:
+        self._cfg: Final = cfg
+        self._config: Final = config
+        self._ramp: Final = ramp
+        self._revoked: Final[dict[str, float]] = {}
+        self.report: EngineReport | None = None
+        self.draining = False
+
+    def revoke(self, request_id: str) -> None:
+        """Refuse later offers of a request."""
+        self._revoked[request_id] = time.monotonic()
+        if len(self._revoked) > MAX_REVOKED:
+            self._revoked.pop(next(iter(self._revoked)))
+
+    def closed(self, request_id: str) -> Failure | None:
+        """Return why no new work is taken, if none is."""
+        if request_id in self._revoked:
+            return Failure(kind=ErrorKind.REVOKED, reason='revoked before')
+        if self.draining:
+            return Failure(kind=ErrorKind.DRAINING, reason='shutting down')
+        if not self._in_service():
+            return Failure(kind=ErrorKind.ZONE_OUT, reason='out of service')
+        if self.report is None:
+            return Failure(kind=ErrorKind.NO_CAPACITY, reason='engine is down')
+        return None
+
+    def has_model(self, model: str) -> bool:
+        """Tell whether the engine has loaded a model."""
+        return self.report is not None and model in self.report.models
+
+    def state(self) -> LoadState:
+        """Return the state for the load report."""
+        if self.draining:
+            return 'draining'
+        if self.report is None:
+            return 'down'
+        if not self._in_service():
+            return 'out'
+        return 'cold' if self._ramp.cold else 'serving'
+
+    def capacity(self) -> int:
+        """Return how many requests may be in the engine at once."""
+        if self.report is None:
+            return 0
+        cfg = self._cfg
+        stated = self._config.config.endpoints.get(cfg.endpoint)
+        if stated is not None and stated.cold_capacity:
+            self._ramp.cold_capacity = stated.cold_capacity
+        else:
+            self._ramp.cold_capacity = cfg.cold_capacity
+        return self._ramp.capacity
+
+    def _in_service(self) -> bool:
+        cfg, config = self._cfg, self._config
+        return config.zone_in_service(
+            cfg.zone,
+        ) and config.endpoint_in_service(cfg.endpoint)
--- /dev/null
+++ b/src/masticwind/agent/ramp.py
@@ -0,0 +1,120 @@
+"""The slow-start ramp of one engine.
+
+A cold engine fails under more than its stated capacity, and it can turn cold
+without saying so. The ramp therefore trusts observed service only: it leaves
+the cold capacity after a number of completed requests at the usual decode
+interval, then adds one slot per completed request. It starts again when the
+engine restarts, reloads, reports a cold start, fails a stream, or when the
+decode intervals grow well beyond what the outstanding work explains.
+
+A relapse shows in the decode intervals of running streams. A relapse of an
+idle engine, or one within the few iterations before a start, cannot be seen.
+"""
+
+import time
+from typing import Final
+
+from masticwind.agent.rates import Rates
+from masticwind.engines.base import EngineReport
+from masticwind.settings import AgentSettings
+
+COLD_COMPLETIONS: Final = 16
+# A decode interval this many times the explained one is a sign of a relapse.
+COLLAPSE_RATIO: Final = 2.0
+# Single long intervals come from pauses of this process.
+COLLAPSE_INTERVALS: Final = 3
+# The shortest interval seen is forgotten slowly, as the batch changes.
+BASE_GROWTH: Final = 1.001
+MIN_INTERVAL_S: Final = 0.001
+
+
+class Ramp:
+    """How many requests the engine may be given at once."""
+
+    def __init__(self, cfg: AgentSettings, rates: Rates) -> None:
+        self._cfg: Final = cfg
+        self._rates: Final = rates
+        self._boot_id = ''
+        self._models: tuple[str, ...] = ()
+        self._limit = 0
+        self._completed = 0
+        self._reported_cold = False
+        self._base_s = 0.0
+        self._slow_intervals = 0
+        self._counted_at = 0.0
+        self.cold_capacity = cfg.cold_capacity
+        self.entries = 0
+        self.enter()
+
+    @property
+    def cold(self) -> bool:
+        """Whether only the cold capacity may be used."""
+        return self._limit <= self.cold_capacity < self._cfg.max_running
+
+    @property
+    def capacity(self) -> int:
+        """Requests that may be in the engine at once."""
+        if self._reported_cold:
+            return self.cold_capacity
+        return min(self._cfg.max_running, max(self._limit, self.cold_capacity))
+
+    def enter(self) -> None:
+        """Start the ramp at the cold capacity."""
+        self._limit = 0
+        self._completed = 0
+        self._slow_intervals = 0
+        self.entries += 1
+
+    def take_report(self, report: EngineReport) -> bool:
+        """Compare a report with the last one; true if the engine is new."""
+        known = bool(self._boot_id)
+        restarted = known and report.boot_id != self._boot_id
+        reloaded = known and report.models != self._models
+        if restarted or reloaded or (report.cold and not self._reported_cold):
+            self.enter()
+        self._boot_id = report.boot_id
+        self._models = report.models
+        self._reported_cold = report.cold
+        return restarted
+
+    def completed(self) -> None:
+        """Note a request that the engine has served to its end."""
+        if self._reported_cold or self._slow_intervals:
+            return
+        self._completed += 1
+        if self._limit:
+            self._limit = min(self._limit + 1, self._cfg.max_running)
+        elif self._completed >= COLD_COMPLETIONS:
+            self._limit = self.cold_capacity + 1
+
+    def failed(self) -> None:
+        """Note a stream that the engine has failed."""
+        self.enter()
+
+    def interval(self, seconds: float, prefill_tokens: int) -> None:
+        """Take the time between two tokens of one stream.
+
+        `prefill_tokens` is the prompt work that was outstanding in the
+        engine, which may have lengthened the iteration.
+        """
+        if seconds < MIN_INTERVAL_S:
+            return
+        now = time.monotonic()
+        # One iteration counts once, however many streams it served.
+        if now - self._counted_at < self._base_s / 2:
+            return
+        self._counted_at = now
+        peak = self._rates.peak_tokens_per_s
+        prefill_s = prefill_tokens / peak if peak else seconds
+        if self._base_s and seconds > COLLAPSE_RATIO * (
+            self._base_s + prefill_s
+        ):
+            self._slow_intervals += 1
+            if self._slow_intervals == COLLAPSE_INTERVALS:
+                self.enter()
+                self._slow_intervals = COLLAPSE_INTERVALS
+            return
+        self._slow_intervals = 0
+        if not prefill_tokens:
+            longer = self._base_s * BASE_GROWTH or seconds
+            self._base_s = min(longer, seconds)
--- /dev/null
+++ b/src/masticwind/agent/rates.py
@@ -0,0 +1,91 @@
+"""The learned speed of one engine.
+
+Prefill is measured as service rate: computed prompt tokens over the time in
+which any prompt was being computed. This includes the time that the engine
+spends on decoding in between, which a new request has to wait for as well.
+"""
+
+import math
+import time
+from typing import Final
+
+# Busy time after which an old measurement weighs 1/e.
+MEMORY_S: Final = 5.0
+# Shorter measurements are dominated by the engine's iteration time.
+MIN_SAMPLE_S: Final = 0.001
+MIN_PEAK_TOKENS: Final = 1024
+PEAK_DECAY: Final = 0.999
+DECODE_WEIGHT: Final = 0.05
+OUTPUT_WEIGHT: Final = 0.05
+
+
+class Rates:
+    """Prefill rate, decode interval and usual output of one engine."""
+
+    def __init__(self) -> None:
+        self._tokens = 0.0
+        self._busy_s = 0.0
+        self._peak = 0.0
+        self._outstanding = 0
+        self._mark = 0.0
+        self.decode_s = 0.0
+        self.output_share = 1.0
+
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """The measured prefill rate; zero before the first measurement."""
+        if self._busy_s < MIN_SAMPLE_S:
+            return 0
+        return self._tokens / self._busy_s
+
+    @property
+    def peak_tokens_per_s(self) -> float:
+        """The highest recent rate, for work that has the engine alone."""
+        return max(self._peak, self.prefill_tokens_per_s)
+
+    def prefill_started(self) -> None:
+        """Note that a prompt, or a step of one, was given to the engine."""
+        if not self._outstanding:
+            self._mark = time.monotonic()
+        self._outstanding += 1
+
+    def prefill_ended(self, computed_tokens: int) -> None:
+        """Note that the engine has computed `computed_tokens`.
+
+        Zero stands for work that was cancelled or failed.
+        """
+        now = time.monotonic()
+        spent = now - self._mark
+        self._outstanding -= 1
+        if not computed_tokens:
+            return
+        self._mark = now
+        self.learn_prefill(computed_tokens, spent)
+
+    def learn_prefill(self, tokens: int, seconds: float) -> None:
+        """Take a measurement of the prefill rate."""
+        keep = math.exp(-seconds / MEMORY_S)
+        self._tokens = self._tokens * keep + tokens
+        self._busy_s = self._busy_s * keep + seconds
+        if tokens >= MIN_PEAK_TOKENS and seconds >= MIN_SAMPLE_S:
+            self._peak = max(self._peak * PEAK_DECAY, tokens / seconds)
+
+    def learn_decode(self, seconds: float) -> None:
+        """Take the interval between two tokens of a stream."""
+        if not self.decode_s:
+            self.decode_s = seconds
+        self.decode_s += DECODE_WEIGHT * (seconds - self.decode_s)
+
+    def learn_output(self, count: int, max_tokens: int) -> None:
+        """Take the output of a request that came to its end."""
+        share = count / max(1, max_tokens)
+        self.output_share += OUTPUT_WEIGHT * (share - self.output_share)
+
+    def prefill_s(self, tokens: int) -> float:
+        """Predict the seconds that `tokens` of prefill take."""
+        rate = self.prefill_tokens_per_s
+        return tokens / rate if rate else 0
+
+    def decode_total_s(self, max_tokens: int) -> float:
+        """Predict the seconds that the output takes."""
+        return max_tokens * self.output_share * self.decode_s
--- /dev/null
+++ b/src/masticwind/agent/reconcile.py
@@ -0,0 +1,167 @@
+"""Compares the agent's books with what the engine really holds.
+
+What the engine runs or holds without an owner is an orphan: after a restart
+of the agent it waits for a `Resume`, otherwise it is the remains of a
+cancellation that did not arrive. Orphans count in the ledger until they are
+gone, and are cancelled after the grace period.
+"""
+
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Final
+
+from masticwind.agent.ledger import Ledger
+from masticwind.agent.requests import AgentRequest, RequestKey
+from masticwind.agent.running import Running
+from masticwind.agent.shares import Shares
+from masticwind.budget import Budget
+from masticwind.engines.base import Engine, RunningRequest
+from masticwind.errors import Failure
+from masticwind.protocol.channel import Channel
+from masticwind.protocol.messages import Offer, Resume
+from masticwind.settings import AgentSettings
+
+MS_PER_S: Final = 1000
+# Resumed requests of an earlier agent whose time budget is not stated.
+ADOPTED_TIMEOUT_MS: Final = 600_000
+# Room for the output that an adopted request may still generate.
+ADOPTED_OUTPUT_TOKENS: Final = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class Orphan:
+    """Something in the engine that nobody owns."""
+
+    first_seen: float
+    item: RunningRequest
+
+
+@dataclass(frozen=True, slots=True)
+class ReconcilerParts:
+    """What a reconciler compares."""
+
+    cfg: AgentSettings
+    engine: Engine
+    ledger: Ledger
+    running: Running
+    shares: Shares
+
+
+class Reconciler:
+    """Owns the orphans of one engine."""
+
+    def __init__(self, parts: ReconcilerParts) -> None:
+        self._parts: Final = parts
+        self._streams: Final[dict[str, Orphan]] = {}
+        self._caches: Final[dict[str, Orphan]] = {}
+
+    @property
+    def orphans(self) -> int:
+        """Streams and caches without an owner."""
+        return len(self._streams) + len(self._caches)
+
+    async def look(self) -> Failure | None:
+        """Read what the engine holds and end what is nobody's for long."""
+        parts = self._parts
+        listed = await parts.engine.running()
+        if isinstance(listed, Failure):
+            return listed
+        own = {req.engine_id for req in parts.running}
+        self._compare(
+            self._streams,
+            {
+                one.request_id: one
+                for one in listed
+                if one.request_id not in own
+            },
+        )
+        parts.running.orphans = len(self._streams)
+        await self._end_old(self._streams, parts.engine.cancel)
+        held = await parts.engine.caches()
+        if isinstance(held, Failure):
+            return held
+        self._compare(self._caches, self._ownerless(held))
+        await self._end_old(self._caches, parts.engine.drop_cache)
+        return None
+
+    def claim(self, key: RequestKey) -> RunningRequest | None:
+        """Take over the stream of a request that was started before."""
+        prefix = f'{key[0]}.{key[1]}.'
+        for name, orphan in self._streams.items():
+            # Prefill steps have another kind of turn and no output.
+            if not name.startswith(prefix) or not (
+                name.removeprefix(prefix).isdecimal()
+            ):
+                continue
+            self._remove(self._streams, name)
+            self._parts.running.orphans = len(self._streams)
+            return orphan.item
+        return None
+
+    def _ownerless(self, held: dict[str, int]) -> dict[str, RunningRequest]:
+        owned = self._parts.shares.handles()
+        pending = self._parts.shares.pending()
+        return {
+            handle: RunningRequest(
+                request_id=handle,
+                offset=0,
+                memory_tokens=tokens,
+            )
+            for handle, tokens in held.items()
+            if handle not in owned and not handle.startswith(pending)
+        }
+
+    def _compare(
+        self,
+        orphans: dict[str, Orphan],
+        found: dict[str, RunningRequest],
+    ) -> None:
+        for gone in set(orphans) - set(found):
+            self._remove(orphans, gone)
+        now = time.monotonic()
+        for name, item in found.items():
+            known = orphans.get(name)
+            first_seen = now if known is None else known.first_seen
+            orphans[name] = Orphan(first_seen, item)
+            self._parts.ledger.adopt(f'orphan:{name}', item.memory_tokens)
+
+    async def _end_old(
+        self,
+        orphans: dict[str, Orphan],
+        end: Callable[[str], Awaitable[Failure | None]],
+    ) -> None:
+        grace_s = self._parts.cfg.orphan_grace_ms / MS_PER_S
+        horizon = time.monotonic() - grace_s
+        for name, orphan in list(orphans.items()):
+            if orphan.first_seen <= horizon:
+                await end(name)
+
+    def _remove(self, orphans: dict[str, Orphan], name: str) -> None:
+        orphans.pop(name, None)
+        self._parts.ledger.free(f'orphan:{name}')
+
+
+def adopted_request(
+    found: RunningRequest,
+    message: Resume,
+    channel: Channel,
+) -> AgentRequest:
+    """Return the request for a stream that an earlier agent had started."""
+    timeout_ms = message.timeout_ms or ADOPTED_TIMEOUT_MS
+    offer = Offer(
+        message.request_id,
+        message.attempt,
+        team='adopted',
+        paid=True,
+        model='',
+        prompt_tokens=max(0, found.memory_tokens - found.offset),
+        max_tokens=found.offset + ADOPTED_OUTPUT_TOKENS,
+        timeout_ms=timeout_ms,
+        generation=0,
+        body_bytes=0,
+    )
+    req = AgentRequest(offer, Budget.from_ms(timeout_ms), channel)
+    req.base = message.offset
+    req.adopted_id = found.request_id
+    return req
--- a/src/masticwind/agent/requests.py
+++ b/src/masticwind/agent/requests.py
@@ -1,9 +1,12 @@
 """A request at its agent."""
 
+import itertools
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from typing import Literal
+from typing import Final, Literal
+
+import anyio
 
 from masticwind.budget import Budget
 from masticwind.protocol.channel import Channel
@@ -12,10 +15,20 @@
 State = Literal['receiving', 'queued', 'running', 'ended']
 RequestKey = tuple[str, int]
 
+_arrivals: Final = itertools.count()
+
 
 @dataclass(slots=True, eq=False)
 class AgentRequest:
-    """An accepted offer, its output so far and the connection it goes to."""
+    """An accepted offer, its output so far and the connection it goes to.
+
+    `base` counts tokens that were delivered before this agent took the
+    request over; `output` holds what came after them. `turn` counts the
+    times that the engine was given the request; it is part of the engine's
+    id, so that a late stream of an earlier turn cannot be mistaken for this
+    one. `prefilled` tokens are in the engine's prefix cache as far as the
+    agent knows, and `lost_tokens` had to be computed again.
+    """
 
     offer: Offer
     budget: Budget
@@ -28,6 +41,24 @@
     detached_at: float | None = None
     ended_at: float = 0
     arrived_at: float = field(default_factory=time.monotonic)
+    order: int = field(default_factory=lambda: next(_arrivals))
+    base: int = 0
+    turn: int = 0
+    cached_estimate: int = 0
+    cached_tokens: int = 0
+    prefilled: int = 0
+    lost_tokens: int = 0
+    losses: int = 0
+    prefilling: bool = False
+    preempted: bool = False
+    adopted_id: str = ''
+    leased: bool = False
+    touched: bool = False
+    stepping: bool = False
+    computing: bool = False
+    last_token_at: float = 0
+    scope: anyio.CancelScope | None = None
+    gone: anyio.Event = field(default_factory=anyio.Event)
 
     @property
     def key(self) -> RequestKey:
@@ -36,12 +67,46 @@
 
     @property
     def memory_tokens(self) -> int:
-        """Tokens of engine memory that the request needs at most."""
+        """Tokens of engine memory that the request needs at most.
+
+        A share of a group runs in memory that its lease has reserved.
+        """
+        if self.leased:
+            return 0
         return self.offer.prompt_tokens + self.offer.max_tokens
 
+    @property
+    def uncached_tokens(self) -> int:
+        """Prompt tokens that the engine still has to compute."""
+        known = max(self.cached_estimate, self.prefilled)
+        return max(1, self.offer.prompt_tokens - known)
+
+    @property
+    def count(self) -> int:
+        """Tokens generated so far, including those before a take-over."""
+        return self.base + len(self.output)
+
+    @property
+    def engine_id(self) -> str:
+        """The id under which the engine knows the current turn."""
+        if self.adopted_id:
+            return self.adopted_id
+        turn = f'p{self.turn}' if self.stepping else f'{self.turn}'
+        return f'{self.offer.request_id}.{self.offer.attempt}.{turn}'
+
+    @property
+    def holds_share(self) -> bool:
+        """Whether the prompt is only computed and held for a group."""
+        return bool(self.offer.share_of) and not self.offer.max_tokens
+
+    @property
+    def imported(self) -> tuple[str, ...]:
+        """Handles of the shares of the prompt before this one."""
+        return tuple(one for one in self.offer.share_of.split() if one != '-')
+
     def emit(self, tokens: Sequence[str]) -> None:
         """Append generated tokens and send them to the entry."""
-        offset = len(self.output)
+        offset = self.count
         self.output.extend(tokens)
         self.channel.send(Output(*self.key, offset, tuple(tokens)))
 
@@ -52,12 +117,19 @@
         self.ended_at = time.monotonic()
         self.channel.send(end)
 
+    def requeue(self) -> None:
+        """Prepare another turn after a preemption."""
+        self.preempted = False
+        self.stepping = False
+        self.turn += 1
+
     def attach(self, channel: Channel, offset: int) -> None:
         """Continue on another connection from `offset` tokens on."""
         self.channel = channel
         self.detached_at = None
-        missing = tuple(self.output[offset:])
+        start = max(offset, self.base)
+        missing = tuple(self.output[start - self.base :])
         if missing:
-            channel.send(Output(*self.key, offset, missing))
+            channel.send(Output(*self.key, start, missing))
         if self.end is not None:
             channel.send(self.end)
--- /dev/null
+++ b/src/masticwind/agent/runner.py
@@ -0,0 +1,195 @@
+"""Runs one request on the engine, from its start until the engine is free.
+
+When a run returns, the engine holds nothing of the request as far as it can
+be told; what a failed cancellation leaves behind is found by `reconcile`.
+"""
+
+import time
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+
+from masticwind.agent.ramp import Ramp
+from masticwind.agent.rates import Rates
+from masticwind.agent.requests import AgentRequest
+from masticwind.agent.running import Running
+from masticwind.agent.shares import Shares
+from masticwind.agent.steps import StepFeeder
+from masticwind.engines.base import (
+    Done,
+    Engine,
+    EngineEvent,
+    EngineRequest,
+    Tokens,
+)
+from masticwind.errors import ErrorKind, Failure
+from masticwind.protocol.messages import End
+from masticwind.settings import AgentSettings
+
+CANCEL_TIMEOUT_S: Final = 3.0
+MAX_RESUMES: Final = 3
+RESUME_PAUSE_S: Final = 0.1
+# Prompts of more tokens than this stand behind shorter ones in the engine.
+SHORT_TOKENS: Final = 4096
+SHORT_PRIORITY: Final = 0
+MEDIUM_PRIORITY: Final = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Runner:
+    """Gives requests to the engine and passes their output on."""
+
+    cfg: AgentSettings
+    engine: Engine
+    rates: Rates
+    ramp: Ramp
+    running: Running
+    steps: StepFeeder
+    shares: Shares
+
+    async def run(self, req: AgentRequest) -> None:
+        """Run a request until it ends or is preempted.
+
+        A request without an `end` afterwards was preempted before its first
+        token and can be queued again.
+        """
+        req.started = True
+        finished = False
+        scope = anyio.CancelScope(
+            deadline=anyio.current_time() + req.budget.remaining_s(),
+        )
+        req.scope = scope
+        try:
+            with scope:
+                finished = await self._serve(req)
+            if scope.cancelled_caught and not req.preempted:
+                end_with(req, ErrorKind.TIMED_OUT, 'time budget is used up')
+        finally:
+            req.scope = None
+            self._note_prefill(req, 0)
+            if not finished:
+                await self._cancel(req)
+            self.running.remove(req)
+
+    async def _serve(self, req: AgentRequest) -> bool:
+        """Serve a request; true if the engine has nothing left of it."""
+        if req.holds_share:
+            await self.shares.hold(req)
+            return True
+        failure = await self.shares.import_all(req)
+        if failure is None and not req.adopted_id and self.steps.wanted(req):
+            failure = await self.steps.feed(req)
+        if failure is None:
+            failure = await self._stream(req)
+        if failure is None:
+            return True
+        if req.end is None:
+            self._fail(req, failure)
+        return False
+
+    async def _stream(self, req: AgentRequest) -> Failure | None:
+        """Read the stream; resume it where only the connection broke."""
+        self.rates.prefill_started()
+        req.computing = True
+        failure = await self._read(req)
+        for _ in range(MAX_RESUMES):
+            if failure is None or failure.kind is not ErrorKind.OUTCOME_UNKNOWN:
+                return failure
+            # The engine may have died: until it is known, nothing more than
+            # a cold engine can take is started.
+            self.ramp.failed()
+            if not req.count:
+                return failure
+            await anyio.sleep(RESUME_PAUSE_S)
+            failure = await self._read(req)
+        return failure
+
+    async def _read(self, req: AgentRequest) -> Failure | None:
+        async with self.engine.generate(self._wanted(req)) as events:
+            async for event in events:
+                if isinstance(event, Failure):
+                    return event
+                req.touched = True
+                failure = self._take(req, event)
+                if req.end is not None or failure is not None:
+                    return failure
+        return Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason='no end')
+
+    def _take(self, req: AgentRequest, event: EngineEvent) -> Failure | None:
+        if isinstance(event, Tokens):
+            self._take_tokens(req, event)
+            return None
+        assert isinstance(event, Done)
+        self._note_prefill(req, req.uncached_tokens)
+        if event.count != req.count:
+            return Failure(
+                kind=ErrorKind.FAILED_AFTER_START,
+                reason=f'{req.count} of {event.count} tokens arrived',
+            )
+        req.cached_tokens = event.cached_tokens
+        self.rates.learn_output(req.count, req.offer.max_tokens)
+        self.ramp.completed()
+        req.finish(
+            End(*req.key, req.count, cached_tokens=req.cached_tokens),
+        )
+        return None
+
+    def _take_tokens(self, req: AgentRequest, event: Tokens) -> None:
+        fresh = event.tokens[max(0, req.count - event.offset) :]
+        if not fresh or event.offset > req.count:
+            return
+        now = time.monotonic()
+        if not req.count:
+            known = max(event.cached_tokens, req.prefilled)
+            left = max(1, req.offer.prompt_tokens - known)
+            self._note_prefill(req, left)
+        elif req.last_token_at:
+            gap = (now - req.last_token_at) / len(fresh)
+            self.rates.learn_decode(gap)
+            self.ramp.interval(gap, self.running.all_prefill_tokens())
+        req.last_token_at = now
+        req.emit(fresh)
+
+    def _note_prefill(self, req: AgentRequest, computed: int) -> None:
+        if req.computing:
+            req.computing = False
+            self.rates.prefill_ended(computed)
+        self.running.prefill_done(req)
+
+    def _wanted(self, req: AgentRequest) -> EngineRequest:
+        offer = req.offer
+        return EngineRequest(
+            request_id=req.engine_id,
+            model=offer.model,
+            prompt=bytes(req.body),
+            prompt_tokens=offer.prompt_tokens,
+            max_tokens=offer.max_tokens,
+            priority=self._priority(req),
+            resume_offset=req.count,
+            imported=req.imported,
+        )
+
+    def _priority(self, req: AgentRequest) -> int:
+        left = req.offer.prompt_tokens - req.prefilled
+        if not req.offer.paid or left >= self.cfg.long_prompt_tokens:
+            return self.steps.priority(req)
+        return SHORT_PRIORITY if left <= SHORT_TOKENS else MEDIUM_PRIORITY
+
+    def _fail(self, req: AgentRequest, failure: Failure) -> None:
+        if failure.kind is ErrorKind.NO_CAPACITY and not req.touched:
+            end_with(req, failure.kind, failure.reason)
+            return
+        # Other streams break at the same moment if the engine has failed.
+        self.ramp.failed()
+        end_with(req, ErrorKind.FAILED_AFTER_START, failure.reason)
+
+    async def _cancel(self, req: AgentRequest) -> None:
+        with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
+            await self.engine.cancel(req.engine_id)
+
+
+def end_with(req: AgentRequest, kind: ErrorKind, reason: str) -> None:
+    """End a request with an error, unless it has ended."""
+    if req.end is None:
+        req.finish(End(*req.key, req.count, kind, reason))
--- /dev/null
+++ b/src/masticwind/agent/running.py
@@ -0,0 +1,84 @@
+"""What the agent has in its engine right now."""
+
+import time
+from collections.abc import Iterator
+from typing import Final
+
+import anyio
+
+from masticwind.agent.requests import AgentRequest, RequestKey
+from masticwind.settings import AgentSettings
+
+
+class Running:
+    """The requests that were given to the engine and have not left it."""
+
+    def __init__(self, cfg: AgentSettings) -> None:
+        self._cfg: Final = cfg
+        self._requests: Final[dict[RequestKey, AgentRequest]] = {}
+        self._changed = anyio.Event()
+        self.orphans = 0
+        self.last_short_at = 0.0
+
+    def __len__(self) -> int:
+        return len(self._requests) + self.orphans
+
+    def __iter__(self) -> Iterator[AgentRequest]:
+        return iter(tuple(self._requests.values()))
+
+    def add(self, req: AgentRequest) -> None:
+        """Note that a request goes to the engine now."""
+        self._requests[req.key] = req
+        req.prefilling = True
+        if req.offer.paid and not self.is_long(req):
+            self.last_short_at = time.monotonic()
+
+    def remove(self, req: AgentRequest) -> None:
+        """Note that the engine has let a request go."""
+        self._requests.pop(req.key, None)
+        self.prefill_done(req)
+
+    def prefill_done(self, req: AgentRequest) -> None:
+        """Note the first token, which ends a request's prefill."""
+        if req.prefilling:
+            req.prefilling = False
+            self.changed()
+
+    def changed(self) -> None:
+        """Wake the prompts that wait for a turn between short requests."""
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def wait_changed(self, timeout_s: float) -> None:
+        """Wait for a change, for `timeout_s` seconds at most."""
+        with anyio.move_on_after(timeout_s):
+            await self._changed.wait()
+
+    def is_long(self, req: AgentRequest) -> bool:
+        """Tell whether a prompt is fed in steps as a long one."""
+        return req.offer.prompt_tokens >= self._cfg.long_prompt_tokens
+
+    def long_prefill(self) -> bool:
+        """Tell whether a long prompt is being computed."""
+        return any(req.prefilling and self.is_long(req) for req in self)
+
+    def prefill_tokens(self, *, paid: bool) -> int:
+        """Return the outstanding prefill of prompts that are not long."""
+        return sum(
+            req.uncached_tokens
+            for req in self
+            if req.prefilling
+            and req.offer.paid == paid
+            and not self.is_long(req)
+        )
+
+    def all_prefill_tokens(self) -> int:
+        """Return the outstanding prefill of all requests."""
+        return sum(req.uncached_tokens for req in self if req.prefilling)
+
+    def free(self) -> list[AgentRequest]:
+        """Return the free requests, the latest first."""
+        return sorted(
+            (req for req in self if not req.offer.paid),
+            key=lambda req: -req.order,
+        )
--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -6,6 +6,7 @@
 from anyio.abc import TaskGroup
 
 from masticwind.agent.calls import CallExecutor
+from masticwind.agent.drain import Drainer
 from masticwind.agent.executor import Executor, ExecutorParts
 from masticwind.config.current import CurrentConfig
 from masticwind.config.distribute import ConfigWatcher
@@ -22,14 +23,13 @@
     Cancel,
     Load,
     Offer,
+    Release,
+    Reserve,
     Resume,
     Revoke,
 )
 from masticwind.settings import AgentSettings
 
-DRAIN_POLL_S: Final = 0.05
-MS_PER_S: Final = 1000
-
 
 class Agent(PeerHandler):
     """Serves the entries that connect to it."""
@@ -38,6 +38,7 @@
         self._cfg: Final = cfg
         self._tasks: Final = tasks
         self.config: Final = CurrentConfig()
+        self._drainer: Final = Drainer(cfg)
         self._executor: Final = Executor(
             ExecutorParts(cfg, self.config, HttpEngine(cfg.endpoint_url)),
             tasks,
@@ -80,13 +81,7 @@
 
     async def drain(self) -> None:
         """Refuse new work and wait until the running work has ended."""
-        self._executor.draining = True
-        self._calls.draining = True
-        with anyio.move_on_after(self._cfg.drain_timeout_ms / MS_PER_S):
-            while not (self._executor.idle and self._calls.idle):
-                await anyio.sleep(DRAIN_POLL_S)
-        # The last messages leave with the connections' next write.
-        await anyio.sleep(DRAIN_POLL_S)
+        await self._drainer.drain(self._executor, self._calls)
 
     def load(self) -> Load:
         """Return the load report for the next heartbeat."""
@@ -95,10 +90,12 @@
         return self._executor.load()
 
     def opened(self, channel: Channel) -> None:
-        """Nothing is kept per connection."""
+        """Keep the connection for the orderly close at the end."""
+        self._drainer.opened(channel)
 
     def lost(self, channel: Channel) -> None:
         """Let requests of a lost connection wait for a resume."""
+        self._drainer.lost(channel)
         self._executor.detach(channel)
 
     async def handle(self, channel: Channel, message: AnyMessage) -> None:
@@ -111,12 +108,17 @@
             case Resume():
                 self._executor.resume(channel, message)
             case Revoke():
-                self._tasks.start_soon(
-                    self._executor.revoke,
-                    channel,
-                    message,
-                )
+                self._executor.revoke(channel, message)
             case Cancel():
-                self._tasks.start_soon(self._executor.cancel, message)
+                self._executor.cancel(message)
             case Call():
                 self._tasks.start_soon(self._calls.call, channel, message)
+            case _:
+                self._handle_share(channel, message)
+
+    def _handle_share(self, channel: Channel, message: AnyMessage) -> None:
+        match message:
+            case Reserve():
+                self._executor.reserve(channel, message)
+            case Release():
+                self._executor.release(message)
--- a/src/masticwind/engines/base.py
+++ b/src/masticwind/engines/base.py
@@ -32,10 +32,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Tokens:
-    """Generated tokens; `offset` counts the tokens before these."""
+    """Generated tokens; `offset` counts the tokens before these.
+
+    `cached_tokens` of the prompt came from the prefix cache.
+    """
 
     offset: int
     tokens: tuple[str, ...]
+    cached_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,8 +115,9 @@
     ) -> AbstractAsyncContextManager[AsyncIterator[EngineEvent]]:
         """Run a request and iterate over its events.
 
-        The last event is `Done` or a `Failure`. Leaving the context early
-        closes the stream but does not cancel the request.
+        The last event is `Done` or a `Failure`; kind `outcome_unknown` means
+        that the stream broke and can perhaps be resumed. Leaving the context
+        early closes the stream but does not cancel the request.
         """
 
     @abc.abstractmethod
--- a/src/masticwind/engines/http.py
+++ b/src/masticwind/engines/http.py
@@ -37,11 +37,14 @@
 
 CONTROL_TIMEOUT_S: Final = 2.0
 # An engine that is alive writes a line, at least an empty one, this often.
-STREAM_SILENCE_S: Final = 30.0
+STREAM_SILENCE_S: Final = 2.5
+# Holding a share computes all of its prompt before there is an answer.
+HOLD_TIMEOUT_S: Final = 600.0
 MAX_REASON_CHARS: Final = 200
 _BUSY: Final = (
     HTTPStatus.TOO_MANY_REQUESTS,
     HTTPStatus.SERVICE_UNAVAILABLE,
+    HTTPStatus.INSUFFICIENT_STORAGE,
 )
 
 
@@ -65,6 +68,17 @@
     prefill_tokens: int = 0
     resume_offset: int = 0
     imported: tuple[str, ...] = ()
+    # A prompt that is cut inside a character is no text.
+    prompt_bytes: bytes = b''
+
+
+class _HoldBody(msgspec.Struct, omit_defaults=True):
+    id: str
+    model: str
+    tokens: int
+    imported: tuple[str, ...]
+    prompt: str = ''
+    prompt_bytes: bytes = b''
 
 
 class _Held(msgspec.Struct):
@@ -113,15 +127,15 @@
         answer = await self._client.request(
             'POST',
             '/v1/cache/hold',
-            timeout_s=STREAM_SILENCE_S,
+            timeout_s=HOLD_TIMEOUT_S,
             body=msgspec.json.encode(
-                {
-                    'id': request_id,
-                    'model': model,
-                    'prompt': prompt.decode(),
-                    'tokens': tokens,
-                    'imported': imported,
-                }
+                _HoldBody(
+                    request_id,
+                    model,
+                    tokens,
+                    imported,
+                    *_prompt_fields(prompt),
+                )
             ),
         )
         failure = _command_failure(answer)
@@ -204,10 +218,12 @@
 
 
 def _generate_body(req: EngineRequest) -> _GenerateBody:
+    text, raw = _prompt_fields(req.prompt)
     return _GenerateBody(
         id=req.request_id,
         model=req.model,
-        prompt=req.prompt.decode(),
+        prompt=text,
+        prompt_bytes=raw,
         prompt_tokens=req.prompt_tokens,
         max_tokens=req.max_tokens,
         priority=req.priority,
@@ -218,6 +234,13 @@
     )
 
 
+def _prompt_fields(prompt: bytes) -> tuple[str, bytes]:
+    try:
+        return prompt.decode(), b''
+    except UnicodeDecodeError:
+        return '', prompt
+
+
 def _command_failure(answer: HttpAnswer | Failure) -> Failure | None:
     if isinstance(answer, Failure):
         return answer
@@ -253,12 +276,14 @@
         async for chunk in stream.chunks:
             *lines, rest = (rest + chunk).split(b'\n')
             for line in lines:
-                yield _event(line)
+                # An empty line says that the engine is alive.
+                if line:
+                    yield _event(line)
     except (BrokenStreamError, msgspec.DecodeError) as exc:
-        yield Failure(kind=ErrorKind.FAILED_AFTER_START, reason=str(exc))
+        yield Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason=str(exc))
         return
     yield Failure(
-        kind=ErrorKind.FAILED_AFTER_START,
+        kind=ErrorKind.OUTCOME_UNKNOWN,
         reason='the stream has no end marker',
     )
 
@@ -269,4 +294,4 @@
         return Failure(kind=ErrorKind.FAILED_AFTER_START, reason=line.error)
     if line.end:
         return Done(line.count, line.cached_tokens)
-    return Tokens(line.offset, line.tokens)
+    return Tokens(line.offset, line.tokens, line.cached_tokens)
--- a/src/masticwind/protocol/messages.py
+++ b/src/masticwind/protocol/messages.py
@@ -106,6 +106,7 @@
     weight: float = 1.0
     trace: str = ''
     resume_offset: NonNegative = 0
+    # Handles of the shares before this one, joined by spaces; "-" for none.
     share_of: str = ''
 
 
@@ -179,11 +180,16 @@
 
 
 class Resume(Message, frozen=True, tag='resume'):
-    """Continue a request on this connection from `offset` tokens on."""
+    """Continue a request on this connection from `offset` tokens on.
+
+    `timeout_ms` is the remaining time budget, for an agent that was
+    restarted and does not know the request; zero leaves it unstated.
+    """
 
     request_id: Id
     attempt: NonNegative
     offset: NonNegative
+    timeout_ms: NonNegative = 0
 
 
 class Call(Message, frozen=True, tag='call'):
--- a/src/masticwind/settings.py
+++ b/src/masticwind/settings.py
@@ -135,6 +135,7 @@
     cold_capacity: Count = 2
     long_prompt_tokens: Count = 16_384
     prefill_step_tokens: Count = 8192
+    prefill_step_ms: PositiveMs = 10
     orphan_grace_ms: PositiveMs = 5000
     drain_timeout_ms: PositiveMs = 600_000
 
--- a/src/masticwind_dev/standins/engine.py
+++ b/src/masticwind_dev/standins/engine.py
@@ -10,6 +10,7 @@
 import itertools
 import random
 import time
+from base64 import b64decode
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import asdict, dataclass, field
@@ -48,6 +49,7 @@
     cold_capacity: int = 2
     cold_requests: int = 10
     cold_slowdown: float = 3
+    announces_cold: bool = False
     report_lag_ms: int = 300
     event_lag_ms: int = 500
     event_gap_share: float = 0.02
@@ -68,13 +70,15 @@
     prefill_left: int
     prefill_only: bool
     cached_tokens: int
+    prompt_bytes: int
+    hold_as: str = ''
     output: list[str] = field(default_factory=list)
     state: str = 'waiting'
     error: str = ''
     wake: anyio.Event = field(default_factory=anyio.Event)
 
     def memory_tokens(self) -> int:
-        if self.state == 'waiting':
+        if self.state == 'waiting' or self.error:
             return 0
         return self.prompt_tokens + len(self.output)
 
@@ -83,6 +87,19 @@
         self.wake = anyio.Event()
 
 
+class _Generate(msgspec.Struct):
+    id: str
+    model: str
+    prompt: str
+    prompt_tokens: int
+    max_tokens: int
+    priority: int = 0
+    prefill_only: bool = False
+    prefill_tokens: int = 0
+    imported: tuple[str, ...] = ()
+    prompt_bytes: bytes = b''
+
+
 class EngineStandin:
     """State, iteration loop and HTTP interface of the stand-in."""
 
@@ -133,6 +150,14 @@
         streams = sum(one.memory_tokens() for one in self._streams.values())
         return streams + sum(self._held.values())
 
+    def restart(self) -> None:
+        """Lose all streams and caches, as when the engine's process dies."""
+        self._fail_all('engine restarted')
+        self._streams.clear()
+        self._held.clear()
+        self._cache.clear()
+        self.boot_id = f'boot-{time.time_ns()}'
+
     def turn_cold(self) -> None:
         """Start a cold start, unannounced."""
         self._cold_left = self.model.cold_requests
@@ -183,6 +208,9 @@
                 self._end_prefill(stream)
 
     def _end_prefill(self, stream: _Stream) -> None:
+        if stream.hold_as:
+            self._held[stream.hold_as] = stream.prompt_tokens
+            self._streams.pop(stream.request_id, None)
         self._remember(stream.blocks)
         if stream.prefill_only:
             self._end(stream)
@@ -228,7 +256,7 @@
             count += 1
         if not count:
             return 0
-        per_block = stream.prompt_tokens / max(1, len(stream.blocks))
+        per_block = BLOCK_BYTES * stream.prompt_tokens / stream.prompt_bytes
         # At least one token is computed, as in real engines.
         return min(int(count * per_block), stream.prompt_tokens - 1)
 
@@ -268,7 +296,7 @@
         return EngineReport(
             boot_id=self.boot_id,
             models=self.model.models,
-            cold=False,
+            cold=self.cold and self.model.announces_cold,
             running=sum(state != 'waiting' for state in states),
             waiting=states.count('waiting'),
             memory_total_tokens=self.model.memory_tokens,
@@ -285,7 +313,7 @@
             refused = self._refusal(wanted)
             if refused is not None:
                 return refused
-            stream = self._open_stream(wanted)
+            stream = self._open_stream(_generate_body(wanted))
         await self._write_stream(req, stream, wanted.get('resume_offset', 0))
         return None
 
@@ -299,7 +327,7 @@
             self.offers_over_capacity += 1
             self._fail_all('overload in cold start')
             return json_response(500, {'error': 'overload in cold start'})
-        body = msgspec.convert(wanted, type=_Generate)
+        body = _generate_body(wanted)
         need = body.prompt_tokens + body.max_tokens
         if need > self.model.memory_tokens:
             return json_response(507, {'error': 'prompt exceeds memory'})
@@ -314,9 +342,8 @@
                 stream.state = 'done'
                 stream.notify()
 
-    def _open_stream(self, wanted: dict[str, object]) -> _Stream:
-        body = msgspec.convert(wanted, type=_Generate)
-        prompt = body.prompt.encode()
+    def _open_stream(self, body: _Generate) -> _Stream:
+        prompt = body.prompt.encode() or body.prompt_bytes
         prompt_tokens = body.prompt_tokens
         if body.prefill_only:
             share = body.prefill_tokens / body.prompt_tokens
@@ -334,6 +361,7 @@
             prefill_left=prompt_tokens,
             prefill_only=body.prefill_only,
             cached_tokens=0,
+            prompt_bytes=max(1, len(prompt)),
         )
         self._streams[body.id] = stream
         if not body.prefill_only:
@@ -346,6 +374,19 @@
         req: StandinRequest,
         stream: _Stream,
         sent: int,
+    ) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_on_disconnect, req, tasks.cancel_scope)
+            await self._write_lines(req, stream, sent)
+            # Without a reader, the stream waits for a resume or a cancel.
+            self._streams.pop(stream.request_id, None)
+            tasks.cancel_scope.cancel()
+
+    async def _write_lines(
+        self,
+        req: StandinRequest,
+        stream: _Stream,
+        sent: int,
     ) -> None:
         await req.send(
             {
@@ -358,14 +399,23 @@
             wake = stream.wake
             if len(stream.output) > sent:
                 new = stream.output[sent:]
-                await _write_line(req, {'offset': sent, 'tokens': new})
+                await _write_line(
+                    req,
+                    {
+                        'offset': sent,
+                        'tokens': new,
+                        'cached_tokens': stream.cached_tokens,
+                    },
+                )
                 sent += len(new)
-            if stream.state == 'done' and len(stream.output) == sent:
+                continue
+            if stream.state == 'done':
                 break
             with anyio.move_on_after(KEEP_ALIVE_S):
                 await wake.wait()
+            if not wake.is_set():
+                await _write_text(req, b'\n')
         await self._write_end(req, stream)
-        self._streams.pop(stream.request_id, None)
 
     async def _write_end(self, req: StandinRequest, stream: _Stream) -> None:
         last: dict[str, object] = {'end': True, 'count': len(stream.output)}
@@ -428,14 +478,24 @@
         tokens = wanted['tokens']
         if self.memory_used() + tokens > self.model.memory_tokens:
             return json_response(507, {'error': 'no memory'})
-        digest = prompt_digest(
-            wanted['prompt'].encode(),
-            _seed_of(wanted.get('imported', ())),
+        body = _Generate(
+            id=wanted['id'],
+            model=wanted['model'],
+            prompt=wanted.get('prompt', ''),
+            prompt_bytes=b64decode(wanted.get('prompt_bytes', '')),
+            prompt_tokens=tokens,
+            max_tokens=0,
+            imported=tuple(wanted.get('imported', ())),
         )
-        handle = f'{wanted["id"]}:{len(wanted.get("imported", ()))}:{digest:x}'
-        self._held[handle] = tokens
-        self._shrink_cache()
-        await anyio.sleep(tokens / self.model.prefill_tokens_per_s)
+        stream = self._open_stream(body)
+        handle = f'{body.id}:{len(body.imported)}:{stream.digest:x}'
+        stream.prefill_only = True
+        stream.hold_as = handle
+        while stream.state != 'done':
+            await stream.wake.wait()
+        self._streams.pop(stream.request_id, None)
+        if stream.error:
+            return json_response(500, {'error': stream.error})
         return json_response(200, {'handle': handle})
 
     async def _import(self, req: StandinRequest) -> Response:
@@ -464,6 +524,8 @@
         wanted = req.json()
         if wanted.pop('turn_cold', False):
             self.turn_cold()
+        if wanted.pop('restart', False):
+            self.restart()
         if wanted.pop('fail_all', False):
             self._fail_all('engine failed')
         for name, value in wanted.items():
@@ -485,16 +547,8 @@
         )
 
 
-class _Generate(msgspec.Struct):
-    id: str
-    model: str
-    prompt: str
-    prompt_tokens: int
-    max_tokens: int
-    priority: int = 0
-    prefill_only: bool = False
-    prefill_tokens: int = 0
-    imported: tuple[str, ...] = ()
+def _generate_body(wanted: object) -> _Generate:
+    return msgspec.convert(wanted, type=_Generate, builtin_types=())
 
 
 def _seed_of(imported: Iterable[str]) -> int:
@@ -505,11 +559,22 @@
     return seed
 
 
+async def _cancel_on_disconnect(
+    req: StandinRequest,
+    scope: anyio.CancelScope,
+) -> None:
+    while True:
+        message = await req.receive()
+        if message['type'] == 'http.disconnect':
+            scope.cancel()
+            return
+
+
 async def _write_line(req: StandinRequest, content: dict[str, object]) -> None:
+    await _write_text(req, b'%b\n' % msgspec.json.encode(content))
+
+
+async def _write_text(req: StandinRequest, text: bytes) -> None:
     await req.send(
-        {
-            'type': 'http.response.body',
-            'body': b'%b\n' % msgspec.json.encode(content),
-            'more_body': True,
-        }
+        {'type': 'http.response.body', 'body': text, 'more_body': True},
     )
--- a/src/masticwind_dev/standins/routes.py
+++ b/src/masticwind_dev/standins/routes.py
@@ -32,6 +32,7 @@
     body: bytes
     headers: Mapping[str, str]
     send: Send
+    receive: Receive
 
     def json(self) -> Any:
         """Return the decoded JSON body."""
@@ -65,7 +66,7 @@
         body = await read_body(receive, MAX_BODY_BYTES, BODY_TIMEOUT_S)
         if isinstance(body, Failure):
             return
-        response = await self._dispatch(scope, body, send)
+        response = await self._dispatch(scope, body, send, receive)
         if response is not None:
             await send_response(send, response)
 
@@ -74,6 +75,7 @@
         scope: Scope,
         body: bytes,
         send: Send,
+        receive: Receive,
     ) -> Response | None:
         path = scope['raw_path'].decode()
         for (method, prefix), handler in self._handlers:
@@ -94,6 +96,7 @@
                         for key, value in scope['headers']
                     },
                     send,
+                    receive,
                 )
             )
         return json_response(404, {'error': 'no such route'})
