--- a/src/masticwind/agent/admission.py
+++ b/src/masticwind/agent/admission.py
@@ -89,9 +89,11 @@
         blocking = [req for req in self.running if req.offer.paid >= offer.paid]
         if not blocking:
             return 0
+        ahead = (*blocking, *waiting)
         typical_s = sum(
-            self.rates.decode_total_s(req.offer.max_tokens) for req in blocking
-        ) / len(blocking)
+            self.rates.decode_total_s(max(0, req.offer.max_tokens - req.count))
+            for req in ahead
+        ) / len(ahead)
         over = 1 + len(waiting) + len(blocking) - max(1, capacity)
         slot_s = max(0, over) * typical_s / max(1, capacity)
         need = offer.prompt_tokens + offer.max_tokens
--- a/src/masticwind/agent/executor.py
+++ b/src/masticwind/agent/executor.py
@@ -308,7 +308,7 @@
     def _end_hopeless(self) -> None:
         """End queued requests that can no longer finish in time."""
         for req in self.scheduler.queued():
-            if self.scheduler.slack_s(req) > 0:
+            if not self.scheduler.hopeless(req):
                 continue
             self.scheduler.remove(req)
             kind = ErrorKind.TIMED_OUT if req.started else ErrorKind.OVERLOADED
--- a/src/masticwind/agent/ramp.py
+++ b/src/masticwind/agent/ramp.py
@@ -11,6 +11,7 @@
 idle engine, or one within the few iterations before a start, cannot be seen.
 """
 
+import math
 import time
 from typing import Final
 
@@ -23,8 +24,10 @@
 COLLAPSE_RATIO: Final = 2.0
 # Single long intervals come from pauses of this process.
 COLLAPSE_INTERVALS: Final = 3
-# The shortest interval seen is forgotten slowly, as the batch changes.
-BASE_GROWTH: Final = 1.001
+# The usual interval follows shorter ones quickly and longer ones slowly, so
+# that an engine that stays slow is accepted as it is after some time.
+BASE_WEIGHT: Final = 0.1
+BASE_GROWTH: Final = 1.002
 MIN_INTERVAL_S: Final = 0.001
 
 
@@ -62,7 +65,6 @@
         """Start the ramp at the cold capacity."""
         self._limit = 0
         self._completed = 0
-        self._slow_intervals = 0
         self.entries += 1
 
     def take_report(self, report: EngineReport) -> bool:
@@ -104,17 +106,27 @@
         if now - self._counted_at < self._base_s / 2:
             return
         self._counted_at = now
-        peak = self._rates.peak_tokens_per_s
-        prefill_s = prefill_tokens / peak if peak else seconds
-        if self._base_s and seconds > COLLAPSE_RATIO * (
-            self._base_s + prefill_s
-        ):
+        explained_s = self._base_s + self._prefill_s(prefill_tokens)
+        if self._base_s and seconds > COLLAPSE_RATIO * explained_s:
+            self._base_s *= BASE_GROWTH
             self._slow_intervals += 1
             if self._slow_intervals == COLLAPSE_INTERVALS:
                 self.enter()
-                self._slow_intervals = COLLAPSE_INTERVALS
             return
         self._slow_intervals = 0
         if not prefill_tokens:
-            longer = self._base_s * BASE_GROWTH or seconds
-            self._base_s = min(longer, seconds)
+            self._follow(seconds)
+
+    def _follow(self, seconds: float) -> None:
+        if self._base_s == 0:
+            self._base_s = seconds
+        elif seconds < self._base_s:
+            self._base_s -= BASE_WEIGHT * (self._base_s - seconds)
+        else:
+            self._base_s = min(seconds, self._base_s * BASE_GROWTH)
+
+    def _prefill_s(self, tokens: int) -> float:
+        peak = self._rates.peak_tokens_per_s
+        if tokens and not peak:
+            return math.inf
+        return tokens / peak if tokens else 0
--- a/src/masticwind/agent/rates.py
+++ b/src/masticwind/agent/rates.py
@@ -11,9 +11,9 @@
 
 # Busy time after which an old measurement weighs 1/e.
 MEMORY_S: Final = 5.0
-# Shorter measurements are dominated by the engine's iteration time.
+# Smaller measurements are dominated by the engine's iteration time.
 MIN_SAMPLE_S: Final = 0.001
-MIN_PEAK_TOKENS: Final = 1024
+MIN_SAMPLE_TOKENS: Final = 2048
 PEAK_DECAY: Final = 0.999
 DECODE_WEIGHT: Final = 0.05
 OUTPUT_WEIGHT: Final = 0.05
@@ -28,6 +28,7 @@
         self._peak = 0.0
         self._outstanding = 0
         self._mark = 0.0
+        self._sample_tokens = 0
         self.decode_s = 0.0
         self.output_share = 1.0
 
@@ -46,29 +47,31 @@
     def prefill_started(self) -> None:
         """Note that a prompt, or a step of one, was given to the engine."""
         if not self._outstanding:
-            self._mark = time.monotonic()
+            self._restart_sample()
         self._outstanding += 1
 
     def prefill_ended(self, computed_tokens: int) -> None:
         """Note that the engine has computed `computed_tokens`.
 
-        Zero stands for work that was cancelled or failed.
+        Zero stands for work that was cancelled or failed: the time that it
+        took cannot be attributed, and the measurement starts again.
         """
-        now = time.monotonic()
-        spent = now - self._mark
         self._outstanding -= 1
         if not computed_tokens:
+            self._restart_sample()
             return
-        self._mark = now
-        self.learn_prefill(computed_tokens, spent)
+        self._sample_tokens += computed_tokens
+        spent = time.monotonic() - self._mark
+        if self._sample_tokens >= MIN_SAMPLE_TOKENS and spent >= MIN_SAMPLE_S:
+            self.learn_prefill(self._sample_tokens, spent)
+            self._restart_sample()
 
     def learn_prefill(self, tokens: int, seconds: float) -> None:
         """Take a measurement of the prefill rate."""
         keep = math.exp(-seconds / MEMORY_S)
         self._tokens = self._tokens * keep + tokens
         self._busy_s = self._busy_s * keep + seconds
-        if tokens >= MIN_PEAK_TOKENS and seconds >= MIN_SAMPLE_S:
-            self._peak = max(self._peak * PEAK_DECAY, tokens / seconds)
+        self._peak = max(self._peak * PEAK_DECAY, tokens / seconds)
 
     def learn_decode(self, seconds: float) -> None:
         """Take the interval between two tokens of a stream."""
@@ -89,3 +92,17 @@
     def decode_total_s(self, max_tokens: int) -> float:
         """Predict the seconds that the output takes."""
         return max_tokens * self.output_share * self.decode_s
+
+    def service_s(self, tokens: int, max_tokens: int) -> float:
+        """Predict the seconds of a request that has no wait."""
+        return self.prefill_s(tokens) + self.decode_total_s(max_tokens)
+
+    def least_service_s(self, tokens: int, max_tokens: int) -> float:
+        """Predict the seconds of a request with the engine at its best."""
+        peak = self.peak_tokens_per_s
+        prefill_s = tokens / peak if peak else 0
+        return prefill_s + self.decode_total_s(max_tokens)
+
+    def _restart_sample(self) -> None:
+        self._mark = time.monotonic()
+        self._sample_tokens = 0
--- a/src/masticwind/agent/scheduler.py
+++ b/src/masticwind/agent/scheduler.py
@@ -120,6 +120,14 @@
         limit = max(URGENT_SLACK_S, URGENT_SHARE * self._service_s(req))
         return self.slack_s(req) < limit
 
+    def hopeless(self, req: AgentRequest) -> bool:
+        """Tell whether even a start now would miss the deadline."""
+        least_s = self._rates.least_service_s(
+            req.uncached_tokens,
+            req.offer.max_tokens,
+        )
+        return req.budget.remaining_s() <= least_s
+
     def work_tokens(self, *, paid: bool) -> int:
         """Return the prefill work that waits in one class of service."""
         return sum(
@@ -137,9 +145,7 @@
             self._finish[team] = finish
 
     def _service_s(self, req: AgentRequest) -> float:
-        return self._rates.prefill_s(
-            req.uncached_tokens
-        ) + self._rates.decode_total_s(req.offer.max_tokens)
+        return self._rates.service_s(req.uncached_tokens, req.offer.max_tokens)
 
     def _urgency(self, req: AgentRequest) -> Urgency:
         offer = req.offer
