Learn the engine's rate from work of its own, and suspect less

Trials with short requests beside long ones showed prefill rates of several million tokens per second, because a sample could begin while a prompt was nearly done; with them every long interval looked like a relapse, and the ramp fell to the cold capacity. The highest rate now comes from single prompts, an interval is explained by the prefill done in it, and a suspicion that is not confirmed gives back half of the limit after ten usual intervals.

--- a/src/masticwind/agent/ramp.py
+++ b/src/masticwind/agent/ramp.py
@@ -22,8 +22,10 @@
 COLD_COMPLETIONS: Final = 16
 # A decode interval this many times the explained one is a sign of a relapse.
 COLLAPSE_RATIO: Final = 2.0
-# Single long intervals come from pauses of this process.
-COLLAPSE_INTERVALS: Final = 3
+# A few long intervals in a row come from pauses of this process.
+COLLAPSE_INTERVALS: Final = 5
+# So many usual intervals in a row show that a suspected engine is warm.
+USUAL_INTERVALS: Final = 10
 # The usual interval follows shorter ones quickly and longer ones slowly, so
 # that an engine that stays slow is accepted as it is after some time.
 BASE_WEIGHT: Final = 0.1
@@ -44,6 +46,8 @@
         self._reported_cold = False
         self._base_s = 0.0
         self._slow_intervals = 0
+        self._usual_intervals = 0
+        self._suspected_limit = 0
         self._counted_at = 0.0
         self.cold_capacity = cfg.cold_capacity
         self.entries = 0
@@ -65,6 +69,7 @@
         """Start the ramp at the cold capacity."""
         self._limit = 0
         self._completed = 0
+        self._suspected_limit = 0
         self.entries += 1
 
     def take_report(self, report: EngineReport) -> bool:
@@ -96,8 +101,8 @@
     def interval(self, seconds: float, prefill_tokens: int) -> None:
         """Take the time between two tokens of one stream.
 
-        `prefill_tokens` is the prompt work that was outstanding in the
-        engine, which may have lengthened the iteration.
+        `prefill_tokens` is the prompt work that was done meanwhile or is
+        outstanding, which may have lengthened the iteration.
         """
         if seconds < MIN_INTERVAL_S:
             return
@@ -110,13 +115,27 @@
         if self._base_s and seconds > COLLAPSE_RATIO * explained_s:
             self._base_s *= BASE_GROWTH
             self._slow_intervals += 1
+            self._usual_intervals = 0
             if self._slow_intervals == COLLAPSE_INTERVALS:
-                self.enter()
+                self._suspect()
             return
         self._slow_intervals = 0
+        self._usual_intervals += 1
+        if self._suspected_limit and self._usual_intervals >= USUAL_INTERVALS:
+            self._limit = max(self._limit, self._suspected_limit)
+            self._suspected_limit = 0
         if not prefill_tokens:
             self._follow(seconds)
 
+    def _suspect(self) -> None:
+        """Enter the ramp until the intervals are usual again.
+
+        Then half of the earlier limit is given back at once.
+        """
+        limit = self._limit
+        self.enter()
+        self._suspected_limit = limit // 2
+
     def _follow(self, seconds: float) -> None:
         if self._base_s == 0:
             self._base_s = seconds
--- a/src/masticwind/agent/rates.py
+++ b/src/masticwind/agent/rates.py
@@ -14,7 +14,8 @@
 # Smaller measurements are dominated by the engine's iteration time.
 MIN_SAMPLE_S: Final = 0.001
 MIN_SAMPLE_TOKENS: Final = 2048
-PEAK_DECAY: Final = 0.999
+MIN_PEAK_TOKENS: Final = 4096
+PEAK_DECAY: Final = 0.95
 DECODE_WEIGHT: Final = 0.05
 OUTPUT_WEIGHT: Final = 0.05
 
@@ -31,6 +32,7 @@
         self._sample_tokens = 0
         self.decode_s = 0.0
         self.output_share = 1.0
+        self.computed_tokens = 0
 
     @property
     def prefill_tokens_per_s(self) -> float:
@@ -44,13 +46,17 @@
         """The highest recent rate, for work that has the engine alone."""
         return max(self._peak, self.prefill_tokens_per_s)
 
-    def prefill_started(self) -> None:
-        """Note that a prompt, or a step of one, was given to the engine."""
+    def prefill_started(self) -> float:
+        """Note that a prompt, or a step of one, was given to the engine.
+
+        Returns the time of the start, which `prefill_ended` takes.
+        """
         if not self._outstanding:
             self._restart_sample()
         self._outstanding += 1
+        return time.monotonic()
 
-    def prefill_ended(self, computed_tokens: int) -> None:
+    def prefill_ended(self, started: float, computed_tokens: int) -> None:
         """Note that the engine has computed `computed_tokens`.
 
         Zero stands for work that was cancelled or failed: the time that it
@@ -60,8 +66,15 @@
         if not computed_tokens:
             self._restart_sample()
             return
+        self.computed_tokens += computed_tokens
         self._sample_tokens += computed_tokens
-        spent = time.monotonic() - self._mark
+        now = time.monotonic()
+        if computed_tokens >= MIN_PEAK_TOKENS and now > started:
+            # An iteration decodes as well, which takes the usual interval.
+            own_s = max((now - started) / 2, now - started - self.decode_s)
+            own = computed_tokens / own_s
+            self._peak = max(self._peak * PEAK_DECAY, own)
+        spent = now - self._mark
         if self._sample_tokens >= MIN_SAMPLE_TOKENS and spent >= MIN_SAMPLE_S:
             self.learn_prefill(self._sample_tokens, spent)
             self._restart_sample()
@@ -71,7 +84,6 @@
         keep = math.exp(-seconds / MEMORY_S)
         self._tokens = self._tokens * keep + tokens
         self._busy_s = self._busy_s * keep + seconds
-        self._peak = max(self._peak * PEAK_DECAY, tokens / seconds)
 
     def learn_decode(self, seconds: float) -> None:
         """Take the interval between two tokens of a stream."""
--- a/src/masticwind/agent/requests.py
+++ b/src/masticwind/agent/requests.py
@@ -55,7 +55,8 @@
     leased: bool = False
     touched: bool = False
     stepping: bool = False
-    computing: bool = False
+    computing_since: float = 0
+    computed_mark: int = 0
     last_token_at: float = 0
     scope: anyio.CancelScope | None = None
     gone: anyio.Event = field(default_factory=anyio.Event)
--- a/src/masticwind/agent/runner.py
+++ b/src/masticwind/agent/runner.py
@@ -90,8 +90,7 @@
 
     async def _stream(self, req: AgentRequest) -> Failure | None:
         """Read the stream; resume it where only the connection broke."""
-        self.rates.prefill_started()
-        req.computing = True
+        req.computing_since = self.rates.prefill_started()
         failure = await self._read(req)
         for _ in range(MAX_RESUMES):
             if failure is None or failure.kind is not ErrorKind.OUTCOME_UNKNOWN:
@@ -147,14 +146,17 @@
         elif req.last_token_at:
             gap = (now - req.last_token_at) / len(fresh)
             self.rates.learn_decode(gap)
-            self.ramp.interval(gap, self.running.all_prefill_tokens())
+            outstanding = self.running.all_prefill_tokens()
+            computed = self.rates.computed_tokens - req.computed_mark
+            self.ramp.interval(gap, outstanding + computed)
+        req.computed_mark = self.rates.computed_tokens
         req.last_token_at = now
         req.emit(fresh)
 
     def _note_prefill(self, req: AgentRequest, computed: int) -> None:
-        if req.computing:
-            req.computing = False
-            self.rates.prefill_ended(computed)
+        if req.computing_since:
+            self.rates.prefill_ended(req.computing_since, computed)
+            req.computing_since = 0
         self.running.prefill_done(req)
 
     def _wanted(self, req: AgentRequest) -> EngineRequest:
--- a/src/masticwind/agent/steps.py
+++ b/src/masticwind/agent/steps.py
@@ -62,7 +62,7 @@
             step = self._step(req)
             if left <= step:
                 return None
-            size = _block_end(req, req.prefilled + step)
+            size = _block_end(req, step)
             if size >= len(req.body):
                 return None
             failure = await self._run_step(req, size)
@@ -85,8 +85,11 @@
     def _step(self, req: AgentRequest) -> int:
         full = self.cfg.prefill_step_tokens
         quiet_s = time.monotonic() - self.running.last_short_at
+        # The first step of a long prompt measures the rate at full size.
         if req.offer.paid and (
-            quiet_s > SHORT_RECENT_S or self.scheduler.urgent(req)
+            quiet_s > SHORT_RECENT_S
+            or not req.prefilled
+            or self.scheduler.urgent(req)
         ):
             return max(full, req.offer.prompt_tokens // MAX_STEPS)
         rate = self.rates.peak_tokens_per_s
@@ -98,13 +101,13 @@
         req.turn += 1
         req.stepping = True
         computed = 0
-        self.rates.prefill_started()
+        started = self.rates.prefill_started()
         try:
             outcome = await self._compute(req, size, target)
             if isinstance(outcome, Done):
                 computed = max(0, target - outcome.cached_tokens)
         finally:
-            self.rates.prefill_ended(computed)
+            self.rates.prefill_ended(started, computed)
         if isinstance(outcome, Failure):
             return outcome
         self._account(req, outcome.cached_tokens, size)
@@ -155,7 +158,9 @@
     return max(1, -(-size * req.offer.prompt_tokens // whole))
 
 
-def _block_end(req: AgentRequest, tokens: int) -> int:
-    """Return the end in bytes of the block that reaches `tokens`."""
-    size = tokens * len(req.body) // max(1, req.offer.prompt_tokens)
-    return -(-size // BLOCK_BYTES) * BLOCK_BYTES
+def _block_end(req: AgentRequest, step: int) -> int:
+    """Return the end in bytes of the next step, which is a block's end."""
+    prompt_tokens = max(1, req.offer.prompt_tokens)
+    done = req.prefilled * len(req.body) // prompt_tokens // BLOCK_BYTES
+    blocks = step * len(req.body) // prompt_tokens // BLOCK_BYTES
+    return (done + max(1, blocks)) * BLOCK_BYTES
--- /dev/null
+++ b/tests/test_agent_ramp.py
@@ -0,0 +1,143 @@
+"""Learned rates and the slow-start ramp, on a clock that tests set."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from masticwind.agent import ramp as ramp_module
+from masticwind.agent import rates as rates_module
+from masticwind.agent.ramp import (
+    COLD_COMPLETIONS,
+    COLLAPSE_INTERVALS,
+    USUAL_INTERVALS,
+    Ramp,
+)
+from masticwind.agent.rates import Rates
+from masticwind.engines.base import EngineReport
+from tests.agent_rig import agent_settings
+
+USUAL_S = 0.01
+
+
+class Clock:
+    """A monotonic clock that moves when told."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = 100.0
+        fake = SimpleNamespace(monotonic=lambda: self.now)
+        monkeypatch.setattr(ramp_module, 'time', fake)
+        monkeypatch.setattr(rates_module, 'time', fake)
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    """Return the clock of the modules under test."""
+    return Clock(monkeypatch)
+
+
+def _intervals(
+    ramp: Ramp,
+    clock: Clock,
+    seconds: float,
+    count: int,
+    prefill_tokens: int = 0,
+) -> None:
+    for _ in range(count):
+        clock.now += seconds
+        ramp.interval(seconds, prefill_tokens)
+
+
+def _warm(ramp: Ramp, clock: Clock) -> None:
+    _intervals(ramp, clock, USUAL_S, 50)
+    for _ in range(COLD_COMPLETIONS + 64):
+        ramp.completed()
+
+
+def _report(
+    boot_id: str = 'b',
+    models: tuple[str, ...] = ('standard',),
+    *,
+    cold: bool = False,
+) -> EngineReport:
+    return EngineReport(
+        boot_id=boot_id,
+        models=models,
+        cold=cold,
+        running=0,
+        waiting=0,
+        memory_total_tokens=1000,
+        memory_used_tokens=0,
+    )
+
+
+def test_rate_ignores_the_time_of_cancelled_work(clock: Clock) -> None:
+    """Guards against a rate that a cancelled prompt has pulled down."""
+    rates = Rates()
+    cancelled = rates.prefill_started()
+    started = rates.prefill_started()
+    clock.now += 10
+    rates.prefill_ended(cancelled, 0)
+    clock.now += 0.1
+    rates.prefill_ended(started, 4000)
+    assert rates.prefill_tokens_per_s == pytest.approx(40_000)
+
+
+def test_ramp_grows_with_completed_work_only(clock: Clock) -> None:
+    """Guards against a ramp that follows age instead of service."""
+    ramp = Ramp(agent_settings(), Rates())
+    clock.now += 3600
+    for _ in range(COLD_COMPLETIONS - 1):
+        ramp.completed()
+    assert ramp.capacity == 2
+    ramp.completed()
+    assert ramp.capacity == 3
+    _warm(ramp, clock)
+    assert ramp.capacity == 64
+
+
+@pytest.mark.parametrize(
+    'later',
+    [
+        _report('other'),
+        _report(models=('standard', 'large')),
+        _report(cold=True),
+    ],
+)
+def test_start_reload_and_report_enter_the_ramp(
+    clock: Clock,
+    later: EngineReport,
+) -> None:
+    """Guards against full load after a restart, a reload or a cold report."""
+    ramp = Ramp(agent_settings(), Rates())
+    ramp.take_report(_report())
+    _warm(ramp, clock)
+    ramp.take_report(later)
+    assert ramp.capacity == 2
+
+
+def test_collapse_of_the_rate_enters_the_ramp(clock: Clock) -> None:
+    """Guards against new work for an engine that turned cold unannounced."""
+    ramp = Ramp(agent_settings(), Rates())
+    _warm(ramp, clock)
+    _intervals(ramp, clock, 3 * USUAL_S, COLLAPSE_INTERVALS - 1)
+    assert ramp.capacity == 64
+    _intervals(ramp, clock, 3 * USUAL_S, 1)
+    assert ramp.capacity == 2
+    # Completed work at the low rate is no sign of a warm engine.
+    for _ in range(COLD_COMPLETIONS):
+        ramp.completed()
+    assert ramp.capacity == 2
+    _intervals(ramp, clock, USUAL_S, USUAL_INTERVALS)
+    assert ramp.capacity == 32
+
+
+def test_prefill_explains_long_intervals(clock: Clock) -> None:
+    """Guards against a false relapse while prompts are computed."""
+    rates = Rates()
+    started = rates.prefill_started()
+    clock.now += 0.05
+    rates.prefill_ended(started, 8192)
+    ramp = Ramp(agent_settings(), rates)
+    _warm(ramp, clock)
+    _intervals(ramp, clock, 5 * USUAL_S, 20, prefill_tokens=8192)
+    assert ramp.capacity == 64
