Let a drain wait for ends that were not delivered

A request that had ended while its connection was lost was counted as finished, so a drain could close before the entry resumed it. tests/test_agent_drain.py and tests/test_whole_path.py: 6 passed.

--- a/src/masticwind/agent/executor.py
+++ b/src/masticwind/agent/executor.py
@@ -117,8 +117,15 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is queued or running and no share is held."""
-        ended = all(req.state == 'ended' for req in self._requests.values())
+        """Whether nothing is queued, running, held or still to be told.
+
+        The end of a request whose connection was lost waits for a `Resume`
+        until the grace period is over.
+        """
+        ended = all(
+            req.state == 'ended' and req.detached_at is None
+            for req in self._requests.values()
+        )
         return ended and not self.running and not self.shares
 
     async def run(self) -> None:
