Predict the time to first token and bound retries

The first router looked only at reported paid work, and the relay retried every failure without output. The router now predicts from uncached prefill work, queued work by class, a corrected rate and sends that no heartbeat shows yet; admission refuses what cannot finish in time; retries draw on a budget and the answer stays true after an attempt that may have run. A resumed attempt that the agent no longer knows was answered as not run; it is now of unknown outcome.

--- /dev/null
+++ b/src/masticwind/entry/affinity.py
@@ -0,0 +1,68 @@
+"""A bounded index from prefix blocks to the endpoints that may hold them.
+
+The index is a hint: a wrong entry costs the time of a prefill and nothing
+else. Blocks and holders per block are bounded, and the blocks that were
+neither added nor looked up for longest leave first.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import Final
+
+# More holders than this would not improve the choice of an endpoint.
+MAX_HOLDERS: Final = 4
+
+
+class AffinityIndex:
+    """Owns at most `max_blocks` blocks with `MAX_HOLDERS` names each."""
+
+    def __init__(self, max_blocks: int) -> None:
+        self._max_blocks: Final = max_blocks
+        self._holders: Final = OrderedDict[int, tuple[str, ...]]()
+
+    def __len__(self) -> int:
+        return len(self._holders)
+
+    def add(self, node: str, blocks: Iterable[int]) -> None:
+        """Note that the agent `node` may hold these blocks."""
+        for block in blocks:
+            holders = self._holders.get(block, ())
+            if node not in holders:
+                self._holders[block] = (*holders, node)[-MAX_HOLDERS:]
+            self._holders.move_to_end(block)
+            if len(self._holders) > self._max_blocks:
+                self._holders.popitem(last=False)
+
+    def remove(self, node: str, blocks: Iterable[int]) -> None:
+        """Note that the agent `node` no longer holds these blocks."""
+        for block in blocks:
+            holders = self._holders.get(block, ())
+            if node not in holders:
+                continue
+            left = tuple(one for one in holders if one != node)
+            if left:
+                self._holders[block] = left
+            else:
+                self._holders.pop(block)
+
+    def forget(self, node: str) -> None:
+        """Drop everything about an agent whose cache is unknown."""
+        self.remove(node, list(self._holders))
+
+    def leading_blocks(self, prefix: tuple[int, ...]) -> dict[str, int]:
+        """Return how many leading blocks each agent may hold.
+
+        Agents that may hold none are left out.
+        """
+        counts: dict[str, int] = {}
+        current: set[str] = set()
+        for position, block in enumerate(prefix):
+            holders = self._holders.get(block)
+            if holders is None:
+                break
+            self._holders.move_to_end(block)
+            current = set(holders) & current if position else set(holders)
+            if not current:
+                break
+            counts.update(dict.fromkeys(current, position + 1))
+        return counts
--- /dev/null
+++ b/src/masticwind/entry/attempts.py
@@ -0,0 +1,276 @@
+"""One attempt of a model request on one agent.
+
+An attempt owns the offer, the body, the revocation and the stream. It never
+raises for expected failures, and after it has ended the agent either has
+finished, has refused, or has been told to stop.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+
+from masticwind.budget import Budget
+from masticwind.engines.base import Done, Tokens
+from masticwind.entry.peers import AgentLink, Inbox, LinkEvent
+from masticwind.entry.predict import Job, PendingSend, Predictor
+from masticwind.errors import ErrorKind, Failure, not_run
+from masticwind.protocol.messages import (
+    CHUNK_BYTES,
+    INLINE_BODY_BYTES,
+    Accepted,
+    Body,
+    Cancel,
+    End,
+    Offer,
+    Output,
+    Refused,
+    Resume,
+    Revoke,
+    Revoked,
+)
+
+OFFER_TIMEOUT_S: Final = 1.0
+REVOKE_TIMEOUT_S: Final = 1.0
+RESUME_TIMEOUT_S: Final = 5.0
+# Without output there is nothing to resume that another agent could not
+# repeat; a silent connection is replaced within about this time.
+RESTART_TIMEOUT_S: Final = 2.0
+# The agent ends a request at its deadline; this lets its answer arrive.
+DEADLINE_GRACE_S: Final = 0.25
+_KINDS: Final = frozenset(ErrorKind)
+
+Emit = Callable[[Tokens], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ModelRequest:
+    """A checked model request of a team."""
+
+    request_id: str
+    team: str
+    weight: float
+    job: Job
+    prompt: bytes
+    budget: Budget
+    trace: str = ''
+
+
+@dataclass(slots=True, kw_only=True)
+class Attempt:
+    """State of one attempt; `received` counts the tokens passed on."""
+
+    req: ModelRequest
+    number: int
+    link: AgentLink
+    inbox: Inbox
+    predictor: Predictor
+    send: PendingSend
+    received: int = 0
+    offered: bool = False
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Request id and attempt number."""
+        return self.req.request_id, self.number
+
+
+async def run_attempt(
+    attempt: Attempt,
+    generation: int,
+    emit: Emit,
+) -> Done | Failure:
+    """Offer the request, send its body and relay its stream.
+
+    Cancelling the task, like every end but an answer or a refusal, cancels
+    the request at the agent.
+    """
+    link, job = attempt.link, attempt.req.job
+    link.outstanding += 1
+    link.outstanding_tokens += job.prompt_tokens
+    try:
+        return await _offer_and_receive(attempt, generation, emit)
+    finally:
+        link.outstanding -= 1
+        link.outstanding_tokens -= job.prompt_tokens
+        attempt.predictor.dropped(link, attempt.send)
+        link.close(attempt.key)
+        if attempt.offered:
+            link.send(Cancel(*attempt.key))
+
+
+async def _offer_and_receive(
+    attempt: Attempt,
+    generation: int,
+    emit: Emit,
+) -> Done | Failure:
+    refusal = await _offer(attempt, generation)
+    if refusal is not None:
+        return refusal
+    outcome = await _receive(attempt, emit)
+    if isinstance(outcome, Done):
+        attempt.offered = False
+    return outcome
+
+
+async def _offer(attempt: Attempt, generation: int) -> Failure | None:
+    offer = _offer_message(attempt, generation)
+    attempt.offered = attempt.link.send(offer)
+    if not attempt.offered:
+        return Failure(kind=ErrorKind.NO_CAPACITY, reason='not connected')
+    answer = None
+    with anyio.move_on_after(OFFER_TIMEOUT_S):
+        answer = await attempt.inbox.get()
+    if isinstance(answer, Refused):
+        attempt.offered = False
+        return Failure(
+            kind=_refusal_kind(answer.kind),
+            reason=answer.reason,
+            retry_after_ms=answer.retry_after_ms,
+        )
+    if not isinstance(answer, Accepted):
+        return await _revoke(attempt)
+    if offer.body_bytes > len(offer.body):
+        return await _send_body(attempt)
+    return None
+
+
+def _offer_message(attempt: Attempt, generation: int) -> Offer:
+    req = attempt.req
+    inline = len(req.prompt) <= INLINE_BODY_BYTES
+    return Offer(
+        *attempt.key,
+        team=req.team,
+        paid=req.job.paid,
+        model=req.job.model,
+        prompt_tokens=req.job.prompt_tokens,
+        max_tokens=req.job.max_tokens,
+        timeout_ms=req.budget.remaining_ms(),
+        generation=generation,
+        body_bytes=len(req.prompt),
+        body=req.prompt if inline else b'',
+        prefix=req.job.prefix,
+        weight=req.weight,
+        trace=req.trace,
+    )
+
+
+async def _send_body(attempt: Attempt) -> Failure | None:
+    prompt = attempt.req.prompt
+    for start in range(0, len(prompt), CHUNK_BYTES):
+        channel = attempt.link.channel
+        end = start + CHUNK_BYTES
+        if channel is None or not await channel.send_bulk(
+            Body(
+                *attempt.key,
+                prompt[start:end],
+                end >= len(prompt),
+            )
+        ):
+            return await _revoke(attempt)
+    return None
+
+
+async def _revoke(attempt: Attempt) -> Failure:
+    """Withdraw an attempt whose fate is unclear."""
+    with anyio.move_on_after(REVOKE_TIMEOUT_S):
+        attempt.link.send(Revoke(*attempt.key))
+        while True:
+            answer = await attempt.inbox.get()
+            if answer is LinkEvent.RESTORED:
+                attempt.link.send(Revoke(*attempt.key))
+            if not isinstance(answer, Revoked):
+                continue
+            attempt.offered = False
+            if answer.started:
+                return Failure(
+                    kind=ErrorKind.FAILED_AFTER_START,
+                    reason='revoked',
+                )
+            return Failure(kind=ErrorKind.REVOKED, reason='revoked')
+    return Failure(
+        kind=ErrorKind.OUTCOME_UNKNOWN,
+        reason='the agent does not answer',
+    )
+
+
+async def _receive(attempt: Attempt, emit: Emit) -> Done | Failure:
+    deadline_s = attempt.req.budget.remaining_s() + DEADLINE_GRACE_S
+    limit = anyio.current_time() + deadline_s
+    lost = False
+    while True:
+        item = None
+        wait_s = limit - anyio.current_time()
+        if lost:
+            wait_s = min(wait_s, _lost_timeout_s(attempt))
+        with anyio.move_on_after(wait_s):
+            item = await attempt.inbox.get()
+        if item is None:
+            return _no_answer(lost=lost)
+        if item is LinkEvent.LOST:
+            lost = True
+        elif item is LinkEvent.RESTORED:
+            lost = False
+            attempt.link.send(Resume(*attempt.key, attempt.received))
+        elif isinstance(item, Output):
+            await _pass_on(attempt, item, emit)
+        elif isinstance(item, End):
+            return _end_event(attempt, item)
+
+
+def _lost_timeout_s(attempt: Attempt) -> float:
+    return RESUME_TIMEOUT_S if attempt.received else RESTART_TIMEOUT_S
+
+
+async def _pass_on(attempt: Attempt, item: Output, emit: Emit) -> None:
+    if item.offset > attempt.received:
+        return
+    fresh = item.tokens[attempt.received - item.offset :]
+    if not fresh:
+        return
+    if not attempt.received:
+        attempt.predictor.first_token(attempt.link, attempt.send)
+    tokens = Tokens(attempt.received, fresh)
+    attempt.received += len(fresh)
+    await emit(tokens)
+
+
+def _no_answer(*, lost: bool) -> Failure:
+    if lost:
+        return Failure(
+            kind=ErrorKind.OUTCOME_UNKNOWN,
+            reason='the agent is unreachable',
+        )
+    return Failure(kind=ErrorKind.TIMED_OUT, reason='time budget is used up')
+
+
+def _end_event(attempt: Attempt, end: End) -> Done | Failure:
+    if end.kind:
+        return Failure(kind=_end_kind(attempt, end), reason=end.reason)
+    if end.count != attempt.received:
+        return Failure(
+            kind=ErrorKind.FAILED_AFTER_START,
+            reason=f'{attempt.received} of {end.count} tokens arrived',
+        )
+    return Done(end.count, end.cached_tokens)
+
+
+def _end_kind(attempt: Attempt, end: End) -> ErrorKind:
+    """Return a kind that is true for an accepted attempt."""
+    if end.kind == ErrorKind.NOT_FOUND:
+        # A restarted agent does not know what it ran before.
+        return ErrorKind.OUTCOME_UNKNOWN
+    if end.kind not in _KINDS:
+        return ErrorKind.OUTCOME_UNKNOWN
+    kind = ErrorKind(end.kind)
+    if not_run(kind) and max(attempt.received, end.count):
+        return ErrorKind.FAILED_AFTER_START
+    return kind
+
+
+def _refusal_kind(text: str) -> ErrorKind:
+    """Return the kind of a refusal, also of a newer release."""
+    if text in _KINDS and not_run(ErrorKind(text)):
+        return ErrorKind(text)
+    return ErrorKind.NO_CAPACITY
--- a/src/masticwind/entry/chat.py
+++ b/src/masticwind/entry/chat.py
@@ -13,8 +13,9 @@
 from masticwind.config.current import CurrentConfig
 from masticwind.config.model import Model, Team, Tier
 from masticwind.engines.base import Done, Tokens
-from masticwind.entry.relay import ModelRequest, Relay
-from masticwind.entry.router import Job
+from masticwind.entry.attempts import ModelRequest
+from masticwind.entry.predict import Job
+from masticwind.entry.relay import Relay
 from masticwind.errors import ErrorKind, Failure
 from masticwind.tokens import estimate_tokens, prefix_hashes
 from masticwind.web import (
--- /dev/null
+++ b/src/masticwind/entry/limits.py
@@ -0,0 +1,231 @@
+"""Team limits and fairness among teams at one entry.
+
+Limits hold for the whole fleet. Each entry enforces a share of them without
+a platform call; `LimitShares` says how large the share is.
+docs/decisions/team-limits.md states the bound on the excess.
+"""
+
+import abc
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from masticwind.config.model import Team
+from masticwind.errors import ErrorKind, Failure
+
+MS_PER_S: Final = 1000
+# A bucket holds this much of its rate, so that short bursts pass.
+BURST_S: Final = 1.0
+# Half of each limit is split evenly, so that an entry can always serve some.
+EQUAL_PART: Final = 0.5
+# A usage report older than this says nothing; three heartbeats are lost.
+REPORT_LIFETIME_S: Final = 2.0
+# Bounds the teams in one report, and so the bytes of a heartbeat.
+MAX_REPORTED_TEAMS: Final = 64
+USAGE_WINDOW_S: Final = 2.0
+
+Clock = Callable[[], float]
+Rates = Mapping[str, float]
+Report = tuple[float, Rates]
+
+
+class LimitShares(abc.ABC):
+    """Says which part of a team's limits this entry may use."""
+
+    @abc.abstractmethod
+    def share(self, team: str) -> float:
+        """Return a number above 0 and at most 1."""
+
+
+class EqualShares(LimitShares):
+    """Splits every limit evenly among the live entries."""
+
+    def __init__(self, live_entries: Callable[[], int]) -> None:
+        self._live_entries: Final = live_entries
+
+    def share(self, team: str) -> float:
+        """Return the same share for every team."""
+        return 1 / max(1, self._live_entries())
+
+
+@dataclass(slots=True)
+class _Usage:
+    rate: float = 0
+    at: float = 0
+
+
+class UsageShares(LimitShares):
+    """Splits half of a limit evenly and half by demand.
+
+    Demand is in requests a second. Entries exchange it; one whose report is
+    missing or old is taken to have an even part of the demand.
+    """
+
+    def __init__(
+        self,
+        live_entries: Callable[[], int],
+        clock: Clock = time.monotonic,
+    ) -> None:
+        self._live_entries: Final = live_entries
+        self._clock: Final = clock
+        self._own: Final = dict[str, _Usage]()
+        self._reports: Final = dict[str, Report]()
+
+    def note(self, team: str) -> None:
+        """Count one request, admitted or not, of a team."""
+        now = self._clock()
+        usage = self._own.setdefault(team, _Usage(at=now))
+        usage.rate = _decayed(usage, now) + 1 / USAGE_WINDOW_S
+        usage.at = now
+
+    def own(self) -> dict[str, float]:
+        """Return this entry's report: the demand of its busiest teams."""
+        now = self._clock()
+        rates = {
+            team: _decayed(usage, now) for team, usage in self._own.items()
+        }
+        for team, rate in rates.items():
+            if not rate:
+                self._own.pop(team)
+        busiest = sorted(rates, key=lambda team: -rates[team])
+        return {team: rates[team] for team in busiest[:MAX_REPORTED_TEAMS]}
+
+    def report(self, node: str, rates: Rates) -> None:
+        """Take the report of another entry."""
+        self._reports[node] = (self._clock(), rates)
+
+    def share(self, team: str) -> float:
+        """Return the share of a team's limits at this entry."""
+        self._drop_old_reports()
+        live = max(1, self._live_entries())
+        usage = self._own.get(team)
+        if usage is None or len(self._reports) < live - 1:
+            return 1 / live
+        own = _decayed(usage, self._clock())
+        total = own + sum(
+            rates.get(team, 0) for _at, rates in self._reports.values()
+        )
+        if not total:
+            return 1 / live
+        return EQUAL_PART / live + (1 - EQUAL_PART) * own / total
+
+    def _drop_old_reports(self) -> None:
+        horizon = self._clock() - REPORT_LIFETIME_S
+        for node in list(self._reports):
+            if self._reports[node][0] < horizon:
+                self._reports.pop(node)
+
+
+def _decayed(usage: _Usage, now: float) -> float:
+    left = 1 - (now - usage.at) / USAGE_WINDOW_S
+    return usage.rate * max(0.0, left)
+
+
+@dataclass(slots=True)
+class _Bucket:
+    tokens: float
+    at: float
+
+    def wait_s(self, rate: float, now: float) -> float:
+        """Fill up to now; return the seconds until the bucket is not empty."""
+        burst = max(1.0, rate * BURST_S)
+        self.tokens = min(burst, self.tokens + rate * (now - self.at))
+        self.at = now
+        # A debt remains after a prompt larger than the bucket.
+        return max(0.0, 1 - self.tokens) / rate
+
+
+@dataclass(slots=True)
+class _TeamState:
+    in_flight: int = 0
+    buckets: dict[str, _Bucket] = field(default_factory=dict)
+
+
+class TeamLimits:
+    """Owns the buckets and counts of teams at this entry."""
+
+    def __init__(
+        self,
+        shares: LimitShares,
+        clock: Clock = time.monotonic,
+    ) -> None:
+        self._shares: Final = shares
+        self._clock: Final = clock
+        self._teams: Final[dict[str, _TeamState]] = {}
+
+    def enter(self, name: str, team: Team, tokens: int) -> Failure | None:
+        """Count a request of `tokens` tokens in, or refuse it.
+
+        Returns a `Failure` of kind `rate_limited` with the time after which
+        the limit admits a request again. Call `leave` after each success.
+        """
+        state = self._teams.setdefault(name, _TeamState())
+        share = self._shares.share(name)
+        if team.max_in_flight:
+            if state.in_flight >= max(1, int(team.max_in_flight * share)):
+                return _limited('max_in_flight', BURST_S)
+        charged = (
+            ('requests_per_s', team.requests_per_s * share, 1),
+            ('tokens_per_s', team.tokens_per_s * share, tokens),
+        )
+        for limit, rate, _amount in charged:
+            wait_s = self._wait_s(state, limit, rate)
+            if wait_s > 0:
+                return _limited(limit, wait_s)
+        for limit, rate, amount in charged:
+            if rate:
+                state.buckets[limit].tokens -= amount
+        state.in_flight += 1
+        return None
+
+    def leave(self, name: str) -> None:
+        """Count a request out."""
+        self._teams[name].in_flight -= 1
+
+    def _wait_s(self, state: _TeamState, limit: str, rate: float) -> float:
+        if not rate:
+            return 0
+        now = self._clock()
+        bucket = state.buckets.get(limit)
+        if bucket is None:
+            bucket = _Bucket(max(1.0, rate * BURST_S), now)
+            state.buckets[limit] = bucket
+        return bucket.wait_s(rate, now)
+
+
+def _limited(limit: str, wait_s: float) -> Failure:
+    return Failure(
+        kind=ErrorKind.RATE_LIMITED,
+        reason=f'the team is over its limit {limit}',
+        retry_after_ms=max(1, round(wait_s * MS_PER_S)),
+    )
+
+
+class FairShare:
+    """Work of each team in progress at this entry, by weight."""
+
+    def __init__(self) -> None:
+        self._work: Final[dict[str, float]] = {}
+
+    def enter(self, team: str, work: float) -> None:
+        """Add work, in tokens divided by the team's weight."""
+        self._work[team] = self._work.get(team, 0) + work
+
+    def leave(self, team: str, work: float) -> None:
+        """Take the same work off again."""
+        left = self._work[team] - work
+        if left < 1:
+            self._work.pop(team)
+        else:
+            self._work[team] = left
+
+    def crowds(self, team: str) -> bool:
+        """Tell whether a team has more than its fair share in progress.
+
+        A team alone has no one to crowd out.
+        """
+        if len(self._work) < 2:
+            return False
+        mean = sum(self._work.values()) / len(self._work)
+        return self._work.get(team, 0) > mean
--- a/src/masticwind/entry/peers.py
+++ b/src/masticwind/entry/peers.py
@@ -161,12 +161,18 @@
         self._parts: Final = parts
         self._links: Final[dict[tuple[str, int], AgentLink]] = {}
         self._scopes: Final[dict[tuple[str, int], anyio.CancelScope]] = {}
+        self._live_entries = 1
 
     @property
     def links(self) -> Sequence[AgentLink]:
         """All links, connected or not."""
         return tuple(self._links.values())
 
+    @property
+    def live_entries(self) -> int:
+        """Entries in the instance list, at least this one."""
+        return self._live_entries
+
     async def run(self) -> None:
         """Follow the instance list until cancelled."""
         interval_s = self._parts.cfg.instances_poll_ms / MS_PER_S
@@ -178,6 +184,10 @@
                 await anyio.sleep(interval_s)
 
     def _update(self, listed: Sequence[Instance], tasks: TaskGroup) -> None:
+        entries = sum(
+            one.role == 'entry' and one.state != 'leaving' for one in listed
+        )
+        self._live_entries = max(1, entries)
         wanted = {
             (one.host, one.port): one for one in listed if one.role == 'agent'
         }
--- /dev/null
+++ b/src/masticwind/entry/predict.py
@@ -0,0 +1,169 @@
+"""Predicted time to first token of each endpoint, as this entry sees it.
+
+A heartbeat shows an agent's load late. The sends of this entry that the last
+heartbeat cannot show yet are added to it, and the prefill rate that the
+agent reports is corrected by the times that this entry observes.
+"""
+
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Final
+from weakref import WeakKeyDictionary
+
+from masticwind.entry.peers import AgentLink
+from masticwind.settings import EntrySettings
+
+MS_PER_S: Final = 1000
+# A heartbeat that arrives sooner after a send may have left before the offer
+# arrived; longer than the round trip between two availability zones.
+VISIBLE_AFTER_S: Final = 0.05
+# More slots than this are never reported by a cold endpoint.
+MAX_RECENT: Final = 256
+LEARNING_RATE: Final = 0.1
+# Bounds one observation, so that a paused process does not spoil the rate.
+MAX_CORRECTION: Final = 8.0
+MIN_CORRECTION: Final = 0.125
+# Shorter prefills measure the overhead of a hop rather than the rate.
+MIN_OBSERVED_TOKENS: Final = 2048
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Job:
+    """What a router needs to know of a request."""
+
+    model: str
+    prompt_tokens: int
+    max_tokens: int
+    paid: bool
+    prefix: tuple[int, ...]
+    timeout_ms: int
+
+
+@dataclass(slots=True, eq=False)
+class PendingSend:
+    """A send that has produced no first token yet; times in seconds."""
+
+    tokens: int
+    paid: bool
+    sent_at: float
+    base_s: float
+
+
+@dataclass(slots=True, eq=False)
+class _Track:
+    correction: float = 1.0
+    pending: list[PendingSend] = field(default_factory=list)
+    recent: list[float] = field(default_factory=list)
+
+
+class Predictor:
+    """Owns this entry's pending sends and its correction of each rate."""
+
+    def __init__(self, cfg: EntrySettings) -> None:
+        self._cfg: Final = cfg
+        self._tracks: Final = WeakKeyDictionary[AgentLink, _Track]()
+
+    def predict_s(self, link: AgentLink, tokens: int, *, paid: bool) -> float:
+        """Return the predicted seconds to the first token.
+
+        `tokens` is the uncached part of the prompt.
+        """
+        ahead = self.work_ahead(link, paid=paid)
+        correction = self._track(link).correction
+        if not ahead:
+            # Otherwise an idle endpoint with a bad past would get no work
+            # and could not correct its rate.
+            correction = min(1.0, correction)
+        return self._base_s(link, ahead + tokens) * correction
+
+    def work_ahead(self, link: AgentLink, *, paid: bool) -> int:
+        """Return the prefill tokens that a new request would wait for.
+
+        Paid requests wait for paid work only, free requests for all.
+        """
+        pending = [
+            one for one in self._track(link).pending if one.paid or not paid
+        ]
+        own = sum(one.tokens for one in pending)
+        load = link.load_view
+        if load is None:
+            return own
+        reported = load.paid_work_tokens
+        if not paid:
+            reported += load.free_work_tokens
+        unseen = sum(one.tokens for one in _unseen(link, pending))
+        # Own sends are a lower bound for an agent that reports its queue
+        # but not what its engine still prefills.
+        return max(own, reported + unseen)
+
+    def free_slots(self, link: AgentLink) -> int:
+        """Return the reported slots minus the sends not reported yet."""
+        if link.load_view is None:
+            return 0
+        track = self._track(link)
+        # A request that has ended before a heartbeat still counts until the
+        # heartbeat after it: its slot may not be in the reported ones yet.
+        horizon = link.load_at - VISIBLE_AFTER_S
+        track.recent = [at for at in track.recent if at > horizon]
+        return max(0, link.load_view.slots - len(track.recent))
+
+    def sent(self, link: AgentLink, tokens: int, *, paid: bool) -> PendingSend:
+        """Note a send; pass the result to `first_token` or `dropped`."""
+        work = self.work_ahead(link, paid=paid) + tokens
+        send = PendingSend(
+            tokens,
+            paid,
+            time.monotonic(),
+            self._base_s(link, work),
+        )
+        track = self._track(link)
+        track.pending.append(send)
+        track.recent = track.recent[-MAX_RECENT:]
+        track.recent.append(send.sent_at)
+        return send
+
+    def first_token(self, link: AgentLink, send: PendingSend) -> None:
+        """Note that a send has produced its first token, and learn."""
+        if not self.dropped(link, send):
+            return
+        if send.tokens < MIN_OBSERVED_TOKENS:
+            return
+        ratio = (time.monotonic() - send.sent_at) / send.base_s
+        ratio = min(MAX_CORRECTION, max(MIN_CORRECTION, ratio))
+        track = self._track(link)
+        track.correction += LEARNING_RATE * (ratio - track.correction)
+
+    def dropped(self, link: AgentLink, send: PendingSend) -> bool:
+        """Forget a send; false if that has happened already."""
+        pending = self._track(link).pending
+        if send not in pending:
+            return False
+        pending.remove(send)
+        return True
+
+    def _base_s(self, link: AgentLink, tokens: int) -> float:
+        load = link.load_view
+        rate = float(self._cfg.prefill_tokens_per_s)
+        running = 0
+        if load is not None:
+            rate = load.prefill_tokens_per_s or rate
+            running = load.running
+        batch_ms = running * self._cfg.batch_cost_ms
+        return tokens / rate + batch_ms / MS_PER_S
+
+    def _track(self, link: AgentLink) -> _Track:
+        track = self._tracks.get(link)
+        if track is None:
+            track = _Track()
+            self._tracks[link] = track
+        return track
+
+
+def _unseen(
+    link: AgentLink,
+    pending: Sequence[PendingSend],
+) -> list[PendingSend]:
+    """Return the sends that the last heartbeat cannot show."""
+    horizon = link.load_at - VISIBLE_AFTER_S
+    return [one for one in pending if one.sent_at > horizon]
--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -1,69 +1,55 @@
-"""Runs a model request on an agent and relays its stream."""
+"""Runs a model request: admission, choice of agents, and retries."""
 
-from collections.abc import Awaitable, Callable, Sequence
+import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
 
-import anyio
-
-from masticwind.budget import Budget
 from masticwind.config.current import CurrentConfig
 from masticwind.engines.base import Done, Tokens
-from masticwind.entry.peers import AgentLink, AgentPool, Inbox, LinkEvent
-from masticwind.entry.router import Job, Router
-from masticwind.errors import ErrorKind, Failure
-from masticwind.protocol.messages import (
-    CHUNK_BYTES,
-    INLINE_BODY_BYTES,
-    Accepted,
-    Body,
-    Cancel,
-    End,
-    Load,
-    Offer,
-    Output,
-    Refused,
-    Resume,
-    Revoke,
-    Revoked,
+from masticwind.entry.admission import Admission, Ask
+from masticwind.entry.attempts import (
+    Attempt,
+    Emit,
+    ModelRequest,
+    run_attempt,
+)
+from masticwind.entry.limits import FairShare, TeamLimits, UsageShares
+from masticwind.entry.peers import AgentLink, AgentPool
+from masticwind.entry.predict import Job
+from masticwind.entry.retries import Refusals, RetryBudget, may_move
+from masticwind.entry.router import (
+    Router,
+    RoutingView,
+    make_router,
+    uncached_tokens,
 )
+from masticwind.errors import ErrorKind, Failure
+from masticwind.protocol.messages import Load
+from masticwind.settings import EntrySettings
 
-OFFER_TIMEOUT_S: Final = 1.0
-REVOKE_TIMEOUT_S: Final = 1.0
-RESUME_TIMEOUT_S: Final = 5.0
 MAX_ATTEMPTS: Final = 4
-# The agent ends a request at its deadline; this lets its answer arrive.
-DEADLINE_GRACE_S: Final = 0.25
+# Two heartbeats later the entry knows of endpoints that have returned.
+NO_CAPACITY_HINT_MS: Final = 1000
 _SERVING: Final = ('serving', 'cold')
-
-Emit = Callable[[Tokens], Awaitable[None]]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ModelRequest:
-    """A checked model request of a team."""
-
-    request_id: str
-    team: str
-    weight: float
-    job: Job
-    prompt: bytes
-    budget: Budget
-    trace: str = ''
+_NO_CAPACITY: Final = Failure(
+    kind=ErrorKind.NO_CAPACITY,
+    reason='no endpoint can take the request',
+    retry_after_ms=NO_CAPACITY_HINT_MS,
+)
 
 
 @dataclass(slots=True)
-class _Attempt:
-    req: ModelRequest
-    number: int
-    link: AgentLink
-    inbox: Inbox
-    received: int = 0
-    accepted: bool = False
+class _Progress:
+    """Times the stream of one request from its first token on."""
 
-    @property
-    def key(self) -> tuple[str, int]:
-        return self.req.request_id, self.number
+    emit: Emit
+    first_at: float = 0
+
+    async def take(self, tokens: Tokens) -> None:
+        if not self.first_at:
+            self.first_at = time.monotonic()
+        await self.emit(tokens)
 
 
 class Relay:
@@ -71,44 +57,135 @@
 
     def __init__(
         self,
+        cfg: EntrySettings,
         pool: AgentPool,
-        router: Router,
         config: CurrentConfig,
     ) -> None:
         self._pool: Final = pool
-        self._router: Final = router
         self._config: Final = config
+        self.view: Final = RoutingView(cfg)
+        self._router: Final[Router] = make_router(cfg, self.view)
+        self._fair: Final = FairShare()
+        self._admission: Final = Admission(cfg, self.view, self._fair)
+        self._retries: Final = RetryBudget(cfg)
+        self.shares: Final = UsageShares(lambda: pool.live_entries)
+        self._limits: Final = TeamLimits(self.shares)
 
     async def run(self, req: ModelRequest, emit: Emit) -> Done | Failure:
         """Run a request and pass its tokens to `emit` as they arrive.
 
         If the caller leaves, cancel the task: the agent is then told.
         """
-        refusal = Failure(
-            kind=ErrorKind.NO_CAPACITY,
-            reason='no endpoint can take the request',
-            retry_after_ms=1000,
-        )
+        team = self._config.config.teams.get(req.team)
+        if team is None:
+            return Failure(
+                kind=ErrorKind.UNAUTHENTICATED,
+                reason='the team was removed',
+            )
+        tokens = req.job.prompt_tokens + req.job.max_tokens
+        self.shares.note(req.team)
+        limited = self._limits.enter(req.team, team, tokens)
+        if limited is not None:
+            return limited
+        work = tokens / req.weight
+        try:
+            outcome = await self._run_admitted(req, work, emit)
+        finally:
+            self._limits.leave(req.team)
+        return outcome
+
+    async def _run_admitted(
+        self,
+        req: ModelRequest,
+        work: float,
+        emit: Emit,
+    ) -> Done | Failure:
+        link = self._choose(req, set())
+        if isinstance(link, Failure):
+            return link
+        self._retries.first_attempt()
+        self._fair.enter(req.team, work)
+        try:
+            return await self._attempts(req, link, emit)
+        finally:
+            self._fair.leave(req.team, work)
+
+    async def _attempts(
+        self,
+        req: ModelRequest,
+        first: AgentLink,
+        emit: Emit,
+    ) -> Done | Failure:
+        refusals = Refusals()
         tried: set[AgentLink] = set()
+        link = first
         for number in range(MAX_ATTEMPTS):
-            links = self._candidates(req.job, tried)
-            if not links or req.budget.expired():
-                break
-            link = self._router.choose(req.job, links)
             tried.add(link)
-            attempt = _Attempt(
-                req,
-                number,
+            attempt = self._open(req, number, link)
+            outcome = await self._one(attempt, emit)
+            if isinstance(outcome, Done):
+                return outcome
+            refusals.add(outcome)
+            if not may_move(outcome, attempt.received):
+                break
+            chosen = self._choose(req, tried)
+            if isinstance(chosen, Failure) or not self._retries.take():
+                break
+            link = chosen
+        return refusals.answer(_NO_CAPACITY)
+
+    async def _one(self, attempt: Attempt, emit: Emit) -> Done | Failure:
+        progress = _Progress(emit)
+        outcome = await run_attempt(
+            attempt,
+            self._config.number,
+            progress.take,
+        )
+        job = attempt.req.job
+        if isinstance(outcome, Done):
+            self._admission.streams.observe(
+                outcome.count,
+                job.max_tokens,
+                time.monotonic() - progress.first_at,
+            )
+            # The cache events that confirm this arrive late.
+            self.view.affinity.add(attempt.link.instance.node, job.prefix)
+        return outcome
+
+    def _open(self, req: ModelRequest, number: int, link: AgentLink) -> Attempt:
+        job = req.job
+        held = self.view.held_blocks(job).get(link.instance.node, 0)
+        return Attempt(
+            req=req,
+            number=number,
+            link=link,
+            inbox=link.open((req.request_id, number)),
+            predictor=self.view.predictor,
+            send=self.view.predictor.sent(
                 link,
-                link.open(
-                    (req.request_id, number),
-                ),
+                uncached_tokens(job, held),
+                paid=job.paid,
+            ),
+        )
+
+    def _choose(
+        self,
+        req: ModelRequest,
+        tried: set[AgentLink],
+    ) -> AgentLink | Failure:
+        if req.budget.expired():
+            return Failure(
+                kind=ErrorKind.OVERLOADED,
+                reason='the time budget is used up before the request ran',
             )
-            outcome = await self._run_attempt(attempt, emit)
-            if isinstance(outcome, Done) or not _retryable(outcome, attempt):
-                return outcome
-            refusal = outcome
-        return refusal
+        links = self._candidates(req.job, tried)
+        if not links:
+            return _NO_CAPACITY
+        return self._admission.admit(
+            Ask(req.team, req.job, req.budget.remaining_s()),
+            self._router.choose(req.job, links),
+            links,
+        )
 
     def _candidates(
         self,
@@ -130,172 +207,15 @@
             return False
         if load.state not in _SERVING:
             return False
-        return self._config.zone_in_service(link.instance.zone)
-
-    async def _run_attempt(
-        self,
-        attempt: _Attempt,
-        emit: Emit,
-    ) -> Done | Failure:
-        link, job = attempt.link, attempt.req.job
-        link.outstanding += 1
-        link.outstanding_tokens += job.prompt_tokens
-        finished = False
-        try:
-            refusal = await self._offer(attempt)
-            if refusal is None:
-                outcome = await self._receive(attempt, emit)
-                finished = isinstance(outcome, Done)
-                return outcome
-            return refusal
-        finally:
-            link.outstanding -= 1
-            link.outstanding_tokens -= job.prompt_tokens
-            link.close(attempt.key)
-            if attempt.accepted and not finished:
-                link.send(Cancel(*attempt.key))
-
-    async def _offer(self, attempt: _Attempt) -> Failure | None:
-        req, link = attempt.req, attempt.link
-        inline = len(req.prompt) <= INLINE_BODY_BYTES
-        sent = link.send(
-            Offer(
-                *attempt.key,
-                team=req.team,
-                paid=req.job.paid,
-                model=req.job.model,
-                prompt_tokens=req.job.prompt_tokens,
-                max_tokens=req.job.max_tokens,
-                timeout_ms=req.budget.remaining_ms(),
-                generation=self._config.number,
-                body_bytes=len(req.prompt),
-                body=req.prompt if inline else b'',
-                prefix=req.job.prefix,
-                weight=req.weight,
-                trace=req.trace,
-            )
-        )
-        if not sent:
-            return Failure(kind=ErrorKind.NO_CAPACITY, reason='not connected')
-        answer = None
-        with anyio.move_on_after(OFFER_TIMEOUT_S):
-            answer = await attempt.inbox.get()
-        if isinstance(answer, Refused):
-            return Failure(
-                kind=ErrorKind(answer.kind),
-                reason=answer.reason,
-                retry_after_ms=answer.retry_after_ms,
-            )
-        if not isinstance(answer, Accepted):
-            return await self._revoke(attempt)
-        attempt.accepted = True
-        if not inline:
-            return await self._send_body(attempt)
-        return None
-
-    async def _send_body(self, attempt: _Attempt) -> Failure | None:
-        prompt = attempt.req.prompt
-        for start in range(0, len(prompt), CHUNK_BYTES):
-            channel = attempt.link.channel
-            end = start + CHUNK_BYTES
-            if channel is None or not await channel.send_bulk(
-                Body(
-                    *attempt.key,
-                    prompt[start:end],
-                    end >= len(prompt),
-                )
-            ):
-                return await self._revoke(attempt)
-        return None
-
-    async def _revoke(self, attempt: _Attempt) -> Failure:
-        """Withdraw an attempt whose fate is unclear."""
-        with anyio.move_on_after(REVOKE_TIMEOUT_S):
-            attempt.link.send(Revoke(*attempt.key))
-            while True:
-                answer = await attempt.inbox.get()
-                if answer is LinkEvent.RESTORED:
-                    attempt.link.send(Revoke(*attempt.key))
-                if not isinstance(answer, Revoked):
-                    continue
-                if answer.started:
-                    return Failure(
-                        kind=ErrorKind.FAILED_AFTER_START,
-                        reason='revoked',
-                    )
-                return Failure(kind=ErrorKind.REVOKED, reason='revoked')
-        return Failure(
-            kind=ErrorKind.OUTCOME_UNKNOWN,
-            reason='the agent does not answer',
-        )
-
-    async def _receive(
-        self,
-        attempt: _Attempt,
-        emit: Emit,
-    ) -> Done | Failure:
-        deadline_s = attempt.req.budget.remaining_s() + DEADLINE_GRACE_S
-        limit = anyio.current_time() + deadline_s
-        lost = False
-        while True:
-            item = None
-            wait_s = limit - anyio.current_time()
-            with anyio.move_on_after(
-                min(wait_s, RESUME_TIMEOUT_S) if lost else wait_s,
-            ):
-                item = await attempt.inbox.get()
-            if item is None:
-                return _no_answer(lost=lost)
-            if item is LinkEvent.LOST:
-                lost = True
-            elif item is LinkEvent.RESTORED:
-                lost = False
-                attempt.link.send(Resume(*attempt.key, attempt.received))
-            elif isinstance(item, Output):
-                await _pass_on(attempt, item, emit)
-            elif isinstance(item, End):
-                return _end_event(attempt, item)
+        # A cold endpoint fails under more than its slots.
+        if load.state == 'cold' and not self.view.predictor.free_slots(link):
+            return False
+        return self._config.zone_in_service(
+            link.instance.zone
+        ) and self._config.endpoint_in_service(link.endpoint)
 
 
 def _fits(job: Job, load: Load | None) -> bool:
     if load is None or job.model not in load.models:
         return False
     return job.prompt_tokens + job.max_tokens <= load.memory_total_tokens
-
-
-async def _pass_on(attempt: _Attempt, item: Output, emit: Emit) -> None:
-    if item.offset > attempt.received:
-        return
-    fresh = item.tokens[attempt.received - item.offset :]
-    if not fresh:
-        return
-    tokens = Tokens(attempt.received, fresh)
-    attempt.received += len(fresh)
-    await emit(tokens)
-
-
-def _no_answer(*, lost: bool) -> Failure:
-    if lost:
-        return Failure(
-            kind=ErrorKind.OUTCOME_UNKNOWN,
-            reason='the agent is unreachable',
-        )
-    return Failure(kind=ErrorKind.TIMED_OUT, reason='time budget is used up')
-
-
-def _end_event(attempt: _Attempt, end: End) -> Done | Failure:
-    if end.kind:
-        return Failure(kind=ErrorKind(end.kind), reason=end.reason)
-    if end.count != attempt.received:
-        return Failure(
-            kind=ErrorKind.FAILED_AFTER_START,
-            reason=f'{attempt.received} of {end.count} tokens arrived',
-        )
-    return Done(end.count, end.cached_tokens)
-
-
-def _retryable(failure: Failure, attempt: _Attempt) -> bool:
-    """Model requests have no effects, so one without output may move."""
-    if attempt.received or attempt.req.budget.expired():
-        return False
-    return failure.kind not in (ErrorKind.BAD_REQUEST, ErrorKind.TIMED_OUT)
--- a/src/masticwind/entry/router.py
+++ b/src/masticwind/entry/router.py
@@ -1,26 +1,54 @@
 """The choice of an agent for a request."""
 
 import abc
+import heapq
 import itertools
 import random
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Collection, Mapping, Sequence
+from operator import itemgetter
 from typing import Final
 
+from masticwind.entry.affinity import AffinityIndex
+from masticwind.entry.lengths import make_length_policy
 from masticwind.entry.peers import AgentLink
+from masticwind.entry.predict import Job, Predictor
 from masticwind.settings import EntrySettings
 
+# Endpoints closer than the delay between zones count as equal.
+ZONE_TOLERANCE_S: Final = 0.001
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Job:
-    """What a router needs to know of a request."""
 
-    model: str
-    prompt_tokens: int
-    max_tokens: int
-    paid: bool
-    prefix: tuple[int, ...]
-    timeout_ms: int
+class RoutingView:
+    """What this entry believes of the endpoints' work and caches."""
+
+    def __init__(self, cfg: EntrySettings) -> None:
+        self.predictor: Final = Predictor(cfg)
+        self.affinity: Final = AffinityIndex(cfg.affinity_blocks)
+
+    def held_blocks(self, job: Job) -> Mapping[str, int]:
+        """Return the leading blocks that each agent may hold, by node."""
+        return self.affinity.leading_blocks(job.prefix)
+
+    def predict_s(
+        self,
+        job: Job,
+        link: AgentLink,
+        held: Mapping[str, int],
+    ) -> float:
+        """Return the predicted seconds to the first token."""
+        return self.predictor.predict_s(
+            link,
+            uncached_tokens(job, held.get(link.instance.node, 0)),
+            paid=job.paid,
+        )
+
+
+def uncached_tokens(job: Job, blocks: int) -> int:
+    """Return the tokens to prefill when leading blocks are cached."""
+    # The rest behind the last whole block is never cached.
+    return job.prompt_tokens - job.prompt_tokens * blocks // (
+        len(job.prefix) + 1
+    )
 
 
 class Router(abc.ABC):
@@ -61,23 +89,50 @@
 class PredictedRouter(Router):
     """Takes the candidate with the least predicted time to first token."""
 
-    def __init__(self, cfg: EntrySettings) -> None:
+    def __init__(self, cfg: EntrySettings, view: RoutingView) -> None:
         self._cfg: Final = cfg
+        self._view: Final = view
+        self._lengths: Final = make_length_policy(cfg)
 
     def choose(self, job: Job, links: Sequence[AgentLink]) -> AgentLink:
-        """Choose by predicted prefill work among a bounded sample."""
-        size = min(len(links), self._cfg.sample_size)
-        return min(random.sample(links, size), key=_predicted_work)
-
-
-def _predicted_work(link: AgentLink) -> int:
-    load = link.load_view
-    if load is None:
-        return link.outstanding_tokens
-    return max(link.outstanding_tokens, load.paid_work_tokens)
-
-
-def make_router(cfg: EntrySettings) -> Router:
+        """Choose among a bounded sample and the holders of the prefix.
+
+        A candidate in another availability zone must be better by more
+        than the configured share of the prediction and a millisecond.
+        """
+        held = self._view.held_blocks(job)
+        scored = [
+            (self._view.predict_s(job, link, held), link)
+            for link in self._sample(job, links, held)
+        ]
+        least, best = min(scored, key=itemgetter(0))
+        limit = least * (1 + self._cfg.zone_tolerance) + ZONE_TOLERANCE_S
+        local = [
+            one
+            for one in scored
+            if one[0] <= limit and one[1].instance.zone == self._cfg.zone
+        ]
+        if local:
+            return min(local, key=itemgetter(0))[1]
+        return best
+
+    def _sample(
+        self,
+        job: Job,
+        links: Sequence[AgentLink],
+        held: Mapping[str, int],
+    ) -> Collection[AgentLink]:
+        narrowed = self._lengths.narrow(job, links)
+        size = min(len(narrowed), self._cfg.sample_size)
+        holders = heapq.nlargest(
+            self._cfg.sample_size,
+            (link for link in links if link.instance.node in held),
+            key=lambda link: held[link.instance.node],
+        )
+        return {*random.sample(narrowed, size), *holders}
+
+
+def make_router(cfg: EntrySettings, view: RoutingView) -> Router:
     """Return the router that the settings name."""
     if cfg.routing == 'round_robin':
         return RoundRobinRouter()
@@ -85,4 +140,4 @@
         return RandomRouter()
     if cfg.routing == 'least_outstanding':
         return LeastOutstandingRouter()
-    return PredictedRouter(cfg)
+    return PredictedRouter(cfg, view)
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -10,7 +10,6 @@
 from masticwind.entry.app import AppParts, EntryApp
 from masticwind.entry.peers import AgentPool, PoolParts
 from masticwind.entry.relay import Relay
-from masticwind.entry.router import make_router
 from masticwind.node import Node
 from masticwind.platform.http import HttpInstanceList, HttpKeyValue
 from masticwind.settings import EntrySettings
@@ -35,7 +34,7 @@
                 HttpInstanceList(cfg.platform),
             )
         )
-        relay = Relay(self.pool, make_router(cfg), self.config)
+        relay = Relay(cfg, self.pool, self.config)
         self.app: Final = EntryApp(AppParts(cfg, self.config, relay))
         self._server: Final = WebServer(self.app, cfg.listen)
 
--- a/src/masticwind/settings.py
+++ b/src/masticwind/settings.py
@@ -105,6 +105,25 @@
     ] = 'predicted'
     sample_size: Count = 8
     retry_share: Share = 0.1
+    length_policy: Literal[
+        'least_work',
+        'size_interval',
+        'dynamic_partition',
+    ] = 'least_work'
+    long_prompt_tokens: Count = 16_384
+    long_endpoint_share: Share = 0.5
+    # Used until an agent reports a rate.
+    prefill_tokens_per_s: Count = 50_000
+    batch_cost_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.5
+    zone_tolerance: Share = 0.1
+    affinity_blocks: Count = 65_536
+    # Part of the time budget that a free request's prediction may use; the
+    # rest of the backlog is left to paid requests.
+    free_admission_share: Share = 0.5
+    # The same for a team that uses more than its fair share of this entry.
+    crowding_admission_share: Share = 0.75
+    # Used until this entry has observed streams.
+    token_interval_ms: Annotated[float, msgspec.Meta(ge=0)] = 10
     instances_poll_ms: PositiveMs = 1000
     watch_config: bool = True
     planner: bool = False
--- /dev/null
+++ b/tests/routing_fakes.py
@@ -0,0 +1,68 @@
+"""Links, jobs and settings for tests of the entry's decisions."""
+
+import time
+from typing import Any
+
+from masticwind.entry.peers import AgentLink
+from masticwind.entry.predict import Job
+from masticwind.platform.base import Instance
+from masticwind.protocol.messages import Load
+from masticwind.settings import EntrySettings, PeerSettings
+
+
+def entry_settings(**changes: Any) -> EntrySettings:
+    """Return settings of an entry in zone-a."""
+    return EntrySettings(
+        node='entry-1',
+        zone='zone-a',
+        peers=PeerSettings(secrets=('test',)),
+        **changes,
+    )
+
+
+def fake_link(
+    node: str,
+    zone: str = 'zone-a',
+    load_at: float | None = None,
+    **load: Any,
+) -> AgentLink:
+    """Return a link without a connection, with a load report."""
+    link = AgentLink(
+        Instance(node=node, role='agent', host='', port=0, zone=zone),
+    )
+    report: dict[str, Any] = {
+        'state': 'serving',
+        'models': ('standard',),
+        'slots': 64,
+        'prefill_tokens_per_s': 10_000,
+        'memory_total_tokens': 1_000_000,
+        **load,
+    }
+    link.load_view = Load(**report)
+    link.load_at = time.monotonic() if load_at is None else load_at
+    return link
+
+
+def fake_job(tokens: int = 1000, **changes: Any) -> Job:
+    """Return a paid job without a prefix."""
+    fields: dict[str, Any] = {
+        'model': 'standard',
+        'prompt_tokens': tokens,
+        'max_tokens': 10,
+        'paid': True,
+        'prefix': (),
+        'timeout_ms': 30_000,
+        **changes,
+    }
+    return Job(**fields)
+
+
+class FakeClock:
+    """A clock that moves only when told to."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        """Return the time in seconds."""
+        return self.now
