Test admission and team limits with two entries

The bound on the excess follows from the largest share an entry can take, (n + 1) / 2 times the limit, and is checked over generated schedules; the split is even while reports are missing.

--- a/src/masticwind/entry/limits.py
+++ b/src/masticwind/entry/limits.py
@@ -82,14 +82,14 @@
     def own(self) -> dict[str, float]:
         """Return this entry's report: the demand of its busiest teams."""
         now = self._clock()
+        for team in list(self._own):
+            if not _decayed(self._own[team], now):
+                self._own.pop(team)
         rates = {
-            team: _decayed(usage, now) for team, usage in self._own.items()
+            name: _decayed(usage, now) for name, usage in self._own.items()
         }
-        for team, rate in rates.items():
-            if not rate:
-                self._own.pop(team)
-        busiest = sorted(rates, key=lambda team: -rates[team])
-        return {team: rates[team] for team in busiest[:MAX_REPORTED_TEAMS]}
+        busiest = sorted(rates, key=lambda name: -rates[name])
+        return {name: rates[name] for name in busiest[:MAX_REPORTED_TEAMS]}
 
     def report(self, node: str, rates: Rates) -> None:
         """Take the report of another entry."""
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,200 @@
+"""Admission, team limits and fairness at one entry."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from masticwind.config.model import Team
+from masticwind.entry.admission import MAX_HINT_MS, Admission, Ask
+from masticwind.entry.limits import (
+    BURST_S,
+    EqualShares,
+    FairShare,
+    TeamLimits,
+    UsageShares,
+)
+from masticwind.entry.router import RoutingView
+from masticwind.errors import ErrorKind, Failure
+from tests.routing_fakes import (
+    FakeClock,
+    entry_settings,
+    fake_job,
+    fake_link,
+)
+
+
+def _admission(fair: FairShare | None = None) -> Admission:
+    cfg = entry_settings()
+    return Admission(cfg, RoutingView(cfg), fair or FairShare())
+
+
+def test_hopeless_request_is_refused_with_the_backlog_as_hint() -> None:
+    """Guards against admitting work that will miss its deadline."""
+    links = [fake_link(name, paid_work_tokens=100_000) for name in 'ab']
+    ask = Ask('t', fake_job(10_000), 5)
+    refused = _admission().admit(ask, links[0], links)
+    assert isinstance(refused, Failure)
+    assert refused.kind is ErrorKind.OVERLOADED
+    # 110,000 tokens at 10,000 a second, of which 5 s are in the budget.
+    assert refused.retry_after_ms == 6000
+
+
+def test_another_candidate_is_taken_where_the_chosen_one_is_late() -> None:
+    """Guards against refusing while some endpoint could serve in time."""
+    late = fake_link('late', paid_work_tokens=1_000_000)
+    idle = fake_link('idle')
+    ask = Ask('t', fake_job(10_000), 5)
+    assert _admission().admit(ask, late, (late, idle)) is idle
+
+
+def test_hint_is_bounded() -> None:
+    """Guards against a hint that keeps a caller away for hours."""
+    link = fake_link('a', paid_work_tokens=1_000_000_000)
+    refused = _admission().admit(Ask('t', fake_job(), 1), link, (link,))
+    assert isinstance(refused, Failure)
+    assert refused.retry_after_ms == MAX_HINT_MS
+
+
+@settings(derandomize=True, deadline=None)
+@given(backlog=st.integers(0, 200_000))
+def test_free_is_refused_before_paid(backlog: int) -> None:
+    """Guards against free requests in the capacity that paid ones need."""
+    link = fake_link('a', paid_work_tokens=backlog)
+    paid, free = (
+        _admission().admit(Ask('t', job, 10), link, (link,))
+        for job in (fake_job(), fake_job(paid=False))
+    )
+    if free is link:
+        assert paid is link
+    if 50_000 < backlog < 99_000:
+        assert paid is link
+        assert isinstance(free, Failure)
+
+
+def test_crowding_team_is_refused_before_a_small_one() -> None:
+    """Guards against a large team that uses up an entry's admission."""
+    fair = FairShare()
+    fair.enter('large', 90_000)
+    fair.enter('small', 1000)
+    link = fake_link('a', paid_work_tokens=85_000)
+    admission = _admission(fair)
+    job = fake_job()
+    assert admission.admit(Ask('small', job, 10), link, (link,)) is link
+    refused = admission.admit(Ask('large', job, 10), link, (link,))
+    assert isinstance(refused, Failure)
+
+
+def test_team_alone_uses_everything() -> None:
+    """Guards against spare capacity that nobody may use."""
+    fair = FairShare()
+    fair.enter('large', 90_000)
+    assert not fair.crowds('large')
+    fair.leave('large', 90_000)
+    assert not fair.crowds('large')
+
+
+class _TwoEntries:
+    """Two entries that enforce the limits of one team."""
+
+    def __init__(self) -> None:
+        self.clock = FakeClock()
+        self.shares = [UsageShares(lambda: 2, self.clock) for _ in range(2)]
+        self.limits = [TeamLimits(one, self.clock) for one in self.shares]
+        self.in_flight = [0, 0]
+        self.admitted = 0
+
+    def enter(self, entry: int) -> None:
+        self.shares[entry].note('t')
+        if self.limits[entry].enter('t', LIMITED, 1) is None:
+            self.admitted += 1
+            self.in_flight[entry] += 1
+
+    def leave(self, entry: int) -> None:
+        if self.in_flight[entry]:
+            self.limits[entry].leave('t')
+            self.in_flight[entry] -= 1
+
+    def gossip(self, entry: int) -> None:
+        self.shares[1 - entry].report(str(entry), self.shares[entry].own())
+
+
+LIMITED = Team(tier='paid', requests_per_s=10, max_in_flight=6)
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(('enter', 'enter', 'leave', 'gossip', 'wait')),
+            st.integers(0, 1),
+            st.integers(1, 900),
+        ),
+        max_size=300,
+    )
+)
+def test_excess_over_two_entries_is_bounded(
+    steps: list[tuple[str, int, int]],
+) -> None:
+    """Guards against more than the bound in docs/decisions/team-limits.md."""
+    fleet = _TwoEntries()
+    for action, entry, wait_ms in steps:
+        if action == 'wait':
+            fleet.clock.now += wait_ms / 1000
+        else:
+            getattr(fleet, action)(entry)
+        # (n + 1) / 2 times the limit plus one for each of n entries.
+        assert sum(fleet.in_flight) <= 1.5 * 6 + 2
+    elapsed_s = fleet.clock.now - 1000
+    assert fleet.admitted <= 1.5 * 10 * (elapsed_s + BURST_S) + 2
+
+
+def test_two_entries_without_reports_keep_the_limit() -> None:
+    """Guards against an excess where entries cannot reach each other."""
+    fleet = _TwoEntries()
+    for _ in range(400):
+        for entry in (0, 1):
+            fleet.enter(entry)
+            fleet.leave(entry)
+        fleet.clock.now += 0.01
+    assert fleet.admitted <= 10 * (4 + BURST_S) + 2
+
+
+def test_token_limit_counts_prompts_larger_than_the_bucket() -> None:
+    """Guards against a long prompt that passes a limit for free or never."""
+    clock = FakeClock()
+    limits = TeamLimits(EqualShares(lambda: 1), clock)
+    team = Team(tier='paid', tokens_per_s=1000)
+    assert limits.enter('t', team, 10_000) is None
+    refused = limits.enter('t', team, 1)
+    assert isinstance(refused, Failure)
+    assert refused.kind is ErrorKind.RATE_LIMITED
+    assert refused.retry_after_ms == pytest.approx(9000, abs=2)
+    clock.now += 9.01
+    assert limits.enter('t', team, 1) is None
+
+
+def test_in_flight_limit_is_split_and_returned() -> None:
+    """Guards against a count that leaks or an entry that can serve none."""
+    limits = TeamLimits(EqualShares(lambda: 3))
+    team = Team(tier='paid', max_in_flight=6)
+    assert [limits.enter('t', team, 1) is None for _ in range(3)] == [
+        True,
+        True,
+        False,
+    ]
+    limits.leave('t')
+    assert limits.enter('t', team, 1) is None
+
+
+def test_share_follows_demand_and_falls_back() -> None:
+    """Guards against an idle entry that keeps its part of a limit."""
+    clock = FakeClock()
+    shares = UsageShares(lambda: 2, clock)
+    assert shares.share('t') == pytest.approx(0.5)
+    shares.note('t')
+    shares.report('other', {})
+    assert shares.share('t') == pytest.approx(0.75)
+    shares.report('other', {'t': 1.5})
+    assert shares.share('t') == pytest.approx(0.25 + 0.5 * 0.25)
+    clock.now += 3
+    assert shares.share('t') == pytest.approx(0.5)
