Route by cache events that agents pass on to entries

Only an entry's own sends told where a prefix is cached. The agent now keeps a bounded view of its engine's events, treats it as a hint after a gap, and sends bounded deltas; an entry that connects or falls behind is resynchronised. A second entry finds the endpoint that the first one used.

--- /dev/null
+++ b/src/masticwind/agent/cache_view.py
@@ -0,0 +1,184 @@
+"""The agent's view of its engine's prefix cache, and its copies at entries.
+
+Engines publish cache events late and with gaps, so the view is a hint from
+the first gap on. Both the view and the log of recent changes are bounded. An
+entry that falls behind the log, like one that has just connected, is
+resynchronised with the blocks that were added last.
+"""
+
+import itertools
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+
+from masticwind.engines.base import CacheEvents, Engine
+from masticwind.errors import Failure
+from masticwind.protocol.channel import Channel
+from masticwind.protocol.messages import CacheBlocks
+
+POLL_INTERVAL_S: Final = 0.5
+MAX_BLOCKS: Final = 65_536
+MAX_LOG: Final = 4096
+# Bounds a resynchronisation to about 18 KB for each connection.
+MAX_SYNC_BLOCKS: Final = 2048
+# Bounds steady deltas to about 1 KB/s for each connection.
+MAX_BLOCKS_PER_DELTA: Final = 64
+# More missing events than this leave more wrong blocks than right ones.
+MAX_GAP: Final = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change of the view, numbered from 1."""
+
+    number: int
+    block: int
+    added: bool
+
+
+class CacheView:
+    """Owns the blocks believed to be cached and the log of changes."""
+
+    def __init__(self, max_blocks: int = MAX_BLOCKS) -> None:
+        self._max_blocks: Final = max_blocks
+        self._blocks: Final = OrderedDict[int, None]()
+        self._log: Final = deque[Change](maxlen=MAX_LOG)
+        self._last_event = 0
+        self.gaps = 0
+        self.resets = 0
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    @property
+    def last_event(self) -> int:
+        """Sequence number after which events are wanted."""
+        return self._last_event
+
+    @property
+    def last_change(self) -> int:
+        """Number of the last change; zero before the first."""
+        return self._log[-1].number if self._log else 0
+
+    def take(self, events: CacheEvents) -> None:
+        """Apply the engine's events after `last_event`."""
+        if events.last <= self._last_event:
+            return
+        missing = events.first - self._last_event - 1
+        if missing > 0:
+            self.gaps += 1
+        if missing > MAX_GAP:
+            self.reset()
+        self._last_event = events.last
+        removed = set(events.removed)
+        for block in events.removed:
+            self._change(block, added=False)
+        # The order of both within one answer is unknown; a block that is
+        # believed absent costs less than one that draws requests in vain.
+        for block in events.added:
+            if block not in removed:
+                self._change(block, added=True)
+
+    def reset(self) -> None:
+        """Forget everything: the engine has restarted or events are lost."""
+        self.resets += 1
+        self._last_event = 0
+        self._blocks.clear()
+        # A jump in the numbers makes every entry resynchronise.
+        number = self.last_change + MAX_LOG + 1
+        self._log.clear()
+        self._log.append(Change(number, 0, added=False))
+
+    def recent(self) -> tuple[int, ...]:
+        """Return the blocks that were added last, for a resynchronisation."""
+        newest = itertools.islice(reversed(self._blocks), MAX_SYNC_BLOCKS)
+        return tuple(newest)
+
+    def changes(self, after: int) -> tuple[Change, ...] | None:
+        """Return a bounded number of changes behind change `after`.
+
+        Returns None if the log no longer reaches back that far.
+        """
+        first = self._log[0].number if self._log else 1
+        if after < first - 1:
+            return None
+        start = after - first + 1
+        stop = start + MAX_BLOCKS_PER_DELTA
+        return tuple(itertools.islice(self._log, start, stop))
+
+    def _change(self, block: int, *, added: bool) -> None:
+        known = block in self._blocks
+        if added:
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        elif known:
+            self._blocks.pop(block)
+        if known is not added:
+            self._record(block, added=added)
+        if len(self._blocks) > self._max_blocks:
+            oldest, _none = self._blocks.popitem(last=False)
+            self._record(oldest, added=False)
+
+    def _record(self, block: int, *, added: bool) -> None:
+        self._log.append(Change(self.last_change + 1, block, added))
+
+
+class CachePublisher:
+    """Polls one engine's events and sends deltas to connected entries."""
+
+    def __init__(self, engine: Engine) -> None:
+        self._engine: Final = engine
+        self._boot_id = ''
+        self._cursors: Final[dict[Channel, int | None]] = {}
+        self.view: Final = CacheView()
+
+    def opened(self, channel: Channel) -> None:
+        """Resynchronise a new connection with the next poll."""
+        self._cursors[channel] = None
+
+    def lost(self, channel: Channel) -> None:
+        """Forget a connection."""
+        self._cursors.pop(channel, None)
+
+    async def run(self) -> None:
+        """Poll and publish until cancelled."""
+        while True:
+            await self._poll()
+            self.publish()
+            await anyio.sleep(POLL_INTERVAL_S)
+
+    def publish(self) -> None:
+        """Send each connection its next bounded delta."""
+        for channel, cursor in list(self._cursors.items()):
+            changes = None
+            if cursor is not None:
+                changes = self.view.changes(cursor)
+            if changes is None:
+                channel.send(CacheBlocks(self.view.recent(), reset=True))
+                self._cursors[channel] = self.view.last_change
+            elif changes:
+                channel.send(_delta(changes))
+                self._cursors[channel] = changes[-1].number
+
+    async def _poll(self) -> None:
+        report = await self._engine.report()
+        if isinstance(report, Failure):
+            return
+        if report.boot_id != self._boot_id:
+            if self._boot_id:
+                self.view.reset()
+            self._boot_id = report.boot_id
+        events = await self._engine.cache_events(self.view.last_event)
+        if not isinstance(events, Failure):
+            self.view.take(events)
+
+
+def _delta(changes: tuple[Change, ...]) -> CacheBlocks:
+    """Return the net effect of consecutive changes."""
+    net = {change.block: change.added for change in changes}
+    return CacheBlocks(
+        added=tuple(block for block, added in net.items() if added),
+        removed=tuple(block for block, added in net.items() if not added),
+    )
--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -5,6 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from masticwind.agent.cache_view import CachePublisher
 from masticwind.agent.calls import CallExecutor
 from masticwind.agent.executor import Executor, ExecutorParts
 from masticwind.config.current import CurrentConfig
@@ -38,8 +39,10 @@
         self._cfg: Final = cfg
         self._tasks: Final = tasks
         self.config: Final = CurrentConfig()
+        engine = HttpEngine(cfg.endpoint_url)
+        self._cache: Final = CachePublisher(engine)
         self._executor: Final = Executor(
-            ExecutorParts(cfg, self.config, HttpEngine(cfg.endpoint_url)),
+            ExecutorParts(cfg, self.config, engine),
             tasks,
         )
         self._calls: Final = CallExecutor(
@@ -72,6 +75,7 @@
             tasks.start_soon(self._listener.run)
             if self._cfg.kind == 'engine':
                 tasks.start_soon(self._executor.run)
+                tasks.start_soon(self._cache.run)
             else:
                 tasks.start_soon(self._calls.run)
             if self._cfg.platform.key_value_url:
@@ -95,10 +99,12 @@
         return self._executor.load()
 
     def opened(self, channel: Channel) -> None:
-        """Nothing is kept per connection."""
+        """Send a new connection what the engine's cache holds."""
+        self._cache.opened(channel)
 
     def lost(self, channel: Channel) -> None:
         """Let requests of a lost connection wait for a resume."""
+        self._cache.lost(channel)
         self._executor.detach(channel)
 
     async def handle(self, channel: Channel, message: AnyMessage) -> None:
--- a/src/masticwind/entry/affinity.py
+++ b/src/masticwind/entry/affinity.py
@@ -13,41 +13,52 @@
 MAX_HOLDERS: Final = 4
 
 
+# An agent's name, and how often its blocks were forgotten before.
+Holder = tuple[str, int]
+
+
 class AffinityIndex:
     """Owns at most `max_blocks` blocks with `MAX_HOLDERS` names each."""
 
     def __init__(self, max_blocks: int) -> None:
         self._max_blocks: Final = max_blocks
-        self._holders: Final = OrderedDict[int, tuple[str, ...]]()
+        self._holders: Final = OrderedDict[int, tuple[Holder, ...]]()
+        self._epochs: Final[dict[str, int]] = {}
 
     def __len__(self) -> int:
         return len(self._holders)
 
     def add(self, node: str, blocks: Iterable[int]) -> None:
         """Note that the agent `node` may hold these blocks."""
+        holder = self._holder(node)
         for block in blocks:
             holders = self._holders.get(block, ())
-            if node not in holders:
-                self._holders[block] = (*holders, node)[-MAX_HOLDERS:]
+            if holder not in holders:
+                self._holders[block] = (*holders, holder)[-MAX_HOLDERS:]
             self._holders.move_to_end(block)
             if len(self._holders) > self._max_blocks:
                 self._holders.popitem(last=False)
 
     def remove(self, node: str, blocks: Iterable[int]) -> None:
         """Note that the agent `node` no longer holds these blocks."""
+        holder = self._holder(node)
         for block in blocks:
             holders = self._holders.get(block, ())
-            if node not in holders:
+            if holder not in holders:
                 continue
-            left = tuple(one for one in holders if one != node)
+            left = tuple(one for one in holders if one != holder)
             if left:
                 self._holders[block] = left
             else:
                 self._holders.pop(block)
 
     def forget(self, node: str) -> None:
-        """Drop everything about an agent whose cache is unknown."""
-        self.remove(node, list(self._holders))
+        """Drop everything about an agent whose cache is unknown.
+
+        Its blocks stay until they are replaced but no longer count, because
+        a walk over the whole index would stall the event loop.
+        """
+        self._epochs[node] = self._epochs.get(node, 0) + 1
 
     def leading_blocks(self, prefix: tuple[int, ...]) -> dict[str, int]:
         """Return how many leading blocks each agent may hold.
@@ -55,7 +66,7 @@
         Agents that may hold none are left out.
         """
         counts: dict[str, int] = {}
-        current: set[str] = set()
+        current: set[Holder] = set()
         for position, block in enumerate(prefix):
             holders = self._holders.get(block)
             if holders is None:
@@ -64,5 +75,10 @@
             current = set(holders) & current if position else set(holders)
             if not current:
                 break
-            counts.update(dict.fromkeys(current, position + 1))
+            for holder in current:
+                if holder == self._holder(holder[0]):
+                    counts[holder[0]] = position + 1
         return counts
+
+    def _holder(self, node: str) -> Holder:
+        return node, self._epochs.get(node, 0)
--- a/src/masticwind/entry/peers.py
+++ b/src/masticwind/entry/peers.py
@@ -16,6 +16,7 @@
 from anyio.abc import TaskGroup
 
 from masticwind.config.current import CurrentConfig
+from masticwind.entry.affinity import AffinityIndex
 from masticwind.errors import Failure
 from masticwind.node import Node
 from masticwind.platform.base import Instance, InstanceList
@@ -25,6 +26,7 @@
 from masticwind.protocol.messages import (
     Accepted,
     AnyMessage,
+    CacheBlocks,
     CallResult,
     End,
     Heartbeat,
@@ -76,8 +78,9 @@
 class AgentLink(PeerHandler):
     """One agent as this entry sees it."""
 
-    def __init__(self, instance: Instance) -> None:
+    def __init__(self, instance: Instance, affinity: AffinityIndex) -> None:
         self.instance: Final = instance
+        self._affinity: Final = affinity
         self.load_view: Load | None = None
         self.load_at = 0.0
         self.incarnation = ''
@@ -134,11 +137,20 @@
             if message.load is not None:
                 self.load_view = message.load
                 self.load_at = time.monotonic()
+        elif isinstance(message, CacheBlocks):
+            self._take_blocks(message)
         elif isinstance(message, AttemptMessage):
             inbox = self._inboxes.get((message.request_id, message.attempt))
             if inbox is not None:
                 inbox.put(message)
 
+    def _take_blocks(self, message: CacheBlocks) -> None:
+        node = self.instance.node
+        if message.reset:
+            self._affinity.forget(node)
+        self._affinity.remove(node, message.removed)
+        self._affinity.add(node, message.added)
+
     def _tell(self, event: LinkEvent) -> None:
         for inbox in self._inboxes.values():
             inbox.put(event)
@@ -152,6 +164,7 @@
     node: Node
     config: CurrentConfig
     instances: InstanceList
+    affinity: AffinityIndex
 
 
 class AgentPool:
@@ -194,7 +207,7 @@
         for address, instance in wanted.items():
             link = self._links.get(address)
             if link is None:
-                link = AgentLink(instance)
+                link = AgentLink(instance, self._parts.affinity)
                 self._links[address] = link
                 tasks.start_soon(self._keep, address, link)
             link.leaving = instance.state == 'leaving'
--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -60,10 +60,11 @@
         cfg: EntrySettings,
         pool: AgentPool,
         config: CurrentConfig,
+        view: RoutingView,
     ) -> None:
         self._pool: Final = pool
         self._config: Final = config
-        self.view: Final = RoutingView(cfg)
+        self.view: Final = view
         self._router: Final[Router] = make_router(cfg, self.view)
         self._fair: Final = FairShare()
         self._admission: Final = Admission(cfg, self.view, self._fair)
--- a/src/masticwind/entry/router.py
+++ b/src/masticwind/entry/router.py
@@ -21,9 +21,9 @@
 class RoutingView:
     """What this entry believes of the endpoints' work and caches."""
 
-    def __init__(self, cfg: EntrySettings) -> None:
+    def __init__(self, cfg: EntrySettings, affinity: AffinityIndex) -> None:
         self.predictor: Final = Predictor(cfg)
-        self.affinity: Final = AffinityIndex(cfg.affinity_blocks)
+        self.affinity: Final = affinity
 
     def held_blocks(self, job: Job) -> Mapping[str, int]:
         """Return the leading blocks that each agent may hold, by node."""
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -7,9 +7,11 @@
 from masticwind.config.current import CurrentConfig
 from masticwind.config.distribute import ConfigWatcher
 from masticwind.config.store import ConfigStore
+from masticwind.entry.affinity import AffinityIndex
 from masticwind.entry.app import AppParts, EntryApp
 from masticwind.entry.peers import AgentPool, PoolParts
 from masticwind.entry.relay import Relay
+from masticwind.entry.router import RoutingView
 from masticwind.node import Node
 from masticwind.platform.http import HttpInstanceList, HttpKeyValue
 from masticwind.settings import EntrySettings
@@ -26,15 +28,18 @@
         self._cfg: Final = cfg
         self.config: Final = CurrentConfig()
         node = Node(role='entry', name=cfg.node, zone=cfg.zone)
+        self.affinity: Final = AffinityIndex(cfg.affinity_blocks)
         self.pool: Final = AgentPool(
             PoolParts(
                 cfg,
                 node,
                 self.config,
                 HttpInstanceList(cfg.platform),
+                self.affinity,
             )
         )
-        relay = Relay(cfg, self.pool, self.config)
+        view = RoutingView(cfg, self.affinity)
+        relay = Relay(cfg, self.pool, self.config, view)
         self.app: Final = EntryApp(AppParts(cfg, self.config, relay))
         self._server: Final = WebServer(self.app, cfg.listen)
 
--- a/tests/routing_fakes.py
+++ b/tests/routing_fakes.py
@@ -3,6 +3,7 @@
 import time
 from typing import Any
 
+from masticwind.entry.affinity import AffinityIndex
 from masticwind.entry.peers import AgentLink
 from masticwind.entry.predict import Job
 from masticwind.platform.base import Instance
@@ -29,6 +30,7 @@
     """Return a link without a connection, with a load report."""
     link = AgentLink(
         Instance(node=node, role='agent', host='', port=0, zone=zone),
+        AffinityIndex(1000),
     )
     report: dict[str, Any] = {
         'state': 'serving',
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,6 +6,7 @@
 
 from masticwind.config.model import Team
 from masticwind.entry.admission import MAX_HINT_MS, Admission, Ask
+from masticwind.entry.affinity import AffinityIndex
 from masticwind.entry.limits import (
     BURST_S,
     EqualShares,
@@ -25,7 +26,9 @@
 
 def _admission(fair: FairShare | None = None) -> Admission:
     cfg = entry_settings()
-    return Admission(cfg, RoutingView(cfg), fair or FairShare())
+    return Admission(
+        cfg, RoutingView(cfg, AffinityIndex(1000)), fair or FairShare()
+    )
 
 
 def test_hopeless_request_is_refused_with_the_backlog_as_hint() -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -14,7 +14,7 @@
 
 def _router(**changes: object) -> tuple[PredictedRouter, RoutingView]:
     cfg = entry_settings(**changes)
-    view = RoutingView(cfg)
+    view = RoutingView(cfg, AffinityIndex(1000))
     return PredictedRouter(cfg, view), view
 
 
