Decode large chat bodies in pieces off the event loop

The usual content shapes, roles and options are read, and the caller's time budget now includes the time that the body takes.

--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -1,16 +1,20 @@
 """The entry's HTTP application: routes, authentication, error answers."""
 
+import time
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Final
 
+from masticwind.budget import Budget
 from masticwind.config.current import CurrentConfig
 from masticwind.entry.chat import (
     Caller,
-    ChatStream,
     build_request,
+    read_timeout,
     relay_until_gone,
 )
+from masticwind.entry.chat_body import BodyReader, read_large_body
+from masticwind.entry.chat_stream import ChatStream
 from masticwind.entry.relay import Relay
 from masticwind.errors import ANSWERS, ErrorKind, Failure
 from masticwind.settings import EntrySettings
@@ -21,7 +25,6 @@
     Send,
     header,
     json_response,
-    read_body,
     send_response,
 )
 
@@ -43,6 +46,7 @@
 
     def __init__(self, parts: AppParts) -> None:
         self._parts: Final = parts
+        self._bodies: Final = BodyReader()
         self._active = 0
         self.draining = False
 
@@ -109,18 +113,32 @@
         if isinstance(caller, Failure):
             return caller
         cfg = self._parts.cfg
-        body = await read_body(
+        # The time that the body takes counts towards the caller's budget.
+        timeout_ms = read_timeout(scope, caller.tier)
+        started = time.monotonic()
+        body = await read_large_body(
             receive,
             cfg.max_body_bytes,
             cfg.body_timeout_ms / MS_PER_S,
         )
         if isinstance(body, Failure):
             return body
-        built = await build_request(scope, body, caller, self._parts.config)
-        if isinstance(built, Failure):
-            return built
-        req, chat = built
-        writer = ChatStream(send, req, stream=chat.stream)
+        if isinstance(timeout_ms, Failure):
+            return timeout_ms
+        chat = await self._bodies.prepare(body)
+        body.clear()
+        if isinstance(chat, Failure):
+            return chat
+        budget = Budget(started + timeout_ms / MS_PER_S)
+        req = build_request(chat, caller, budget, self._parts.config)
+        if isinstance(req, Failure):
+            return req
+        writer = ChatStream(
+            send,
+            req,
+            stream=chat.stream,
+            include_usage=chat.include_usage,
+        )
         return await relay_until_gone(self._parts.relay, req, writer, receive)
 
     def _authenticate(self, scope: Scope) -> Caller | Failure:
--- /dev/null
+++ b/src/masticwind/entry/chat_stream.py
@@ -0,0 +1,161 @@
+"""Writes the answer of a model request to its caller."""
+
+import time
+from http import HTTPStatus
+from typing import Final
+
+import msgspec
+
+from masticwind.engines.base import Done, Tokens
+from masticwind.entry.attempts import ModelRequest
+from masticwind.errors import ANSWERS, Failure
+from masticwind.web import Response, Send, json_response, send_response
+
+SSE_TYPE: Final = b'text/event-stream'
+
+
+class ChatStream:
+    """Writes one answer, as server-sent events or as one object."""
+
+    def __init__(
+        self,
+        send: Send,
+        req: ModelRequest,
+        *,
+        stream: bool,
+        include_usage: bool = False,
+    ) -> None:
+        self._send: Final = send
+        self._req: Final = req
+        self._stream: Final = stream
+        self._include_usage: Final = include_usage
+        self._created: Final = int(time.time())
+        self._texts: Final[list[str]] = []
+        self._opened = False
+
+    async def emit(self, tokens: Tokens) -> None:
+        """Take generated tokens."""
+        text = ''.join(tokens.tokens)
+        if not self._stream:
+            self._texts.append(text)
+            return
+        await self._open()
+        await self._event(self._chunk({'content': text}, None))
+
+    async def finish(self, outcome: Done | Failure) -> Failure | None:
+        """Write the end; return a failure that the caller must still see."""
+        if isinstance(outcome, Failure):
+            if not self._opened:
+                return outcome
+            await self._event({'error': _error(outcome)})
+            await self._send({'type': 'http.response.body', 'body': b''})
+            return None
+        if self._stream:
+            await self._open()
+            await self._event(self._chunk({}, self._reason(outcome)))
+            if self._include_usage:
+                await self._event(
+                    {
+                        **self._chunk({}, None),
+                        'choices': [],
+                        'usage': self._usage(outcome),
+                    }
+                )
+            await self._send(
+                {
+                    'type': 'http.response.body',
+                    'body': b'data: [DONE]\n\n',
+                }
+            )
+            return None
+        await send_response(self._send, self._whole(outcome))
+        return None
+
+    def _whole(self, done: Done) -> Response:
+        return json_response(
+            HTTPStatus.OK,
+            {
+                'id': self._req.request_id,
+                'object': 'chat.completion',
+                'created': self._created,
+                'model': self._req.job.model,
+                'choices': [
+                    {
+                        'index': 0,
+                        'message': {
+                            'role': 'assistant',
+                            'content': ''.join(self._texts),
+                        },
+                        'finish_reason': self._reason(done),
+                    }
+                ],
+                'usage': self._usage(done),
+            },
+            headers=self._headers(),
+        )
+
+    def _reason(self, done: Done) -> str:
+        return 'length' if done.count >= self._req.job.max_tokens else 'stop'
+
+    def _usage(self, done: Done) -> dict[str, int]:
+        prompt_tokens = self._req.job.prompt_tokens
+        return {
+            'prompt_tokens': prompt_tokens,
+            'completion_tokens': done.count,
+            'total_tokens': prompt_tokens + done.count,
+            'cached_tokens': done.cached_tokens,
+        }
+
+    def _chunk(
+        self,
+        delta: dict[str, str],
+        reason: str | None,
+    ) -> dict[str, object]:
+        return {
+            'id': self._req.request_id,
+            'object': 'chat.completion.chunk',
+            'created': self._created,
+            'model': self._req.job.model,
+            'choices': [
+                {'index': 0, 'delta': delta, 'finish_reason': reason},
+            ],
+        }
+
+    def _headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        return ((b'x-request-id', self._req.request_id.encode()),)
+
+    async def _open(self) -> None:
+        if self._opened:
+            return
+        self._opened = True
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': HTTPStatus.OK,
+                'headers': [
+                    (b'content-type', SSE_TYPE),
+                    (b'cache-control', b'no-cache'),
+                    *self._headers(),
+                ],
+            }
+        )
+
+    async def _event(self, content: dict[str, object]) -> None:
+        await self._send(
+            {
+                'type': 'http.response.body',
+                'body': b'data: %b\n\n' % msgspec.json.encode(content),
+                'more_body': True,
+            }
+        )
+
+
+def _error(failure: Failure) -> dict[str, object]:
+    answer = ANSWERS[failure.kind]
+    return {
+        'kind': failure.kind,
+        'message': failure.reason,
+        'run': answer.run,
+        'repeat_safe': answer.repeat_safe,
+        'retry_after_ms': failure.retry_after_ms,
+    }
