Run prompts beyond one engine's memory on a reserved group

Such prompts were refused for lack of an endpoint that fits. The entry now reserves shares in one availability zone in order of node name, releases everything when one is refused, renews the leases and offers the shares in order. A failure after the first share is never called not run. Tested against scripted agents only; the agents do not answer Reserve yet.

--- a/src/masticwind/entry/attempts.py
+++ b/src/masticwind/entry/attempts.py
@@ -26,6 +26,7 @@
     Offer,
     Output,
     Refused,
+    Reserved,
     Resume,
     Revoke,
     Revoked,
@@ -46,7 +47,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ModelRequest:
-    """A checked model request of a team."""
+    """A checked model request of a team.
+
+    `share_of` has the handles of the shares before this one of a group, "-"
+    for the first, and is empty where one engine has the whole prompt.
+    """
 
     request_id: str
     team: str
@@ -55,11 +60,16 @@
     prompt: bytes
     budget: Budget
     trace: str = ''
+    share_of: str = ''
 
 
 @dataclass(slots=True, kw_only=True)
 class Attempt:
-    """State of one attempt; `received` counts the tokens passed on."""
+    """State of one attempt.
+
+    `received` counts the tokens passed on; `handle` names the cache that a
+    share of a group has left at its agent.
+    """
 
     req: ModelRequest
     number: int
@@ -69,6 +79,7 @@
     send: PendingSend
     received: int = 0
     offered: bool = False
+    handle: str = ''
 
     @property
     def key(self) -> tuple[str, int]:
@@ -122,6 +133,9 @@
     answer = None
     with anyio.move_on_after(OFFER_TIMEOUT_S):
         answer = await attempt.inbox.get()
+        while isinstance(answer, Reserved):
+            # A renewed lease is confirmed at any time.
+            answer = await attempt.inbox.get()
     if isinstance(answer, Refused):
         attempt.offered = False
         return Failure(
@@ -153,6 +167,7 @@
         prefix=req.job.prefix,
         weight=req.weight,
         trace=req.trace,
+        share_of=req.share_of,
     )
 
 
@@ -253,6 +268,7 @@
             kind=ErrorKind.FAILED_AFTER_START,
             reason=f'{attempt.received} of {end.count} tokens arrived',
         )
+    attempt.handle = end.reason
     return Done(end.count, end.cached_tokens)
 
 
--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -14,6 +14,7 @@
     ModelRequest,
     run_attempt,
 )
+from masticwind.entry.groups import Groups
 from masticwind.entry.limits import FairShare, TeamLimits, UsageShares
 from masticwind.entry.peers import AgentLink, AgentPool
 from masticwind.entry.predict import Job
@@ -66,6 +67,7 @@
         self._config: Final = config
         self.view: Final = view
         self._router: Final[Router] = make_router(cfg, self.view)
+        self._groups: Final = Groups(view.predictor)
         self._fair: Final = FairShare()
         self._admission: Final = Admission(cfg, self.view, self._fair)
         self._retries: Final = RetryBudget(cfg)
@@ -101,13 +103,22 @@
         work: float,
         emit: Emit,
     ) -> Done | Failure:
-        link = self._choose(req, set())
+        serving = self._serving(req.job)
+        grouped = self._groups.needed(req.job, serving)
+        link = None if grouped else self._choose(req, set())
         if isinstance(link, Failure):
             return link
         self._retries.first_attempt()
         self._fair.enter(req.team, work)
         try:
-            return await self._attempts(req, link, emit)
+            if link is not None:
+                return await self._attempts(req, link, emit)
+            return await self._groups.run(
+                req,
+                self._config.number,
+                serving,
+                emit,
+            )
         finally:
             self._fair.leave(req.team, work)
 
@@ -188,19 +199,26 @@
             links,
         )
 
+    def _serving(self, job: Job) -> list[AgentLink]:
+        """Return the agents whose engines carry the model, whatever fits."""
+        return [
+            link
+            for link in self._pool.links
+            if self._may_serve(link)
+            and link.load_view is not None
+            and job.model in link.load_view.models
+        ]
+
     def _candidates(
         self,
         job: Job,
         tried: set[AgentLink],
     ) -> Sequence[AgentLink]:
-        found: list[AgentLink] = []
-        for link in self._pool.links:
-            if link in tried or not self._may_serve(link):
-                continue
-            if not _fits(job, link.load_view):
-                continue
-            found.append(link)
-        return found
+        return [
+            link
+            for link in self._serving(job)
+            if link not in tried and _fits(job, link.load_view)
+        ]
 
     def _may_serve(self, link: AgentLink) -> bool:
         load = link.load_view
@@ -217,6 +235,6 @@
 
 
 def _fits(job: Job, load: Load | None) -> bool:
-    if load is None or job.model not in load.models:
+    if load is None:
         return False
     return job.prompt_tokens + job.max_tokens <= load.memory_total_tokens
--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,127 @@
+"""A relay over agents that answer as scripts say."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+from masticwind.budget import Budget
+from masticwind.config.current import CurrentConfig
+from masticwind.config.model import Generation
+from masticwind.engines.base import Done, Tokens
+from masticwind.entry.affinity import AffinityIndex
+from masticwind.entry.attempts import ModelRequest
+from masticwind.entry.peers import AgentLink, AgentPool
+from masticwind.entry.predict import Job
+from masticwind.entry.relay import Relay
+from masticwind.entry.router import RoutingView
+from masticwind.errors import Failure
+from masticwind.protocol.channel import Channel
+from masticwind.protocol.messages import (
+    Message,
+    Offer,
+    Reserve,
+    Reserved,
+    Revoke,
+    Revoked,
+)
+from tests.routing_fakes import entry_settings, fake_job, fake_link
+from tests.scenarios import sample_config
+
+Script = Callable[[Offer], list[Any]]
+
+
+@dataclass
+class ScriptedChannel:
+    """Answers messages as a script says."""
+
+    link: AgentLink
+    script: Script
+    closed: bool = False
+    refuses_shares: str = ''
+    sent: list[Message] = field(default_factory=list)
+
+    def send(self, message: Message) -> bool:
+        """Note a message and answer it."""
+        self.sent.append(message)
+        if isinstance(message, Reserve):
+            key = (message.request_id, message.attempt)
+            refused = self.refuses_shares
+            self._answer(key, Reserved(*key, message.share, refused))
+        if isinstance(message, Offer):
+            for answer in self.script(message):
+                self._answer((message.request_id, message.attempt), answer)
+        if isinstance(message, Revoke):
+            key = (message.request_id, message.attempt)
+            self._answer(key, Revoked(*key, started=False))
+        return True
+
+    async def send_bulk(self, message: Message) -> bool:
+        """Note a chunk of a body."""
+        self.sent.append(message)
+        return True
+
+    def _answer(self, key: tuple[str, int], answer: Any) -> None:
+        self.link._inboxes[key].put(answer)
+
+    def count(self, kind: type[Message]) -> int:
+        """Return how many messages of a kind were sent."""
+        return sum(isinstance(one, kind) for one in self.sent)
+
+
+@dataclass
+class FakePool:
+    """Links without an instance list."""
+
+    links: list[AgentLink]
+    live_entries: int = 1
+
+
+class ScriptedRelay:
+    """A relay over agents that follow scripts."""
+
+    def __init__(self, *scripts: Script, **sections: Any) -> None:
+        self.channels: list[ScriptedChannel] = []
+        for number, script in enumerate(scripts):
+            link = fake_link(f'e{number}')
+            channel = ScriptedChannel(link, script)
+            link._channel = cast(Channel, channel)
+            self.channels.append(channel)
+        cfg = entry_settings(retry_share=0)
+        self.config = CurrentConfig()
+        self.config.adopt(
+            Generation(number=1, config=sample_config(**sections))
+        )
+        self.pool = FakePool([one.link for one in self.channels])
+        self.relay = Relay(
+            cfg,
+            cast(AgentPool, self.pool),
+            self.config,
+            RoutingView(cfg, AffinityIndex(100)),
+        )
+        self.output: list[str] = []
+
+    async def run(
+        self,
+        timeout_ms: int = 30_000,
+        job: Job | None = None,
+        prompt: bytes = b'x',
+    ) -> Done | Failure:
+        """Run one request."""
+        return await self.relay.run(
+            ModelRequest(
+                request_id='r',
+                team='conservators',
+                weight=1,
+                job=job or fake_job(),
+                prompt=prompt,
+                budget=Budget.from_ms(timeout_ms),
+            ),
+            self._emit,
+        )
+
+    def offers(self) -> list[int]:
+        """Return the number of offers by agent."""
+        return [channel.count(Offer) for channel in self.channels]
+
+    async def _emit(self, tokens: Tokens) -> None:
+        self.output.extend(tokens.tokens)
