--- a/src/masticwind/entry/affinity.py
+++ b/src/masticwind/entry/affinity.py
@@ -65,20 +65,27 @@
 
         Agents that may hold none are left out.
         """
-        counts: dict[str, int] = {}
+        counts: dict[Holder, int] = {}
+        before: tuple[Holder, ...] = ()
         current: set[Holder] = set()
         for position, block in enumerate(prefix):
-            holders = self._holders.get(block)
-            if holders is None:
-                break
-            self._holders.move_to_end(block)
-            current = set(holders) & current if position else set(holders)
+            holders = self._holders.get(block, ())
+            if holders and holders == before:
+                self._holders.move_to_end(block)
+                continue
+            left = set(holders) & current if position else set(holders)
+            counts.update(dict.fromkeys(current - left, position))
+            current = left
+            before = holders
             if not current:
                 break
-            for holder in current:
-                if holder == self._holder(holder[0]):
-                    counts[holder[0]] = position + 1
-        return counts
+            self._holders.move_to_end(block)
+        counts.update(dict.fromkeys(current, len(prefix)))
+        return {
+            holder[0]: count
+            for holder, count in counts.items()
+            if holder == self._holder(holder[0])
+        }
 
     def _holder(self, node: str) -> Holder:
         return node, self._epochs.get(node, 0)
--- a/src/masticwind/settings.py
+++ b/src/masticwind/settings.py
@@ -116,7 +116,8 @@
     prefill_tokens_per_s: Count = 50_000
     batch_cost_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.5
     zone_tolerance: Share = 0.1
-    affinity_blocks: Count = 65_536
+    # A full index takes about 9 MB.
+    affinity_blocks: Count = 32_768
     # Part of the time budget that a free request's prediction may use; the
     # rest of the backlog is left to paid requests.
     free_admission_share: Share = 0.5
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,10 +2,13 @@
 
 from typing import Any
 
+import msgspec
 import pytest
 
 from masticwind.config.model import Generation, Team, Zone
 from masticwind.engines.base import Done
+from masticwind.entry import attempts
+from masticwind.entry.peers import LinkEvent
 from masticwind.entry.relay import MAX_ATTEMPTS
 from masticwind.entry.retries import MAX_TOKENS
 from masticwind.errors import ErrorKind, Failure
@@ -16,9 +19,10 @@
     Offer,
     Output,
     Refused,
+    Revoke,
 )
 from tests.scenarios import sample_config
-from tests.scripted import Script, ScriptedRelay
+from tests.scripted import Script, ScriptedChannel, ScriptedRelay
 
 pytestmark = pytest.mark.anyio
 
@@ -45,6 +49,16 @@
     return script
 
 
+def _make_busier(channel: ScriptedChannel) -> None:
+    """Let the other agent be chosen first."""
+    load = channel.link.load_view
+    assert load is not None
+    channel.link.load_view = msgspec.structs.replace(
+        load,
+        paid_work_tokens=5000,
+    )
+
+
 async def test_refusing_agent_is_asked_once_and_the_smallest_hint_wins() -> (
     None
 ):
@@ -119,6 +133,39 @@
     assert all(channel.count(Cancel) for channel in bench.channels)
 
 
+async def test_request_of_a_lost_agent_moves_without_output(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against waiting for an agent that has died."""
+    monkeypatch.setattr(attempts, 'RESTART_TIMEOUT_S', 0.01)
+
+    def vanish(offer: Offer) -> list[Any]:
+        key = (offer.request_id, offer.attempt)
+        return [Accepted(*key), LinkEvent.LOST]
+
+    bench = ScriptedRelay(vanish, _serve)
+    _make_busier(bench.channels[1])
+    for _ in range(6):
+        assert await bench.run() == Done(2, 0)
+    lost, serving = bench.channels
+    assert lost.count(Offer) == lost.count(Cancel) == 6
+    assert serving.count(Offer) == 6
+    assert not serving.count(Cancel)
+
+
+async def test_offer_without_a_decision_is_revoked_and_moves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against two agents that run the same request."""
+    monkeypatch.setattr(attempts, 'OFFER_TIMEOUT_S', 0.01)
+    bench = ScriptedRelay(lambda _offer: [], _serve)
+    _make_busier(bench.channels[1])
+    for _ in range(6):
+        assert await bench.run() == Done(2, 0)
+    silent = bench.channels[0]
+    assert silent.count(Offer) == silent.count(Revoke) == 6
+
+
 async def test_used_up_budget_stops_retries() -> None:
     """Guards against retries that multiply an overload."""
     bench = ScriptedRelay(_refuse('overloaded'), _refuse('overloaded'))
