--- a/src/masticwind/entry/attempts.py
+++ b/src/masticwind/entry/attempts.py
@@ -227,7 +227,13 @@
             lost = True
         elif item is LinkEvent.RESTORED:
             lost = False
-            attempt.link.send(Resume(*attempt.key, attempt.received))
+            attempt.link.send(
+                Resume(
+                    *attempt.key,
+                    attempt.received,
+                    attempt.req.budget.remaining_ms(),
+                )
+            )
         elif isinstance(item, Output):
             await _pass_on(attempt, item, emit)
         elif isinstance(item, End):
--- a/src/masticwind/protocol/messages.py
+++ b/src/masticwind/protocol/messages.py
@@ -179,11 +179,16 @@
 
 
 class Resume(Message, frozen=True, tag='resume'):
-    """Continue a request on this connection from `offset` tokens on."""
+    """Continue a request on this connection from `offset` tokens on.
+
+    `timeout_ms` is the remaining time budget, for an agent that was
+    restarted and does not know the request; zero leaves it unstated.
+    """
 
     request_id: Id
     attempt: NonNegative
     offset: NonNegative
+    timeout_ms: NonNegative = 0
 
 
 class Call(Message, frozen=True, tag='call'):
--- a/src/masticwind_dev/bench/routing_ways.py
+++ b/src/masticwind_dev/bench/routing_ways.py
@@ -31,26 +31,31 @@
     load: float = 0.8,
     *,
     duration: float = 20,
-    seed: int = 1,
+    seeds: tuple[int, ...] = (1,),
     engines: int = 6,
     entries: int = 1,
+    only: tuple[str, ...] = (),
 ) -> None:
-    """Serve the mix at LOAD times the capacity in every way."""
-    for name, routing, lengths in WAYS:
-        arena = Arena(
-            engines=engines,
-            services=0,
-            entries=entries,
-            entry={'length_policy': lengths},
-        )
-        plan = Plan(arena=arena, duration_s=duration, seed=seed)
-        result = anyio.run(run_load, plan, routing, load)
-        print(
-            f'{name}: goodput {result.goodput_tokens_per_s:,.0f} tokens/s, '
-            f'refusals p99 {result.refusal_ms["p99"]:.0f} ms'
-        )
-        for key, one in result.classes.items():
-            _print_class(key, one)
+    """Serve the mix at LOAD times the capacity in every way, by seed."""
+    for seed in seeds:
+        for name, routing, lengths in WAYS:
+            if only and name not in only:
+                continue
+            arena = Arena(
+                engines=engines,
+                services=0,
+                entries=entries,
+                entry={'length_policy': lengths},
+            )
+            plan = Plan(arena=arena, duration_s=duration, seed=seed)
+            result = anyio.run(run_load, plan, routing, load)
+            print(
+                f'{name}, seed {seed}: goodput '
+                f'{result.goodput_tokens_per_s:,.0f} tokens/s, '
+                f'refusals p99 {result.refusal_ms["p99"]:.0f} ms'
+            )
+            for key, one in result.classes.items():
+                _print_class(key, one)
 
 
 def _print_class(key: str, one: ClassSummary) -> None:
