--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -105,11 +105,12 @@
         timeout_ms: int = 30_000,
         job: Job | None = None,
         prompt: bytes = b'x',
+        request_id: str = 'r',
     ) -> Done | Failure:
         """Run one request."""
         return await self.relay.run(
             ModelRequest(
-                request_id='r',
+                request_id=request_id,
                 team='conservators',
                 weight=1,
                 job=job or fake_job(),
@@ -119,6 +120,13 @@
             self._emit,
         )
 
+    def move(self, channel: ScriptedChannel, zone: str) -> None:
+        """Put an agent into another availability zone."""
+        link = fake_link(channel.link.instance.node, zone)
+        link._channel = channel.link._channel
+        channel.link = link
+        self.pool.links = [one.link for one in self.channels]
+
     def offers(self) -> list[int]:
         """Return the number of offers by agent."""
         return [channel.count(Offer) for channel in self.channels]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,7 +1,10 @@
 """Retries of a model request over scripted agents."""
 
+import time
+from functools import partial
 from typing import Any
 
+import anyio
 import msgspec
 import pytest
 
@@ -9,6 +12,7 @@
 from masticwind.engines.base import Done
 from masticwind.entry import attempts
 from masticwind.entry.peers import LinkEvent
+from masticwind.entry.predict import VISIBLE_AFTER_S
 from masticwind.entry.relay import MAX_ATTEMPTS
 from masticwind.entry.retries import MAX_TOKENS
 from masticwind.errors import ErrorKind, Failure
@@ -38,6 +42,10 @@
     return [Accepted(*key), Output(*key, 0, ('a', 'b')), End(*key, 2)]
 
 
+def _never_ends(offer: Offer) -> list[Any]:
+    return [Accepted(offer.request_id, offer.attempt)]
+
+
 def _end(kind: str, *output: str) -> Script:
     def script(offer: Offer) -> list[Any]:
         key = (offer.request_id, offer.attempt)
@@ -198,3 +206,43 @@
         outcome = await bench.run()
         assert isinstance(outcome, Failure)
         assert outcome.kind is ErrorKind.OVERLOADED
+
+
+async def test_cold_endpoint_gets_no_more_than_its_slots() -> None:
+    """Guards against sends that a cold endpoint would fail under."""
+    bench = ScriptedRelay(_serve)
+    link = bench.channels[0].link
+    assert link.load_view is not None
+    link.load_view = msgspec.structs.replace(
+        link.load_view,
+        state='cold',
+        slots=2,
+    )
+    outcomes = [await bench.run() for _ in range(4)]
+    assert [isinstance(one, Done) for one in outcomes] == [
+        True,
+        True,
+        False,
+        False,
+    ]
+    # The next heartbeat reports what is free after both.
+    link.load_at = time.monotonic() + VISIBLE_AFTER_S
+    assert await bench.run() == Done(2, 0)
+
+
+async def test_work_of_a_zone_that_leaves_is_spread() -> None:
+    """Guards against a stampede onto one of the endpoints that are left."""
+    bench = ScriptedRelay(*(_never_ends for _ in range(6)))
+    for number, channel in enumerate(bench.channels):
+        zone = 'zone-a' if number < 3 else 'zone-b'
+        bench.move(channel, zone)
+    zones = dict(bench.config.config.zones)
+    zones['zone-a'] = Zone(region='north', in_service=False)
+    config = sample_config(zones=zones)
+    bench.config.adopt(Generation(number=2, config=config))
+    async with anyio.create_task_group() as tasks:
+        for number in range(30):
+            tasks.start_soon(partial(bench.run, request_id=f'r{number}'))
+        await anyio.wait_all_tasks_blocked()
+        assert bench.offers() == [0, 0, 0, 10, 10, 10]
+        tasks.cancel_scope.cancel()
