--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -5,6 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from masticwind.agent.cache_view import CachePublisher
 from masticwind.agent.calls import CallExecutor
 from masticwind.agent.drain import Drainer
 from masticwind.agent.executor import Executor, ExecutorParts
@@ -42,6 +43,7 @@
         self.config: Final = CurrentConfig()
         self._drainer: Final = Drainer(cfg)
         engine = HttpEngine(cfg.endpoint_url)
+        self._cache: Final = CachePublisher(engine)
         self._executor: Final = Executor(
             ExecutorParts(cfg, self.config, engine),
             tasks,
@@ -77,6 +79,7 @@
             tasks.start_soon(self._listener.run)
             if self._cfg.kind == 'engine':
                 tasks.start_soon(self._executor.run)
+                tasks.start_soon(self._cache.run)
             else:
                 tasks.start_soon(self._calls.run)
             if self._cfg.platform.key_value_url:
@@ -94,12 +97,14 @@
         return self._executor.load()
 
     def opened(self, channel: Channel) -> None:
-        """Keep the connection for the orderly close at the end."""
+        """Send a new connection what the engine's cache holds."""
         self._drainer.opened(channel)
+        self._cache.opened(channel)
 
     def lost(self, channel: Channel) -> None:
         """Let requests of a lost connection wait for a resume."""
         self._drainer.lost(channel)
+        self._cache.lost(channel)
         self._executor.detach(channel)
 
     async def handle(self, channel: Channel, message: AnyMessage) -> None:
