--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -120,16 +120,16 @@
                 self._executor.revoke(channel, message)
             case Cancel():
                 self._executor.cancel(message)
-            case EndpointOrder():
-                self._tasks.start_soon(self._orders.carry_out, message)
             case Call():
                 self._tasks.start_soon(self._calls.call, channel, message)
             case _:
-                self._handle_share(channel, message)
+                self._handle_resources(channel, message)
 
-    def _handle_share(self, channel: Channel, message: AnyMessage) -> None:
+    def _handle_resources(self, channel: Channel, message: AnyMessage) -> None:
         match message:
             case Reserve():
                 self._executor.reserve(channel, message)
             case Release():
                 self._executor.release(message)
+            case EndpointOrder():
+                self._tasks.start_soon(self._orders.carry_out, message)
--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -64,6 +64,7 @@
         self._prefix: Final = url.target.rstrip(b'/')
         self._limit: Final = anyio.Semaphore(max_connections)
         self._idle: Final[list[httpcore.AsyncHTTPConnection]] = []
+        self._busy: Final[set[httpcore.AsyncHTTPConnection]] = set()
 
     async def request(
         self,
@@ -136,9 +137,11 @@
             yield _failure(ErrorKind.FAILED_AFTER_START, exc)
 
     async def close(self) -> None:
-        """Close all idle connections."""
+        """Close all connections; a request in progress breaks off."""
         while self._idle:
             await self._idle.pop().aclose()
+        for conn in tuple(self._busy):
+            await conn.aclose()
 
     @asynccontextmanager
     async def _connection(
@@ -146,9 +149,11 @@
     ) -> AsyncIterator[httpcore.AsyncHTTPConnection]:
         async with self._limit:
             conn = await self._take_idle()
+            self._busy.add(conn)
             try:
                 yield conn
             finally:
+                self._busy.discard(conn)
                 await self._give_back(conn)
 
     async def _give_back(self, conn: httpcore.AsyncHTTPConnection) -> None:
--- a/tests/agent_rig.py
+++ b/tests/agent_rig.py
@@ -127,9 +127,7 @@
 
     async def break_connections(self) -> None:
         """Close all connections under the requests that use them."""
-        pool = self._client._pool
-        for conn in tuple(pool.connections):
-            await conn.aclose()
+        await self._client.close()
 
 
 @dataclass(slots=True)
