--- a/src/masticwind/agent/executor.py
+++ b/src/masticwind/agent/executor.py
@@ -11,6 +11,7 @@
 from masticwind.agent.cacheview import CacheView
 from masticwind.agent.gate import Gate
 from masticwind.agent.ledger import Ledger
+from masticwind.agent.load import LoadReporter
 from masticwind.agent.ramp import Ramp
 from masticwind.agent.rates import Rates
 from masticwind.agent.reconcile import (
@@ -235,24 +236,13 @@
 
     def load(self) -> Load:
         """Return the load report for heartbeats."""
-        report = self.gate.report
-        models = () if report is None else report.models
-        ahead = self.running.prefill_tokens
-        return Load(
-            state=self.gate.state(),
-            models=models,
-            slots=max(0, self.gate.capacity() - len(self.running)),
-            running=len(self.running),
-            queued=len(self.scheduler),
-            paid_work_tokens=self.scheduler.work_tokens(paid=True)
-            + ahead(paid=True),
-            free_work_tokens=self.scheduler.work_tokens(paid=False)
-            + ahead(paid=False),
-            prefill_tokens_per_s=self._rates.prefill_tokens_per_s,
-            memory_free_tokens=self.ledger.free_tokens,
-            memory_total_tokens=self.ledger.total_tokens,
-            long_running=int(self.running.long_prefill()),
-        )
+        return LoadReporter(
+            self.gate,
+            self.ledger,
+            self._rates,
+            self.running,
+            self.scheduler,
+        ).load()
 
     def _decide(self, req: AgentRequest) -> int | Failure:
         offer = req.offer
--- a/tests/test_agent_life.py
+++ b/tests/test_agent_life.py
@@ -7,6 +7,7 @@
 
 from masticwind.agent.executor import Executor, ExecutorParts
 from masticwind.config.model import Generation, Zone
+from masticwind.engines.http import HttpEngine
 from masticwind.protocol.messages import (
     Cancel,
     End,
@@ -296,6 +297,32 @@
         await last.at_rest()
 
 
+async def test_lease_ends_while_its_share_is_computed() -> None:
+    """Guards against a cache that is held for a group that gave up."""
+    model = EngineModel(prefill_tokens_per_s=50_000, report_lag_ms=100)
+    async with agent_rig(model) as rig:
+        assert await _reserve(rig, 0, 50_000) == ''
+        rig.offer('big', 30_000, max_tokens=0, share_of='-')
+        await rig.until(lambda: rig.engine.memory_used())
+        rig.executor.cancel(Cancel('big', 0))
+        assert await rig.ended('big') == ['cancelled']
+        await rig.at_rest()
+        # The engine finishes the share and holds it, until it is found.
+        await anyio.sleep(1)
+        await rig.at_rest()
+
+
+async def test_foreign_caches_are_dropped() -> None:
+    """Guards against held memory that no lease owns."""
+    async with agent_rig() as rig:
+        client = HttpEngine(rig.url)
+        handle = await client.export_cache('old', 'standard', b'x', 5000)
+        assert isinstance(handle, str)
+        await rig.until(lambda: rig.executor.ledger.reserved_tokens == 5000)
+        await rig.at_rest()
+        assert rig.executor.reconciler.orphans == 0
+
+
 async def test_share_beyond_memory_is_refused() -> None:
     """Guards against leases beyond the engine's memory."""
     async with agent_rig(EngineModel(memory_tokens=60_000)) as rig:
--- a/tests/test_agent_machines.py
+++ b/tests/test_agent_machines.py
@@ -268,3 +268,19 @@
     running.add(first)
     # The second long prompt waits for the first, and the free one for it.
     assert scheduler.take(10) is None
+
+
+def test_free_work_leaves_memory_to_paid_work() -> None:
+    """Guards against free work that fills the engine's memory."""
+    scheduler, running = _scheduler()
+    for number in range(10):
+        free = request(f'f{number}', 1_500_000, 'volunteers', paid=False)
+        scheduler.add(free)
+    taken = [scheduler.take(64)]
+    while taken[-1] is not None:
+        running.add(taken[-1])
+        running.prefill_done(taken[-1])
+        taken.append(scheduler.take(64))
+    assert len(taken) == 5
+    scheduler.add(request('paid', 2_000_000, 'crew'))
+    assert scheduler.take(64) is not None
