Keep no finished stream of a reader that left after the last line

The stand-in removed a stream after its last write; a reader that closed the connection on reading the last line left the stream, and its memory, behind.

--- a/src/masticwind/agent/reconcile.py
+++ b/src/masticwind/agent/reconcile.py
@@ -134,7 +134,8 @@
         grace_s = self._parts.cfg.orphan_grace_ms / MS_PER_S
         horizon = time.monotonic() - grace_s
         for name, orphan in list(orphans.items()):
-            if orphan.first_seen <= horizon:
+            # A `Resume` can claim a stream while another one is ended.
+            if orphan.first_seen <= horizon and name in orphans:
                 await end(name)
 
     def _remove(self, orphans: dict[str, Orphan], name: str) -> None:
--- a/src/masticwind_dev/standins/engine.py
+++ b/src/masticwind_dev/standins/engine.py
@@ -378,8 +378,6 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_disconnect, req, tasks.cancel_scope)
             await self._write_lines(req, stream, sent)
-            # Without a reader, the stream waits for a resume or a cancel.
-            self._streams.pop(stream.request_id, None)
             tasks.cancel_scope.cancel()
 
     async def _write_lines(
@@ -423,6 +421,9 @@
             last = {'error': stream.error}
         last['cached_tokens'] = stream.cached_tokens
         await _write_line(req, last)
+        # A stream without a reader stays until a resume or a cancel. A
+        # reader that has the last line may leave at once.
+        self._streams.pop(stream.request_id, None)
         await req.send({'type': 'http.response.body', 'body': b''})
 
     async def _cancel(self, req: StandinRequest) -> Response:
--- a/tests/test_agent_life.py
+++ b/tests/test_agent_life.py
@@ -206,6 +206,39 @@
         await rig.at_rest()
 
 
+async def test_restart_into_a_cold_start_hands_work_back() -> None:
+    """Guards against a rush on an engine that comes back cold."""
+    async with agent_rig(EngineModel(report_lag_ms=100), max_running=8) as rig:
+        running = [f'r{one}' for one in range(8)]
+        queued = [f'q{one}' for one in range(12)]
+        for name in running:
+            rig.offer(name, 100, max_tokens=200)
+        await rig.until(lambda: all(rig.channel.text(one) for one in running))
+        for name in queued:
+            rig.offer(name, 100)
+        rig.engine.restart()
+        rig.engine.turn_cold()
+        assert set(await rig.ended(*running)) == {'failed_after_start'}
+        assert set(await rig.ended(*queued)) == {'done'}
+        assert rig.engine.offers_over_capacity == 0
+        await rig.at_rest()
+
+
+async def test_engine_restart_before_the_first_token() -> None:
+    """Guards against running a lost request again without being asked."""
+    model = EngineModel(prefill_tokens_per_s=10_000, report_lag_ms=100)
+    async with agent_rig(model) as rig:
+        rig.offer('silent', 10_000)
+        await rig.until(lambda: rig.engine.executed)
+        rig.engine.restart()
+        assert await rig.ended('silent') == ['failed_after_start']
+        end = rig.channel.end('silent')
+        assert end is not None
+        assert end.count == 0
+        assert rig.engine.executed == ['silent.0.0']
+        await rig.at_rest()
+
+
 async def test_cold_engine_gets_no_more_than_its_capacity() -> None:
     """Guards against overloading an engine in an unannounced cold start."""
     async with agent_rig(
