--- a/src/masticwind/agent/scheduler.py
+++ b/src/masticwind/agent/scheduler.py
@@ -98,17 +98,19 @@
         waiting = sorted(self._queue, key=self._urgency)
         if not waiting or not waiting[0].offer.paid:
             return []
-        need = waiting[0].memory_tokens - self._ledger.free_tokens
+        first = waiting[0]
+        need = first.memory_tokens - self._ledger.free_tokens
         slots = 1 + len(self._running) - capacity
         chosen: list[AgentRequest] = []
         for req in self._running.free():
-            if need <= 0 and slots <= 0:
-                return chosen
-            if req.count or req.preempted:
+            if req.count:
+                continue
+            if need <= 0 and slots <= 0 and not self._bars(req, first):
                 continue
-            chosen.append(req)
             need -= req.memory_tokens
             slots -= 1
+            if not req.preempted:
+                chosen.append(req)
         return chosen if need <= 0 and slots <= 0 else []
 
     def slack_s(self, req: AgentRequest) -> float:
@@ -175,6 +177,13 @@
         # Virtual time follows the team that is furthest behind.
         self._virtual[offer.paid] = min([tag, *others])
 
+    def _bars(self, free: AgentRequest, paid: AgentRequest) -> bool:
+        """Tell whether a free long prompt has the turn of a paid one."""
+        running = self._running
+        return (
+            free.prefilling and running.is_long(free) and running.is_long(paid)
+        )
+
     def _may_start(self, req: AgentRequest, capacity: int) -> bool:
         if not req.offer.paid:
             return self._free_may_start(req, capacity)
--- a/tests/test_agent_machines.py
+++ b/tests/test_agent_machines.py
@@ -284,3 +284,33 @@
     assert len(taken) == 5
     scheduler.add(request('paid', 2_000_000, 'crew'))
     assert scheduler.take(64) is not None
+
+
+def test_paid_long_prompt_preempts_a_free_one() -> None:
+    """Guards against a free long prompt that keeps a paid one waiting."""
+    scheduler, running = _scheduler()
+    scheduler.add(request('free', 100_000, 'volunteers', paid=False))
+    free = scheduler.take(64)
+    assert free is not None
+    running.add(free)
+    scheduler.add(request('paid', 100_000, 'crew'))
+    assert scheduler.take(64) is None
+    assert scheduler.preemptible(64) == [free]
+    free.preempted = True
+    assert scheduler.preemptible(64) == []
+
+
+def test_no_more_is_preempted_than_needed() -> None:
+    """Guards against stopping all free work for one paid request."""
+    scheduler, running = _scheduler()
+    for number in range(4):
+        scheduler.add(request(f'f{number}', 100, 'volunteers', paid=False))
+        free = scheduler.take(8)
+        assert free is not None
+        running.add(free)
+    scheduler.add(request('paid', 100, 'crew'))
+    first = scheduler.preemptible(4)
+    assert len(first) == 1
+    first[0].preempted = True
+    # Looking again before the engine has let it go stops no other.
+    assert scheduler.preemptible(4) == []
