--- a/tests/test_agent_life.py
+++ b/tests/test_agent_life.py
@@ -7,6 +7,7 @@
 
 from masticwind.agent.executor import Executor, ExecutorParts
 from masticwind.config.model import Generation, Zone
+from masticwind.engines.http import HttpEngine
 from masticwind.protocol.messages import (
     Cancel,
     End,
@@ -205,6 +206,39 @@
         await rig.at_rest()
 
 
+async def test_restart_into_a_cold_start_hands_work_back() -> None:
+    """Guards against a rush on an engine that comes back cold."""
+    async with agent_rig(EngineModel(report_lag_ms=100), max_running=8) as rig:
+        running = [f'r{one}' for one in range(8)]
+        queued = [f'q{one}' for one in range(12)]
+        for name in running:
+            rig.offer(name, 100, max_tokens=200)
+        await rig.until(lambda: all(rig.channel.text(one) for one in running))
+        for name in queued:
+            rig.offer(name, 100)
+        rig.engine.restart()
+        rig.engine.turn_cold()
+        assert set(await rig.ended(*running)) == {'failed_after_start'}
+        assert set(await rig.ended(*queued)) == {'done'}
+        assert rig.engine.offers_over_capacity == 0
+        await rig.at_rest()
+
+
+async def test_engine_restart_before_the_first_token() -> None:
+    """Guards against running a lost request again without being asked."""
+    model = EngineModel(prefill_tokens_per_s=10_000, report_lag_ms=100)
+    async with agent_rig(model) as rig:
+        rig.offer('silent', 10_000)
+        await rig.until(lambda: rig.engine.executed)
+        rig.engine.restart()
+        assert await rig.ended('silent') == ['failed_after_start']
+        end = rig.channel.end('silent')
+        assert end is not None
+        assert end.count == 0
+        assert rig.engine.executed == ['silent.0.0']
+        await rig.at_rest()
+
+
 async def test_cold_engine_gets_no_more_than_its_capacity() -> None:
     """Guards against overloading an engine in an unannounced cold start."""
     async with agent_rig(
@@ -296,6 +330,32 @@
         await last.at_rest()
 
 
+async def test_lease_ends_while_its_share_is_computed() -> None:
+    """Guards against a cache that is held for a group that gave up."""
+    model = EngineModel(prefill_tokens_per_s=50_000, report_lag_ms=100)
+    async with agent_rig(model) as rig:
+        assert await _reserve(rig, 0, 50_000) == ''
+        rig.offer('big', 30_000, max_tokens=0, share_of='-')
+        await rig.until(lambda: rig.engine.memory_used())
+        rig.executor.cancel(Cancel('big', 0))
+        assert await rig.ended('big') == ['cancelled']
+        await rig.at_rest()
+        # The engine finishes the share and holds it, until it is found.
+        await anyio.sleep(1)
+        await rig.at_rest()
+
+
+async def test_foreign_caches_are_dropped() -> None:
+    """Guards against held memory that no lease owns."""
+    async with agent_rig() as rig:
+        client = HttpEngine(rig.url)
+        handle = await client.export_cache('old', 'standard', b'x', 5000)
+        assert isinstance(handle, str)
+        await rig.until(lambda: rig.executor.ledger.reserved_tokens == 5000)
+        await rig.at_rest()
+        assert rig.executor.reconciler.orphans == 0
+
+
 async def test_share_beyond_memory_is_refused() -> None:
     """Guards against leases beyond the engine's memory."""
     async with agent_rig(EngineModel(memory_tokens=60_000)) as rig:
