--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -8,6 +8,7 @@
 from masticwind.agent.cache_view import CachePublisher
 from masticwind.agent.calls import CallExecutor
 from masticwind.agent.executor import Executor, ExecutorParts
+from masticwind.agent.orders import OrderKeeper
 from masticwind.config.current import CurrentConfig
 from masticwind.config.distribute import ConfigWatcher
 from masticwind.config.store import ConfigStore
@@ -21,6 +22,7 @@
     Body,
     Call,
     Cancel,
+    EndpointOrder,
     Load,
     Offer,
     Resume,
@@ -45,6 +47,7 @@
             ExecutorParts(cfg, self.config, engine),
             tasks,
         )
+        self._orders: Final = OrderKeeper(engine)
         self._calls: Final = CallExecutor(
             cfg,
             self.config,
@@ -124,5 +127,7 @@
                 )
             case Cancel():
                 self._tasks.start_soon(self._executor.cancel, message)
+            case EndpointOrder():
+                self._tasks.start_soon(self._orders.carry_out, message)
             case Call():
                 self._tasks.start_soon(self._calls.call, channel, message)
