--- a/src/masticwind/entry/lengths.py
+++ b/src/masticwind/entry/lengths.py
@@ -14,7 +14,12 @@
 
 
 class LengthPolicy(abc.ABC):
-    """Narrows the candidates by the length of the prompt."""
+    """Narrows the candidates by the length of the prompt.
+
+    With `soft`, the other candidates remain and only cost more.
+    """
+
+    soft = False
 
     @abc.abstractmethod
     def narrow(
@@ -53,6 +58,16 @@
         return _partition(links, self._cfg.long_endpoint_share, long=long)
 
 
+class SizePreference(SizeInterval):
+    """Prefers the endpoints of the prompt's interval.
+
+    A fixed split alone would leave half of the fleet idle where all prompts
+    are short.
+    """
+
+    soft = True
+
+
 class DynamicPartition(LengthPolicy):
     """Gives long prompts the share of endpoints that their work needs."""
 
@@ -97,6 +112,8 @@
     """Return the policy that the settings name."""
     if cfg.length_policy == 'size_interval':
         return SizeInterval(cfg)
+    if cfg.length_policy == 'size_preference':
+        return SizePreference(cfg)
     if cfg.length_policy == 'dynamic_partition':
         return DynamicPartition(cfg)
     return LeastWork()
--- a/src/masticwind/settings.py
+++ b/src/masticwind/settings.py
@@ -108,6 +108,7 @@
     length_policy: Literal[
         'least_work',
         'size_interval',
+        'size_preference',
         'dynamic_partition',
     ] = 'least_work'
     long_prompt_tokens: Count = 16_384
