--- a/src/masticwind/agent/scheduler.py
+++ b/src/masticwind/agent/scheduler.py
@@ -24,8 +24,11 @@
 # Free work leaves this share of slots and memory to paid requests.
 FREE_SHARE: Final = 0.75
 # Outstanding prefill beyond this time adds latency and no throughput.
-PREFILL_WINDOW_S: Final = 0.1
+PREFILL_WINDOW_S: Final = 0.2
 FREE_WINDOW_S: Final = 0.02
+# A smaller window would hold back bursts that the engine batches, and would
+# lower the rate from which it is made.
+PAID_WINDOW_STEPS: Final = 4
 MIN_WEIGHT: Final = 0.001
 
 Urgency = tuple[bool, bool, float, float, int]
@@ -196,7 +199,8 @@
         if not outstanding:
             return True
         window = self._rates.peak_tokens_per_s * window_s
-        window = max(window, self._cfg.prefill_step_tokens)
+        steps = PAID_WINDOW_STEPS if req.offer.paid else 1
+        window = max(window, steps * self._cfg.prefill_step_tokens)
         return outstanding + req.uncached_tokens <= window
 
     def _free_may_start(self, req: AgentRequest, capacity: int) -> bool:
