Queue at a cold endpoint's agent instead of refusing

With the agent's ramp and the entry's cold slots together, a fleet that had just started refused requests: of four requests to one cold engine, two got 503 although the agent would have queued them (tests/test_agent_drain.py::test_drain_finishes_accepted_work).

A cold endpoint without a free slot is now the entry's last choice and no longer excluded. The agent still starts nothing above the cold capacity. The test that asked the entry for a refusal is replaced by two: beside a warm endpoint a cold one gets its slots at most, and alone it gets all requests.

--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -214,11 +214,20 @@
         job: Job,
         tried: set[AgentLink],
     ) -> Sequence[AgentLink]:
-        return [
+        fitting = [
             link
             for link in self._serving(job)
             if link not in tried and _fits(job, link.load_view)
         ]
+        # A cold endpoint whose slots are taken is the last choice: its agent
+        # starts nothing above the cold capacity, so the request would wait.
+        return [link for link in fitting if self._has_slot(link)] or fitting
+
+    def _has_slot(self, link: AgentLink) -> bool:
+        load = link.load_view
+        if load is None or load.state != 'cold':
+            return True
+        return self.view.predictor.free_slots(link) > 0
 
     def _may_serve(self, link: AgentLink) -> bool:
         load = link.load_view
@@ -226,9 +235,6 @@
             return False
         if load.state not in _SERVING:
             return False
-        # A cold endpoint fails under more than its slots.
-        if load.state == 'cold' and not self.view.predictor.free_slots(link):
-            return False
         return self._config.zone_in_service(
             link.instance.zone
         ) and self._config.endpoint_in_service(link.endpoint)
