--- a/src/masticwind/entry/attempts.py
+++ b/src/masticwind/entry/attempts.py
@@ -105,7 +105,7 @@
     finally:
         link.outstanding -= 1
         link.outstanding_tokens -= job.prompt_tokens
-        attempt.predictor.dropped(link, attempt.send)
+        attempt.predictor.ended(link, attempt.send)
         link.close(attempt.key)
         if attempt.offered:
             link.send(Cancel(*attempt.key))
--- a/src/masticwind/entry/lengths.py
+++ b/src/masticwind/entry/lengths.py
@@ -1,7 +1,6 @@
 """Ways to keep long prompts and short ones apart among the endpoints."""
 
 import abc
-import math
 from collections.abc import Sequence
 from typing import Final
 
@@ -14,7 +13,12 @@
 
 
 class LengthPolicy(abc.ABC):
-    """Narrows the candidates by the length of the prompt."""
+    """Narrows the candidates by the length of the prompt.
+
+    With `soft`, the other candidates remain and only cost more.
+    """
+
+    soft = False
 
     @abc.abstractmethod
     def narrow(
@@ -53,6 +57,16 @@
         return _partition(links, self._cfg.long_endpoint_share, long=long)
 
 
+class SizePreference(SizeInterval):
+    """Prefers the endpoints of the prompt's interval.
+
+    A fixed split alone would leave half of the fleet idle where all prompts
+    are short.
+    """
+
+    soft = True
+
+
 class DynamicPartition(LengthPolicy):
     """Gives long prompts the share of endpoints that their work needs."""
 
@@ -88,7 +102,8 @@
     if len(links) < 2:
         return links
     ordered = sorted(links, key=lambda link: link.instance.node)
-    count = math.ceil(len(ordered) * long_share)
+    # Short prompts are more numerous and get the odd endpoint.
+    count = int(len(ordered) * long_share)
     count = min(len(ordered) - 1, max(1, count))
     return ordered[:count] if long else ordered[count:]
 
@@ -97,6 +112,8 @@
     """Return the policy that the settings name."""
     if cfg.length_policy == 'size_interval':
         return SizeInterval(cfg)
+    if cfg.length_policy == 'size_preference':
+        return SizePreference(cfg)
     if cfg.length_policy == 'dynamic_partition':
         return DynamicPartition(cfg)
     return LeastWork()
--- a/src/masticwind/entry/predict.py
+++ b/src/masticwind/entry/predict.py
@@ -18,8 +18,6 @@
 # A heartbeat that arrives sooner after a send may have left before the offer
 # arrived; longer than the round trip between two availability zones.
 VISIBLE_AFTER_S: Final = 0.05
-# More slots than this are never reported by a cold endpoint.
-MAX_RECENT: Final = 256
 LEARNING_RATE: Final = 0.1
 # Bounds one observation, so that a paused process does not spoil the rate.
 MAX_CORRECTION: Final = 8.0
@@ -54,7 +52,7 @@
 class _Track:
     correction: float = 1.0
     pending: list[PendingSend] = field(default_factory=list)
-    recent: list[float] = field(default_factory=list)
+    running: list[PendingSend] = field(default_factory=list)
 
 
 class Predictor:
@@ -98,18 +96,18 @@
         return max(own, reported + unseen)
 
     def free_slots(self, link: AgentLink) -> int:
-        """Return the reported slots minus the sends not reported yet."""
+        """Return the reported slots minus the sends not reported yet.
+
+        Sends count until they have ended, not only until the first token.
+        """
         if link.load_view is None:
             return 0
-        track = self._track(link)
-        # A request that has ended before a heartbeat still counts until the
-        # heartbeat after it: its slot may not be in the reported ones yet.
-        horizon = link.load_at - VISIBLE_AFTER_S
-        track.recent = [at for at in track.recent if at > horizon]
-        return max(0, link.load_view.slots - len(track.recent))
+        # A request that has ended has given its slot back.
+        unseen = _unseen(link, self._track(link).running)
+        return max(0, link.load_view.slots - len(unseen))
 
     def sent(self, link: AgentLink, tokens: int, *, paid: bool) -> PendingSend:
-        """Note a send; pass the result to `first_token` or `dropped`."""
+        """Note a send; pass the result to `ended` in every case."""
         work = self.work_ahead(link, paid=paid) + tokens
         send = PendingSend(
             tokens,
@@ -119,28 +117,27 @@
         )
         track = self._track(link)
         track.pending.append(send)
-        track.recent = track.recent[-MAX_RECENT:]
-        track.recent.append(send.sent_at)
+        track.running.append(send)
         return send
 
     def first_token(self, link: AgentLink, send: PendingSend) -> None:
         """Note that a send has produced its first token, and learn."""
-        if not self.dropped(link, send):
+        track = self._track(link)
+        if send not in track.pending:
             return
+        track.pending.remove(send)
         if send.tokens < MIN_OBSERVED_TOKENS:
             return
         ratio = (time.monotonic() - send.sent_at) / send.base_s
         ratio = min(MAX_CORRECTION, max(MIN_CORRECTION, ratio))
-        track = self._track(link)
         track.correction += LEARNING_RATE * (ratio - track.correction)
 
-    def dropped(self, link: AgentLink, send: PendingSend) -> bool:
-        """Forget a send; false if that has happened already."""
-        pending = self._track(link).pending
-        if send not in pending:
-            return False
-        pending.remove(send)
-        return True
+    def ended(self, link: AgentLink, send: PendingSend) -> None:
+        """Forget a send that has ended in any way."""
+        track = self._track(link)
+        track.running.remove(send)
+        if send in track.pending:
+            track.pending.remove(send)
 
     def _base_s(self, link: AgentLink, tokens: int) -> float:
         load = link.load_view
--- a/src/masticwind/entry/router.py
+++ b/src/masticwind/entry/router.py
@@ -16,6 +16,10 @@
 
 # Endpoints closer than the delay between zones count as equal.
 ZONE_TOLERANCE_S: Final = 0.001
+# An endpoint for prompts of another length must be better by this much: the
+# prompts that will arrive there later are slowed down too.
+SPILL_FACTOR: Final = 2.0
+SPILL_S: Final = 0.05
 
 
 class RoutingView:
@@ -101,9 +105,10 @@
         than the configured share of the prediction and a millisecond.
         """
         held = self._view.held_blocks(job)
+        preferred = self._lengths.narrow(job, links)
         scored = [
-            (self._view.predict_s(job, link, held), link)
-            for link in self._sample(job, links, held)
+            (self._cost_s(job, link, held, preferred), link)
+            for link in self._sample(links, held, preferred)
         ]
         least, best = min(scored, key=itemgetter(0))
         limit = least * (1 + self._cfg.zone_tolerance) + ZONE_TOLERANCE_S
@@ -118,18 +123,32 @@
 
     def _sample(
         self,
-        job: Job,
         links: Sequence[AgentLink],
         held: Mapping[str, int],
+        preferred: Sequence[AgentLink],
     ) -> Collection[AgentLink]:
-        narrowed = self._lengths.narrow(job, links)
-        size = min(len(narrowed), self._cfg.sample_size)
+        limit = self._cfg.sample_size
+        sample = random.sample(preferred, min(len(preferred), limit))
+        if self._lengths.soft:
+            sample += random.sample(links, min(len(links), limit))
         holders = heapq.nlargest(
             self._cfg.sample_size,
             (link for link in links if link.instance.node in held),
             key=lambda link: held[link.instance.node],
         )
-        return {*random.sample(narrowed, size), *holders}
+        return {*sample, *holders}
+
+    def _cost_s(
+        self,
+        job: Job,
+        link: AgentLink,
+        held: Mapping[str, int],
+        preferred: Sequence[AgentLink],
+    ) -> float:
+        cost_s = self._view.predict_s(job, link, held)
+        if self._lengths.soft and link not in preferred:
+            return cost_s * SPILL_FACTOR + SPILL_S
+        return cost_s
 
 
 def make_router(cfg: EntrySettings, view: RoutingView) -> Router:
--- a/src/masticwind/settings.py
+++ b/src/masticwind/settings.py
@@ -108,8 +108,9 @@
     length_policy: Literal[
         'least_work',
         'size_interval',
+        'size_preference',
         'dynamic_partition',
-    ] = 'least_work'
+    ] = 'size_preference'
     long_prompt_tokens: Count = 16_384
     long_endpoint_share: Share = 0.5
     # Used until an agent reports a rate.
--- a/src/masticwind_dev/bench/routing_ways.py
+++ b/src/masticwind_dev/bench/routing_ways.py
@@ -17,6 +17,7 @@
 WAYS: Final = (
     ('least work', 'predicted', 'least_work'),
     ('size interval', 'predicted', 'size_interval'),
+    ('size preference', 'predicted', 'size_preference'),
     ('dynamic partition', 'predicted', 'dynamic_partition'),
     ('round robin', 'round_robin', 'least_work'),
     ('random', 'random', 'least_work'),
