--- a/src/masticwind/entry/lengths.py
+++ b/src/masticwind/entry/lengths.py
@@ -1,7 +1,6 @@
 """Ways to keep long prompts and short ones apart among the endpoints."""
 
 import abc
-import math
 from collections.abc import Sequence
 from typing import Final
 
@@ -103,7 +102,8 @@
     if len(links) < 2:
         return links
     ordered = sorted(links, key=lambda link: link.instance.node)
-    count = math.ceil(len(ordered) * long_share)
+    # Short prompts are more numerous and get the odd endpoint.
+    count = int(len(ordered) * long_share)
     count = min(len(ordered) - 1, max(1, count))
     return ordered[:count] if long else ordered[count:]
 
