Make non-repeatable calls run at most once

Calls of plain services are routed by the configured rules. A call that may not be repeated is claimed in the key-value service by compare-and-swap before it is sent, in group commits per bucket; old claims move to sealed segments. Outcomes are recorded with the claims and can be read at any entry. The agent refuses copies of claimed calls and keeps results for entries that reconnect.

--- a/src/masticwind/agent/calls.py
+++ b/src/masticwind/agent/calls.py
@@ -1,18 +1,98 @@
-"""Calls of a plain service at its agent."""
+"""Calls of a plain service at its agent.
 
+Each claimed call is made at most once. Results are kept for a grace period,
+so that an entry whose connection was replaced still learns the outcome.
+"""
+
+import time
+from dataclasses import dataclass
 from typing import Final, Literal
 
 import anyio
 
+from masticwind.budget import Budget
+from masticwind.callrules import find_rule
 from masticwind.config.current import CurrentConfig
-from masticwind.engines.base import Service, ServiceRequest
+from masticwind.engines.base import Service, ServiceAnswer, ServiceRequest
 from masticwind.errors import ErrorKind, Failure
 from masticwind.protocol.channel import Channel
-from masticwind.protocol.messages import Call, CallResult, Load
+from masticwind.protocol.messages import (
+    Call,
+    CallResult,
+    Load,
+    Resume,
+    Revoke,
+    Revoked,
+)
 from masticwind.settings import AgentSettings
 
 HEALTH_INTERVAL_S: Final = 0.5
-MS_PER_S: Final = 1000
+RESULT_GRACE_S: Final = 30.0
+MAX_RESULTS: Final = 4096
+MAX_RESULT_BYTES: Final = 67_108_864
+# Longer than any entry waits for a claim and a connection.
+SEEN_PERIOD_S: Final = 600.0
+MAX_SEEN: Final = 200_000
+# A result must fit into one frame beside other messages.
+MAX_ANSWER_BYTES: Final = 524_288
+MAX_REASON_CHARS: Final = 1000
+
+_Key = tuple[str, int]
+
+
+@dataclass(slots=True, eq=False)
+class _AgentCall:
+    message: Call
+    budget: Budget
+    channel: Channel
+    result: CallResult | None = None
+    ended_at: float = 0
+
+    @property
+    def key(self) -> _Key:
+        return self.message.request_id, self.message.attempt
+
+    def finish(self, result: CallResult) -> None:
+        self.result = result
+        self.ended_at = time.monotonic()
+        self.channel.send(result)
+
+    def attach(self, channel: Channel) -> None:
+        self.channel = channel
+        if self.result is not None:
+            channel.send(self.result)
+
+
+class SeenOrders:
+    """The newest fencing token of each claimed call, bounded by time.
+
+    While the memory is full of recent orders, new ones are refused: to
+    forget one early could let a late copy of it run.
+    """
+
+    def __init__(self) -> None:
+        self._seen: Final[dict[str, tuple[int, float]]] = {}
+
+    def admit(self, message: Call) -> Failure | None:
+        """Note a claimed call; refuse one that is not newer than the last."""
+        now = time.monotonic()
+        self._forget(now)
+        fencing, _ = self._seen.get(message.request_id, (-1, now))
+        if message.fencing <= fencing:
+            return Failure(kind=ErrorKind.DUPLICATE, reason='seen before')
+        if len(self._seen) >= MAX_SEEN:
+            return Failure(kind=ErrorKind.OVERLOADED, reason='too many orders')
+        # Entered anew, so that the oldest entry stays the first.
+        self._seen.pop(message.request_id, None)
+        self._seen[message.request_id] = (message.fencing, now)
+        return None
+
+    def _forget(self, now: float) -> None:
+        while self._seen:
+            oldest = next(iter(self._seen))
+            if self._seen[oldest][1] > now - SEEN_PERIOD_S:
+                return
+            self._seen.pop(oldest)
 
 
 class CallExecutor:
@@ -29,7 +109,9 @@
         self._service: Final = service
         self._running = 0
         self._healthy = False
-        self._seen: Final[set[str]] = set()
+        self._seen: Final = SeenOrders()
+        self._calls: Final[dict[_Key, _AgentCall]] = {}
+        self._revoked: Final[dict[str, float]] = {}
         self.draining = False
 
     @property
@@ -41,59 +123,55 @@
         """Check the health of the service until cancelled."""
         while True:
             self._healthy = await self._service.healthy()
+            self._sweep()
             await anyio.sleep(HEALTH_INTERVAL_S)
 
     async def call(self, channel: Channel, message: Call) -> None:
-        """Make one call and send its result."""
-        key = (message.request_id, message.attempt)
+        """Make one call and send its result.
+
+        A repeated message for a call that is known gets that call's result.
+        """
+        call = _AgentCall(message, Budget.from_ms(message.timeout_ms), channel)
+        known = self._calls.get(call.key)
+        if known is not None and known.message.claim == message.claim:
+            known.attach(channel)
+            return
         refusal = self._refusal(message)
         if refusal is not None:
-            channel.send(
-                CallResult(
-                    *key,
-                    kind=refusal.kind,
-                    reason=refusal.reason,
-                )
-            )
+            channel.send(_failed(call.key, refusal))
             return
-        if message.claim:
-            self._seen.add(message.claim)
+        self._calls[call.key] = call
         self._running += 1
         try:
-            answer = await self._service.call(
-                ServiceRequest(
-                    request_id=message.request_id,
-                    method=message.method,
-                    path=message.path,
-                    headers=(
-                        *message.headers,
-                        ('x-request-id', message.request_id),
-                        ('x-fencing-token', str(message.fencing)),
-                    ),
-                    body=message.body,
-                    timeout_s=message.timeout_ms / MS_PER_S,
-                )
-            )
+            call.finish(await self._make(call))
         finally:
             self._running -= 1
-        if isinstance(answer, Failure):
-            channel.send(
-                CallResult(
-                    *key,
-                    kind=answer.kind,
-                    reason=answer.reason,
-                )
-            )
+
+    def resume(self, channel: Channel, message: Resume) -> None:
+        """Send the result of a call to a new connection."""
+        key = (message.request_id, message.attempt)
+        call = self._calls.get(key)
+        if call is not None:
+            call.attach(channel)
             return
+        # The call may still be on its way on the connection that was lost.
+        self._revoke(message.request_id)
         channel.send(
-            CallResult(
-                *key,
-                answer.status,
-                answer.content_type,
-                answer.body,
+            _failed(
+                key,
+                Failure(
+                    kind=ErrorKind.OUTCOME_UNKNOWN,
+                    reason='the agent does not know the call',
+                ),
             )
         )
 
+    def revoke(self, channel: Channel, message: Revoke) -> None:
+        """Refuse a call from now on and say whether it had started."""
+        self._revoke(message.request_id)
+        key = (message.request_id, message.attempt)
+        channel.send(Revoked(*key, key in self._calls))
+
     def load(self) -> Load:
         """Return the load report for heartbeats."""
         return Load(
@@ -104,22 +182,123 @@
             running=self._running,
         )
 
+    async def _make(self, call: _AgentCall) -> CallResult:
+        answer: ServiceAnswer | Failure = Failure(
+            kind=ErrorKind.TIMED_OUT,
+            reason='the service did not answer in time',
+        )
+        if call.budget.expired():
+            answer = Failure(
+                kind=ErrorKind.OVERLOADED,
+                reason='not started in time',
+            )
+            return _failed(call.key, answer)
+        with anyio.move_on_after(call.budget.remaining_s()):
+            answer = await self._service.call(_request(call))
+        if isinstance(answer, Failure):
+            return _failed(call.key, answer)
+        if len(answer.body) > MAX_ANSWER_BYTES:
+            return _failed(
+                call.key,
+                Failure(
+                    kind=ErrorKind.FAILED_AFTER_START,
+                    reason=f'the answer is over {MAX_ANSWER_BYTES} bytes',
+                ),
+            )
+        return CallResult(
+            *call.key,
+            answer.status,
+            answer.content_type,
+            answer.body,
+        )
+
     def _state(self) -> Literal['serving', 'draining', 'out', 'down']:
         if self.draining:
             return 'draining'
         if not self._healthy:
             return 'down'
-        if not self._config.zone_in_service(self._cfg.zone):
+        if not self._in_service():
             return 'out'
         return 'serving'
 
+    def _in_service(self) -> bool:
+        return self._config.zone_in_service(
+            self._cfg.zone
+        ) and self._config.endpoint_in_service(self._cfg.endpoint)
+
     def _refusal(self, message: Call) -> Failure | None:
+        if message.request_id in self._revoked:
+            return Failure(kind=ErrorKind.REVOKED, reason='revoked before')
+        if message.claim:
+            refusal = self._seen.admit(message)
+        else:
+            refusal = self._unclaimed(message)
+        if refusal is not None:
+            return refusal
         if self.draining:
             return Failure(kind=ErrorKind.DRAINING, reason='shutting down')
-        if not self._config.zone_in_service(self._cfg.zone):
+        if not self._in_service():
             return Failure(kind=ErrorKind.ZONE_OUT, reason='out of service')
-        if message.claim in self._seen:
-            return Failure(kind=ErrorKind.DUPLICATE, reason='seen before')
         if self._running >= self._cfg.max_running:
             return Failure(kind=ErrorKind.OVERLOADED, reason='too many calls')
         return None
+
+    def _unclaimed(self, message: Call) -> Failure | None:
+        """Refuse a call that needs a claim by this agent's configuration."""
+        service = self._config.config.services.get(self._cfg.service)
+        if service is None:
+            return None
+        rule = find_rule(service, message.method, message.path)
+        if rule is None or rule.repeatable:
+            return None
+        return Failure(
+            kind=ErrorKind.CONFLICT,
+            reason='the call is non-repeatable and has no claim',
+        )
+
+    def _revoke(self, request_id: str) -> None:
+        self._revoked.pop(request_id, None)
+        self._revoked[request_id] = time.monotonic()
+        if len(self._revoked) > MAX_SEEN:
+            self._revoked.pop(next(iter(self._revoked)))
+
+    def _sweep(self) -> None:
+        """Drop results that are old or, from the oldest on, too large."""
+        horizon = time.monotonic() - RESULT_GRACE_S
+        ended = [one for one in self._calls.values() if one.result is not None]
+        ended.sort(key=lambda one: -one.ended_at)
+        size = 0
+        for number, call in enumerate(ended):
+            size += 0 if call.result is None else len(call.result.body)
+            if call.ended_at < horizon or number >= MAX_RESULTS:
+                self._calls.pop(call.key)
+            elif size > MAX_RESULT_BYTES:
+                self._calls.pop(call.key)
+        for request_id, at in list(self._revoked.items()):
+            if at > time.monotonic() - SEEN_PERIOD_S:
+                break
+            self._revoked.pop(request_id)
+
+
+def _request(call: _AgentCall) -> ServiceRequest:
+    message = call.message
+    return ServiceRequest(
+        request_id=message.request_id,
+        method=message.method,
+        path=message.path,
+        headers=(
+            *message.headers,
+            ('x-request-id', message.request_id),
+            ('x-fencing-token', str(message.fencing)),
+        ),
+        body=message.body,
+        timeout_s=call.budget.remaining_s(),
+    )
+
+
+def _failed(key: _Key, failure: Failure) -> CallResult:
+    return CallResult(
+        *key,
+        kind=failure.kind,
+        reason=failure.reason[:MAX_REASON_CHARS],
+    )
--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -103,6 +103,9 @@
 
     async def handle(self, channel: Channel, message: AnyMessage) -> None:
         """Act on one message of an entry."""
+        if self._cfg.kind == 'service':
+            self._handle_call(channel, message)
+            return
         match message:
             case Offer():
                 self._executor.offer(channel, message)
@@ -118,5 +121,12 @@
                 )
             case Cancel():
                 self._tasks.start_soon(self._executor.cancel, message)
+
+    def _handle_call(self, channel: Channel, message: AnyMessage) -> None:
+        match message:
             case Call():
                 self._tasks.start_soon(self._calls.call, channel, message)
+            case Resume():
+                self._calls.resume(channel, message)
+            case Revoke():
+                self._calls.revoke(channel, message)
--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -1,16 +1,21 @@
 """The entry's HTTP application: routes, authentication, error answers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import Final
 
 from masticwind.config.current import CurrentConfig
+from masticwind.entry.calls import PREFIX as SERVICES
+from masticwind.entry.calls import CallParts, Calls
 from masticwind.entry.chat import (
     Caller,
     ChatStream,
     build_request,
     relay_until_gone,
 )
+from masticwind.entry.claims import Claims
+from masticwind.entry.outcomes import RequestLog, find_outcome
+from masticwind.entry.peers import AgentPool
 from masticwind.entry.relay import Relay
 from masticwind.errors import ANSWERS, ErrorKind, Failure
 from masticwind.settings import EntrySettings
@@ -27,6 +32,7 @@
 
 MS_PER_S: Final = 1000
 BEARER: Final = 'bearer '
+REQUESTS: Final = '/v1/requests/'
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +42,8 @@
     cfg: EntrySettings
     config: CurrentConfig
     relay: Relay
+    pool: AgentPool
+    claims: Claims
 
 
 class EntryApp:
@@ -43,6 +51,16 @@
 
     def __init__(self, parts: AppParts) -> None:
         self._parts: Final = parts
+        self._log: Final = RequestLog()
+        self._calls: Final = Calls(
+            CallParts(
+                parts.cfg,
+                parts.config,
+                parts.pool,
+                parts.claims,
+                self._log,
+            )
+        )
         self._active = 0
         self.draining = False
 
@@ -80,6 +98,10 @@
             return Failure(kind=ErrorKind.DRAINING, reason='shutting down')
         if path == '/v1/chat/completions':
             return await self._chat(scope, receive, send)
+        if path.startswith(SERVICES):
+            return await self._call(scope, receive, send)
+        if path.startswith(REQUESTS):
+            return await self._outcome(scope, send)
         return Failure(kind=ErrorKind.NOT_FOUND, reason=f'no route {path}')
 
     def _health(self) -> Response:
@@ -120,8 +142,58 @@
         if isinstance(built, Failure):
             return built
         req, chat = built
-        writer = ChatStream(send, req, stream=chat.stream)
-        return await relay_until_gone(self._parts.relay, req, writer, receive)
+        self._log.start(caller.name, req.request_id)
+        writer = ChatStream(send, req, stream=chat.stream, log=self._log)
+        failure = await relay_until_gone(
+            self._parts.relay,
+            req,
+            writer,
+            receive,
+        )
+        self._log.close(caller.name, req.request_id)
+        return failure
+
+    async def _call(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> Failure | None:
+        caller = self._authenticate(scope)
+        if isinstance(caller, Failure):
+            return caller
+        answer = await self._calls.serve(scope, receive, caller)
+        response = answer.content
+        if isinstance(response, Failure):
+            response = failure_response(response)
+        if answer.request_id:
+            request_id = (b'x-request-id', answer.request_id.encode())
+            response = replace(
+                response,
+                headers=(*response.headers, request_id),
+            )
+        await send_response(send, response)
+        return None
+
+    async def _outcome(self, scope: Scope, send: Send) -> Failure | None:
+        if scope['method'] != 'GET':
+            return Failure(
+                kind=ErrorKind.METHOD_NOT_ALLOWED,
+                reason='use GET',
+            )
+        caller = self._authenticate(scope)
+        if isinstance(caller, Failure):
+            return caller
+        found = await find_outcome(
+            self._log,
+            self._parts.claims,
+            caller.name,
+            scope['path'].removeprefix(REQUESTS),
+        )
+        if isinstance(found, Failure):
+            return found
+        await send_response(send, found)
+        return None
 
     def _authenticate(self, scope: Scope) -> Caller | Failure:
         text = header(scope, b'authorization')
--- a/src/masticwind/entry/chat.py
+++ b/src/masticwind/entry/chat.py
@@ -13,6 +13,7 @@
 from masticwind.config.current import CurrentConfig
 from masticwind.config.model import Model, Team, Tier
 from masticwind.engines.base import Done, Tokens
+from masticwind.entry.outcomes import RequestLog
 from masticwind.entry.relay import ModelRequest, Relay
 from masticwind.entry.router import Job
 from masticwind.errors import ErrorKind, Failure
@@ -159,10 +160,18 @@
 class ChatStream:
     """Writes one answer, as server-sent events or as one object."""
 
-    def __init__(self, send: Send, req: ModelRequest, *, stream: bool) -> None:
+    def __init__(
+        self,
+        send: Send,
+        req: ModelRequest,
+        *,
+        stream: bool,
+        log: RequestLog,
+    ) -> None:
         self._send: Final = send
         self._req: Final = req
         self._stream: Final = stream
+        self._log: Final = log
         self._created: Final = int(time.time())
         self._texts: Final[list[str]] = []
         self._opened = False
@@ -178,6 +187,7 @@
 
     async def finish(self, outcome: Done | Failure) -> Failure | None:
         """Write the end; return a failure that the caller must still see."""
+        self._log.finish(self._req.team, self._req.request_id, outcome)
         if isinstance(outcome, Failure):
             if not self._opened:
                 return outcome
--- /dev/null
+++ b/src/masticwind/entry/claim_bucket.py
@@ -0,0 +1,377 @@
+"""One bucket of claims: group commit, settling of lost answers, sealing.
+
+A bucket is written by one task per entry. Each round reads the head, decides
+on all waiting claims and writes the head once by compare-and-swap. A claim
+counts as made only when a write is confirmed or a later read shows its
+writer token.
+"""
+
+import time
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+import msgspec
+
+from masticwind.entry.claim_records import (
+    ClaimState,
+    Head,
+    Order,
+    Record,
+    decode_head,
+    encode_head,
+    merge_rows,
+    new_segment,
+    search_segment,
+    segment_rows,
+)
+from masticwind.errors import ErrorKind, Failure
+from masticwind.platform.base import Conflict, KeyValue, Unknown, Written
+from masticwind.settings import ClaimSettings
+
+MAX_WAITING: Final = 4096
+MAX_BATCH: Final = 512
+MAX_OUTCOMES: Final = 4096
+FULL_RETRY_MS: Final = 60_000
+MS_PER_S: Final = 1000
+# A segment is deleted when a newer head no longer names it, so a reader
+# with the older head reads the head again.
+MAX_READS: Final = 3
+
+
+class Pace:
+    """Spaces the writes of one entry evenly.
+
+    The key-value service counts all entries' writes together, so each entry
+    keeps to its own share.
+    """
+
+    def __init__(self, per_s: float) -> None:
+        self._interval_s: Final = 1 / per_s
+        self._next = 0.0
+
+    async def wait(self) -> None:
+        """Wait for the next free slot."""
+        now = time.monotonic()
+        at = max(now, self._next)
+        self._next = at + self._interval_s
+        await anyio.sleep(at - now)
+
+
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """The claim is this process's; `fencing` is the write's revision."""
+
+    order: Order
+    fencing: int
+
+
+ClaimAnswer = Claimed | Record | Failure
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """A claim that waits for a write.
+
+    `attempted` tells that a write with this claim may still take effect.
+    """
+
+    order: Order
+    done: anyio.Event
+    answer: ClaimAnswer | None = None
+    attempted: bool = False
+    abandoned: bool = False
+
+    def resolve(self, answer: ClaimAnswer) -> None:
+        """Set the answer."""
+        self.answer = answer
+        self.done.set()
+
+
+class Bucket:
+    """The claims of this entry in one bucket."""
+
+    def __init__(
+        self,
+        name: str,
+        key_value: KeyValue,
+        cfg: ClaimSettings,
+        pace: Pace,
+    ) -> None:
+        self._name: Final = name
+        self._key_value: Final = key_value
+        self._cfg: Final = cfg
+        self._pace: Final = pace
+        self._waiting: list[Waiter] = []
+        self._outcomes: Final[dict[bytes, Record]] = {}
+        self._segments: dict[str, bytes] = {}
+        self._wake = anyio.Event()
+
+    @property
+    def settled(self) -> bool:
+        """Whether nothing waits to be written."""
+        return not (self._waiting or self._outcomes)
+
+    def add(self, order: Order) -> Waiter:
+        """Queue a claim for the next write."""
+        waiter = Waiter(order, anyio.Event())
+        if len(self._waiting) >= MAX_WAITING:
+            waiter.resolve(
+                Failure(
+                    kind=ErrorKind.OVERLOADED,
+                    reason='too many calls wait for a claim',
+                )
+            )
+            return waiter
+        self._waiting.append(waiter)
+        self._wake.set()
+        return waiter
+
+    def record(self, outcome: Record) -> None:
+        """Queue an outcome; it replaces the claim with the same token."""
+        if len(self._outcomes) < MAX_OUTCOMES:
+            self._outcomes[outcome.token] = outcome
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Write whatever waits, until cancelled."""
+        # The segments are read before the first claim needs them.
+        await self._read()
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            if not self._waiting:
+                # Outcomes wait for a claim to share its write with.
+                delay_s = self._cfg.outcome_delay_ms / MS_PER_S
+                with anyio.move_on_after(delay_s):
+                    await self._wake.wait()
+            await self._pace.wait()
+            await self.round()
+            if not self.settled:
+                self._wake.set()
+
+    async def find(self, key: bytes) -> Record | Failure | None:
+        """Read the claim of a key, with an outcome that is not written yet."""
+        read = await self._read()
+        if isinstance(read, Failure):
+            return read
+        for record in read[0].records:
+            if record.key == key:
+                return self._outcomes.get(record.token, record)
+        return self._archived(key, read[0])
+
+    async def round(self) -> None:
+        """Read the head, decide on what waits and write the head once."""
+        read = await self._read()
+        if isinstance(read, Failure):
+            self._fail(self._waiting.copy(), read)
+            return
+        head, revision = read
+        known = {one.key: one for one in head.records}
+        changed = self._apply_outcomes(known)
+        batch = self._decide(known, head, revision)
+        if not (batch or changed):
+            self._outcomes.clear()
+            return
+        new = await self._seal(Head(head.segments, tuple(known.values())))
+        if isinstance(new, Failure):
+            self._fail(batch, new)
+            return
+        written = await self._key_value.compare_and_swap(
+            self._key,
+            encode_head(new),
+            revision,
+        )
+        if isinstance(written, Written):
+            self._commit(batch, changed, written.revision)
+            await self._drop(head, new)
+        elif isinstance(written, Unknown):
+            for waiter in batch:
+                waiter.attempted = True
+        elif not isinstance(written, Conflict):
+            self._fail(batch, written)
+
+    @property
+    def _key(self) -> str:
+        return f'claims/{self._name}'
+
+    async def _read(self) -> tuple[Head, int] | Failure:
+        failure = Failure(
+            kind=ErrorKind.PLATFORM_DOWN,
+            reason='a segment of claims is missing',
+        )
+        for _ in range(MAX_READS):
+            found = await self._key_value.get(self._key)
+            if isinstance(found, Failure):
+                return found
+            try:
+                head = decode_head(found.value)
+            except msgspec.DecodeError as exc:
+                return Failure(kind=ErrorKind.PLATFORM_DOWN, reason=str(exc))
+            missing = await self._load(head)
+            if missing is None:
+                return head, found.revision
+            failure = missing
+        return failure
+
+    async def _load(self, head: Head) -> Failure | None:
+        """Read the segments that this entry does not hold yet."""
+        for ref in head.segments:
+            if ref.name in self._segments:
+                continue
+            found = await self._key_value.get(f'{self._key}/{ref.name}')
+            if isinstance(found, Failure):
+                return found
+            if found.value is None:
+                return Failure(
+                    kind=ErrorKind.PLATFORM_DOWN,
+                    reason='a segment of claims is missing',
+                )
+            self._segments[ref.name] = found.value
+        names = {one.name for one in head.segments}
+        for name in self._segments.keys() - names:
+            self._segments.pop(name)
+        return None
+
+    def _archived(self, key: bytes, head: Head) -> Record | None:
+        for ref in reversed(head.segments):
+            found = search_segment(self._segments[ref.name], key)
+            if found is not None:
+                return found
+        return None
+
+    def _apply_outcomes(self, known: dict[bytes, Record]) -> list[Record]:
+        changed: list[Record] = []
+        for outcome in tuple(self._outcomes.values())[:MAX_BATCH]:
+            claim = known.get(outcome.key)
+            if claim is not None and claim.token == outcome.token:
+                known[outcome.key] = outcome
+                changed.append(outcome)
+        return changed
+
+    def _decide(
+        self,
+        known: dict[bytes, Record],
+        head: Head,
+        revision: int,
+    ) -> list[Waiter]:
+        batch: list[Waiter] = []
+        added: set[bytes] = set()
+        for waiter in self._waiting.copy():
+            key = waiter.order.key
+            if waiter.abandoned:
+                self._resolve_abandoned(waiter)
+                continue
+            if key in added or len(batch) >= MAX_BATCH:
+                continue
+            found = known.get(key) or self._archived(key, head)
+            if _claimable(found):
+                known.pop(key, None)
+                known[key] = waiter.order.record()
+                added.add(key)
+                batch.append(waiter)
+            elif found is not None:
+                self._resolve(waiter, _answer(waiter, found, revision))
+        return batch
+
+    def _commit(
+        self,
+        batch: list[Waiter],
+        changed: list[Record],
+        revision: int,
+    ) -> None:
+        for outcome in changed:
+            self._outcomes.pop(outcome.token, None)
+        for waiter in batch:
+            if waiter.abandoned:
+                waiter.attempted = True
+                self._resolve_abandoned(waiter)
+            else:
+                self._resolve(waiter, Claimed(waiter.order, revision))
+
+    def _fail(self, batch: list[Waiter], failure: Failure) -> None:
+        for waiter in batch:
+            if waiter.attempted:
+                self._disown(waiter)
+            self._resolve(waiter, failure)
+
+    def _resolve(self, waiter: Waiter, answer: ClaimAnswer) -> None:
+        self._waiting.remove(waiter)
+        waiter.resolve(answer)
+
+    def _resolve_abandoned(self, waiter: Waiter) -> None:
+        self._waiting.remove(waiter)
+        if waiter.attempted:
+            self._disown(waiter)
+
+    def _disown(self, waiter: Waiter) -> None:
+        """Record that a claim which may be in the store was never sent."""
+        claim = waiter.order.record()
+        self.record(msgspec.structs.replace(claim, state=ClaimState.NOT_RUN))
+
+    async def _seal(self, head: Head) -> Head | Failure:
+        """Move old claims to a segment if the head has grown too large."""
+        if len(encode_head(head)) <= self._cfg.head_bytes:
+            return head
+        horizon = time.time() - self._cfg.retention_s
+        kept = [one for one in head.segments if one.sealed_at >= horizon]
+        if len(kept) >= self._cfg.max_segments:
+            return Failure(
+                kind=ErrorKind.OVERLOADED,
+                reason='the claims of the retention period fill the store',
+                retry_after_ms=FULL_RETRY_MS,
+            )
+        old, recent = _split(head.records)
+        rows = segment_rows(old)
+        if kept and kept[-1].count + len(old) <= self._cfg.segment_claims:
+            rows = merge_rows(self._segments[kept.pop().name], rows)
+        ref = new_segment(rows)
+        await self._pace.wait()
+        written = await self._key_value.compare_and_swap(
+            f'{self._key}/{ref.name}',
+            rows,
+            0,
+        )
+        if not isinstance(written, Written):
+            return Failure(
+                kind=ErrorKind.PLATFORM_DOWN,
+                reason='a segment of claims was not written',
+            )
+        self._segments[ref.name] = rows
+        return Head((*kept, ref), tuple(recent))
+
+    async def _drop(self, old: Head, new: Head) -> None:
+        names = {one.name for one in new.segments}
+        for ref in old.segments:
+            if ref.name in names:
+                continue
+            key = f'{self._key}/{ref.name}'
+            found = await self._key_value.get(key)
+            if not isinstance(found, Failure) and found.value is not None:
+                await self._key_value.delete(key, found.revision)
+
+
+def _claimable(found: Record | None) -> bool:
+    return found is None or found.state is ClaimState.NOT_RUN
+
+
+def _answer(waiter: Waiter, found: Record, revision: int) -> ClaimAnswer:
+    if found.token == waiter.order.token:
+        return Claimed(waiter.order, revision)
+    return found
+
+
+def _split(
+    records: tuple[Record, ...],
+) -> tuple[list[Record], list[Record]]:
+    """Choose the older half for sealing, claims with an outcome first.
+
+    An outcome that arrives after its claim was sealed is not recorded.
+    """
+    wanted = len(records) // 2
+    old = [one for one in records if one.state is not ClaimState.CLAIMED]
+    open_claims = [one for one in records if one.state is ClaimState.CLAIMED]
+    old.extend(open_claims[: max(0, wanted - len(old))])
+    chosen = {one.key for one in old[:wanted]}
+    recent = [one for one in records if one.key not in chosen]
+    return old[:wanted], recent
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -8,6 +8,7 @@
 from masticwind.config.distribute import ConfigWatcher
 from masticwind.config.store import ConfigStore
 from masticwind.entry.app import AppParts, EntryApp
+from masticwind.entry.claims import Claims
 from masticwind.entry.peers import AgentPool, PoolParts
 from masticwind.entry.relay import Relay
 from masticwind.entry.router import make_router
@@ -36,7 +37,10 @@
             )
         )
         relay = Relay(self.pool, make_router(cfg), self.config)
-        self.app: Final = EntryApp(AppParts(cfg, self.config, relay))
+        self.claims: Final = Claims(HttpKeyValue(cfg.platform), cfg.claims)
+        self.app: Final = EntryApp(
+            AppParts(cfg, self.config, relay, self.pool, self.claims),
+        )
         self._server: Final = WebServer(self.app, cfg.listen)
 
     @property
@@ -48,6 +52,7 @@
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.pool.run)
+            tasks.start_soon(self.claims.run)
             store = ConfigStore(HttpKeyValue(self._cfg.platform))
             tasks.start_soon(ConfigWatcher(store, self.config).run)
             await self._server.run()
@@ -59,4 +64,5 @@
         with anyio.move_on_after(self._cfg.drain_timeout_ms / MS_PER_S):
             while self.app.active:
                 await anyio.sleep(DRAIN_POLL_S)
+            await self.claims.settle()
         self._server.stop()
--- a/src/masticwind/settings.py
+++ b/src/masticwind/settings.py
@@ -78,6 +78,28 @@
     neighbours: Count = 3
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimSettings:
+    """Claims of non-repeatable calls in the key-value service.
+
+    `writes_per_s` is the share of one entry. A bucket keeps its recent
+    claims in a head of about `head_bytes` and older ones in at most
+    `max_segments` segments; when these are younger than the retention
+    period, new claims are refused. `buckets` must be the same everywhere
+    and may not change while claims are retained.
+    """
+
+    buckets: Count = 8
+    writes_per_s: Count = 80
+    timeout_ms: PositiveMs = 3000
+    send_margin_ms: PositiveMs = 20
+    outcome_delay_ms: PositiveMs = 500
+    retention_s: Count = 86_400
+    head_bytes: Annotated[int, msgspec.Meta(ge=1024, le=400_000)] = 196_608
+    segment_claims: Annotated[int, msgspec.Meta(ge=1, le=20_000)] = 15_000
+    max_segments: Count = 64
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EntrySettings:
     """Settings of `masticwind-entry`."""
@@ -108,6 +130,7 @@
     instances_poll_ms: PositiveMs = 1000
     watch_config: bool = True
     planner: bool = False
+    claims: ClaimSettings = field(default_factory=ClaimSettings)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/masticwind_dev/local/fleet.py
+++ b/src/masticwind_dev/local/fleet.py
@@ -18,6 +18,7 @@
 from masticwind.settings import (
     Address,
     AgentSettings,
+    ClaimSettings,
     EntrySettings,
     PeerSettings,
     PlatformSettings,
@@ -35,11 +36,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetPlan:
-    """Which parts a local fleet has; `services` maps names to zones."""
+    """Which parts a local fleet has.
+
+    `services` maps endpoints of plain services to zones, and `service_of`
+    gives their service where it differs from the endpoint's name.
+    """
 
     config: Configuration
     engines: dict[str, tuple[str, EngineModel]]
     services: dict[str, str] = field(default_factory=dict)
+    service_of: dict[str, str] = field(default_factory=dict)
+    claims: ClaimSettings = field(default_factory=ClaimSettings)
     entries: tuple[str, ...] = ('entry-1',)
     entry_zone: str = 'local-a'
 
@@ -77,7 +84,12 @@
         for name, zone in self.plan.services.items():
             service = ServiceStandin()
             self.services[name] = service
-            self._start_agent(name, zone, self._serve(service.app), name)
+            self._start_agent(
+                name,
+                zone,
+                self._serve(service.app),
+                self.plan.service_of.get(name, name),
+            )
         self._publish()
         for node in self.plan.entries:
             entry = Entry(
@@ -87,6 +99,7 @@
                     peers=self._peers,
                     platform=self.platform,
                     instances_poll_ms=100,
+                    claims=self.plan.claims,
                 )
             )
             self.entries[node] = entry
--- a/src/masticwind_dev/standins/service.py
+++ b/src/masticwind_dev/standins/service.py
@@ -69,7 +69,7 @@
         return json_response(200, self.executions)
 
     async def _execute(self, req: StandinRequest) -> Response:
-        order = req.headers.get('x-order-key', '')
+        order = req.headers.get('x-request-id', '')
         fencing = int(req.headers.get('x-fencing-token', '0'))
         if self.switches.check_fencing and fencing < self._newest.get(order, 0):
             return json_response(409, {'error': 'old fencing token'})
@@ -80,8 +80,8 @@
             Execution(
                 req.method,
                 f'/{req.tail}',
+                req.headers.get('idempotency-key', ''),
                 order,
-                req.headers.get('x-request-id', ''),
                 req.body.decode(errors='replace'),
             )
         )
@@ -97,6 +97,7 @@
                 {
                     'executed': number,
                     'path': f'/{req.tail}',
+                    'query': req.query,
                 }
             ),
         )
