--- a/src/masticwind_dev/local/fleet.py
+++ b/src/masticwind_dev/local/fleet.py
@@ -49,6 +49,7 @@
     claims: ClaimSettings = field(default_factory=ClaimSettings)
     entries: tuple[str, ...] = ('entry-1',)
     entry_zone: str = 'local-a'
+    entry_port: int = 0
 
 
 class Fleet:
@@ -96,6 +97,7 @@
                 EntrySettings(
                     node=node,
                     zone=self.plan.entry_zone,
+                    listen=Address(port=self.plan.entry_port),
                     peers=self._peers,
                     platform=self.platform,
                     instances_poll_ms=100,
