Send metrics as statsd and write traces as JSON lines

Recording touches memory only; sending and writing happen off the request path. Calls are measured and traced from the entry to the service.

--- a/src/masticwind/agent/calls.py
+++ b/src/masticwind/agent/calls.py
@@ -15,6 +15,7 @@
 from masticwind.config.current import CurrentConfig
 from masticwind.engines.base import Service, ServiceAnswer, ServiceRequest
 from masticwind.errors import ErrorKind, Failure
+from masticwind.metrics import Metric
 from masticwind.protocol.channel import Channel
 from masticwind.protocol.messages import (
     Call,
@@ -25,6 +26,7 @@
     Revoked,
 )
 from masticwind.settings import AgentSettings
+from masticwind.telemetry import Telemetry
 
 HEALTH_INTERVAL_S: Final = 0.5
 RESULT_GRACE_S: Final = 30.0
@@ -103,10 +105,13 @@
         cfg: AgentSettings,
         config: CurrentConfig,
         service: Service,
+        telemetry: Telemetry,
     ) -> None:
         self._cfg: Final = cfg
         self._config: Final = config
         self._service: Final = service
+        self._metrics: Final = telemetry.metrics
+        self._tracer: Final = telemetry.tracer
         self._running = 0
         self._healthy = False
         self._seen: Final = SeenOrders()
@@ -132,6 +137,7 @@
         A repeated message for a call that is known gets that call's result.
         """
         call = _AgentCall(message, Budget.from_ms(message.timeout_ms), channel)
+        self._metrics.count(Metric.AGENT_CALLS)
         known = self._calls.get(call.key)
         if known is not None and known.message.claim == message.claim:
             known.attach(channel)
@@ -142,10 +148,12 @@
             return
         self._calls[call.key] = call
         self._running += 1
+        self._metrics.gauge(Metric.AGENT_CALLS_RUNNING, self._running)
         try:
             call.finish(await self._make(call))
         finally:
             self._running -= 1
+            self._metrics.gauge(Metric.AGENT_CALLS_RUNNING, self._running)
 
     def resume(self, channel: Channel, message: Resume) -> None:
         """Send the result of a call to a new connection."""
@@ -193,7 +201,11 @@
                 reason='not started in time',
             )
             return _failed(call.key, answer)
-        with anyio.move_on_after(call.budget.remaining_s()):
+        with (
+            self._tracer.span('agent.call', call.message.trace),
+            self._metrics.timed(Metric.AGENT_CALL_TIME),
+            anyio.move_on_after(call.budget.remaining_s()),
+        ):
             answer = await self._service.call(_request(call))
         if isinstance(answer, Failure):
             return _failed(call.key, answer)
--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -26,6 +26,7 @@
     Revoke,
 )
 from masticwind.settings import AgentSettings
+from masticwind.telemetry import make_telemetry
 
 DRAIN_POLL_S: Final = 0.05
 MS_PER_S: Final = 1000
@@ -38,6 +39,7 @@
         self._cfg: Final = cfg
         self._tasks: Final = tasks
         self.config: Final = CurrentConfig()
+        self._telemetry: Final = make_telemetry(cfg)
         self._executor: Final = Executor(
             ExecutorParts(cfg, self.config, HttpEngine(cfg.endpoint_url)),
             tasks,
@@ -46,6 +48,7 @@
             cfg,
             self.config,
             HttpService(cfg.endpoint_url),
+            self._telemetry,
         )
         node = Node(
             role='agent',
@@ -70,6 +73,7 @@
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._listener.run)
+            tasks.start_soon(self._telemetry.metrics.run)
             if self._cfg.kind == 'engine':
                 tasks.start_soon(self._executor.run)
             else:
@@ -85,6 +89,7 @@
         with anyio.move_on_after(self._cfg.drain_timeout_ms / MS_PER_S):
             while not (self._executor.idle and self._calls.idle):
                 await anyio.sleep(DRAIN_POLL_S)
+        self._telemetry.tracer.close()
         # The last messages leave with the connections' next write.
         await anyio.sleep(DRAIN_POLL_S)
 
--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -18,7 +18,9 @@
 from masticwind.entry.peers import AgentPool
 from masticwind.entry.relay import Relay
 from masticwind.errors import ANSWERS, ErrorKind, Failure
+from masticwind.metrics import Metric, Metrics
 from masticwind.settings import EntrySettings
+from masticwind.tracing import Tracer
 from masticwind.web import (
     Receive,
     Response,
@@ -44,6 +46,8 @@
     relay: Relay
     pool: AgentPool
     claims: Claims
+    metrics: Metrics
+    tracer: Tracer
 
 
 class EntryApp:
@@ -59,6 +63,8 @@
                 parts.pool,
                 parts.claims,
                 self._log,
+                parts.metrics,
+                parts.tracer,
             )
         )
         self._active = 0
@@ -71,12 +77,17 @@
         send: Send,
     ) -> None:
         """Serve one request."""
+        metrics = self._parts.metrics
         self._active += 1
+        metrics.gauge(Metric.REQUESTS_ACTIVE, self._active)
         try:
-            failure = await self._route(scope, receive, send)
+            with metrics.timed(Metric.REQUEST_TIME):
+                failure = await self._route(scope, receive, send)
         finally:
             self._active -= 1
+            metrics.gauge(Metric.REQUESTS_ACTIVE, self._active)
         if failure is not None:
+            metrics.count(Metric.FAILURES)
             await send_response(send, failure_response(failure))
 
     @property
@@ -94,6 +105,7 @@
         if path == '/healthz':
             await send_response(send, self._health())
             return None
+        self._parts.metrics.count(Metric.REQUESTS)
         if self.draining:
             return Failure(kind=ErrorKind.DRAINING, reason='shutting down')
         if path == '/v1/chat/completions':
@@ -144,12 +156,14 @@
         req, chat = built
         self._log.start(caller.name, req.request_id)
         writer = ChatStream(send, req, stream=chat.stream, log=self._log)
-        failure = await relay_until_gone(
-            self._parts.relay,
-            req,
-            writer,
-            receive,
-        )
+        parent = header(scope, b'traceparent')
+        with self._parts.tracer.span('entry.request', parent) as span:
+            failure = await relay_until_gone(
+                self._parts.relay,
+                replace(req, trace=span.context),
+                writer,
+                receive,
+            )
         self._log.close(caller.name, req.request_id)
         return failure
 
@@ -162,9 +176,17 @@
         caller = self._authenticate(scope)
         if isinstance(caller, Failure):
             return caller
-        answer = await self._calls.serve(scope, receive, caller)
+        parent = header(scope, b'traceparent')
+        with self._parts.tracer.span('entry.request', parent) as span:
+            answer = await self._calls.serve(
+                scope,
+                receive,
+                caller,
+                span.context,
+            )
         response = answer.content
         if isinstance(response, Failure):
+            self._parts.metrics.count(Metric.FAILURES)
             response = failure_response(response)
         if answer.request_id:
             request_id = (b'x-request-id', answer.request_id.encode())
--- a/src/masticwind/entry/calls.py
+++ b/src/masticwind/entry/calls.py
@@ -6,30 +6,43 @@
 
 import random
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from masticwind.budget import Budget
 from masticwind.callrules import find_rule, is_plain_path
 from masticwind.config.current import CurrentConfig
 from masticwind.config.model import CallRule
-from masticwind.entry.callsend import Sending, ServiceCall, send_call
+from masticwind.entry.callanswers import (
+    claim_outcome,
+    first_truth,
+    no_agent,
+    recorded_answer,
+    service_response,
+)
+from masticwind.entry.callsend import (
+    RetryBudget,
+    Sending,
+    ServiceCall,
+    send_call,
+)
 from masticwind.entry.chat import TIMEOUT_HEADER, Caller, read_timeout
-from masticwind.entry.claim_bucket import Claimed
+from masticwind.entry.claim_bucket import ClaimAnswer, Claimed
 from masticwind.entry.claim_records import (
-    ClaimState,
     Order,
     Record,
     body_digest,
     call_identity,
     claim_key,
 )
-from masticwind.entry.claims import ClaimOutcome, Claims
+from masticwind.entry.claims import Claims
 from masticwind.entry.outcomes import Outcome, RequestLog, digest_text
 from masticwind.entry.peers import AgentLink, AgentPool
 from masticwind.errors import ErrorKind, Failure, not_run
+from masticwind.metrics import Metric, Metrics
 from masticwind.protocol.messages import CallResult
 from masticwind.settings import EntrySettings
+from masticwind.tracing import Tracer
 from masticwind.web import (
     Receive,
     Response,
@@ -46,10 +59,6 @@
 # A call travels in one frame of the inner protocol.
 MAX_CALL_BYTES: Final = 524_288
 MAX_TARGET_CHARS: Final = 4096
-# Larger response bodies are recorded by digest only.
-MAX_RECORDED_BYTES: Final = 256
-NO_AGENT_RETRY_MS: Final = 1000
-RETRY_BURST: Final = 10.0
 _FORWARDED: Final = (b'content-type', b'accept', b'accept-language')
 
 
@@ -62,6 +71,8 @@
     pool: AgentPool
     claims: Claims
     log: RequestLog
+    metrics: Metrics
+    tracer: Tracer
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,25 +83,6 @@
     request_id: str = ''
 
 
-class RetryBudget:
-    """Allows retries as a share of first attempts, with a small burst."""
-
-    def __init__(self, share: float) -> None:
-        self._share: Final = share
-        self._tokens = RETRY_BURST
-
-    def first(self) -> None:
-        """Note a first attempt."""
-        self._tokens = min(RETRY_BURST, self._tokens + self._share)
-
-    def take(self) -> bool:
-        """Use one retry, if there is one left."""
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
-
-
 class Calls:
     """Serves calls of plain services."""
 
@@ -103,6 +95,7 @@
         scope: Scope,
         receive: Receive,
         caller: Caller,
+        trace: str = '',
     ) -> CallAnswer:
         """Serve one call of an authenticated team."""
         cfg = self._parts.cfg
@@ -133,6 +126,7 @@
             headers=_headers(scope),
             body=body,
             budget=Budget.from_ms(timeout_ms),
+            trace=trace,
         )
         if rule.repeatable:
             return await self._repeatable(call)
@@ -177,28 +171,34 @@
                 body_digest=digest_text(body_digest(outcome.body)),
             ),
         )
-        return CallAnswer(_response(outcome), call.request_id)
+        return CallAnswer(service_response(outcome), call.request_id)
 
     async def _attempts(self, call: ServiceCall) -> CallResult | Failure:
         tried: set[AgentLink] = set()
-        failure = _no_agent()
+        failure = no_agent()
         ran = False
         self._retries.first()
         for attempt in range(MAX_ATTEMPTS):
             link = self._choose(call.service, tried)
             if link is None or call.budget.expired():
                 break
-            if attempt and not self._retries.take():
+            if attempt and not self._may_retry():
                 break
             tried.add(link)
-            outcome = await send_call(link, self._sending(call, attempt))
+            outcome = await self._attempt(link, call, attempt)
             if isinstance(outcome, CallResult):
                 return outcome
             failure = outcome
             if failure.kind is ErrorKind.BAD_REQUEST:
                 break
             ran = ran or not not_run(failure.kind)
-        return _first_truth(failure, ran=ran)
+        return first_truth(failure, ran=ran)
+
+    def _may_retry(self) -> bool:
+        allowed = self._retries.take()
+        if allowed:
+            self._parts.metrics.count(Metric.CALL_RETRIES)
+        return allowed
 
     async def _once(self, call: ServiceCall, key: str) -> CallAnswer:
         key = key or call.request_id
@@ -211,7 +211,7 @@
                 ),
             )
         if self._choose(call.service, set()) is None:
-            return CallAnswer(_no_agent(), key)
+            return CallAnswer(no_agent(), key)
         order = Order(
             key=claim_key(call.team, key),
             identity=call_identity(
@@ -221,16 +221,16 @@
             ),
             timeout_ms=call.budget.remaining_ms(),
         )
-        claimed = await self._parts.claims.claim(order, call.budget)
+        claimed = await self._claim(order, call)
         if isinstance(claimed, Record):
-            return CallAnswer(_recorded(claimed, order), key)
+            return CallAnswer(recorded_answer(claimed, order), key)
         if isinstance(claimed, Failure):
             return CallAnswer(claimed, key)
         outcome = await self._send_once(call, claimed, key)
-        self._parts.claims.finish(claimed, _claim_outcome(outcome))
+        self._parts.claims.finish(claimed, claim_outcome(outcome))
         if isinstance(outcome, Failure):
             return CallAnswer(outcome, key)
-        return CallAnswer(_response(outcome), key)
+        return CallAnswer(service_response(outcome), key)
 
     async def _send_once(
         self,
@@ -240,19 +240,12 @@
     ) -> CallResult | Failure:
         link = self._choose(call.service, set())
         if link is None:
-            return _no_agent()
-        named = ServiceCall(
+            return no_agent()
+        named = replace(
+            call,
             # Unique across teams, and the same whenever the key is the same.
             request_id=claimed.order.key.hex(),
-            service=call.service,
-            team=call.team,
-            paid=call.paid,
-            method=call.method,
-            target=call.target,
             headers=(*call.headers, ('idempotency-key', key)),
-            body=call.body,
-            budget=call.budget,
-            trace=call.trace,
         )
         sending = self._sending(
             named,
@@ -265,7 +258,45 @@
                 kind=ErrorKind.OVERLOADED,
                 reason='the time budget was used up before the call was sent',
             )
-        return await send_call(link, sending)
+        return await self._send(link, sending)
+
+    async def _claim(self, order: Order, call: ServiceCall) -> ClaimAnswer:
+        metrics = self._parts.metrics
+        with (
+            self._parts.tracer.span('entry.claim', call.trace),
+            metrics.timed(Metric.CLAIM_TIME),
+        ):
+            claimed = await self._parts.claims.claim(order, call.budget)
+        if isinstance(claimed, Failure):
+            metrics.count(Metric.CLAIMS_REFUSED)
+        elif isinstance(claimed, Record):
+            metrics.count(Metric.CLAIMS_KNOWN)
+        else:
+            metrics.count(Metric.CLAIMS_MADE)
+        return claimed
+
+    async def _send(
+        self,
+        link: AgentLink,
+        sending: Sending,
+    ) -> CallResult | Failure:
+        metrics = self._parts.metrics
+        metrics.count(Metric.CALL_ATTEMPTS)
+        trace = sending.call.trace
+        with (
+            self._parts.tracer.span('entry.attempt', trace) as span,
+            metrics.timed(Metric.CALL_TIME),
+        ):
+            call = replace(sending.call, trace=span.context)
+            return await send_call(link, replace(sending, call=call))
+
+    async def _attempt(
+        self,
+        link: AgentLink,
+        call: ServiceCall,
+        attempt: int,
+    ) -> CallResult | Failure:
+        return await self._send(link, self._sending(call, attempt))
 
     def _sending(
         self,
@@ -334,72 +365,3 @@
         for name, content in scope['headers']
         if name in _FORWARDED
     )
-
-
-def _no_agent() -> Failure:
-    return Failure(
-        kind=ErrorKind.NO_CAPACITY,
-        reason='no endpoint of the service can take the call',
-        retry_after_ms=NO_AGENT_RETRY_MS,
-    )
-
-
-def _first_truth(outcome: Failure, *, ran: bool) -> Failure:
-    """An earlier attempt may have run even if the last one was refused."""
-    if ran and not_run(outcome.kind):
-        return Failure(
-            kind=ErrorKind.OUTCOME_UNKNOWN,
-            reason=f'an attempt may have run; the last one: {outcome.reason}',
-        )
-    return outcome
-
-
-def _response(result: CallResult) -> Response:
-    return Response(
-        result.status,
-        result.body,
-        result.content_type.encode('latin-1'),
-    )
-
-
-def _claim_outcome(outcome: CallResult | Failure) -> ClaimOutcome:
-    if isinstance(outcome, Failure):
-        if not_run(outcome.kind):
-            return ClaimOutcome(state=ClaimState.NOT_RUN)
-        if outcome.kind is ErrorKind.FAILED_AFTER_START:
-            return ClaimOutcome(state=ClaimState.FAILED)
-        return ClaimOutcome(state=ClaimState.UNKNOWN)
-    small = len(outcome.body) <= MAX_RECORDED_BYTES
-    return ClaimOutcome(
-        state=ClaimState.DONE,
-        status=outcome.status,
-        digest=body_digest(outcome.body),
-        content_type=outcome.content_type if small else '',
-        body=outcome.body if small else b'',
-    )
-
-
-def _recorded(record: Record, order: Order) -> Response | Failure:
-    """Answer a call whose key is claimed already."""
-    if record.identity != order.identity:
-        return Failure(
-            kind=ErrorKind.KEY_REUSED,
-            reason='the key was used for a different call',
-        )
-    if record.state is ClaimState.DONE:
-        if record.digest == body_digest(record.body):
-            return Response(
-                record.status,
-                record.body,
-                record.content_type.encode('latin-1'),
-            )
-        return Failure(
-            kind=ErrorKind.DUPLICATE,
-            reason=f'completed with status {record.status} and body '
-            f'{digest_text(record.digest)}, which is not kept',
-        )
-    if record.state is ClaimState.CLAIMED:
-        return Failure(kind=ErrorKind.DUPLICATE, reason='claimed already')
-    if record.state is ClaimState.FAILED:
-        return Failure(kind=ErrorKind.FAILED_AFTER_START, reason='failed')
-    return Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason='outcome unknown')
--- a/src/masticwind/entry/claim_bucket.py
+++ b/src/masticwind/entry/claim_bucket.py
@@ -20,10 +20,13 @@
     Record,
     decode_head,
     encode_head,
+)
+from masticwind.entry.claim_segments import (
     merge_rows,
     new_segment,
     search_segment,
     segment_rows,
+    split_records,
 )
 from masticwind.errors import ErrorKind, Failure
 from masticwind.platform.base import Conflict, KeyValue, Unknown, Written
@@ -321,7 +324,7 @@
                 reason='the claims of the retention period fill the store',
                 retry_after_ms=FULL_RETRY_MS,
             )
-        old, recent = _split(head.records)
+        old, recent = split_records(head.records)
         rows = segment_rows(old)
         if kept and kept[-1].count + len(old) <= self._cfg.segment_claims:
             rows = merge_rows(self._segments[kept.pop().name], rows)
@@ -359,19 +362,3 @@
     if found.token == waiter.order.token:
         return Claimed(waiter.order, revision)
     return found
-
-
-def _split(
-    records: tuple[Record, ...],
-) -> tuple[list[Record], list[Record]]:
-    """Choose the older half for sealing, claims with an outcome first.
-
-    An outcome that arrives after its claim was sealed is not recorded.
-    """
-    wanted = len(records) // 2
-    old = [one for one in records if one.state is not ClaimState.CLAIMED]
-    open_claims = [one for one in records if one.state is ClaimState.CLAIMED]
-    old.extend(open_claims[: max(0, wanted - len(old))])
-    chosen = {one.key for one in old[:wanted]}
-    recent = [one for one in records if one.key not in chosen]
-    return old[:wanted], recent
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -12,9 +12,11 @@
 from masticwind.entry.peers import AgentPool, PoolParts
 from masticwind.entry.relay import Relay
 from masticwind.entry.router import make_router
+from masticwind.metrics import Metrics
 from masticwind.node import Node
 from masticwind.platform.http import HttpInstanceList, HttpKeyValue
 from masticwind.settings import EntrySettings
+from masticwind.tracing import Tracer
 from masticwind.web import WebServer
 
 DRAIN_POLL_S: Final = 0.05
@@ -37,9 +39,19 @@
             )
         )
         relay = Relay(self.pool, make_router(cfg), self.config)
+        self.metrics: Final = Metrics(cfg.metrics)
+        self.tracer: Final = Tracer(cfg.traces, cfg.node)
         self.claims: Final = Claims(HttpKeyValue(cfg.platform), cfg.claims)
         self.app: Final = EntryApp(
-            AppParts(cfg, self.config, relay, self.pool, self.claims),
+            AppParts(
+                cfg,
+                self.config,
+                relay,
+                self.pool,
+                self.claims,
+                self.metrics,
+                self.tracer,
+            ),
         )
         self._server: Final = WebServer(self.app, cfg.listen)
 
@@ -53,10 +65,12 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.pool.run)
             tasks.start_soon(self.claims.run)
+            tasks.start_soon(self.metrics.run)
             store = ConfigStore(HttpKeyValue(self._cfg.platform))
             tasks.start_soon(ConfigWatcher(store, self.config).run)
             await self._server.run()
             tasks.cancel_scope.cancel()
+        self.tracer.close()
 
     async def drain(self) -> None:
         """Take nothing new and wait until the running requests have ended."""
--- /dev/null
+++ b/src/masticwind/metrics.py
@@ -0,0 +1,126 @@
+"""Metrics: aggregated in memory and sent as statsd datagrams.
+
+Recording touches memory only. A background task sends what was aggregated
+through a socket that never blocks; a datagram that cannot be sent is
+dropped. Every metric is listed in docs/METRICS.md.
+
+    metrics.count(Metric.CALL_RETRIES)
+    metrics.time(Metric.CALL_TIME, elapsed_ms)
+"""
+
+import enum
+import time
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Final
+
+import anyio
+import statsd
+from hdrh.histogram import HdrHistogram
+
+from masticwind.settings import MetricsSettings
+
+MS_PER_S: Final = 1000
+US_PER_MS: Final = 1000
+MAX_TIME_US: Final = 3_600_000_000
+SIGNIFICANT_DIGITS: Final = 2
+SENT_PERCENTILES: Final = (50, 95, 99)
+
+
+class Metric(enum.StrEnum):
+    """Every metric; the name ends with the unit where it has one."""
+
+    REQUESTS = 'entry.requests'
+    FAILURES = 'entry.failures'
+    REQUESTS_ACTIVE = 'entry.requests_active'
+    REQUEST_TIME = 'entry.request_ms'
+    CALL_ATTEMPTS = 'calls.attempts'
+    CALL_RETRIES = 'calls.retries'
+    CALL_TIME = 'calls.attempt_ms'
+    CLAIMS_MADE = 'claims.made'
+    CLAIMS_KNOWN = 'claims.known'
+    CLAIMS_REFUSED = 'claims.refused'
+    CLAIM_TIME = 'claims.claim_ms'
+    AGENT_CALLS = 'agent.calls'
+    AGENT_CALL_TIME = 'agent.call_ms'
+    AGENT_CALLS_RUNNING = 'agent.calls_running'
+
+
+class _Client(statsd.StatsClient):  # type: ignore[misc]
+    """A statsd client that drops a datagram instead of waiting."""
+
+    def __init__(self, cfg: MetricsSettings) -> None:
+        super().__init__(cfg.host, cfg.port, prefix=cfg.prefix)
+        self._sock.setblocking(False)
+
+
+class Metrics:
+    """Collects the metrics of one process; without a host it is off."""
+
+    def __init__(self, cfg: MetricsSettings) -> None:
+        self._cfg: Final = cfg
+        self._client: Final = _Client(cfg) if cfg.host else None
+        self._counts: Final = Counter[Metric]()
+        self._gauges: Final[dict[Metric, float]] = {}
+        self._times: Final[dict[Metric, HdrHistogram]] = {}
+
+    @property
+    def enabled(self) -> bool:
+        """Whether metrics are collected."""
+        return self._client is not None
+
+    def count(self, metric: Metric, amount: int = 1) -> None:
+        """Add to a counter."""
+        if self._client is not None:
+            self._counts[metric] += amount
+
+    def gauge(self, metric: Metric, level: float) -> None:
+        """Set a gauge; the last value before a flush is sent."""
+        if self._client is not None:
+            self._gauges[metric] = level
+
+    def time(self, metric: Metric, elapsed_ms: float) -> None:
+        """Add a duration in milliseconds to a timer."""
+        if self._client is None:
+            return
+        histogram = self._times.get(metric)
+        if histogram is None:
+            histogram = HdrHistogram(1, MAX_TIME_US, SIGNIFICANT_DIGITS)
+            self._times[metric] = histogram
+        elapsed_us = int(elapsed_ms * US_PER_MS)
+        histogram.record_value(min(MAX_TIME_US, max(1, elapsed_us)))
+
+    @contextmanager
+    def timed(self, metric: Metric) -> Iterator[None]:
+        """Add the duration of a block to a timer."""
+        start = time.monotonic()
+        try:
+            yield
+        finally:
+            self.time(metric, (time.monotonic() - start) * MS_PER_S)
+
+    async def run(self) -> None:
+        """Send what was collected at each interval, until cancelled."""
+        if self._client is None:
+            return
+        while True:
+            await anyio.sleep(self._cfg.flush_ms / MS_PER_S)
+            self.flush()
+
+    def flush(self) -> None:
+        """Send what was collected since the last flush."""
+        if self._client is None:
+            return
+        with self._client.pipeline() as batch:
+            for counter, amount in self._counts.items():
+                batch.incr(counter.value, amount)
+            for gauge, level in self._gauges.items():
+                batch.gauge(gauge.value, level)
+            for timer, histogram in self._times.items():
+                for share in SENT_PERCENTILES:
+                    value_us = histogram.get_value_at_percentile(share)
+                    batch.timing(f'{timer}.p{share}', value_us / US_PER_MS)
+        self._counts.clear()
+        self._gauges.clear()
+        self._times.clear()
--- /dev/null
+++ b/src/masticwind/tracing.py
@@ -0,0 +1,97 @@
+"""Traces: one span per hop, written as JSON lines by a background thread.
+
+The context travels between processes as a W3C traceparent string. While
+tracing is off, a span only passes the context of its parent on.
+
+    with tracer.span('entry.attempt', parent) as span:
+        offer = Offer(..., trace=span.context)
+"""
+
+from collections.abc import Iterator, Mapping
+from contextlib import AbstractContextManager, contextmanager, nullcontext
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+from opentelemetry.context import Context
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    ConsoleSpanExporter,
+)
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.trace import set_span_in_context
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+from masticwind.settings import TraceSettings
+
+TRACEPARENT: Final = 'traceparent'
+Attributes = Mapping[str, str | int]
+
+
+@dataclass(frozen=True, slots=True)
+class SpanContext:
+    """A span as later hops see it; `context` is a traceparent or empty."""
+
+    context: str
+
+
+class Tracer:
+    """Makes the spans of one process; without a file it is off."""
+
+    def __init__(self, cfg: TraceSettings, node: str) -> None:
+        self._provider: TracerProvider | None = None
+        self._propagator: Final = TraceContextTextMapPropagator()
+        if not cfg.file:
+            return
+        out = Path(cfg.file).open('a', encoding='utf-8')
+        provider = TracerProvider(
+            sampler=ParentBased(TraceIdRatioBased(cfg.sample_share)),
+            resource=Resource({'service.name': 'masticwind', 'node': node}),
+        )
+        exporter = ConsoleSpanExporter(out=out, formatter=_json_line)
+        provider.add_span_processor(BatchSpanProcessor(exporter))
+        self._provider = provider
+
+    def span(
+        self,
+        name: str,
+        parent: str = '',
+        attributes: Attributes | None = None,
+    ) -> AbstractContextManager[SpanContext]:
+        """Open a span below `parent`, a traceparent string or empty."""
+        if self._provider is None:
+            return nullcontext(SpanContext(parent))
+        return self._span(name, parent, attributes)
+
+    def close(self) -> None:
+        """Write the spans that are still waiting."""
+        if self._provider is not None:
+            self._provider.shutdown()
+
+    @contextmanager
+    def _span(
+        self,
+        name: str,
+        parent: str,
+        attributes: Attributes | None,
+    ) -> Iterator[SpanContext]:
+        assert self._provider is not None
+        # An invalid traceparent starts a new trace.
+        above = self._propagator.extract({TRACEPARENT: parent}, Context())
+        tracer = self._provider.get_tracer('masticwind')
+        span = tracer.start_span(name, above, attributes=attributes)
+        carrier: dict[str, str] = {}
+        self._propagator.inject(carrier, set_span_in_context(span, above))
+        try:
+            yield SpanContext(carrier.get(TRACEPARENT, ''))
+        finally:
+            span.end()
+
+
+def _json_line(span: ReadableSpan) -> str:
+    line: str = span.to_json(indent=None)
+    return f'{line}\n'
--- a/src/masticwind_dev/bench/orders.py
+++ b/src/masticwind_dev/bench/orders.py
@@ -223,9 +223,7 @@
     }
 
 
-def measure(
-    plan: Annotated[OrdersPlan, cyclopts.Parameter(name='*')] = OrdersPlan(),
-) -> None:
+def measure(plan: _Plan = DEFAULT_PLAN) -> None:
     """Claim orders at a fixed rate and print what was measured as JSON."""
     found = anyio.run(
         _measure,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -25,6 +25,8 @@
     Record,
     claim_key,
     decode_head,
+)
+from masticwind.entry.claim_segments import (
     merge_rows,
     search_segment,
     segment_rows,
--- /dev/null
+++ b/tests/test_telemetry.py
@@ -0,0 +1,97 @@
+"""Metrics and traces."""
+
+import re
+import socket
+from pathlib import Path
+
+import msgspec
+
+from masticwind.metrics import Metric, Metrics
+from masticwind.settings import MetricsSettings, TraceSettings
+from masticwind.tracing import Tracer
+
+PAGE = Path(__file__).parent.parent / 'docs' / 'METRICS.md'
+SOURCE = Path(__file__).parent.parent / 'src' / 'masticwind'
+PARENT = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'
+
+
+def test_page_lists_every_metric_with_its_type() -> None:
+    """Guards against a page that has fallen behind the code."""
+    rows = re.findall(r'^\| `([^`]+)` \| (\w+) \|', PAGE.read_text(), re.M)
+    assert [name for name, _ in rows] == [one.value for one in Metric]
+    code = ''.join(
+        path.read_text()
+        for path in SOURCE.rglob('*.py')
+        if path.name != 'metrics.py'
+    )
+    calls = {
+        'counter': r'\.count\(\s*Metric\.{}\b',
+        'gauge': r'\.gauge\(\s*Metric\.{}\b',
+        'timer': r'\.timed?\(\s*Metric\.{}\b',
+    }
+    for name, kind in rows:
+        member = Metric(name).name
+        assert re.search(calls[kind].format(member), code), name
+
+
+def test_metrics_are_aggregated_and_sent() -> None:
+    """Guards against metrics that never leave the process."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+        receiver.bind(('127.0.0.1', 0))
+        receiver.settimeout(5)
+        port = receiver.getsockname()[1]
+        metrics = Metrics(MetricsSettings(host='127.0.0.1', port=port))
+        for _ in range(3):
+            metrics.count(Metric.REQUESTS)
+        metrics.gauge(Metric.REQUESTS_ACTIVE, 2)
+        metrics.time(Metric.REQUEST_TIME, 10)
+        metrics.flush()
+        text = receiver.recv(4096).decode()
+    assert 'masticwind.entry.requests:3|c' in text
+    assert 'masticwind.entry.requests_active:2|g' in text
+    assert 'masticwind.entry.request_ms.p50:' in text
+
+
+def test_metrics_without_a_host_keep_nothing() -> None:
+    """Guards against memory that grows while metrics are off."""
+    metrics = Metrics(MetricsSettings())
+    metrics.count(Metric.REQUESTS)
+    metrics.time(Metric.REQUEST_TIME, 10)
+    metrics.flush()
+    assert not metrics.enabled
+    assert not metrics._counts
+    assert not metrics._times
+
+
+def test_spans_of_two_processes_form_one_trace(tmp_path: Path) -> None:
+    """Guards against a context that is lost between hops."""
+    files = [tmp_path / 'entry.jsonl', tmp_path / 'agent.jsonl']
+    entry, agent = (
+        Tracer(TraceSettings(file=str(path)), path.stem) for path in files
+    )
+    with entry.span('entry.request', PARENT) as request:
+        with agent.span('agent.call', request.context) as call:
+            assert call.context != request.context
+    entry.close()
+    agent.close()
+    spans = [msgspec.json.decode(path.read_text()) for path in files]
+    traces = {span['context']['trace_id'] for span in spans}
+    assert traces == {f'0x{PARENT[3:35]}'}
+    assert spans[0]['parent_id'] == f'0x{PARENT[36:52]}'
+    assert spans[1]['parent_id'] == spans[0]['context']['span_id']
+
+
+def test_tracer_that_is_off_passes_the_context_on() -> None:
+    """Guards against a hop without tracing that cuts a trace in two."""
+    tracer = Tracer(TraceSettings(), 'entry')
+    with tracer.span('entry.request', PARENT) as span:
+        assert span.context == PARENT
+
+
+def test_invalid_context_starts_a_new_trace(tmp_path: Path) -> None:
+    """Guards against a caller that breaks requests with its header."""
+    tracer = Tracer(TraceSettings(file=str(tmp_path / 'x')), 'entry')
+    with tracer.span('entry.request', 'not a context') as span:
+        # The second flag says that the trace id is random.
+        assert re.fullmatch('00-[0-9a-f]{32}-[0-9a-f]{16}-0[13]', span.context)
+    tracer.close()
