--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -14,7 +14,12 @@
 from masticwind.entry.router import make_router
 from masticwind.metrics import Metrics
 from masticwind.node import Node
-from masticwind.platform.http import HttpInstanceList, HttpKeyValue
+from masticwind.planner.runner import Planner
+from masticwind.platform.http import (
+    HttpInstanceList,
+    HttpKeyValue,
+    HttpWeightStore,
+)
 from masticwind.settings import EntrySettings
 from masticwind.tracing import Tracer
 from masticwind.web import WebServer
@@ -66,7 +71,17 @@
             tasks.start_soon(self.pool.run)
             tasks.start_soon(self.claims.run)
             tasks.start_soon(self.metrics.run)
-            store = ConfigStore(HttpKeyValue(self._cfg.platform))
+            key_value = HttpKeyValue(self._cfg.platform)
+            if self._cfg.planner:
+                planner = Planner(
+                    self._cfg,
+                    self.config,
+                    self.pool,
+                    key_value,
+                    HttpWeightStore(self._cfg.platform),
+                )
+                tasks.start_soon(planner.run)
+            store = ConfigStore(key_value)
             tasks.start_soon(ConfigWatcher(store, self.config).run)
             await self._server.run()
             tasks.cancel_scope.cancel()
