Hold the segments of a read apart from the cache

A look-up of an outcome that reads an older head dropped segments that a round still searched. The search now uses the segments of its own read. Also checks that the spans of one order form one trace.

--- a/src/masticwind/entry/claim_bucket.py
+++ b/src/masticwind/entry/claim_bucket.py
@@ -91,6 +91,26 @@
         self.done.set()
 
 
+@dataclass(frozen=True, slots=True)
+class _View:
+    """One read of a bucket: its head, revision and all its segments.
+
+    The segments are held here, because another read of this entry may drop
+    them from the cache meanwhile.
+    """
+
+    head: Head
+    revision: int
+    segments: dict[str, bytes]
+
+    def archived(self, key: bytes) -> Record | None:
+        for ref in reversed(self.head.segments):
+            found = search_segment(self.segments[ref.name], key)
+            if found is not None:
+                return found
+        return None
+
+
 class Bucket:
     """The claims of this entry in one bucket."""
 
@@ -158,10 +178,10 @@
         read = await self._read()
         if isinstance(read, Failure):
             return read
-        for record in read[0].records:
+        for record in read.head.records:
             if record.key == key:
                 return self._outcomes.get(record.token, record)
-        return self._archived(key, read[0])
+        return read.archived(key)
 
     async def round(self) -> None:
         """Read the head, decide on what waits and write the head once."""
@@ -169,25 +189,24 @@
         if isinstance(read, Failure):
             self._fail(self._waiting.copy(), read)
             return
-        head, revision = read
-        known = {one.key: one for one in head.records}
+        known = {one.key: one for one in read.head.records}
         changed = self._apply_outcomes(known)
-        batch = self._decide(known, head, revision)
+        batch = self._decide(known, read)
         if not (batch or changed):
             self._outcomes.clear()
             return
-        new = await self._seal(Head(head.segments, tuple(known.values())))
+        new = await self._seal(read, tuple(known.values()))
         if isinstance(new, Failure):
             self._fail(batch, new)
             return
         written = await self._key_value.compare_and_swap(
             self._key,
             encode_head(new),
-            revision,
+            read.revision,
         )
         if isinstance(written, Written):
             self._commit(batch, changed, written.revision)
-            await self._drop(head, new)
+            await self._drop(read.head, new)
         elif isinstance(written, Unknown):
             for waiter in batch:
                 waiter.attempted = True
@@ -198,7 +217,7 @@
     def _key(self) -> str:
         return f'claims/{self._name}'
 
-    async def _read(self) -> tuple[Head, int] | Failure:
+    async def _read(self) -> _View | Failure:
         failure = Failure(
             kind=ErrorKind.PLATFORM_DOWN,
             reason='a segment of claims is missing',
@@ -211,16 +230,19 @@
                 head = decode_head(found.value)
             except msgspec.DecodeError as exc:
                 return Failure(kind=ErrorKind.PLATFORM_DOWN, reason=str(exc))
-            missing = await self._load(head)
-            if missing is None:
-                return head, found.revision
-            failure = missing
+            segments = await self._load(head)
+            if not isinstance(segments, Failure):
+                return _View(head, found.revision, segments)
+            failure = segments
         return failure
 
-    async def _load(self, head: Head) -> Failure | None:
+    async def _load(self, head: Head) -> dict[str, bytes] | Failure:
         """Read the segments that this entry does not hold yet."""
+        segments: dict[str, bytes] = {}
         for ref in head.segments:
-            if ref.name in self._segments:
+            cached = self._segments.get(ref.name)
+            if cached is not None:
+                segments[ref.name] = cached
                 continue
             found = await self._key_value.get(f'{self._key}/{ref.name}')
             if isinstance(found, Failure):
@@ -230,18 +252,11 @@
                     kind=ErrorKind.PLATFORM_DOWN,
                     reason='a segment of claims is missing',
                 )
+            # Cached at once: a long history may take several rounds.
             self._segments[ref.name] = found.value
-        names = {one.name for one in head.segments}
-        for name in self._segments.keys() - names:
-            self._segments.pop(name)
-        return None
-
-    def _archived(self, key: bytes, head: Head) -> Record | None:
-        for ref in reversed(head.segments):
-            found = search_segment(self._segments[ref.name], key)
-            if found is not None:
-                return found
-        return None
+            segments[ref.name] = found.value
+        self._segments = segments.copy()
+        return segments
 
     def _apply_outcomes(self, known: dict[bytes, Record]) -> list[Record]:
         changed: list[Record] = []
@@ -255,8 +270,7 @@
     def _decide(
         self,
         known: dict[bytes, Record],
-        head: Head,
-        revision: int,
+        read: _View,
     ) -> list[Waiter]:
         batch: list[Waiter] = []
         added: set[bytes] = set()
@@ -267,14 +281,14 @@
                 continue
             if key in added or len(batch) >= MAX_BATCH:
                 continue
-            found = known.get(key) or self._archived(key, head)
+            found = known.get(key) or read.archived(key)
             if _claimable(found):
                 known.pop(key, None)
                 known[key] = waiter.order.record()
                 added.add(key)
                 batch.append(waiter)
             elif found is not None:
-                self._resolve(waiter, _answer(waiter, found, revision))
+                self._resolve(waiter, _answer(waiter, found, read.revision))
         return batch
 
     def _commit(
@@ -312,8 +326,13 @@
         claim = waiter.order.record()
         self.record(msgspec.structs.replace(claim, state=ClaimState.NOT_RUN))
 
-    async def _seal(self, head: Head) -> Head | Failure:
+    async def _seal(
+        self,
+        read: _View,
+        records: tuple[Record, ...],
+    ) -> Head | Failure:
         """Move old claims to a segment if the head has grown too large."""
+        head = Head(read.head.segments, records)
         if len(encode_head(head)) <= self._cfg.head_bytes:
             return head
         horizon = time.time() - self._cfg.retention_s
@@ -327,7 +346,7 @@
         old, recent = split_records(head.records)
         rows = segment_rows(old)
         if kept and kept[-1].count + len(old) <= self._cfg.segment_claims:
-            rows = merge_rows(self._segments[kept.pop().name], rows)
+            rows = merge_rows(read.segments[kept.pop().name], rows)
         ref = new_segment(rows)
         await self._pace.wait()
         written = await self._key_value.compare_and_swap(
--- a/src/masticwind_dev/local/fleet.py
+++ b/src/masticwind_dev/local/fleet.py
@@ -22,6 +22,7 @@
     EntrySettings,
     PeerSettings,
     PlatformSettings,
+    TraceSettings,
 )
 from masticwind.web import App, WebServer
 from masticwind_dev.standins.engine import EngineModel, EngineStandin
@@ -47,6 +48,7 @@
     services: dict[str, str] = field(default_factory=dict)
     service_of: dict[str, str] = field(default_factory=dict)
     claims: ClaimSettings = field(default_factory=ClaimSettings)
+    traces: TraceSettings = field(default_factory=TraceSettings)
     entries: tuple[str, ...] = ('entry-1',)
     entry_zone: str = 'local-a'
     entry_port: int = 0
@@ -102,6 +104,7 @@
                     platform=self.platform,
                     instances_poll_ms=100,
                     claims=self.plan.claims,
+                    traces=self.plan.traces,
                 )
             )
             self.entries[node] = entry
@@ -137,6 +140,7 @@
                 endpoint_url=url,
                 kind='service' if service else 'engine',
                 service=service,
+                traces=self.plan.traces,
                 peers=self._peers,
                 platform=self.platform,
             ),
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from pathlib import Path
 from typing import Any
 
 import anyio
@@ -15,7 +16,7 @@
 from masticwind.entry.claim_bucket import ClaimAnswer
 from masticwind.entry.claim_records import Order
 from masticwind.httpclient import HttpAnswer, HttpClient
-from masticwind.settings import ClaimSettings
+from masticwind.settings import ClaimSettings, TraceSettings
 from masticwind_dev.local.fleet import Fleet, FleetPlan, running_fleet
 from tests.scenarios import FREE_TOKEN, PAID_TOKEN, sample_config
 
@@ -30,7 +31,7 @@
 
 
 @asynccontextmanager
-async def orders_fleet() -> AsyncIterator[Fleet]:
+async def orders_fleet(trace_file: str = '') -> AsyncIterator[Fleet]:
     """Run two entries before two endpoints of one service."""
     plan = FleetPlan(
         config=sample_config(services={'orders': ORDERS}),
@@ -38,6 +39,7 @@
         services={'o-1': 'zone-a', 'o-2': 'zone-b'},
         service_of={'o-1': 'orders', 'o-2': 'orders'},
         claims=ClaimSettings(outcome_delay_ms=50),
+        traces=TraceSettings(file=trace_file),
         entries=('entry-1', 'entry-2'),
         entry_zone='zone-a',
     )
@@ -255,6 +257,34 @@
     assert answers[0].status == 200
 
 
+async def test_spans_of_an_order_form_one_trace(tmp_path: Path) -> None:
+    """Guards against a hop that drops the trace context."""
+    file = tmp_path / 'spans.jsonl'
+    trace_id = '0af7651916cd43dd8448eb211c80319c'
+    async with orders_fleet(str(file)) as fleet:
+        await order(
+            fleet,
+            'k1',
+            traceparent=f'00-{trace_id}-b7ad6b7169203331-01',
+        )
+        for agent in fleet.agents.values():
+            await agent.drain()
+        for entry in fleet.entries.values():
+            entry.tracer.close()
+    spans = [msgspec.json.decode(one) for one in file.read_text().splitlines()]
+    traced = {
+        span['name']
+        for span in spans
+        if span['context']['trace_id'] == f'0x{trace_id}'
+    }
+    assert traced == {
+        'entry.request',
+        'entry.claim',
+        'entry.attempt',
+        'agent.call',
+    }
+
+
 async def _collect(
     answers: list[HttpAnswer],
     fleet: Fleet,
