--- a/src/masticwind/entry/claim_bucket.py
+++ b/src/masticwind/entry/claim_bucket.py
@@ -43,13 +43,16 @@
 
 
 class Pace:
-    """Spaces the writes of one entry evenly.
+    """Spaces the writes of one entry evenly, one round at a time.
 
     The key-value service counts all entries' writes together, so each entry
-    keeps to its own share.
+    keeps to its own share. Rounds side by side would share the processor,
+    which makes the time between read and write longer: at 2,000 orders/s,
+    45% of the writes of two entries met a conflict, and orders were refused.
     """
 
     def __init__(self, per_s: float) -> None:
+        self.turn: Final = anyio.Lock()
         self._interval_s: Final = 1 / per_s
         self._next = 0.0
 
@@ -169,7 +172,8 @@
                 with anyio.move_on_after(delay_s):
                     await self._wake.wait()
             await self._pace.wait()
-            await self.round()
+            async with self._pace.turn:
+                await self.round()
             if not self.settled:
                 self._wake.set()
 
--- a/src/masticwind/metrics.py
+++ b/src/masticwind/metrics.py
@@ -12,7 +12,7 @@
 import time
 from collections import Counter
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager, nullcontext
 from typing import Final
 
 import anyio
@@ -26,6 +26,7 @@
 MAX_TIME_US: Final = 3_600_000_000
 SIGNIFICANT_DIGITS: Final = 2
 SENT_PERCENTILES: Final = (50, 95, 99)
+_OFF: Final = nullcontext()
 
 
 class Metric(enum.StrEnum):
@@ -91,14 +92,9 @@
         elapsed_us = int(elapsed_ms * US_PER_MS)
         histogram.record_value(min(MAX_TIME_US, max(1, elapsed_us)))
 
-    @contextmanager
-    def timed(self, metric: Metric) -> Iterator[None]:
+    def timed(self, metric: Metric) -> AbstractContextManager[None]:
         """Add the duration of a block to a timer."""
-        start = time.monotonic()
-        try:
-            yield
-        finally:
-            self.time(metric, (time.monotonic() - start) * MS_PER_S)
+        return _OFF if self._client is None else self._timed(metric)
 
     async def run(self) -> None:
         """Send what was collected at each interval, until cancelled."""
@@ -124,3 +120,11 @@
         self._counts.clear()
         self._gauges.clear()
         self._times.clear()
+
+    @contextmanager
+    def _timed(self, metric: Metric) -> Iterator[None]:
+        start = time.monotonic()
+        try:
+            yield
+        finally:
+            self.time(metric, (time.monotonic() - start) * MS_PER_S)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -13,6 +13,7 @@
 
 from masticwind.budget import Budget
 from masticwind.config.model import CallRule, PlainService
+from masticwind.entry.calls import MAX_CALL_BYTES
 from masticwind.entry.claim_bucket import ClaimAnswer
 from masticwind.entry.claim_records import Order
 from masticwind.httpclient import HttpAnswer, HttpClient
@@ -138,6 +139,19 @@
     assert told['state'] == 'done'
 
 
+async def test_large_body_and_bad_key_are_refused() -> None:
+    """Guards against a call that does not fit the inner protocol."""
+    async with orders_fleet() as fleet:
+        large = await order(fleet, 'k1', body=b'x' * (MAX_CALL_BYTES + 1))
+        fits = await order(fleet, 'k2', body=b'x' * MAX_CALL_BYTES)
+        bad_key = await order(fleet, 'k' * 129)
+        assert runs(fleet) == {'k2': 1}
+    assert large.status == 413
+    assert error_of(large)['run'] == 'not_run'
+    assert fits.status == 200
+    assert bad_key.status == 400
+
+
 async def test_order_runs_once_and_is_answered_again() -> None:
     """Guards against a second run, and an answer to another call's key."""
     async with orders_fleet() as fleet:
