Delete the segment of a seal that met a conflict

The segment is written before the head. When another entry wrote the head in between, the segment stayed in the key-value service for ever. A test with two interleaved entries failed before the change. The full store is now found after the newest segment was merged.

--- a/src/masticwind/entry/claim_bucket.py
+++ b/src/masticwind/entry/claim_bucket.py
@@ -214,7 +214,10 @@
         elif isinstance(written, Unknown):
             for waiter in batch:
                 waiter.attempted = True
-        elif not isinstance(written, Conflict):
+        elif isinstance(written, Conflict):
+            # This write took no effect, so no head names its segment.
+            await self._drop(new, read.head)
+        else:
             self._fail(batch, written)
 
     @property
@@ -341,16 +344,16 @@
             return head
         horizon = time.time() - self._cfg.retention_s
         kept = [one for one in head.segments if one.sealed_at >= horizon]
+        old, recent = split_records(head.records)
+        rows = segment_rows(old)
+        if kept and kept[-1].count + len(old) <= self._cfg.segment_claims:
+            rows = merge_rows(read.segments[kept.pop().name], rows)
         if len(kept) >= self._cfg.max_segments:
             return Failure(
                 kind=ErrorKind.OVERLOADED,
                 reason='the claims of the retention period fill the store',
                 retry_after_ms=FULL_RETRY_MS,
             )
-        old, recent = split_records(head.records)
-        rows = segment_rows(old)
-        if kept and kept[-1].count + len(old) <= self._cfg.segment_claims:
-            rows = merge_rows(read.segments[kept.pop().name], rows)
         ref = new_segment(rows)
         await self._pace.wait()
         written = await self._key_value.compare_and_swap(
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -384,6 +384,25 @@
     assert isinstance(repeated.answer, Record)
 
 
+def test_conflict_after_a_seal_leaves_no_segment_behind() -> None:
+    """Guards against segments that fill the store and no head names."""
+    key_value, (first, second) = _pair(ClaimSettings(head_bytes=1024))
+    for number in range(30):
+        first.bucket.add(new_order(f'n{number}'))
+    # Start, read the head, write the segment.
+    for _ in range(4):
+        first.step('')
+    assert list(key_value.data) != ['claims/0']
+    second.bucket.add(new_order('a'))
+    second.run()
+    first.run()
+    first.run()
+    head = decode_head(key_value.data['claims/0'].value)
+    named = {f'claims/0/{ref.name}' for ref in head.segments}
+    assert set(key_value.data) == {'claims/0', *named}
+    assert first.bucket.settled
+
+
 @pytest.mark.parametrize('count', [1, 2, 50])
 def test_segments_find_every_claim(count: int) -> None:
     """Guards against a search or a merge that misses a sealed claim."""
