--- a/src/masticwind/entry/calls.py
+++ b/src/masticwind/entry/calls.py
@@ -27,7 +27,6 @@
     send_call,
 )
 from masticwind.entry.chat import TIMEOUT_HEADER, Caller, read_timeout
-from masticwind.entry.claim_bucket import ClaimAnswer, Claimed
 from masticwind.entry.claim_records import (
     Order,
     Record,
@@ -35,6 +34,7 @@
     call_identity,
     claim_key,
 )
+from masticwind.entry.claim_waiters import ClaimAnswer, Claimed
 from masticwind.entry.claims import Claims
 from masticwind.entry.outcomes import Outcome, RequestLog, digest_text
 from masticwind.entry.peers import AgentLink, AgentPool
--- a/src/masticwind/entry/claim_bucket.py
+++ b/src/masticwind/entry/claim_bucket.py
@@ -28,6 +28,12 @@
     segment_rows,
     split_records,
 )
+from masticwind.entry.claim_waiters import (
+    ClaimAnswer,
+    Claimed,
+    Pace,
+    Waiter,
+)
 from masticwind.errors import ErrorKind, Failure
 from masticwind.platform.base import Conflict, KeyValue, Unknown, Written
 from masticwind.settings import ClaimSettings
@@ -42,58 +48,6 @@
 MAX_READS: Final = 3
 
 
-class Pace:
-    """Spaces the writes of one entry evenly, one round at a time.
-
-    The key-value service counts all entries' writes together, so each entry
-    keeps to its own share. Rounds side by side would share the processor,
-    which makes the time between read and write longer: at 2,000 orders/s,
-    45% of the writes of two entries met a conflict, and orders were refused.
-    """
-
-    def __init__(self, per_s: float) -> None:
-        self.turn: Final = anyio.Lock()
-        self._interval_s: Final = 1 / per_s
-        self._next = 0.0
-
-    async def wait(self) -> None:
-        """Wait for the next free slot."""
-        now = time.monotonic()
-        at = max(now, self._next)
-        self._next = at + self._interval_s
-        await anyio.sleep(at - now)
-
-
-@dataclass(frozen=True, slots=True)
-class Claimed:
-    """The claim is this process's; `fencing` is the write's revision."""
-
-    order: Order
-    fencing: int
-
-
-ClaimAnswer = Claimed | Record | Failure
-
-
-@dataclass(slots=True, eq=False)
-class Waiter:
-    """A claim that waits for a write.
-
-    `attempted` tells that a write with this claim may still take effect.
-    """
-
-    order: Order
-    done: anyio.Event
-    answer: ClaimAnswer | None = None
-    attempted: bool = False
-    abandoned: bool = False
-
-    def resolve(self, answer: ClaimAnswer) -> None:
-        """Set the answer."""
-        self.answer = answer
-        self.done.set()
-
-
 @dataclass(frozen=True, slots=True)
 class _View:
     """One read of a bucket: its head, revision and all its segments.
--- a/src/masticwind/entry/claims.py
+++ b/src/masticwind/entry/claims.py
@@ -15,8 +15,9 @@
 import msgspec
 
 from masticwind.budget import Budget
-from masticwind.entry.claim_bucket import Bucket, ClaimAnswer, Claimed, Pace
+from masticwind.entry.claim_bucket import Bucket
 from masticwind.entry.claim_records import ClaimState, Order, Record
+from masticwind.entry.claim_waiters import ClaimAnswer, Claimed, Pace
 from masticwind.errors import ErrorKind, Failure
 from masticwind.platform.base import KeyValue
 from masticwind.settings import ClaimSettings
--- a/src/masticwind_dev/bench/orders.py
+++ b/src/masticwind_dev/bench/orders.py
@@ -18,7 +18,6 @@
 from hdrh.histogram import HdrHistogram
 
 from masticwind.budget import Budget
-from masticwind.entry.claim_bucket import Claimed
 from masticwind.entry.claim_records import (
     ClaimState,
     Order,
@@ -26,6 +25,7 @@
     call_identity,
     claim_key,
 )
+from masticwind.entry.claim_waiters import Claimed
 from masticwind.entry.claims import ClaimOutcome, Claims
 from masticwind.errors import Failure
 from masticwind.httpclient import HttpClient
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -14,8 +14,8 @@
 from masticwind.budget import Budget
 from masticwind.config.model import CallRule, PlainService
 from masticwind.entry.calls import MAX_CALL_BYTES
-from masticwind.entry.claim_bucket import ClaimAnswer
 from masticwind.entry.claim_records import Order
+from masticwind.entry.claim_waiters import ClaimAnswer
 from masticwind.httpclient import HttpAnswer, HttpClient
 from masticwind.settings import ClaimSettings, TraceSettings
 from masticwind_dev.local.fleet import Fleet, FleetPlan, running_fleet
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -18,7 +18,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from masticwind.entry.claim_bucket import Bucket, Claimed, Pace, Waiter
+from masticwind.entry.claim_bucket import Bucket
 from masticwind.entry.claim_records import (
     ClaimState,
     Order,
@@ -31,6 +31,7 @@
     search_segment,
     segment_rows,
 )
+from masticwind.entry.claim_waiters import Claimed, Pace, Waiter
 from masticwind.errors import ErrorKind, Failure, not_run
 from masticwind.platform.base import (
     Conflict,
