--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -32,6 +32,7 @@
     Revoke,
 )
 from masticwind.settings import AgentSettings
+from masticwind.telemetry import make_telemetry
 
 
 class Agent(PeerHandler):
@@ -42,6 +43,7 @@
         self._tasks: Final = tasks
         self.config: Final = CurrentConfig()
         self._drainer: Final = Drainer(cfg)
+        self._telemetry: Final = make_telemetry(cfg)
         engine = HttpEngine(cfg.endpoint_url)
         self._cache: Final = CachePublisher(engine)
         self._executor: Final = Executor(
@@ -53,6 +55,7 @@
             cfg,
             self.config,
             HttpService(cfg.endpoint_url),
+            self._telemetry,
         )
         node = Node(
             role='agent',
@@ -77,6 +80,7 @@
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._listener.run)
+            tasks.start_soon(self._telemetry.metrics.run)
             if self._cfg.kind == 'engine':
                 tasks.start_soon(self._executor.run)
                 tasks.start_soon(self._cache.run)
@@ -89,6 +93,7 @@
     async def drain(self) -> None:
         """Refuse new work and wait until the running work has ended."""
         await self._drainer.drain(self._executor, self._calls)
+        self._telemetry.tracer.close()
 
     def load(self) -> Load:
         """Return the load report for the next heartbeat."""
@@ -109,6 +114,9 @@
 
     async def handle(self, channel: Channel, message: AnyMessage) -> None:
         """Act on one message of an entry."""
+        if self._cfg.kind == 'service':
+            self._handle_call(channel, message)
+            return
         match message:
             case Offer():
                 self._executor.offer(channel, message)
@@ -120,8 +128,6 @@
                 self._executor.revoke(channel, message)
             case Cancel():
                 self._executor.cancel(message)
-            case Call():
-                self._tasks.start_soon(self._calls.call, channel, message)
             case _:
                 self._handle_resources(channel, message)
 
@@ -133,3 +139,12 @@
                 self._executor.release(message)
             case EndpointOrder():
                 self._tasks.start_soon(self._orders.carry_out, message)
+
+    def _handle_call(self, channel: Channel, message: AnyMessage) -> None:
+        match message:
+            case Call():
+                self._tasks.start_soon(self._calls.call, channel, message)
+            case Resume():
+                self._calls.resume(channel, message)
+            case Revoke():
+                self._calls.revoke(channel, message)
--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -1,23 +1,31 @@
 """The entry's HTTP application: routes, authentication, error answers."""
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import Final
 
 from masticwind.budget import Budget
 from masticwind.config.current import CurrentConfig
+from masticwind.entry.attempts import ModelRequest
+from masticwind.entry.calls import PREFIX as SERVICES
+from masticwind.entry.calls import CallParts, Calls
 from masticwind.entry.chat import (
     Caller,
     build_request,
     read_timeout,
     relay_until_gone,
 )
-from masticwind.entry.chat_body import BodyReader, read_large_body
+from masticwind.entry.chat_body import BodyReader, Prepared, read_large_body
 from masticwind.entry.chat_stream import ChatStream
+from masticwind.entry.claims import Claims
+from masticwind.entry.outcomes import RequestLog, find_outcome
+from masticwind.entry.peers import AgentPool
 from masticwind.entry.relay import Relay
 from masticwind.errors import ANSWERS, ErrorKind, Failure
+from masticwind.metrics import Metric, Metrics
 from masticwind.settings import EntrySettings
+from masticwind.tracing import Tracer
 from masticwind.web import (
     Receive,
     Response,
@@ -30,6 +38,7 @@
 
 MS_PER_S: Final = 1000
 BEARER: Final = 'bearer '
+REQUESTS: Final = '/v1/requests/'
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +48,10 @@
     cfg: EntrySettings
     config: CurrentConfig
     relay: Relay
+    pool: AgentPool
+    claims: Claims
+    metrics: Metrics
+    tracer: Tracer
 
 
 class EntryApp:
@@ -47,6 +60,18 @@
     def __init__(self, parts: AppParts) -> None:
         self._parts: Final = parts
         self._bodies: Final = BodyReader()
+        self._log: Final = RequestLog()
+        self._calls: Final = Calls(
+            CallParts(
+                parts.cfg,
+                parts.config,
+                parts.pool,
+                parts.claims,
+                self._log,
+                parts.metrics,
+                parts.tracer,
+            )
+        )
         self._active = 0
         self.draining = False
 
@@ -57,12 +82,17 @@
         send: Send,
     ) -> None:
         """Serve one request."""
+        metrics = self._parts.metrics
         self._active += 1
+        metrics.gauge(Metric.REQUESTS_ACTIVE, self._active)
         try:
-            failure = await self._route(scope, receive, send)
+            with metrics.timed(Metric.REQUEST_TIME):
+                failure = await self._route(scope, receive, send)
         finally:
             self._active -= 1
+            metrics.gauge(Metric.REQUESTS_ACTIVE, self._active)
         if failure is not None:
+            metrics.count(Metric.FAILURES)
             await send_response(send, failure_response(failure))
 
     @property
@@ -80,10 +110,15 @@
         if path == '/healthz':
             await send_response(send, self._health())
             return None
+        self._parts.metrics.count(Metric.REQUESTS)
         if self.draining:
             return Failure(kind=ErrorKind.DRAINING, reason='shutting down')
         if path == '/v1/chat/completions':
             return await self._chat(scope, receive, send)
+        if path.startswith(SERVICES):
+            return await self._call(scope, receive, send)
+        if path.startswith(REQUESTS):
+            return await self._outcome(scope, send)
         return Failure(kind=ErrorKind.NOT_FOUND, reason=f'no route {path}')
 
     def _health(self) -> Response:
@@ -133,13 +168,86 @@
         req = build_request(chat, caller, budget, self._parts.config)
         if isinstance(req, Failure):
             return req
+        return await self._relay(scope, receive, send, chat, req)
+
+    async def _relay(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        chat: Prepared,
+        req: ModelRequest,
+    ) -> Failure | None:
+        self._log.start(req.team, req.request_id)
         writer = ChatStream(
             send,
             req,
             stream=chat.stream,
             include_usage=chat.include_usage,
         )
-        return await relay_until_gone(self._parts.relay, req, writer, receive)
+        parent = header(scope, b'traceparent')
+        with self._parts.tracer.span('entry.request', parent) as span:
+            outcome = await relay_until_gone(
+                self._parts.relay,
+                replace(req, trace=span.context),
+                writer,
+                receive,
+            )
+        if outcome is None:
+            self._log.close(req.team, req.request_id)
+            return None
+        self._log.finish(req.team, req.request_id, outcome)
+        return await writer.finish(outcome)
+
+    async def _call(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> Failure | None:
+        caller = self._authenticate(scope)
+        if isinstance(caller, Failure):
+            return caller
+        parent = header(scope, b'traceparent')
+        with self._parts.tracer.span('entry.request', parent) as span:
+            answer = await self._calls.serve(
+                scope,
+                receive,
+                caller,
+                span.context,
+            )
+        response = answer.content
+        if isinstance(response, Failure):
+            self._parts.metrics.count(Metric.FAILURES)
+            response = failure_response(response)
+        if answer.request_id:
+            request_id = (b'x-request-id', answer.request_id.encode())
+            response = replace(
+                response,
+                headers=(*response.headers, request_id),
+            )
+        await send_response(send, response)
+        return None
+
+    async def _outcome(self, scope: Scope, send: Send) -> Failure | None:
+        if scope['method'] != 'GET':
+            return Failure(
+                kind=ErrorKind.METHOD_NOT_ALLOWED,
+                reason='use GET',
+            )
+        caller = self._authenticate(scope)
+        if isinstance(caller, Failure):
+            return caller
+        found = await find_outcome(
+            self._log,
+            self._parts.claims,
+            caller.name,
+            scope['path'].removeprefix(REQUESTS),
+        )
+        if isinstance(found, Failure):
+            return found
+        await send_response(send, found)
+        return None
 
     def _authenticate(self, scope: Scope) -> Caller | Failure:
         text = header(scope, b'authorization')
--- a/src/masticwind/entry/chat.py
+++ b/src/masticwind/entry/chat.py
@@ -9,6 +9,7 @@
 from masticwind.budget import Budget
 from masticwind.config.current import CurrentConfig
 from masticwind.config.model import Model, Team, Tier
+from masticwind.engines.base import Done
 from masticwind.entry.attempts import ModelRequest
 from masticwind.entry.chat_body import Prepared
 from masticwind.entry.chat_stream import ChatStream
@@ -114,15 +115,14 @@
     req: ModelRequest,
     writer: ChatStream,
     receive: Receive,
-) -> Failure | None:
-    """Relay an answer; stop when the caller disconnects."""
-    failure: Failure | None = None
+) -> Done | Failure | None:
+    """Relay an answer's tokens; nothing is returned if the caller left."""
+    outcome: Done | Failure | None = None
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
         outcome = await relay.run(req, writer.emit)
-        failure = await writer.finish(outcome)
         tasks.cancel_scope.cancel()
-    return failure
+    return outcome
 
 
 async def _cancel_on_disconnect(
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -9,9 +9,11 @@
 from masticwind.config.store import ConfigStore
 from masticwind.entry.affinity import AffinityIndex
 from masticwind.entry.app import AppParts, EntryApp
+from masticwind.entry.claims import Claims
 from masticwind.entry.peers import AgentPool, PoolParts
 from masticwind.entry.relay import Relay
 from masticwind.entry.router import RoutingView
+from masticwind.metrics import Metrics
 from masticwind.node import Node
 from masticwind.planner.runner import Planner
 from masticwind.platform.http import (
@@ -20,6 +22,7 @@
     HttpWeightStore,
 )
 from masticwind.settings import EntrySettings
+from masticwind.tracing import Tracer
 from masticwind.web import WebServer
 
 DRAIN_POLL_S: Final = 0.05
@@ -45,7 +48,20 @@
         )
         view = RoutingView(cfg, self.affinity)
         relay = Relay(cfg, self.pool, self.config, view)
-        self.app: Final = EntryApp(AppParts(cfg, self.config, relay))
+        self.metrics: Final = Metrics(cfg.metrics)
+        self.tracer: Final = Tracer(cfg.traces, cfg.node)
+        self.claims: Final = Claims(HttpKeyValue(cfg.platform), cfg.claims)
+        self.app: Final = EntryApp(
+            AppParts(
+                cfg,
+                self.config,
+                relay,
+                self.pool,
+                self.claims,
+                self.metrics,
+                self.tracer,
+            ),
+        )
         self._server: Final = WebServer(self.app, cfg.listen)
 
     @property
@@ -57,6 +73,8 @@
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.pool.run)
+            tasks.start_soon(self.claims.run)
+            tasks.start_soon(self.metrics.run)
             key_value = HttpKeyValue(self._cfg.platform)
             if self._cfg.planner:
                 planner = Planner(
@@ -71,6 +89,7 @@
             tasks.start_soon(ConfigWatcher(store, self.config).run)
             await self._server.run()
             tasks.cancel_scope.cancel()
+        self.tracer.close()
 
     async def drain(self) -> None:
         """Take nothing new and wait until the running requests have ended."""
@@ -78,4 +97,5 @@
         with anyio.move_on_after(self._cfg.drain_timeout_ms / MS_PER_S):
             while self.app.active:
                 await anyio.sleep(DRAIN_POLL_S)
+            await self.claims.settle()
         self._server.stop()
--- a/src/masticwind_dev/local/check.py
+++ b/src/masticwind_dev/local/check.py
@@ -33,11 +33,12 @@
 
 
 async def run_checks(fleet: Fleet) -> Sequence[CheckResult]:
-    """Serve prompts of all lengths around a change."""
+    """Serve prompts of all lengths around a change and a repeated order."""
     entry = next(iter(fleet.entries.values()))
     client = HttpClient(f'http://127.0.0.1:{entry.port}')
     checks = [await _check_prompt(client, length) for length in LENGTHS]
     checks.append(await _check_zone_change(fleet, client))
+    checks.append(await _check_order(fleet, client))
     checks.append(await _check_prompt(client, LENGTHS[0], FREE_TOKEN))
     await client.close()
     return checks
@@ -105,6 +106,33 @@
     )
 
 
+async def _check_order(fleet: Fleet, client: HttpClient) -> CheckResult:
+    answers = [await _order(client), await _order(client)]
+    service = next(iter(fleet.services.values()))
+    executed = [one for one in service.executions if one.path == '/orders']
+    first = answers[0]
+    return CheckResult(
+        name='order sent twice with one key',
+        passed=len(executed) == 1
+        and isinstance(first, HttpAnswer)
+        and first.status == OK_STATUS,
+        detail=f'executed {len(executed)} time(s)',
+    )
+
+
+async def _order(client: HttpClient) -> HttpAnswer | Failure:
+    return await client.request(
+        'POST',
+        '/v1/services/orders/orders',
+        timeout_s=TIMEOUT_S,
+        body=b'{"case": 12, "order": "move to dry store"}',
+        headers=[
+            (b'authorization', f'Bearer {PAID_TOKEN}'.encode()),
+            (b'idempotency-key', b'demo-order-1'),
+        ],
+    )
+
+
 def _text_of(answer: HttpAnswer | Failure) -> str:
     if isinstance(answer, Failure) or answer.status != OK_STATUS:
         return ''
--- a/src/masticwind_dev/local/fleet.py
+++ b/src/masticwind_dev/local/fleet.py
@@ -18,9 +18,11 @@
 from masticwind.settings import (
     Address,
     AgentSettings,
+    ClaimSettings,
     EntrySettings,
     PeerSettings,
     PlatformSettings,
+    TraceSettings,
 )
 from masticwind.web import App, WebServer
 from masticwind_dev.standins.engine import EngineModel, EngineStandin
@@ -35,11 +37,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetPlan:
-    """Which parts a local fleet has; `services` maps names to zones."""
+    """Which parts a local fleet has.
+
+    `services` maps endpoints of plain services to zones, and `service_of`
+    gives their service where it differs from the endpoint's name.
+    """
 
     config: Configuration
     engines: dict[str, tuple[str, EngineModel]]
     services: dict[str, str] = field(default_factory=dict)
+    service_of: dict[str, str] = field(default_factory=dict)
+    claims: ClaimSettings = field(default_factory=ClaimSettings)
+    traces: TraceSettings = field(default_factory=TraceSettings)
     entries: tuple[str, ...] = ('entry-1',)
     entry_zone: str = 'local-a'
     entry_port: int = 0
@@ -78,7 +87,12 @@
         for name, zone in self.plan.services.items():
             service = ServiceStandin()
             self.services[name] = service
-            self._start_agent(name, zone, self._serve(service.app), name)
+            self._start_agent(
+                name,
+                zone,
+                self._serve(service.app),
+                self.plan.service_of.get(name, name),
+            )
         self._publish()
         for node in self.plan.entries:
             entry = Entry(
@@ -89,6 +103,8 @@
                     peers=self._peers,
                     platform=self.platform,
                     instances_poll_ms=100,
+                    claims=self.plan.claims,
+                    traces=self.plan.traces,
                 )
             )
             self.entries[node] = entry
@@ -124,6 +140,7 @@
                 endpoint_url=url,
                 kind='service' if service else 'engine',
                 service=service,
+                traces=self.plan.traces,
                 peers=self._peers,
                 platform=self.platform,
             ),
--- a/tests/test_chat_errors.py
+++ b/tests/test_chat_errors.py
@@ -11,8 +11,12 @@
 from masticwind.config.current import CurrentConfig
 from masticwind.config.model import Generation
 from masticwind.entry.app import AppParts, EntryApp
+from masticwind.entry.claims import Claims
+from masticwind.entry.peers import AgentPool
 from masticwind.entry.relay import Relay
 from masticwind.httpclient import HttpClient
+from masticwind.metrics import Metrics
+from masticwind.tracing import Tracer
 from masticwind_dev.local.fleet import FleetPlan, running_fleet
 from masticwind_dev.standins.engine import EngineModel
 from tests.routing_fakes import entry_settings
@@ -26,7 +30,17 @@
     config.adopt(Generation(number=1, config=sample_config()))
     cfg = entry_settings(**changes)
     # Every request of these tests is refused before it is relayed.
-    return EntryApp(AppParts(cfg, config, cast(Relay, None)))
+    return EntryApp(
+        AppParts(
+            cfg,
+            config,
+            cast(Relay, None),
+            cast(AgentPool, None),
+            cast(Claims, None),
+            Metrics(cfg.metrics),
+            Tracer(cfg.traces, cfg.node),
+        ),
+    )
 
 
 async def _post(
