Give free prompts one small step at a time beside paid work

A trial with 25 short paid requests a second had a paid p95 time to first token of 108 ms alone and 166 ms with free requests at 50 a second: several free prompts were computed in one iteration. Agent tests: 41 passed.

--- a/src/masticwind/agent/running.py
+++ b/src/masticwind/agent/running.py
@@ -9,6 +9,9 @@
 from masticwind.agent.requests import AgentRequest, RequestKey
 from masticwind.settings import AgentSettings
 
+# Without a short paid request for this long, the engine is not spared.
+SHORT_RECENT_S: Final = 0.5
+
 
 class Running:
     """The requests that were given to the engine and have not left it."""
@@ -58,6 +61,10 @@
         """Tell whether a prompt is fed in steps as a long one."""
         return req.offer.prompt_tokens >= self._cfg.long_prompt_tokens
 
+    def quiet(self) -> bool:
+        """Tell whether no short paid request has started recently."""
+        return time.monotonic() - self.last_short_at > SHORT_RECENT_S
+
     def long_prefill(self) -> bool:
         """Tell whether a long prompt is being computed."""
         return any(req.prefilling and self.is_long(req) for req in self)
--- a/src/masticwind/agent/scheduler.py
+++ b/src/masticwind/agent/scheduler.py
@@ -199,7 +199,9 @@
         if not outstanding:
             return True
         window = self._rates.peak_tokens_per_s * window_s
-        steps = PAID_WINDOW_STEPS if req.offer.paid else 1
+        steps = PAID_WINDOW_STEPS if req.offer.paid else 0
+        if not steps and self._running.quiet():
+            steps = 1
         window = max(window, steps * self._cfg.prefill_step_tokens)
         return outstanding + req.uncached_tokens <= window
 
--- a/src/masticwind/agent/steps.py
+++ b/src/masticwind/agent/steps.py
@@ -5,7 +5,6 @@
 request is being computed, unless the long request's slack is running out.
 """
 
-import time
 from dataclasses import dataclass
 from typing import Final
 
@@ -20,8 +19,6 @@
 
 MS_PER_S: Final = 1000
 TURN_POLL_S: Final = 0.05
-# Without a short request for this long, steps have their full size.
-SHORT_RECENT_S: Final = 0.5
 # Each step sends its whole prefix; this bounds how often that happens.
 MAX_STEPS: Final = 128
 # After this many evictions the prompt goes to the engine whole.
@@ -43,13 +40,11 @@
     def wanted(self, req: AgentRequest) -> bool:
         """Tell whether a prompt goes in steps.
 
-        Free prompts go in steps when they are larger than one step.
+        Free prompts always do, so that they wait for their turn.
         """
         if req.holds_share or req.imported:
             return False
-        if self.running.is_long(req):
-            return True
-        return not req.offer.paid and req.uncached_tokens > self._step(req)
+        return not req.offer.paid or self.running.is_long(req)
 
     async def feed(self, req: AgentRequest) -> Failure | None:
         """Compute all full blocks of a prompt but the last step's.
@@ -84,12 +79,9 @@
 
     def _step(self, req: AgentRequest) -> int:
         full = self.cfg.prefill_step_tokens
-        quiet_s = time.monotonic() - self.running.last_short_at
         # The first step of a long prompt measures the rate at full size.
-        if req.offer.paid and (
-            quiet_s > SHORT_RECENT_S
-            or not req.prefilled
-            or self.scheduler.urgent(req)
+        if self.running.quiet() or (
+            req.offer.paid and (not req.prefilled or self.scheduler.urgent(req))
         ):
             return max(full, req.offer.prompt_tokens // MAX_STEPS)
         rate = self.rates.peak_tokens_per_s
