--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -8,6 +8,7 @@
 from masticwind.agent.calls import CallExecutor
 from masticwind.agent.drain import Drainer
 from masticwind.agent.executor import Executor, ExecutorParts
+from masticwind.agent.orders import OrderKeeper
 from masticwind.config.current import CurrentConfig
 from masticwind.config.distribute import ConfigWatcher
 from masticwind.config.store import ConfigStore
@@ -21,6 +22,7 @@
     Body,
     Call,
     Cancel,
+    EndpointOrder,
     Load,
     Offer,
     Release,
@@ -39,10 +41,12 @@
         self._tasks: Final = tasks
         self.config: Final = CurrentConfig()
         self._drainer: Final = Drainer(cfg)
+        engine = HttpEngine(cfg.endpoint_url)
         self._executor: Final = Executor(
-            ExecutorParts(cfg, self.config, HttpEngine(cfg.endpoint_url)),
+            ExecutorParts(cfg, self.config, engine),
             tasks,
         )
+        self._orders: Final = OrderKeeper(engine)
         self._calls: Final = CallExecutor(
             cfg,
             self.config,
@@ -114,10 +118,12 @@
             case Call():
                 self._tasks.start_soon(self._calls.call, channel, message)
             case _:
-                self._handle_share(channel, message)
+                self._handle_rare(channel, message)
 
-    def _handle_share(self, channel: Channel, message: AnyMessage) -> None:
+    def _handle_rare(self, channel: Channel, message: AnyMessage) -> None:
         match message:
+            case EndpointOrder():
+                self._tasks.start_soon(self._orders.carry_out, message)
             case Reserve():
                 self._executor.reserve(channel, message)
             case Release():
