--- /dev/null
+++ b/src/masticwind/config/problems.py
@@ -0,0 +1,22 @@
+"""One fault in an operators' configuration, as a line for people."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Problem:
+    """Where a configuration is wrong and what was expected there.
+
+    The text never repeats a configured value that could be a secret.
+    """
+
+    file: str
+    key: str
+    expected: str
+
+    @property
+    def line(self) -> str:
+        """The problem as one line: file, key, expectation."""
+        if not self.key:
+            return f'{self.file}: {self.expected}'
+        return f'{self.file}: {self.key}: {self.expected}'
