--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -8,11 +8,9 @@
 from masticwind.agent.calls import CallExecutor
 from masticwind.agent.executor import Executor, ExecutorParts
 from masticwind.config.current import CurrentConfig
-from masticwind.config.distribute import ConfigWatcher
-from masticwind.config.store import ConfigStore
+from masticwind.config.distribute import ConfigSync
 from masticwind.engines.http import HttpEngine, HttpService
 from masticwind.node import Node
-from masticwind.platform.http import HttpKeyValue
 from masticwind.protocol.channel import Channel
 from masticwind.protocol.listener import Listener, PeerHandler
 from masticwind.protocol.messages import (
@@ -38,6 +36,8 @@
         self._cfg: Final = cfg
         self._tasks: Final = tasks
         self.config: Final = CurrentConfig()
+        # An agent serves requests of teams that its entries have checked.
+        self.sync: Final = ConfigSync(self.config, with_teams=False)
         self._executor: Final = Executor(
             ExecutorParts(cfg, self.config, HttpEngine(cfg.endpoint_url)),
             tasks,
@@ -74,9 +74,6 @@
                 tasks.start_soon(self._executor.run)
             else:
                 tasks.start_soon(self._calls.run)
-            if self._cfg.platform.key_value_url:
-                store = ConfigStore(HttpKeyValue(self._cfg.platform))
-                tasks.start_soon(ConfigWatcher(store, self.config).run)
 
     async def drain(self) -> None:
         """Refuse new work and wait until the running work has ended."""
@@ -95,7 +92,8 @@
         return self._executor.load()
 
     def opened(self, channel: Channel) -> None:
-        """Nothing is kept per connection."""
+        """Note the generation that the entry named in its `Hello`."""
+        self.sync.greet(channel)
 
     def lost(self, channel: Channel) -> None:
         """Let requests of a lost connection wait for a resume."""
@@ -103,6 +101,8 @@
 
     async def handle(self, channel: Channel, message: AnyMessage) -> None:
         """Act on one message of an entry."""
+        if self.sync.take(channel, message):
+            return
         match message:
             case Offer():
                 self._executor.offer(channel, message)
--- a/src/masticwind/config/parts.py
+++ b/src/masticwind/config/parts.py
@@ -1,18 +1,31 @@
 """Content-addressed parts of a configuration.
 
-A configuration is stored as parts named by the SHA-256 digest of their
-content and a manifest that lists them, so that an unchanged part is neither
-written nor transferred again.
+A configuration is stored as parts that are named by the SHA-256 digest of
+their content, and a head that names the part of each section. Teams are the
+only section that grows with the number of customers. They are hashed into
+buckets under a tree of two levels, so that a change of one team replaces one
+bucket, one node and the root, and nothing else is written or transferred.
 """
 
+import base64
 import hashlib
-from collections.abc import Mapping
-from dataclasses import dataclass, fields
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field, fields
+from typing import Final
 
 import msgspec
+import xxhash
 
-from masticwind.config.model import Configuration
+from masticwind.config.model import Configuration, Team
 from masticwind.errors import ErrorKind, Failure
+from masticwind.platform.base import MAX_VALUE_BYTES
+
+TREE_SECTION: Final = 'teams'
+# With 47,000 teams of about 200 bytes, 64 * 64 buckets hold 11 teams each,
+# and a bucket, a node and the root take about 3 KB each.
+FAN_OUT: Final = 64
+
+Teams = dict[str, Team]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -20,7 +33,8 @@
     """The head of the configuration: its generation and its parts.
 
     `writer` is a unique token of the write that made this generation, by
-    which a writer recognises its own write after a lost response.
+    which a writer recognises its own write after a lost response. `garbage`
+    names the part that lists the parts which may be deleted.
     """
 
     number: int
@@ -28,42 +42,187 @@
     operator: str
     applied_at: str
     parts: dict[str, str]
+    garbage: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """A configuration in its stored form.
+
+    `nodes` gives the digest of each node of the team tree by its position
+    and `buckets` the digests of the buckets under each node.
+    """
+
+    names: dict[str, str] = field(default_factory=dict)
+    contents: dict[str, bytes] = field(default_factory=dict)
+    nodes: dict[str, str] = field(default_factory=dict)
+    buckets: dict[str, dict[str, str]] = field(default_factory=dict)
+
+    def add(self, content: object) -> str:
+        """Encode a part and return its digest."""
+        encoded = msgspec.json.encode(content, order='sorted')
+        digest = part_digest(encoded)
+        self.contents[digest] = encoded
+        return digest
+
 
+def part_digest(content: bytes) -> str:
+    """Return the name of a part: its SHA-256 digest in URL-safe base 64."""
+    digest = hashlib.sha256(content).digest()
+    return base64.urlsafe_b64encode(digest).rstrip(b'=').decode()
 
-def split(config: Configuration) -> tuple[dict[str, str], dict[str, bytes]]:
-    """Return the digests by part name and the contents by digest."""
-    names: dict[str, str] = {}
-    contents: dict[str, bytes] = {}
+
+def split(config: Configuration) -> Parts | Failure:
+    """Return the stored form of `config`.
+
+    Returns a `Failure` of kind `too_large` if a part exceeds the largest
+    value that the key-value service takes.
+    """
+    parts = Parts()
     for one in fields(config):
-        content = msgspec.json.encode(getattr(config, one.name), order='sorted')
-        digest = hashlib.sha256(content).hexdigest()
-        names[one.name] = digest
-        contents[digest] = content
-    return names, contents
+        if one.name != TREE_SECTION:
+            parts.names[one.name] = parts.add(getattr(config, one.name))
+    for node, buckets in _grouped(config.teams).items():
+        digests = {key: parts.add(teams) for key, teams in buckets.items()}
+        parts.buckets[node] = digests
+        parts.nodes[node] = parts.add(digests)
+    parts.names[TREE_SECTION] = parts.add(parts.nodes)
+    for name, digest in parts.names.items():
+        if len(parts.contents[digest]) > MAX_VALUE_BYTES:
+            return Failure(
+                kind=ErrorKind.TOO_LARGE,
+                reason=f'section {name} is over {MAX_VALUE_BYTES} bytes',
+            )
+    return parts
 
 
-def join(
-    head: Head,
-    contents: Mapping[str, bytes],
-) -> Configuration | Failure:
-    """Return the configuration that `head` names.
+def decode_index(content: bytes) -> dict[str, str]:
+    """Return the digests that a root or node lists; none if it is not one."""
+    try:
+        return msgspec.json.decode(content, type=dict[str, str])
+    except msgspec.DecodeError:
+        return {}
+
 
-    Returns a `Failure` of kind `not_found` if a part is missing and of kind
-    `invalid_config` if one does not decode.
+class PartCache:
+    """Parts that this process has, and what they decode to.
+
+    Buckets are decoded once, so that a new generation costs the decoding of
+    its changed parts only. A cache without teams leaves that section out.
     """
-    sections: dict[str, msgspec.Raw] = {}
-    for name, digest in head.parts.items():
-        content = contents.get(digest)
-        if content is None:
+
+    def __init__(self, *, with_teams: bool = True) -> None:
+        self._with_teams: Final = with_teams
+        self._contents: Final[dict[str, bytes]] = {}
+        self._indexes: Final[dict[str, dict[str, str]]] = {}
+        self._buckets: Final[dict[str, Teams]] = {}
+
+    def get(self, digest: str) -> bytes | None:
+        """Return the content of a part, if it is here."""
+        return self._contents.get(digest)
+
+    def add(self, digest: str, content: bytes) -> bool:
+        """Take a part; false if its content does not match its digest."""
+        if part_digest(content) != digest:
+            return False
+        self._contents[digest] = content
+        return True
+
+    def fill(self, contents: Mapping[str, bytes]) -> None:
+        """Take parts that this process has made itself."""
+        self._contents.update(contents)
+
+    def missing(self, head: Head) -> list[str]:
+        """Return the digests that `head` needs and that are not here.
+
+        The parts below a missing part become known only with it, so this is
+        asked again until it returns nothing.
+        """
+        return [
+            digest
+            for digest in self._needed(head)
+            if digest not in self._contents
+        ]
+
+    def join(self, head: Head) -> Configuration | Failure:
+        """Return the configuration that `head` names.
+
+        Returns a `Failure` of kind `not_found` if a part is missing and of
+        kind `invalid_config` if one does not decode.
+        """
+        if self.missing(head):
             return Failure(
                 kind=ErrorKind.NOT_FOUND,
-                reason=f'part {name} is missing',
+                reason=f'parts of generation {head.number} are missing',
             )
-        sections[name] = msgspec.Raw(content)
-    try:
-        return msgspec.json.decode(
-            msgspec.json.encode(sections),
-            type=Configuration,
-        )
-    except msgspec.ValidationError as exc:
-        return Failure(kind=ErrorKind.INVALID_CONFIG, reason=str(exc))
+        sections = {
+            name: msgspec.Raw(self._contents[digest])
+            for name, digest in head.parts.items()
+            if name != TREE_SECTION
+        }
+        try:
+            config = msgspec.json.decode(
+                msgspec.json.encode(sections),
+                type=Configuration,
+            )
+            config.teams.update(self._teams(head))
+        except msgspec.DecodeError as exc:
+            return Failure(kind=ErrorKind.INVALID_CONFIG, reason=str(exc))
+        return config
+
+    def keep_only(self, heads: Iterable[Head]) -> None:
+        """Drop everything that none of `heads` needs."""
+        needed = {digest for head in heads for digest in self._needed(head)}
+        for kept in (self._contents, self._indexes, self._buckets):
+            for digest in set(kept) - needed:
+                kept.pop(digest)
+
+    def _needed(self, head: Head) -> Iterator[str]:
+        for name, digest in head.parts.items():
+            if name != TREE_SECTION:
+                yield digest
+        root = head.parts.get(TREE_SECTION)
+        if root is None or not self._with_teams:
+            return
+        yield root
+        for node in self._index(root).values():
+            yield node
+            yield from self._index(node).values()
+
+    def _index(self, digest: str) -> dict[str, str]:
+        found = self._indexes.get(digest)
+        if found is not None:
+            return found
+        content = self._contents.get(digest)
+        if content is None:
+            return {}
+        index = decode_index(content)
+        self._indexes[digest] = index
+        return index
+
+    def _teams(self, head: Head) -> Teams:
+        teams: Teams = {}
+        root = head.parts.get(TREE_SECTION)
+        if root is None or not self._with_teams:
+            return teams
+        for node in self._index(root).values():
+            for bucket in self._index(node).values():
+                teams.update(self._bucket(bucket))
+        return teams
+
+    def _bucket(self, digest: str) -> Teams:
+        found = self._buckets.get(digest)
+        if found is None:
+            found = msgspec.json.decode(self._contents[digest], type=Teams)
+            self._buckets[digest] = found
+        return found
+
+
+def _grouped(teams: Mapping[str, Team]) -> dict[str, dict[str, Teams]]:
+    grouped: dict[str, dict[str, Teams]] = {}
+    for name, team in teams.items():
+        hashed = xxhash.xxh3_64_intdigest(name.encode())
+        node = str(hashed % FAN_OUT)
+        bucket = str(hashed // FAN_OUT % FAN_OUT)
+        grouped.setdefault(node, {}).setdefault(bucket, {})[name] = team
+    return grouped
--- a/src/masticwind/entry/main.py
+++ b/src/masticwind/entry/main.py
@@ -29,7 +29,8 @@
     async with anyio.create_task_group() as tasks:
         entry = Entry(cfg)
         log = get_logger('entry', cfg.node)
-        log.bind(port=entry.port).info('started')
+        ports = {'port': entry.port, 'inner_port': entry.neighbours.port}
+        log.bind(**ports).info('started')
         tasks.start_soon(stop_on_signals, entry.drain, tasks.cancel_scope)
         tasks.start_soon(entry.run)
 
--- a/src/masticwind/entry/peers.py
+++ b/src/masticwind/entry/peers.py
@@ -16,6 +16,8 @@
 from anyio.abc import TaskGroup
 
 from masticwind.config.current import CurrentConfig
+from masticwind.config.distribute import ConfigSync
+from masticwind.entry.neighbours import Neighbours
 from masticwind.errors import Failure
 from masticwind.node import Node
 from masticwind.platform.base import Instance, InstanceList
@@ -76,8 +78,13 @@
 class AgentLink(PeerHandler):
     """One agent as this entry sees it."""
 
-    def __init__(self, instance: Instance) -> None:
+    def __init__(
+        self,
+        instance: Instance,
+        sync: ConfigSync | None = None,
+    ) -> None:
         self.instance: Final = instance
+        self._sync: Final = sync
         self.load_view: Load | None = None
         self.load_at = 0.0
         self.incarnation = ''
@@ -118,6 +125,8 @@
     def opened(self, channel: Channel) -> None:
         """Use a new connection and tell the attempts."""
         self._channel = channel
+        if self._sync is not None:
+            self._sync.greet(channel)
         self.incarnation = channel.peer.incarnation
         self.endpoint = channel.peer.endpoint
         self._tell(LinkEvent.RESTORED)
@@ -130,6 +139,8 @@
 
     async def handle(self, channel: Channel, message: AnyMessage) -> None:
         """Take a heartbeat, or pass a message to its attempt."""
+        if self._sync is not None and self._sync.take(channel, message):
+            return
         if isinstance(message, Heartbeat):
             if message.load is not None:
                 self.load_view = message.load
@@ -152,6 +163,8 @@
     node: Node
     config: CurrentConfig
     instances: InstanceList
+    sync: ConfigSync | None = None
+    neighbours: Neighbours | None = None
 
 
 class AgentPool:
@@ -178,13 +191,15 @@
                 await anyio.sleep(interval_s)
 
     def _update(self, listed: Sequence[Instance], tasks: TaskGroup) -> None:
+        if self._parts.neighbours is not None:
+            self._parts.neighbours.update(listed)
         wanted = {
             (one.host, one.port): one for one in listed if one.role == 'agent'
         }
         for address, instance in wanted.items():
             link = self._links.get(address)
             if link is None:
-                link = AgentLink(instance)
+                link = AgentLink(instance, self._parts.sync)
                 self._links[address] = link
                 tasks.start_soon(self._keep, address, link)
             link.leaving = instance.state == 'leaving'
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -5,9 +5,10 @@
 import anyio
 
 from masticwind.config.current import CurrentConfig
-from masticwind.config.distribute import ConfigWatcher
+from masticwind.config.distribute import ConfigSync, ConfigWatcher
 from masticwind.config.store import ConfigStore
 from masticwind.entry.app import AppParts, EntryApp
+from masticwind.entry.neighbours import NeighbourParts, Neighbours
 from masticwind.entry.peers import AgentPool, PoolParts
 from masticwind.entry.relay import Relay
 from masticwind.entry.router import make_router
@@ -27,12 +28,20 @@
         self._cfg: Final = cfg
         self.config: Final = CurrentConfig()
         node = Node(role='entry', name=cfg.node, zone=cfg.zone)
+        self.store: Final = ConfigStore(HttpKeyValue(cfg.platform))
+        self.sync: Final = ConfigSync(self.config)
+        self._watcher: Final = ConfigWatcher(self.store, self.sync, cfg.node)
+        self.neighbours: Final = Neighbours(
+            NeighbourParts(cfg, node, self.sync, self._watcher)
+        )
         self.pool: Final = AgentPool(
             PoolParts(
                 cfg,
                 node,
                 self.config,
                 HttpInstanceList(cfg.platform),
+                self.sync,
+                self.neighbours,
             )
         )
         relay = Relay(self.pool, make_router(cfg), self.config)
@@ -48,8 +57,9 @@
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.pool.run)
-            store = ConfigStore(HttpKeyValue(self._cfg.platform))
-            tasks.start_soon(ConfigWatcher(store, self.config).run)
+            tasks.start_soon(self.neighbours.run)
+            if self._cfg.watch_config:
+                tasks.start_soon(self._watcher.run)
             await self._server.run()
             tasks.cancel_scope.cancel()
 
