--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -1,10 +1,12 @@
 """The entry's HTTP application: routes, authentication, error answers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Final
 
 from masticwind.config.current import CurrentConfig
+from masticwind.entry.admin import PREFIX as ADMIN_PREFIX
+from masticwind.entry.admin import AdminApi
 from masticwind.entry.chat import (
     Caller,
     ChatStream,
@@ -12,6 +14,7 @@
     relay_until_gone,
 )
 from masticwind.entry.relay import Relay
+from masticwind.entry.tiercount import TierCounter
 from masticwind.errors import ANSWERS, ErrorKind, Failure
 from masticwind.settings import EntrySettings
 from masticwind.web import (
@@ -36,6 +39,8 @@
     cfg: EntrySettings
     config: CurrentConfig
     relay: Relay
+    admin: AdminApi | None = None
+    service: TierCounter = field(default_factory=TierCounter)
 
 
 class EntryApp:
@@ -78,6 +83,13 @@
             return None
         if self.draining:
             return Failure(kind=ErrorKind.DRAINING, reason='shutting down')
+        admin = self._parts.admin
+        if admin is not None and path.startswith(ADMIN_PREFIX):
+            answer = await admin.answer(scope, receive)
+            if isinstance(answer, Failure):
+                return answer
+            await send_response(send, answer)
+            return None
         if path == '/v1/chat/completions':
             return await self._chat(scope, receive, send)
         return Failure(kind=ErrorKind.NOT_FOUND, reason=f'no route {path}')
@@ -121,7 +133,15 @@
             return built
         req, chat = built
         writer = ChatStream(send, req, stream=chat.stream)
-        return await relay_until_gone(self._parts.relay, req, writer, receive)
+        failure = await relay_until_gone(
+            self._parts.relay,
+            req,
+            writer,
+            receive,
+        )
+        outcome = 'served' if failure is None else failure.kind.value
+        self._parts.service.count(caller.team.tier, outcome)
+        return failure
 
     def _authenticate(self, scope: Scope) -> Caller | Failure:
         text = header(scope, b'authorization')
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -7,11 +7,13 @@
 from masticwind.config.current import CurrentConfig
 from masticwind.config.distribute import ConfigSync, ConfigWatcher
 from masticwind.config.store import ConfigStore
+from masticwind.entry.admin import AdminApi, AdminParts
 from masticwind.entry.app import AppParts, EntryApp
 from masticwind.entry.neighbours import NeighbourParts, Neighbours
 from masticwind.entry.peers import AgentPool, PoolParts
 from masticwind.entry.relay import Relay
 from masticwind.entry.router import make_router
+from masticwind.entry.tiercount import TierCounter
 from masticwind.node import Node
 from masticwind.platform.http import HttpInstanceList, HttpKeyValue
 from masticwind.settings import EntrySettings
@@ -45,7 +47,20 @@
             )
         )
         relay = Relay(self.pool, make_router(cfg), self.config)
-        self.app: Final = EntryApp(AppParts(cfg, self.config, relay))
+        service = TierCounter()
+        admin = AdminApi(
+            AdminParts(
+                cfg.node,
+                cfg.zone,
+                self.store,
+                self.sync,
+                self.pool,
+                service,
+            )
+        )
+        self.app: Final = EntryApp(
+            AppParts(cfg, self.config, relay, admin, service)
+        )
         self._server: Final = WebServer(self.app, cfg.listen)
 
     @property
