--- /dev/null
+++ b/tests/test_configuration_page.py
@@ -0,0 +1,103 @@
+"""The operators' page against the code, and the examples."""
+
+import dataclasses
+from pathlib import Path
+from typing import Any, Literal, get_args, get_origin, get_type_hints
+
+import msgspec
+import pytest
+
+from masticwind import settings
+from masticwind.config import model
+from masticwind.config.reader import read_configuration
+from masticwind.errors import Failure
+
+ROOT = Path(__file__).parent.parent
+PAGE = ROOT / 'docs' / 'CONFIGURATION.md'
+FOLDERS = ('vitriinikosteus', 'kalkwater')
+CLASSES = (
+    *(model.Zone, model.Tier, model.Team, model.Model, model.Endpoint),
+    *(model.PlainService, model.CallRule, model.Operator),
+    *(settings.EntrySettings, settings.AgentSettings, settings.PeerSettings),
+    *(settings.PlatformSettings, settings.MetricsSettings),
+    *(settings.TraceSettings, settings.Address),
+)
+
+
+def _rows(kind: Any) -> dict[str, list[str]]:
+    lines = PAGE.read_text().splitlines()
+    name = kind.__name__
+    headings = {f'### {name}'}
+    start = next(
+        number
+        for number, line in enumerate(lines)
+        if line in headings or line.endswith(f' ({name})')
+    )
+    rows: dict[str, list[str]] = {}
+    for line in lines[start + 1 :]:
+        if line.startswith('#'):
+            break
+        if line.startswith('| `'):
+            cells = [one.strip() for one in line.strip('|').split(' | ')]
+            rows[cells[0].strip(' `')] = cells
+    return rows
+
+
+@pytest.mark.parametrize('kind', CLASSES)
+def test_page_has_every_key_with_its_default(kind: Any) -> None:
+    """Guards against a page that has fallen behind the code."""
+    rows = _rows(kind)
+    fields = dataclasses.fields(kind)
+    assert list(rows) == [one.name for one in fields]
+    for one in fields:
+        shown = rows[one.name][3].strip('| ')
+        if one.default is not dataclasses.MISSING:
+            assert shown == f'`{msgspec.json.encode(one.default).decode()}`'
+        elif one.default_factory is dataclasses.MISSING:
+            assert shown == 'required'
+        if one.name.endswith('_ms'):
+            assert rows[one.name][2] == 'ms'
+
+
+@pytest.mark.parametrize('kind', CLASSES)
+def test_page_gives_the_ranges(kind: Any) -> None:
+    """Guards against a range that has changed in the code only."""
+    rows = _rows(kind)
+    for key, hint in get_type_hints(kind, include_extras=True).items():
+        for meta in getattr(hint, '__metadata__', ()):
+            bounds = {
+                'at least': meta.ge,
+                'above': meta.gt,
+                'at most': meta.le,
+            }
+            for word, bound in bounds.items():
+                if bound is not None:
+                    assert f'{word} {bound}' in rows[key][1]
+        if get_origin(hint) is Literal:
+            for choice in get_args(hint):
+                assert f'`{choice}`' in rows[key][1]
+
+
+@pytest.mark.parametrize('folder', FOLDERS)
+def test_examples_are_valid(folder: str) -> None:
+    """Guards against examples that the programs refuse."""
+    here = ROOT / 'examples' / folder
+    config = read_configuration([here / 'fleet.yaml'])
+    assert isinstance(config, model.Configuration), config
+    assert len(config.zones) == 3
+    assert {one.kind for one in config.tiers.values()} == {'paid', 'free'}
+    calls = [
+        rule for service in config.services.values() for rule in service.calls
+    ]
+    assert any(not rule.repeatable for rule in calls)
+    entry = settings.read_settings(
+        here / 'entry.yaml',
+        settings.EntrySettings,
+    )
+    agent = settings.read_settings(
+        here / 'agent.yaml',
+        settings.AgentSettings,
+    )
+    assert not isinstance(entry, Failure), entry
+    assert not isinstance(agent, Failure), agent
+    assert {entry.zone, agent.zone} <= set(config.zones)
