--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -15,7 +15,12 @@
 from masticwind.entry.router import make_router
 from masticwind.entry.tiercount import TierCounter
 from masticwind.node import Node
-from masticwind.platform.http import HttpInstanceList, HttpKeyValue
+from masticwind.planner.runner import Planner
+from masticwind.platform.http import (
+    HttpInstanceList,
+    HttpKeyValue,
+    HttpWeightStore,
+)
 from masticwind.settings import EntrySettings
 from masticwind.web import WebServer
 
@@ -75,6 +80,15 @@
             tasks.start_soon(self.neighbours.run)
             if self._cfg.watch_config:
                 tasks.start_soon(self._watcher.run)
+            if self._cfg.planner:
+                planner = Planner(
+                    self._cfg,
+                    self.config,
+                    self.pool,
+                    self.store.key_value,
+                    HttpWeightStore(self._cfg.platform),
+                )
+                tasks.start_soon(planner.run)
             await self._server.run()
             tasks.cancel_scope.cancel()
 
