--- a/tests/memory_kv.py
+++ b/tests/memory_kv.py
@@ -25,12 +25,14 @@
     """Keeps every version of every key and brings faults about.
 
     `lose_before` and `lose_after` count writes whose answer is lost, without
-    and with effect; `stale_reads` counts reads that return an older version.
-    `hook` runs before each call and lets a test change the state then.
+    and with effect, of keys that begin with `lose_key`. `stale_reads` counts
+    reads that return an older version. `hook` runs before each call and lets
+    a test change the state then.
     """
 
     def __init__(self) -> None:
         self.outage = False
+        self.lose_key = ''
         self.lose_before = 0
         self.lose_after = 0
         self.stale_reads = 0
@@ -124,7 +126,8 @@
         value: bytes | None,
         expected: int,
     ) -> WriteResult:
-        if self.lose_before:
+        losable = key.startswith(self.lose_key)
+        if losable and self.lose_before:
             self.lose_before -= 1
             return Unknown('no answer')
         now = self.now(key)
@@ -136,7 +139,7 @@
         version = Versioned(value, 0 if value is None else self._revision)
         self.versions.setdefault(key, []).append(version)
         self._wake()
-        if self.lose_after:
+        if losable and self.lose_after:
             self.lose_after -= 1
             return Unknown('no answer')
         return Written(self._revision)
--- a/tests/test_config_machine.py
+++ b/tests/test_config_machine.py
@@ -57,9 +57,14 @@
         """Let operators race on the same, perhaps old, generation."""
         anyio.run(self._race, operators, back)
 
-    @rule(before=st.booleans(), count=st.integers(1, 2))
-    def lose_answers(self, before: bool, count: int) -> None:
-        """Lose the answers of the next writes."""
+    @rule(
+        key=st.sampled_from(['', HEAD_KEY]),
+        before=st.booleans(),
+        count=st.integers(1, 2),
+    )
+    def lose_answers(self, key: str, before: bool, count: int) -> None:
+        """Lose the answers of the next writes, or of the next heads."""
+        self.key_value.lose_key = key
         if before:
             self.key_value.lose_before = count
         else:
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -212,6 +212,28 @@
     assert await in_force(key_value) == config_of(3)
 
 
+async def test_lost_write_then_another_winner() -> None:
+    """Guards against claiming the generation of another operator."""
+    key_value = MemoryKeyValue()
+    store = ConfigStore(key_value)
+    await applied(store, config_of(1), 0)
+
+    async def lose_head(call: str, key: str) -> None:
+        if call == 'put' and key == HEAD_KEY:
+            key_value.hook = other_wins
+            key_value.lose_before = 1
+
+    async def other_wins(call: str, key: str) -> None:
+        key_value.hook = None
+        await applied(ConfigStore(key_value), config_of(3), 1)
+
+    key_value.hook = lose_head
+    outcome = await store.apply(config_of(2), 1, 'ann')
+    assert isinstance(outcome, Failure)
+    assert outcome.kind is ErrorKind.CONFLICT
+    assert await in_force(key_value) == config_of(3)
+
+
 @pytest.mark.parametrize('took_effect', [True, False])
 async def test_outage_after_lost_response_is_unknown(
     took_effect: bool,
