--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -5,7 +5,9 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from masticwind.agent.cache_view import CachePublisher
 from masticwind.agent.calls import CallExecutor
+from masticwind.agent.drain import Drainer
 from masticwind.agent.executor import Executor, ExecutorParts
 from masticwind.agent.orders import OrderKeeper
 from masticwind.config.current import CurrentConfig
@@ -22,14 +24,13 @@
     EndpointOrder,
     Load,
     Offer,
+    Release,
+    Reserve,
     Resume,
     Revoke,
 )
 from masticwind.settings import AgentSettings
 
-DRAIN_POLL_S: Final = 0.05
-MS_PER_S: Final = 1000
-
 
 class Agent(PeerHandler):
     """Serves the entries that connect to it."""
@@ -40,7 +41,9 @@
         self.config: Final = CurrentConfig()
         # An agent serves requests of teams that its entries have checked.
         self.sync: Final = ConfigSync(self.config, with_teams=False)
+        self._drainer: Final = Drainer(cfg)
         engine = HttpEngine(cfg.endpoint_url)
+        self._cache: Final = CachePublisher(engine)
         self._executor: Final = Executor(
             ExecutorParts(cfg, self.config, engine),
             tasks,
@@ -76,18 +79,13 @@
             tasks.start_soon(self._listener.run)
             if self._cfg.kind == 'engine':
                 tasks.start_soon(self._executor.run)
+                tasks.start_soon(self._cache.run)
             else:
                 tasks.start_soon(self._calls.run)
 
     async def drain(self) -> None:
         """Refuse new work and wait until the running work has ended."""
-        self._executor.draining = True
-        self._calls.draining = True
-        with anyio.move_on_after(self._cfg.drain_timeout_ms / MS_PER_S):
-            while not (self._executor.idle and self._calls.idle):
-                await anyio.sleep(DRAIN_POLL_S)
-        # The last messages leave with the connections' next write.
-        await anyio.sleep(DRAIN_POLL_S)
+        await self._drainer.drain(self._executor, self._calls)
 
     def load(self) -> Load:
         """Return the load report for the next heartbeat."""
@@ -96,11 +94,15 @@
         return self._executor.load()
 
     def opened(self, channel: Channel) -> None:
-        """Note the generation that the entry named in its `Hello`."""
+        """Send a new connection what the engine's cache holds."""
+        self._drainer.opened(channel)
+        self._cache.opened(channel)
         self.sync.greet(channel)
 
     def lost(self, channel: Channel) -> None:
         """Let requests of a lost connection wait for a resume."""
+        self._drainer.lost(channel)
+        self._cache.lost(channel)
         self._executor.detach(channel)
 
     async def handle(self, channel: Channel, message: AnyMessage) -> None:
@@ -115,14 +117,19 @@
             case Resume():
                 self._executor.resume(channel, message)
             case Revoke():
-                self._tasks.start_soon(
-                    self._executor.revoke,
-                    channel,
-                    message,
-                )
+                self._executor.revoke(channel, message)
             case Cancel():
-                self._tasks.start_soon(self._executor.cancel, message)
-            case EndpointOrder():
-                self._tasks.start_soon(self._orders.carry_out, message)
+                self._executor.cancel(message)
             case Call():
                 self._tasks.start_soon(self._calls.call, channel, message)
+            case _:
+                self._handle_resources(channel, message)
+
+    def _handle_resources(self, channel: Channel, message: AnyMessage) -> None:
+        match message:
+            case Reserve():
+                self._executor.reserve(channel, message)
+            case Release():
+                self._executor.release(message)
+            case EndpointOrder():
+                self._tasks.start_soon(self._orders.carry_out, message)
--- a/src/masticwind/entry/peers.py
+++ b/src/masticwind/entry/peers.py
@@ -17,6 +17,7 @@
 
 from masticwind.config.current import CurrentConfig
 from masticwind.config.distribute import ConfigSync
+from masticwind.entry.affinity import AffinityIndex
 from masticwind.entry.neighbours import Neighbours
 from masticwind.errors import Failure
 from masticwind.node import Node
@@ -27,6 +28,7 @@
 from masticwind.protocol.messages import (
     Accepted,
     AnyMessage,
+    CacheBlocks,
     CallResult,
     End,
     Heartbeat,
@@ -81,9 +83,11 @@
     def __init__(
         self,
         instance: Instance,
+        affinity: AffinityIndex,
         sync: ConfigSync | None = None,
     ) -> None:
         self.instance: Final = instance
+        self._affinity: Final = affinity
         self._sync: Final = sync
         self.load_view: Load | None = None
         self.load_at = 0.0
@@ -145,11 +149,20 @@
             if message.load is not None:
                 self.load_view = message.load
                 self.load_at = time.monotonic()
+        elif isinstance(message, CacheBlocks):
+            self._take_blocks(message)
         elif isinstance(message, AttemptMessage):
             inbox = self._inboxes.get((message.request_id, message.attempt))
             if inbox is not None:
                 inbox.put(message)
 
+    def _take_blocks(self, message: CacheBlocks) -> None:
+        node = self.instance.node
+        if message.reset:
+            self._affinity.forget(node)
+        self._affinity.remove(node, message.removed)
+        self._affinity.add(node, message.added)
+
     def _tell(self, event: LinkEvent) -> None:
         for inbox in self._inboxes.values():
             inbox.put(event)
@@ -163,6 +176,7 @@
     node: Node
     config: CurrentConfig
     instances: InstanceList
+    affinity: AffinityIndex
     sync: ConfigSync | None = None
     neighbours: Neighbours | None = None
 
@@ -174,12 +188,18 @@
         self._parts: Final = parts
         self._links: Final[dict[tuple[str, int], AgentLink]] = {}
         self._scopes: Final[dict[tuple[str, int], anyio.CancelScope]] = {}
+        self._live_entries = 1
 
     @property
     def links(self) -> Sequence[AgentLink]:
         """All links, connected or not."""
         return tuple(self._links.values())
 
+    @property
+    def live_entries(self) -> int:
+        """Entries in the instance list, at least this one."""
+        return self._live_entries
+
     async def run(self) -> None:
         """Follow the instance list until cancelled."""
         interval_s = self._parts.cfg.instances_poll_ms / MS_PER_S
@@ -193,13 +213,21 @@
     def _update(self, listed: Sequence[Instance], tasks: TaskGroup) -> None:
         if self._parts.neighbours is not None:
             self._parts.neighbours.update(listed)
+        entries = sum(
+            one.role == 'entry' and one.state != 'leaving' for one in listed
+        )
+        self._live_entries = max(1, entries)
         wanted = {
             (one.host, one.port): one for one in listed if one.role == 'agent'
         }
         for address, instance in wanted.items():
             link = self._links.get(address)
             if link is None:
-                link = AgentLink(instance, self._parts.sync)
+                link = AgentLink(
+                    instance,
+                    self._parts.affinity,
+                    self._parts.sync,
+                )
                 self._links[address] = link
                 tasks.start_soon(self._keep, address, link)
             link.leaving = instance.state == 'leaving'
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -8,11 +8,12 @@
 from masticwind.config.distribute import ConfigSync, ConfigWatcher
 from masticwind.config.store import ConfigStore
 from masticwind.entry.admin import AdminApi, AdminParts
+from masticwind.entry.affinity import AffinityIndex
 from masticwind.entry.app import AppParts, EntryApp
 from masticwind.entry.neighbours import NeighbourParts, Neighbours
 from masticwind.entry.peers import AgentPool, PoolParts
 from masticwind.entry.relay import Relay
-from masticwind.entry.router import make_router
+from masticwind.entry.router import RoutingView
 from masticwind.entry.tiercount import TierCounter
 from masticwind.node import Node
 from masticwind.planner.runner import Planner
@@ -41,17 +42,20 @@
         self.neighbours: Final = Neighbours(
             NeighbourParts(cfg, node, self.sync, self._watcher)
         )
+        self.affinity: Final = AffinityIndex(cfg.affinity_blocks)
         self.pool: Final = AgentPool(
             PoolParts(
                 cfg,
                 node,
                 self.config,
                 HttpInstanceList(cfg.platform),
+                self.affinity,
                 self.sync,
                 self.neighbours,
             )
         )
-        relay = Relay(self.pool, make_router(cfg), self.config)
+        view = RoutingView(cfg, self.affinity)
+        relay = Relay(cfg, self.pool, self.config, view)
         service = TierCounter()
         admin = AdminApi(
             AdminParts(
