--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -11,11 +11,9 @@
 from masticwind.agent.executor import Executor, ExecutorParts
 from masticwind.agent.orders import OrderKeeper
 from masticwind.config.current import CurrentConfig
-from masticwind.config.distribute import ConfigWatcher
-from masticwind.config.store import ConfigStore
+from masticwind.config.distribute import ConfigSync
 from masticwind.engines.http import HttpEngine, HttpService
 from masticwind.node import Node
-from masticwind.platform.http import HttpKeyValue
 from masticwind.protocol.channel import Channel
 from masticwind.protocol.listener import Listener, PeerHandler
 from masticwind.protocol.messages import (
@@ -42,6 +40,8 @@
         self._cfg: Final = cfg
         self._tasks: Final = tasks
         self.config: Final = CurrentConfig()
+        # An agent serves requests of teams that its entries have checked.
+        self.sync: Final = ConfigSync(self.config, with_teams=False)
         self._drainer: Final = Drainer(cfg)
         self._telemetry: Final = make_telemetry(cfg)
         engine = HttpEngine(cfg.endpoint_url)
@@ -86,9 +86,6 @@
                 tasks.start_soon(self._cache.run)
             else:
                 tasks.start_soon(self._calls.run)
-            if self._cfg.platform.key_value_url:
-                store = ConfigStore(HttpKeyValue(self._cfg.platform))
-                tasks.start_soon(ConfigWatcher(store, self.config).run)
 
     async def drain(self) -> None:
         """Refuse new work and wait until the running work has ended."""
@@ -105,6 +102,7 @@
         """Send a new connection what the engine's cache holds."""
         self._drainer.opened(channel)
         self._cache.opened(channel)
+        self.sync.greet(channel)
 
     def lost(self, channel: Channel) -> None:
         """Let requests of a lost connection wait for a resume."""
@@ -114,6 +112,8 @@
 
     async def handle(self, channel: Channel, message: AnyMessage) -> None:
         """Act on one message of an entry."""
+        if self.sync.take(channel, message):
+            return
         if self._cfg.kind == 'service':
             self._handle_call(channel, message)
             return
--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -1,12 +1,15 @@
 """The entry's HTTP application: routes, authentication, error answers."""
 
 import time
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 from typing import Final
 
 from masticwind.budget import Budget
 from masticwind.config.current import CurrentConfig
+from masticwind.engines.base import Done
+from masticwind.entry.admin import PREFIX as ADMIN_PREFIX
+from masticwind.entry.admin import AdminApi
 from masticwind.entry.attempts import ModelRequest
 from masticwind.entry.calls import PREFIX as SERVICES
 from masticwind.entry.calls import CallParts, Calls
@@ -16,12 +19,13 @@
     read_timeout,
     relay_until_gone,
 )
-from masticwind.entry.chat_body import BodyReader, Prepared, read_large_body
+from masticwind.entry.chat_body import BodyReader, read_large_body
 from masticwind.entry.chat_stream import ChatStream
 from masticwind.entry.claims import Claims
 from masticwind.entry.outcomes import RequestLog, find_outcome
 from masticwind.entry.peers import AgentPool
 from masticwind.entry.relay import Relay
+from masticwind.entry.tiercount import TierCounter
 from masticwind.errors import ANSWERS, ErrorKind, Failure
 from masticwind.metrics import Metric, Metrics
 from masticwind.settings import EntrySettings
@@ -52,6 +56,8 @@
     claims: Claims
     metrics: Metrics
     tracer: Tracer
+    admin: AdminApi | None = None
+    service: TierCounter = field(default_factory=TierCounter)
 
 
 class EntryApp:
@@ -113,6 +119,13 @@
         self._parts.metrics.count(Metric.REQUESTS)
         if self.draining:
             return Failure(kind=ErrorKind.DRAINING, reason='shutting down')
+        admin = self._parts.admin
+        if admin is not None and path.startswith(ADMIN_PREFIX):
+            answer = await admin.answer(scope, receive)
+            if isinstance(answer, Failure):
+                return answer
+            await send_response(send, answer)
+            return None
         if path == '/v1/chat/completions':
             return await self._chat(scope, receive, send)
         if path.startswith(SERVICES):
@@ -168,23 +181,26 @@
         req = build_request(chat, caller, budget, self._parts.config)
         if isinstance(req, Failure):
             return req
-        return await self._relay(scope, receive, send, chat, req)
+        writer = ChatStream(
+            send,
+            req,
+            stream=chat.stream,
+            include_usage=chat.include_usage,
+        )
+        outcome = await self._relay(scope, receive, req, writer)
+        if outcome is None:
+            return None
+        self._count(caller.team.tier, outcome)
+        return await writer.finish(outcome)
 
     async def _relay(
         self,
         scope: Scope,
         receive: Receive,
-        send: Send,
-        chat: Prepared,
         req: ModelRequest,
-    ) -> Failure | None:
+        writer: ChatStream,
+    ) -> Done | Failure | None:
         self._log.start(req.team, req.request_id)
-        writer = ChatStream(
-            send,
-            req,
-            stream=chat.stream,
-            include_usage=chat.include_usage,
-        )
         parent = header(scope, b'traceparent')
         with self._parts.tracer.span('entry.request', parent) as span:
             outcome = await relay_until_gone(
@@ -197,7 +213,7 @@
             self._log.close(req.team, req.request_id)
             return None
         self._log.finish(req.team, req.request_id, outcome)
-        return await writer.finish(outcome)
+        return outcome
 
     async def _call(
         self,
@@ -249,6 +265,10 @@
         await send_response(send, found)
         return None
 
+    def _count(self, tier: str, outcome: Done | Failure) -> None:
+        kind = outcome.kind.value if isinstance(outcome, Failure) else 'served'
+        self._parts.service.count(tier, kind)
+
     def _authenticate(self, scope: Scope) -> Caller | Failure:
         text = header(scope, b'authorization')
         config = self._parts.config
--- a/src/masticwind/entry/peers.py
+++ b/src/masticwind/entry/peers.py
@@ -16,7 +16,9 @@
 from anyio.abc import TaskGroup
 
 from masticwind.config.current import CurrentConfig
+from masticwind.config.distribute import ConfigSync
 from masticwind.entry.affinity import AffinityIndex
+from masticwind.entry.neighbours import Neighbours
 from masticwind.errors import Failure
 from masticwind.node import Node
 from masticwind.platform.base import Instance, InstanceList
@@ -78,9 +80,15 @@
 class AgentLink(PeerHandler):
     """One agent as this entry sees it."""
 
-    def __init__(self, instance: Instance, affinity: AffinityIndex) -> None:
+    def __init__(
+        self,
+        instance: Instance,
+        affinity: AffinityIndex,
+        sync: ConfigSync | None = None,
+    ) -> None:
         self.instance: Final = instance
         self._affinity: Final = affinity
+        self._sync: Final = sync
         self.load_view: Load | None = None
         self.load_at = 0.0
         self.incarnation = ''
@@ -121,6 +129,8 @@
     def opened(self, channel: Channel) -> None:
         """Use a new connection and tell the attempts."""
         self._channel = channel
+        if self._sync is not None:
+            self._sync.greet(channel)
         self.incarnation = channel.peer.incarnation
         self.endpoint = channel.peer.endpoint
         self._tell(LinkEvent.RESTORED)
@@ -133,6 +143,8 @@
 
     async def handle(self, channel: Channel, message: AnyMessage) -> None:
         """Take a heartbeat, or pass a message to its attempt."""
+        if self._sync is not None and self._sync.take(channel, message):
+            return
         if isinstance(message, Heartbeat):
             if message.load is not None:
                 self.load_view = message.load
@@ -165,6 +177,8 @@
     config: CurrentConfig
     instances: InstanceList
     affinity: AffinityIndex
+    sync: ConfigSync | None = None
+    neighbours: Neighbours | None = None
 
 
 class AgentPool:
@@ -197,6 +211,8 @@
                 await anyio.sleep(interval_s)
 
     def _update(self, listed: Sequence[Instance], tasks: TaskGroup) -> None:
+        if self._parts.neighbours is not None:
+            self._parts.neighbours.update(listed)
         entries = sum(
             one.role == 'entry' and one.state != 'leaving' for one in listed
         )
@@ -207,7 +223,11 @@
         for address, instance in wanted.items():
             link = self._links.get(address)
             if link is None:
-                link = AgentLink(instance, self._parts.affinity)
+                link = AgentLink(
+                    instance,
+                    self._parts.affinity,
+                    self._parts.sync,
+                )
                 self._links[address] = link
                 tasks.start_soon(self._keep, address, link)
             link.leaving = instance.state == 'leaving'
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -5,14 +5,17 @@
 import anyio
 
 from masticwind.config.current import CurrentConfig
-from masticwind.config.distribute import ConfigWatcher
+from masticwind.config.distribute import ConfigSync, ConfigWatcher
 from masticwind.config.store import ConfigStore
+from masticwind.entry.admin import AdminApi, AdminParts
 from masticwind.entry.affinity import AffinityIndex
 from masticwind.entry.app import AppParts, EntryApp
 from masticwind.entry.claims import Claims
+from masticwind.entry.neighbours import NeighbourParts, Neighbours
 from masticwind.entry.peers import AgentPool, PoolParts
 from masticwind.entry.relay import Relay
 from masticwind.entry.router import RoutingView
+from masticwind.entry.tiercount import TierCounter
 from masticwind.metrics import Metrics
 from masticwind.node import Node
 from masticwind.planner.runner import Planner
@@ -36,6 +39,12 @@
         self._cfg: Final = cfg
         self.config: Final = CurrentConfig()
         node = Node(role='entry', name=cfg.node, zone=cfg.zone)
+        self.store: Final = ConfigStore(HttpKeyValue(cfg.platform))
+        self.sync: Final = ConfigSync(self.config)
+        self._watcher: Final = ConfigWatcher(self.store, self.sync, cfg.node)
+        self.neighbours: Final = Neighbours(
+            NeighbourParts(cfg, node, self.sync, self._watcher)
+        )
         self.affinity: Final = AffinityIndex(cfg.affinity_blocks)
         self.pool: Final = AgentPool(
             PoolParts(
@@ -44,6 +53,8 @@
                 self.config,
                 HttpInstanceList(cfg.platform),
                 self.affinity,
+                self.sync,
+                self.neighbours,
             )
         )
         view = RoutingView(cfg, self.affinity)
@@ -51,6 +62,17 @@
         self.metrics: Final = Metrics(cfg.metrics)
         self.tracer: Final = Tracer(cfg.traces, cfg.node)
         self.claims: Final = Claims(HttpKeyValue(cfg.platform), cfg.claims)
+        service = TierCounter()
+        admin = AdminApi(
+            AdminParts(
+                cfg.node,
+                cfg.zone,
+                self.store,
+                self.sync,
+                self.pool,
+                service,
+            )
+        )
         self.app: Final = EntryApp(
             AppParts(
                 cfg,
@@ -60,6 +82,8 @@
                 self.claims,
                 self.metrics,
                 self.tracer,
+                admin,
+                service,
             ),
         )
         self._server: Final = WebServer(self.app, cfg.listen)
@@ -75,18 +99,18 @@
             tasks.start_soon(self.pool.run)
             tasks.start_soon(self.claims.run)
             tasks.start_soon(self.metrics.run)
-            key_value = HttpKeyValue(self._cfg.platform)
+            tasks.start_soon(self.neighbours.run)
+            if self._cfg.watch_config:
+                tasks.start_soon(self._watcher.run)
             if self._cfg.planner:
                 planner = Planner(
                     self._cfg,
                     self.config,
                     self.pool,
-                    key_value,
+                    self.store.key_value,
                     HttpWeightStore(self._cfg.platform),
                 )
                 tasks.start_soon(planner.run)
-            store = ConfigStore(key_value)
-            tasks.start_soon(ConfigWatcher(store, self.config).run)
             await self._server.run()
             tasks.cancel_scope.cancel()
         self.tracer.close()
