Replace silent connections and resume bodies by offset

A connection that was silent in one direction only was never noticed by the end that still heard its peer, and the other end noticed up to 0.5 s after the silence limit. Heartbeats now echo the last one received, the limit is checked when it is due, and a silent connection is replaced while frames under way on it are still read. Body chunks carry their offset and an agent acknowledges what it has, so that chunks lost with a connection are sent again; before, a prompt with a gap was queued as complete.

Found and repaired on the way: two senders of bodies waited on an event that was replaced, and one was never woken; a cancelled caller whose offer was not answered yet left its request running; a refusal by a later attempt hid that an earlier one may have run; a late resume on an older connection took the output back to it; a stale instance list dropped links at once and made a leaving agent usable again.

--- a/src/masticwind/agent/executor.py
+++ b/src/masticwind/agent/executor.py
@@ -71,8 +71,11 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is queued or running."""
-        return all(req.state == 'ended' for req in self._requests.values())
+        """Whether no request is under way or waits to be resumed."""
+        return all(
+            req.state == 'ended' and req.detached_at is None
+            for req in self._requests.values()
+        )
 
     async def run(self) -> None:
         """Start queued requests, read reports and sweep, until cancelled."""
@@ -87,8 +90,11 @@
     def offer(self, channel: Channel, offer: Offer) -> None:
         """Decide on an offer and answer it."""
         key = (offer.request_id, offer.attempt)
-        if key in self._requests:
-            channel.send(Accepted(*key))
+        known = self._requests.get(key)
+        if known is not None:
+            if known.state != 'receiving':
+                channel.send(Accepted(*key, body_received=len(known.body)))
+            known.attach(channel, 0)
             return
         refusal = self._refusal(offer)
         if refusal is not None:
@@ -113,10 +119,16 @@
         req = self._requests.get((message.request_id, message.attempt))
         if req is None or req.state != 'receiving':
             return
-        req.body.extend(message.chunk)
+        received = len(req.body)
+        offset = received if message.offset < 0 else message.offset
+        if offset > received:
+            # A chunk before this one was lost with a connection; the entry
+            # sends from the acknowledged offset when it resumes.
+            return
+        req.body.extend(message.chunk[received - offset :])
         if len(req.body) > req.offer.body_bytes:
             self._end(req, ErrorKind.BAD_REQUEST, 'body longer than offered')
-        elif message.last:
+        elif len(req.body) == req.offer.body_bytes:
             self._enqueue(req)
 
     def resume(self, channel: Channel, message: Resume) -> None:
--- a/src/masticwind/agent/requests.py
+++ b/src/masticwind/agent/requests.py
@@ -7,7 +7,13 @@
 
 from masticwind.budget import Budget
 from masticwind.protocol.channel import Channel
-from masticwind.protocol.messages import End, Offer, Output
+from masticwind.protocol.messages import (
+    MAX_OUTPUT_TOKENS_PER_MESSAGE,
+    Accepted,
+    End,
+    Offer,
+    Output,
+)
 
 State = Literal['receiving', 'queued', 'running', 'ended']
 RequestKey = tuple[str, int]
@@ -53,11 +59,20 @@
         self.channel.send(end)
 
     def attach(self, channel: Channel, offset: int) -> None:
-        """Continue on another connection from `offset` tokens on."""
+        """Continue on another connection from `offset` tokens on.
+
+        A late resume on an older connection than the present one is dropped;
+        the output would otherwise go where nobody reads it.
+        """
+        if channel.number < self.channel.number:
+            return
         self.channel = channel
         self.detached_at = None
-        missing = tuple(self.output[offset:])
-        if missing:
-            channel.send(Output(*self.key, offset, missing))
+        if self.state == 'receiving':
+            channel.send(Accepted(*self.key, body_received=len(self.body)))
+        step = MAX_OUTPUT_TOKENS_PER_MESSAGE
+        for start in range(offset, len(self.output), step):
+            part = tuple(self.output[start : start + step])
+            channel.send(Output(*self.key, start, part))
         if self.end is not None:
             channel.send(self.end)
--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -83,10 +83,8 @@
         self._executor.draining = True
         self._calls.draining = True
         with anyio.move_on_after(self._cfg.drain_timeout_ms / MS_PER_S):
-            while not (self._executor.idle and self._calls.idle):
+            while not await self._delivered():
                 await anyio.sleep(DRAIN_POLL_S)
-        # The last messages leave with the connections' next write.
-        await anyio.sleep(DRAIN_POLL_S)
 
     def load(self) -> Load:
         """Return the load report for the next heartbeat."""
@@ -120,3 +118,14 @@
                 self._tasks.start_soon(self._executor.cancel, message)
             case Call():
                 self._tasks.start_soon(self._calls.call, channel, message)
+
+    async def _delivered(self) -> bool:
+        """Tell whether all work has ended and the entries know.
+
+        Requests whose connection was lost before their end was read count as
+        under way until they are resumed or their grace period is over.
+        """
+        if not (self._executor.idle and self._calls.idle):
+            return False
+        flushed = await self._listener.flush()
+        return flushed and self._executor.idle and self._calls.idle
--- a/src/masticwind/entry/peers.py
+++ b/src/masticwind/entry/peers.py
@@ -14,8 +14,10 @@
 
 import anyio
 from anyio.abc import TaskGroup
+from loguru import logger
 
 from masticwind.config.current import CurrentConfig
+from masticwind.entry.subset import choose_subset
 from masticwind.errors import Failure
 from masticwind.node import Node
 from masticwind.platform.base import Instance, InstanceList
@@ -38,6 +40,8 @@
 from masticwind.settings import Address, EntrySettings
 
 MS_PER_S: Final = 1000
+# Longer than a request may wait for its agent's next connection.
+UNLISTED_GRACE_S: Final = 10.0
 AttemptKey = tuple[str, int]
 
 
@@ -77,14 +81,18 @@
     """One agent as this entry sees it."""
 
     def __init__(self, instance: Instance) -> None:
-        self.instance: Final = instance
+        self.instance = instance
         self.load_view: Load | None = None
         self.load_at = 0.0
         self.incarnation = ''
         self.endpoint = ''
-        self.leaving = False
+        # Listed, but no longer in the subset of this entry.
+        self.unwanted = False
         self.outstanding_tokens = 0
         self.outstanding = 0
+        self.lost_at = time.monotonic()
+        self._left_by = ''
+        self._leaving = False
         self._channel: Channel | None = None
         self._inboxes: Final[dict[AttemptKey, Inbox]] = {}
 
@@ -93,6 +101,37 @@
         """Whether messages can be sent now."""
         return self._channel is not None and not self._channel.closed
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the agent leaves, as listed or as it says itself.
+
+        An agent that was leaving stays so until it restarts: the instance
+        list lags, and an older state of it may be read after a newer one.
+        """
+        load = self.load_view
+        if load is not None and load.state == 'draining':
+            self.mark_leaving()
+        return self._leaving or self.unwanted
+
+    @property
+    def busy(self) -> bool:
+        """Whether attempts are under way."""
+        return bool(self._inboxes)
+
+    def mark_leaving(self) -> None:
+        """Give no new work to this incarnation of the agent."""
+        self._leaving = True
+        self._left_by = self.incarnation
+
+    def disposable(self) -> bool:
+        """Whether an unlisted agent has been gone for long enough.
+
+        Its requests have until then to resume on another connection.
+        """
+        if self.connected or self._inboxes:
+            return False
+        return time.monotonic() - self.lost_at > UNLISTED_GRACE_S
+
     def send(self, message: Message) -> bool:
         """Send a control message; false if there is no connection."""
         return self._channel is not None and self._channel.send(message)
@@ -118,6 +157,10 @@
     def opened(self, channel: Channel) -> None:
         """Use a new connection and tell the attempts."""
         self._channel = channel
+        # What the last connection said may be out of date by now.
+        self.load_view = None
+        if channel.peer.incarnation != self._left_by:
+            self._leaving = False
         self.incarnation = channel.peer.incarnation
         self.endpoint = channel.peer.endpoint
         self._tell(LinkEvent.RESTORED)
@@ -126,12 +169,13 @@
         """Tell the attempts that the connection is gone."""
         if self._channel is channel:
             self._channel = None
+            self.lost_at = time.monotonic()
             self._tell(LinkEvent.LOST)
 
     async def handle(self, channel: Channel, message: AnyMessage) -> None:
         """Take a heartbeat, or pass a message to its attempt."""
         if isinstance(message, Heartbeat):
-            if message.load is not None:
+            if message.load is not None and channel is self._channel:
                 self.load_view = message.load
                 self.load_at = time.monotonic()
         elif isinstance(message, AttemptMessage):
@@ -178,21 +222,54 @@
                 await anyio.sleep(interval_s)
 
     def _update(self, listed: Sequence[Instance], tasks: TaskGroup) -> None:
-        wanted = {
-            (one.host, one.port): one for one in listed if one.role == 'agent'
-        }
+        cfg = self._parts.cfg
+        chosen = choose_subset(cfg.node, listed, cfg.peers.fan_out)
+        wanted = {(one.host, one.port): one for one in chosen}
         for address, instance in wanted.items():
             link = self._links.get(address)
+            if link is not None and link.instance != instance:
+                link = self._relist(address, instance)
             if link is None:
                 link = AgentLink(instance)
                 self._links[address] = link
                 tasks.start_soon(self._keep, address, link)
-            link.leaving = instance.state == 'leaving'
+            link.unwanted = False
+            if instance.state == 'leaving':
+                link.mark_leaving()
+        known = {(one.host, one.port) for one in listed}
         for address in list(self._links):
-            if address in wanted or self._links[address].connected:
-                continue
-            self._links.pop(address)
-            self._scopes.pop(address).cancel()
+            if address not in wanted:
+                self._drop(address, listed=address in known)
+
+    def _relist(
+        self,
+        address: tuple[str, int],
+        instance: Instance,
+    ) -> AgentLink | None:
+        """Take a changed listing; none if the address has a new owner."""
+        link = self._links[address]
+        if link.instance.node == instance.node or not link.disposable():
+            link.instance = instance
+            return link
+        self._drop(address, listed=False)
+        return None
+
+    def _drop(self, address: tuple[str, int], *, listed: bool) -> None:
+        """Drop a link whose agent is gone or no longer in the subset.
+
+        An unlisted agent that answers is kept: the list lags, and a stale
+        read of it must not end connections.
+        """
+        link = self._links[address]
+        link.unwanted = listed
+        keep = link.busy if listed else not link.disposable()
+        if keep:
+            return
+        logger.bind(peer=link.instance.node).info('agent_dropped')
+        self._links.pop(address)
+        scope = self._scopes.pop(address, None)
+        if scope is not None:
+            scope.cancel()
 
     async def _keep(self, address: tuple[str, int], link: AgentLink) -> None:
         with anyio.CancelScope() as scope:
--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -9,9 +9,15 @@
 from masticwind.budget import Budget
 from masticwind.config.current import CurrentConfig
 from masticwind.engines.base import Done, Tokens
-from masticwind.entry.peers import AgentLink, AgentPool, Inbox, LinkEvent
+from masticwind.entry.peers import (
+    AgentLink,
+    AgentPool,
+    AttemptMessage,
+    Inbox,
+    LinkEvent,
+)
 from masticwind.entry.router import Job, Router
-from masticwind.errors import ErrorKind, Failure
+from masticwind.errors import ErrorKind, Failure, not_run
 from masticwind.protocol.messages import (
     CHUNK_BYTES,
     INLINE_BODY_BYTES,
@@ -58,8 +64,10 @@
     number: int
     link: AgentLink
     inbox: Inbox
+    incarnation: str
     received: int = 0
-    accepted: bool = False
+    offered: bool = False
+    lost: bool = False
 
     @property
     def key(self) -> tuple[str, int]:
@@ -90,6 +98,7 @@
             retry_after_ms=1000,
         )
         tried: set[AgentLink] = set()
+        ran: Failure | None = None
         for number in range(MAX_ATTEMPTS):
             links = self._candidates(req.job, tried)
             if not links or req.budget.expired():
@@ -103,12 +112,16 @@
                 link.open(
                     (req.request_id, number),
                 ),
+                link.incarnation,
             )
             outcome = await self._run_attempt(attempt, emit)
             if isinstance(outcome, Done) or not _retryable(outcome, attempt):
                 return outcome
             refusal = outcome
-        return refusal
+            if not not_run(outcome.kind):
+                ran = outcome
+        # A later refusal must not hide that an earlier attempt may have run.
+        return refusal if ran is None else ran
 
     def _candidates(
         self,
@@ -152,7 +165,7 @@
             link.outstanding -= 1
             link.outstanding_tokens -= job.prompt_tokens
             link.close(attempt.key)
-            if attempt.accepted and not finished:
+            if attempt.offered and not finished:
                 link.send(Cancel(*attempt.key))
 
     async def _offer(self, attempt: _Attempt) -> Failure | None:
@@ -177,10 +190,12 @@
         )
         if not sent:
             return Failure(kind=ErrorKind.NO_CAPACITY, reason='not connected')
+        attempt.offered = True
         answer = None
         with anyio.move_on_after(OFFER_TIMEOUT_S):
             answer = await attempt.inbox.get()
         if isinstance(answer, Refused):
+            attempt.offered = False
             return Failure(
                 kind=ErrorKind(answer.kind),
                 reason=answer.reason,
@@ -188,25 +203,28 @@
             )
         if not isinstance(answer, Accepted):
             return await self._revoke(attempt)
-        attempt.accepted = True
         if not inline:
-            return await self._send_body(attempt)
+            await self._send_body(attempt, 0)
         return None
 
-    async def _send_body(self, attempt: _Attempt) -> Failure | None:
-        prompt = attempt.req.prompt
-        for start in range(0, len(prompt), CHUNK_BYTES):
-            channel = attempt.link.channel
-            end = start + CHUNK_BYTES
-            if channel is None or not await channel.send_bulk(
-                Body(
-                    *attempt.key,
-                    prompt[start:end],
-                    end >= len(prompt),
-                )
-            ):
-                return await self._revoke(attempt)
-        return None
+    async def _send_body(self, attempt: _Attempt, offset: int) -> None:
+        """Send the body from `offset` on over the present connection.
+
+        If the connection is lost, the agent answers the resume on the next
+        one with the offset from which the body goes on.
+        """
+        prompt, channel = attempt.req.prompt, attempt.link.channel
+        if channel is None:
+            return
+        with anyio.move_on_after(attempt.req.budget.remaining_s()):
+            for start in range(offset, len(prompt), CHUNK_BYTES):
+                end = start + CHUNK_BYTES
+                chunk = prompt[start:end]
+                last = end >= len(prompt)
+                if not await channel.send_bulk(
+                    Body(*attempt.key, chunk, last, start),
+                ):
+                    return
 
     async def _revoke(self, attempt: _Attempt) -> Failure:
         """Withdraw an attempt whose fate is unclear."""
@@ -218,6 +236,8 @@
                     attempt.link.send(Revoke(*attempt.key))
                 if not isinstance(answer, Revoked):
                     continue
+                if attempt.link.incarnation != attempt.incarnation:
+                    return _restarted()
                 if answer.started:
                     return Failure(
                         kind=ErrorKind.FAILED_AFTER_START,
@@ -236,25 +256,34 @@
     ) -> Done | Failure:
         deadline_s = attempt.req.budget.remaining_s() + DEADLINE_GRACE_S
         limit = anyio.current_time() + deadline_s
-        lost = False
         while True:
             item = None
             wait_s = limit - anyio.current_time()
             with anyio.move_on_after(
-                min(wait_s, RESUME_TIMEOUT_S) if lost else wait_s,
+                min(wait_s, RESUME_TIMEOUT_S) if attempt.lost else wait_s,
             ):
                 item = await attempt.inbox.get()
             if item is None:
-                return _no_answer(lost=lost)
-            if item is LinkEvent.LOST:
-                lost = True
-            elif item is LinkEvent.RESTORED:
-                lost = False
-                attempt.link.send(Resume(*attempt.key, attempt.received))
-            elif isinstance(item, Output):
-                await _pass_on(attempt, item, emit)
-            elif isinstance(item, End):
+                return _no_answer(lost=attempt.lost)
+            if isinstance(item, End):
                 return _end_event(attempt, item)
+            if isinstance(item, LinkEvent):
+                if not _resume(attempt, item):
+                    return _restarted()
+            elif isinstance(item, Accepted):
+                await self._send_body(attempt, item.body_received)
+            elif not await _pass_in_time(attempt, item, emit, limit):
+                return _no_answer(lost=False)
+
+
+def _resume(attempt: _Attempt, event: LinkEvent) -> bool:
+    """Follow a connection event; false if the agent has lost its state."""
+    if attempt.link.incarnation != attempt.incarnation:
+        return False
+    attempt.lost = event is LinkEvent.LOST
+    if event is LinkEvent.RESTORED:
+        attempt.link.send(Resume(*attempt.key, attempt.received))
+    return True
 
 
 def _fits(job: Job, load: Load | None) -> bool:
@@ -263,6 +292,21 @@
     return job.prompt_tokens + job.max_tokens <= load.memory_total_tokens
 
 
+async def _pass_in_time(
+    attempt: _Attempt,
+    item: AttemptMessage,
+    emit: Emit,
+    limit: float,
+) -> bool:
+    """Pass tokens on; false if the caller does not read them in time."""
+    if not isinstance(item, Output):
+        return True
+    with anyio.move_on_after(limit - anyio.current_time()):
+        await _pass_on(attempt, item, emit)
+        return True
+    return False
+
+
 async def _pass_on(attempt: _Attempt, item: Output, emit: Emit) -> None:
     if item.offset > attempt.received:
         return
@@ -274,6 +318,13 @@
     await emit(tokens)
 
 
+def _restarted() -> Failure:
+    return Failure(
+        kind=ErrorKind.FAILED_AFTER_START,
+        reason='the agent restarted and lost the request',
+    )
+
+
 def _no_answer(*, lost: bool) -> Failure:
     if lost:
         return Failure(
@@ -284,6 +335,8 @@
 
 
 def _end_event(attempt: _Attempt, end: End) -> Done | Failure:
+    if end.kind == ErrorKind.NOT_FOUND:
+        return _restarted()
     if end.kind:
         return Failure(kind=ErrorKind(end.kind), reason=end.reason)
     if end.count != attempt.received:
--- a/src/masticwind/platform/base.py
+++ b/src/masticwind/platform/base.py
@@ -131,6 +131,7 @@
     port: int
     zone: str
     state: Literal['live', 'leaving'] = 'live'
+    service: str = ''
 
 
 class InstanceList(abc.ABC):
--- a/src/masticwind/protocol/channel.py
+++ b/src/masticwind/protocol/channel.py
@@ -11,6 +11,7 @@
             await handle(message)
 """
 
+import itertools
 import time
 from collections import deque
 from collections.abc import AsyncIterator
@@ -21,6 +22,7 @@
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from masticwind.errors import ErrorKind, Failure
+from masticwind.protocol.beats import Beats
 from masticwind.protocol.codec import (
     MAX_FRAME_BYTES,
     MAX_HANDSHAKE_BYTES,
@@ -28,16 +30,33 @@
     decode_frame,
     encode_frame,
 )
-from masticwind.protocol.handshake import Side, check_proof, make_proof
-from masticwind.protocol.messages import AnyMessage, Body, Hello, Message, Proof
+from masticwind.protocol.handshake import (
+    Side,
+    check_proof,
+    make_proof,
+    valid_secrets,
+)
+from masticwind.protocol.messages import (
+    AnyMessage,
+    Body,
+    Heartbeat,
+    Hello,
+    Load,
+    Message,
+    Proof,
+)
 from masticwind.settings import PeerSettings
 
 # A peer that does not read for this many messages is treated as lost.
 MAX_CONTROL_QUEUE: Final = 65_536
+# The same bound for the bodies within those messages.
+MAX_QUEUED_BODY_BYTES: Final = 67_108_864
 BULK_QUEUE: Final = 4
 MS_PER_S: Final = 1000
+FLUSH_POLL_S: Final = 0.01
 
 _Kind = TypeVar('_Kind', bound=Message)
+_numbers: Final = itertools.count(1)
 
 
 class Channel:
@@ -45,12 +64,17 @@
 
     def __init__(self, conn: Connection, peer: Hello) -> None:
         self.peer: Final = peer
+        # Later connections of this process have larger numbers.
+        self.number: Final = next(_numbers)
         self.last_received = time.monotonic()
+        self.unusable: Final = anyio.Event()
         self.bytes_in = 0
         self.bytes_out = 0
         self._conn: Final = conn
         self._control: Final = deque[Message]()
         self._bulk: Final = deque[Message]()
+        self._queued_bytes = 0
+        self._beats: Final = Beats()
         self._wake = anyio.Event()
         self._room = anyio.Event()
         self._closed = False
@@ -64,7 +88,11 @@
         """Queue a control message; false if the connection is closed."""
         if self._closed:
             return False
-        if len(self._control) >= MAX_CONTROL_QUEUE:
+        self._queued_bytes += _body_bytes(message)
+        if (
+            len(self._control) >= MAX_CONTROL_QUEUE
+            or self._queued_bytes > MAX_QUEUED_BODY_BYTES
+        ):
             self.abort()
             return False
         self._control.append(message)
@@ -74,7 +102,6 @@
     async def send_bulk(self, message: Body) -> bool:
         """Queue a body chunk and wait while the bulk queue is full."""
         while len(self._bulk) >= BULK_QUEUE and not self._closed:
-            self._room = anyio.Event()
             await self._room.wait()
         if self._closed:
             return False
@@ -104,6 +131,7 @@
                 if isinstance(messages, Failure):
                     break
                 for message in messages:
+                    self._note_beat(message)
                     yield message
         except (ConnectionClosed, WebSocketException, OSError):
             return
@@ -111,8 +139,35 @@
             self._mark_closed()
 
     def silent_s(self) -> float:
-        """Return the seconds since the last frame from the peer."""
-        return time.monotonic() - self.last_received
+        """Return for how many seconds one direction has been silent.
+
+        That is the time since the last frame from the peer or, if longer,
+        since the first heartbeat that the peer has not echoed.
+        """
+        now = time.monotonic()
+        return max(now - self.last_received, self._beats.unanswered_s(now))
+
+    def beat(self, generation: int, load: Load | None) -> bool:
+        """Send a heartbeat; false if the connection is closed."""
+        return self.send(self._beats.next(generation, load))
+
+    async def flush(self, generation: int, load: Load | None) -> bool:
+        """Wait until the peer has read all that was queued until now.
+
+        False if the connection is lost first. Frames arrive in order, so
+        the echo of a heartbeat covers every message before it.
+        """
+        sequence = self._beats.last_sent + 1
+        self.beat(generation, load)
+        while self._beats.last_echo < sequence:
+            if self._closed:
+                return False
+            await anyio.sleep(FLUSH_POLL_S)
+        return True
+
+    def retire(self) -> None:
+        """Send nothing more, but keep reading what is still under way."""
+        self._mark_closed()
 
     def abort(self) -> None:
         """Close at once, without a closing handshake.
@@ -136,19 +191,32 @@
             batch: list[Message] = []
             while self._control and len(batch) < MAX_MESSAGES_PER_FRAME:
                 batch.append(self._control.popleft())
+                self._queued_bytes -= _body_bytes(batch[-1])
             if not batch:
                 batch.append(self._bulk.popleft())
+                # Every waiting sender looks again; none may wait on an event
+                # that nobody sets any more.
                 self._room.set()
+                self._room = anyio.Event()
             for frame in _frames(batch):
                 self.bytes_out += len(frame)
                 await self._conn.send(frame)
 
+    def _note_beat(self, message: AnyMessage) -> None:
+        if isinstance(message, Heartbeat):
+            self._beats.received(message)
+
     def _mark_closed(self) -> None:
         self._closed = True
+        self.unusable.set()
         self._wake.set()
         self._room.set()
 
 
+def _body_bytes(message: Message) -> int:
+    return len(getattr(message, 'body', b''))
+
+
 def _frames(batch: list[Message]) -> list[bytes]:
     frame = encode_frame(batch)
     if len(frame) <= MAX_FRAME_BYTES or len(batch) == 1:
@@ -191,14 +259,20 @@
     peer = await _receive(conn, Hello)
     if peer is None:
         return Failure(kind=ErrorKind.UNAUTHENTICATED, reason='no hello')
+    if peer.nonce == own.nonce:
+        return Failure(kind=ErrorKind.UNAUTHENTICATED, reason='reflected hello')
+    secrets = valid_secrets(cfg)
     if side == 'listener':
         await conn.send(encode_frame([own]))
     dialer, listener = (own, peer) if side == 'dialer' else (peer, own)
     other: Side = 'listener' if side == 'dialer' else 'dialer'
     # The dialer proves itself first; the listener then signs with the
     # secret that the dialer used, which both are known to hold.
+    # A side accepts large frames from when the other may send them, which
+    # is after the last message of the handshake.
     if side == 'dialer':
-        own_proof = make_proof(cfg.secrets[0], side, dialer, listener)
+        _limit_frames(conn, MAX_FRAME_BYTES)
+        own_proof = make_proof(secrets[0], side, dialer, listener)
         await conn.send(encode_frame([own_proof]))
     proof = await _receive(conn, Proof)
     secret = (
@@ -206,7 +280,7 @@
         if proof is None
         else check_proof(
             proof,
-            cfg.secrets,
+            secrets,
             other,
             dialer,
             listener,
@@ -215,11 +289,18 @@
     if not secret:
         return Failure(kind=ErrorKind.UNAUTHENTICATED, reason='bad proof')
     if side == 'listener':
+        _limit_frames(conn, MAX_FRAME_BYTES)
         own_proof = make_proof(secret, side, dialer, listener)
         await conn.send(encode_frame([own_proof]))
     return Channel(conn, peer)
 
 
+def _limit_frames(conn: Connection, limit_bytes: int) -> None:
+    # websockets checks these attributes for each frame that it reads.
+    conn.protocol.max_message_size = limit_bytes
+    conn.protocol.max_fragment_size = limit_bytes
+
+
 async def _receive(conn: Connection, kind: type[_Kind]) -> _Kind | None:
     frame = await conn.recv()
     if not isinstance(frame, bytes) or len(frame) > MAX_HANDSHAKE_BYTES:
--- a/src/masticwind/protocol/handshake.py
+++ b/src/masticwind/protocol/handshake.py
@@ -6,14 +6,19 @@
 differs, and the side label stops a proof from being reflected.
 """
 
+import functools
 import hashlib
 import hmac
 import secrets
 from collections.abc import Sequence
+from pathlib import Path
 from typing import Final, Literal
 
+from loguru import logger
+
 from masticwind.protocol.codec import encode_frame
 from masticwind.protocol.messages import Hello, Proof
+from masticwind.settings import PeerSettings
 
 NONCE_BYTES: Final = 32
 
@@ -25,6 +30,50 @@
     return secrets.token_bytes(NONCE_BYTES)
 
 
+class SecretsFile:
+    """The secrets of one file, read again whenever the file changes."""
+
+    def __init__(self, path: str) -> None:
+        self._path: Final = Path(path)
+        self._stamp: tuple[int, int, int] | None = None
+        self._secrets: tuple[str, ...] = ()
+
+    def read(self) -> tuple[str, ...]:
+        """Return the secrets; the last good ones if the file is not usable."""
+        try:
+            status = self._path.stat()
+        except OSError as exc:
+            logger.bind(error=str(exc)).warning('secrets_unreadable')
+            return self._secrets
+        stamp = (status.st_mtime_ns, status.st_size, status.st_ino)
+        if stamp != self._stamp:
+            self._stamp = stamp
+            self._load()
+        return self._secrets
+
+    def _load(self) -> None:
+        try:
+            lines = self._path.read_text(encoding='utf-8').split()
+        except (OSError, UnicodeDecodeError) as exc:
+            logger.bind(error=str(exc)).warning('secrets_unreadable')
+            return
+        if lines:
+            self._secrets = tuple(lines)
+        logger.bind(valid=len(lines)).info('secrets_read')
+
+
+@functools.cache
+def _secrets_file(path: str) -> SecretsFile:
+    return SecretsFile(path)
+
+
+def valid_secrets(cfg: PeerSettings) -> tuple[str, ...]:
+    """Return the secrets that are valid now, the one to sign with first."""
+    if not cfg.secrets_file:
+        return cfg.secrets
+    return _secrets_file(cfg.secrets_file).read() or cfg.secrets
+
+
 def make_proof(
     secret: str, side: Side, dialer: Hello, listener: Hello
 ) -> Proof:
--- a/src/masticwind/protocol/listener.py
+++ b/src/masticwind/protocol/listener.py
@@ -1,22 +1,27 @@
 """Accepts inner connections and keeps their heartbeats going."""
 
 import abc
-import itertools
 import socket
+import time
 from typing import Final
 
 import anyio
+from loguru import logger
 from websockets.asyncio.server import ServerConnection, serve
 
 from masticwind.config.current import CurrentConfig
-from masticwind.errors import Failure
+from masticwind.errors import ErrorKind, Failure
 from masticwind.node import Node
 from masticwind.protocol.channel import Channel, authenticate
-from masticwind.protocol.codec import MAX_FRAME_BYTES
-from masticwind.protocol.messages import AnyMessage, Heartbeat, Load
+from masticwind.protocol.codec import MAX_HANDSHAKE_BYTES
+from masticwind.protocol.messages import AnyMessage, Load
 from masticwind.settings import Address, PeerSettings
 
 MS_PER_S: Final = 1000
+# How long frames that are under way on a silent connection are still read.
+DRAIN_S: Final = 0.5
+# Connections in the handshake; each ends within the connect timeout.
+MAX_HANDSHAKES: Final = 1024
 
 
 class PeerHandler(abc.ABC):
@@ -45,14 +50,30 @@
     config: CurrentConfig,
     handler: PeerHandler,
 ) -> None:
-    """Send heartbeats and abort the connection if the peer goes silent."""
-    for sequence in itertools.count():
-        if channel.closed:
-            return
-        channel.send(Heartbeat(sequence, config.number, handler.load()))
-        await anyio.sleep(cfg.heartbeat_ms / MS_PER_S)
-        if channel.silent_s() > cfg.silence_ms / MS_PER_S:
-            channel.abort()
+    """Send heartbeats until the connection closes or goes silent.
+
+    A silent connection is given up for sending; what is still under way on
+    it is read for a while before it is closed.
+    """
+    silence_s = cfg.silence_ms / MS_PER_S
+    next_beat = 0.0
+    while not channel.closed:
+        now = time.monotonic()
+        if now >= next_beat:
+            channel.beat(config.number, handler.load())
+            next_beat = now + cfg.heartbeat_ms / MS_PER_S
+        left_s = silence_s - channel.silent_s()
+        if left_s <= 0:
+            logger.bind(
+                peer=channel.peer.node,
+                silent_ms=int(channel.silent_s() * MS_PER_S),
+            ).warning('connection_silent')
+            channel.retire()
+            break
+        await anyio.sleep(min(left_s, next_beat - now))
+    handler.lost(channel)
+    await anyio.sleep(DRAIN_S)
+    channel.abort()
 
 
 async def serve_channel(
@@ -61,7 +82,11 @@
     config: CurrentConfig,
     handler: PeerHandler,
 ) -> None:
-    """Run an open connection until it ends."""
+    """Run an open connection until it ends.
+
+    The handler is told of the loss once or twice, first when the connection
+    becomes unusable.
+    """
     handler.opened(channel)
     try:
         async with anyio.create_task_group() as tasks:
@@ -71,6 +96,7 @@
                 await handler.handle(channel, message)
             tasks.cancel_scope.cancel()
     finally:
+        channel.abort()
         handler.lost(channel)
 
 
@@ -89,6 +115,8 @@
         self._cfg: Final = cfg
         self._config: Final = config
         self._handler: Final = handler
+        self._handshakes = 0
+        self._channels: Final[set[Channel]] = set()
         self._socket: Final = socket.create_server(
             (address.host, address.port),
             backlog=1024,
@@ -102,16 +130,48 @@
             sock=self._socket,
             compression=None,
             ping_interval=None,
-            max_size=MAX_FRAME_BYTES,
+            max_size=MAX_HANDSHAKE_BYTES,
             open_timeout=self._cfg.connect_timeout_ms / MS_PER_S,
             close_timeout=1,
         ):
             await anyio.sleep_forever()
 
+    async def flush(self) -> bool:
+        """Wait until every peer has read what was sent to it until now.
+
+        False if a connection was lost meanwhile.
+        """
+        number, load = self._config.number, self._handler.load()
+        flushed = True
+        for channel in tuple(self._channels):
+            if not await channel.flush(number, load):
+                flushed = False
+        return flushed
+
     async def _accept(self, conn: ServerConnection) -> None:
-        own = self._node.hello(self._config.number)
-        channel = await authenticate(conn, own, self._cfg, 'listener')
+        channel = await self._authenticate(conn)
         if isinstance(channel, Failure):
+            logger.bind(
+                address=str(conn.remote_address),
+                reason=channel.reason,
+            ).warning('peer_refused')
             conn.transport.abort()
             return
-        await serve_channel(channel, self._cfg, self._config, self._handler)
+        self._channels.add(channel)
+        try:
+            await serve_channel(channel, self._cfg, self._config, self._handler)
+        finally:
+            self._channels.discard(channel)
+
+    async def _authenticate(self, conn: ServerConnection) -> Channel | Failure:
+        if self._handshakes >= MAX_HANDSHAKES:
+            return Failure(
+                kind=ErrorKind.OVERLOADED,
+                reason='too many handshakes',
+            )
+        self._handshakes += 1
+        try:
+            own = self._node.hello(self._config.number)
+            return await authenticate(conn, own, self._cfg, 'listener')
+        finally:
+            self._handshakes -= 1
--- a/src/masticwind/protocol/messages.py
+++ b/src/masticwind/protocol/messages.py
@@ -74,6 +74,8 @@
     sequence: NonNegative
     generation: NonNegative
     load: Load | None = None
+    # The last sequence received from the other side; -1 if it is unknown.
+    echo: int = -1
 
 
 class CacheBlocks(Message, frozen=True, tag='blocks'):
@@ -116,14 +118,21 @@
     attempt: NonNegative
     chunk: bytes
     last: bool
+    # Bytes of the body before this chunk; -1 from a release without it.
+    offset: int = -1
 
 
 class Accepted(Message, frozen=True, tag='accepted'):
-    """The agent has queued the request."""
+    """The agent has taken the request.
+
+    It also answers a `Resume` while the body is incomplete; `body_received`
+    is then the offset from which the body is sent again.
+    """
 
     request_id: Id
     attempt: NonNegative
     predicted_ms: NonNegative = 0
+    body_received: NonNegative = 0
 
 
 class Refused(Message, frozen=True, tag='refused'):
--- a/src/masticwind/settings.py
+++ b/src/masticwind/settings.py
@@ -66,7 +66,8 @@
 
     `secrets` lists the valid shared secrets, the one to sign with first. A
     rotation adds the new secret behind the old one everywhere, then moves it
-    to the front everywhere, then removes the old one.
+    to the front everywhere, then removes the old one. `secrets_file` has one
+    secret a line, is read again when it changes and replaces `secrets`.
     """
 
     secrets: Annotated[tuple[Name, ...], msgspec.Meta(min_length=1)]
@@ -76,6 +77,7 @@
     connect_timeout_ms: PositiveMs = 1000
     fan_out: Count = 150
     neighbours: Count = 3
+    dials_per_s: Count = 50
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
