Deliver every answer before a shutdown and bound callers' connections

An entry cancelled its server as soon as no request was active, which could cut an answer that was still in the transport; it now announces (healthz 503, Connection: close) for announce_ms while it serves, refuses after that, and exits when the server has written everything. A second signal exits with code 3; before, the code was 0.

uvicorn's httptools parser has no limit on a request's head, so a connection is now limited in head size, head time and the time that it does not read.

--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -82,6 +82,7 @@
         """Refuse new work and wait until the running work has ended."""
         self._executor.draining = True
         self._calls.draining = True
+        self._listener.announce()
         with anyio.move_on_after(self._cfg.drain_timeout_ms / MS_PER_S):
             while not await self._delivered():
                 await anyio.sleep(DRAIN_POLL_S)
--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -44,6 +44,7 @@
     def __init__(self, parts: AppParts) -> None:
         self._parts: Final = parts
         self._active = 0
+        self.leaving = False
         self.draining = False
 
     async def __call__(
@@ -84,12 +85,12 @@
 
     def _health(self) -> Response:
         status = HTTPStatus.OK
-        if self.draining:
+        if self.leaving:
             status = HTTPStatus.SERVICE_UNAVAILABLE
         return json_response(
             status,
             {
-                'draining': self.draining,
+                'draining': self.leaving,
                 'generation': self._parts.config.number,
             },
         )
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -15,6 +15,7 @@
 from masticwind.platform.http import HttpInstanceList, HttpKeyValue
 from masticwind.settings import EntrySettings
 from masticwind.web import WebServer
+from masticwind.web_protocol import WRITE_STALL_S
 
 DRAIN_POLL_S: Final = 0.05
 MS_PER_S: Final = 1000
@@ -54,9 +55,15 @@
             tasks.cancel_scope.cancel()
 
     async def drain(self) -> None:
-        """Take nothing new and wait until the running requests have ended."""
+        """Announce, then take nothing new and wait for running requests.
+
+        Answers carry `Connection: close` from the announcement on.
+        """
+        self.app.leaving = True
+        self._server.closing = True
+        await anyio.sleep(self._cfg.announce_ms / MS_PER_S)
         self.app.draining = True
         with anyio.move_on_after(self._cfg.drain_timeout_ms / MS_PER_S):
             while self.app.active:
                 await anyio.sleep(DRAIN_POLL_S)
-        self._server.stop()
+        await self._server.finish(WRITE_STALL_S)
--- a/src/masticwind/program.py
+++ b/src/masticwind/program.py
@@ -1,5 +1,6 @@
 """What the serving programs share: start-up and shutdown."""
 
+import os
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -33,18 +34,26 @@
     drain: Callable[[], Awaitable[None]],
     scope: anyio.CancelScope,
 ) -> None:
-    """Drain at the first SIGTERM or SIGINT; cut short at the second."""
+    """Drain at the first SIGTERM or SIGINT.
+
+    The second one cuts this short: the process exits with code 3 at once.
+    """
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with anyio.create_task_group() as tasks:
             first = True
             async for signum in signals:
                 if not first:
-                    logger.bind(signal=signum).warning('shutdown_cut_short')
-                    break
+                    logger.bind(signal=signum).error('shutdown_cut_short')
+                    _exit_at_once()
                 first = False
                 logger.bind(signal=signum).info('shutdown_started')
                 tasks.start_soon(_drain, drain, scope)
-            scope.cancel()
+
+
+def _exit_at_once() -> None:
+    # Cleaning up could wait for the very thing that held up the shutdown.
+    sys.stderr.flush()
+    os._exit(EXIT_CUT_SHORT)
 
 
 async def _drain(
--- a/src/masticwind/protocol/listener.py
+++ b/src/masticwind/protocol/listener.py
@@ -136,6 +136,12 @@
         ):
             await anyio.sleep_forever()
 
+    def announce(self) -> None:
+        """Tell every peer the present load at once."""
+        number, load = self._config.number, self._handler.load()
+        for channel in self._channels:
+            channel.beat(number, load)
+
     async def flush(self) -> bool:
         """Wait until every peer has read what was sent to it until now.
 
--- a/src/masticwind/settings.py
+++ b/src/masticwind/settings.py
@@ -82,7 +82,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EntrySettings:
-    """Settings of `masticwind-entry`."""
+    """Settings of `masticwind-entry`.
+
+    `announce_ms` is how long a leaving entry fails its health check and
+    still serves, so that the load balancer moves callers away first.
+    """
 
     node: Name
     zone: Name
@@ -98,6 +102,7 @@
         msgspec.Meta(ge=1024, le=1_073_741_824),
     ] = 33_554_432
     body_timeout_ms: PositiveMs = 10_000
+    announce_ms: PositiveMs = 2000
     drain_timeout_ms: PositiveMs = 600_000
     routing: Literal[
         'predicted',
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Awaitable, Callable, Iterator, Mapping
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, Final, TypeVar
 from urllib.parse import parse_qsl
 
@@ -17,6 +18,7 @@
 
 from masticwind.errors import ErrorKind, Failure
 from masticwind.settings import Address
+from masticwind.web_protocol import LimitedProtocol
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -27,8 +29,8 @@
 
 JSON_TYPE: Final = b'application/json'
 LISTEN_BACKLOG: Final = 2048
-MAX_HEADER_BYTES: Final = 32_768
 KEEP_ALIVE_S: Final = 60
+CLOSE_HEADER: Final = (b'connection', b'close')
 # Decoding a larger body on the event loop would stall other requests.
 INLINE_DECODE_BYTES: Final = 262_144
 
@@ -145,6 +147,9 @@
     """Serves an ASGI application on one address until `stop` is called."""
 
     def __init__(self, app: App, address: Address) -> None:
+        self.closing = False
+        self._app: Final = app
+        self._stopped: Final = anyio.Event()
         self._socket: Final = socket.create_server(
             (address.host, address.port),
             backlog=LISTEN_BACKLOG,
@@ -152,23 +157,42 @@
         self.port: Final = int(self._socket.getsockname()[1])
         self._server: Final = _Server(
             uvicorn.Config(
-                app,
+                self._serve,
                 loop='none',
-                http='httptools',
+                interface='asgi3',
+                http=LimitedProtocol,
                 ws='none',
                 lifespan='off',
                 log_config=None,
                 access_log=False,
                 server_header=False,
                 timeout_keep_alive=KEEP_ALIVE_S,
-                h11_max_incomplete_event_size=MAX_HEADER_BYTES,
             )
         )
 
     async def run(self) -> None:
         """Serve until stopped; requests in progress are completed."""
         await self._server.serve(sockets=[self._socket])
+        self._stopped.set()
 
     def stop(self) -> None:
         """Take no new connections and end when the last request has."""
         self._server.should_exit = True
+
+    async def finish(self, timeout_s: float) -> None:
+        """Stop, and wait until the last answer is written.
+
+        A caller that does not read its answer delays this by at most
+        `timeout_s` seconds.
+        """
+        self.stop()
+        with anyio.move_on_after(timeout_s):
+            await self._stopped.wait()
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        await self._app(scope, receive, partial(self._send, send))
+
+    async def _send(self, send: Send, message: dict[str, Any]) -> None:
+        if self.closing and message['type'] == 'http.response.start':
+            message['headers'] = [*message['headers'], CLOSE_HEADER]
+        await send(message)
