Run a fault matrix against fleets of real processes

python -m masticwind_dev.faults.main runs every fault at every step of a request, and pairs of faults, through a fault-injecting proxy and by signals, and judges only by what callers received, what the engine stand-ins executed and hold, how processes ended and what the key-value service recorded. Cells of plain service calls are listed as waiting.

--- /dev/null
+++ b/src/masticwind_dev/faults/main.py
@@ -0,0 +1,157 @@
+"""Command line of the fault matrix."""
+
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Final
+
+import anyio
+import cyclopts
+import msgspec
+
+from masticwind_dev.faults.cells import CellFleet, Outcome
+from masticwind_dev.faults.matrix import Cell, all_cells, quick_cells
+from masticwind_dev.faults.processes import process_group
+
+MAX_FLEETS: Final = 5
+MAX_CELL_S: Final = 90.0
+EXIT_FAILED: Final = 1
+EXIT_USAGE: Final = 2
+
+cli = cyclopts.App(name='masticwind-faults', help='Run the fault matrix.')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Options:
+    """How to run the matrix."""
+
+    seed: int
+    fleets: int
+
+
+@cli.default
+def main(
+    *,
+    seed: int = 1,
+    cell: str = '',
+    quick: bool = False,
+    json: Path | None = None,
+    fleets: Annotated[int, cyclopts.Parameter(help='at most 6')] = MAX_FLEETS,
+) -> None:
+    """Run all cells, the quick subset, or those named by CELL."""
+    cells = quick_cells() if quick else all_cells()
+    if cell:
+        cells = tuple(one for one in cells if one.name == cell)
+    if not cells:
+        sys.stderr.write(f'no cell {cell}; cells are named fault@step\n')
+        sys.exit(EXIT_USAGE)
+    started = time.monotonic()
+    options = Options(seed=seed, fleets=min(fleets, 6))
+    outcomes = anyio.run(_run, cells, options)
+    report = _report(cells, outcomes, seed, time.monotonic() - started)
+    if json is not None:
+        json.write_bytes(msgspec.json.format(msgspec.json.encode(report)))
+    _print(cells, outcomes, report)
+    sys.exit(EXIT_FAILED if report['failed'] else 0)
+
+
+async def _run(cells: tuple[Cell, ...], options: Options) -> list[Outcome]:
+    waiting = [one for one in cells if not one.reason]
+    waiting.reverse()
+    outcomes: list[Outcome] = []
+    async with anyio.create_task_group() as tasks:
+        for _ in range(min(options.fleets, len(waiting))):
+            tasks.start_soon(_work, waiting, outcomes, options)
+    return outcomes
+
+
+async def _work(
+    waiting: list[Cell],
+    outcomes: list[Outcome],
+    options: Options,
+) -> None:
+    """Run waiting cells; a fleet that did not recover is replaced."""
+    while waiting:
+        async with process_group() as group, anyio.create_task_group() as tasks:
+            cells = CellFleet(group)
+            tasks.start_soon(cells.fleet.run_proxies)
+            await cells.start()
+            while waiting:
+                outcome = await _run_cell(cells, waiting.pop(), options)
+                outcomes.append(outcome)
+                if outcome.problems:
+                    text = '; '.join(outcome.problems)
+                    print(f'FAILED {outcome.cell.name}: {text}', flush=True)
+                    break
+            tasks.cancel_scope.cancel()
+
+
+async def _run_cell(cells: CellFleet, cell: Cell, options: Options) -> Outcome:
+    with anyio.move_on_after(MAX_CELL_S):
+        return await cells.run(cell, options.seed)
+    return Outcome(cell, [f'not over after {MAX_CELL_S:.0f} s'], MAX_CELL_S)
+
+
+def _report(
+    cells: tuple[Cell, ...],
+    outcomes: list[Outcome],
+    seed: int,
+    spent_s: float,
+) -> dict[str, object]:
+    failed = {one.cell.name: one.problems for one in outcomes if one.problems}
+    return {
+        'seed': seed,
+        'seconds': round(spent_s, 1),
+        'run': len(outcomes),
+        'passed': len(outcomes) - len(failed),
+        'failed': failed,
+        'waiting': sorted(one.name for one in cells if one.waiting),
+        'not_applicable': {
+            one.name: one.reason
+            for one in cells
+            if one.reason and not one.waiting
+        },
+    }
+
+
+def _print(
+    cells: tuple[Cell, ...],
+    outcomes: list[Outcome],
+    report: dict[str, object],
+) -> None:
+    _print_table(cells, {one.cell.name: one for one in outcomes})
+    print(
+        f'seed {report["seed"]}: {report["passed"]} of {report["run"]} cells '
+        f'passed in {report["seconds"]} s',
+    )
+    reasons = Counter(one.reason for one in cells if one.reason)
+    for reason, count in reasons.items():
+        print(f'{count} cells not run: {reason}')
+
+
+def _print_table(
+    cells: tuple[Cell, ...],
+    outcomes: dict[str, Outcome],
+) -> None:
+    steps = list(dict.fromkeys(one.step for one in cells))
+    rows: dict[str, dict[str, str]] = {}
+    for cell in cells:
+        row = rows.setdefault(cell.name.partition('@')[0], {})
+        row[cell.step] = _mark(cell, outcomes.get(cell.name))
+    heads = ''.join(f'{step:>10}' for step in steps)
+    print(f'{"":34}{heads}')
+    for name, marks in rows.items():
+        marked = ''.join(f'{marks.get(step, ""):>10}' for step in steps)
+        print(f'{name:34}{marked}')
+
+
+def _mark(cell: Cell, outcome: Outcome | None) -> str:
+    if outcome is not None:
+        return 'FAIL' if outcome.problems else 'ok'
+    return 'wait' if cell.waiting else '-'
+
+
+if __name__ == '__main__':
+    cli()
--- a/src/masticwind_dev/faults/processes.py
+++ b/src/masticwind_dev/faults/processes.py
@@ -120,6 +120,10 @@
 
     def _start(self, name: str, role: str, arguments: list[str]) -> Process:
         log_path = self.folder / f'{name}.log'
+        if log_path.exists():
+            # A restarted process has a log of its own, which also keeps the
+            # ports of its predecessor from being read as its own.
+            log_path.rename(self.folder / f'{name}.{len(self.processes)}.log')
         with (
             log_path.open('ab') as log,
             (self.folder / f'{name}.out').open('wb') as out,
--- a/src/masticwind_dev/faults/proxy.py
+++ b/src/masticwind_dev/faults/proxy.py
@@ -11,6 +11,7 @@
 import random
 import socket
 import struct
+from contextlib import suppress
 from dataclasses import asdict, dataclass, replace
 from typing import Any, Final, Literal
 
@@ -25,6 +26,8 @@
 MS_PER_S: Final = 1000
 GATE_POLL_S: Final = 0.01
 BOTH_SIDES: Final = 2
+# Closing a socket with this option sends a reset.
+NO_LINGER: Final = struct.pack('ii', 1, 0)
 
 Direction = Literal['up', 'down']
 
@@ -70,13 +73,10 @@
     def reset(self) -> None:
         """End both sides with a TCP reset."""
         for side in (self.caller, self.target):
-            raw = side.extra(anyio.abc.SocketAttribute.raw_socket, None)
-            if raw is not None:
-                raw.setsockopt(
-                    socket.SOL_SOCKET,
-                    socket.SO_LINGER,
-                    struct.pack('ii', 1, 0),
-                )
+            # A side that its peer has reset has no socket any more.
+            with suppress(OSError, anyio.TypedAttributeLookupError):
+                raw = side.extra(anyio.abc.SocketAttribute.raw_socket)
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
 
 
 class TcpProxy:
@@ -85,7 +85,7 @@
     def __init__(self, host: str, port: int, seed: int = 1) -> None:
         self.faults = Faults()
         self.accepted = 0
-        self._target: Final = (host, port)
+        self._target = (host, port)
         self._random: Final = random.Random(seed)
         self._pairs: Final[dict[_Pair, anyio.CancelScope]] = {}
         self._socket: Final = socket.create_server(('127.0.0.1', 0))
@@ -98,6 +98,10 @@
                 pair.silenced.update(('up', 'down'))
         self.faults = faults
 
+    def retarget(self, port: int) -> None:
+        """Send new connections to another port of the same host."""
+        self._target = (self._target[0], port)
+
     def reset_all(self) -> None:
         """Reset every open connection."""
         for pair, scope in list(self._pairs.items()):
--- a/tests/test_relay_faults.py
+++ b/tests/test_relay_faults.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
+from typing import Any
 
 import anyio
 import msgspec
@@ -66,11 +67,11 @@
 
 
 @asynccontextmanager
-async def bench(**model: object) -> AsyncIterator[Bench]:
+async def bench(**model: Any) -> AsyncIterator[Bench]:
     """Run a fleet with one engine behind a proxied agent."""
     plan = FleetPlan(
         config=sample_config(),
-        engines={'e1': ('zone-a', EngineModel(**model))},  # type: ignore[arg-type]
+        engines={'e1': ('zone-a', EngineModel(**model))},
     )
     async with anyio.create_task_group() as tasks:
         fleet = ProxiedFleet(plan, tasks)
