--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,118 @@
+"""Graceful shutdown of real processes under load."""
+
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from masticwind.errors import Failure
+from masticwind.httpclient import HttpAnswer, HttpClient
+from masticwind_dev.faults.fleet import FleetShape, ProcessFleet
+from masticwind_dev.faults.processes import Process, process_group
+from tests.scenarios import (
+    ZONES,
+    answer_text,
+    ask,
+    chat_body,
+    expected_chat,
+    sample_config,
+)
+
+pytestmark = pytest.mark.anyio
+
+TOKENS = 100
+EXIT_CUT_SHORT = 3
+
+
+@asynccontextmanager
+async def fleet_of(entries: int = 1) -> AsyncIterator[ProcessFleet]:
+    """Run a fleet of real processes that serves."""
+    shape = FleetShape(
+        zones=ZONES,
+        engines=3,
+        entries=entries,
+        entry={'announce_ms': 500},
+    )
+    async with process_group() as group:
+        fleet = ProcessFleet(shape, group)
+        store = await fleet.start()
+        applied = await store.apply(sample_config(), 0, 'test')
+        assert not isinstance(applied, Failure), applied
+        for entry in fleet.entries.values():
+            with anyio.fail_after(10):
+                while not await _serves(entry):
+                    await anyio.sleep(0.05)
+        yield fleet
+
+
+async def _serves(entry: Process) -> bool:
+    client = HttpClient(entry.url)
+    answer = await ask(client, chat_body('ready'))
+    await client.close()
+    return isinstance(answer, HttpAnswer) and answer.status == 200
+
+
+async def _exit_code(process: Process) -> int:
+    with anyio.fail_after(20):
+        while process.popen.poll() is None:
+            await anyio.sleep(0.02)
+    code = process.popen.poll()
+    assert code is not None
+    return code
+
+
+async def _ask_often(url: str, texts: list[str]) -> None:
+    client = HttpClient(url)
+    for text in texts:
+        answer = await ask(client, chat_body(text, TOKENS))
+        assert answer_text(answer) == expected_chat(text, TOKENS)
+    await client.close()
+
+
+async def test_agents_leave_one_after_the_other_under_load() -> None:
+    """Guards against requests cut by a rolling replacement of agents."""
+    async with fleet_of() as fleet, anyio.create_task_group() as tasks:
+        url = fleet.entries['entry-0'].url
+        for number in range(8):
+            texts = [f'{number}.{turn}' for turn in range(4)]
+            tasks.start_soon(_ask_often, url, texts)
+        await anyio.sleep(0.5)
+        for name in ('engine-0', 'engine-1'):
+            fleet.agents[name].signal(signal.SIGTERM)
+            assert await _exit_code(fleet.agents[name]) == 0
+
+
+async def test_entry_leaves_under_load() -> None:
+    """Guards against answers that are cut by the shutdown of an entry."""
+    async with fleet_of() as fleet, anyio.create_task_group() as tasks:
+        entry = fleet.entries['entry-0']
+        for number in range(8):
+            tasks.start_soon(_ask_often, entry.url, [f'{number}'])
+        await anyio.sleep(0.3)
+        entry.signal(signal.SIGTERM)
+        await anyio.sleep(0.2)
+        client = HttpClient(entry.url)
+        health = await client.request('GET', '/healthz', timeout_s=1)
+        answer = await ask(client, chat_body('late'))
+        await client.close()
+        assert isinstance(health, HttpAnswer)
+        assert health.status == 503
+        # Callers that the load balancer still sends are served meanwhile.
+        assert answer_text(answer) == expected_chat('late')
+        assert isinstance(answer, HttpAnswer)
+        assert answer.headers['connection'] == 'close'
+        assert await _exit_code(entry) == 0
+
+
+async def test_second_signal_cuts_short() -> None:
+    """Guards against a process that cannot be ended while it drains."""
+    async with fleet_of() as fleet:
+        entry = fleet.entries['entry-0']
+        entry.signal(signal.SIGTERM)
+        await anyio.sleep(0.2)
+        entry.signal(signal.SIGTERM)
+        assert await _exit_code(entry) == EXIT_CUT_SHORT
+        events = [line.get('event') for line in entry.logs()]
+        assert 'shutdown_cut_short' in events
