--- a/src/masticwind/protocol/listener.py
+++ b/src/masticwind/protocol/listener.py
@@ -1,7 +1,6 @@
 """Accepts inner connections and keeps their heartbeats going."""
 
 import abc
-import socket
 import time
 from typing import Final
 
@@ -16,6 +15,7 @@
 from masticwind.protocol.codec import MAX_HANDSHAKE_BYTES
 from masticwind.protocol.messages import AnyMessage, Load
 from masticwind.settings import Address, PeerSettings
+from masticwind.sockets import listen_tcp
 
 MS_PER_S: Final = 1000
 # How long frames that are under way on a silent connection are still read.
@@ -117,10 +117,7 @@
         self._handler: Final = handler
         self._handshakes = 0
         self._channels: Final[set[Channel]] = set()
-        self._socket: Final = socket.create_server(
-            (address.host, address.port),
-            backlog=1024,
-        )
+        self._socket: Final = listen_tcp(address)
         self.port: Final = int(self._socket.getsockname()[1])
 
     async def run(self) -> None:
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -5,7 +5,6 @@
 """
 
 import contextlib
-import socket
 from collections.abc import Awaitable, Callable, Iterator, Mapping
 from dataclasses import dataclass
 from functools import partial
@@ -18,6 +17,7 @@
 
 from masticwind.errors import ErrorKind, Failure
 from masticwind.settings import Address
+from masticwind.sockets import listen_tcp
 from masticwind.web_protocol import LimitedProtocol
 
 Scope = dict[str, Any]
@@ -28,7 +28,6 @@
 _Content = TypeVar('_Content')
 
 JSON_TYPE: Final = b'application/json'
-LISTEN_BACKLOG: Final = 2048
 KEEP_ALIVE_S: Final = 60
 CLOSE_HEADER: Final = (b'connection', b'close')
 # Decoding a larger body on the event loop would stall other requests.
@@ -150,10 +149,7 @@
         self.closing = False
         self._app: Final = app
         self._stopped: Final = anyio.Event()
-        self._socket: Final = socket.create_server(
-            (address.host, address.port),
-            backlog=LISTEN_BACKLOG,
-        )
+        self._socket: Final = listen_tcp(address)
         self.port: Final = int(self._socket.getsockname()[1])
         self._server: Final = _Server(
             uvicorn.Config(
