Shut the local runner down without cutting requests

SIGTERM cancelled its whole fleet. It now drains the entries, then the agents, and exits with code 0.

--- a/src/masticwind_dev/faults/processes.py
+++ b/src/masticwind_dev/faults/processes.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -32,8 +33,10 @@
         'entry': 'masticwind.entry.main',
         'agent': 'masticwind.agent.main',
         'standin': 'masticwind_dev.standins.main',
+        'local': 'masticwind_dev.local.main',
     }
 )
+_SERVES: Final = re.compile(r'serves on http://127\.0\.0\.1:(\d+)\.')
 
 
 @dataclass(slots=True)
@@ -96,6 +99,17 @@
                 process.port = int(text) if text.endswith('\n') else 0
         return process
 
+    async def local(self) -> Process:
+        """Start the local runner and wait until its checks are done."""
+        process = self._start('local', 'local', ['--port', '0'])
+        out = self.folder / 'local.out'
+        with anyio.fail_after(START_TIMEOUT_S):
+            while not process.port:
+                await anyio.sleep(POLL_S)
+                found = _SERVES.search(out.read_text())
+                process.port = int(found.group(1)) if found else 0
+        return process
+
     async def program(
         self,
         role: str,
--- a/src/masticwind_dev/local/fleet.py
+++ b/src/masticwind_dev/local/fleet.py
@@ -97,6 +97,15 @@
             while not self._ready():
                 await anyio.sleep(POLL_S)
 
+    async def drain(self) -> None:
+        """Shut the entries down, then the agents; cut no request."""
+        async with anyio.create_task_group() as tasks:
+            for entry in self.entries.values():
+                tasks.start_soon(entry.drain)
+        async with anyio.create_task_group() as tasks:
+            for agent in self.agents.values():
+                tasks.start_soon(agent.drain)
+
     def _ready(self) -> bool:
         for entry in self.entries.values():
             serving = [
--- a/src/masticwind_dev/local/main.py
+++ b/src/masticwind_dev/local/main.py
@@ -10,6 +10,7 @@
 
 from masticwind import __version__
 from masticwind.logs import configure_logs
+from masticwind.program import stop_on_signals
 from masticwind_dev.local.check import CheckResult, run_checks
 from masticwind_dev.local.fleet import Fleet, running_fleet
 from masticwind_dev.local.sample import PAID_TOKEN, sample_plan
@@ -66,7 +67,8 @@
         if options.once or failed:
             return failed
         _print_usage(fleet)
-        await anyio.sleep_forever()
+        with anyio.CancelScope() as scope:
+            await stop_on_signals(fleet.drain, scope)
     return False
 
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -11,6 +11,7 @@
 from masticwind.httpclient import HttpAnswer, HttpClient
 from masticwind_dev.faults.fleet import FleetShape, ProcessFleet
 from masticwind_dev.faults.processes import Process, process_group
+from masticwind_dev.local.sample import PAID_TOKEN as LOCAL_TOKEN
 from tests.scenarios import (
     ZONES,
     answer_text,
@@ -116,3 +117,20 @@
         assert await _exit_code(entry) == EXIT_CUT_SHORT
         events = [line.get('event') for line in entry.logs()]
         assert 'shutdown_cut_short' in events
+
+
+async def test_local_runner_finishes_its_requests() -> None:
+    """Guards against a local runner that cuts requests when it is ended."""
+    async with process_group() as group, anyio.create_task_group() as tasks:
+        runner = await group.local()
+        tasks.start_soon(_ask_runner, runner.url)
+        await anyio.sleep(0.3)
+        runner.signal(signal.SIGTERM)
+        assert await _exit_code(runner) == 0
+
+
+async def _ask_runner(url: str) -> None:
+    client = HttpClient(url)
+    answer = await ask(client, chat_body('long', 200), token=LOCAL_TOKEN)
+    await client.close()
+    assert answer_text(answer) == expected_chat('long', 200)
