--- a/src/masticwind/agent/executor.py
+++ b/src/masticwind/agent/executor.py
@@ -144,8 +144,11 @@
     def offer(self, channel: Channel, offer: Offer) -> None:
         """Decide on an offer and answer it."""
         key = (offer.request_id, offer.attempt)
-        if key in self._requests:
-            channel.send(Accepted(*key))
+        known = self._requests.get(key)
+        if known is not None:
+            if known.state != 'receiving':
+                channel.send(Accepted(*key, body_received=len(known.body)))
+            known.attach(channel, 0)
             return
         req = AgentRequest(offer, Budget.from_ms(offer.timeout_ms), channel)
         req.cached_estimate = self._cache.cached_tokens(offer)
@@ -171,12 +174,16 @@
         req = self._requests.get((message.request_id, message.attempt))
         if req is None or req.state != 'receiving':
             return
-        req.body.extend(message.chunk)
-        size = len(req.body)
-        wanted = req.offer.body_bytes
-        if size > wanted or (message.last and size < wanted):
-            end_with(req, ErrorKind.BAD_REQUEST, 'body differs from the offer')
-        elif message.last:
+        received = len(req.body)
+        offset = received if message.offset < 0 else message.offset
+        if offset > received:
+            # A chunk before this one was lost with a connection; the entry
+            # sends from the acknowledged offset when it resumes.
+            return
+        req.body.extend(message.chunk[received - offset :])
+        if len(req.body) > req.offer.body_bytes:
+            end_with(req, ErrorKind.BAD_REQUEST, 'body longer than offered')
+        elif len(req.body) == req.offer.body_bytes:
             self._enqueue(req)
 
     def resume(self, channel: Channel, message: Resume) -> None:
--- a/src/masticwind/agent/requests.py
+++ b/src/masticwind/agent/requests.py
@@ -10,7 +10,13 @@
 
 from masticwind.budget import Budget
 from masticwind.protocol.channel import Channel
-from masticwind.protocol.messages import End, Offer, Output
+from masticwind.protocol.messages import (
+    MAX_OUTPUT_TOKENS_PER_MESSAGE,
+    Accepted,
+    End,
+    Offer,
+    Output,
+)
 
 State = Literal['receiving', 'queued', 'running', 'ended']
 RequestKey = tuple[str, int]
@@ -125,12 +131,22 @@
         self.turn += 1
 
     def attach(self, channel: Channel, offset: int) -> None:
-        """Continue on another connection from `offset` tokens on."""
+        """Continue on another connection from `offset` tokens on.
+
+        A late resume on an older connection than the present one is dropped;
+        the output would otherwise go where nobody reads it.
+        """
+        if channel.number < self.channel.number:
+            return
         self.channel = channel
         self.detached_at = None
-        start = max(offset, self.base)
-        missing = tuple(self.output[start - self.base :])
-        if missing:
-            channel.send(Output(*self.key, start, missing))
+        if self.state == 'receiving':
+            channel.send(Accepted(*self.key, body_received=len(self.body)))
+        first = max(offset, self.base)
+        step = MAX_OUTPUT_TOKENS_PER_MESSAGE
+        for start in range(first, self.base + len(self.output), step):
+            here = start - self.base
+            part = tuple(self.output[here : here + step])
+            channel.send(Output(*self.key, start, part))
         if self.end is not None:
             channel.send(self.end)
--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -7,7 +7,7 @@
 
 from masticwind.agent.cache_view import CachePublisher
 from masticwind.agent.calls import CallExecutor
-from masticwind.agent.drain import Drainer
+from masticwind.agent.drain import DRAIN_POLL_S, MS_PER_S, Drainer
 from masticwind.agent.executor import Executor, ExecutorParts
 from masticwind.agent.orders import OrderKeeper
 from masticwind.config.current import CurrentConfig
@@ -89,6 +89,12 @@
 
     async def drain(self) -> None:
         """Refuse new work and wait until the running work has ended."""
+        self._executor.draining = True
+        self._calls.draining = True
+        self._listener.announce()
+        with anyio.move_on_after(self._cfg.drain_timeout_ms / MS_PER_S):
+            while not await self._delivered():
+                await anyio.sleep(DRAIN_POLL_S)
         await self._drainer.drain(self._executor, self._calls)
         self._telemetry.tracer.close()
 
@@ -148,3 +154,14 @@
                 self._calls.resume(channel, message)
             case Revoke():
                 self._calls.revoke(channel, message)
+
+    async def _delivered(self) -> bool:
+        """Tell whether all work has ended and the entries know.
+
+        Requests whose connection was lost before their end was read count as
+        under way until they are resumed or their grace period is over.
+        """
+        if not (self._executor.idle and self._calls.idle):
+            return False
+        flushed = await self._listener.flush()
+        return flushed and self._executor.idle and self._calls.idle
--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -79,6 +79,7 @@
             )
         )
         self._active = 0
+        self.leaving = False
         self.draining = False
 
     async def __call__(
@@ -136,12 +137,12 @@
 
     def _health(self) -> Response:
         status = HTTPStatus.OK
-        if self.draining:
+        if self.leaving:
             status = HTTPStatus.SERVICE_UNAVAILABLE
         return json_response(
             status,
             {
-                'draining': self.draining,
+                'draining': self.leaving,
                 'generation': self._parts.config.number,
             },
         )
--- a/src/masticwind/entry/attempts.py
+++ b/src/masticwind/entry/attempts.py
@@ -13,7 +13,7 @@
 
 from masticwind.budget import Budget
 from masticwind.engines.base import Done, Tokens
-from masticwind.entry.peers import AgentLink, Inbox, LinkEvent
+from masticwind.entry.peers import AgentLink, AttemptMessage, Inbox, LinkEvent
 from masticwind.entry.predict import Job, PendingSend, Predictor
 from masticwind.errors import ErrorKind, Failure, not_run
 from masticwind.protocol.messages import (
@@ -41,6 +41,10 @@
 # The agent ends a request at its deadline; this lets its answer arrive.
 DEADLINE_GRACE_S: Final = 0.25
 _KINDS: Final = frozenset(ErrorKind)
+_RESTARTED: Final = Failure(
+    kind=ErrorKind.FAILED_AFTER_START,
+    reason='the agent restarted and lost the request',
+)
 
 Emit = Callable[[Tokens], Awaitable[None]]
 
@@ -79,6 +83,8 @@
     send: PendingSend
     received: int = 0
     offered: bool = False
+    lost: bool = False
+    incarnation: str = ''
     handle: str = ''
 
     @property
@@ -86,6 +92,17 @@
         """Request id and attempt number."""
         return self.req.request_id, self.number
 
+    def wait_s(self, limit: float) -> float:
+        """Return for how many seconds to wait for the agent.
+
+        `limit` is the end of the time budget on the event loop's clock.
+        """
+        left_s = limit - anyio.current_time()
+        if not self.lost:
+            return left_s
+        lost_s = RESUME_TIMEOUT_S if self.received else RESTART_TIMEOUT_S
+        return min(left_s, lost_s)
+
 
 async def run_attempt(
     attempt: Attempt,
@@ -98,6 +115,7 @@
     the request at the agent.
     """
     link, job = attempt.link, attempt.req.job
+    attempt.incarnation = link.incarnation
     link.outstanding += 1
     link.outstanding_tokens += job.prompt_tokens
     try:
@@ -146,7 +164,7 @@
     if not isinstance(answer, Accepted):
         return await _revoke(attempt)
     if offer.body_bytes > len(offer.body):
-        return await _send_body(attempt)
+        await _send_body(attempt, 0)
     return None
 
 
@@ -171,20 +189,24 @@
     )
 
 
-async def _send_body(attempt: Attempt) -> Failure | None:
-    prompt = attempt.req.prompt
-    for start in range(0, len(prompt), CHUNK_BYTES):
-        channel = attempt.link.channel
-        end = start + CHUNK_BYTES
-        if channel is None or not await channel.send_bulk(
-            Body(
-                *attempt.key,
-                prompt[start:end],
-                end >= len(prompt),
-            )
-        ):
-            return await _revoke(attempt)
-    return None
+async def _send_body(attempt: Attempt, offset: int) -> None:
+    """Send the body from `offset` on over the present connection.
+
+    If the connection is lost, the agent answers the resume on the next one
+    with the offset from which the body goes on.
+    """
+    prompt, channel = attempt.req.prompt, attempt.link.channel
+    if channel is None:
+        return
+    with anyio.move_on_after(attempt.req.budget.remaining_s()):
+        for start in range(offset, len(prompt), CHUNK_BYTES):
+            end = start + CHUNK_BYTES
+            chunk = prompt[start:end]
+            last = end >= len(prompt)
+            if not await channel.send_bulk(
+                Body(*attempt.key, chunk, last, start),
+            ):
+                return
 
 
 async def _revoke(attempt: Attempt) -> Failure:
@@ -198,6 +220,8 @@
             if not isinstance(answer, Revoked):
                 continue
             attempt.offered = False
+            if attempt.link.incarnation != attempt.incarnation:
+                return _RESTARTED
             if answer.started:
                 return Failure(
                     kind=ErrorKind.FAILED_AFTER_START,
@@ -213,35 +237,48 @@
 async def _receive(attempt: Attempt, emit: Emit) -> Done | Failure:
     deadline_s = attempt.req.budget.remaining_s() + DEADLINE_GRACE_S
     limit = anyio.current_time() + deadline_s
-    lost = False
     while True:
         item = None
-        wait_s = limit - anyio.current_time()
-        if lost:
-            wait_s = min(wait_s, _lost_timeout_s(attempt))
-        with anyio.move_on_after(wait_s):
+        with anyio.move_on_after(attempt.wait_s(limit)):
             item = await attempt.inbox.get()
         if item is None:
-            return _no_answer(lost=lost)
-        if item is LinkEvent.LOST:
-            lost = True
-        elif item is LinkEvent.RESTORED:
-            lost = False
-            attempt.link.send(
-                Resume(
-                    *attempt.key,
-                    attempt.received,
-                    attempt.req.budget.remaining_ms(),
-                )
-            )
-        elif isinstance(item, Output):
-            await _pass_on(attempt, item, emit)
-        elif isinstance(item, End):
+            return _no_answer(lost=attempt.lost)
+        if isinstance(item, End):
             return _end_event(attempt, item)
+        if isinstance(item, LinkEvent):
+            _resume(attempt, item)
+        elif isinstance(item, Accepted):
+            await _send_body(attempt, item.body_received)
+        elif not await _pass_in_time(attempt, item, emit, limit):
+            return _no_answer(lost=False)
+
+
+def _resume(attempt: Attempt, event: LinkEvent) -> None:
+    """Follow a connection event; a restarted agent may adopt the stream."""
+    attempt.lost = event is LinkEvent.LOST
+    if event is LinkEvent.RESTORED:
+        attempt.link.send(
+            Resume(
+                *attempt.key,
+                attempt.received,
+                attempt.req.budget.remaining_ms(),
+            )
+        )
 
 
-def _lost_timeout_s(attempt: Attempt) -> float:
-    return RESUME_TIMEOUT_S if attempt.received else RESTART_TIMEOUT_S
+async def _pass_in_time(
+    attempt: Attempt,
+    item: AttemptMessage,
+    emit: Emit,
+    limit: float,
+) -> bool:
+    """Pass tokens on; false if the caller does not read them in time."""
+    if not isinstance(item, Output):
+        return True
+    with anyio.move_on_after(limit - anyio.current_time()):
+        await _pass_on(attempt, item, emit)
+        return True
+    return False
 
 
 async def _pass_on(attempt: Attempt, item: Output, emit: Emit) -> None:
--- a/src/masticwind_dev/faults/processes.py
+++ b/src/masticwind_dev/faults/processes.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -32,8 +33,10 @@
         'entry': 'masticwind.entry.main',
         'agent': 'masticwind.agent.main',
         'standin': 'masticwind_dev.standins.main',
+        'local': 'masticwind_dev.local.main',
     }
 )
+_SERVES: Final = re.compile(r'serves on http://127\.0\.0\.1:(\d+)\.')
 
 
 @dataclass(slots=True)
@@ -96,6 +99,17 @@
                 process.port = int(text) if text.endswith('\n') else 0
         return process
 
+    async def local(self) -> Process:
+        """Start the local runner and wait until its checks are done."""
+        process = self._start('local', 'local', ['--port', '0'])
+        out = self.folder / 'local.out'
+        with anyio.fail_after(START_TIMEOUT_S):
+            while not process.port:
+                await anyio.sleep(POLL_S)
+                found = _SERVES.search(out.read_text())
+                process.port = int(found.group(1)) if found else 0
+        return process
+
     async def program(
         self,
         role: str,
@@ -120,6 +134,10 @@
 
     def _start(self, name: str, role: str, arguments: list[str]) -> Process:
         log_path = self.folder / f'{name}.log'
+        if log_path.exists():
+            # A restarted process has a log of its own, which also keeps the
+            # ports of its predecessor from being read as its own.
+            log_path.rename(self.folder / f'{name}.{len(self.processes)}.log')
         with (
             log_path.open('ab') as log,
             (self.folder / f'{name}.out').open('wb') as out,
--- a/tests/test_configuration_page.py
+++ b/tests/test_configuration_page.py
@@ -20,7 +20,7 @@
     *(model.PlainService, model.CallRule, model.Operator),
     *(settings.EntrySettings, settings.AgentSettings, settings.PeerSettings),
     *(settings.PlatformSettings, settings.MetricsSettings),
-    *(settings.TraceSettings, settings.Address),
+    *(settings.TraceSettings, settings.Address, settings.ClaimSettings),
 )
 
 
