--- a/src/masticwind_dev/local/check.py
+++ b/src/masticwind_dev/local/check.py
@@ -99,9 +99,12 @@
         await entry.config.wait_newer(number)
     spent_s = anyio.current_time() - started
     served = await _check_prompt(client, LENGTHS[0])
+    in_force = entry.config.number > number
+    # The zone returns, so that the whole fleet serves what follows.
+    back = await store.apply(config, number + 1, 'local')
     return CheckResult(
-        name=f'{ZONES[1]} taken out of service',
-        passed=served.passed and entry.config.number > number,
+        name=f'{ZONES[1]} taken out of service and back',
+        passed=served.passed and in_force and not isinstance(back, Failure),
         detail=f'in force at the entry after {spent_s:.2f} s, still serving',
     )
 
--- a/src/masticwind_dev/local/main.py
+++ b/src/masticwind_dev/local/main.py
@@ -13,7 +13,11 @@
 from masticwind.program import stop_on_signals
 from masticwind_dev.local.check import CheckResult, run_checks
 from masticwind_dev.local.fleet import Fleet, running_fleet
-from masticwind_dev.local.sample import PAID_TOKEN, sample_plan
+from masticwind_dev.local.sample import (
+    OPERATOR_TOKEN,
+    PAID_TOKEN,
+    sample_plan,
+)
 
 PORT: Final = 8100
 
@@ -90,6 +94,13 @@
     -d '{{"model": "standard", "max_tokens": 8, "messages":
          [{{"role": "user", "content": "Summarise case 12."}}]}}'
 
+Change its configuration as an operator:
+
+  export MASTICWIND_TOKEN={OPERATOR_TOKEN}
+  masticwind-ctl show --api http://127.0.0.1:{port} > fleet.yaml
+  masticwind-ctl apply fleet.yaml --api http://127.0.0.1:{port}
+  masticwind-ctl status --api http://127.0.0.1:{port}
+
 Stop it with Ctrl-C.""",
         flush=True,
     )
--- a/src/masticwind_dev/local/sample.py
+++ b/src/masticwind_dev/local/sample.py
@@ -7,6 +7,7 @@
     CallRule,
     Configuration,
     Model,
+    Operator,
     PlainService,
     Team,
     Tier,
@@ -18,6 +19,7 @@
 ZONES: Final = ('local-a', 'local-b', 'local-c')
 PAID_TOKEN: Final = 'demo-paid'
 FREE_TOKEN: Final = 'demo-free'
+OPERATOR_TOKEN: Final = 'demo-operator'
 ENGINES: Final = 6
 
 
@@ -37,6 +39,12 @@
             ),
         },
         models={'standard': Model()},
+        operators={
+            'demo': Operator(
+                token_digests=(token_digest(OPERATOR_TOKEN),),
+                role='writer',
+            ),
+        },
         services={
             'orders': PlainService(
                 calls=(
