Add masticwind-bench slopes

Control cost of an entry and an agent per peer, sizes and look-up time of the configuration, claims against writes, and the time until a change is in force in 3, 30 and 200 processes.

--- a/src/masticwind_dev/bench/main.py
+++ b/src/masticwind_dev/bench/main.py
@@ -1,7 +1,7 @@
 """Command line of `masticwind-bench`."""
 
 from pathlib import Path
-from typing import Annotated, Final
+from typing import Annotated, Final, Literal
 
 import anyio
 import cyclopts
@@ -19,6 +19,7 @@
     run_zone_event,
 )
 from masticwind_dev.bench.overhead import measure_overhead
+from masticwind_dev.bench.slopes import DEFAULT_PLAN, SHORT_PLAN, run_slopes
 
 FREE_LOADS: Final = (0.0, 1.0, 3.0)
 DEFAULT_FOLDER: Final = Path('results')
@@ -126,6 +127,18 @@
     print(text.decode())
 
 
+@cli.command
+def slopes(
+    part: Literal['', 'entry', 'agent', 'config', 'orders', 'spread'] = '',
+    *,
+    short: bool = False,
+    folder: Folder = DEFAULT_FOLDER,
+) -> None:
+    """Measure costs per peer, team and order; PART runs one part alone."""
+    plan = SHORT_PLAN if short else DEFAULT_PLAN
+    print(run_slopes(plan, folder, part).read_text())
+
+
 @cli.command
 def report(
     *,
