--- a/src/masticwind/protocol/messages.py
+++ b/src/masticwind/protocol/messages.py
@@ -69,7 +69,10 @@
 
 
 class Heartbeat(Message, frozen=True, tag='beat'):
-    """Sent by both sides at a fixed interval."""
+    """Sent by both sides at a fixed interval.
+
+    Without `load`, an agent's last report on the connection still holds.
+    """
 
     sequence: NonNegative
     generation: NonNegative
