--- a/src/masticwind_dev/bench/main.py
+++ b/src/masticwind_dev/bench/main.py
@@ -129,7 +129,9 @@
 
 @cli.command
 def slopes(
-    part: Literal['', 'entry', 'agent', 'config', 'orders', 'spread'] = '',
+    part: Literal[
+        '', 'entry', 'agent', 'relay', 'config', 'orders', 'spread'
+    ] = '',
     *,
     short: bool = False,
     folder: Folder = DEFAULT_FOLDER,
--- a/src/masticwind_dev/bench/slopes.py
+++ b/src/masticwind_dev/bench/slopes.py
@@ -7,7 +7,7 @@
 import subprocess
 import sys
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any, Final
@@ -30,13 +30,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SlopesPlan:
-    """Sizes of all parts; the defaults take under 10 minutes in all."""
+    """Sizes of all parts; the defaults take under 10 minutes in all.
+
+    `relay_rates` are requests a second to an entry with the smallest number
+    of peers, each of `control.load_tokens` tokens.
+    """
 
     control: ControlPlan = field(default_factory=ControlPlan)
     spread: SpreadPlan = field(default_factory=SpreadPlan)
     teams: tuple[int, ...] = TEAMS
     order_rates: tuple[int, ...] = (200, 1000, 2000)
     orders_s: float = 10
+    relay_rates: tuple[int, ...] = (10, 20, 40)
 
 
 DEFAULT_PLAN: Final = SlopesPlan()
@@ -52,6 +57,7 @@
     teams=(10, 20),
     order_rates=(50,),
     orders_s=1,
+    relay_rates=(5,),
 )
 
 
@@ -81,6 +87,17 @@
     return anyio.run(measure_agent, plan.control)
 
 
+def _relay(plan: SlopesPlan) -> object:
+    peers = plan.control.peers[:1]
+    return [
+        anyio.run(
+            measure_entry,
+            replace(plan.control, peers=peers, load_rate=rate),
+        )
+        for rate in plan.relay_rates
+    ]
+
+
 def _spread(plan: SlopesPlan) -> object:
     return anyio.run(measure_spread, plan.spread)
 
@@ -106,6 +123,7 @@
     {
         'entry': _entry,
         'agent': _agent,
+        'relay': _relay,
         'config': _config,
         'orders': _orders,
         'spread': _spread,
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -22,6 +22,15 @@
         assert found[part]['failed_requests'] == 0
 
 
+def test_relay_serves_its_callers(tmp_path: Path) -> None:
+    """Guards against a cost per token that comes from failed requests."""
+    path = run_slopes(SHORT_PLAN, tmp_path, 'relay')
+    relay = msgspec.json.decode(path.read_bytes())['relay'][0]
+    assert relay['tokens_per_s'] == 50
+    assert relay['failed_requests'] == 0
+    assert relay['data_core_us_per_token'][0] > 0
+
+
 def test_spread_reaches_every_process(tmp_path: Path) -> None:
     """Guards against a fleet of the bench that does not pull changes."""
     path = run_slopes(SHORT_PLAN, tmp_path, 'spread')
@@ -34,4 +43,5 @@
 
 def test_every_part_has_a_test() -> None:
     """Guards against a new part that only the full run covers."""
-    assert set(PARTS) == {'entry', 'agent', 'config', 'orders', 'spread'}
+    tested = {'entry', 'agent', 'relay', 'config', 'orders', 'spread'}
+    assert set(PARTS) == tested
