--- a/src/masticwind_dev/bench/main.py
+++ b/src/masticwind_dev/bench/main.py
@@ -130,7 +130,14 @@
 @cli.command
 def slopes(
     part: Literal[
-        '', 'entry', 'agent', 'relay', 'config', 'orders', 'spread'
+        '',
+        'entry',
+        'agent',
+        'relay',
+        'config',
+        'listing',
+        'orders',
+        'spread',
     ] = '',
     *,
     short: bool = False,
--- a/src/masticwind_dev/bench/slopes.py
+++ b/src/masticwind_dev/bench/slopes.py
@@ -21,6 +21,7 @@
     measure_agent,
     measure_entry,
 )
+from masticwind_dev.bench.slopes_listing import measure_listing
 from masticwind_dev.bench.slopes_spread import SpreadPlan, measure_spread
 
 ORDERS_MODULE: Final = 'masticwind_dev.bench.orders'
@@ -41,6 +42,7 @@
     teams: tuple[int, ...] = TEAMS
     order_rates: tuple[int, ...] = (200, 1000, 2000)
     orders_s: float = 10
+    listed: tuple[int, ...] = (18, 600, 6930)
     relay_rates: tuple[int, ...] = (10, 20, 40)
 
 
@@ -57,6 +59,7 @@
     teams=(10, 20),
     order_rates=(50,),
     orders_s=1,
+    listed=(18,),
     relay_rates=(5,),
 )
 
@@ -106,6 +109,10 @@
     return [measure_config(teams) for teams in plan.teams]
 
 
+def _listing(plan: SlopesPlan) -> object:
+    return [measure_listing(count) for count in plan.listed]
+
+
 def _orders(plan: SlopesPlan) -> object:
     found: list[Any] = []
     for rate in plan.order_rates:
@@ -125,6 +132,7 @@
         'agent': _agent,
         'relay': _relay,
         'config': _config,
+        'listing': _listing,
         'orders': _orders,
         'spread': _spread,
     }
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -8,7 +8,9 @@
 from masticwind_dev.bench.slopes import PARTS, SHORT_PLAN, run_slopes
 
 
-@pytest.mark.parametrize('part', ['entry', 'agent', 'config', 'orders'])
+@pytest.mark.parametrize(
+    'part', ['entry', 'agent', 'config', 'listing', 'orders']
+)
 def test_parts_measure_something(part: str, tmp_path: Path) -> None:
     """Guards against a part that no longer runs against the real programs."""
     path = run_slopes(SHORT_PLAN, tmp_path, part)
@@ -43,5 +45,5 @@
 
 def test_every_part_has_a_test() -> None:
     """Guards against a new part that only the full run covers."""
-    tested = {'entry', 'agent', 'relay', 'config', 'orders', 'spread'}
-    assert set(PARTS) == tested
+    tested = {'entry', 'agent', 'relay', 'config', 'listing', 'orders'}
+    assert set(PARTS) == tested | {'spread'}
