Let a planner see its whole zone, and plan only from what is listed

An entry with a fan-out of 150 sees 9 of a zone's 376 engines at the size to design for, and counted copies of a model among those only, so it would have ordered loads that are not needed. Found by reading the capacity figures. Tests: test_planner_sees_its_whole_zone, test_nothing_is_ordered_from_a_part_of_the_zone.

--- a/src/masticwind/entry/peers.py
+++ b/src/masticwind/entry/peers.py
@@ -233,6 +233,7 @@
         self._links: Final[dict[tuple[str, int], AgentLink]] = {}
         self._scopes: Final[dict[tuple[str, int], anyio.CancelScope]] = {}
         self._live_entries = 1
+        self._zone_agents = 0
 
     @property
     def links(self) -> Sequence[AgentLink]:
@@ -244,6 +245,11 @@
         """Entries in the instance list, at least this one."""
         return self._live_entries
 
+    @property
+    def zone_agents(self) -> int:
+        """Live agents of the entry's own zone in the instance list."""
+        return self._zone_agents
+
     async def run(self) -> None:
         """Follow the instance list until cancelled."""
         interval_s = self._parts.cfg.instances_poll_ms / MS_PER_S
@@ -262,7 +268,11 @@
         )
         self._live_entries = max(1, entries)
         cfg = self._parts.cfg
-        chosen = choose_subset(cfg.node, listed, cfg.peers.fan_out)
+        self._zone_agents = sum(
+            one.role == 'agent' and one.zone == cfg.zone and one.state == 'live'
+            for one in listed
+        )
+        chosen = choose_subset(cfg, listed)
         wanted = {(one.host, one.port): one for one in chosen}
         for address, instance in wanted.items():
             link = self._links.get(address)
--- a/src/masticwind/entry/subset.py
+++ b/src/masticwind/entry/subset.py
@@ -11,15 +11,20 @@
 import xxhash
 
 from masticwind.platform.base import Instance
+from masticwind.settings import EntrySettings
 
 
 def choose_subset(
-    node: str,
+    cfg: EntrySettings,
     listed: Sequence[Instance],
-    fan_out: int,
 ) -> Sequence[Instance]:
-    """Return the agents that the entry `node` connects to."""
+    """Return the agents that an entry connects to.
+
+    An entry that plans placement also takes all agents of its own
+    availability zone, because it must see every copy of a model there.
+    """
     agents = [one for one in listed if one.role == 'agent']
+    fan_out = cfg.peers.fan_out
     if len(agents) <= fan_out:
         return agents
     chosen: list[Instance] = []
@@ -27,7 +32,9 @@
         group = [one for one in agents if (one.zone, one.service) == place]
         # Rounded up, so that a small group has at least one agent.
         share = -(-fan_out * len(group) // len(agents))
-        chosen.extend(_ranked(node, group)[:share])
+        if cfg.planner and place[0] == cfg.zone:
+            share = len(group)
+        chosen.extend(_ranked(cfg.node, group)[:share])
     return chosen
 
 
--- a/src/masticwind/planner/placement.py
+++ b/src/masticwind/planner/placement.py
@@ -38,13 +38,17 @@
     config: Configuration,
     zone: str,
     views: Sequence[EndpointView],
+    listed: int = 0,
 ) -> Order | None:
     """Return the next order for a zone, or nothing.
 
+    `listed` is the number of endpoints in the zone as the platform lists
+    them, which may be more than there are views.
+
     A model that has too few endpoints goes before one that has too many, so
     that a move never lowers the number of endpoints below the wanted one.
     """
-    if not _complete(views):
+    if not _complete(views, listed):
         return None
     serving = [view for view in views if _usable(view)]
     for name, model in config.models.items():
@@ -82,9 +86,10 @@
     return None
 
 
-def _complete(views: Sequence[EndpointView]) -> bool:
+def _complete(views: Sequence[EndpointView], listed: int) -> bool:
     fresh = sum(view.load is not None for view in views)
-    return bool(views) and fresh >= MIN_VISIBLE_SHARE * len(views)
+    wanted = max(len(views), listed)
+    return bool(views) and fresh >= MIN_VISIBLE_SHARE * wanted
 
 
 def _usable(view: EndpointView) -> bool:
--- a/src/masticwind/planner/runner.py
+++ b/src/masticwind/planner/runner.py
@@ -63,6 +63,7 @@
             self._config.config,
             self._cfg.zone,
             [_view(link) for link in links],
+            self._pool.zone_agents,
         )
         if order is None or not await self._may_load(order):
             return
--- a/src/masticwind_dev/bench/slopes_listing.py
+++ b/src/masticwind_dev/bench/slopes_listing.py
@@ -8,7 +8,7 @@
 
 from masticwind.entry.subset import choose_subset
 from masticwind.platform.base import Instance
-from masticwind.settings import PeerSettings
+from masticwind.settings import EntrySettings, PeerSettings
 
 ENTRY_SHARE: Final = 530 / 6930
 ZONES: Final = 17
@@ -37,13 +37,17 @@
     entries = max(1, round(count * ENTRY_SHARE))
     listed = [_instance(number, entries) for number in range(count)]
     answer = msgspec.json.encode(listed)
-    fan_out = PeerSettings(secrets=('one',)).fan_out
+    cfg = EntrySettings(
+        node='entry-0',
+        zone='zone-0',
+        peers=PeerSettings(secrets=('one',)),
+    )
     start = time.perf_counter()
     for _ in range(REPEATS):
         msgspec.json.decode(answer, type=tuple[Instance, ...])
     decoded = time.perf_counter()
     for _ in range(REPEATS):
-        chosen = choose_subset('entry-0', listed, fan_out)
+        chosen = choose_subset(cfg, listed)
     end = time.perf_counter()
     zones = [one.zone for one in chosen]
     return ListingCost(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -49,16 +49,33 @@
     ]
 
 
+def _entry(node: str, *, planner: bool = False) -> EntrySettings:
+    return EntrySettings(
+        node=node,
+        zone='zone-0',
+        peers=PeerSettings(secrets=('test',), fan_out=150),
+        planner=planner,
+    )
+
+
+def test_planner_sees_its_whole_zone() -> None:
+    """Guards against orders for copies of a model that are out of sight."""
+    agents = listed(900)
+    chosen = choose_subset(_entry('e1', planner=True), agents)
+    for zone, count in (('zone-0', 300), ('zone-1', 50)):
+        assert sum(one.zone == zone for one in chosen) == count
+
+
 def test_small_fleet_is_taken_whole() -> None:
     """Guards against agents that no entry of a small fleet reaches."""
     agents = listed(150)
-    assert list(choose_subset('e1', agents, 150)) == agents
+    assert list(choose_subset(_entry('e1'), agents)) == agents
 
 
 def test_subset_is_fair_to_zones_and_services() -> None:
     """Guards against a zone or service that an entry cannot reach."""
     agents = [*listed(900), *listed(6, service='orders')]
-    chosen = choose_subset('e1', agents, 150)
+    chosen = choose_subset(_entry('e1'), agents)
     assert 150 <= len(chosen) <= 156
     for zone in ('zone-0', 'zone-1', 'zone-2'):
         engines = [
@@ -73,8 +90,8 @@
 def test_subset_moves_little() -> None:
     """Guards against a storm of dials when one instance is replaced."""
     agents = listed(900)
-    before = {one.node for one in choose_subset('e1', agents, 150)}
-    after = {one.node for one in choose_subset('e1', agents[1:], 150)}
+    before = {one.node for one in choose_subset(_entry('e1'), agents)}
+    after = {one.node for one in choose_subset(_entry('e1'), agents[1:])}
     assert len(before - after) <= 2
     assert len(after - before) <= 2
 
@@ -84,7 +101,7 @@
     agents = listed(640, zones=4)
     reached: set[str] = set()
     for number in range(53):
-        chosen = choose_subset(f'entry-{number}', agents, 150)
+        chosen = choose_subset(_entry(f'entry-{number}'), agents)
         reached.update(one.node for one in chosen)
     assert len(reached) == len(agents)
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -52,6 +52,14 @@
     assert order is None
 
 
+def test_nothing_is_ordered_from_a_part_of_the_zone() -> None:
+    """Guards against loads that endpoints out of sight make unnecessary."""
+    config = sample_config(models={'standard': Model(replicas={'zone-a': 1})})
+    views = [_view('a'), _view('b')]
+    assert plan_order(config, 'zone-a', views, listed=10) is None
+    assert plan_order(config, 'zone-a', views, listed=2) is not None
+
+
 def test_unload_only_above_the_wanted_number() -> None:
     """Guards against a move that leaves a model with too few endpoints."""
     config = sample_config(models={'standard': Model(replicas={'zone-a': 1})})
