Let racing operators apply different configurations

The race fault and the apply step wrote the configuration in force, which the store answers without a write, so every racing operator succeeded and the apply step changed nothing. Each operator now applies a change of its own.

--- a/src/masticwind_dev/faults/cells.py
+++ b/src/masticwind_dev/faults/cells.py
@@ -128,6 +128,8 @@
             await anyio.sleep(FAULT_S)
             for fault in self._cell.faults:
                 await self._injector.heal(fault.name)
+        if self._cell.step == 'apply':
+            await self._injector.apply_again()
         await self._check_rest()
         await self._injector.collect()
         self._check(self._injector.executed - before)
@@ -182,7 +184,7 @@
             await self._drain()
 
     async def _apply(self) -> None:
-        number = await self._injector.apply_again()
+        number = await self._injector.apply_again('step')
         # The time counts from when the faults have been ended.
         with anyio.move_on_after(FAULT_S + IN_FORCE_S):
             while min(await self._generations()) < number:
--- a/src/masticwind_dev/faults/injection.py
+++ b/src/masticwind_dev/faults/injection.py
@@ -60,10 +60,14 @@
         """End a fault; what was killed is started again."""
         await self._heals[name]()
 
-    async def apply_again(self) -> int:
-        """Put the plain configuration in force; return its generation."""
+    async def apply_again(self, mark: str = '') -> int:
+        """Put the plain configuration in force; return its generation.
+
+        A `mark` makes it differ from what is in force, since the store
+        writes nothing for an equal configuration.
+        """
         for _ in range(HEAL_TRIES):
-            number = await self.apply(self._config)
+            number = await self.apply(self._marked(mark))
             if number:
                 return number
             await anyio.sleep(HEAL_PAUSE_S)
@@ -115,7 +119,7 @@
             'kv-lost-write': partial(self._key_value, lose_responses=0),
             'cold': self._warm,
             'zone-out': self._zone_back,
-            'race': _nothing,
+            'race': self._zone_back,
         }
 
     @property
@@ -214,13 +218,16 @@
         number: int,
         outcomes: list[Head | Failure],
     ) -> None:
+        # Equal configurations do not compete: each apply would succeed.
         outcomes.append(
-            await self._store.apply(self._config, number, operator),
+            await self._store.apply(self._marked(operator), number, operator),
         )
 
-
-async def _nothing() -> None:
-    """End a fault that ends by itself."""
+    def _marked(self, mark: str) -> Configuration:
+        if not mark:
+            return self._config
+        teams = {**self._config.teams, f'mark-{mark}': Team(tier='paid')}
+        return replace(self._config, teams=teams)
 
 
 def matrix_config(zones: tuple[str, ...], digest: str) -> Configuration:
