Fault matrix: cells for non-repeatable calls

Orders go through both entries, at once and again later, while a fault strikes during the claim, the way to the agent or the way back. Checked from outside: at most one execution for each key, true "not run" answers, outcome queries at the other entry, no takeover of a dead entry's claim, and no execution in a zone later than 2 s after it was taken out.

--- a/src/masticwind_dev/faults/fleet.py
+++ b/src/masticwind_dev/faults/fleet.py
@@ -49,6 +49,7 @@
         self.entries: Final[dict[str, Process]] = {}
         self.proxies: Final[dict[str, TcpProxy]] = {}
         self.zone_of: Final[dict[str, str]] = {}
+        self._service_of: Final[dict[str, str]] = {}
         self.platform: dict[str, Any] = {}
 
     async def start(self) -> ConfigStore:
@@ -61,7 +62,7 @@
         for service, count in self.shape.services.items():
             for number in range(count):
                 name = f'{service}-{number}'
-                self.services[name] = await self.group.standin(name, 'service')
+                await self.start_service(name)
                 await self.start_agent(name, self._zone(number), service)
         await self.publish()
         for number in range(self.shape.entries):
@@ -81,13 +82,25 @@
         self._through(name, engine.port)
         return engine
 
+    async def start_service(self, name: str) -> Process:
+        """Start, or start again, a plain service stand-in."""
+        process = await self.group.standin(name, 'service')
+        self.services[name] = process
+        self._through(name, process.port)
+        return process
+
     async def start_agent(
         self,
         endpoint: str,
         zone: str,
         service: str = '',
     ) -> Process:
-        """Start, or start again, the agent beside an endpoint."""
+        """Start, or start again, the agent beside an endpoint.
+
+        The agent of a plain service is started again without its `service`.
+        """
+        service = service or self._service_of.get(endpoint, '')
+        self._service_of[endpoint] = service
         beside = self.engines.get(endpoint) or self.services[endpoint]
         port = self._through(endpoint, beside.port)
         kind = {'kind': 'service', 'service': service} if service else {}
--- a/src/masticwind_dev/faults/injection.py
+++ b/src/masticwind_dev/faults/injection.py
@@ -1,6 +1,7 @@
 """Brings one fault about in a fleet, and ends it again."""
 
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from functools import partial
@@ -8,7 +9,15 @@
 
 import anyio
 
-from masticwind.config.model import Configuration, Model, Team, Tier, Zone
+from masticwind.config.model import (
+    CallRule,
+    Configuration,
+    Model,
+    PlainService,
+    Team,
+    Tier,
+    Zone,
+)
 from masticwind.config.parts import Head
 from masticwind.config.store import ConfigStore
 from masticwind.errors import ErrorKind, Failure
@@ -16,7 +25,10 @@
 from masticwind_dev.faults.processes import Process, control, inspect
 from masticwind_dev.faults.proxy import Faults, TcpProxy
 
-PROCESSES: Final = ('entry', 'agent', 'engine')
+PROCESSES: Final = ('entry', 'agent', 'engine', 'service')
+LOST_ANSWERS: Final = 3
+# Lets bytes that are under way arrive before a service's record is read.
+QUIET_S: Final = 0.05
 DELAY_MS: Final = 200
 SLOW_KV_MS: Final = 800
 HEAL_TRIES: Final = 20
@@ -27,12 +39,21 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Victims:
-    """What the faults of a cell strike."""
+    """What the faults of a cell strike; `engine` can be a plain service."""
 
     entry: str
     engine: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Execution:
+    """One order that a plain service has executed."""
+
+    service: str
+    key: str
+    at_s: float
+
+
 class Injector:
     """Injects the faults of one cell into a fleet."""
 
@@ -45,6 +66,9 @@
     ) -> None:
         self.executed: Final[set[str]] = set()
         self.problems: Final[list[str]] = []
+        self.out_at = 0.0
+        self.back_at = 0.0
+        self._runs: Final[dict[tuple[int, int], Execution]] = {}
         self._fleet: Final = fleet
         self._store: Final = store
         self._config: Final = config
@@ -83,8 +107,15 @@
         applied = await self._store.apply(config, number, 'matrix')
         return 0 if isinstance(applied, Failure) else applied.number
 
+    @property
+    def runs(self) -> tuple[Execution, ...]:
+        """What the plain services have executed, as far as collected."""
+        return tuple(self._runs.values())
+
     async def collect(self) -> None:
-        """Note what the engines have executed."""
+        """Note what the endpoints have executed."""
+        for name, service in self._fleet.services.items():
+            await self._collect_runs(name, service)
         for engine in self._fleet.engines.values():
             await self._collect_from(engine)
 
@@ -92,6 +123,14 @@
         state = await inspect(engine, '/state')
         self.executed.update(state['executed'])
 
+    async def _collect_runs(self, name: str, service: Process) -> None:
+        for number, run in enumerate(await inspect(service, '/executions')):
+            self._runs[service.popen.pid, number] = Execution(
+                service=name,
+                key=run['order'],
+                at_s=run['at_s'],
+            )
+
     def _start_acts(self) -> dict[str, Act]:
         return {
             **{f'kill-{one}': partial(self._kill, one) for one in PROCESSES},
@@ -103,6 +142,7 @@
             'kv-outage': partial(self._key_value, outage=True),
             'kv-slow': partial(self._key_value, delay_ms=SLOW_KV_MS),
             'kv-lost-write': partial(self._key_value, lose_responses=1),
+            'lost-answer': partial(self._service, LOST_ANSWERS),
             'cold': self._turn_cold,
             'zone-out': self._zone_out,
             'race': self._race,
@@ -117,6 +157,7 @@
             'kv-outage': partial(self._key_value, outage=False),
             'kv-slow': partial(self._key_value, delay_ms=0),
             'kv-lost-write': partial(self._key_value, lose_responses=0),
+            'lost-answer': partial(self._service, 0),
             'cold': self._warm,
             'zone-out': self._zone_back,
             'race': self._zone_back,
@@ -131,6 +172,8 @@
             return self._fleet.entries[self._victims.entry]
         if target == 'agent':
             return self._fleet.agents[self._victims.engine]
+        if target == 'service':
+            return self._fleet.services[self._victims.engine]
         return self._fleet.engines[self._victims.engine]
 
     async def _kill(self, target: str) -> None:
@@ -138,8 +181,21 @@
         if target == 'engine':
             process.signal(signal.SIGCONT)
             await self._collect_from(process)
+        elif target == 'service':
+            await self._quiesce(process)
         process.kill()
 
+    async def _quiesce(self, service: Process) -> None:
+        """Read the record of a service that gets no more calls."""
+        name = self._victims.engine
+        proxy = self._fleet.proxies[name]
+        proxy.inject(Faults(silent_up=True))
+        await anyio.sleep(QUIET_S)
+        await self._collect_runs(name, service)
+
+    async def _service(self, lose_responses: int) -> None:
+        await control(self._process('service'), lose_responses=lose_responses)
+
     async def _restart(self, target: str) -> None:
         name = self._victims.engine
         if target == 'entry':
@@ -147,6 +203,10 @@
             await self._fleet.start_entry(entry, self._fleet.zone_of[name])
         elif target == 'agent':
             await self._fleet.start_agent(name, self._fleet.zone_of[name])
+        elif target == 'service':
+            await self._fleet.start_service(name)
+            self._fleet.proxies[name].reset_all()
+            self._fleet.proxies[name].inject(Faults())
         else:
             await self._fleet.start_engine(name)
 
@@ -178,6 +238,7 @@
         await self._restart('engine')
 
     async def _zone_back(self) -> None:
+        self.back_at = time.monotonic()
         await self.apply_again()
 
     async def _key_value(self, **switches: object) -> None:
@@ -193,7 +254,8 @@
         zone = self._fleet.zone_of[self._victims.engine]
         zones = dict(self._config.zones)
         zones[zone] = replace(zones[zone], in_service=False)
-        await self.apply(replace(self._config, zones=zones))
+        if await self.apply(replace(self._config, zones=zones)):
+            self.out_at = time.monotonic()
 
     async def _race(self) -> None:
         stored = await self._store.read_head()
@@ -237,4 +299,12 @@
         tiers={'paid': Tier(kind='paid')},
         teams={'callers': Team(tier='paid', token_digests=(digest,))},
         models={'standard': Model()},
+        services={
+            'orders': PlainService(
+                calls=(
+                    CallRule(method='POST', path='/orders', repeatable=False),
+                    CallRule(method='GET', path='/cases/*'),
+                ),
+            ),
+        },
     )
--- a/src/masticwind_dev/faults/main.py
+++ b/src/masticwind_dev/faults/main.py
@@ -3,6 +3,7 @@
 import sys
 import time
 from collections import Counter
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Final
@@ -11,9 +12,10 @@
 import cyclopts
 import msgspec
 
+from masticwind_dev.faults.call_cells import CallFleet
 from masticwind_dev.faults.cells import CellFleet, Outcome
 from masticwind_dev.faults.matrix import Cell, all_cells, quick_cells
-from masticwind_dev.faults.processes import process_group
+from masticwind_dev.faults.processes import ProcessGroup, process_group
 
 MAX_FLEETS: Final = 5
 MAX_CELL_S: Final = 90.0
@@ -21,6 +23,10 @@
 EXIT_FAILED: Final = 1
 EXIT_USAGE: Final = 2
 
+MatrixFleet = CellFleet | CallFleet
+MakeFleet = Callable[[ProcessGroup], MatrixFleet]
+Queues = Sequence[tuple[list[Cell], MakeFleet]]
+
 cli = cyclopts.App(name='masticwind-faults', help='Run the fault matrix.')
 
 
@@ -73,24 +79,37 @@
 
 
 async def _run(cells: tuple[Cell, ...], options: Options) -> list[Outcome]:
-    waiting = [one for one in cells if not one.reason]
-    waiting.reverse()
+    waiting = [one for one in reversed(cells) if not one.reason]
+    queues = (
+        ([one for one in waiting if not one.calls], CellFleet),
+        ([one for one in waiting if one.calls], CallFleet),
+    )
     outcomes: list[Outcome] = []
     async with anyio.create_task_group() as tasks:
         for _ in range(min(options.fleets, len(waiting))):
-            tasks.start_soon(_work, waiting, outcomes, options)
+            tasks.start_soon(_work_all, queues, outcomes, options)
     return outcomes
 
 
+async def _work_all(
+    queues: Queues,
+    outcomes: list[Outcome],
+    options: Options,
+) -> None:
+    for waiting, make_fleet in queues:
+        await _work(waiting, make_fleet, outcomes, options)
+
+
 async def _work(
     waiting: list[Cell],
+    make_fleet: MakeFleet,
     outcomes: list[Outcome],
     options: Options,
 ) -> None:
     """Run waiting cells; a fleet that did not recover is replaced."""
     while waiting:
         async with process_group() as group, anyio.create_task_group() as tasks:
-            cells = CellFleet(group)
+            cells = make_fleet(group)
             tasks.start_soon(cells.fleet.run_proxies)
             await cells.start()
             while waiting:
@@ -103,7 +122,9 @@
             tasks.cancel_scope.cancel()
 
 
-async def _run_cell(cells: CellFleet, cell: Cell, options: Options) -> Outcome:
+async def _run_cell(
+    cells: MatrixFleet, cell: Cell, options: Options
+) -> Outcome:
     with anyio.move_on_after(MAX_CELL_S):
         return await cells.run(cell, options.seed)
     return Outcome(cell, [f'not over after {MAX_CELL_S:.0f} s'], MAX_CELL_S)
@@ -123,12 +144,7 @@
         'passed': len(outcomes) - len(failed),
         'failed': failed,
         'known_red': sorted(known_red() & set(failed)),
-        'waiting': sorted(one.name for one in cells if one.waiting),
-        'not_applicable': {
-            one.name: one.reason
-            for one in cells
-            if one.reason and not one.waiting
-        },
+        'not_applicable': {one.name: one.reason for one in cells if one.reason},
     }
 
 
@@ -157,7 +173,7 @@
     rows: dict[str, dict[str, str]] = {}
     for cell in cells:
         row = rows.setdefault(cell.name.partition('@')[0], {})
-        row[cell.step] = _mark(cell, outcomes.get(cell.name))
+        row[cell.step] = _mark(outcomes.get(cell.name))
     heads = ''.join(f'{step:>10}' for step in steps)
     print(f'{"":34}{heads}')
     for name, marks in rows.items():
@@ -165,10 +181,10 @@
         print(f'{name:34}{marked}')
 
 
-def _mark(cell: Cell, outcome: Outcome | None) -> str:
+def _mark(outcome: Outcome | None) -> str:
     if outcome is not None:
         return 'FAIL' if outcome.problems else 'ok'
-    return 'wait' if cell.waiting else '-'
+    return '-'
 
 
 if __name__ == '__main__':
--- a/src/masticwind_dev/faults/matrix.py
+++ b/src/masticwind_dev/faults/matrix.py
@@ -40,6 +40,12 @@
     Fault(name='race', strikes='config', harmless=True),
 )
 
+SERVICE_FAULTS: Final = (
+    Fault(name='kill-service', strikes='service'),
+    Fault(name='stop-service', strikes='service'),
+    Fault(name='lost-answer', strikes='service'),
+)
+
 MODEL_STEPS: Final = (
     'offer',
     'accepted',
@@ -55,7 +61,7 @@
 QUICK_STEPS: Final = ('streaming', 'drain')
 
 NO_LEASE: Final = 'no step of a request holds a lease'
-WAITING: Final = 'waits for plain service calls with claims'
+NO_ENGINE: Final = 'a plain service has no engine'
 _EXCLUSIVE: Final = MappingProxyType[tuple[str, ...], str](
     {
         ('kill-entry', 'stop-entry'): 'a dead process cannot be paused',
@@ -71,8 +77,7 @@
 class Cell:
     """One or two faults at one step.
 
-    A cell with a `reason` is not run: it makes no sense, or waits for work
-    that is not there yet (`waiting`).
+    A cell with a `reason` makes no sense and is not run.
     """
 
     faults: tuple[Fault, ...]
@@ -85,9 +90,9 @@
         return f'{"+".join(one.name for one in self.faults)}@{self.step}'
 
     @property
-    def waiting(self) -> bool:
-        """Whether the cell waits for work that is not there yet."""
-        return self.reason == WAITING
+    def calls(self) -> bool:
+        """Whether the cell is about calls of plain services."""
+        return self.step in CALL_STEPS
 
 
 def all_cells() -> tuple[Cell, ...]:
@@ -97,6 +102,9 @@
         for fault in FAULTS
         for step in (*MODEL_STEPS, *CALL_STEPS)
     ]
+    cells.extend(
+        _cell((fault,), step) for fault in SERVICE_FAULTS for step in CALL_STEPS
+    )
     for pair in itertools.combinations(FAULTS, 2):
         cells.extend(_cell(pair, step) for step in PAIR_STEPS)
     return tuple(cells)
@@ -116,6 +124,6 @@
     reason = _EXCLUSIVE.get(names, '')
     if 'lapsed-lease' in names:
         reason = NO_LEASE
-    elif step in CALL_STEPS:
-        reason = WAITING
+    elif step in CALL_STEPS and faults[0].strikes == 'engine':
+        reason = NO_ENGINE
     return Cell(faults=faults, step=step, reason=reason)
--- a/src/masticwind_dev/standins/service.py
+++ b/src/masticwind_dev/standins/service.py
@@ -4,6 +4,7 @@
 order from outside.
 """
 
+import time
 from dataclasses import dataclass
 from typing import Final
 
@@ -32,13 +33,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Execution:
-    """One executed call."""
+    """One executed call; `at_s` is the machine's monotonic time."""
 
     method: str
     path: str
     order: str
     request_id: str
     body: str
+    at_s: float
 
 
 class ServiceStandin:
@@ -83,6 +85,7 @@
                 req.headers.get('idempotency-key', ''),
                 order,
                 req.body.decode(errors='replace'),
+                time.monotonic(),
             )
         )
         number = len(self.executions)
