Planner: load models on endpoints in their ramp

An engine without a model gets no requests, so it stays in the cold ramp, and the planner looked at serving endpoints only: a zone of fresh engines never got a model. Loads now consider cold endpoints as well, and a model that was just loaded counts; unloads still count serving carriers only.

Found by test_lapsed_lease, which pauses the planner past its lease while another entry takes over: only orders with the newest fencing token are carried out after that, also with engines that ignore the token.

--- a/src/masticwind/planner/placement.py
+++ b/src/masticwind/planner/placement.py
@@ -9,7 +9,7 @@
 from typing import Final, Literal
 
 from masticwind.config.model import Configuration
-from masticwind.protocol.messages import Load
+from masticwind.protocol.messages import Load, LoadState
 
 # Below this share of listed endpoints with a fresh report, a zone is left
 # as it is: the missing ones may carry the model already.
@@ -46,12 +46,18 @@
     """
     if not _complete(views):
         return None
-    serving = [view for view in views if _usable(view)]
+    serving = [view for view in views if _in_state(view, 'serving')]
+    # An engine without a model gets no requests and so stays in its ramp; a
+    # model that was just loaded is there, although its engine is cold.
+    usable = [
+        *serving,
+        *(view for view in views if _in_state(view, 'cold')),
+    ]
     for name, model in config.models.items():
         wanted = model.replicas.get(zone)
-        if wanted is None or _carriers(serving, name) >= wanted:
+        if wanted is None or _carriers(usable, name) >= wanted:
             continue
-        chosen = _least_loaded(serving, name, carrying=False)
+        chosen = _least_loaded(usable, name, carrying=False)
         if chosen is not None:
             return Order(
                 endpoint=chosen.endpoint,
@@ -87,11 +93,9 @@
     return bool(views) and fresh >= MIN_VISIBLE_SHARE * len(views)
 
 
-def _usable(view: EndpointView) -> bool:
+def _in_state(view: EndpointView, state: LoadState) -> bool:
     load = view.load
-    return (
-        load is not None and load.kind == 'engine' and load.state == 'serving'
-    )
+    return load is not None and load.kind == 'engine' and load.state == state
 
 
 def _carriers(views: Sequence[EndpointView], model: str) -> int:
--- a/src/masticwind_dev/faults/fleet.py
+++ b/src/masticwind_dev/faults/fleet.py
@@ -173,6 +173,9 @@
             'key_value_url': f'http://127.0.0.1:{port}',
             'instances_url': self._instances.url,
         }
+        if self.shape.entry.get('planner'):
+            weights = await self.group.standin('weights', 'weights')
+            self.platform['weights_url'] = weights.url
 
     def _through(self, name: str, port: int) -> int:
         """Return the port by which others reach what listens on `port`."""
--- a/src/masticwind_dev/standins/engine.py
+++ b/src/masticwind_dev/standins/engine.py
@@ -111,6 +111,7 @@
         self.failures = 0
         self.executed: Final[list[str]] = []
         self.executed_prompts: Final[set[int]] = set()
+        self.orders: Final[list[dict[str, object]]] = []
         self._cold_left = model.cold_requests if model.cold else 0
         self._streams: Final[dict[str, _Stream]] = {}
         self._held: Final[dict[str, int]] = {}
@@ -514,6 +515,7 @@
         if self.model.checks_fencing and wanted['fencing'] < self._fencing:
             return json_response(409, {'error': 'old fencing token'})
         self._fencing = max(self._fencing, wanted['fencing'])
+        self.orders.append({**wanted, 'at_s': time.monotonic()})
         loaded = set(self.model.models)
         if wanted['action'] == 'load_model':
             loaded.add(wanted['model'])
@@ -544,6 +546,7 @@
                 'streams': list(self._streams),
                 'held': self._held,
                 'executed': self.executed,
+                'orders': self.orders,
                 'offers_over_capacity': self.offers_over_capacity,
                 'failures': self.failures,
             },
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -11,7 +11,7 @@
 from masticwind.planner.leader import MARGIN_S, TTL_S, Leadership
 from masticwind.planner.placement import EndpointView, Order, plan_order
 from masticwind.platform.http import HttpKeyValue
-from masticwind.protocol.messages import EndpointOrder, Load
+from masticwind.protocol.messages import EndpointOrder, Load, LoadState
 from masticwind.settings import Address, PlatformSettings
 from masticwind.web import WebServer
 from masticwind_dev.standins.engine import EngineModel, EngineStandin
@@ -21,8 +21,13 @@
 pytestmark = pytest.mark.anyio
 
 
-def _view(name: str, *models: str, work: int = 0) -> EndpointView:
-    load = Load('serving', models=models, paid_work_tokens=work)
+def _view(
+    name: str,
+    *models: str,
+    work: int = 0,
+    state: LoadState = 'serving',
+) -> EndpointView:
+    load = Load(state, models=models, paid_work_tokens=work)
     return EndpointView(endpoint=name, load=load)
 
 
@@ -63,6 +68,20 @@
     assert (order.endpoint, order.action) == ('b', 'unload_model')
 
 
+def test_cold_endpoints_are_loaded_and_counted_as_carriers() -> None:
+    """Guards against engines that start cold and never get a model."""
+    config = sample_config(models={'standard': Model(replicas={'zone-a': 1})})
+    empty = _view('a', state='cold')
+    order = plan_order(config, 'zone-a', [empty])
+    assert order is not None
+    assert (order.endpoint, order.action) == ('a', 'load_model')
+    loaded = _view('a', 'standard', state='cold')
+    assert plan_order(config, 'zone-a', [loaded, _view('b')]) is None
+    # The cold carrier cannot yet replace the one that serves.
+    serving = _view('b', 'standard')
+    assert plan_order(config, 'zone-a', [loaded, serving]) is None
+
+
 def test_zone_without_wanted_number_is_left_alone() -> None:
     """Guards against orders that no operator asked for."""
     config = sample_config(models={'standard': Model(replicas={'zone-b': 2})})
