Trace and measure model requests from admission to engine

Requests had one span at the entry and no metrics of attempts, so a slow first token could not be attributed to admission, queue or engine. Spans now cover admission, each attempt, the queue and the engine, with the attempt's context in the offer. Gauges are sampled before each flush, which keeps them out of the request path. Error answers carry X-Request-Id once a request has an id, and plain service calls count in the service per tier.

--- a/src/masticwind/agent/executor.py
+++ b/src/masticwind/agent/executor.py
@@ -12,6 +12,7 @@
 from masticwind.agent.gate import Gate
 from masticwind.agent.ledger import Ledger
 from masticwind.agent.load import LoadReporter
+from masticwind.agent.observe import Observer, Sampled
 from masticwind.agent.ramp import Ramp
 from masticwind.agent.rates import Rates
 from masticwind.agent.reconcile import (
@@ -46,6 +47,7 @@
     Revoked,
 )
 from masticwind.settings import AgentSettings
+from masticwind.telemetry import NO_TELEMETRY, Telemetry
 
 REPORT_INTERVAL_S: Final = 0.25
 SWEEP_INTERVAL_S: Final = 0.25
@@ -61,6 +63,7 @@
     cfg: AgentSettings
     config: CurrentConfig
     engine: Engine
+    telemetry: Telemetry = NO_TELEMETRY
 
 
 class Executor:
@@ -103,6 +106,16 @@
             ),
             self.shares,
         )
+        self._observer: Final = Observer(
+            parts.telemetry,
+            Sampled(
+                self.ledger,
+                self.ramp,
+                self.reconciler,
+                self.running,
+                self.scheduler,
+            ),
+        )
         self._cache: Final = CacheView(parts.engine)
         self._requests: Final[dict[RequestKey, AgentRequest]] = {}
         self._wake = anyio.Event()
@@ -272,6 +285,7 @@
 
     def _enqueue(self, req: AgentRequest) -> None:
         if req.state != 'ended':
+            req.queued_at = time.monotonic()
             self.scheduler.add(req)
             self._wake.set()
 
@@ -282,9 +296,11 @@
             req = self.scheduler.take(capacity)
             if req is None:
                 break
+            self._observer.left_queue(req)
             self._start(req)
         for victim in self.scheduler.preemptible(capacity):
             victim.preempted = True
+            self._observer.preempted()
             if victim.scope is not None:
                 victim.scope.cancel()
 
@@ -296,7 +312,8 @@
     async def _run_request(self, req: AgentRequest) -> None:
         try:
             if not req.preempted and req.end is None:
-                await self._runner.run(req)
+                with self._observer.engine(req):
+                    await self._runner.run(req)
         finally:
             self.running.remove(req)
             self.ledger.free(req.key)
@@ -314,12 +331,16 @@
         for req in self.scheduler.queued():
             if not self.scheduler.hopeless(req):
                 continue
-            self.scheduler.remove(req)
+            self._dequeue(req)
             kind = ErrorKind.TIMED_OUT if req.started else ErrorKind.OVERLOADED
             end_with(req, kind, 'cannot finish in time')
 
+    def _dequeue(self, req: AgentRequest) -> None:
+        if self.scheduler.remove(req):
+            self._observer.left_queue(req)
+
     def _stop(self, req: AgentRequest, kind: ErrorKind) -> None:
-        self.scheduler.remove(req)
+        self._dequeue(req)
         end_with(req, kind, 'withdrawn')
         if req.scope is not None:
             req.scope.cancel()
--- a/src/masticwind/agent/reconcile.py
+++ b/src/masticwind/agent/reconcile.py
@@ -55,6 +55,7 @@
         self._parts: Final = parts
         self._streams: Final[dict[str, Orphan]] = {}
         self._caches: Final[dict[str, Orphan]] = {}
+        self.cancelled = 0
 
     @property
     def orphans(self) -> int:
@@ -136,7 +137,8 @@
         for name, orphan in list(orphans.items()):
             # A `Resume` can claim a stream while another one is ended.
             if orphan.first_seen <= horizon and name in orphans:
-                await end(name)
+                if await end(name) is None:
+                    self.cancelled += 1
 
     def _remove(self, orphans: dict[str, Orphan], name: str) -> None:
         orphans.pop(name, None)
--- a/src/masticwind/agent/requests.py
+++ b/src/masticwind/agent/requests.py
@@ -47,6 +47,7 @@
     detached_at: float | None = None
     ended_at: float = 0
     arrived_at: float = field(default_factory=time.monotonic)
+    queued_at: float = 0
     order: int = field(default_factory=lambda: next(_arrivals))
     base: int = 0
     turn: int = 0
--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -43,11 +43,11 @@
         # An agent serves requests of teams that its entries have checked.
         self.sync: Final = ConfigSync(self.config, with_teams=False)
         self._drainer: Final = Drainer(cfg)
-        self._telemetry: Final = make_telemetry(cfg)
+        self._telemetry: Final = make_telemetry(cfg, self.config)
         engine = HttpEngine(cfg.endpoint_url)
         self._cache: Final = CachePublisher(engine)
         self._executor: Final = Executor(
-            ExecutorParts(cfg, self.config, engine),
+            ExecutorParts(cfg, self.config, engine, self._telemetry),
             tasks,
         )
         self._orders: Final = OrderKeeper(engine)
--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -19,7 +19,7 @@
     read_timeout,
     relay_until_gone,
 )
-from masticwind.entry.chat_body import BodyReader, read_large_body
+from masticwind.entry.chat_body import BodyReader, Prepared, read_large_body
 from masticwind.entry.chat_stream import ChatStream
 from masticwind.entry.claims import Claims
 from masticwind.entry.outcomes import RequestLog, find_outcome
@@ -161,6 +161,33 @@
         caller = self._authenticate(scope)
         if isinstance(caller, Failure):
             return caller
+        prepared = await self._read_chat(scope, receive, caller)
+        if isinstance(prepared, Failure):
+            return prepared
+        chat, req = prepared
+        writer = ChatStream(
+            send,
+            req,
+            stream=chat.stream,
+            include_usage=chat.include_usage,
+        )
+        outcome = await self._relay(scope, receive, req, writer)
+        if outcome is None:
+            return None
+        self._count(caller.team.tier, outcome)
+        failure = await writer.finish(outcome)
+        if failure is not None:
+            self._parts.metrics.count(Metric.FAILURES)
+            response = failure_response(failure)
+            await send_response(send, _with_id(response, req.request_id))
+        return None
+
+    async def _read_chat(
+        self,
+        scope: Scope,
+        receive: Receive,
+        caller: Caller,
+    ) -> tuple[Prepared, ModelRequest] | Failure:
         cfg = self._parts.cfg
         # The time that the body takes counts towards the caller's budget.
         timeout_ms = read_timeout(scope, caller.tier)
@@ -180,19 +207,7 @@
             return chat
         budget = Budget(started + timeout_ms / MS_PER_S)
         req = build_request(chat, caller, budget, self._parts.config)
-        if isinstance(req, Failure):
-            return req
-        writer = ChatStream(
-            send,
-            req,
-            stream=chat.stream,
-            include_usage=chat.include_usage,
-        )
-        outcome = await self._relay(scope, receive, req, writer)
-        if outcome is None:
-            return None
-        self._count(caller.team.tier, outcome)
-        return await writer.finish(outcome)
+        return req if isinstance(req, Failure) else (chat, req)
 
     async def _relay(
         self,
@@ -234,15 +249,12 @@
                 span.context,
             )
         response = answer.content
+        self._count(caller.team.tier, response)
         if isinstance(response, Failure):
             self._parts.metrics.count(Metric.FAILURES)
             response = failure_response(response)
         if answer.request_id:
-            request_id = (b'x-request-id', answer.request_id.encode())
-            response = replace(
-                response,
-                headers=(*response.headers, request_id),
-            )
+            response = _with_id(response, answer.request_id)
         await send_response(send, response)
         return None
 
@@ -266,7 +278,7 @@
         await send_response(send, found)
         return None
 
-    def _count(self, tier: str, outcome: Done | Failure) -> None:
+    def _count(self, tier: str, outcome: object) -> None:
         kind = outcome.kind.value if isinstance(outcome, Failure) else 'served'
         self._parts.service.count(tier, kind)
 
@@ -289,6 +301,11 @@
         )
 
 
+def _with_id(response: Response, request_id: str) -> Response:
+    named = (b'x-request-id', request_id.encode())
+    return replace(response, headers=(*response.headers, named))
+
+
 def failure_response(failure: Failure) -> Response:
     """Return the HTTP answer for a failure."""
     answer = ANSWERS[failure.kind]
--- a/src/masticwind/entry/groups.py
+++ b/src/masticwind/entry/groups.py
@@ -24,6 +24,7 @@
 from masticwind.entry.shares import Share, cut_prompt
 from masticwind.errors import ErrorKind, Failure, not_run
 from masticwind.protocol.messages import Release, Reserve, Reserved
+from masticwind.tracing import Tracer
 
 MS_PER_S: Final = 1000
 LEASE_MS: Final = 3000
@@ -56,8 +57,9 @@
 class Groups:
     """Runs requests on groups of engines."""
 
-    def __init__(self, predictor: Predictor) -> None:
+    def __init__(self, predictor: Predictor, tracer: Tracer) -> None:
         self._predictor: Final = predictor
+        self._tracer: Final = tracer
 
     def needed(self, job: Job, links: Sequence[AgentLink]) -> bool:
         """Tell whether `links` serve the model but none can hold the job."""
@@ -120,8 +122,14 @@
     async def _run_shares(self, group: _Group, emit: Emit) -> Done | Failure:
         handles: list[str] = []
         for member in group.members:
-            attempt = self._attempt(group, member, handles)
-            outcome = await run_attempt(attempt, group.generation, emit)
+            with self._tracer.span(
+                'entry.attempt',
+                group.req.trace,
+                {'attempt': group.number, 'agent': member.link.instance.node},
+            ) as span:
+                attempt = self._attempt(group, member, handles)
+                attempt.req = replace(attempt.req, trace=span.context)
+                outcome = await run_attempt(attempt, group.generation, emit)
             if isinstance(outcome, Failure):
                 return _after_start(outcome) if handles else outcome
             if member is group.members[-1]:
--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from masticwind.config.current import CurrentConfig
@@ -25,11 +25,14 @@
     make_router,
     uncached_tokens,
 )
-from masticwind.errors import ErrorKind, Failure
+from masticwind.errors import ErrorKind, Failure, not_run
+from masticwind.metrics import Metric
 from masticwind.protocol.messages import Load
 from masticwind.settings import EntrySettings
+from masticwind.telemetry import NO_TELEMETRY, Telemetry
 
 MAX_ATTEMPTS: Final = 4
+MS_PER_S: Final = 1000
 # Two heartbeats later the entry knows of endpoints that have returned.
 NO_CAPACITY_HINT_MS: Final = 1000
 _SERVING: Final = ('serving', 'cold')
@@ -62,12 +65,15 @@
         pool: AgentPool,
         config: CurrentConfig,
         view: RoutingView,
+        telemetry: Telemetry = NO_TELEMETRY,
     ) -> None:
         self._pool: Final = pool
         self._config: Final = config
         self.view: Final = view
         self._router: Final[Router] = make_router(cfg, self.view)
-        self._groups: Final = Groups(view.predictor)
+        self._metrics: Final = telemetry.metrics
+        self._tracer: Final = telemetry.tracer
+        self._groups: Final = Groups(view.predictor, telemetry.tracer)
         self._fair: Final = FairShare()
         self._admission: Final = Admission(cfg, self.view, self._fair)
         self._retries: Final = RetryBudget(cfg)
@@ -79,6 +85,30 @@
 
         If the caller leaves, cancel the task: the agent is then told.
         """
+        progress = _Progress(emit)
+        started = time.monotonic()
+        outcome = await self._run_limited(req, progress.take)
+        if progress.first_at:
+            self._metrics.time(
+                Metric.FIRST_TOKEN_TIME,
+                (progress.first_at - started) * MS_PER_S,
+                'paid' if req.job.paid else 'free',
+            )
+        if isinstance(outcome, Failure):
+            self._count_failure(outcome.kind)
+        return outcome
+
+    def _count_failure(self, kind: ErrorKind) -> None:
+        if not_run(kind):
+            self._metrics.count(Metric.MODEL_REFUSALS, label=kind)
+        else:
+            self._metrics.count(Metric.MODEL_FAILURES, label=kind)
+
+    async def _run_limited(
+        self,
+        req: ModelRequest,
+        emit: Emit,
+    ) -> Done | Failure:
         team = self._config.config.teams.get(req.team)
         if team is None:
             return Failure(
@@ -103,9 +133,10 @@
         work: float,
         emit: Emit,
     ) -> Done | Failure:
-        serving = self._serving(req.job)
-        grouped = self._groups.needed(req.job, serving)
-        link = None if grouped else self._choose(req, set())
+        with self._tracer.span('entry.admission', req.trace):
+            serving = self._serving(req.job)
+            grouped = self._groups.needed(req.job, serving)
+            link = None if grouped else self._choose(req, set())
         if isinstance(link, Failure):
             return link
         self._retries.first_attempt()
@@ -133,8 +164,16 @@
         link = first
         for number in range(MAX_ATTEMPTS):
             tried.add(link)
-            attempt = self._open(req, number, link)
-            outcome = await self._one(attempt, emit)
+            self._metrics.count(Metric.MODEL_ATTEMPTS)
+            self._metrics.count(Metric.MODEL_RETRIES, min(number, 1))
+            with self._tracer.span(
+                'entry.attempt',
+                req.trace,
+                {'attempt': number, 'agent': link.instance.node},
+            ) as span:
+                traced = replace(req, trace=span.context)
+                attempt = self._open(traced, number, link)
+                outcome = await self._one(attempt, emit)
             if isinstance(outcome, Done):
                 return outcome
             refusals.add(outcome)
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -16,7 +16,6 @@
 from masticwind.entry.relay import Relay
 from masticwind.entry.router import RoutingView
 from masticwind.entry.tiercount import TierCounter
-from masticwind.metrics import Metrics
 from masticwind.node import Node
 from masticwind.planner.runner import Planner
 from masticwind.platform.http import (
@@ -25,7 +24,7 @@
     HttpWeightStore,
 )
 from masticwind.settings import EntrySettings
-from masticwind.tracing import Tracer
+from masticwind.telemetry import make_telemetry
 from masticwind.web import WebServer
 from masticwind.web_protocol import WRITE_STALL_S
 
@@ -59,9 +58,10 @@
             )
         )
         view = RoutingView(cfg, self.affinity)
-        relay = Relay(cfg, self.pool, self.config, view)
-        self.metrics: Final = Metrics(cfg.metrics)
-        self.tracer: Final = Tracer(cfg.traces, cfg.node)
+        telemetry = make_telemetry(cfg, self.config)
+        self.metrics: Final = telemetry.metrics
+        self.tracer: Final = telemetry.tracer
+        relay = Relay(cfg, self.pool, self.config, view, telemetry)
         self.claims: Final = Claims(HttpKeyValue(cfg.platform), cfg.claims)
         service = TierCounter()
         admin = AdminApi(
--- a/src/masticwind/metrics.py
+++ b/src/masticwind/metrics.py
@@ -2,7 +2,9 @@
 
 Recording touches memory only. A background task sends what was aggregated
 through a socket that never blocks; a datagram that cannot be sent is
-dropped. Every metric is listed in docs/METRICS.md.
+dropped. Every metric is listed in docs/METRICS.md. A metric that is kept by
+error kind or class of service is sent as `<name>.<label>`; labels come from
+closed lists, so their number is bounded.
 
     metrics.count(Metric.CALL_RETRIES)
     metrics.time(Metric.CALL_TIME, elapsed_ms)
@@ -11,7 +13,7 @@
 import enum
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager, nullcontext
 from typing import Final
 
@@ -28,6 +30,9 @@
 SENT_PERCENTILES: Final = (50, 95, 99)
 _OFF: Final = nullcontext()
 
+# A metric and its label; most have none.
+Key = tuple['Metric', str]
+
 
 class Metric(enum.StrEnum):
     """Every metric; the name ends with the unit where it has one."""
@@ -36,6 +41,11 @@
     FAILURES = 'entry.failures'
     REQUESTS_ACTIVE = 'entry.requests_active'
     REQUEST_TIME = 'entry.request_ms'
+    MODEL_ATTEMPTS = 'model.attempts'
+    MODEL_RETRIES = 'model.retries'
+    MODEL_REFUSALS = 'model.refusals'
+    MODEL_FAILURES = 'model.failures'
+    FIRST_TOKEN_TIME = 'model.first_token_ms'
     CALL_ATTEMPTS = 'calls.attempts'
     CALL_RETRIES = 'calls.retries'
     CALL_TIME = 'calls.attempt_ms'
@@ -46,6 +56,13 @@
     AGENT_CALLS = 'agent.calls'
     AGENT_CALL_TIME = 'agent.call_ms'
     AGENT_CALLS_RUNNING = 'agent.calls_running'
+    AGENT_QUEUED = 'agent.queued'
+    AGENT_RUNNING = 'agent.running'
+    LEDGER_TOKENS = 'agent.ledger_tokens'
+    RAMP_ENTRIES = 'agent.ramp_entries'
+    PREEMPTIONS = 'agent.preemptions'
+    ORPHANS_CANCELLED = 'agent.orphans_cancelled'
+    GENERATION = 'config.generation'
 
 
 class _Client(statsd.StatsClient):  # type: ignore[misc]
@@ -62,33 +79,44 @@
     def __init__(self, cfg: MetricsSettings) -> None:
         self._cfg: Final = cfg
         self._client: Final = _Client(cfg) if cfg.host else None
-        self._counts: Final = Counter[Metric]()
+        self._counts: Final = Counter[Key]()
         self._gauges: Final[dict[Metric, float]] = {}
-        self._times: Final[dict[Metric, HdrHistogram]] = {}
+        self._times: Final[dict[Key, HdrHistogram]] = {}
+        self._sources: Final[list[Callable[[], None]]] = []
 
     @property
     def enabled(self) -> bool:
         """Whether metrics are collected."""
         return self._client is not None
 
-    def count(self, metric: Metric, amount: int = 1) -> None:
+    def count(self, metric: Metric, amount: int = 1, label: str = '') -> None:
         """Add to a counter."""
-        if self._client is not None:
-            self._counts[metric] += amount
+        if self._client is not None and amount:
+            self._counts[(metric, label)] += amount
 
     def gauge(self, metric: Metric, level: float) -> None:
         """Set a gauge; the last value before a flush is sent."""
         if self._client is not None:
             self._gauges[metric] = level
 
-    def time(self, metric: Metric, elapsed_ms: float) -> None:
+    def sample(self, source: Callable[[], None]) -> None:
+        """Call `source` before each flush, so that it sets its gauges."""
+        if self._client is not None:
+            self._sources.append(source)
+
+    def time(
+        self,
+        metric: Metric,
+        elapsed_ms: float,
+        label: str = '',
+    ) -> None:
         """Add a duration in milliseconds to a timer."""
         if self._client is None:
             return
-        histogram = self._times.get(metric)
+        histogram = self._times.get((metric, label))
         if histogram is None:
             histogram = HdrHistogram(1, MAX_TIME_US, SIGNIFICANT_DIGITS)
-            self._times[metric] = histogram
+            self._times[(metric, label)] = histogram
         elapsed_us = int(elapsed_ms * US_PER_MS)
         histogram.record_value(min(MAX_TIME_US, max(1, elapsed_us)))
 
@@ -108,15 +136,20 @@
         """Send what was collected since the last flush."""
         if self._client is None:
             return
+        for source in self._sources:
+            source()
         with self._client.pipeline() as batch:
             for counter, amount in self._counts.items():
-                batch.incr(counter.value, amount)
+                batch.incr(_full_name(counter), amount)
             for gauge, level in self._gauges.items():
                 batch.gauge(gauge.value, level)
             for timer, histogram in self._times.items():
                 for share in SENT_PERCENTILES:
                     value_us = histogram.get_value_at_percentile(share)
-                    batch.timing(f'{timer}.p{share}', value_us / US_PER_MS)
+                    batch.timing(
+                        f'{_full_name(timer)}.p{share}',
+                        value_us / US_PER_MS,
+                    )
         self._counts.clear()
         self._gauges.clear()
         self._times.clear()
@@ -128,3 +161,8 @@
             yield
         finally:
             self.time(metric, (time.monotonic() - start) * MS_PER_S)
+
+
+def _full_name(key: Key) -> str:
+    metric, label = key
+    return f'{metric}.{label}' if label else metric.value
--- a/src/masticwind/telemetry.py
+++ b/src/masticwind/telemetry.py
@@ -1,9 +1,16 @@
 """Metrics and traces of one process, as one object to pass on."""
 
 from dataclasses import dataclass
+from typing import Final
 
-from masticwind.metrics import Metrics
-from masticwind.settings import AgentSettings, EntrySettings
+from masticwind.config.current import CurrentConfig
+from masticwind.metrics import Metric, Metrics
+from masticwind.settings import (
+    AgentSettings,
+    EntrySettings,
+    MetricsSettings,
+    TraceSettings,
+)
 from masticwind.tracing import Tracer
 
 
@@ -15,6 +22,18 @@
     tracer: Tracer
 
 
-def make_telemetry(cfg: AgentSettings | EntrySettings) -> Telemetry:
+# Keeps nothing, so that all parts without telemetry can share it.
+NO_TELEMETRY: Final = Telemetry(
+    Metrics(MetricsSettings()),
+    Tracer(TraceSettings(), ''),
+)
+
+
+def make_telemetry(
+    cfg: AgentSettings | EntrySettings,
+    config: CurrentConfig,
+) -> Telemetry:
     """Return the telemetry that the settings ask for."""
-    return Telemetry(Metrics(cfg.metrics), Tracer(cfg.traces, cfg.node))
+    metrics = Metrics(cfg.metrics)
+    metrics.sample(lambda: metrics.gauge(Metric.GENERATION, config.number))
+    return Telemetry(metrics, Tracer(cfg.traces, cfg.node))
--- a/src/masticwind/tracing.py
+++ b/src/masticwind/tracing.py
@@ -7,6 +7,7 @@
         offer = Offer(..., trace=span.context)
 """
 
+import time
 from collections.abc import Iterator, Mapping
 from contextlib import AbstractContextManager, contextmanager, nullcontext
 from dataclasses import dataclass
@@ -29,6 +30,7 @@
 from masticwind.settings import TraceSettings
 
 TRACEPARENT: Final = 'traceparent'
+NS_PER_S: Final = 1_000_000_000
 Attributes = Mapping[str, str | int]
 
 
@@ -67,6 +69,19 @@
             return nullcontext(SpanContext(parent))
         return self._span(name, parent, attributes)
 
+    def record(self, name: str, parent: str, elapsed_s: float) -> None:
+        """Write a span that ends now and began `elapsed_s` seconds ago.
+
+        For a wait that no block of code spans, such as the time in a queue.
+        """
+        if self._provider is None:
+            return
+        above = self._propagator.extract({TRACEPARENT: parent}, Context())
+        tracer = self._provider.get_tracer('masticwind')
+        end = time.time_ns()
+        begin = end - max(0, int(elapsed_s * NS_PER_S))
+        tracer.start_span(name, above, start_time=begin).end(end)
+
     def close(self) -> None:
         """Write the spans that are still waiting."""
         if self._provider is not None:
--- a/src/masticwind_dev/local/fleet.py
+++ b/src/masticwind_dev/local/fleet.py
@@ -20,6 +20,7 @@
     AgentSettings,
     ClaimSettings,
     EntrySettings,
+    MetricsSettings,
     PeerSettings,
     PlatformSettings,
     TraceSettings,
@@ -49,6 +50,7 @@
     service_of: dict[str, str] = field(default_factory=dict)
     claims: ClaimSettings = field(default_factory=ClaimSettings)
     traces: TraceSettings = field(default_factory=TraceSettings)
+    metrics: MetricsSettings = field(default_factory=MetricsSettings)
     entries: tuple[str, ...] = ('entry-1',)
     entry_zone: str = 'local-a'
     entry_port: int = 0
@@ -105,6 +107,7 @@
                     instances_poll_ms=100,
                     claims=self.plan.claims,
                     traces=self.plan.traces,
+                    metrics=self.plan.metrics,
                 )
             )
             self.entries[node] = entry
@@ -150,6 +153,7 @@
                 kind='service' if service else 'engine',
                 service=service,
                 traces=self.plan.traces,
+                metrics=self.plan.metrics,
                 peers=self._peers,
                 platform=self.platform,
             ),
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -63,7 +63,7 @@
     rule = CallRule(method='POST', path='/orders', repeatable=False)
     services = {'orders': PlainService(calls=(rule,))}
     config.adopt(Generation(number=1, config=sample_config(services=services)))
-    return calls.CallExecutor(cfg, config, service, make_telemetry(cfg))
+    return calls.CallExecutor(cfg, config, service, make_telemetry(cfg, config))
 
 
 def order(**changes: Any) -> Call:
