Report the demand of teams between entries and drop idle records

Every entry had an even share of a team's limits, because no reports were sent, so a team that called one of two entries got half its limit. Entries now send the demand of at most 64 busy teams with limits, and an entry that has all demand has the whole limit. It takes more than its even share only after 2.5 s, when the others know, which keeps the worst case at (n + 1) / 2 times the limit.

The buckets of teams were never dropped; full ones without requests now are.

--- a/src/masticwind/entry/limits.py
+++ b/src/masticwind/entry/limits.py
@@ -7,23 +7,29 @@
 
 import abc
 import time
+from collections import OrderedDict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
 from masticwind.config.model import Team
 from masticwind.errors import ErrorKind, Failure
+from masticwind.protocol.messages import MAX_USAGE_TEAMS
 
 MS_PER_S: Final = 1000
 # A bucket holds this much of its rate, so that short bursts pass.
 BURST_S: Final = 1.0
-# Half of each limit is split evenly, so that an entry can always serve some.
+# Half of each limit is split evenly among the entries with demand; the rest
+# follows demand. This keeps the worst case at (n + 1) / 2 times the limit.
 EQUAL_PART: Final = 0.5
 # A usage report older than this says nothing; three heartbeats are lost.
 REPORT_LIFETIME_S: Final = 2.0
-# Bounds the teams in one report, and so the bytes of a heartbeat.
-MAX_REPORTED_TEAMS: Final = 64
+# An entry takes more than its even share of a team only after all others have
+# either received its demand or seen its older reports expire.
+SETTLE_S: Final = REPORT_LIFETIME_S + 0.5
 USAGE_WINDOW_S: Final = 2.0
+# Each request looks at this many of the least recently used records.
+DROP_TRIES: Final = 2
 
 Clock = Callable[[], float]
 Rates = Mapping[str, float]
@@ -53,13 +59,15 @@
 class _Usage:
     rate: float = 0
     at: float = 0
+    reported_since: float | None = None
 
 
 class UsageShares(LimitShares):
-    """Splits half of a limit evenly and half by demand.
+    """Splits a limit among the entries with demand for the team.
 
-    Demand is in requests a second. Entries exchange it; one whose report is
-    missing or old is taken to have an even part of the demand.
+    Demand is in requests a second. Half of a limit is split evenly and half
+    by demand, so that an entry with all demand has the whole limit. Without
+    a fresh report of every other entry, all of it is split evenly.
     """
 
     def __init__(
@@ -72,24 +80,40 @@
         self._own: Final = dict[str, _Usage]()
         self._reports: Final = dict[str, Report]()
 
+    @property
+    def live_entries(self) -> int:
+        """Entries that share the limits, at least this one."""
+        return max(1, self._live_entries())
+
     def note(self, team: str) -> None:
         """Count one request, admitted or not, of a team."""
         now = self._clock()
         usage = self._own.setdefault(team, _Usage(at=now))
-        usage.rate = _decayed(usage, now) + 1 / USAGE_WINDOW_S
+        left = _decayed(usage, now)
+        if not left:
+            # Others may have heard meanwhile that there is no demand.
+            usage.reported_since = None
+        usage.rate = left + 1 / USAGE_WINDOW_S
         usage.at = now
 
     def own(self) -> dict[str, float]:
-        """Return this entry's report: the demand of its busiest teams."""
+        """Return this entry's report: the demand of its busiest teams.
+
+        Call it at the interval of the reports; it also drops idle teams.
+        """
         now = self._clock()
         for team in list(self._own):
             if not _decayed(self._own[team], now):
                 self._own.pop(team)
-        rates = {
-            name: _decayed(usage, now) for name, usage in self._own.items()
-        }
+        rates = {name: _decayed(one, now) for name, one in self._own.items()}
         busiest = sorted(rates, key=lambda name: -rates[name])
-        return {name: rates[name] for name in busiest[:MAX_REPORTED_TEAMS]}
+        for left_out in busiest[MAX_USAGE_TEAMS:]:
+            self._own[left_out].reported_since = None
+        listed = busiest[:MAX_USAGE_TEAMS]
+        for usage in map(self._own.__getitem__, listed):
+            if usage.reported_since is None:
+                usage.reported_since = now
+        return {name: rates[name] for name in listed}
 
     def report(self, node: str, rates: Rates) -> None:
         """Take the report of another entry."""
@@ -98,17 +122,23 @@
     def share(self, team: str) -> float:
         """Return the share of a team's limits at this entry."""
         self._drop_old_reports()
-        live = max(1, self._live_entries())
+        live = self.live_entries
         usage = self._own.get(team)
         if usage is None or len(self._reports) < live - 1:
             return 1 / live
-        own = _decayed(usage, self._clock())
-        total = own + sum(
-            rates.get(team, 0) for _at, rates in self._reports.values()
-        )
-        if not total:
+        now = self._clock()
+        own = _decayed(usage, now)
+        since = usage.reported_since
+        if not own or since is None or now - since < SETTLE_S:
             return 1 / live
-        return EQUAL_PART / live + (1 - EQUAL_PART) * own / total
+        others = [
+            rates[team]
+            for _at, rates in self._reports.values()
+            if rates.get(team, 0) > 0
+        ]
+        demand_part = own / (own + sum(others))
+        even_part = 1 / (1 + len(others))
+        return EQUAL_PART * even_part + (1 - EQUAL_PART) * demand_part
 
     def _drop_old_reports(self) -> None:
         horizon = self._clock() - REPORT_LIFETIME_S
@@ -126,21 +156,34 @@
 class _Bucket:
     tokens: float
     at: float
+    rate: float = 0
 
     def wait_s(self, rate: float, now: float) -> float:
         """Fill up to now; return the seconds until the bucket is not empty."""
         burst = max(1.0, rate * BURST_S)
         self.tokens = min(burst, self.tokens + rate * (now - self.at))
         self.at = now
+        self.rate = rate
         # A debt remains after a prompt larger than the bucket.
         return max(0.0, 1 - self.tokens) / rate
 
+    def full(self, now: float) -> bool:
+        """Tell whether a new bucket would be in the same state."""
+        burst = max(1.0, self.rate * BURST_S)
+        return self.tokens + self.rate * (now - self.at) >= burst
+
 
 @dataclass(slots=True)
 class _TeamState:
     in_flight: int = 0
     buckets: dict[str, _Bucket] = field(default_factory=dict)
 
+    def idle(self, now: float) -> bool:
+        """Tell whether the record says nothing that a new one would not."""
+        if self.in_flight:
+            return False
+        return all(bucket.full(now) for bucket in self.buckets.values())
+
 
 class TeamLimits:
     """Owns the buckets and counts of teams at this entry."""
@@ -152,7 +195,11 @@
     ) -> None:
         self._shares: Final = shares
         self._clock: Final = clock
-        self._teams: Final[dict[str, _TeamState]] = {}
+        # The least recently used record comes first.
+        self._teams: Final = OrderedDict[str, _TeamState]()
+
+    def __len__(self) -> int:
+        return len(self._teams)
 
     def enter(self, name: str, team: Team, tokens: int) -> Failure | None:
         """Count a request of `tokens` tokens in, or refuse it.
@@ -160,7 +207,9 @@
         Returns a `Failure` of kind `rate_limited` with the time after which
         the limit admits a request again. Call `leave` after each success.
         """
+        self._drop_idle()
         state = self._teams.setdefault(name, _TeamState())
+        self._teams.move_to_end(name)
         share = self._shares.share(name)
         if team.max_in_flight:
             if state.in_flight >= max(1, int(team.max_in_flight * share)):
@@ -183,6 +232,15 @@
         """Count a request out."""
         self._teams[name].in_flight -= 1
 
+    def _drop_idle(self) -> None:
+        now = self._clock()
+        for _ in range(min(DROP_TRIES, len(self._teams))):
+            name, state = next(iter(self._teams.items()))
+            if state.idle(now):
+                self._teams.pop(name)
+            else:
+                self._teams.move_to_end(name)
+
     def _wait_s(self, state: _TeamState, limit: str, rate: float) -> float:
         if not rate:
             return 0
@@ -194,6 +252,11 @@
         return bucket.wait_s(rate, now)
 
 
+def has_limits(team: Team) -> bool:
+    """Tell whether any limit of a team is set."""
+    return any((team.requests_per_s, team.tokens_per_s, team.max_in_flight))
+
+
 def _limited(limit: str, wait_s: float) -> Failure:
     return Failure(
         kind=ErrorKind.RATE_LIMITED,
--- a/src/masticwind/entry/neighbours.py
+++ b/src/masticwind/entry/neighbours.py
@@ -1,8 +1,8 @@
 """Connections of an entry to a few other entries.
 
 Over them the entries tell each other which generation of the configuration
-is in force and pull what they lack. The instance list gives the address of
-an entry's inner listener.
+is in force and pull what they lack, and report the demand of teams with
+limits. The instance list gives the address of an entry's inner listener.
 """
 
 from collections.abc import Sequence
@@ -17,33 +17,52 @@
     ConfigWatcher,
     rendezvous,
 )
+from masticwind.entry.limits import UsageShares
 from masticwind.node import Node
 from masticwind.platform.base import Instance
 from masticwind.protocol.channel import Channel
 from masticwind.protocol.dialer import keep_connected
 from masticwind.protocol.listener import Listener, PeerHandler
-from masticwind.protocol.messages import AnyMessage
+from masticwind.protocol.messages import AnyMessage, Usage
 from masticwind.settings import Address, EntrySettings
 
+MS_PER_S: Final = 1000
+
 InnerAddress = tuple[str, int]
 
 
 class _EntryPeer(PeerHandler):
-    """Passes the messages of other entries to the configuration."""
+    """Passes the messages of other entries on."""
 
     def __init__(self, sync: ConfigSync) -> None:
         self._sync: Final = sync
+        self._channels: Final[dict[str, Channel]] = {}
+        self.shares: UsageShares | None = None
+
+    @property
+    def channels(self) -> Sequence[Channel]:
+        """One open connection for each connected entry."""
+        for node in list(self._channels):
+            if self._channels[node].closed:
+                self._channels.pop(node)
+        return tuple(self._channels.values())
 
     def load(self) -> None:
         """An entry reports no load."""
 
     async def handle(self, channel: Channel, message: AnyMessage) -> None:
-        """Act on a message about the configuration; ignore others."""
+        """Act on a message about the configuration or usage."""
+        if isinstance(message, Usage):
+            if self.shares is not None:
+                self.shares.report(channel.peer.node, message.rates)
+            return
         self._sync.take(channel, message)
 
     def opened(self, channel: Channel) -> None:
         """Note the generation that the peer named in its `Hello`."""
         self._sync.greet(channel)
+        if channel.peer.role == 'entry':
+            self._channels[channel.peer.node] = channel
 
     def lost(self, channel: Channel) -> None:
         """A closed channel is dropped when the peers are next listed."""
@@ -99,15 +118,33 @@
             self._wanted = wanted
             self._changed.set()
 
+    def exchange(self, shares: UsageShares) -> None:
+        """Report the usage in `shares`, and give it the reports of others."""
+        self._handler.shares = shares
+
     async def run(self) -> None:
         """Accept and keep connections until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._listener.run)
+            tasks.start_soon(self._report_usage)
             while True:
                 await self._changed.wait()
                 self._changed = anyio.Event()
                 self._dial_wanted(tasks)
 
+    async def _report_usage(self) -> None:
+        shares = self._handler.shares
+        while shares is not None:
+            await anyio.sleep(self._parts.cfg.peers.heartbeat_ms / MS_PER_S)
+            message = Usage(shares.own())
+            channels = self._handler.channels
+            # An entry that lacks a report splits evenly, so in a fleet where
+            # not all entries are connected the reports would not be used.
+            if len(channels) < shares.live_entries - 1:
+                continue
+            for channel in channels:
+                channel.send(message)
+
     def _dial_wanted(self, tasks: TaskGroup) -> None:
         for address in list(self._scopes):
             if address not in self._wanted:
--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -15,7 +15,12 @@
     run_attempt,
 )
 from masticwind.entry.groups import Groups
-from masticwind.entry.limits import FairShare, TeamLimits, UsageShares
+from masticwind.entry.limits import (
+    FairShare,
+    TeamLimits,
+    UsageShares,
+    has_limits,
+)
 from masticwind.entry.peers import AgentLink, AgentPool
 from masticwind.entry.predict import Job
 from masticwind.entry.retries import Refusals, RetryBudget, may_move
@@ -116,7 +121,8 @@
                 reason='the team was removed',
             )
         tokens = req.job.prompt_tokens + req.job.max_tokens
-        self.shares.note(req.team)
+        if has_limits(team):
+            self.shares.note(req.team)
         limited = self._limits.enter(req.team, team, tokens)
         if limited is not None:
             return limited
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -62,6 +62,7 @@
         self.metrics: Final = telemetry.metrics
         self.tracer: Final = telemetry.tracer
         relay = Relay(cfg, self.pool, self.config, view, telemetry)
+        self.neighbours.exchange(relay.shares)
         self.claims: Final = Claims(HttpKeyValue(cfg.platform), cfg.claims)
         service = TierCounter()
         admin = AdminApi(
--- a/src/masticwind/protocol/messages.py
+++ b/src/masticwind/protocol/messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 PROTOCOL_VERSION: Final = 1
+MAX_USAGE_TEAMS: Final = 64
 CHUNK_BYTES: Final = 262_144
 INLINE_BODY_BYTES: Final = 65_536
 MAX_OUTPUT_TOKENS_PER_MESSAGE: Final = 4096
@@ -288,6 +289,18 @@
     parts: dict[str, bytes] = {}
 
 
+class Usage(Message, frozen=True, tag='usage'):
+    """Demand of an entry's busiest teams with limits, in requests a second.
+
+    A team that is not listed has no demand there.
+    """
+
+    rates: Annotated[
+        dict[Id, float],
+        msgspec.Meta(max_length=MAX_USAGE_TEAMS),
+    ] = {}
+
+
 AnyMessage = (
     Hello
     | Proof
@@ -312,4 +325,5 @@
     | ConfigRequest
     | EndpointOrder
     | ConfigData
+    | Usage
 )
