--- a/src/masticwind/ctl/main.py
+++ b/src/masticwind/ctl/main.py
@@ -8,6 +8,7 @@
 import os
 import sys
 import time
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Final
@@ -23,6 +24,7 @@
 from masticwind.config.reader import read_configuration
 from masticwind.config.store import ConfigStore
 from masticwind.ctl.backend import ApiBackend, Backend, StoreBackend
+from masticwind.ctl.table import status_lines
 from masticwind.errors import ErrorKind, Failure
 from masticwind.platform.http import HttpKeyValue
 from masticwind.settings import PlatformSettings
@@ -163,9 +165,11 @@
         Print again every two seconds until interrupted.
     """
     code = anyio.run(_status, options)
-    while watch and code == DONE:
-        time.sleep(WATCH_INTERVAL_S)
-        code = anyio.run(_status, options)
+    with suppress(KeyboardInterrupt):
+        while watch and code == DONE:
+            sys.stdout.flush()
+            time.sleep(WATCH_INTERVAL_S)
+            code = anyio.run(_status, options)
     return code
 
 
@@ -260,7 +264,7 @@
     found = await backend.status()
     if isinstance(found, Failure):
         return _fail(found, options)
-    options.out(found, [yaml.safe_dump(found, sort_keys=False).rstrip()])
+    options.out(found, status_lines(found))
     return DONE
 
 
