--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,103 @@
+"""The operators' page against the code."""
+
+import dataclasses
+import inspect
+import re
+import tomllib
+from pathlib import Path
+from typing import Any, get_type_hints
+
+from masticwind import settings
+from masticwind.config import model
+from masticwind.ctl import main as ctl
+from masticwind.errors import ErrorKind
+from masticwind.metrics import Metric
+
+ROOT = Path(__file__).parent.parent
+PAGE = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
+SOURCE = ''.join(
+    path.read_text() for path in (ROOT / 'src' / 'masticwind').rglob('*.py')
+)
+SPANS = frozenset(re.findall(r"'((?:entry|agent)\.[a-z]+)'", SOURCE))
+# Of the shell and the usual tools; everything else must be a program of ours.
+TOOLS = frozenset(('head', 'curl', 'export', 'kill', 'printf', 'jq'))
+HTTP_NAMES = frozenset(('traceparent',))
+LOG_FIELDS = frozenset(('time', 'level', 'event', 'traceback'))
+STATES = frozenset(('serving', 'cold', 'out', 'down'))
+VALUES = frozenset(('true', 'false', 'reader'))
+
+
+def _keys(kind: Any) -> set[str]:
+    found: set[str] = set()
+    hints = get_type_hints(kind)
+    for one in dataclasses.fields(kind):
+        found.add(one.name)
+        if dataclasses.is_dataclass(hints[one.name]):
+            below = _keys(hints[one.name])
+            found.update(f'{one.name}.{name}' for name in below)
+    return found
+
+
+def _known_keys() -> set[str]:
+    kinds = (
+        settings.EntrySettings,
+        settings.AgentSettings,
+        model.Zone,
+        model.Team,
+        model.Operator,
+    )
+    return set().union(*(_keys(kind) for kind in kinds))
+
+
+def _commands() -> list[str]:
+    blocks = re.findall(r'```sh\n(.*?)```', PAGE, re.DOTALL)
+    return [line for block in blocks for line in block.splitlines()]
+
+
+def test_names_on_the_page_exist() -> None:
+    """Guards against advice about metrics and keys that are gone."""
+    text = re.sub(r'```sh\n.*?```', '', PAGE, flags=re.DOTALL)
+    keys = _known_keys()
+    metrics = {one.value for one in Metric}
+    kinds = {one.value for one in ErrorKind}
+    events = set(
+        re.findall(r"\.(?:info|warning|error)\('([a-z_]+)'\)", SOURCE),
+    )
+    known = keys | metrics | kinds | events | SPANS
+    known |= HTTP_NAMES | LOG_FIELDS | STATES | VALUES
+    known |= {one for one in ctl.cli if not one.startswith('-')}
+    names = re.findall(r'`([a-z][a-z_]*(?:\.[a-z_]+)*)`', text)
+    assert len(names) > 50
+    assert set(names) <= known
+    labels = re.findall(r'`\.([a-z_]+)`', text)
+    assert set(labels) <= kinds | {'paid', 'free'}
+    assert metrics & set(names)
+    # Error kinds that a caller can get are all explained.
+    table = text[text.index('## Troubleshooting') :]
+    internal = {'revoked', 'cancelled', 'not_found', 'method_not_allowed'}
+    missing = {kind for kind in kinds if f'`{kind}`' not in table}
+    assert missing == internal
+
+
+def test_commands_on_the_page_exist() -> None:
+    """Guards against commands or options that are gone."""
+    project = tomllib.loads((ROOT / 'pyproject.toml').read_text())
+    programs = set(project['project']['scripts'])
+    options = {
+        f'--{one.name.replace("_", "-")}'
+        for one in dataclasses.fields(ctl.Options)
+    }
+    for command in (ctl.status, ctl.show, ctl.apply):
+        names = inspect.signature(command).parameters
+        options |= {f'--{name}' for name in names}
+    text = [*_commands(), *re.findall(r'`(masticwind-[^`]*)`', PAGE)]
+    assert len(text) > 20
+    for line in text:
+        words = line.split()
+        if words[0] in TOOLS:
+            continue
+        assert words[0] in programs, line
+        if words[0] == 'masticwind-ctl' and len(words) > 1:
+            assert words[1] in set(ctl.cli), line
+            used = {word for word in words if word.startswith('--')}
+            assert used <= options, line
