--- a/src/masticwind/ctl/main.py
+++ b/src/masticwind/ctl/main.py
@@ -6,9 +6,9 @@
 
 import getpass
 import os
+import signal
 import sys
 import time
-from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Final
@@ -36,6 +36,8 @@
 UNKNOWN: Final = 4
 
 WATCH_INTERVAL_S: Final = 2.0
+# An interrupt ends the watch within this part of the interval.
+WATCH_SLICES: Final = 20
 _INVALID_KINDS: Final = frozenset(
     (ErrorKind.BAD_REQUEST, ErrorKind.INVALID_CONFIG, ErrorKind.TOO_LARGE),
 )
@@ -164,11 +166,20 @@
     watch
         Print again every two seconds until interrupted.
     """
+    interrupts: list[int] = []
+    if watch:
+        # An interrupt within the event loop would leave its tasks pending.
+        signal.signal(
+            signal.SIGINT,
+            lambda signum, _frame: interrupts.append(signum),
+        )
     code = anyio.run(_status, options)
-    with suppress(KeyboardInterrupt):
-        while watch and code == DONE:
-            sys.stdout.flush()
-            time.sleep(WATCH_INTERVAL_S)
+    while watch and code == DONE and not interrupts:
+        sys.stdout.flush()
+        for _ in range(WATCH_SLICES):
+            if not interrupts:
+                time.sleep(WATCH_INTERVAL_S / WATCH_SLICES)
+        if not interrupts:
             code = anyio.run(_status, options)
     return code
 
