--- a/src/masticwind/ctl/main.py
+++ b/src/masticwind/ctl/main.py
@@ -6,6 +6,7 @@
 
 import getpass
 import os
+import signal
 import sys
 import time
 from dataclasses import dataclass
@@ -23,6 +24,7 @@
 from masticwind.config.reader import read_configuration
 from masticwind.config.store import ConfigStore
 from masticwind.ctl.backend import ApiBackend, Backend, StoreBackend
+from masticwind.ctl.table import status_lines
 from masticwind.errors import ErrorKind, Failure
 from masticwind.platform.http import HttpKeyValue
 from masticwind.settings import PlatformSettings
@@ -34,6 +36,8 @@
 UNKNOWN: Final = 4
 
 WATCH_INTERVAL_S: Final = 2.0
+# An interrupt ends the watch within this part of the interval.
+WATCH_SLICES: Final = 20
 _INVALID_KINDS: Final = frozenset(
     (ErrorKind.BAD_REQUEST, ErrorKind.INVALID_CONFIG, ErrorKind.TOO_LARGE),
 )
@@ -162,10 +166,21 @@
     watch
         Print again every two seconds until interrupted.
     """
+    interrupts: list[int] = []
+    if watch:
+        # An interrupt within the event loop would leave its tasks pending.
+        signal.signal(
+            signal.SIGINT,
+            lambda signum, _frame: interrupts.append(signum),
+        )
     code = anyio.run(_status, options)
-    while watch and code == DONE:
-        time.sleep(WATCH_INTERVAL_S)
-        code = anyio.run(_status, options)
+    while watch and code == DONE and not interrupts:
+        sys.stdout.flush()
+        for _ in range(WATCH_SLICES):
+            if not interrupts:
+                time.sleep(WATCH_INTERVAL_S / WATCH_SLICES)
+        if not interrupts:
+            code = anyio.run(_status, options)
     return code
 
 
@@ -260,7 +275,7 @@
     found = await backend.status()
     if isinstance(found, Failure):
         return _fail(found, options)
-    options.out(found, [yaml.safe_dump(found, sort_keys=False).rstrip()])
+    options.out(found, status_lines(found))
     return DONE
 
 
