Let shorter long prompts pass longer ones, and report long work

Paid prompts of 16k to 100k tokens were placed behind prompts of up to a million: the load report left out long prompts that were being computed, and an agent computed one long prompt at a time. They waited for 4 to 5 s, until they could no longer finish, and were refused then.

Agents now report what is left of each long prompt, entries count it for the prompts that wait for it, and a long prompt passes those with at least twice its work.

One reader of cache events now serves the agent's estimate and the copies at entries.

--- a/src/masticwind/agent/admission.py
+++ b/src/masticwind/agent/admission.py
@@ -5,7 +5,7 @@
 
 from masticwind.agent.ledger import Ledger
 from masticwind.agent.rates import Rates
-from masticwind.agent.running import Running
+from masticwind.agent.running import PASSING_SHARE, Running
 from masticwind.agent.scheduler import Scheduler
 from masticwind.errors import ErrorKind, Failure
 from masticwind.protocol.messages import Offer
@@ -37,16 +37,16 @@
         The refusal is of kind `overloaded`; its hint is the time by which
         the prediction exceeds the time budget.
         """
+        own_tokens = max(1, offer.prompt_tokens - cached_tokens)
+        queue_s = self._queue_s(offer, own_tokens)
         if len(self.scheduler) >= self.cfg.max_queued:
             return Failure(
                 kind=ErrorKind.OVERLOADED,
                 reason='queue is full',
-                retry_after_ms=_retry_ms(self._queue_s(offer)),
+                retry_after_ms=_retry_ms(queue_s),
             )
-        own_s = self.rates.prefill_s(
-            max(1, offer.prompt_tokens - cached_tokens),
-        ) + self.rates.decode_total_s(offer.max_tokens)
-        wait_s = self._queue_s(offer) + self._slot_s(offer, capacity)
+        own_s = self.rates.service_s(own_tokens, offer.max_tokens)
+        wait_s = queue_s + self._slot_s(offer, capacity)
         predicted_ms = int((own_s + wait_s) * MS_PER_S)
         if predicted_ms > offer.timeout_ms:
             return Failure(
@@ -58,27 +58,35 @@
             )
         return predicted_ms
 
-    def _queue_s(self, offer: Offer) -> float:
+    def _queue_s(self, offer: Offer, own_tokens: int) -> float:
         """Predict the wait for the prefill that goes first."""
         ahead = self.running.prefill_tokens(paid=True)
         if not offer.paid:
             ahead += self.running.prefill_tokens(paid=False)
-        long_ahead = offer.prompt_tokens >= self.cfg.long_prompt_tokens
+        is_long = offer.prompt_tokens >= self.cfg.long_prompt_tokens
         for waiting in self.scheduler.queued():
             if waiting.offer.paid < offer.paid:
                 continue
-            # Short requests run between the steps of long ones.
-            if self.running.is_long(waiting) and not long_ahead:
-                continue
-            ahead += waiting.uncached_tokens
-        if long_ahead:
-            ahead += sum(
-                req.uncached_tokens
-                for req in self.running
-                if req.prefilling and self.running.is_long(req)
-            )
+            if not self.running.is_long(waiting):
+                ahead += waiting.uncached_tokens
+        if is_long or not offer.paid:
+            ahead += self._long_ahead(offer, own_tokens)
         return self.rates.prefill_s(ahead)
 
+    def _long_ahead(self, offer: Offer, own_tokens: int) -> int:
+        """Return the work of long prompts that this one does not pass."""
+        started = (req for req in self.running if req.prefilling)
+        return sum(
+            req.uncached_tokens
+            for req in (*self.scheduler.queued(), *started)
+            if self.running.is_long(req)
+            and req.offer.paid >= offer.paid
+            and (
+                not offer.paid
+                or own_tokens > PASSING_SHARE * req.uncached_tokens
+            )
+        )
+
     def _slot_s(self, offer: Offer, capacity: int) -> float:
         """Predict the wait for slots and memory of requests ahead."""
         waiting = [
--- a/src/masticwind/agent/cache_view.py
+++ b/src/masticwind/agent/cache_view.py
@@ -1,5 +1,7 @@
 """The agent's view of its engine's prefix cache, and its copies at entries.
 
+The one reader of an engine's cache events serves both.
+
 Engines publish cache events late and with gaps, so the view is a hint from
 the first gap on. Both the view and the log of recent changes are bounded. An
 entry that falls behind the log, like one that has just connected, is
@@ -16,7 +18,8 @@
 from masticwind.engines.base import CacheEvents, Engine
 from masticwind.errors import Failure
 from masticwind.protocol.channel import Channel
-from masticwind.protocol.messages import CacheBlocks
+from masticwind.protocol.messages import CacheBlocks, Offer
+from masticwind.tokens import cached_blocks
 
 POLL_INTERVAL_S: Final = 0.5
 MAX_BLOCKS: Final = 65_536
@@ -96,6 +99,13 @@
         newest = itertools.islice(reversed(self._blocks), MAX_SYNC_BLOCKS)
         return tuple(newest)
 
+    def cached_tokens(self, offer: Offer) -> int:
+        """Estimate how many tokens of an offer's prompt are cached."""
+        if not offer.prefix:
+            return 0
+        share = cached_blocks(offer.prefix, self._blocks) / len(offer.prefix)
+        return min(int(share * offer.prompt_tokens), offer.prompt_tokens - 1)
+
     def changes(self, after: int) -> tuple[Change, ...] | None:
         """Return a bounded number of changes behind change `after`.
 
@@ -130,7 +140,6 @@
 
     def __init__(self, engine: Engine) -> None:
         self._engine: Final = engine
-        self._boot_id = ''
         self._cursors: Final[dict[Channel, int | None]] = {}
         self.view: Final = CacheView()
 
@@ -163,13 +172,6 @@
                 self._cursors[channel] = changes[-1].number
 
     async def _poll(self) -> None:
-        report = await self._engine.report()
-        if isinstance(report, Failure):
-            return
-        if report.boot_id != self._boot_id:
-            if self._boot_id:
-                self.view.reset()
-            self._boot_id = report.boot_id
         events = await self._engine.cache_events(self.view.last_event)
         if not isinstance(events, Failure):
             self.view.take(events)
--- a/src/masticwind/agent/executor.py
+++ b/src/masticwind/agent/executor.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from masticwind.agent.admission import Admission
-from masticwind.agent.cacheview import CacheView
+from masticwind.agent.cache_view import CachePublisher
 from masticwind.agent.gate import Gate
 from masticwind.agent.ledger import Ledger
 from masticwind.agent.load import LoadReporter
@@ -103,7 +103,7 @@
             ),
             self.shares,
         )
-        self._cache: Final = CacheView(parts.engine)
+        self.cache: Final = CachePublisher(parts.engine)
         self._requests: Final[dict[RequestKey, AgentRequest]] = {}
         self._wake = anyio.Event()
 
@@ -134,7 +134,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._poll_report)
             tasks.start_soon(self._sweep)
-            tasks.start_soon(self._cache.run)
+            tasks.start_soon(self.cache.run)
             while True:
                 with anyio.move_on_after(QUEUE_INTERVAL_S):
                     await self._wake.wait()
@@ -151,7 +151,7 @@
             known.attach(channel, 0)
             return
         req = AgentRequest(offer, Budget.from_ms(offer.timeout_ms), channel)
-        req.cached_estimate = self._cache.cached_tokens(offer)
+        req.cached_estimate = self.cache.view.cached_tokens(offer)
         predicted = self._decide(req)
         if isinstance(predicted, Failure):
             channel.send(
@@ -355,7 +355,7 @@
         self.ledger.total_tokens = report.memory_total_tokens
         if self.ramp.take_report(report):
             self.shares.forget_all()
-            self._cache.reset()
+            self.cache.view.reset()
         self._wake.set()
 
     async def _sweep(self) -> None:
--- a/src/masticwind/agent/load.py
+++ b/src/masticwind/agent/load.py
@@ -1,14 +1,19 @@
 """The load report that an agent sends with its heartbeats."""
 
 from dataclasses import dataclass
+from typing import Final
 
 from masticwind.agent.gate import Gate
 from masticwind.agent.ledger import Ledger
 from masticwind.agent.rates import Rates
+from masticwind.agent.requests import AgentRequest
 from masticwind.agent.running import Running
 from masticwind.agent.scheduler import Scheduler
 from masticwind.protocol.messages import Load
 
+# Bounds a heartbeat; an endpoint with more long prompts is avoided anyway.
+MAX_LONG_REPORTED: Final = 32
+
 
 @dataclass(frozen=True, slots=True)
 class LoadReporter:
@@ -36,8 +41,29 @@
             memory_free_tokens=self.ledger.free_tokens,
             memory_total_tokens=self.ledger.total_tokens,
             long_running=int(running.long_prefill()),
+            paid_long_tokens=self._paid_long_tokens(),
         )
 
     def _work_tokens(self, *, paid: bool) -> int:
-        queued = self.scheduler.work_tokens(paid=paid)
-        return queued + self.running.prefill_tokens(paid=paid)
+        return sum(
+            req.uncached_tokens
+            for req in self._outstanding(paid=paid)
+            if not (paid and self.running.is_long(req))
+        )
+
+    def _paid_long_tokens(self) -> tuple[int, ...]:
+        left = sorted(
+            req.uncached_tokens
+            for req in self._outstanding(paid=True)
+            if self.running.is_long(req)
+        )
+        return tuple(left[-MAX_LONG_REPORTED:])
+
+    def _outstanding(self, *, paid: bool) -> list[AgentRequest]:
+        """Return the requests of one kind whose prompts are not computed."""
+        started = (req for req in self.running if req.prefilling)
+        return [
+            req
+            for req in (*self.scheduler.queued(), *started)
+            if req.offer.paid == paid
+        ]
--- a/src/masticwind/agent/running.py
+++ b/src/masticwind/agent/running.py
@@ -11,6 +11,9 @@
 
 # Without a short paid request for this long, the engine is not spared.
 SHORT_RECENT_S: Final = 0.5
+# A long prompt passes others only if it delays them by at most half of what
+# they have left; prompts of similar length would else pass by turns.
+PASSING_SHARE: Final = 0.5
 
 
 class Running:
@@ -69,6 +72,25 @@
         """Tell whether a long prompt is being computed."""
         return any(req.prefilling and self.is_long(req) for req in self)
 
+    def may_pass(self, req: AgentRequest) -> bool:
+        """Tell whether a long prompt may start before those under way."""
+        return all(
+            req.uncached_tokens <= PASSING_SHARE * one.uncached_tokens
+            for one in self
+            if one.prefilling and self.is_long(one)
+        )
+
+    def has_shorter(self, req: AgentRequest) -> bool:
+        """Tell whether a shorter long prompt is being computed."""
+        return any(
+            one.uncached_tokens < req.uncached_tokens
+            for one in self
+            if one is not req
+            and one.offer.paid
+            and one.prefilling
+            and self.is_long(one)
+        )
+
     def prefill_tokens(self, *, paid: bool) -> int:
         """Return the outstanding prefill of prompts that are not long."""
         return sum(
@@ -79,6 +101,10 @@
             and not self.is_long(req)
         )
 
+    def paid_prefill(self) -> bool:
+        """Tell whether any paid prompt is being computed."""
+        return any(req.prefilling and req.offer.paid for req in self)
+
     def all_prefill_tokens(self) -> int:
         """Return the outstanding prefill of all requests."""
         return sum(req.uncached_tokens for req in self if req.prefilling)
--- a/src/masticwind/agent/scheduler.py
+++ b/src/masticwind/agent/scheduler.py
@@ -133,12 +133,6 @@
         )
         return req.budget.remaining_s() <= least_s
 
-    def work_tokens(self, *, paid: bool) -> int:
-        """Return the prefill work that waits in one class of service."""
-        return sum(
-            req.uncached_tokens for req in self._queue if req.offer.paid == paid
-        )
-
     def charge_end(self, req: AgentRequest) -> None:
         """Correct a team's charge by what was not generated."""
         team = (req.offer.paid, req.offer.team)
@@ -191,7 +185,7 @@
         if not req.offer.paid:
             return self._free_may_start(req, capacity)
         if self._running.is_long(req):
-            return not self._running.long_prefill()
+            return self._running.may_pass(req)
         return self._in_window(req, PREFILL_WINDOW_S)
 
     def _in_window(self, req: AgentRequest, window_s: float) -> bool:
--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -5,7 +5,6 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from masticwind.agent.cache_view import CachePublisher
 from masticwind.agent.calls import CallExecutor
 from masticwind.agent.drain import DRAIN_POLL_S, MS_PER_S, Drainer
 from masticwind.agent.executor import Executor, ExecutorParts
@@ -45,7 +44,6 @@
         self._drainer: Final = Drainer(cfg)
         self._telemetry: Final = make_telemetry(cfg)
         engine = HttpEngine(cfg.endpoint_url)
-        self._cache: Final = CachePublisher(engine)
         self._executor: Final = Executor(
             ExecutorParts(cfg, self.config, engine),
             tasks,
@@ -83,7 +81,6 @@
             tasks.start_soon(self._telemetry.metrics.run)
             if self._cfg.kind == 'engine':
                 tasks.start_soon(self._executor.run)
-                tasks.start_soon(self._cache.run)
             else:
                 tasks.start_soon(self._calls.run)
 
@@ -107,13 +104,13 @@
     def opened(self, channel: Channel) -> None:
         """Send a new connection what the engine's cache holds."""
         self._drainer.opened(channel)
-        self._cache.opened(channel)
+        self._executor.cache.opened(channel)
         self.sync.greet(channel)
 
     def lost(self, channel: Channel) -> None:
         """Let requests of a lost connection wait for a resume."""
         self._drainer.lost(channel)
-        self._cache.lost(channel)
+        self._executor.cache.lost(channel)
         self._executor.detach(channel)
 
     async def handle(self, channel: Channel, message: AnyMessage) -> None:
--- a/src/masticwind/agent/steps.py
+++ b/src/masticwind/agent/steps.py
@@ -2,7 +2,8 @@
 
 Each step computes a longer prefix of the prompt into the engine's prefix
 cache. Short requests run between the steps: a step waits until no short paid
-request is being computed, unless the long request's slack is running out.
+request is being computed, unless the long request's slack is running out. Of
+several long prompts the one with the least work left has the turn.
 """
 
 from dataclasses import dataclass
@@ -72,11 +73,18 @@
         return STEP_PRIORITY if req.offer.paid else STEP_PRIORITY + 1
 
     async def _wait_turn(self, req: AgentRequest) -> None:
-        while self.running.prefill_tokens(paid=True):
-            if req.offer.paid and self.scheduler.urgent(req):
-                return
+        while self._others_first(req):
             await self.running.wait_changed(TURN_POLL_S)
 
+    def _others_first(self, req: AgentRequest) -> bool:
+        if not req.offer.paid:
+            return self.running.paid_prefill()
+        if self.scheduler.urgent(req):
+            return False
+        if self.running.prefill_tokens(paid=True):
+            return True
+        return self.running.has_shorter(req)
+
     def _step(self, req: AgentRequest) -> int:
         full = self.cfg.prefill_step_tokens
         # The first step of a long prompt measures the rate at full size.
--- a/src/masticwind/entry/predict.py
+++ b/src/masticwind/entry/predict.py
@@ -24,6 +24,8 @@
 MIN_CORRECTION: Final = 0.125
 # Shorter prefills measure the overhead of a hop rather than the rate.
 MIN_OBSERVED_TOKENS: Final = 2048
+# An agent lets a long prompt pass others that have at least twice its work.
+PASSED_FACTOR: Final = 2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,7 +69,7 @@
 
         `tokens` is the uncached part of the prompt.
         """
-        ahead = self.work_ahead(link, paid=paid)
+        ahead = self.work_ahead(link, tokens, paid=paid)
         correction = self._track(link).correction
         if not ahead:
             # Otherwise an idle endpoint with a bad past would get no work
@@ -75,25 +77,43 @@
             correction = min(1.0, correction)
         return self._base_s(link, ahead + tokens) * correction
 
-    def work_ahead(self, link: AgentLink, *, paid: bool) -> int:
-        """Return the prefill tokens that a new request would wait for.
-
-        Paid requests wait for paid work only, free requests for all.
+    def work_ahead(
+        self,
+        link: AgentLink,
+        tokens: int = 0,
+        *,
+        paid: bool,
+    ) -> int:
+        """Return the prefill tokens that `tokens` more would wait for.
+
+        Paid requests wait for paid work only, free requests for all. Short
+        prompts run between the steps of long ones, and a long prompt passes
+        those that have far more left.
         """
         pending = [
             one for one in self._track(link).pending if one.paid or not paid
         ]
-        own = sum(one.tokens for one in pending)
+        short = [one for one in pending if not self._is_long(one.tokens)]
+        own = sum(one.tokens for one in short)
         load = link.load_view
         if load is None:
-            return own
+            return sum(one.tokens for one in pending)
         reported = load.paid_work_tokens
         if not paid:
             reported += load.free_work_tokens
-        unseen = sum(one.tokens for one in _unseen(link, pending))
+        unseen = _unseen(link, pending)
+        reported += sum(
+            one.tokens for one in unseen if not self._is_long(one.tokens)
+        )
+        long = [one.tokens for one in unseen if self._is_long(one.tokens)]
+        long_ahead = sum(
+            left
+            for left in (*load.paid_long_tokens, *long)
+            if not paid or self._waits_for(tokens, left)
+        )
         # Own sends are a lower bound for an agent that reports its queue
         # but not what its engine still prefills.
-        return max(own, reported + unseen)
+        return max(own, reported) + long_ahead
 
     def free_slots(self, link: AgentLink) -> int:
         """Return the reported slots minus the sends not reported yet.
@@ -108,7 +128,7 @@
 
     def sent(self, link: AgentLink, tokens: int, *, paid: bool) -> PendingSend:
         """Note a send; pass the result to `ended` in every case."""
-        work = self.work_ahead(link, paid=paid) + tokens
+        work = self.work_ahead(link, tokens, paid=paid) + tokens
         send = PendingSend(
             tokens,
             paid,
@@ -139,6 +159,13 @@
         if send in track.pending:
             track.pending.remove(send)
 
+    def _is_long(self, tokens: int) -> bool:
+        return tokens >= self._cfg.long_prompt_tokens
+
+    def _waits_for(self, tokens: int, left: int) -> bool:
+        """Tell whether `tokens` wait for a long prompt with `left` tokens."""
+        return self._is_long(tokens) and tokens * PASSED_FACTOR > left
+
     def _base_s(self, link: AgentLink, tokens: int) -> float:
         load = link.load_view
         rate = float(self._cfg.prefill_tokens_per_s)
--- a/src/masticwind/protocol/messages.py
+++ b/src/masticwind/protocol/messages.py
@@ -51,6 +51,8 @@
 
     `slots` is the number of further requests that the endpoint can take
     now; in a cold start it is what remains of the cold capacity.
+    `paid_work_tokens` leaves out the long prompts, between whose steps short
+    ones run; `paid_long_tokens` has what remains of each of them.
     """
 
     state: LoadState
@@ -66,6 +68,7 @@
     memory_free_tokens: NonNegative = 0
     memory_total_tokens: NonNegative = 0
     long_running: NonNegative = 0
+    paid_long_tokens: tuple[NonNegative, ...] = ()
 
 
 class Heartbeat(Message, frozen=True, tag='beat'):
--- a/src/masticwind/tokens.py
+++ b/src/masticwind/tokens.py
@@ -5,6 +5,7 @@
 hashed in a chain, so that equal hashes mean equal prefixes from the start.
 """
 
+from collections.abc import Container
 from typing import Final
 
 import xxhash
@@ -36,8 +37,8 @@
     return tuple(hashes)
 
 
-def cached_blocks(hashes: tuple[int, ...], cached: frozenset[int]) -> int:
-    """Return how many leading blocks of a prompt are in a set of blocks."""
+def cached_blocks(hashes: tuple[int, ...], cached: Container[int]) -> int:
+    """Return how many leading blocks of a prompt are cached."""
     count = 0
     for block in hashes:
         if block not in cached:
--- a/tests/test_agent_life.py
+++ b/tests/test_agent_life.py
@@ -114,6 +114,20 @@
         assert await rig.ended('first', 'second') == ['done', 'done']
 
 
+async def test_shorter_long_prompt_passes_a_longer_one() -> None:
+    """Guards against a tight time budget behind a prompt of a million."""
+    model = EngineModel(prefill_tokens_per_s=100_000, report_lag_ms=100)
+    async with agent_rig(model) as rig:
+        rig.offer('longest', 300_000)
+        await rig.until(lambda: rig.executor.running.long_prefill())
+        rig.offer('shorter', 50_000)
+        assert await rig.ended('shorter') == ['done']
+        assert not rig.channel.outcome('longest')
+        assert await rig.ended('longest') == ['done']
+        assert rig.channel.text('longest') == _expected('longest', 300_000, 8)
+        await rig.at_rest()
+
+
 async def test_lost_progress_is_counted() -> None:
     """Guards against endless steps after the cache evicts a prefix."""
     model = EngineModel(cache_share=0.02, report_lag_ms=100)
