Bound how long a false suspicion throttles an engine

A suspicion ended only after ten usual decode intervals in a row, and a second suspicion forgot the limit that the first one had taken away. Ten usual intervals that no prefill explains now end it, in a row or not: a cold engine has none of these. An endpoint counts as cold for the entries until its ramp has 16 slots, so that they use it up to its free slots only while another endpoint can take the work.

--- a/src/masticwind/agent/ramp.py
+++ b/src/masticwind/agent/ramp.py
@@ -20,11 +20,14 @@
 from masticwind.settings import AgentSettings
 
 COLD_COMPLETIONS: Final = 16
+# With so many slots, an endpoint counts as warm for the entries.
+OPEN_LIMIT: Final = 16
 # A decode interval this many times the explained one is a sign of a relapse.
 COLLAPSE_RATIO: Final = 2.0
 # A few long intervals in a row come from pauses of this process.
 COLLAPSE_INTERVALS: Final = 5
-# So many usual intervals in a row show that a suspected engine is warm.
+# So many usual intervals show that a suspected engine is warm. They need not
+# be in a row where no prefill explains them: a cold engine has none of these.
 USUAL_INTERVALS: Final = 10
 # The usual interval follows shorter ones quickly and longer ones slowly, so
 # that an engine that stays slow is accepted as it is after some time.
@@ -47,6 +50,7 @@
         self._base_s = 0.0
         self._slow_intervals = 0
         self._usual_intervals = 0
+        self._plain_intervals = 0
         self._suspected_limit = 0
         self._counted_at = 0.0
         self.cold_capacity = cfg.cold_capacity
@@ -55,8 +59,14 @@
 
     @property
     def cold(self) -> bool:
-        """Whether only the cold capacity may be used."""
-        return self._limit <= self.cold_capacity < self._cfg.max_running
+        """Whether the ramp is not open yet.
+
+        Entries then use the endpoint only up to its free slots while another
+        one can take the work.
+        """
+        if self._reported_cold:
+            return True
+        return self.capacity < min(OPEN_LIMIT, self._cfg.max_running)
 
     @property
     def capacity(self) -> int:
@@ -121,7 +131,10 @@
             return
         self._slow_intervals = 0
         self._usual_intervals += 1
-        if self._suspected_limit and self._usual_intervals >= USUAL_INTERVALS:
+        if not prefill_tokens:
+            self._plain_intervals += 1
+        usual = max(self._usual_intervals, self._plain_intervals)
+        if self._suspected_limit and usual >= USUAL_INTERVALS:
             self._limit = max(self._limit, self._suspected_limit)
             self._suspected_limit = 0
         if not prefill_tokens:
@@ -132,8 +145,10 @@
 
         Then half of the earlier limit is given back at once.
         """
-        limit = self._limit
+        # A second suspicion does not forget what the first one took away.
+        limit = max(self._limit, 2 * self._suspected_limit)
         self.enter()
+        self._plain_intervals = 0
         self._suspected_limit = limit // 2
 
     def _follow(self, seconds: float) -> None:
--- a/tests/test_agent_ramp.py
+++ b/tests/test_agent_ramp.py
@@ -131,6 +131,56 @@
     assert ramp.capacity == 32
 
 
+def test_noise_does_not_throttle_for_long(clock: Clock) -> None:
+    """Guards against a busy machine that keeps a warm engine throttled."""
+    ramp = Ramp(agent_settings(), Rates())
+    _warm(ramp, clock)
+    _intervals(ramp, clock, 3 * USUAL_S, COLLAPSE_INTERVALS)
+    assert ramp.capacity == 2
+    for _ in range(USUAL_INTERVALS):
+        _intervals(ramp, clock, 3 * USUAL_S, 1)
+        _intervals(ramp, clock, USUAL_S, 1)
+    assert ramp.capacity == 32
+
+
+def test_second_suspicion_keeps_what_the_first_took(clock: Clock) -> None:
+    """Guards against a whole new ramp after two false suspicions."""
+    ramp = Ramp(agent_settings(), Rates())
+    _warm(ramp, clock)
+    for _ in range(2):
+        _intervals(ramp, clock, 3 * USUAL_S, COLLAPSE_INTERVALS)
+        _intervals(ramp, clock, USUAL_S, 1)
+    _intervals(ramp, clock, USUAL_S, USUAL_INTERVALS)
+    assert ramp.capacity == 32
+
+
+def test_relapse_stays_throttled_behind_prefill(clock: Clock) -> None:
+    """Guards against a cold engine that single explained intervals free."""
+    rates = Rates()
+    started = rates.prefill_started()
+    clock.now += 0.05
+    rates.prefill_ended(started, 8192)
+    ramp = Ramp(agent_settings(), rates)
+    _warm(ramp, clock)
+    _intervals(ramp, clock, 3 * USUAL_S, COLLAPSE_INTERVALS)
+    for _ in range(2 * USUAL_INTERVALS):
+        _intervals(ramp, clock, 3 * USUAL_S, 1, prefill_tokens=8192)
+        _intervals(ramp, clock, 3 * USUAL_S, 1)
+    assert ramp.capacity == 2
+
+
+def test_ramping_endpoint_counts_as_cold(clock: Clock) -> None:
+    """Guards against full load from entries while the ramp opens."""
+    ramp = Ramp(agent_settings(), Rates())
+    _intervals(ramp, clock, USUAL_S, 50)
+    for _ in range(COLD_COMPLETIONS + 1):
+        ramp.completed()
+    assert ramp.capacity == 4
+    assert ramp.cold
+    _warm(ramp, clock)
+    assert not ramp.cold
+
+
 def test_prefill_explains_long_intervals(clock: Clock) -> None:
     """Guards against a false relapse while prompts are computed."""
     rates = Rates()
