Start the next queued prompt as soon as one is computed

A first token made room in the prefill window, but the queue was looked at only when a request ended or 50 ms had passed, so that engines idled between queued prompts. Free prompts are no longer fed at full step size, not even without recent short requests, because the next paid request waits for the step.

--- a/src/masticwind/agent/executor.py
+++ b/src/masticwind/agent/executor.py
@@ -105,7 +105,6 @@
         )
         self.cache: Final = CachePublisher(parts.engine)
         self._requests: Final[dict[RequestKey, AgentRequest]] = {}
-        self._wake = anyio.Event()
 
     @property
     def draining(self) -> bool:
@@ -136,9 +135,8 @@
             tasks.start_soon(self._sweep)
             tasks.start_soon(self.cache.run)
             while True:
-                with anyio.move_on_after(QUEUE_INTERVAL_S):
-                    await self._wake.wait()
-                self._wake = anyio.Event()
+                # A prompt that is computed makes room for the next one.
+                await self.running.wait_changed(QUEUE_INTERVAL_S)
                 self._start_queued()
 
     def offer(self, channel: Channel, offer: Offer) -> None:
@@ -273,7 +271,7 @@
     def _enqueue(self, req: AgentRequest) -> None:
         if req.state != 'ended':
             self.scheduler.add(req)
-            self._wake.set()
+            self.running.changed()
 
     def _start_queued(self) -> None:
         self._end_hopeless()
@@ -301,7 +299,7 @@
             self.running.remove(req)
             self.ledger.free(req.key)
             self.scheduler.charge_end(req)
-            self._wake.set()
+            self.running.changed()
         if req.end is None and not req.count:
             req.requeue()
             self._enqueue(req)
@@ -356,7 +354,7 @@
         if self.ramp.take_report(report):
             self.shares.forget_all()
             self.cache.view.reset()
-        self._wake.set()
+        self.running.changed()
 
     async def _sweep(self) -> None:
         grace_s = self._parts.cfg.orphan_grace_ms / MS_PER_S
--- a/src/masticwind/agent/running.py
+++ b/src/masticwind/agent/running.py
@@ -51,7 +51,7 @@
             self.changed()
 
     def changed(self) -> None:
-        """Wake the prompts that wait for a turn between short requests."""
+        """Wake the queue and the prompts that wait for a turn."""
         self._changed.set()
         self._changed = anyio.Event()
 
--- a/src/masticwind/agent/steps.py
+++ b/src/masticwind/agent/steps.py
@@ -88,8 +88,12 @@
     def _step(self, req: AgentRequest) -> int:
         full = self.cfg.prefill_step_tokens
         # The first step of a long prompt measures the rate at full size.
-        if self.running.quiet() or (
-            req.offer.paid and (not req.prefilled or self.scheduler.urgent(req))
+        # The next paid request waits for the step of a free prompt, so that
+        # this never has the full size.
+        if req.offer.paid and (
+            self.running.quiet()
+            or not req.prefilled
+            or self.scheduler.urgent(req)
         ):
             return max(full, req.offer.prompt_tokens // MAX_STEPS)
         rate = self.rates.peak_tokens_per_s
