--- a/src/masticwind/planner/placement.py
+++ b/src/masticwind/planner/placement.py
@@ -112,6 +112,7 @@
         if view.load is None or (model in view.load.models) != carrying:
             continue
         work = view.load.paid_work_tokens + view.load.free_work_tokens
+        work += sum(view.load.paid_long_tokens)
         if chosen is None or work < lowest:
             chosen = view
             lowest = work
