Give the scripted engine of the resume machine the cache methods

The executor reads cache events and drops foreign caches. The scripted engine lacked both methods, so that the executor stopped at its first report and every run ended with 'engine is down', also before the last changes here.

--- a/tests/test_resume_machine.py
+++ b/tests/test_resume_machine.py
@@ -28,7 +28,7 @@
 from masticwind.budget import Budget
 from masticwind.config.current import CurrentConfig
 from masticwind.config.model import Generation
-from masticwind.engines.base import Done, EngineReport, Tokens
+from masticwind.engines.base import CacheEvents, Done, EngineReport, Tokens
 from masticwind.entry.affinity import AffinityIndex
 from masticwind.entry.attempts import Attempt, ModelRequest, run_attempt
 from masticwind.entry.peers import AgentLink
@@ -119,6 +119,12 @@
     async def cancel(self, request_id: str) -> None:
         raise AssertionError(f'{request_id} was cancelled')
 
+    async def drop_cache(self, handle: str) -> None:
+        raise AssertionError(f'{handle} was dropped')
+
+    async def cache_events(self, after: int) -> CacheEvents:
+        return CacheEvents(after, after, (), ())
+
     async def caches(self) -> dict[str, int]:
         return {}
 
