--- a/src/masticwind/agent/executor.py
+++ b/src/masticwind/agent/executor.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from masticwind.agent.admission import Admission
-from masticwind.agent.cacheview import CacheView
+from masticwind.agent.cache_view import CachePublisher
 from masticwind.agent.gate import Gate
 from masticwind.agent.ledger import Ledger
 from masticwind.agent.load import LoadReporter
@@ -116,9 +116,8 @@
                 self.scheduler,
             ),
         )
-        self._cache: Final = CacheView(parts.engine)
+        self.cache: Final = CachePublisher(parts.engine)
         self._requests: Final[dict[RequestKey, AgentRequest]] = {}
-        self._wake = anyio.Event()
 
     @property
     def draining(self) -> bool:
@@ -147,11 +146,10 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._poll_report)
             tasks.start_soon(self._sweep)
-            tasks.start_soon(self._cache.run)
+            tasks.start_soon(self.cache.run)
             while True:
-                with anyio.move_on_after(QUEUE_INTERVAL_S):
-                    await self._wake.wait()
-                self._wake = anyio.Event()
+                # A prompt that is computed makes room for the next one.
+                await self.running.wait_changed(QUEUE_INTERVAL_S)
                 self._start_queued()
 
     def offer(self, channel: Channel, offer: Offer) -> None:
@@ -164,7 +162,7 @@
             known.attach(channel, 0)
             return
         req = AgentRequest(offer, Budget.from_ms(offer.timeout_ms), channel)
-        req.cached_estimate = self._cache.cached_tokens(offer)
+        req.cached_estimate = self.cache.view.cached_tokens(offer)
         predicted = self._decide(req)
         if isinstance(predicted, Failure):
             channel.send(
@@ -287,7 +285,7 @@
         if req.state != 'ended':
             req.queued_at = time.monotonic()
             self.scheduler.add(req)
-            self._wake.set()
+            self.running.changed()
 
     def _start_queued(self) -> None:
         self._end_hopeless()
@@ -318,7 +316,7 @@
             self.running.remove(req)
             self.ledger.free(req.key)
             self.scheduler.charge_end(req)
-            self._wake.set()
+            self.running.changed()
         if req.end is None and not req.count:
             req.requeue()
             self._enqueue(req)
@@ -376,8 +374,8 @@
         self.ledger.total_tokens = report.memory_total_tokens
         if self.ramp.take_report(report):
             self.shares.forget_all()
-            self._cache.reset()
-        self._wake.set()
+            self.cache.view.reset()
+        self.running.changed()
 
     async def _sweep(self) -> None:
         grace_s = self._parts.cfg.orphan_grace_ms / MS_PER_S
--- a/tests/test_resume_machine.py
+++ b/tests/test_resume_machine.py
@@ -119,14 +119,14 @@
     async def cancel(self, request_id: str) -> None:
         raise AssertionError(f'{request_id} was cancelled')
 
-    async def caches(self) -> dict[str, int]:
-        return {}
-
     async def drop_cache(self, handle: str) -> None:
         raise AssertionError(f'{handle} was dropped')
 
     async def cache_events(self, after: int) -> CacheEvents:
-        return CacheEvents(after + 1, after, (), ())
+        return CacheEvents(after, after, (), ())
+
+    async def caches(self) -> dict[str, int]:
+        return {}
 
     async def running(self) -> Sequence[Any]:
         return ()
