--- a/src/masticwind/agent/calls.py
+++ b/src/masticwind/agent/calls.py
@@ -11,7 +11,7 @@
 import anyio
 
 from masticwind.budget import Budget
-from masticwind.callrules import find_rule
+from masticwind.call_rules import find_rule
 from masticwind.config.current import CurrentConfig
 from masticwind.engines.base import Service, ServiceAnswer, ServiceRequest
 from masticwind.errors import ErrorKind, Failure
--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -25,7 +25,7 @@
 from masticwind.entry.outcomes import RequestLog, find_outcome
 from masticwind.entry.peers import AgentPool
 from masticwind.entry.relay import Relay
-from masticwind.entry.tiercount import TierCounter
+from masticwind.entry.tier_count import TierCounter
 from masticwind.errors import ANSWERS, ErrorKind, Failure
 from masticwind.metrics import Metric, Metrics
 from masticwind.settings import EntrySettings
--- a/src/masticwind/entry/calls.py
+++ b/src/masticwind/entry/calls.py
@@ -10,17 +10,17 @@
 from typing import Final
 
 from masticwind.budget import Budget
-from masticwind.callrules import find_rule, is_plain_path
+from masticwind.call_rules import find_rule, is_plain_path
 from masticwind.config.current import CurrentConfig
 from masticwind.config.model import CallRule
-from masticwind.entry.callanswers import (
+from masticwind.entry.call_answers import (
     claim_outcome,
     first_truth,
     no_agent,
     recorded_answer,
     service_response,
 )
-from masticwind.entry.callsend import (
+from masticwind.entry.call_send import (
     RetryBudget,
     Sending,
     ServiceCall,
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -15,7 +15,7 @@
 from masticwind.entry.peers import AgentPool, PoolParts
 from masticwind.entry.relay import Relay
 from masticwind.entry.router import RoutingView
-from masticwind.entry.tiercount import TierCounter
+from masticwind.entry.tier_count import TierCounter
 from masticwind.node import Node
 from masticwind.planner.runner import Planner
 from masticwind.platform.http import (
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -1,4 +1,4 @@
-"""Small helpers for raw ASGI applications and for serving them.
+"""Utilities for raw ASGI applications and for serving them.
 
 The programs have few routes, so they use ASGI directly. Request bodies are
 read with a size limit and a time limit.
