--- a/src/masticwind/entry/call_send.py
+++ b/src/masticwind/entry/call_send.py
@@ -12,7 +12,6 @@
 
 # The agent ends a call at its deadline; this lets its answer arrive.
 DEADLINE_GRACE_S: Final = 0.25
-RETRY_BURST: Final = 10.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,25 +46,6 @@
         return self.call.request_id, self.attempt
 
 
-class RetryBudget:
-    """Allows retries as a share of first attempts, with a small burst."""
-
-    def __init__(self, share: float) -> None:
-        self._share: Final = share
-        self._tokens = RETRY_BURST
-
-    def first(self) -> None:
-        """Note a first attempt."""
-        self._tokens = min(RETRY_BURST, self._tokens + self._share)
-
-    def take(self) -> bool:
-        """Use one retry, if there is one left."""
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
-
-
 async def send_call(link: AgentLink, sending: Sending) -> CallResult | Failure:
     """Send a call once and wait for its result within its time budget.
 
--- a/src/masticwind/entry/calls.py
+++ b/src/masticwind/entry/calls.py
@@ -21,7 +21,6 @@
     service_response,
 )
 from masticwind.entry.call_send import (
-    RetryBudget,
     Sending,
     ServiceCall,
     send_call,
@@ -38,6 +37,7 @@
 from masticwind.entry.claims import Claims
 from masticwind.entry.outcomes import Outcome, RequestLog, digest_text
 from masticwind.entry.peers import AgentLink, AgentPool
+from masticwind.entry.retries import RetryBudget
 from masticwind.errors import ErrorKind, Failure, not_run
 from masticwind.metrics import Metric, Metrics
 from masticwind.protocol.messages import CallResult
@@ -88,7 +88,7 @@
 
     def __init__(self, parts: CallParts) -> None:
         self._parts: Final = parts
-        self._retries: Final = RetryBudget(parts.cfg.retry_share)
+        self._retries: Final = RetryBudget(parts.cfg)
 
     async def serve(
         self,
@@ -177,7 +177,7 @@
         tried: set[AgentLink] = set()
         failure = no_agent()
         ran = False
-        self._retries.first()
+        self._retries.first_attempt()
         for attempt in range(MAX_ATTEMPTS):
             link = self._choose(call.service, tried)
             if link is None or call.budget.expired():
