--- a/src/masticwind_dev/faults/call_cells.py
+++ b/src/masticwind_dev/faults/call_cells.py
@@ -18,6 +18,7 @@
     READY_WAIT_S,
     ZONES,
     Outcome,
+    timed_outcome,
 )
 from masticwind_dev.faults.checks import check_history
 from masticwind_dev.faults.fleet import FleetShape, ProcessFleet
@@ -81,15 +82,8 @@
 
     async def run(self, cell: Cell, seed: int) -> Outcome:
         """Run a cell and check it."""
-        started = time.monotonic()
-        outcome = Outcome(cell)
         run = CallRun(self, cell, random.Random(f'{seed}/{cell.name}'))
-        try:
-            outcome.problems.extend(await run.run())
-        except (TimeoutError, RuntimeError) as exc:
-            outcome.problems.append(f'{type(exc).__name__}: {exc}')
-        outcome.spent_s = time.monotonic() - started
-        return outcome
+        return await timed_outcome(cell, run.run)
 
 
 class CallRun:
--- a/src/masticwind_dev/faults/cells.py
+++ b/src/masticwind_dev/faults/cells.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import time
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -48,6 +49,21 @@
     spent_s: float = 0
 
 
+async def timed_outcome(
+    cell: Cell,
+    run: Callable[[], Awaitable[Sequence[str]]],
+) -> Outcome:
+    """Run a cell and return its problems and its time."""
+    started = time.monotonic()
+    outcome = Outcome(cell)
+    try:
+        outcome.problems.extend(await run())
+    except (TimeoutError, RuntimeError) as exc:
+        outcome.problems.append(f'{type(exc).__name__}: {exc}')
+    outcome.spent_s = time.monotonic() - started
+    return outcome
+
+
 class CellFleet:
     """A fleet that runs one cell after the other."""
 
@@ -82,15 +98,8 @@
 
     async def run(self, cell: Cell, seed: int) -> Outcome:
         """Run a cell and check it."""
-        started = time.monotonic()
-        outcome = Outcome(cell)
         run = CellRun(self, cell, random.Random(f'{seed}/{cell.name}'))
-        try:
-            outcome.problems.extend(await run.run())
-        except (TimeoutError, RuntimeError) as exc:
-            outcome.problems.append(f'{type(exc).__name__}: {exc}')
-        outcome.spent_s = time.monotonic() - started
-        return outcome
+        return await timed_outcome(cell, run.run)
 
 
 class CellRun:
