Give a streamed answer's connection back for reuse

Spans showed that the agent's engine call took 17.2 ms at p50 while the same request sent directly took 12.4 ms. The reader of a stream stops at its last line, before the end of the body has arrived, so the connection was closed and every request opened a new one. The client now reads the rest for up to 20 ms.

--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -6,7 +6,7 @@
 
 import ssl
 from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from typing import Final
 
@@ -18,6 +18,7 @@
 Headers = Sequence[tuple[bytes, bytes]]
 
 KEEP_ALIVE_S: Final = 30
+READ_REST_S: Final = 0.02
 
 _NOT_SENT: Final = (
     httpcore.ConnectError,
@@ -126,7 +127,9 @@
                 ) as response,
             ):
                 opened = True
-                yield HttpStream(response.status, _chunks(response))
+                chunks = _chunks(response)
+                yield HttpStream(response.status, chunks)
+                await _read_rest(chunks)
         except _NOT_SENT as exc:
             if opened:
                 raise
@@ -195,6 +198,18 @@
         raise BrokenStreamError(type(exc).__name__) from exc
 
 
+async def _read_rest(chunks: AsyncIterator[bytes]) -> None:
+    """Read what follows a stream's last line.
+
+    A connection is reused only after the end of its body, which can arrive
+    right after the line that told the reader to stop.
+    """
+    with suppress(BrokenStreamError), anyio.move_on_after(READ_REST_S):
+        rest = await anext(chunks, b'')
+        while rest:
+            rest = await anext(chunks, b'')
+
+
 def _failure(kind: ErrorKind, exc: Exception) -> Failure:
     return Failure(kind=kind, reason=f'{type(exc).__name__}: {exc}')
 
--- /dev/null
+++ b/tests/test_httpclient.py
@@ -0,0 +1,41 @@
+"""The HTTP client's reuse of connections."""
+
+import anyio
+import pytest
+
+from masticwind.engines.base import Done, EngineRequest
+from masticwind.engines.http import HttpEngine
+from masticwind.settings import Address
+from masticwind.web import WebServer
+from masticwind_dev.standins.engine import EngineModel, EngineStandin
+
+pytestmark = pytest.mark.anyio
+
+
+async def _read_to_the_end(engine: HttpEngine, req: EngineRequest) -> None:
+    async with engine.generate(req) as events:
+        async for event in events:
+            if isinstance(event, Done):
+                return
+
+
+async def test_stream_gives_its_connection_back() -> None:
+    """Guards against a new connection for every streamed answer."""
+    standin = EngineStandin(EngineModel(decode_ms=1))
+    server = WebServer(standin.app, Address())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(standin.run)
+        tasks.start_soon(server.run)
+        engine = HttpEngine(f'http://127.0.0.1:{server.port}')
+        for number in range(3):
+            req = EngineRequest(
+                request_id=f'r{number}',
+                model='standard',
+                prompt=b'lime',
+                prompt_tokens=1,
+                max_tokens=2,
+            )
+            await _read_to_the_end(engine, req)
+            assert len(engine._client._idle) == 1
+        await engine._client.close()
+        tasks.cancel_scope.cancel()
