--- a/src/masticwind_dev/faults/call_cells.py
+++ b/src/masticwind_dev/faults/call_cells.py
@@ -8,21 +8,18 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from masticwind.config.current import token_digest
-from masticwind.config.store import ConfigStore
-from masticwind.errors import Failure
 from masticwind_dev.faults import call_checks
-from masticwind_dev.faults.callers import TOKEN
 from masticwind_dev.faults.cells import (
     FAULT_S,
     READY_WAIT_S,
     ZONES,
+    MatrixFleet,
     Outcome,
     timed_outcome,
 )
 from masticwind_dev.faults.checks import check_history
-from masticwind_dev.faults.fleet import FleetShape, ProcessFleet
-from masticwind_dev.faults.injection import Injector, Victims, matrix_config
+from masticwind_dev.faults.fleet import FleetShape
+from masticwind_dev.faults.injection import Injector, Victims
 from masticwind_dev.faults.matrix import Cell
 from masticwind_dev.faults.orders import (
     OrderAnswer,
@@ -47,11 +44,11 @@
 POLL_S: Final = 0.05
 
 
-class CallFleet:
+class CallFleet(MatrixFleet):
     """A fleet with a plain service that runs one cell after the other."""
 
     def __init__(self, group: ProcessGroup) -> None:
-        self.fleet: Final = ProcessFleet(
+        super().__init__(
             FleetShape(
                 zones=ZONES,
                 engines=0,
@@ -62,16 +59,6 @@
             ),
             group,
         )
-        self.config: Final = matrix_config(ZONES, token_digest(TOKEN))
-        self.store: ConfigStore
-
-    async def start(self) -> None:
-        """Start the processes and put the configuration in force."""
-        self.store = await self.fleet.start()
-        applied = await self.store.apply(self.config, 0, 'matrix')
-        if isinstance(applied, Failure):
-            raise RuntimeError(applied.reason)
-        await self.wait_ready()
 
     async def wait_ready(self) -> None:
         """Wait until every entry serves."""
--- a/src/masticwind_dev/faults/cells.py
+++ b/src/masticwind_dev/faults/cells.py
@@ -1,5 +1,6 @@
 """Runs one cell of the fault matrix in a fleet of real processes."""
 
+import abc
 import random
 import signal
 import time
@@ -64,11 +65,32 @@
     return outcome
 
 
-class CellFleet:
+class MatrixFleet(abc.ABC):
+    """The processes and the configuration that cells run on."""
+
+    def __init__(self, shape: FleetShape, group: ProcessGroup) -> None:
+        self.fleet: Final = ProcessFleet(shape, group)
+        self.config: Final = matrix_config(ZONES, token_digest(TOKEN))
+        self.store: ConfigStore
+
+    async def start(self) -> None:
+        """Start the processes and put the configuration in force."""
+        self.store = await self.fleet.start()
+        applied = await self.store.apply(self.config, 0, 'matrix')
+        if isinstance(applied, Failure):
+            raise RuntimeError(applied.reason)
+        await self.wait_ready()
+
+    @abc.abstractmethod
+    async def wait_ready(self) -> None:
+        """Wait until the next cell can start."""
+
+
+class CellFleet(MatrixFleet):
     """A fleet that runs one cell after the other."""
 
     def __init__(self, group: ProcessGroup) -> None:
-        self.fleet: Final = ProcessFleet(
+        super().__init__(
             FleetShape(
                 zones=ZONES,
                 engines=3,
@@ -79,16 +101,6 @@
             ),
             group,
         )
-        self.config: Final = matrix_config(ZONES, token_digest(TOKEN))
-        self.store: ConfigStore
-
-    async def start(self) -> None:
-        """Start the processes and put the configuration in force."""
-        self.store = await self.fleet.start()
-        applied = await self.store.apply(self.config, 0, 'matrix')
-        if isinstance(applied, Failure):
-            raise RuntimeError(applied.reason)
-        await self.wait_ready()
 
     async def wait_ready(self) -> None:
         """Wait until every entry serves and every engine is at rest."""
