--- a/src/masticwind/config/garbage.py
+++ b/src/masticwind/config/garbage.py
@@ -33,7 +33,7 @@
     part_digest,
 )
 from masticwind.errors import ErrorKind, Failure
-from masticwind.platform.base import Conflict, KeyValue, Written
+from masticwind.store.base import Conflict, KeyValue, Written
 
 # Sixteen changes of one team leave 48 parts behind; listing them takes 3 KB,
 # which keeps the largest write under 16 KB in all.
--- a/src/masticwind/config/heads.py
+++ b/src/masticwind/config/heads.py
@@ -17,7 +17,7 @@
 from masticwind.config.model import Generation
 from masticwind.config.parts import Head, PartCache, part_digest
 from masticwind.errors import ErrorKind, Failure
-from masticwind.platform.base import Conflict, KeyValue, Versioned, Written
+from masticwind.store.base import Conflict, KeyValue, Versioned, Written
 
 HEAD_KEY: Final = 'config/head'
 PART_PREFIX: Final = 'config/part/'
--- a/src/masticwind/config/parts.py
+++ b/src/masticwind/config/parts.py
@@ -19,7 +19,7 @@
 
 from masticwind.config.model import Configuration, Team
 from masticwind.errors import ErrorKind, Failure
-from masticwind.platform.base import MAX_VALUE_BYTES
+from masticwind.store.base import MAX_VALUE_BYTES
 
 TREE_SECTION: Final = 'teams'
 # With 47,000 teams of about 200 bytes, 64 * 64 buckets hold 11 teams each.
--- a/src/masticwind/config/store.py
+++ b/src/masticwind/config/store.py
@@ -37,7 +37,7 @@
 )
 from masticwind.errors import ErrorKind, Failure
 from masticwind.offloop import run_off_loop
-from masticwind.platform.base import Conflict, Unknown, Written
+from masticwind.store.base import Conflict, Unknown, Written
 
 WRITER_TOKEN_BYTES: Final = 16
 # A lost response costs one platform timeout, so with the default of one
--- a/src/masticwind/ctl/main.py
+++ b/src/masticwind/ctl/main.py
@@ -26,7 +26,7 @@
 from masticwind.ctl.backend import ApiBackend, Backend, StoreBackend
 from masticwind.ctl.table import status_lines
 from masticwind.errors import ErrorKind, Failure
-from masticwind.platform.http import HttpKeyValue
+from masticwind.store.http import HttpKeyValue
 from masticwind.settings import PlatformSettings
 
 DONE: Final = 0
--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Final
 
-from masticwind.budget import Budget
+from masticwind.budget import MS_PER_S, Budget
 from masticwind.config.current import CurrentConfig
 from masticwind.engines.base import Done
 from masticwind.entry.admin import PREFIX as ADMIN_PREFIX
@@ -26,7 +26,7 @@
 from masticwind.entry.peers import AgentPool
 from masticwind.entry.relay import Relay
 from masticwind.entry.tier_count import TierCounter
-from masticwind.errors import ANSWERS, ErrorKind, Failure
+from masticwind.errors import ErrorKind, Failure
 from masticwind.metrics import Metric, Metrics
 from masticwind.settings import EntrySettings
 from masticwind.tracing import Tracer
@@ -35,12 +35,12 @@
     Response,
     Scope,
     Send,
+    failure_response,
     header,
     json_response,
     send_response,
 )
 
-MS_PER_S: Final = 1000
 BEARER: Final = 'bearer '
 REQUESTS: Final = '/v1/requests/'
 
@@ -304,26 +304,3 @@
 def _with_id(response: Response, request_id: str) -> Response:
     named = (b'x-request-id', request_id.encode())
     return replace(response, headers=(*response.headers, named))
-
-
-def failure_response(failure: Failure) -> Response:
-    """Return the HTTP answer for a failure."""
-    answer = ANSWERS[failure.kind]
-    headers: tuple[tuple[bytes, bytes], ...] = ()
-    if failure.retry_after_ms:
-        # The header has whole seconds; the body has the exact hint.
-        seconds = -(-failure.retry_after_ms // MS_PER_S)
-        headers = ((b'retry-after', str(seconds).encode()),)
-    return json_response(
-        answer.status,
-        {
-            'error': {
-                'kind': failure.kind,
-                'message': failure.reason,
-                'run': answer.run,
-                'repeat_safe': answer.repeat_safe,
-                'retry_after_ms': failure.retry_after_ms,
-            }
-        },
-        headers=headers,
-    )
--- a/src/masticwind/entry/claim_bucket.py
+++ b/src/masticwind/entry/claim_bucket.py
@@ -35,7 +35,7 @@
     Waiter,
 )
 from masticwind.errors import ErrorKind, Failure
-from masticwind.platform.base import Conflict, KeyValue, Unknown, Written
+from masticwind.store.base import Conflict, KeyValue, Unknown, Written
 from masticwind.settings import ClaimSettings
 
 MAX_WAITING: Final = 4096
--- a/src/masticwind/entry/claims.py
+++ b/src/masticwind/entry/claims.py
@@ -19,7 +19,7 @@
 from masticwind.entry.claim_records import ClaimState, Order, Record
 from masticwind.entry.claim_waiters import ClaimAnswer, Claimed, Pace
 from masticwind.errors import ErrorKind, Failure
-from masticwind.platform.base import KeyValue
+from masticwind.store.base import KeyValue
 from masticwind.settings import ClaimSettings
 
 MS_PER_S: Final = 1000
--- a/src/masticwind/entry/neighbours.py
+++ b/src/masticwind/entry/neighbours.py
@@ -19,7 +19,7 @@
 )
 from masticwind.entry.limits import UsageShares
 from masticwind.node import Node
-from masticwind.platform.base import Instance
+from masticwind.store.base import Instance
 from masticwind.protocol.channel import Channel
 from masticwind.protocol.dialer import keep_connected
 from masticwind.protocol.listener import Listener, PeerHandler
--- a/src/masticwind/entry/peers.py
+++ b/src/masticwind/entry/peers.py
@@ -23,7 +23,7 @@
 from masticwind.entry.subset import choose_subset
 from masticwind.errors import Failure
 from masticwind.node import Node
-from masticwind.platform.base import Instance, InstanceList
+from masticwind.store.base import Instance, InstanceList
 from masticwind.protocol.channel import Channel
 from masticwind.protocol.dialer import keep_connected
 from masticwind.protocol.listener import PeerHandler
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -18,7 +18,7 @@
 from masticwind.entry.tier_count import TierCounter
 from masticwind.node import Node
 from masticwind.planner.runner import Planner
-from masticwind.platform.http import (
+from masticwind.store.http import (
     HttpInstanceList,
     HttpKeyValue,
     HttpWeightStore,
--- a/src/masticwind/entry/subset.py
+++ b/src/masticwind/entry/subset.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from masticwind.platform.base import Instance
+from masticwind.store.base import Instance
 from masticwind.settings import EntrySettings
 
 
--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -4,7 +4,9 @@
 but no whole answer came. Only the first allows a "not run".
 """
 
+import socket
 import ssl
+import time
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -19,6 +21,15 @@
 
 KEEP_ALIVE_S: Final = 30
 READ_REST_S: Final = 0.02
+# Part of the idle time that the other side states in which a connection is
+# still reused; a request near its end would cross the close.
+KEEP_ALIVE_SHARE: Final = 0.7
+# Bytes that are not acknowledged for this long break a connection. Without
+# it the kernel goes on for many minutes.
+UNACKNOWLEDGED_MS: Final = 4000
+SOCKET_OPTIONS: Final = (
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+)
 
 _NOT_SENT: Final = (
     httpcore.ConnectError,
@@ -44,12 +55,36 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class HttpStream:
-    """An HTTP answer whose body is still arriving."""
+    """An HTTP answer whose body is still arriving.
+
+    Header names are in lower case in `headers` and as received in
+    `raw_headers`. A connection is not reused if `reusable` is cleared.
+    """
 
     status: int
     chunks: AsyncIterator[bytes]
+    headers: dict[str, str]
+    raw_headers: Headers
+    reusable: bool = True
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Patience:
+    """How long the steps of a request may take, in seconds.
+
+    `read_s` is the longest silence, also before the first byte.
+    """
+
+    connect_s: float
+    read_s: float
+
+
+@dataclass(slots=True)
+class _Idle:
+    conn: httpcore.AsyncHTTPConnection
+    expires_at: float
 
 
 class HttpClient:
@@ -59,13 +94,21 @@
     connections that took 6 ms of processor time a request.
     """
 
-    def __init__(self, base_url: str, max_connections: int = 256) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        max_connections: int = 256,
+        keep_alive_s: float = KEEP_ALIVE_S,
+    ) -> None:
         url = httpcore.URL(base_url.rstrip('/'))
         self._origin: Final = url.origin
         self._prefix: Final = url.target.rstrip(b'/')
+        self._keep_alive_s: Final = keep_alive_s
         self._limit: Final = anyio.Semaphore(max_connections)
-        self._idle: Final[list[httpcore.AsyncHTTPConnection]] = []
+        self._idle: Final[list[_Idle]] = []
         self._busy: Final[set[httpcore.AsyncHTTPConnection]] = set()
+        # How long connections that are being given back may stay idle.
+        self._expiry: Final[dict[httpcore.AsyncHTTPConnection, float]] = {}
 
     async def request(
         self,
@@ -85,7 +128,7 @@
             async with self._connection() as conn:
                 response = await conn.request(
                     method,
-                    self._url(path),
+                    self._url(path.encode('ascii')),
                     headers=_with_length(headers, body),
                     content=body,
                     extensions={'timeout': _timeouts(timeout_s)},
@@ -104,32 +147,41 @@
     async def stream(
         self,
         method: str,
-        path: str,
+        target: str | bytes,
         *,
-        timeout_s: float,
+        timeout_s: float | Patience,
         body: bytes = b'',
         headers: Headers = (),
+        fresh: bool = False,
     ) -> AsyncIterator[HttpStream | Failure]:
         """Make one request and iterate over the body as it arrives.
 
-        An iteration that breaks off raises `BrokenStreamError`.
+        An iteration that breaks off raises `BrokenStreamError`. With
+        `fresh`, no open connection is reused.
         """
         opened = False
+        url = self._url(
+            target if isinstance(target, bytes) else target.encode('ascii')
+        )
         try:
             async with (
-                self._connection() as conn,
+                self._connection(fresh=fresh) as conn,
                 conn.stream(
                     method,
-                    self._url(path),
+                    url,
                     headers=_with_length(headers, body),
                     content=body,
                     extensions={'timeout': _timeouts(timeout_s)},
                 ) as response,
             ):
                 opened = True
-                chunks = _chunks(response)
-                yield HttpStream(response.status, chunks)
-                await _read_rest(chunks)
+                stream = _opened(response)
+                yield stream
+                if stream.reusable:
+                    await _read_rest(stream.chunks)
+                    self._expiry[conn] = _expiry(
+                        stream.headers, self._keep_alive_s
+                    )
         except _NOT_SENT as exc:
             if opened:
                 raise
@@ -142,16 +194,20 @@
     async def close(self) -> None:
         """Close all connections; a request in progress breaks off."""
         while self._idle:
-            await self._idle.pop().aclose()
+            await self._idle.pop().conn.aclose()
         for conn in tuple(self._busy):
             await conn.aclose()
 
     @asynccontextmanager
     async def _connection(
         self,
+        *,
+        fresh: bool = False,
     ) -> AsyncIterator[httpcore.AsyncHTTPConnection]:
         async with self._limit:
-            conn = await self._take_idle()
+            conn = None if fresh else await self._take_idle()
+            if conn is None:
+                conn = self._new_connection()
             self._busy.add(conn)
             try:
                 yield conn
@@ -160,29 +216,34 @@
                 await self._give_back(conn)
 
     async def _give_back(self, conn: httpcore.AsyncHTTPConnection) -> None:
-        if conn.is_idle():
-            self._idle.append(conn)
+        keep_s = self._expiry.pop(conn, self._keep_alive_s)
+        if conn.is_idle() and keep_s > 0:
+            self._idle.append(_Idle(conn, time.monotonic() + keep_s))
             return
         with anyio.CancelScope(shield=True):
             await conn.aclose()
 
-    async def _take_idle(self) -> httpcore.AsyncHTTPConnection:
+    async def _take_idle(self) -> httpcore.AsyncHTTPConnection | None:
         while self._idle:
-            conn = self._idle.pop()
-            if not conn.has_expired():
-                return conn
-            await conn.aclose()
+            idle = self._idle.pop()
+            expired = idle.expires_at < time.monotonic()
+            if not expired and not idle.conn.has_expired():
+                return idle.conn
+            await idle.conn.aclose()
+        return None
+
+    def _new_connection(self) -> httpcore.AsyncHTTPConnection:
         return httpcore.AsyncHTTPConnection(
             origin=self._origin,
-            keepalive_expiry=KEEP_ALIVE_S,
+            socket_options=SOCKET_OPTIONS,
         )
 
-    def _url(self, path: str) -> httpcore.URL:
+    def _url(self, path: bytes) -> httpcore.URL:
         return httpcore.URL(
             scheme=self._origin.scheme,
             host=self._origin.host,
             port=self._origin.port,
-            target=self._prefix + path.encode('ascii'),
+            target=self._prefix + path,
         )
 
 
@@ -218,15 +279,35 @@
     return [*headers, (b'content-length', str(len(body)).encode())]
 
 
-def _timeouts(timeout_s: float) -> dict[str, float]:
+def _timeouts(timeout: float | Patience) -> dict[str, float]:
+    if not isinstance(timeout, Patience):
+        timeout = Patience(connect_s=timeout, read_s=timeout)
     return {
-        'connect': timeout_s,
-        'read': timeout_s,
-        'write': timeout_s,
-        'pool': timeout_s,
+        'connect': timeout.connect_s,
+        'read': timeout.read_s,
+        'write': timeout.read_s,
+        'pool': timeout.connect_s,
     }
 
 
+def _opened(response: httpcore.Response) -> HttpStream:
+    return HttpStream(
+        response.status,
+        _chunks(response),
+        _header_map(response.headers),
+        tuple(response.headers),
+    )
+
+
+def _expiry(headers: dict[str, str], default_s: float) -> float:
+    """Return how long a connection may stay idle before it is reused."""
+    for part in headers.get('keep-alive', '').split(','):
+        name, _, seconds = part.strip().partition('=')
+        if name == 'timeout' and seconds.isdigit():
+            return min(default_s, int(seconds) * KEEP_ALIVE_SHARE)
+    return default_s
+
+
 def _header_map(headers: Headers) -> dict[str, str]:
     return {
         key.decode('latin-1').lower(): value.decode('latin-1')
--- a/src/masticwind/logs.py
+++ b/src/masticwind/logs.py
@@ -1,4 +1,4 @@
-"""Logging set-up: one JSON object per line on standard error.
+"""Logging set-up: one JSON object per line on standard output.
 
     log = get_logger('entry', 'e1')
     log.bind(request_id=req_id).warning('attempt_lost')
@@ -30,7 +30,8 @@
     if exc is not None:
         line['error'] = repr(exc.value)
         line['traceback'] = _format_traceback(exc.traceback)
-    sys.stderr.write(f'{msgspec.json.encode(line, enc_hook=str).decode()}\n')
+    sys.stdout.write(f'{msgspec.json.encode(line, enc_hook=str).decode()}\n')
+    sys.stdout.flush()
 
 
 def _format_traceback(traceback: object) -> list[str]:
@@ -59,7 +60,7 @@
 
 
 def configure_logs(level: str) -> None:
-    """Send logs of `level` and above to standard error as JSON lines."""
+    """Send logs of `level` and above to standard output as JSON lines."""
     logger.remove()
     logger.add(_write_line, level=level.upper(), catch=False)
     logging.basicConfig(
--- a/src/masticwind/planner/leader.py
+++ b/src/masticwind/planner/leader.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from masticwind.errors import ErrorKind, Failure
-from masticwind.platform.base import Conflict, KeyValue, Lease, Written
+from masticwind.store.base import Conflict, KeyValue, Lease, Written
 
 TTL_S: Final = 10.0
 RENEW_S: Final = 3.0
--- a/src/masticwind/planner/runner.py
+++ b/src/masticwind/planner/runner.py
@@ -11,7 +11,7 @@
 from masticwind.errors import Failure
 from masticwind.planner.leader import Leadership
 from masticwind.planner.placement import EndpointView, Order, plan_order
-from masticwind.platform.base import KeyValue, WeightStore
+from masticwind.store.base import KeyValue, WeightStore
 from masticwind.protocol.messages import EndpointOrder
 from masticwind.settings import EntrySettings
 
--- a/src/masticwind/platform/__init__.py
+++ b/src/masticwind/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Interfaces to the platform's services and their HTTP adapters."""
+"""Adapter to the users' platform: translates its wire formats, no more."""
--- /dev/null
+++ b/src/masticwind/platform/documents.py
@@ -0,0 +1,247 @@
+"""Documents in the platform's store: configuration and registrations.
+
+The configuration lies whole under one key, a registration under the
+identity of its endpoint. Unknown fields are ignored; a document with a
+missing field or a field of another type cannot be used.
+"""
+
+from types import MappingProxyType
+from typing import Final, Literal
+
+import msgspec
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.directory import Decoder
+from masticwind.serving.model import (
+    LOWEST_PRIORITY,
+    Backend,
+    Endpoint,
+    EngineSpeed,
+    FleetConfig,
+    Kind,
+    Limits,
+    Route,
+    Service,
+    TeamKeys,
+)
+from masticwind.serving.store import Item
+
+OPERATIONS: Final = 'op/'
+REGISTRATIONS: Final = 'servers/'
+# Entries of this product; the platform reserves no name for them.
+ENTRIES: Final = 'masticwind/entries/'
+_CONFIG: Final = 'op/config'
+_EVACUATE: Final = 'op/evacuate/'
+
+_KINDS: Final = MappingProxyType(
+    {
+        'idempotent': Kind.REPEATABLE,
+        'non_idempotent': Kind.AT_MOST_ONCE,
+        'streaming': Kind.STREAM,
+    }
+)
+_LIMITS: Final = Limits()
+
+
+class _Backend(msgspec.Struct):
+    service: str
+    weight: float = 1
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: Literal['idempotent', 'non_idempotent', 'streaming']
+    service: str = ''
+    backends: list[_Backend] = []
+    timeout_ms: float = 0
+    # The time to full credit: the first event of a stream.
+    goal_ms: float = 0
+    gap_target_ms: float = 0
+    priority: int = LOWEST_PRIORITY
+    # Counts endpoints, not sendings.
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    home_regions: list[str] = []
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_capacity: int
+    step_ms: float
+    # For each writing request and step, in ms.
+    per_seq_ms: float
+    context_per_k: float
+    # Tokens a second, not requests.
+    read_per_s: float
+    pairs_per_m: float
+    chunk: int
+    stride: int = 1
+    # Present where engines read one prompt together.
+    hop_ms: float | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 256
+    cold_per_s: float = 0
+    engine: _Engine | None = None
+
+
+class _Team(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    home_regions: list[str] = []
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = _LIMITS.max_header_bytes
+    max_body_bytes: int = _LIMITS.max_body_bytes
+    header_timeout_ms: int = _LIMITS.header_timeout_ms
+    idle_timeout_ms: int = _LIMITS.idle_timeout_ms
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Team] | None = None
+
+
+class _Registration(msgspec.Struct):
+    service: str
+    addr: str
+    zone: str
+    state: Literal['ready', 'draining']
+    slots: int = 1
+    cold_left_ms: float = 0
+    born: int = 0
+
+
+class PlatformDecoder(Decoder):
+    """Decodes the platform's keys and values."""
+
+    def endpoint(self, item: Item) -> Endpoint | Failure:
+        """Decode the registration of an endpoint."""
+        try:
+            found = msgspec.json.decode(item.value or b'', type=_Registration)
+            host, _, port = found.addr.rpartition(':')
+            return Endpoint(
+                identity=self.identity(item.key),
+                service=found.service,
+                host=host,
+                port=int(port),
+                zone=found.zone,
+                slots=found.slots,
+                leaving=found.state == 'draining',
+                cold_left_ms=found.cold_left_ms,
+                born_ms=found.born,
+            )
+        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
+            return _unreadable(exc)
+
+    def identity(self, key: str) -> str:
+        """Return the identity that a registration's key names."""
+        return key.removeprefix(REGISTRATIONS)
+
+    def config(self, item: Item) -> FleetConfig | Failure | None:
+        """Decode the configuration."""
+        if item.key != _CONFIG or item.value is None:
+            return None
+        try:
+            found = msgspec.json.decode(item.value, type=_Config)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            return _unreadable(exc)
+        return FleetConfig(
+            version=found.version,
+            routes=tuple(_route(route) for route in found.routes),
+            services=MappingProxyType(
+                {one.name: _service(one) for one in found.services}
+            ),
+            teams_by_key=MappingProxyType(_teams(found.tenants or [])),
+            keyed=found.tenants is not None,
+            limits=Limits(
+                max_header_bytes=found.limits.max_header_bytes,
+                max_body_bytes=found.limits.max_body_bytes,
+                header_timeout_ms=found.limits.header_timeout_ms,
+                idle_timeout_ms=found.limits.idle_timeout_ms,
+            ),
+        )
+
+    def evacuated_zone(self, key: str) -> str:
+        """Return the zone that a key takes out of service."""
+        if key.startswith(_EVACUATE):
+            return key.removeprefix(_EVACUATE)
+        return ''
+
+
+def _route(found: _Route) -> Route:
+    backends = [Backend(one.service, one.weight) for one in found.backends]
+    if not backends:
+        backends = [Backend(found.service, 1)]
+    return Route(
+        name=found.name,
+        host=found.host,
+        prefix=found.prefix,
+        kind=_KINDS[found.kind],
+        backends=tuple(backends),
+        timeout_ms=found.timeout_ms,
+        first_answer_ms=found.goal_ms,
+        pause_ms=found.gap_target_ms,
+        priority=found.priority,
+        max_endpoints=found.max_attempts,
+        public=found.public,
+        resumable=found.resumable,
+        home_regions=tuple(found.home_regions),
+    )
+
+
+def _service(found: _Service) -> Service:
+    return Service(
+        name=found.name,
+        max_connections=found.max_conns,
+        cold_per_s=found.cold_per_s,
+        speed=_speed(found.engine),
+    )
+
+
+def _speed(found: _Engine | None) -> EngineSpeed | None:
+    if found is None:
+        return None
+    return EngineSpeed(
+        slots=found.slots,
+        memory_tokens=found.kv_capacity,
+        step_ms=found.step_ms,
+        per_seq_ms=found.per_seq_ms,
+        context_ms_per_k=found.context_per_k,
+        tokens_per_s=found.read_per_s,
+        pairs_ms_per_m=found.pairs_per_m,
+        chunk_tokens=found.chunk,
+        stride=found.stride,
+        hop_ms=found.hop_ms or 0,
+        joint=found.hop_ms is not None,
+    )
+
+
+def _teams(found: list[_Team]) -> dict[str, TeamKeys]:
+    by_key: dict[str, TeamKeys] = {}
+    for one in found:
+        team = TeamKeys(
+            name=one.name,
+            priority=one.priority,
+            home_regions=tuple(one.home_regions),
+        )
+        for key in one.api_keys:
+            by_key[key] = team
+    return by_key
+
+
+def _unreadable(exc: Exception) -> Failure:
+    return Failure(
+        kind=ErrorKind.INVALID_CONFIG,
+        reason=f'cannot be read: {exc}',
+    )
--- /dev/null
+++ b/src/masticwind/platform/endpoints.py
@@ -0,0 +1,139 @@
+"""Endpoints of the platform: requests, and reservations of memory."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from http import HTTPStatus
+from typing import Final
+
+import msgspec
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.httpclient import HttpClient, HttpStream, Patience
+from masticwind.platform.headers import (
+    AT_FAULT,
+    answer_headers,
+    encode_attempt,
+    verdict_of,
+)
+from masticwind.serving.link import (
+    Attempt,
+    AttemptLimits,
+    EndpointLink,
+    Reply,
+    Verdict,
+)
+from masticwind.serving.model import Endpoint
+
+# Where an endpoint states no idle time, it may be under a second.
+KEEP_ALIVE_S: Final = 0.5
+ORDER_TIMEOUT_S: Final = 0.4
+# Connections of one entry to one endpoint; slots bound what can run.
+MAX_CONNECTIONS: Final = 48
+
+
+class _Order(msgspec.Struct, omit_defaults=True):
+    op: str
+    id: str
+    tokens: int = 0
+    hold_ms: int = 0
+
+
+class PlatformLink(EndpointLink):
+    """Connections to endpoints by address."""
+
+    def __init__(self) -> None:
+        self._clients: Final[dict[str, HttpClient]] = {}
+
+    @asynccontextmanager
+    async def send(
+        self,
+        attempt: Attempt,
+        limits: AttemptLimits,
+    ) -> AsyncIterator[Reply | Failure]:
+        """Send an attempt and return the head of the answer."""
+        req = attempt.req
+        async with self._client(attempt.endpoint).stream(
+            req.method,
+            req.target,
+            timeout_s=Patience(
+                connect_s=limits.connect_s,
+                read_s=max(limits.first_s, limits.pause_s),
+            ),
+            body=req.body,
+            headers=encode_attempt(attempt),
+            fresh=attempt.at_most_once,
+        ) as answer:
+            if isinstance(answer, Failure):
+                yield answer
+                return
+            reply = _reply(attempt, answer)
+            if reply.verdict is Verdict.FOREIGN:
+                answer.reusable = False
+            yield reply
+
+    async def reserve(
+        self,
+        endpoint: Endpoint,
+        ticket: str,
+        tokens: int,
+        hold_ms: int,
+    ) -> Failure | None:
+        """Reserve memory without waiting for it."""
+        return await self._order(
+            endpoint,
+            _Order('reserve', ticket, tokens, hold_ms),
+        )
+
+    async def release(self, endpoint: Endpoint, ticket: str) -> Failure | None:
+        """End a reservation."""
+        return await self._order(endpoint, _Order('release', ticket))
+
+    async def forget(self, endpoint: Endpoint) -> None:
+        """Close the connections to an endpoint."""
+        client = self._clients.pop(endpoint.address, None)
+        if client is not None:
+            await client.close()
+
+    async def _order(self, endpoint: Endpoint, order: _Order) -> Failure | None:
+        answer = await self._client(endpoint).request(
+            'POST',
+            '/-/order',
+            timeout_s=ORDER_TIMEOUT_S,
+            body=msgspec.json.encode(order),
+            headers=(
+                (b'content-type', b'application/json'),
+                (b'host', endpoint.address.encode()),
+                (b'x-expect-instance', endpoint.identity.encode()),
+            ),
+        )
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status == HTTPStatus.OK:
+            return None
+        return Failure(
+            kind=ErrorKind.CONFLICT,
+            reason=f'{order.op} was answered with status {answer.status}',
+        )
+
+    def _client(self, endpoint: Endpoint) -> HttpClient:
+        client = self._clients.get(endpoint.address)
+        if client is None:
+            client = HttpClient(
+                f'http://{endpoint.address}',
+                MAX_CONNECTIONS,
+                KEEP_ALIVE_S,
+            )
+            self._clients[endpoint.address] = client
+        return client
+
+
+def _reply(attempt: Attempt, answer: HttpStream) -> Reply:
+    length = answer.headers.get('content-length', '')
+    return Reply(
+        status=answer.status,
+        verdict=verdict_of(attempt.req, answer.status, answer.headers),
+        headers=answer_headers(answer.raw_headers),
+        chunks=answer.chunks,
+        at_fault=answer.headers.get(AT_FAULT, ''),
+        length=int(length) if length.isdigit() else None,
+    )
--- /dev/null
+++ b/src/masticwind/platform/main.py
@@ -0,0 +1,58 @@
+"""Command line of an entry on the platform."""
+
+import os
+import sys
+from pathlib import Path
+from typing import Final
+
+import anyio
+
+from masticwind.logs import get_logger
+from masticwind.platform.documents import (
+    ENTRIES,
+    OPERATIONS,
+    REGISTRATIONS,
+    PlatformDecoder,
+)
+from masticwind.platform.endpoints import PlatformLink
+from masticwind.platform.headers import PlatformEdge
+from masticwind.platform.store import PlatformStore
+from masticwind.program import EXIT_USAGE, load_or_exit, stop_on_signals
+from masticwind.serving.server import Adapter, DirectEntry, Prefixes
+from masticwind.serving.settings import DirectSettings
+
+# Where the platform says that it has put the settings.
+SETTINGS_VARIABLE: Final = 'MASTICWIND_BOOT'
+
+
+def main() -> None:
+    """Run the program."""
+    path = os.environ.get(SETTINGS_VARIABLE, '')
+    if not path:
+        sys.stderr.write(f'{SETTINGS_VARIABLE} names no settings file\n')
+        sys.exit(EXIT_USAGE)
+    cfg = load_or_exit(Path(path), DirectSettings)
+    anyio.run(_serve, cfg, backend_options={'use_uvloop': True})
+
+
+async def _serve(cfg: DirectSettings) -> None:
+    adapter = Adapter(
+        store=PlatformStore(cfg.store),
+        decoder=PlatformDecoder(),
+        edge=PlatformEdge(),
+        link=PlatformLink(),
+        prefixes=Prefixes(
+            operations=OPERATIONS,
+            registrations=REGISTRATIONS,
+            entries=ENTRIES,
+        ),
+    )
+    async with anyio.create_task_group() as tasks:
+        entry = DirectEntry(cfg, adapter)
+        get_logger('entry', cfg.node).info('started')
+        tasks.start_soon(stop_on_signals, entry.drain, tasks.cancel_scope)
+        tasks.start_soon(entry.run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/masticwind/platform/store.py
@@ -0,0 +1,207 @@
+"""The platform's metadata store over HTTP.
+
+Values travel as base64 text. A 503 answer says that nothing was done; a
+call without an answer may still take effect.
+"""
+
+import base64
+import binascii
+from http import HTTPStatus
+from typing import Final, TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from masticwind.budget import MS_PER_S
+from masticwind.errors import ErrorKind, Failure
+from masticwind.httpclient import HttpAnswer, HttpClient
+from masticwind.serving.settings import StoreSettings
+from masticwind.serving.store import (
+    Changes,
+    Compacted,
+    Item,
+    Listing,
+    MetadataStore,
+)
+
+# Answers come in milliseconds; a slow store takes up to some hundred.
+CALL_TIMEOUT_S: Final = 1.0
+# Idle connections to the store are not kept longer than this.
+KEEP_ALIVE_S: Final = 10.0
+
+_Document = TypeVar('_Document')
+
+
+class _Item(msgspec.Struct):
+    key: str
+    rev: int
+    value: str = ''
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool
+    as_of: int
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    as_of: int
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+class _Put(msgspec.Struct):
+    key: str
+    value: str
+    lease: int
+
+
+class _Transaction(msgspec.Struct):
+    puts: list[_Put]
+    # Rows of key and revision that must hold; none are needed here.
+    expected: list[dict[str, str]] = []
+    remove: list[str] = []
+
+
+class PlatformStore(MetadataStore):
+    """Client of the store; one connection is open for each waiting watch."""
+
+    def __init__(self, cfg: StoreSettings) -> None:
+        self._client: Final = HttpClient(
+            f'http://{cfg.address}',
+            keep_alive_s=KEEP_ALIVE_S,
+        )
+
+    async def list_prefix(self, prefix: str) -> Listing | Failure:
+        """Read all pages; the revision is that of the first one."""
+        items: list[Item] = []
+        revision = 0
+        after = ''
+        while True:
+            page = await self._read_page(prefix, after)
+            if isinstance(page, Failure):
+                return page
+            revision = revision or page.as_of
+            for one in page.items:
+                item = _item(one)
+                if isinstance(item, Item):
+                    items.append(item)
+            if not page.has_more or not page.items:
+                return Listing(tuple(items), revision)
+            after = page.items[-1].key
+
+    async def watch_prefix(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+    ) -> Changes | Compacted | Failure:
+        """Wait for changes after a revision."""
+        wait_ms = int(wait_s * MS_PER_S)
+        path = (
+            f'/-/kv-watch?prefix={quote(prefix, safe="")}'
+            f'&after={after}&wait_ms={wait_ms}'
+        )
+        answer = await self._client.request(
+            'GET',
+            path,
+            timeout_s=wait_s + CALL_TIMEOUT_S,
+        )
+        if (
+            isinstance(answer, HttpAnswer)
+            and answer.status == HTTPStatus.GONE
+        ):
+            return Compacted()
+        events = _decode(answer, _Events)
+        if isinstance(events, Failure):
+            return events
+        items: list[Item] = []
+        for one in events.events:
+            item = _item(one)
+            if isinstance(item, Item):
+                items.append(item)
+        return Changes(tuple(items), events.as_of)
+
+    async def grant_lease(self, ttl_s: float) -> int | Failure:
+        """Ask for a lease."""
+        body = msgspec.json.encode({'ttl_ms': int(ttl_s * MS_PER_S)})
+        answer = await self._post('/-/kv-lease', body)
+        lease = _decode(answer, _Lease)
+        return lease if isinstance(lease, Failure) else lease.lease
+
+    async def renew_lease(self, lease: int) -> Failure | None:
+        """Extend a lease."""
+        return _done(await self._post(f'/-/kv-keep/{lease}', b'{}'))
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        lease: int,
+    ) -> Failure | None:
+        """Write a key under a lease, whatever it holds."""
+        text = base64.b64encode(value).decode('ascii')
+        body = msgspec.json.encode(_Transaction([_Put(key, text, lease)]))
+        return _done(await self._post('/-/kv-txn', body))
+
+    async def _read_page(self, prefix: str, after: str) -> _Range | Failure:
+        path = f'/-/kv-range?prefix={quote(prefix, safe="")}'
+        if after:
+            path = f'{path}&after={quote(after, safe="")}'
+        answer = await self._client.request(
+            'GET',
+            path,
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        return _decode(answer, _Range)
+
+    async def _post(self, path: str, body: bytes) -> HttpAnswer | Failure:
+        return await self._client.request(
+            'POST',
+            path,
+            timeout_s=CALL_TIMEOUT_S,
+            body=body,
+            headers=((b'content-type', b'application/json'),),
+        )
+
+
+def _item(found: _Item) -> Item | Failure:
+    if found.deleted:
+        return Item(found.key, None, found.rev)
+    try:
+        value = base64.b64decode(found.value, validate=True)
+    except binascii.Error as exc:
+        return _down(f'{found.key} is not base64: {exc}')
+    return Item(found.key, value, found.rev)
+
+
+def _decode(
+    answer: HttpAnswer | Failure,
+    kind: type[_Document],
+) -> _Document | Failure:
+    if isinstance(answer, Failure):
+        return _down(answer.reason)
+    if answer.status != HTTPStatus.OK:
+        return _down(f'status {answer.status}')
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return _down(str(exc))
+
+
+def _done(answer: HttpAnswer | Failure) -> Failure | None:
+    if isinstance(answer, Failure):
+        return _down(answer.reason)
+    if answer.status == HTTPStatus.NOT_FOUND:
+        return Failure(kind=ErrorKind.CONFLICT, reason='the lease has ended')
+    if answer.status != HTTPStatus.OK:
+        return _down(f'status {answer.status}')
+    return None
+
+
+def _down(reason: str) -> Failure:
+    return Failure(kind=ErrorKind.PLATFORM_DOWN, reason=reason)
--- /dev/null
+++ b/src/masticwind/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Direct serving: entries that speak to the endpoints themselves."""
--- /dev/null
+++ b/src/masticwind/serving/bounds.py
@@ -0,0 +1,126 @@
+"""Bounds that hold for all entries together, kept by shares.
+
+No entry asks another one or the store for each request. Every entry keeps
+to the whole bound divided by the number of entries that may be alive.
+"""
+
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Final
+
+from masticwind.serving.settings import FleetBounds
+
+# Part of the slack that is used: an entry that was restarted knows nothing
+# of the repeats before.
+SLACK_SHARE: Final = 0.7
+# Until the number of entries is known.
+ASSUMED_ENTRIES: Final = 8
+
+
+class SlidingCount:
+    """Counts events of the last `window_s` seconds."""
+
+    def __init__(self, window_s: float, clock: Callable[[], float]) -> None:
+        self._window_s: Final = window_s
+        self._clock: Final = clock
+        self._times: Final[deque[float]] = deque()
+
+    def add(self) -> None:
+        """Count an event now."""
+        self._times.append(self._clock())
+
+    def count(self) -> int:
+        """Return the number of events in the window."""
+        oldest = self._clock() - self._window_s
+        while self._times and self._times[0] < oldest:
+            self._times.popleft()
+        return len(self._times)
+
+
+class RepeatBudget:
+    """How often requests of one service may be sent once more.
+
+    In any window, all entries together send at most the stated ratio of the
+    service's requests plus the stated slack.
+    """
+
+    def __init__(
+        self,
+        bounds: FleetBounds,
+        entries: Callable[[], int],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._bounds: Final = bounds
+        self._entries: Final = entries
+        self._clock: Final = clock
+        self._requests: Final[dict[str, SlidingCount]] = {}
+        self._repeats: Final[dict[str, SlidingCount]] = {}
+
+    def request(self, service: str) -> None:
+        """Count a caller's request."""
+        self._counter(self._requests, service).add()
+
+    def take(self, service: str) -> bool:
+        """Take the right to one repeat; false if there is none left."""
+        slack = self._bounds.repeat_slack * SLACK_SHARE / self._entries()
+        requests = self._counter(self._requests, service).count()
+        allowed = slack + requests * self._bounds.repeat_ratio * SLACK_SHARE
+        repeats = self._counter(self._repeats, service)
+        if repeats.count() + 1 > allowed:
+            return False
+        repeats.add()
+        return True
+
+    def _counter(
+        self,
+        counters: dict[str, SlidingCount],
+        service: str,
+    ) -> SlidingCount:
+        counter = counters.get(service)
+        if counter is None:
+            counter = SlidingCount(self._bounds.repeat_window_s, self._clock)
+            counters[service] = counter
+        return counter
+
+
+class ColdRate:
+    """How many requests this entry sends to an endpoint in a second.
+
+    An endpoint can turn cold at any moment without saying so, so the bound
+    holds for every endpoint of a service that knows cold starts.
+    """
+
+    def __init__(
+        self,
+        bounds: FleetBounds,
+        entries: Callable[[], int],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._bounds: Final = bounds
+        self._entries: Final = entries
+        self._clock: Final = clock
+        self._sent: Final[dict[str, SlidingCount]] = {}
+
+    def free(self, endpoint: str, cold_per_s: float) -> bool:
+        """Tell whether an endpoint may get one more request now."""
+        if cold_per_s <= 0:
+            return True
+        whole = cold_per_s * self._bounds.cold_factor + self._bounds.cold_slack
+        share = max(1.0, whole * SLACK_SHARE / self._entries())
+        return self._counter(endpoint).count() + 1 <= share
+
+    def sent(self, endpoint: str) -> None:
+        """Count a request that is being sent."""
+        self._counter(endpoint).add()
+
+    def forget(self, endpoint: str) -> None:
+        """Drop the count of an endpoint that is gone."""
+        self._sent.pop(endpoint, None)
+
+    def _counter(self, endpoint: str) -> SlidingCount:
+        counter = self._sent.get(endpoint)
+        if counter is None:
+            counter = SlidingCount(1.0, self._clock)
+            self._sent[endpoint] = counter
+        return counter
--- /dev/null
+++ b/src/masticwind/serving/directory.py
@@ -0,0 +1,211 @@
+"""The endpoints that may be used, from what they registered in the store.
+
+A registration that disappears takes its endpoint out at once, unless the
+store has just come back from an outage: registrations lapse while the store
+is away, and live endpoints renew them within `RETURN_S` of its return.
+"""
+
+import abc
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from loguru import logger
+
+from masticwind.errors import Failure
+from masticwind.serving.mirror import Sink, boot_time
+from masticwind.serving.model import Endpoint, FleetConfig
+from masticwind.serving.routes import ActiveConfig
+from masticwind.serving.store import Item
+
+# Live endpoints are registered again this long after the store's return.
+RETURN_S: Final = 2.2
+
+
+class Decoder(abc.ABC):
+    """Translates keys and values of the store into types of the product."""
+
+    @abc.abstractmethod
+    def endpoint(self, item: Item) -> Endpoint | Failure:
+        """Decode the registration of an endpoint."""
+
+    @abc.abstractmethod
+    def identity(self, key: str) -> str:
+        """Return the identity of the endpoint that registers under a key."""
+
+    @abc.abstractmethod
+    def config(self, item: Item) -> FleetConfig | Failure | None:
+        """Decode the configuration; None for any other key."""
+
+    @abc.abstractmethod
+    def evacuated_zone(self, key: str) -> str:
+        """Return the zone that a key takes out of service, or nothing."""
+
+
+@dataclass(slots=True)
+class _Known:
+    endpoint: Endpoint
+    cold_until: float
+    lapsed_at: float | None = None
+
+
+class Directory(Sink):
+    """Endpoints by identity."""
+
+    def __init__(
+        self,
+        decoder: Decoder,
+        returned_within: Callable[[float], bool],
+    ) -> None:
+        self._decoder: Final = decoder
+        self._returned_within: Final = returned_within
+        self._known: dict[str, _Known] = {}
+
+    def endpoints(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a service that take new work."""
+        self._drop_lapsed()
+        found: list[Endpoint] = []
+        for known in self._known.values():
+            endpoint = known.endpoint
+            if endpoint.service == service and not endpoint.leaving:
+                found.append(endpoint)
+        return found
+
+    def usable(self, identity: str) -> bool:
+        """Tell whether an endpoint still takes new work."""
+        known = self._known.get(identity)
+        return known is not None and not known.endpoint.leaving
+
+    def cold(self, identity: str) -> bool:
+        """Tell whether an endpoint last said that it is cold."""
+        known = self._known.get(identity)
+        return known is not None and known.cold_until > boot_time()
+
+    def remove(self, identity: str, reason: str) -> None:
+        """Forget an endpoint that another one has replaced."""
+        if self._known.pop(identity, None) is not None:
+            logger.bind(endpoint=identity, reason=reason).info('endpoint_gone')
+
+    def replace(self, items: tuple[Item, ...]) -> None:
+        """Take over a whole listing."""
+        listed: set[str] = set()
+        for item in items:
+            listed.add(self._decoder.identity(item.key))
+            self._set(item)
+        for identity in list(self._known):
+            if identity not in listed:
+                self._lapse(identity)
+
+    def change(self, items: tuple[Item, ...]) -> None:
+        """Take over changed and removed registrations."""
+        for item in items:
+            if item.value is None:
+                self._lapse(self._decoder.identity(item.key))
+                continue
+            self._set(item)
+
+    def _set(self, item: Item) -> None:
+        endpoint = self._decoder.endpoint(item)
+        identity = self._decoder.identity(item.key)
+        if isinstance(endpoint, Failure):
+            logger.bind(key=item.key, reason=endpoint.reason).warning(
+                'registration_unreadable'
+            )
+            self._known.pop(identity, None)
+            return
+        known = self._known.get(identity)
+        cold_until = boot_time() + endpoint.cold_left_ms / 1000
+        if known is None or _differs(known.endpoint, endpoint):
+            logger.bind(
+                endpoint=identity,
+                service=endpoint.service,
+                address=endpoint.address,
+                zone=endpoint.zone,
+                leaving=endpoint.leaving,
+                cold_ms=endpoint.cold_left_ms,
+                revision=item.revision,
+            ).info('endpoint_registered')
+        self._known[identity] = _Known(endpoint, cold_until)
+
+    def _lapse(self, identity: str) -> None:
+        known = self._known.get(identity)
+        if known is None:
+            return
+        if not self._returned_within(RETURN_S):
+            self.remove(identity, 'registration removed')
+            return
+        if known.lapsed_at is None:
+            known.lapsed_at = boot_time()
+            logger.bind(endpoint=identity).info('registration_lapsed')
+
+    def _drop_lapsed(self) -> None:
+        if self._returned_within(RETURN_S):
+            return
+        lapsed = _lapsed(self._known.items())
+        for identity in lapsed:
+            self.remove(identity, 'not registered again after the outage')
+
+
+class Operations(Sink):
+    """The operators' configuration and the zones they took out."""
+
+    def __init__(self, decoder: Decoder, active: ActiveConfig) -> None:
+        self._decoder: Final = decoder
+        self._active: Final = active
+        self.zones_out: frozenset[str] = frozenset()
+
+    def replace(self, items: tuple[Item, ...]) -> None:
+        """Take over a whole listing."""
+        zones: set[str] = set()
+        for item in items:
+            zones.add(self._decoder.evacuated_zone(item.key))
+            self._adopt(item)
+        self._set_zones(zones - {''})
+
+    def change(self, items: tuple[Item, ...]) -> None:
+        """Take over changed and removed items."""
+        zones = set(self.zones_out)
+        for item in items:
+            zone = self._decoder.evacuated_zone(item.key)
+            if item.value is None:
+                zones.discard(zone)
+                continue
+            zones.add(zone)
+            self._adopt(item)
+        self._set_zones(zones - {''})
+
+    def _adopt(self, item: Item) -> None:
+        config = self._decoder.config(item)
+        if config is None:
+            return
+        if isinstance(config, Failure):
+            logger.bind(key=item.key, reason=config.reason).error(
+                'config_unreadable'
+            )
+            return
+        if self._active.adopt(config):
+            logger.bind(
+                version=config.version,
+                routes=len(config.routes),
+                revision=item.revision,
+            ).info('config_adopted')
+
+    def _set_zones(self, zones: set[str]) -> None:
+        if zones != self.zones_out:
+            logger.bind(zones=sorted(zones)).info('zones_out_changed')
+        self.zones_out = frozenset(zones)
+
+
+def _differs(one: Endpoint, other: Endpoint) -> bool:
+    return (one.address, one.leaving, one.born_ms, one.service) != (
+        other.address,
+        other.leaving,
+        other.born_ms,
+        other.service,
+    )
+
+
+def _lapsed(known: Iterable[tuple[str, _Known]]) -> list[str]:
+    return [
+        identity for identity, entry in known if entry.lapsed_at is not None
+    ]
--- /dev/null
+++ b/src/masticwind/serving/edge.py
@@ -0,0 +1,215 @@
+"""The callers' edge as an ASGI application.
+
+An `Edge` translates one wire format; everything else is here: limits,
+routes, keys, bodies, callers that leave, and the end of the process.
+"""
+
+import abc
+import time
+from dataclasses import dataclass, replace
+from typing import Final
+
+import anyio
+from loguru import logger
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.freshness import Freshness
+from masticwind.serving.link import CallerAnswer
+from masticwind.serving.model import CallerRequest, Headers
+from masticwind.serving.relay import Admitted, Relay, admit
+from masticwind.serving.routes import ActiveConfig
+from masticwind.web import (
+    Receive,
+    Response,
+    Scope,
+    Send,
+    read_body,
+    send_response,
+)
+
+MS_PER_S: Final = 1000
+# A body must arrive within this time, also from a caller with more patience.
+BODY_TIMEOUT_S: Final = 10.0
+
+
+class Edge(abc.ABC):
+    """Translates between a wire format and the product's types."""
+
+    @abc.abstractmethod
+    def decode(self, scope: Scope) -> CallerRequest | Failure:
+        """Decode the head of a request."""
+
+    @abc.abstractmethod
+    def encode(self, failure: Failure) -> Response:
+        """Encode a failure."""
+
+
+class AsgiAnswer(CallerAnswer):
+    """Writes an answer to an ASGI server."""
+
+    def __init__(self, send: Send) -> None:
+        self._send: Final = send
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head has been written."""
+        return self._started
+
+    async def start(
+        self,
+        status: int,
+        headers: Headers,
+        length: int | None,
+    ) -> None:
+        """Write the head."""
+        self._started = True
+        listed = list(headers)
+        if length is not None:
+            listed.append((b'content-length', str(length).encode()))
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': listed,
+            }
+        )
+
+    async def write(self, content: bytes) -> None:
+        """Write a part of the body."""
+        await self._send(
+            {
+                'type': 'http.response.body',
+                'body': content,
+                'more_body': True,
+            }
+        )
+
+    async def finish(self) -> None:
+        """End the body as complete."""
+        await self._send({'type': 'http.response.body', 'body': b''})
+
+
+class BrokenOffError(Exception):
+    """Makes the server close a connection whose answer is not whole."""
+
+
+@dataclass(frozen=True, slots=True)
+class EdgeParts:
+    """What the edge works with."""
+
+    edge: Edge
+    active: ActiveConfig
+    freshness: Freshness
+    relay: Relay
+
+
+class EdgeApp:
+    """ASGI application of the callers' edge."""
+
+    def __init__(self, parts: EdgeParts) -> None:
+        self._parts: Final = parts
+        self.running = 0
+        self.last_request_at = time.monotonic()
+        # Refuses new requests, which still get a true answer.
+        self.refusing = False
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Serve one request."""
+        self.running += 1
+        self.last_request_at = time.monotonic()
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self.running -= 1
+
+    async def _serve(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        answer = AsgiAnswer(send)
+        req = self._parts.edge.decode(scope)
+        started = time.monotonic()
+        if isinstance(req, Failure):
+            failure: Failure | None = req
+            request_id = ''
+        else:
+            request_id = req.request_id
+            failure = await self._request(req, receive, answer)
+        if failure is None:
+            return
+        logger.bind(
+            request_id=request_id,
+            kind=failure.kind.value,
+            reason=failure.reason,
+            retry_after_ms=failure.retry_after_ms,
+            held_ms=round((time.monotonic() - started) * MS_PER_S),
+            broken_off=answer.started,
+        ).info('request_failed')
+        if answer.started:
+            raise BrokenOffError(failure.reason)
+        if failure.kind is not ErrorKind.CANCELLED:
+            await send_response(send, self._parts.edge.encode(failure))
+
+    async def _request(
+        self,
+        req: CallerRequest,
+        receive: Receive,
+        answer: CallerAnswer,
+    ) -> Failure | None:
+        parts = self._parts
+        work = self._admit(req)
+        if isinstance(work, Failure):
+            return work
+        body = await read_body(
+            receive,
+            parts.active.config.limits.max_body_bytes,
+            min(BODY_TIMEOUT_S, work.left_s()),
+        )
+        if isinstance(body, Failure):
+            return body
+        work = replace(work, req=replace(req, body=body))
+        outcome: list[Failure | None] = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_until_gone, receive, tasks.cancel_scope)
+            outcome.append(await parts.relay.serve(work, answer))
+            tasks.cancel_scope.cancel()
+        if outcome:
+            return outcome[0]
+        return Failure(kind=ErrorKind.CANCELLED, reason='the caller has left')
+
+    def _admit(self, req: CallerRequest) -> Admitted | Failure:
+        parts = self._parts
+        if self.refusing:
+            return Failure(
+                kind=ErrorKind.DRAINING,
+                reason='shutting down',
+                retry_after_ms=1,
+            )
+        route = parts.active.route_of(req)
+        team = None
+        if not isinstance(route, Failure):
+            team = parts.active.team_of(req, route)
+        stale = parts.freshness.check(route, team)
+        if stale is not None:
+            return stale
+        if isinstance(route, Failure):
+            return route
+        if isinstance(team, Failure):
+            return team
+        return admit(req, route, team, parts.active.config)
+
+
+async def _until_gone(receive: Receive, scope: anyio.CancelScope) -> None:
+    while True:
+        event = await receive()
+        if event['type'] == 'http.disconnect':
+            scope.cancel()
+            return
--- /dev/null
+++ b/src/masticwind/serving/freshness.py
@@ -0,0 +1,50 @@
+"""Refuses what an old copy of the configuration cannot decide.
+
+A key that was taken away must stop working within a stated time also where
+the store cannot be reached, so keys are accepted only while the copy is
+younger than that. A missing route or an unknown key is answered as such only
+from a recent copy; otherwise the answer is that nothing ran.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.model import Route, TeamKeys
+from masticwind.serving.settings import FleetBounds
+
+MS_PER_S: Final = 1000
+# Part of the time that a removed key may still work in which a copy is
+# trusted; the rest covers watches that hear nothing for a while.
+TRUSTED_SHARE: Final = 0.62
+RETRY_AFTER_MS: Final = 400
+
+
+class Freshness:
+    """Judges answers by the age of the configuration's copy."""
+
+    def __init__(
+        self,
+        bounds: FleetBounds,
+        age_s: Callable[[], float],
+    ) -> None:
+        self._bounds: Final = bounds
+        self._age_s: Final = age_s
+
+    def check(
+        self,
+        route: Route | Failure,
+        team: TeamKeys | Failure | None,
+    ) -> Failure | None:
+        """Return a refusal if the copy is too old for this request."""
+        age_s = self._age_s()
+        if age_s * MS_PER_S <= self._bounds.key_age_ms * TRUSTED_SHARE:
+            return None
+        decided = isinstance(route, Route) and not isinstance(team, Failure)
+        if decided and (team is None or not self._bounds.fail_closed):
+            return None
+        return Failure(
+            kind=ErrorKind.PLATFORM_DOWN,
+            reason=f'the configuration was last confirmed {age_s:.1f} s ago',
+            retry_after_ms=RETRY_AFTER_MS,
+        )
--- /dev/null
+++ b/src/masticwind/serving/health.py
@@ -0,0 +1,68 @@
+"""Which endpoints fail, from what this entry sees of them.
+
+Health checks are not asked: they cost the endpoint a slot and can be false
+either way. A failure takes an endpoint out for a time that doubles with each
+further one; a success brings it back.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from loguru import logger
+
+FIRST_OUT_S: Final = 0.5
+LONGEST_OUT_S: Final = 4.0
+# Weight of the newest result in the failure share of an endpoint.
+NEWEST_WEIGHT: Final = 0.25
+# An endpoint with a larger share of failures is used last.
+SUSPECT_SHARE: Final = 0.2
+
+
+@dataclass(slots=True)
+class _Record:
+    failures: int = 0
+    out_until: float = 0
+    share: float = 0
+
+
+class Health:
+    """Failures by endpoint."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock: Final = clock
+        self._records: Final[dict[str, _Record]] = {}
+
+    def out(self, endpoint: str) -> bool:
+        """Tell whether an endpoint is left out for now."""
+        record = self._records.get(endpoint)
+        return record is not None and record.out_until > self._clock()
+
+    def failure_share(self, endpoint: str) -> float:
+        """Return the recent share of failures, from 0 to 1."""
+        record = self._records.get(endpoint)
+        return 0.0 if record is None else record.share
+
+    def succeeded(self, endpoint: str) -> None:
+        """Note a request that the endpoint served."""
+        record = self._records.get(endpoint)
+        if record is None:
+            return
+        record.failures = 0
+        record.out_until = 0
+        record.share *= 1 - NEWEST_WEIGHT
+
+    def failed(self, endpoint: str, reason: str) -> None:
+        """Note a request that the endpoint lost or spoiled."""
+        record = self._records.setdefault(endpoint, _Record())
+        record.failures += 1
+        record.share += NEWEST_WEIGHT * (1 - record.share)
+        out_s = FIRST_OUT_S * 2 ** (record.failures - 1)
+        record.out_until = self._clock() + min(LONGEST_OUT_S, out_s)
+        logger.bind(
+            endpoint=endpoint,
+            reason=reason,
+            failures=record.failures,
+            failure_share=round(record.share, 2),
+        ).warning('endpoint_suspected')
--- /dev/null
+++ b/src/masticwind/serving/link.py
@@ -0,0 +1,147 @@
+"""Abstract interfaces of direct serving: the callers' edge and endpoints."""
+
+import abc
+import enum
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+
+from masticwind.errors import Failure
+from masticwind.serving.model import CallerRequest, Endpoint, Headers
+
+
+@dataclass(frozen=True, slots=True)
+class Helper:
+    """An endpoint that reads a part of a prompt.
+
+    `ticket` names the reservation that holds its part of the memory; none
+    means that the leading endpoint keeps that part.
+    """
+
+    endpoint: Endpoint
+    ticket: str = ''
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """One sending of a request to one endpoint.
+
+    `work_ms` is how long the endpoint may work on it; none gives no limit.
+    `urgency` is smaller for more urgent work. An `at_most_once` attempt goes
+    over a new connection: an open one can have been closed by the endpoint,
+    and then nobody knows whether the request was read.
+    """
+
+    req: CallerRequest
+    endpoint: Endpoint
+    team: str
+    work_ms: int | None
+    urgency: int
+    at_most_once: bool
+    resume_after: int | None
+    helpers: tuple[Helper, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptLimits:
+    """Time limits of one attempt, in seconds.
+
+    `first_s` bounds the wait for the head of the answer and `pause_s` each
+    wait for more of its body.
+    """
+
+    connect_s: float
+    first_s: float
+    pause_s: float
+
+
+class Verdict(enum.Enum):
+    """What an answer says of the request."""
+
+    RAN = 'ran'
+    NOT_RUN = 'not_run'
+    WRONG_ENDPOINT = 'wrong_endpoint'
+    FOREIGN = 'foreign'
+
+
+@dataclass(slots=True)
+class Reply:
+    """The head of an endpoint's answer, and its body as it arrives.
+
+    `headers` are passed to the caller unchanged. `at_fault` is the identity
+    of the endpoint that caused a refusal, if the answer names one.
+    """
+
+    status: int
+    verdict: Verdict
+    headers: Headers
+    chunks: AsyncIterator[bytes]
+    at_fault: str = ''
+    length: int | None = None
+    cold_ms: float = 0
+
+    @property
+    def success(self) -> bool:
+        """Whether the endpoint served the request."""
+        return 200 <= self.status < 300
+
+
+class EndpointLink(abc.ABC):
+    """Sends requests to endpoints over bounded, reused connections."""
+
+    @abc.abstractmethod
+    def send(
+        self,
+        attempt: Attempt,
+        limits: AttemptLimits,
+    ) -> AbstractAsyncContextManager[Reply | Failure]:
+        """Send an attempt and return the head of the answer.
+
+        A `Failure` of kind `no_capacity` says that nothing was sent; any
+        other kind that the endpoint may have run the request. Leaving the
+        context early closes the connection, which stops the endpoint's work.
+        """
+
+    @abc.abstractmethod
+    async def reserve(
+        self,
+        endpoint: Endpoint,
+        ticket: str,
+        tokens: int,
+        hold_ms: int,
+    ) -> Failure | None:
+        """Reserve memory, or renew a reservation, for `hold_ms`."""
+
+    @abc.abstractmethod
+    async def release(self, endpoint: Endpoint, ticket: str) -> Failure | None:
+        """End a reservation; one that has ended is no error."""
+
+    @abc.abstractmethod
+    async def forget(self, endpoint: Endpoint) -> None:
+        """Close the idle connections to an endpoint that is gone."""
+
+
+class CallerAnswer(abc.ABC):
+    """Writes one answer to a caller."""
+
+    @property
+    @abc.abstractmethod
+    def started(self) -> bool:
+        """Whether the head has been written."""
+
+    @abc.abstractmethod
+    async def start(
+        self,
+        status: int,
+        headers: Headers,
+        length: int | None,
+    ) -> None:
+        """Write the head; a length of None announces a streamed body."""
+
+    @abc.abstractmethod
+    async def write(self, content: bytes) -> None:
+        """Write a part of the body."""
+
+    @abc.abstractmethod
+    async def finish(self) -> None:
+        """End the body as complete."""
--- /dev/null
+++ b/src/masticwind/serving/passes.py
@@ -0,0 +1,88 @@
+"""Predicts an engine's times from its figures and its work.
+
+An engine works in passes. In a pass with writing requests it makes `stride`
+tokens for each of them and reads at most one chunk of prompt; without
+writers a pass only reads, so a chunk takes little more than its own time.
+Nothing here knows of a network or of time passing.
+
+    state = EngineState(contexts=(5000, 12_000), waiting=Reading(4000, 8))
+    delay_ms = first_token_ms(speed, state, Reading(5000, 12.5))
+"""
+
+import math
+from dataclasses import dataclass, field
+from typing import Final
+
+from masticwind.serving.model import EngineSpeed
+
+MS_PER_S: Final = 1000
+TOKENS_PER_K: Final = 1000
+PAIRS_PER_M: Final = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """Prompt tokens to read, with their share of the pairs in millions."""
+
+    tokens: float
+    pairs_m: float
+
+    def part(self, share: float) -> 'Reading':
+        """Return a share of this reading."""
+        return Reading(self.tokens * share, self.pairs_m * share)
+
+    def plus(self, other: 'Reading') -> 'Reading':
+        """Return both readings as one."""
+        return Reading(
+            self.tokens + other.tokens,
+            self.pairs_m + other.pairs_m,
+        )
+
+
+NOTHING: Final = Reading(0, 0)
+
+
+def whole_prompt(tokens: int) -> Reading:
+    """Return the reading of a prompt that nobody has begun to read."""
+    return Reading(tokens, tokens * tokens / 2 / PAIRS_PER_M)
+
+
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """Work of an engine: context sizes of its writers, and its reading."""
+
+    contexts: tuple[int, ...] = ()
+    waiting: Reading = field(default=NOTHING)
+
+
+def read_ms(speed: EngineSpeed, reading: Reading) -> float:
+    """Return the time for reading alone."""
+    linear = reading.tokens / speed.tokens_per_s * MS_PER_S
+    return linear + reading.pairs_m * speed.pairs_ms_per_m
+
+
+def write_pass_ms(speed: EngineSpeed, contexts: tuple[int, ...]) -> float:
+    """Return the time of one pass's steps with these writers."""
+    step_ms = speed.step_ms + len(contexts) * speed.per_seq_ms
+    step_ms += sum(contexts) / TOKENS_PER_K * speed.context_ms_per_k
+    return step_ms * speed.stride
+
+
+def first_token_ms(
+    speed: EngineSpeed,
+    state: EngineState,
+    own: Reading,
+) -> float:
+    """Return the time until a new request's first token.
+
+    What waits is read before it. With writers, half of the running pass
+    goes by before the first chunk is read.
+    """
+    ahead = state.waiting.plus(own)
+    reading_ms = read_ms(speed, ahead)
+    if not state.contexts:
+        chunks = math.ceil(ahead.tokens / speed.chunk_tokens)
+        return reading_ms + chunks * speed.step_ms
+    passes = math.ceil(ahead.tokens / speed.chunk_tokens)
+    steps_ms = write_pass_ms(speed, state.contexts)
+    return reading_ms + (passes + 0.5) * steps_ms
--- /dev/null
+++ b/src/masticwind/serving/relay.py
@@ -0,0 +1,520 @@
+"""Carries one request from its admission to its true answer.
+
+A request is sent once more only if that cannot make it run twice: it was
+not sent, its endpoint says that it did not run, or it may be repeated. A
+stream that may be resumed goes on after its last whole event.
+"""
+
+import random
+import time
+from dataclasses import dataclass, field
+from typing import Final
+
+import anyio
+from loguru import logger
+
+from masticwind.errors import ErrorKind, Failure, not_run
+from masticwind.httpclient import BrokenStreamError
+from masticwind.serving.bounds import ColdRate, RepeatBudget
+from masticwind.serving.directory import Directory, Operations
+from masticwind.serving.events import EventSplitter
+from masticwind.serving.health import Health
+from masticwind.serving.link import (
+    Attempt,
+    AttemptLimits,
+    CallerAnswer,
+    EndpointLink,
+    Helper,
+    Reply,
+    Verdict,
+)
+from masticwind.serving.load import LoadBoard
+from masticwind.serving.model import (
+    CallerRequest,
+    Endpoint,
+    FleetConfig,
+    Kind,
+    Route,
+    Service,
+    TeamKeys,
+)
+from masticwind.serving.placement import Placement, Placer, Query
+from masticwind.serving.settings import DirectSettings
+
+MS_PER_S: Final = 1000
+# A connection in the same region is there within a few milliseconds.
+CONNECT_S: Final = 0.4
+# Sendings of one request, refused ones included.
+MAX_SENDINGS: Final = 6
+# The answer must be back a little before the time is over.
+ANSWER_MARGIN_MS: Final = 10
+# A first event that is this much later than predicted is not waited for.
+LATE_FACTOR: Final = 3.0
+LATE_FLOOR_S: Final = 0.8
+# Pauses between events: this many of the route's longest pause, at least.
+PAUSE_FACTOR: Final = 4.0
+PAUSE_FLOOR_S: Final = 1.0
+# Wait before a request that every endpoint refused is tried again.
+RETRY_AFTER_MS: Final = 300
+RETRY_SPREAD: Final = 0.5
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayParts:
+    """What the relay works with."""
+
+    cfg: DirectSettings
+    directory: Directory
+    operations: Operations
+    health: Health
+    board: LoadBoard
+    placer: Placer
+    link: EndpointLink
+    repeats: RepeatBudget
+    cold: ColdRate
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Admitted:
+    """A request with the configuration under which it was admitted."""
+
+    req: CallerRequest
+    route: Route
+    service: Service
+    team: TeamKeys
+    deadline: float
+
+    def left_s(self) -> float:
+        """Return the seconds that are left for it."""
+        return max(0.0, self.deadline - time.monotonic())
+
+    @property
+    def urgency(self) -> int:
+        """Rank of the request; a team's rank goes before the route's."""
+        if self.team.priority is not None:
+            return self.team.priority
+        return self.route.priority
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What has happened to a request so far."""
+
+    sendings: int = 0
+    ran_at: set[str] = field(default_factory=set)
+    excluded: set[str] = field(default_factory=set)
+    failure: Failure | None = None
+    may_have_run: bool = False
+    last_event: int | None = None
+    events: int = 0
+    started: float = field(default_factory=time.monotonic)
+
+
+def admit(
+    req: CallerRequest,
+    route: Route,
+    team: TeamKeys | None,
+    config: FleetConfig,
+) -> Admitted | Failure:
+    """Choose the service and fix the time that a request has."""
+    service = config.services.get(_backend(route))
+    if service is None:
+        return Failure(
+            kind=ErrorKind.NO_CAPACITY,
+            reason=f'route {route.name} names no known service',
+        )
+    deadline = req.budget.deadline
+    if route.timeout_ms:
+        longest = time.monotonic() + route.timeout_ms / MS_PER_S
+        deadline = min(deadline, longest)
+    return Admitted(
+        req=req,
+        route=route,
+        service=service,
+        team=team or TeamKeys(name=''),
+        deadline=deadline,
+    )
+
+
+def _backend(route: Route) -> str:
+    weights = [backend.weight for backend in route.backends]
+    if len(weights) == 1 or not sum(weights):
+        return route.backends[0].service
+    return random.choices(route.backends, weights)[0].service
+
+
+class Relay:
+    """Sends admitted requests and passes their answers on."""
+
+    def __init__(self, parts: RelayParts) -> None:
+        self._parts: Final = parts
+
+    async def serve(
+        self,
+        work: Admitted,
+        answer: CallerAnswer,
+    ) -> Failure | None:
+        """Serve a request; a `Failure` is still to be answered.
+
+        If the answer has begun, a `Failure` means that it must break off.
+        """
+        parts = self._parts
+        parts.repeats.request(work.service.name)
+        progress = _Progress(last_event=work.req.resume_after)
+        while True:
+            placement = self._place(work, progress)
+            if isinstance(placement, Failure):
+                return _final(progress, placement)
+            numbers = parts.board.add(placement.jobs)
+            try:
+                ended = await self._attempt(
+                    work, placement, progress, answer, numbers
+                )
+            finally:
+                parts.board.remove(numbers)
+            if ended:
+                return None
+            failure = self._give_up(work, progress)
+            if failure is not None:
+                return failure
+
+    def _place(
+        self,
+        work: Admitted,
+        progress: _Progress,
+    ) -> Placement | Failure:
+        parts = self._parts
+        left_s = work.left_s()
+        if left_s * MS_PER_S <= ANSWER_MARGIN_MS:
+            return Failure(
+                kind=ErrorKind.OVERLOADED,
+                reason='no time is left',
+            )
+        candidates = self._candidates(work, progress)
+        shares: dict[str, float] = {}
+        for endpoint in candidates:
+            share = parts.health.failure_share(endpoint.identity)
+            if share:
+                shares[endpoint.identity] = share
+        query = Query(
+            service=work.service,
+            candidates=candidates,
+            jobs=parts.board.jobs(),
+            now=parts.board.clock(),
+            zone=parts.cfg.zone,
+            tokens=work.req.tokens,
+            left_ms=left_s * MS_PER_S,
+            failure_shares=shares,
+        )
+        placement = parts.placer.place(query)
+        if isinstance(placement, Failure):
+            logger.bind(
+                request_id=work.req.request_id,
+                kind=placement.kind.value,
+                reason=placement.reason,
+                candidates=len(candidates),
+                left_ms=round(query.left_ms),
+            ).info('placement_refused')
+        return placement
+
+    def _candidates(
+        self,
+        work: Admitted,
+        progress: _Progress,
+    ) -> list[Endpoint]:
+        parts = self._parts
+        service = work.service
+        usable: list[Endpoint] = []
+        healthy: list[Endpoint] = []
+        for endpoint in parts.directory.endpoints(service.name):
+            if endpoint.zone in parts.operations.zones_out:
+                continue
+            if not self._at_home(work, endpoint):
+                continue
+            if endpoint.identity in progress.excluded:
+                continue
+            if not parts.cold.free(endpoint.identity, service.cold_per_s):
+                continue
+            usable.append(endpoint)
+            if not parts.health.out(endpoint.identity):
+                healthy.append(endpoint)
+        return healthy or usable
+
+    def _at_home(self, work: Admitted, endpoint: Endpoint) -> bool:
+        region = self._parts.cfg.zones.get(endpoint.zone, '')
+        for homes in (work.route.home_regions, work.team.home_regions):
+            if homes and region not in homes:
+                return False
+        return True
+
+    async def _attempt(
+        self,
+        work: Admitted,
+        placement: Placement,
+        progress: _Progress,
+        answer: CallerAnswer,
+        numbers: tuple[int, ...],
+    ) -> bool:
+        """Send once; tell whether the request has its whole answer."""
+        parts = self._parts
+        lead = placement.lead
+        attempt = _attempt_of(work, placement, progress)
+        limits = _limits_of(work, placement)
+        progress.sendings += 1
+        parts.cold.sent(lead.identity)
+        sent_at = time.monotonic()
+        log = logger.bind(
+            request_id=work.req.request_id,
+            endpoint=lead.identity,
+            attempt=progress.sendings,
+        )
+        log.bind(
+            route=work.route.name,
+            prompt=work.req.tokens.prompt if work.req.tokens else 0,
+            helpers=len(placement.helpers),
+            predicted_ms=round(placement.first_ms),
+            left_ms=attempt.work_ms,
+            resume_after=attempt.resume_after,
+        ).info('attempt_sent')
+        outcome: Failure | None = None
+        try:
+            with anyio.fail_after(work.left_s()):
+                async with parts.link.send(attempt, limits) as reply:
+                    if isinstance(reply, Failure):
+                        outcome = reply
+                    else:
+                        outcome = await self._receive(
+                            work, reply, progress, answer, numbers, limits
+                        )
+        except TimeoutError:
+            outcome = Failure(
+                kind=ErrorKind.TIMED_OUT,
+                reason='the endpoint did not end in time',
+            )
+        except BrokenStreamError as exc:
+            outcome = Failure(
+                kind=ErrorKind.FAILED_AFTER_START,
+                reason=f'the answer broke off: {exc}',
+            )
+        took_ms = round((time.monotonic() - sent_at) * MS_PER_S)
+        if outcome is None:
+            parts.health.succeeded(lead.identity)
+            log.bind(took_ms=took_ms, events=progress.events).info(
+                'attempt_done'
+            )
+            return True
+        log.bind(
+            took_ms=took_ms,
+            events=progress.events,
+            kind=outcome.kind.value,
+            reason=outcome.reason,
+        ).info('attempt_failed')
+        await self._note(work, lead, outcome, progress)
+        return False
+
+    async def _receive(
+        self,
+        work: Admitted,
+        reply: Reply,
+        progress: _Progress,
+        answer: CallerAnswer,
+        numbers: tuple[int, ...],
+        limits: AttemptLimits,
+    ) -> Failure | None:
+        if reply.verdict is Verdict.WRONG_ENDPOINT:
+            return Failure(kind=ErrorKind.REVOKED, reason='another endpoint')
+        if reply.verdict is Verdict.NOT_RUN:
+            return Failure(
+                kind=ErrorKind.OVERLOADED,
+                reason=f'refused with status {reply.status}',
+            )
+        if reply.verdict is Verdict.FOREIGN:
+            return Failure(
+                kind=ErrorKind.FAILED_AFTER_START,
+                reason=f'not an answer to this request ({reply.status})',
+            )
+        if work.route.kind is Kind.STREAM and reply.success:
+            return await self._stream(
+                work, reply, progress, answer, numbers, limits
+            )
+        return await self._whole(work, reply, progress, answer)
+
+    async def _whole(
+        self,
+        work: Admitted,
+        reply: Reply,
+        progress: _Progress,
+        answer: CallerAnswer,
+    ) -> Failure | None:
+        body = b''.join([chunk async for chunk in reply.chunks])
+        if answer.started:
+            return Failure(
+                kind=ErrorKind.FAILED_AFTER_START,
+                reason=f'resuming was answered with status {reply.status}',
+            )
+        failed = reply.status >= 500
+        if failed and self._may_repeat(work, progress):
+            return Failure(
+                kind=ErrorKind.FAILED_AFTER_START,
+                reason=f'the endpoint failed with status {reply.status}',
+            )
+        await answer.start(reply.status, reply.headers, len(body))
+        await answer.write(body)
+        await answer.finish()
+        return None
+
+    def _may_repeat(self, work: Admitted, progress: _Progress) -> bool:
+        return (
+            work.route.repeatable
+            and len(progress.ran_at) + 1 < work.route.max_endpoints
+            and progress.sendings < MAX_SENDINGS
+        )
+
+    async def _stream(
+        self,
+        work: Admitted,
+        reply: Reply,
+        progress: _Progress,
+        answer: CallerAnswer,
+        numbers: tuple[int, ...],
+        limits: AttemptLimits,
+    ) -> Failure | None:
+        splitter = EventSplitter()
+        wait_s = limits.first_s
+        chunks = aiter(reply.chunks)
+        while True:
+            chunk = b''
+            with anyio.move_on_after(wait_s) as waiting:
+                chunk = await anext(chunks, b'')
+            if waiting.cancelled_caught:
+                return Failure(
+                    kind=ErrorKind.FAILED_AFTER_START,
+                    reason=f'no event for {wait_s:.2f} s',
+                )
+            if not chunk:
+                break
+            whole: list[bytes] = []
+            for event in splitter.feed(chunk):
+                number = event.number
+                last = progress.last_event
+                if number is not None and last is not None and number <= last:
+                    continue
+                if number is not None:
+                    progress.last_event = number
+                whole.append(event.content)
+            if not whole:
+                continue
+            if not answer.started:
+                await answer.start(reply.status, reply.headers, None)
+            if not progress.events:
+                self._first_event(work, progress)
+            self._parts.board.first_token(numbers)
+            progress.events += len(whole)
+            wait_s = limits.pause_s
+            await answer.write(b''.join(whole))
+        if splitter.partial or not answer.started:
+            return Failure(
+                kind=ErrorKind.FAILED_AFTER_START,
+                reason='the stream ended within an event',
+            )
+        await answer.finish()
+        return None
+
+    def _first_event(self, work: Admitted, progress: _Progress) -> None:
+        first_ms = (time.monotonic() - progress.started) * MS_PER_S
+        logger.bind(
+            request_id=work.req.request_id,
+            first_ms=round(first_ms),
+            prompt=work.req.tokens.prompt if work.req.tokens else 0,
+        ).info('first_event')
+
+    async def _note(
+        self,
+        work: Admitted,
+        lead: Endpoint,
+        outcome: Failure,
+        progress: _Progress,
+    ) -> None:
+        """Take over what a failed attempt says of the request and endpoint."""
+        parts = self._parts
+        progress.excluded.add(lead.identity)
+        if outcome.kind is ErrorKind.REVOKED:
+            parts.directory.remove(lead.identity, 'its address has another')
+            await parts.link.forget(lead)
+        elif outcome.kind is not ErrorKind.OVERLOADED:
+            parts.health.failed(lead.identity, outcome.reason)
+        progress.failure = outcome
+        if not not_run(outcome.kind):
+            progress.may_have_run = True
+            progress.ran_at.add(lead.identity)
+
+    def _give_up(self, work: Admitted, progress: _Progress) -> Failure | None:
+        """Return the failure to answer with, or None to send once more."""
+        failure = progress.failure
+        assert failure is not None
+        if progress.sendings >= MAX_SENDINGS:
+            return _final(progress, failure)
+        if progress.may_have_run and not work.route.repeatable:
+            return _final(progress, failure)
+        if len(progress.ran_at) >= work.route.max_endpoints:
+            return _final(progress, failure)
+        if failure.kind is ErrorKind.TIMED_OUT:
+            return _final(progress, failure)
+        if not self._parts.repeats.take(work.service.name):
+            logger.bind(
+                request_id=work.req.request_id,
+                service=work.service.name,
+            ).info('repeat_budget_spent')
+            return _final(progress, failure)
+        return None
+
+
+def _final(progress: _Progress, failure: Failure) -> Failure:
+    """Return the true answer after the last attempt."""
+    if progress.may_have_run and not_run(failure.kind):
+        failure = progress.failure or failure
+        if not_run(failure.kind):
+            return Failure(
+                kind=ErrorKind.FAILED_AFTER_START,
+                reason='an earlier attempt may have run',
+            )
+    if not not_run(failure.kind) or failure.retry_after_ms:
+        return failure
+    spread = random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
+    return Failure(
+        kind=failure.kind,
+        reason=failure.reason,
+        retry_after_ms=int(RETRY_AFTER_MS * spread),
+    )
+
+
+def _attempt_of(
+    work: Admitted,
+    placement: Placement,
+    progress: _Progress,
+) -> Attempt:
+    left_ms = int(work.left_s() * MS_PER_S) - ANSWER_MARGIN_MS
+    return Attempt(
+        req=work.req,
+        endpoint=placement.lead,
+        team=work.team.name,
+        work_ms=max(1, left_ms),
+        urgency=min(9, max(0, work.urgency)),
+        at_most_once=not work.route.repeatable,
+        resume_after=progress.last_event,
+        helpers=tuple(Helper(one) for one in placement.helpers),
+    )
+
+
+def _limits_of(work: Admitted, placement: Placement) -> AttemptLimits:
+    left_s = work.left_s()
+    pause_s = max(PAUSE_FLOOR_S, work.route.pause_ms * PAUSE_FACTOR / MS_PER_S)
+    first_s = left_s
+    if work.route.repeatable:
+        late_s = placement.first_ms * LATE_FACTOR / MS_PER_S
+        first_s = min(left_s, max(LATE_FLOOR_S, late_s))
+    return AttemptLimits(
+        connect_s=min(CONNECT_S, left_s),
+        first_s=first_s,
+        pause_s=min(pause_s, left_s),
+    )
--- /dev/null
+++ b/src/masticwind/serving/routes.py
@@ -0,0 +1,79 @@
+"""The version of the operators' configuration in force, and its look-ups.
+
+Versions only grow: an older one is ignored, wherever it comes from.
+"""
+
+import time
+from typing import Final
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.model import (
+    NO_CONFIG,
+    CallerRequest,
+    FleetConfig,
+    Route,
+    TeamKeys,
+)
+
+
+class ActiveConfig:
+    """Holds the version in force."""
+
+    def __init__(self) -> None:
+        self.config: FleetConfig = NO_CONFIG
+        self.since = time.monotonic()
+        self._by_host: dict[str, list[Route]] = {}
+
+    def adopt(self, config: FleetConfig) -> bool:
+        """Put a version in force if it is newer; tell whether it was."""
+        if config.version <= self.config.version:
+            return False
+        by_host: dict[str, list[Route]] = {}
+        for route in config.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=_prefix_length, reverse=True)
+        self.config = config
+        self.since = time.monotonic()
+        self._by_host = by_host
+        return True
+
+    def route_of(self, req: CallerRequest) -> Route | Failure:
+        """Return the route with the longest prefix that begins the path."""
+        if self.config is NO_CONFIG:
+            return Failure(
+                kind=ErrorKind.PLATFORM_DOWN,
+                reason='no configuration has been read yet',
+            )
+        for route in self._by_host.get(req.host, ()):
+            if req.path.startswith(route.prefix):
+                return route
+        return Failure(
+            kind=ErrorKind.NOT_FOUND,
+            reason=f'no route for {req.host}{req.path}',
+        )
+
+    def team_of(
+        self,
+        req: CallerRequest,
+        route: Route,
+    ) -> TeamKeys | Failure | None:
+        """Return the team that holds the request's key; none is needed
+        where the route is public or the configuration has no keys.
+        """
+        if not self.config.keyed or route.public:
+            return None
+        team = self.config.teams_by_key.get(req.key)
+        if team is None:
+            return Failure(
+                kind=ErrorKind.UNAUTHENTICATED,
+                reason='unknown key',
+            )
+        return team
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
+
+
+NO_TEAM: Final = TeamKeys(name='')
--- /dev/null
+++ b/src/masticwind/serving/server.py
@@ -0,0 +1,200 @@
+"""An entry that serves endpoints directly, as one object."""
+
+import secrets
+import time
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+from loguru import logger
+
+from masticwind.serving.bounds import ASSUMED_ENTRIES, ColdRate, RepeatBudget
+from masticwind.serving.directory import Decoder, Directory, Operations
+from masticwind.serving.edge import Edge, EdgeApp, EdgeParts
+from masticwind.serving.freshness import Freshness
+from masticwind.serving.health import Health
+from masticwind.serving.link import EndpointLink
+from masticwind.serving.load import LoadBoard
+from masticwind.serving.mirror import Mirror, MirrorOptions, Sink
+from masticwind.serving.peers import (
+    EntryPeers,
+    LoadLink,
+    Registrar,
+    entries_alive,
+)
+from masticwind.serving.placement import PredictedPlacer
+from masticwind.serving.relay import Relay, RelayParts
+from masticwind.serving.routes import ActiveConfig
+from masticwind.serving.settings import DirectSettings, address_of
+from masticwind.serving.store import MetadataStore
+from masticwind.web import (
+    Receive,
+    Scope,
+    Send,
+    WebServer,
+    json_response,
+    send_response,
+)
+
+MS_PER_S: Final = 1000
+# A watch of the configuration returns at least this often, which confirms
+# that the copy is recent.
+CONFIRM_S: Final = 1.0
+REGISTRATION_WAIT_S: Final = 5.0
+# Registrations change with every heartbeat of every endpoint; they are
+# taken over in batches.
+REGISTRATION_BATCH_S: Final = 0.3
+ENTRIES_WAIT_S: Final = 10.0
+ENTRIES_BATCH_S: Final = 1.0
+# After SIGTERM, new requests are served for this long: the balancer needs
+# two failed checks, a second apart, to send callers elsewhere.
+SERVE_ON_S: Final = 3.0
+# Time before SIGKILL that is left for closing down.
+CLOSE_S: Final = 0.4
+POLL_S: Final = 0.05
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Prefixes:
+    """Prefixes of the store."""
+
+    operations: str
+    registrations: str
+    entries: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Adapter:
+    """What an entry needs of the platform on which it runs."""
+
+    store: MetadataStore
+    decoder: Decoder
+    edge: Edge
+    link: EndpointLink
+    prefixes: Prefixes
+
+
+class DirectEntry:
+    """Serves callers."""
+
+    def __init__(self, cfg: DirectSettings, adapter: Adapter) -> None:
+        self._cfg: Final = cfg
+        self._adapter: Final = adapter
+        self._leaving = False
+        self._active: Final = ActiveConfig()
+        self._board: Final = LoadBoard()
+        self._peers: Final = EntryPeers(cfg)
+        self._operations: Final = Operations(adapter.decoder, self._active)
+        self._directory: Final = Directory(
+            adapter.decoder,
+            self._store_returned_within,
+        )
+        self._config_mirror: Final = self._mirror(
+            self._operations,
+            MirrorOptions(
+                prefix=adapter.prefixes.operations,
+                wait_s=CONFIRM_S,
+            ),
+        )
+        self._registrations: Final = self._mirror(
+            self._directory,
+            MirrorOptions(
+                prefix=adapter.prefixes.registrations,
+                wait_s=REGISTRATION_WAIT_S,
+                batch_s=REGISTRATION_BATCH_S,
+            ),
+        )
+        self._app: Final = EdgeApp(self._edge_parts())
+        self._server: Final = WebServer(self._app, address_of(cfg.listen))
+        self._ready: Final = WebServer(
+            self._answer_ready,
+            address_of(cfg.ready),
+        )
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        cfg = self._cfg
+        entries = self._mirror(
+            self._peers,
+            MirrorOptions(
+                prefix=self._adapter.prefixes.entries,
+                wait_s=ENTRIES_WAIT_S,
+                batch_s=ENTRIES_BATCH_S,
+            ),
+        )
+        registrar = Registrar(
+            cfg,
+            self._adapter.store,
+            self._adapter.prefixes.entries,
+        )
+        link = LoadLink(cfg, self._peers, self._board, secrets.token_hex(4))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._ready.run)
+            tasks.start_soon(self._config_mirror.run)
+            tasks.start_soon(self._registrations.run)
+            tasks.start_soon(entries.run)
+            tasks.start_soon(registrar.run)
+            tasks.start_soon(link.run)
+            await self._server.run()
+            tasks.cancel_scope.cancel()
+
+    async def drain(self) -> None:
+        """Serve what runs, and what still arrives for a while; then end."""
+        started = time.monotonic()
+        last = started + self._cfg.bounds.shutdown_ms / MS_PER_S - CLOSE_S
+        self._leaving = True
+        self._server.closing = True
+        await anyio.sleep(SERVE_ON_S)
+        self._app.refusing = True
+        while self._app.running and time.monotonic() < last:
+            await anyio.sleep(POLL_S)
+        logger.bind(cut=self._app.running).info('drained')
+        await self._server.finish(CLOSE_S / 2)
+
+    def _edge_parts(self) -> EdgeParts:
+        adapter = self._adapter
+        bounds = self._cfg.bounds
+        entries = entries_alive(self._peers, ASSUMED_ENTRIES)
+        relay = Relay(
+            RelayParts(
+                cfg=self._cfg,
+                directory=self._directory,
+                operations=self._operations,
+                health=Health(),
+                board=self._board,
+                placer=PredictedPlacer(),
+                link=adapter.link,
+                repeats=RepeatBudget(bounds, entries),
+                cold=ColdRate(bounds, entries),
+            )
+        )
+        return EdgeParts(
+            edge=adapter.edge,
+            active=self._active,
+            freshness=Freshness(bounds, self._config_mirror.age_s),
+            relay=relay,
+        )
+
+    def _mirror(
+        self,
+        sink: Sink,
+        options: MirrorOptions,
+    ) -> Mirror:
+        return Mirror(self._adapter.store, sink, options)
+
+    def _store_returned_within(self, seconds: float) -> bool:
+        return self._registrations.returned_within(seconds)
+
+    async def _answer_ready(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        ready = (
+            not self._leaving
+            and self._config_mirror.listed
+            and self._registrations.listed
+        )
+        status = 200 if ready else 503
+        await send_response(send, json_response(status, {'ready': ready}))
--- /dev/null
+++ b/src/masticwind/store/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform's services and their HTTP adapters."""
--- a/src/masticwind/platform/http.py
+++ b/src/masticwind/store/http.py
@@ -9,7 +9,7 @@
 
 from masticwind.errors import ErrorKind, Failure
 from masticwind.httpclient import HttpAnswer, HttpClient
-from masticwind.platform.base import (
+from masticwind.store.base import (
     MAX_VALUE_BYTES,
     Conflict,
     Instance,
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -15,7 +15,7 @@
 import msgspec
 import uvicorn
 
-from masticwind.errors import ErrorKind, Failure
+from masticwind.errors import ANSWERS, ErrorKind, Failure
 from masticwind.settings import Address
 from masticwind.sockets import listen_tcp
 from masticwind.web_protocol import LimitedProtocol
@@ -29,6 +29,7 @@
 
 JSON_TYPE: Final = b'application/json'
 KEEP_ALIVE_S: Final = 60
+MS_PER_S: Final = 1000
 CLOSE_HEADER: Final = (b'connection', b'close')
 # Decoding a larger body on the event loop would stall other requests.
 INLINE_DECODE_BYTES: Final = 262_144
@@ -53,6 +54,29 @@
     return Response(status, msgspec.json.encode(content), headers=headers)
 
 
+def failure_response(failure: Failure) -> Response:
+    """Return the HTTP answer for a failure."""
+    answer = ANSWERS[failure.kind]
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    if failure.retry_after_ms:
+        # The header has whole seconds; the body has the exact hint.
+        seconds = -(-failure.retry_after_ms // MS_PER_S)
+        headers = ((b'retry-after', str(seconds).encode()),)
+    return json_response(
+        answer.status,
+        {
+            'error': {
+                'kind': failure.kind,
+                'message': failure.reason,
+                'run': answer.run,
+                'repeat_safe': answer.repeat_safe,
+                'retry_after_ms': failure.retry_after_ms,
+            }
+        },
+        headers=headers,
+    )
+
+
 async def send_response(send: Send, response: Response) -> None:
     """Write a whole response."""
     await send(
--- a/src/masticwind_dev/bench/orders.py
+++ b/src/masticwind_dev/bench/orders.py
@@ -29,8 +29,8 @@
 from masticwind.entry.claims import ClaimOutcome, Claims
 from masticwind.errors import Failure
 from masticwind.httpclient import HttpClient
-from masticwind.platform.base import Conflict, Versioned, WriteResult
-from masticwind.platform.http import HttpKeyValue
+from masticwind.store.base import Conflict, Versioned, WriteResult
+from masticwind.store.http import HttpKeyValue
 from masticwind.settings import ClaimSettings, PlatformSettings
 from masticwind_dev.faults.processes import process_group
 
--- a/src/masticwind_dev/bench/slopes_control.py
+++ b/src/masticwind_dev/bench/slopes_control.py
@@ -21,7 +21,7 @@
 from masticwind.config.store import ConfigStore
 from masticwind.errors import Failure
 from masticwind.httpclient import HttpAnswer, HttpClient
-from masticwind.platform.http import HttpKeyValue
+from masticwind.store.http import HttpKeyValue
 from masticwind.settings import PlatformSettings
 from masticwind_dev.bench.arena import arena_config
 from masticwind_dev.bench.slopes_peers import Totals
--- a/src/masticwind_dev/bench/slopes_listing.py
+++ b/src/masticwind_dev/bench/slopes_listing.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from masticwind.entry.subset import choose_subset
-from masticwind.platform.base import Instance
+from masticwind.store.base import Instance
 from masticwind.settings import EntrySettings, PeerSettings
 
 ENTRY_SHARE: Final = 530 / 6930
--- a/src/masticwind_dev/faults/fleet.py
+++ b/src/masticwind_dev/faults/fleet.py
@@ -7,7 +7,7 @@
 import anyio
 
 from masticwind.config.store import ConfigStore
-from masticwind.platform.http import HttpKeyValue
+from masticwind.store.http import HttpKeyValue
 from masticwind.settings import PlatformSettings
 from masticwind_dev.faults.processes import Process, ProcessGroup, control
 from masticwind_dev.faults.proxy import TcpProxy
--- a/src/masticwind_dev/local/check.py
+++ b/src/masticwind_dev/local/check.py
@@ -10,7 +10,7 @@
 from masticwind.config.store import ConfigStore
 from masticwind.errors import Failure
 from masticwind.httpclient import HttpAnswer, HttpClient
-from masticwind.platform.http import HttpKeyValue
+from masticwind.store.http import HttpKeyValue
 from masticwind_dev.local.fleet import Fleet
 from masticwind_dev.local.sample import FREE_TOKEN, PAID_TOKEN, ZONES
 from masticwind_dev.standins.answers import expected_answer
--- a/src/masticwind_dev/local/fleet.py
+++ b/src/masticwind_dev/local/fleet.py
@@ -13,8 +13,8 @@
 from masticwind.config.store import ConfigStore
 from masticwind.entry.server import Entry
 from masticwind.errors import Failure
-from masticwind.platform.base import Instance
-from masticwind.platform.http import HttpKeyValue
+from masticwind.store.base import Instance
+from masticwind.store.http import HttpKeyValue
 from masticwind.settings import (
     Address,
     AgentSettings,
--- a/src/masticwind_dev/standins/instances.py
+++ b/src/masticwind_dev/standins/instances.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from masticwind.platform.base import Instance
+from masticwind.store.base import Instance
 from masticwind.web import Response, json_response
 from masticwind_dev.standins.routes import Routes, StandinRequest
 
--- a/src/masticwind_dev/standins/keyvalue.py
+++ b/src/masticwind_dev/standins/keyvalue.py
@@ -16,7 +16,7 @@
 import anyio
 import msgspec
 
-from masticwind.platform.base import MAX_VALUE_BYTES
+from masticwind.store.base import MAX_VALUE_BYTES
 from masticwind.web import Response, json_response
 from masticwind_dev.standins.routes import Handler, Routes, StandinRequest
 
--- a/tests/memory_kv.py
+++ b/tests/memory_kv.py
@@ -8,7 +8,7 @@
 from anyio.lowlevel import checkpoint
 
 from masticwind.errors import ErrorKind, Failure
-from masticwind.platform.base import (
+from masticwind.store.base import (
     Conflict,
     KeyValue,
     Lease,
--- a/tests/routing_fakes.py
+++ b/tests/routing_fakes.py
@@ -6,7 +6,7 @@
 from masticwind.entry.affinity import AffinityIndex
 from masticwind.entry.peers import AgentLink
 from masticwind.entry.predict import Job
-from masticwind.platform.base import Instance
+from masticwind.store.base import Instance
 from masticwind.protocol.messages import Load
 from masticwind.settings import EntrySettings, PeerSettings
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -33,7 +33,7 @@
 )
 from masticwind.entry.claim_waiters import Claimed, Pace, Waiter
 from masticwind.errors import ErrorKind, Failure, not_run
-from masticwind.platform.base import (
+from masticwind.store.base import (
     Conflict,
     KeyValue,
     Lease,
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -22,7 +22,7 @@
 from masticwind.config.parts import Head, PartCache, split
 from masticwind.config.store import ConfigStore
 from masticwind.errors import ErrorKind, Failure
-from masticwind.platform.base import MAX_VALUE_BYTES
+from masticwind.store.base import MAX_VALUE_BYTES
 from tests.memory_kv import MemoryKeyValue
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -15,7 +15,7 @@
 )
 from masticwind.config.store import ConfigStore
 from masticwind.errors import Failure
-from masticwind.platform.base import Instance
+from masticwind.store.base import Instance
 from masticwind.protocol.messages import (
     AnyMessage,
     ConfigData,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,7 +11,7 @@
 from masticwind.entry.peers import AgentLink, AgentPool, PoolParts
 from masticwind.entry.subset import choose_subset
 from masticwind.node import Node
-from masticwind.platform.base import Instance
+from masticwind.store.base import Instance
 from masticwind.protocol.messages import Heartbeat, Load
 from masticwind.settings import EntrySettings, PeerSettings
 from masticwind_dev.local.fleet import FleetPlan, running_fleet
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -10,7 +10,7 @@
 from masticwind.engines.http import HttpEngine
 from masticwind.planner.leader import MARGIN_S, TTL_S, Leadership
 from masticwind.planner.placement import EndpointView, Order, plan_order
-from masticwind.platform.http import HttpKeyValue
+from masticwind.store.http import HttpKeyValue
 from masticwind.protocol.messages import EndpointOrder, Load, LoadState
 from masticwind.settings import Address, PlatformSettings
 from masticwind.web import WebServer
--- a/tests/test_resume_machine.py
+++ b/tests/test_resume_machine.py
@@ -35,7 +35,7 @@
 from masticwind.entry.predict import Job
 from masticwind.errors import Failure
 from masticwind.node import Node
-from masticwind.platform.base import Instance
+from masticwind.store.base import Instance
 from masticwind.protocol.messages import Heartbeat, Load, Message, Offer, Output
 from masticwind.settings import AgentSettings, PeerSettings
 from tests.scenarios import sample_config
--- a/tests/test_team_limits_fleet.py
+++ b/tests/test_team_limits_fleet.py
@@ -9,7 +9,7 @@
 from masticwind.config.model import Team
 from masticwind.entry.limits import BURST_S, SETTLE_S
 from masticwind.httpclient import HttpAnswer, HttpClient
-from masticwind.platform.base import Instance
+from masticwind.store.base import Instance
 from masticwind_dev.local.fleet import Fleet, FleetPlan, running_fleet
 from masticwind_dev.standins.engine import EngineModel
 from tests.scenarios import PAID_TOKEN, ask, chat_body, sample_config
