Read long prompts on several engines; weigh gains against losses

Logs of predicted and seen first tokens showed that a pass beside writers reads up to stride chunks, not one: 52,000 tokens took 414 ms beside writers, 1,466 ms were predicted. So a long read on an engine holds up its streams and whoever arrives, and is not slowed down itself.

Change: a prompt is read in parts by engines whose streams stand the pause; short prompts gather on engines that already write for short prompts; a plan is the one with the largest gain less what other callers lose. Prompts beyond one engine's memory use reservations, all or nothing in a fixed order.

--- a/src/masticwind/serving/load.py
+++ b/src/masticwind/serving/load.py
@@ -26,7 +26,9 @@
 
     Times are seconds of this process's monotonic clock. `memory` is what
     the part holds at its endpoint, in tokens. `context` is zero for a part
-    that only reads.
+    that only reads. `pause_ms` is the longest pause between tokens that is
+    still in time, zero for any; `worth` is the work that the caller gets, in
+    tokens read, with a token written counting as ten.
     """
 
     number: int
@@ -37,6 +39,8 @@
     started: float
     first_at: float
     end_at: float
+    pause_ms: float = 0
+    worth: float = 0
     writing: bool = False
 
     def left(self, now: float) -> Reading:
--- a/src/masticwind/serving/passes.py
+++ b/src/masticwind/serving/passes.py
@@ -1,9 +1,9 @@
 """Predicts an engine's times from its figures and its work.
 
-An engine works in passes. In a pass with writing requests it makes `stride`
-tokens for each of them and reads at most one chunk of prompt; without
-writers a pass only reads, so a chunk takes little more than its own time.
-Nothing here knows of a network or of time passing.
+An engine works in passes. In a pass it makes `stride` tokens for each
+writing request and reads at most `stride` chunks of prompts, so a long
+prompt holds up the writers beside it, and a request that arrives waits for
+the pass that is running. Nothing here knows of a network or of time passing.
 
     state = EngineState(contexts=(5000, 12_000), waiting=Reading(4000, 8))
     delay_ms = first_token_ms(speed, state, Reading(5000, 12.5))
@@ -75,14 +75,28 @@
 ) -> float:
     """Return the time until a new request's first token.
 
-    What waits is read before it. With writers, half of the running pass
-    goes by before the first chunk is read.
+    What waits is read before it. Beside writers, the request waits for the
+    running pass and gets its token with the steps of its own.
     """
     ahead = state.waiting.plus(own)
-    reading_ms = read_ms(speed, ahead)
+    chunks = math.ceil(ahead.tokens / speed.chunk_tokens)
+    delay_ms = read_ms(speed, ahead)
     if not state.contexts:
-        chunks = math.ceil(ahead.tokens / speed.chunk_tokens)
-        return reading_ms + chunks * speed.step_ms
-    passes = math.ceil(ahead.tokens / speed.chunk_tokens)
-    steps_ms = write_pass_ms(speed, state.contexts)
-    return reading_ms + (passes + 0.5) * steps_ms
+        return delay_ms + chunks * speed.step_ms
+    passes = math.ceil(chunks / speed.stride)
+    return delay_ms + passes * write_pass_ms(speed, state.contexts)
+
+
+def longest_pause_ms(
+    speed: EngineSpeed,
+    state: EngineState,
+    own: Reading,
+) -> float:
+    """Return the longest time between two tokens of the engine's writers
+    while it reads `own` beside what waits.
+    """
+    ahead = state.waiting.plus(own)
+    most = speed.chunk_tokens * speed.stride
+    if ahead.tokens > most:
+        ahead = ahead.part(most / ahead.tokens)
+    return read_ms(speed, ahead) + write_pass_ms(speed, state.contexts)
--- a/src/masticwind/serving/peers.py
+++ b/src/masticwind/serving/peers.py
@@ -49,6 +49,8 @@
     started_ms: int
     first_ms: int
     end_ms: int
+    pause_ms: int
+    worth: float
     writing: bool
 
 
@@ -299,6 +301,8 @@
         started_ms=int((job.started - now) * MS_PER_S),
         first_ms=int((job.first_at - now) * MS_PER_S),
         end_ms=int((job.end_at - now) * MS_PER_S),
+        pause_ms=int(job.pause_ms),
+        worth=round(job.worth),
         writing=job.writing,
     )
 
@@ -313,5 +317,7 @@
         started=now + row.started_ms / MS_PER_S,
         first_at=now + row.first_ms / MS_PER_S,
         end_at=now + row.end_ms / MS_PER_S,
+        pause_ms=row.pause_ms,
+        worth=row.worth,
         writing=row.writing,
     )
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -39,6 +39,7 @@
     TeamKeys,
 )
 from masticwind.serving.placement import Placement, Placer, Query
+from masticwind.serving.reservations import reserved
 from masticwind.serving.settings import DirectSettings
 
 MS_PER_S: Final = 1000
@@ -68,7 +69,8 @@
     operations: Operations
     health: Health
     board: LoadBoard
-    placer: Placer
+    calls: Placer
+    prompts: Placer
     link: EndpointLink
     repeats: RepeatBudget
     cold: ColdRate
@@ -204,9 +206,14 @@
             zone=parts.cfg.zone,
             tokens=work.req.tokens,
             left_ms=left_s * MS_PER_S,
+            first_answer_ms=self._aim_ms(work, progress),
+            pause_ms=work.route.pause_ms,
             failure_shares=shares,
         )
-        placement = parts.placer.place(query)
+        if work.service.speed is None or work.req.tokens is None:
+            placement = parts.calls.place(query)
+        else:
+            placement = parts.prompts.place(query)
         if isinstance(placement, Failure):
             logger.bind(
                 request_id=work.req.request_id,
@@ -217,6 +224,13 @@
             ).info('placement_refused')
         return placement
 
+    def _aim_ms(self, work: Admitted, progress: _Progress) -> float:
+        aim_ms = work.route.first_answer_ms
+        if not aim_ms:
+            return 0.0
+        spent_ms = (time.monotonic() - progress.started) * MS_PER_S
+        return max(1.0, aim_ms - spent_ms)
+
     def _candidates(
         self,
         work: Admitted,
@@ -258,7 +272,6 @@
         """Send once; tell whether the request has its whole answer."""
         parts = self._parts
         lead = placement.lead
-        attempt = _attempt_of(work, placement, progress)
         limits = _limits_of(work, placement)
         progress.sendings += 1
         parts.cold.sent(lead.identity)
@@ -268,24 +281,12 @@
             endpoint=lead.identity,
             attempt=progress.sendings,
         )
-        log.bind(
-            route=work.route.name,
-            prompt=work.req.tokens.prompt if work.req.tokens else 0,
-            helpers=len(placement.helpers),
-            predicted_ms=round(placement.first_ms),
-            left_ms=attempt.work_ms,
-            resume_after=attempt.resume_after,
-        ).info('attempt_sent')
         outcome: Failure | None = None
         try:
             with anyio.fail_after(work.left_s()):
-                async with parts.link.send(attempt, limits) as reply:
-                    if isinstance(reply, Failure):
-                        outcome = reply
-                    else:
-                        outcome = await self._receive(
-                            work, reply, progress, answer, numbers, limits
-                        )
+                outcome = await self._send(
+                    work, placement, progress, answer, numbers, limits
+                )
         except TimeoutError:
             outcome = Failure(
                 kind=ErrorKind.TIMED_OUT,
@@ -312,6 +313,40 @@
         await self._note(work, lead, outcome, progress)
         return False
 
+    async def _send(
+        self,
+        work: Admitted,
+        placement: Placement,
+        progress: _Progress,
+        answer: CallerAnswer,
+        numbers: tuple[int, ...],
+        limits: AttemptLimits,
+    ) -> Failure | None:
+        parts = self._parts
+        async with reserved(
+            parts.link, placement, work.req.request_id
+        ) as helpers:
+            if isinstance(helpers, Failure):
+                return helpers
+            attempt = _attempt_of(work, placement, helpers, progress)
+            logger.bind(
+                request_id=work.req.request_id,
+                endpoint=placement.lead.identity,
+                attempt=progress.sendings,
+                route=work.route.name,
+                prompt=work.req.tokens.prompt if work.req.tokens else 0,
+                helpers=[one.endpoint.identity for one in helpers],
+                predicted_ms=round(placement.first_ms),
+                left_ms=attempt.work_ms,
+                resume_after=attempt.resume_after,
+            ).info('attempt_sent')
+            async with parts.link.send(attempt, limits) as reply:
+                if isinstance(reply, Failure):
+                    return reply
+                return await self._receive(
+                    work, reply, progress, answer, numbers, limits
+                )
+
     async def _receive(
         self,
         work: Admitted,
@@ -491,6 +526,7 @@
 def _attempt_of(
     work: Admitted,
     placement: Placement,
+    helpers: tuple[Helper, ...],
     progress: _Progress,
 ) -> Attempt:
     left_ms = int(work.left_s() * MS_PER_S) - ANSWER_MARGIN_MS
@@ -502,7 +538,7 @@
         urgency=min(9, max(0, work.urgency)),
         at_most_once=not work.route.repeatable,
         resume_after=progress.last_event,
-        helpers=tuple(Helper(one) for one in placement.helpers),
+        helpers=helpers,
     )
 
 
--- /dev/null
+++ b/src/masticwind/serving/reservations.py
@@ -0,0 +1,137 @@
+"""Memory that is reserved on several engines for one prompt.
+
+A reservation has a lease that is shorter than the time for which unused
+memory may stay reserved, and is renewed while its request runs. So it ends
+by itself soon after its entry has died. Reservations are made all or
+nothing, in the order of the endpoints' identities: two prompts that want the
+same engines meet at the first one and cannot block each other.
+"""
+
+import secrets
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Final
+
+import anyio
+from loguru import logger
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.link import EndpointLink, Helper
+from masticwind.serving.placement import Placement, Share
+
+# Shorter than the four seconds that unused memory may stay reserved.
+HOLD_MS: Final = 3000
+RENEW_S: Final = 1.0
+RELEASE_TRIES: Final = 3
+
+
+@asynccontextmanager
+async def reserved(
+    link: EndpointLink,
+    placement: Placement,
+    request_id: str,
+) -> AsyncIterator[tuple[Helper, ...] | Failure]:
+    """Hold a placement's reservations while its request runs.
+
+    Yields the helpers in the order in which their memory is filled, or a
+    `Failure` of kind `overloaded` if an engine does not give its memory;
+    what others gave is released then.
+    """
+    tickets = _tickets(placement.shares)
+    helpers = tuple(
+        Helper(share.endpoint, tickets.get(share.endpoint.identity, ''))
+        for share in placement.shares
+    )
+    if not tickets:
+        yield helpers
+        return
+    log = logger.bind(request_id=request_id, tickets=len(tickets))
+    held = [share for share in placement.shares if share.reserved_tokens]
+    held.sort(key=_identity)
+    try:
+        failure = await _reserve_all(link, held, tickets)
+        if failure is not None:
+            log.bind(reason=failure.reason).info('memory_not_reserved')
+            yield failure
+            return
+        log.info('memory_reserved')
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_renew, link, held, tickets)
+            yield helpers
+            tasks.cancel_scope.cancel()
+    finally:
+        with anyio.CancelScope(shield=True):
+            await _release_all(link, held, tickets)
+
+
+def _tickets(shares: tuple[Share, ...]) -> dict[str, str]:
+    return {
+        share.endpoint.identity: secrets.token_hex(6)
+        for share in shares
+        if share.reserved_tokens
+    }
+
+
+def _identity(share: Share) -> str:
+    return share.endpoint.identity
+
+
+async def _reserve_all(
+    link: EndpointLink,
+    held: list[Share],
+    tickets: dict[str, str],
+) -> Failure | None:
+    for share in held:
+        failure = await link.reserve(
+            share.endpoint,
+            tickets[share.endpoint.identity],
+            share.reserved_tokens,
+            HOLD_MS,
+        )
+        if failure is not None:
+            return Failure(
+                kind=ErrorKind.OVERLOADED,
+                reason=f'{share.endpoint.identity}: {failure.reason}',
+            )
+    return None
+
+
+async def _renew(
+    link: EndpointLink,
+    held: list[Share],
+    tickets: dict[str, str],
+) -> None:
+    while True:
+        await anyio.sleep(RENEW_S)
+        failure = await _reserve_all(link, held, tickets)
+        if failure is not None:
+            logger.bind(reason=failure.reason).warning(
+                'reservation_not_renewed'
+            )
+
+
+async def _release_all(
+    link: EndpointLink,
+    held: list[Share],
+    tickets: dict[str, str],
+) -> None:
+    async with anyio.create_task_group() as tasks:
+        for share in held:
+            tasks.start_soon(
+                _release,
+                link,
+                share,
+                tickets[share.endpoint.identity],
+            )
+
+
+async def _release(link: EndpointLink, share: Share, ticket: str) -> None:
+    """Release; the lease ends what cannot be released."""
+    for _ in range(RELEASE_TRIES):
+        failure = await link.release(share.endpoint, ticket)
+        if failure is None or failure.kind is ErrorKind.CONFLICT:
+            return
+        logger.bind(
+            endpoint=share.endpoint.identity,
+            reason=failure.reason,
+        ).info('reservation_not_released')
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -22,7 +22,8 @@
     Registrar,
     entries_alive,
 )
-from masticwind.serving.placement import PredictedPlacer
+from masticwind.serving.placement import CallPlacer
+from masticwind.serving.prompts import PromptPlacer
 from masticwind.serving.relay import Relay, RelayParts
 from masticwind.serving.routes import ActiveConfig
 from masticwind.serving.settings import DirectSettings, address_of
@@ -162,7 +163,8 @@
                 operations=self._operations,
                 health=Health(),
                 board=self._board,
-                placer=PredictedPlacer(),
+                calls=CallPlacer(),
+                prompts=PromptPlacer(),
                 link=adapter.link,
                 repeats=RepeatBudget(bounds, entries),
                 cold=ColdRate(bounds, entries),
