Reload settings at SIGHUP and when their file changes

Bounds, zones and the log level are taken over while running; the signal is ignored while the modules load.

--- a/src/masticwind/logs.py
+++ b/src/masticwind/logs.py
@@ -73,3 +73,8 @@
 def get_logger(program: str, node: str) -> 'Logger':
     """Return a logger that names the program and the instance."""
     return logger.bind(program=program, node=node)
+
+
+def name_process(program: str, node: str) -> None:
+    """Add the program and the instance to every line of this process."""
+    logger.configure(extra={'program': program, 'node': node})
--- a/src/masticwind/platform/main.py
+++ b/src/masticwind/platform/main.py
@@ -6,8 +6,9 @@
 from typing import Final
 
 import anyio
+from loguru import logger
 
-from masticwind.logs import get_logger
+from masticwind.logs import name_process
 from masticwind.platform.documents import (
     ENTRIES,
     OPERATIONS,
@@ -17,9 +18,14 @@
 from masticwind.platform.endpoints import PlatformLink
 from masticwind.platform.headers import PlatformEdge
 from masticwind.platform.store import PlatformStore
-from masticwind.program import EXIT_USAGE, load_or_exit, stop_on_signals
+from masticwind.program import (
+    EXIT_USAGE,
+    load_or_exit,
+    reload_on_change,
+    stop_on_signals,
+)
 from masticwind.serving.server import Adapter, DirectEntry, Prefixes
-from masticwind.serving.settings import DirectSettings
+from masticwind.serving.settings import DirectSettings, LiveSettings
 
 # Where the platform says that it has put the settings.
 SETTINGS_VARIABLE: Final = 'MASTICWIND_BOOT'
@@ -32,10 +38,16 @@
         sys.stderr.write(f'{SETTINGS_VARIABLE} names no settings file\n')
         sys.exit(EXIT_USAGE)
     cfg = load_or_exit(Path(path), DirectSettings)
-    anyio.run(_serve, cfg, backend_options={'use_uvloop': True})
+    anyio.run(
+        _serve,
+        Path(path),
+        LiveSettings(cfg),
+        backend_options={'use_uvloop': True},
+    )
 
 
-async def _serve(cfg: DirectSettings) -> None:
+async def _serve(path: Path, settings: LiveSettings) -> None:
+    cfg = settings.cfg
     adapter = Adapter(
         store=PlatformStore(cfg.store),
         decoder=PlatformDecoder(),
@@ -48,9 +60,17 @@
         ),
     )
     async with anyio.create_task_group() as tasks:
-        entry = DirectEntry(cfg, adapter)
-        get_logger('entry', cfg.node).info('started')
+        entry = DirectEntry(settings, adapter)
+        name_process('entry', cfg.node)
+        logger.bind(
+            zone=cfg.zone,
+            listen=cfg.listen,
+            store=cfg.store.address,
+        ).info('started')
         tasks.start_soon(stop_on_signals, entry.drain, tasks.cancel_scope)
+        tasks.start_soon(
+            reload_on_change, path, DirectSettings, settings.adopt
+        )
         tasks.start_soon(entry.run)
 
 
--- a/src/masticwind/program.py
+++ b/src/masticwind/program.py
@@ -16,6 +16,8 @@
 
 EXIT_USAGE: Final = 2
 EXIT_CUT_SHORT: Final = 3
+# Settings can change without a signal.
+RELOAD_POLL_S: Final = 1.0
 
 _Settings = TypeVar('_Settings')
 
@@ -30,6 +32,46 @@
     return cfg
 
 
+async def reload_on_change(
+    path: Path,
+    kind: type[_Settings],
+    adopt: Callable[[_Settings], None],
+) -> None:
+    """Read settings again at SIGHUP, and when their file has changed.
+
+    Settings that cannot be used are logged and leave those in force.
+    """
+    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+        content = path.read_bytes()
+        while True:
+            hangup = False
+            with anyio.move_on_after(RELOAD_POLL_S):
+                await anext(aiter(signals))
+                hangup = True
+            try:
+                newest = path.read_bytes()
+            except OSError as exc:
+                logger.bind(reason=str(exc)).warning('settings_unreadable')
+                continue
+            if newest == content and not hangup:
+                continue
+            content = newest
+            _reload(path, kind, adopt)
+
+
+def _reload(
+    path: Path,
+    kind: type[_Settings],
+    adopt: Callable[[_Settings], None],
+) -> None:
+    cfg = read_settings(path, kind)
+    if isinstance(cfg, Failure):
+        logger.bind(reason=cfg.reason).error('settings_rejected')
+        return
+    adopt(cfg)
+    logger.info('settings_reloaded')
+
+
 async def stop_on_signals(
     drain: Callable[[], Awaitable[None]],
     scope: anyio.CancelScope,
--- a/src/masticwind/serving/bounds.py
+++ b/src/masticwind/serving/bounds.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from masticwind.serving.settings import FleetBounds
+from masticwind.serving.settings import LiveSettings
 
 # Part of the slack that is used: an entry that was restarted knows nothing
 # of the repeats before.
@@ -47,11 +47,11 @@
 
     def __init__(
         self,
-        bounds: FleetBounds,
+        settings: LiveSettings,
         entries: Callable[[], int],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._bounds: Final = bounds
+        self._settings: Final = settings
         self._entries: Final = entries
         self._clock: Final = clock
         self._requests: Final[dict[str, SlidingCount]] = {}
@@ -63,9 +63,10 @@
 
     def take(self, service: str) -> bool:
         """Take the right to one repeat; false if there is none left."""
-        slack = self._bounds.repeat_slack * SLACK_SHARE / self._entries()
+        bounds = self._settings.bounds
+        slack = bounds.repeat_slack * SLACK_SHARE / self._entries()
         requests = self._counter(self._requests, service).count()
-        allowed = slack + requests * self._bounds.repeat_ratio * SLACK_SHARE
+        allowed = slack + requests * bounds.repeat_ratio * SLACK_SHARE
         repeats = self._counter(self._repeats, service)
         if repeats.count() + 1 > allowed:
             return False
@@ -79,7 +80,10 @@
     ) -> SlidingCount:
         counter = counters.get(service)
         if counter is None:
-            counter = SlidingCount(self._bounds.repeat_window_s, self._clock)
+            counter = SlidingCount(
+                self._settings.bounds.repeat_window_s,
+                self._clock,
+            )
             counters[service] = counter
         return counter
 
@@ -93,11 +97,11 @@
 
     def __init__(
         self,
-        bounds: FleetBounds,
+        settings: LiveSettings,
         entries: Callable[[], int],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._bounds: Final = bounds
+        self._settings: Final = settings
         self._entries: Final = entries
         self._clock: Final = clock
         self._sent: Final[dict[str, SlidingCount]] = {}
@@ -106,7 +110,8 @@
         """Tell whether an endpoint may get one more request now."""
         if cold_per_s <= 0:
             return True
-        whole = cold_per_s * self._bounds.cold_factor + self._bounds.cold_slack
+        bounds = self._settings.bounds
+        whole = cold_per_s * bounds.cold_factor + bounds.cold_slack
         share = max(1.0, whole * SLACK_SHARE / self._entries())
         return self._counter(endpoint).count() + 1 <= share
 
--- a/src/masticwind/serving/freshness.py
+++ b/src/masticwind/serving/freshness.py
@@ -11,7 +11,7 @@
 
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.model import Route, TeamKeys
-from masticwind.serving.settings import FleetBounds
+from masticwind.serving.settings import LiveSettings
 
 MS_PER_S: Final = 1000
 # Part of the time that a removed key may still work in which a copy is
@@ -25,10 +25,10 @@
 
     def __init__(
         self,
-        bounds: FleetBounds,
+        settings: LiveSettings,
         age_s: Callable[[], float],
     ) -> None:
-        self._bounds: Final = bounds
+        self._settings: Final = settings
         self._age_s: Final = age_s
 
     def check(
@@ -38,10 +38,10 @@
     ) -> Failure | None:
         """Return a refusal if the copy is too old for this request."""
         age_s = self._age_s()
-        if age_s * MS_PER_S <= self._bounds.key_age_ms * TRUSTED_SHARE:
+        if age_s * MS_PER_S <= self._settings.bounds.key_age_ms * TRUSTED_SHARE:
             return None
         decided = isinstance(route, Route) and not isinstance(team, Failure)
-        if decided and (team is None or not self._bounds.fail_closed):
+        if decided and (team is None or not self._settings.bounds.fail_closed):
             return None
         return Failure(
             kind=ErrorKind.PLATFORM_DOWN,
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -40,7 +40,7 @@
 )
 from masticwind.serving.placement import Placement, Placer, Query
 from masticwind.serving.reservations import reserved
-from masticwind.serving.settings import DirectSettings
+from masticwind.serving.settings import LiveSettings
 
 MS_PER_S: Final = 1000
 # A connection in the same region is there within a few milliseconds.
@@ -64,7 +64,7 @@
 class RelayParts:
     """What the relay works with."""
 
-    cfg: DirectSettings
+    settings: LiveSettings
     directory: Directory
     operations: Operations
     health: Health
@@ -203,7 +203,7 @@
             candidates=candidates,
             jobs=parts.board.jobs(),
             now=parts.board.clock(),
-            zone=parts.cfg.zone,
+            zone=parts.settings.cfg.zone,
             tokens=work.req.tokens,
             left_ms=left_s * MS_PER_S,
             first_answer_ms=self._aim_ms(work, progress),
@@ -255,7 +255,7 @@
         return healthy or usable
 
     def _at_home(self, work: Admitted, endpoint: Endpoint) -> bool:
-        region = self._parts.cfg.zones.get(endpoint.zone, '')
+        region = self._parts.settings.cfg.zones.get(endpoint.zone, '')
         for homes in (work.route.home_regions, work.team.home_regions):
             if homes and region not in homes:
                 return False
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -26,7 +26,7 @@
 from masticwind.serving.prompts import PromptPlacer
 from masticwind.serving.relay import Relay, RelayParts
 from masticwind.serving.routes import ActiveConfig
-from masticwind.serving.settings import DirectSettings, address_of
+from masticwind.serving.settings import LiveSettings, address_of
 from masticwind.serving.store import MetadataStore
 from masticwind.web import (
     Receive,
@@ -78,8 +78,9 @@
 class DirectEntry:
     """Serves callers."""
 
-    def __init__(self, cfg: DirectSettings, adapter: Adapter) -> None:
-        self._cfg: Final = cfg
+    def __init__(self, settings: LiveSettings, adapter: Adapter) -> None:
+        cfg = settings.cfg
+        self._settings: Final = settings
         self._adapter: Final = adapter
         self._leaving = False
         self._active: Final = ActiveConfig()
@@ -114,7 +115,7 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        cfg = self._cfg
+        cfg = self._settings.cfg
         entries = self._mirror(
             self._peers,
             MirrorOptions(
@@ -142,7 +143,7 @@
     async def drain(self) -> None:
         """Serve what runs, and what still arrives for a while; then end."""
         started = time.monotonic()
-        last = started + self._cfg.bounds.shutdown_ms / MS_PER_S - CLOSE_S
+        last = started + self._settings.bounds.shutdown_ms / MS_PER_S - CLOSE_S
         self._leaving = True
         self._server.closing = True
         await anyio.sleep(SERVE_ON_S)
@@ -154,11 +155,11 @@
 
     def _edge_parts(self) -> EdgeParts:
         adapter = self._adapter
-        bounds = self._cfg.bounds
+        settings = self._settings
         entries = entries_alive(self._peers, ASSUMED_ENTRIES)
         relay = Relay(
             RelayParts(
-                cfg=self._cfg,
+                settings=settings,
                 directory=self._directory,
                 operations=self._operations,
                 health=Health(),
@@ -166,14 +167,14 @@
                 calls=CallPlacer(),
                 prompts=PromptPlacer(),
                 link=adapter.link,
-                repeats=RepeatBudget(bounds, entries),
-                cold=ColdRate(bounds, entries),
+                repeats=RepeatBudget(settings, entries),
+                cold=ColdRate(settings, entries),
             )
         )
         return EdgeParts(
             edge=adapter.edge,
             active=self._active,
-            freshness=Freshness(bounds, self._config_mirror.age_s),
+            freshness=Freshness(settings, self._config_mirror.age_s),
             relay=relay,
         )
 
--- a/src/masticwind/serving/settings.py
+++ b/src/masticwind/serving/settings.py
@@ -1,6 +1,6 @@
 """Settings of the entry that serves endpoints directly."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Annotated
 
 import msgspec
@@ -74,3 +74,32 @@
     """Return an address that is written as host and port."""
     host, _, port = text.rpartition(':')
     return Address(host=host, port=int(port))
+
+
+class LiveSettings:
+    """The settings in force; bounds and log level may change while running.
+
+    Addresses and the instance's own place need a restart.
+    """
+
+    def __init__(self, cfg: DirectSettings) -> None:
+        self._cfg = cfg
+
+    @property
+    def cfg(self) -> DirectSettings:
+        """The settings in force."""
+        return self._cfg
+
+    @property
+    def bounds(self) -> FleetBounds:
+        """The fleet's bounds in force."""
+        return self._cfg.bounds
+
+    def adopt(self, cfg: DirectSettings) -> None:
+        """Put new settings in force, except for what needs a restart."""
+        self._cfg = replace(
+            self._cfg,
+            zones=cfg.zones,
+            bounds=cfg.bounds,
+            log_level=cfg.log_level,
+        )
--- a/src/masticwind_platform.py
+++ b/src/masticwind_platform.py
@@ -4,6 +4,19 @@
 package is found without being installed.
 """
 
-from masticwind.platform.main import main
+import signal
 
-main()
+
+def start() -> None:
+    """Run the entry.
+
+    SIGHUP must not end the process while the modules are still loading.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from masticwind.platform.main import main  # noqa: PLC0415
+
+    main()
+
+
+if __name__ == '__main__':
+    start()
