--- /dev/null
+++ b/src/masticwind_dev/standins/raw_endpoint.py
@@ -0,0 +1,162 @@
+"""Stand-in for an endpoint that speaks HTTP/1.1 byte by byte.
+
+Each request is answered by a `Script`, a function that gets the request and
+a connection to write to, so that a test decides every byte: truncated,
+doubled, late, foreign or missing answers.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+import anyio
+import anyio.abc
+import h11
+
+MAX_READ: Final = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """A request as it arrived; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    connection: int
+
+
+@dataclass(slots=True)
+class RawConnection:
+    """The connection over which a script answers."""
+
+    stream: anyio.abc.SocketStream
+    closed: bool = False
+
+    async def write(self, content: bytes) -> None:
+        """Write bytes as they are."""
+        await self.stream.send(content)
+
+    async def answer(
+        self,
+        req: Received,
+        status: int = 200,
+        body: bytes = b'done',
+        headers: tuple[str, ...] = (),
+    ) -> None:
+        """Write a whole answer with a length, sealed as the endpoint's."""
+        await self.write(head(req, status, (f'Content-Length: {len(body)}', *headers)))
+        await self.write(body)
+
+    async def close(self) -> None:
+        """Close the connection after this answer."""
+        self.closed = True
+        await self.stream.aclose()
+
+
+Script = Callable[[Received, RawConnection], Awaitable[None]]
+
+
+def head(req: Received, status: int, headers: tuple[str, ...]) -> bytes:
+    """Return the head of an answer with the request's id and a seal."""
+    lines = [
+        f'HTTP/1.1 {status} Answer',
+        f'X-Attempt-Id: {req.headers.get("x-attempt-id", "")}',
+        'X-Server-Seal: 3e1b.07',
+        *headers,
+    ]
+    return ''.join(f'{line}\r\n' for line in lines).encode() + b'\r\n'
+
+
+def stream_head(req: Received) -> bytes:
+    """Return the head of a streamed answer."""
+    return head(
+        req,
+        200,
+        ('Content-Type: text/event-stream', 'Transfer-Encoding: chunked'),
+    )
+
+
+def event_chunk(number: int, text: str = 'x') -> bytes:
+    """Return one event as a chunk of a streamed answer."""
+    content = f'id: {number}\ndata: {text}\n\n'.encode()
+    return b'%x\r\n%b\r\n' % (len(content), content)
+
+
+LAST_CHUNK: Final = b'0\r\n\r\n'
+
+
+@dataclass(slots=True)
+class RawEndpoint:
+    """Listens on a free port of the loopback address."""
+
+    script: Script
+    received: list[Received] = field(default_factory=list)
+    # Requests whose caller closed the connection before the answer ended.
+    abandoned: int = 0
+    connections: int = 0
+    port: int = 0
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled."""
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        task_status.started()
+        await listener.serve(self._serve)
+
+    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+        self.connections += 1
+        number = self.connections
+        conn = RawConnection(stream)
+        parser = h11.Connection(h11.SERVER)
+        async with stream:
+            while not conn.closed:
+                req = await _read(parser, stream, number)
+                if req is None:
+                    return
+                self.received.append(req)
+                try:
+                    await self.script(req, conn)
+                except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                    self.abandoned += 1
+                    return
+                parser = h11.Connection(h11.SERVER)
+
+
+async def _read(
+    parser: h11.Connection,
+    stream: anyio.abc.SocketStream,
+    number: int,
+) -> Received | None:
+    request: h11.Request | None = None
+    body = b''
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            try:
+                parser.receive_data(await stream.receive(MAX_READ))
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return None
+            continue
+        if isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage) and request is not None:
+            return Received(
+                request.method.decode(),
+                request.target.decode(),
+                {
+                    name.decode(): text.decode()
+                    for name, text in request.headers
+                },
+                body,
+                number,
+            )
+        else:
+            return None
