End an attempt for silence only where another endpoint may be asked

A read timeout also took good endpoints out.

Change: the last permitted attempt waits until the request's own time is over; a long read is given up after 1.2 times its aim at the earliest; slow or failed answers take an endpoint out only when three follow each other.

--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -57,7 +57,7 @@
             req.target,
             timeout_s=Patience(
                 connect_s=limits.connect_s,
-                read_s=max(limits.first_s, limits.pause_s),
+                read_s=limits.whole_s,
             ),
             body=req.body,
             headers=encode_attempt(attempt),
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -90,10 +90,6 @@
         await self._send({'type': 'http.response.body', 'body': b''})
 
 
-class BrokenOffError(Exception):
-    """Makes the server close a connection whose answer is not whole."""
-
-
 @dataclass(frozen=True, slots=True)
 class EdgeParts:
     """What the edge works with."""
@@ -153,9 +149,9 @@
             held_ms=round((time.monotonic() - started) * MS_PER_S),
             broken_off=answer.started,
         ).info('request_failed')
-        if answer.started:
-            raise BrokenOffError(failure.reason)
-        if failure.kind is not ErrorKind.CANCELLED:
+        # The server closes the connection of an answer that has begun and is
+        # not finished, so that it cannot look whole.
+        if not answer.started and failure.kind is not ErrorKind.CANCELLED:
             await send_response(send, self._parts.edge.encode(failure))
 
     async def _request(
--- a/src/masticwind/serving/health.py
+++ b/src/masticwind/serving/health.py
@@ -1,8 +1,9 @@
 """Which endpoints fail, from what this entry sees of them.
 
 Health checks are not asked: they cost the endpoint a slot and can be false
-either way. A failure takes an endpoint out for a time that doubles with each
-further one; a success brings it back.
+either way. A broken connection takes an endpoint out at once; a slow or
+failed answer, which also good endpoints give, only when several follow each
+other. The time doubles with each further one; a success brings it back.
 """
 
 import time
@@ -16,8 +17,8 @@
 LONGEST_OUT_S: Final = 4.0
 # Weight of the newest result in the failure share of an endpoint.
 NEWEST_WEIGHT: Final = 0.25
-# An endpoint with a larger share of failures is used last.
-SUSPECT_SHARE: Final = 0.2
+# Slow or failed answers in a row that take an endpoint out.
+SOFT_LIMIT: Final = 3
 
 
 @dataclass(slots=True)
@@ -53,13 +54,20 @@
         record.out_until = 0
         record.share *= 1 - NEWEST_WEIGHT
 
-    def failed(self, endpoint: str, reason: str) -> None:
-        """Note a request that the endpoint lost or spoiled."""
+    def failed(self, endpoint: str, reason: str, *, broken: bool) -> None:
+        """Note a request that the endpoint lost, spoiled or failed.
+
+        `broken` says that the connection broke or could not be made.
+        """
         record = self._records.setdefault(endpoint, _Record())
         record.failures += 1
         record.share += NEWEST_WEIGHT * (1 - record.share)
-        out_s = FIRST_OUT_S * 2 ** (record.failures - 1)
-        record.out_until = self._clock() + min(LONGEST_OUT_S, out_s)
+        counted = record.failures
+        if not broken:
+            counted -= SOFT_LIMIT - 1
+        if counted > 0:
+            out_s = FIRST_OUT_S * 2 ** (counted - 1)
+            record.out_until = self._clock() + min(LONGEST_OUT_S, out_s)
         logger.bind(
             endpoint=endpoint,
             reason=reason,
--- a/src/masticwind/serving/link.py
+++ b/src/masticwind/serving/link.py
@@ -47,12 +47,13 @@
     """Time limits of one attempt, in seconds.
 
     `first_s` bounds the wait for the head of the answer and `pause_s` each
-    wait for more of its body.
+    wait for more events. `whole_s` is what is left for the request.
     """
 
     connect_s: float
     first_s: float
     pause_s: float
+    whole_s: float
 
 
 class Verdict(enum.Enum):
--- a/src/masticwind/serving/load.py
+++ b/src/masticwind/serving/load.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import math
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
@@ -18,6 +19,8 @@
 # A job that has outlived its predicted end by this much is forgotten; its
 # entry has died or its end was lost on the way.
 OVERDUE_S: Final = 5.0
+# What a reading that takes longer than predicted probably has left.
+OVERDUE_SHARE: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -28,7 +31,8 @@
     the part holds at its endpoint, in tokens. `context` is zero for a part
     that only reads. `pause_ms` is the longest pause between tokens that is
     still in time, zero for any; `worth` is the work that the caller gets, in
-    tokens read, with a token written counting as ten.
+    tokens read, with a token written counting as ten; `due_at` is the last
+    moment at which the first token is in time.
     """
 
     number: int
@@ -41,6 +45,7 @@
     end_at: float
     pause_ms: float = 0
     worth: float = 0
+    due_at: float = math.inf
     writing: bool = False
 
     def left(self, now: float) -> Reading:
@@ -51,7 +56,7 @@
         if span <= 0:
             return self.reading
         share = (self.first_at - now) / span
-        return self.reading.part(min(1.0, max(0.0, share)))
+        return self.reading.part(min(1.0, max(OVERDUE_SHARE, share)))
 
 
 class LoadBoard:
--- a/src/masticwind/serving/peers.py
+++ b/src/masticwind/serving/peers.py
@@ -6,6 +6,7 @@
 two clocks are compared.
 """
 
+import math
 import socket
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -51,6 +52,7 @@
     end_ms: int
     pause_ms: int
     worth: float
+    due_ms: int | None
     writing: bool
 
 
@@ -303,10 +305,17 @@
         end_ms=int((job.end_at - now) * MS_PER_S),
         pause_ms=int(job.pause_ms),
         worth=round(job.worth),
+        due_ms=_due_ms(job, now),
         writing=job.writing,
     )
 
 
+def _due_ms(job: Job, now: float) -> int | None:
+    if math.isinf(job.due_at):
+        return None
+    return int((job.due_at - now) * MS_PER_S)
+
+
 def _job(row: _Row, now: float) -> Job:
     return Job(
         number=row.number,
@@ -319,5 +328,6 @@
         end_at=now + row.end_ms / MS_PER_S,
         pause_ms=row.pause_ms,
         worth=row.worth,
+        due_at=math.inf if row.due_ms is None else now + row.due_ms / MS_PER_S,
         writing=row.writing,
     )
--- a/src/masticwind/serving/prompts.py
+++ b/src/masticwind/serving/prompts.py
@@ -245,16 +245,21 @@
     engine: _Engine,
     part: Reading,
 ) -> float:
-    """Return what the engine's other callers lose by this part."""
+    """Return what the engine's other callers lose by this part.
+
+    Writers lose by a long pause. An engine reads parts for other engines
+    before its own prompts, so a request that it leads waits for this part.
+    """
     pause_ms = longest_pause_ms(speed, engine.state, part)
-    read = read_ms(speed, part)
+    read_s = read_ms(speed, part) / MS_PER_S
     lost = 0.0
     for job in engine.jobs:
         if not job.context:
             continue
-        late = 0 < job.pause_ms * MARGIN < pause_ms
-        # A request that still reads waits for this part.
-        late = late or (not job.writing and read > job.pause_ms > 0)
+        if job.writing:
+            late = 0 < job.pause_ms * MARGIN < pause_ms
+        else:
+            late = max(query.now, job.first_at) + read_s > job.due_at
         if late:
             lost += job.worth * (1 - LATE_CREDIT)
     return lost
@@ -303,6 +308,7 @@
         end_at=query.now + whole_ms / MS_PER_S,
         pause_ms=query.pause_ms,
         worth=worth_of(tokens),
+        due_at=_due_at(query),
     )
     jobs = [job]
     for share in shares:
@@ -326,6 +332,12 @@
     )
 
 
+def _due_at(query: Query) -> float:
+    if not query.first_answer_ms:
+        return math.inf
+    return query.now + query.first_answer_ms * MARGIN / MS_PER_S
+
+
 def _write_ms(
     speed: EngineSpeed,
     state: EngineState,
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -5,6 +5,7 @@
 stream that may be resumed goes on after its last whole event.
 """
 
+import math
 import random
 import time
 from dataclasses import dataclass, field
@@ -43,6 +44,14 @@
 from masticwind.serving.settings import LiveSettings
 
 MS_PER_S: Final = 1000
+# Failures after which an endpoint is left alone for a while.
+_BROKEN: Final = frozenset(
+    (
+        ErrorKind.NO_CAPACITY,
+        ErrorKind.FAILED_AFTER_START,
+        ErrorKind.OUTCOME_UNKNOWN,
+    )
+)
 # A connection in the same region is there within a few milliseconds.
 CONNECT_S: Final = 0.4
 # Sendings of one request, refused ones included.
@@ -52,9 +61,12 @@
 # A first event that is this much later than predicted is not waited for.
 LATE_FACTOR: Final = 3.0
 LATE_FLOOR_S: Final = 0.8
+# A long read is not given up, and begun again elsewhere, before this many
+# times its aim has gone by.
+LATE_AIM_FACTOR: Final = 1.2
 # Pauses between events: this many of the route's longest pause, at least.
 PAUSE_FACTOR: Final = 4.0
-PAUSE_FLOOR_S: Final = 1.0
+PAUSE_FLOOR_S: Final = 1.2
 # Wait before a request that every endpoint refused is tried again.
 RETRY_AFTER_MS: Final = 300
 RETRY_SPREAD: Final = 0.5
@@ -272,7 +284,7 @@
         """Send once; tell whether the request has its whole answer."""
         parts = self._parts
         lead = placement.lead
-        limits = _limits_of(work, placement)
+        limits = _limits_of(work, placement, progress)
         progress.sendings += 1
         parts.cold.sent(lead.identity)
         sent_at = time.monotonic()
@@ -294,7 +306,7 @@
             )
         except BrokenStreamError as exc:
             outcome = Failure(
-                kind=ErrorKind.FAILED_AFTER_START,
+                kind=ErrorKind.OUTCOME_UNKNOWN,
                 reason=f'the answer broke off: {exc}',
             )
         took_ms = round((time.monotonic() - sent_at) * MS_PER_S)
@@ -340,12 +352,18 @@
                 left_ms=attempt.work_ms,
                 resume_after=attempt.resume_after,
             ).info('attempt_sent')
-            async with parts.link.send(attempt, limits) as reply:
-                if isinstance(reply, Failure):
-                    return reply
-                return await self._receive(
-                    work, reply, progress, answer, numbers, limits
-                )
+            with anyio.move_on_after(limits.first_s) as waiting:
+                async with parts.link.send(attempt, limits) as reply:
+                    waiting.deadline = math.inf
+                    if isinstance(reply, Failure):
+                        return reply
+                    return await self._receive(
+                        work, reply, progress, answer, numbers, limits
+                    )
+        return Failure(
+            kind=ErrorKind.TIMED_OUT,
+            reason=f'no answer for {limits.first_s:.2f} s',
+        )
 
     async def _receive(
         self,
@@ -365,7 +383,7 @@
             )
         if reply.verdict is Verdict.FOREIGN:
             return Failure(
-                kind=ErrorKind.FAILED_AFTER_START,
+                kind=ErrorKind.OUTCOME_UNKNOWN,
                 reason=f'not an answer to this request ({reply.status})',
             )
         if work.route.kind is Kind.STREAM and reply.success:
@@ -388,9 +406,9 @@
                 reason=f'resuming was answered with status {reply.status}',
             )
         failed = reply.status >= 500
-        if failed and self._may_repeat(work, progress):
+        if failed and _another_endpoint(work, progress):
             return Failure(
-                kind=ErrorKind.FAILED_AFTER_START,
+                kind=ErrorKind.INTERNAL,
                 reason=f'the endpoint failed with status {reply.status}',
             )
         await answer.start(reply.status, reply.headers, len(body))
@@ -398,13 +416,6 @@
         await answer.finish()
         return None
 
-    def _may_repeat(self, work: Admitted, progress: _Progress) -> bool:
-        return (
-            work.route.repeatable
-            and len(progress.ran_at) + 1 < work.route.max_endpoints
-            and progress.sendings < MAX_SENDINGS
-        )
-
     async def _stream(
         self,
         work: Admitted,
@@ -423,7 +434,7 @@
                 chunk = await anext(chunks, b'')
             if waiting.cancelled_caught:
                 return Failure(
-                    kind=ErrorKind.FAILED_AFTER_START,
+                    kind=ErrorKind.TIMED_OUT,
                     reason=f'no event for {wait_s:.2f} s',
                 )
             if not chunk:
@@ -477,7 +488,11 @@
             parts.directory.remove(lead.identity, 'its address has another')
             await parts.link.forget(lead)
         elif outcome.kind is not ErrorKind.OVERLOADED:
-            parts.health.failed(lead.identity, outcome.reason)
+            parts.health.failed(
+                lead.identity,
+                outcome.reason,
+                broken=outcome.kind in _BROKEN,
+            )
         progress.failure = outcome
         if not not_run(outcome.kind):
             progress.may_have_run = True
@@ -493,7 +508,7 @@
             return _final(progress, failure)
         if len(progress.ran_at) >= work.route.max_endpoints:
             return _final(progress, failure)
-        if failure.kind is ErrorKind.TIMED_OUT:
+        if work.left_s() * MS_PER_S <= ANSWER_MARGIN_MS:
             return _final(progress, failure)
         if not self._parts.repeats.take(work.service.name):
             logger.bind(
@@ -542,15 +557,43 @@
     )
 
 
-def _limits_of(work: Admitted, placement: Placement) -> AttemptLimits:
+def _limits_of(
+    work: Admitted,
+    placement: Placement,
+    progress: _Progress,
+) -> AttemptLimits:
+    """Return the time limits of an attempt.
+
+    An endpoint's silence ends an attempt early only where another endpoint
+    may still be asked.
+    """
     left_s = work.left_s()
-    pause_s = max(PAUSE_FLOOR_S, work.route.pause_ms * PAUSE_FACTOR / MS_PER_S)
-    first_s = left_s
-    if work.route.repeatable:
-        late_s = placement.first_ms * LATE_FACTOR / MS_PER_S
-        first_s = min(left_s, max(LATE_FLOOR_S, late_s))
+    connect_s = min(CONNECT_S, left_s)
+    if not _another_endpoint(work, progress):
+        return AttemptLimits(
+            connect_s=connect_s,
+            first_s=left_s,
+            pause_s=left_s,
+            whole_s=left_s,
+        )
+    route = work.route
+    late_s = max(
+        LATE_FLOOR_S,
+        placement.first_ms * LATE_FACTOR / MS_PER_S,
+        route.first_answer_ms * LATE_AIM_FACTOR / MS_PER_S,
+    )
+    pause_s = max(PAUSE_FLOOR_S, route.pause_ms * PAUSE_FACTOR / MS_PER_S)
     return AttemptLimits(
-        connect_s=min(CONNECT_S, left_s),
-        first_s=first_s,
-        pause_s=min(pause_s, left_s),
+        connect_s=connect_s,
+        first_s=min(left_s, late_s),
+        pause_s=min(left_s, pause_s),
+        whole_s=left_s,
+    )
+
+
+def _another_endpoint(work: Admitted, progress: _Progress) -> bool:
+    return (
+        work.route.repeatable
+        and len(progress.ran_at) + 1 < work.route.max_endpoints
+        and progress.sendings < MAX_SENDINGS
     )
