Count what a new part delays, and defer prompts that would make others late

Cause: engines read the newest part for another engine first and their own prompts last. Of five archive prompts within 0.8 s, the last and largest (429,063 tokens) had its first token after 1,186 ms, as if alone, and the first (128,172 tokens) none in 3.6 s.

Change: a part adds its time to what its engine is reading, for all requests with a part there; a prompt that would make others late waits in the entry while it has the time itself.

--- a/src/masticwind/serving/load.py
+++ b/src/masticwind/serving/load.py
@@ -29,13 +29,15 @@
 
     Times are seconds of this process's monotonic clock. `memory` is what
     the part holds at its endpoint, in tokens. `context` is zero for a part
-    that only reads. `pause_ms` is the longest pause between tokens that is
+    that only reads. `request` is the same for all parts of a request.
+    `pause_ms` is the longest pause between tokens that is
     still in time, zero for any; `worth` is the work that the caller gets, in
     tokens read, with a token written counting as ten; `due_at` is the last
     moment at which the first token is in time.
     """
 
     number: int
+    request: str
     endpoint: str
     reading: Reading
     context: int
@@ -75,6 +77,7 @@
         numbers: list[int] = []
         for job in jobs:
             number = next(self._numbers)
+            self._delay(job)
             self._own[number] = replace(job, number=number)
             numbers.append(number)
         self._note(numbers)
@@ -132,6 +135,8 @@
         if whole:
             known.clear()
         for job in jobs:
+            if job.number not in known and not job.writing:
+                self._delay(job)
             known[job.number] = job
         for number in ended:
             known.pop(number, None)
@@ -148,6 +153,23 @@
                     found.setdefault(job.endpoint, []).append(job)
         return found
 
+    def _delay(self, part: Job) -> None:
+        """Delay what an engine reads by a new part for another engine.
+
+        Engines read the newest of these parts first.
+        """
+        if part.context:
+            return
+        delay_s = part.first_at - part.started
+        for jobs in (self._own, *self._others.values()):
+            for number, job in jobs.items():
+                if job.endpoint != part.endpoint or job.writing:
+                    continue
+                if job.request != part.request:
+                    jobs[number] = replace(
+                        job, first_at=job.first_at + delay_s
+                    )
+
     def _note(self, numbers: Iterable[int]) -> None:
         self._changed.update(numbers)
         self._news.set()
--- a/src/masticwind/serving/peers.py
+++ b/src/masticwind/serving/peers.py
@@ -42,6 +42,7 @@
     """A job on the wire; times are ms from now."""
 
     number: int
+    request: str
     endpoint: str
     tokens: float
     pairs_m: float
@@ -295,6 +296,7 @@
 def _row(job: Job, now: float) -> _Row:
     return _Row(
         number=job.number,
+        request=job.request,
         endpoint=job.endpoint,
         tokens=round(job.reading.tokens),
         pairs_m=round(job.reading.pairs_m),
@@ -319,6 +321,7 @@
 def _job(row: _Row, now: float) -> Job:
     return Job(
         number=row.number,
+        request=row.request,
         endpoint=row.endpoint,
         reading=Reading(row.tokens, row.pairs_m),
         context=row.context,
--- a/src/masticwind/serving/placement.py
+++ b/src/masticwind/serving/placement.py
@@ -31,6 +31,7 @@
     that the route aims for, and `pause_ms` its longest pause in time.
     """
 
+    request: str
     service: Service
     candidates: Sequence[Endpoint]
     jobs: Mapping[str, Sequence[Job]]
@@ -70,11 +71,19 @@
     whole_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Deferral:
+    """The request is served better if it is placed a little later."""
+
+    wait_ms: float
+    reason: str
+
+
 class Placer(abc.ABC):
     """A way of choosing endpoints."""
 
     @abc.abstractmethod
-    def place(self, query: Query) -> Placement | Failure:
+    def place(self, query: Query) -> Placement | Deferral | Failure:
         """Choose; a `Failure` says that the request cannot be served."""
 
 
@@ -99,6 +108,7 @@
         wait_ms = CALL_MS * (1 + running // max(1, best.slots))
         job = Job(
             number=0,
+            request=query.request,
             endpoint=best.identity,
             reading=Reading(0, 0),
             context=1,
--- a/src/masticwind/serving/prompts.py
+++ b/src/masticwind/serving/prompts.py
@@ -6,7 +6,9 @@
 So short prompts gather on engines that write for short prompts already, long
 ones are read in parts by engines that write for nobody or only for callers
 who stand a longer pause, and each choice weighs what the caller gains
-against what others lose.
+against what others lose. An engine reads the newest part for another engine
+first and its own prompts last; a long prompt that would make earlier ones
+late therefore waits here while it has the time.
 """
 
 import math
@@ -27,6 +29,7 @@
     write_pass_ms,
 )
 from masticwind.serving.placement import (
+    Deferral,
     Placement,
     Placer,
     Query,
@@ -64,6 +67,11 @@
 # Memory that a reservation leaves free on its engine.
 RESERVE_SHARE: Final = 0.9
 RETRY_AFTER_MS: Final = 500
+# Bounds of the wait before a deferred prompt is placed again.
+SHORTEST_WAIT_MS: Final = 5.0
+LONGEST_WAIT_MS: Final = 100.0
+# Time of a pass that a prediction on idle engines leaves out.
+PASS_ALLOWANCE_MS: Final = 80.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -84,12 +92,13 @@
     engines: tuple[_Engine, ...]
     first_ms: float
     gain: float
+    lost: float
 
 
 class PromptPlacer(Placer):
     """Chooses how many engines read a prompt, and which."""
 
-    def place(self, query: Query) -> Placement | Failure:
+    def place(self, query: Query) -> Placement | Deferral | Failure:
         """Choose the plan with the largest gain."""
         speed = query.service.speed
         tokens = query.tokens
@@ -113,7 +122,31 @@
                 reason=f'the first token would take {best.first_ms:.0f} ms',
                 retry_after_ms=RETRY_AFTER_MS,
             )
-        return _placement(query, speed, tokens, best)
+        deferral = _deferral(query, speed, tokens, best)
+        return deferral or _placement(query, speed, tokens, best)
+
+
+def _deferral(
+    query: Query,
+    speed: EngineSpeed,
+    tokens: TokenCounts,
+    plan: _Plan,
+) -> Deferral | None:
+    """Return a wait if it spares others a loss and still is in time."""
+    if not plan.lost or not query.first_answer_ms:
+        return None
+    ends = [
+        (job.first_at - query.now) * MS_PER_S
+        for engine in plan.engines
+        for job in engine.jobs
+        if not job.writing
+    ]
+    wait_ms = min(LONGEST_WAIT_MS, max(SHORTEST_WAIT_MS, *ends, 0))
+    reading_ms = read_ms(speed, whole_prompt(tokens.prompt))
+    alone_ms = reading_ms / len(plan.engines) + PASS_ALLOWANCE_MS
+    if wait_ms + alone_ms > query.first_answer_ms * MARGIN:
+        return None
+    return Deferral(wait_ms, f'others would lose {plan.lost:.0f} tokens')
 
 
 def worth_of(tokens: TokenCounts) -> float:
@@ -178,18 +211,26 @@
     for engine in ranked:
         if len(group) < parts and engine is not lead:
             group.append(engine)
-    first_ms = max(
-        first_token_ms(speed, engine.state, part) for engine in group
-    )
+    first_ms = first_token_ms(speed, lead.state, part)
+    for engine in group[1:]:
+        first_ms = max(first_ms, _part_ms(speed, engine, part))
     if lead.leads >= speed.slots:
         first_ms += _slot_wait_ms(query, lead)
-    lost = sum(_loss(query, speed, engine, part) for engine in group)
+    losses: dict[str, float] = {}
+    for engine in group:
+        losses.update(_losses(query, speed, engine, part))
+    lost = sum(losses.values())
     gain = worth_of(tokens) * _credit(query, first_ms) - lost
     cost_ms = first_ms + parts * HELPER_COST_MS
     cost_ms += max(_cost_ms(query, speed, one, part) for one in group)
     # Among plans that serve everybody as well, the quicker one is better.
     gain -= cost_ms * worth_of(tokens) * _TIE_BREAK
-    return _Plan(engines=tuple(group), first_ms=first_ms, gain=gain)
+    return _Plan(
+        engines=tuple(group),
+        first_ms=first_ms,
+        gain=gain,
+        lost=lost,
+    )
 
 
 # Worth of a millisecond, far below that of being in time.
@@ -229,7 +270,7 @@
 ) -> float:
     """Return how unfavourable an engine is for one part, as a wait."""
     cost = first_token_ms(speed, engine.state, part) + engine.extra_ms
-    cost += _loss(query, speed, engine, part)
+    cost += sum(_losses(query, speed, engine, part).values())
     slots = speed.slots
     if engine.leads >= slots - SPARE_SLOTS:
         cost += FULL_COST_MS * (engine.leads - slots + SPARE_SLOTS + 1)
@@ -239,29 +280,38 @@
     return cost
 
 
-def _loss(
+def _part_ms(speed: EngineSpeed, engine: _Engine, part: Reading) -> float:
+    """Return the time until an engine has read a part for another one.
+
+    The part goes before what waits there, but not into a running pass.
+    """
+    state = EngineState(contexts=engine.state.contexts)
+    running_ms = 0.0
+    if state.contexts:
+        running_ms = read_ms(speed, engine.state.waiting) / 2
+    return running_ms + first_token_ms(speed, state, part)
+
+
+def _losses(
     query: Query,
     speed: EngineSpeed,
     engine: _Engine,
     part: Reading,
-) -> float:
-    """Return what the engine's other callers lose by this part.
+) -> dict[str, float]:
+    """Return what the engine's other requests lose by this part.
 
-    Writers lose by a long pause. An engine reads parts for other engines
-    before its own prompts, so a request that it leads waits for this part.
+    Writers lose by a long pause, and what is being read waits for the part.
     """
     pause_ms = longest_pause_ms(speed, engine.state, part)
     read_s = read_ms(speed, part) / MS_PER_S
-    lost = 0.0
+    lost: dict[str, float] = {}
     for job in engine.jobs:
-        if not job.context:
-            continue
         if job.writing:
             late = 0 < job.pause_ms * MARGIN < pause_ms
         else:
             late = max(query.now, job.first_at) + read_s > job.due_at
         if late:
-            lost += job.worth * (1 - LATE_CREDIT)
+            lost[job.request] = job.worth * (1 - LATE_CREDIT)
     return lost
 
 
@@ -299,6 +349,7 @@
     part = whole_prompt(tokens.prompt).part(1 / len(plan.engines))
     job = Job(
         number=0,
+        request=query.request,
         endpoint=lead.endpoint.identity,
         reading=part,
         context=tokens.prompt + tokens.expected_output // 2,
@@ -320,7 +371,6 @@
                 memory=share.reserved_tokens,
                 end_at=job.end_at if share.reserved_tokens else job.first_at,
                 pause_ms=0,
-                worth=0,
             )
         )
     return Placement(
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -39,7 +39,7 @@
     Service,
     TeamKeys,
 )
-from masticwind.serving.placement import Placement, Placer, Query
+from masticwind.serving.placement import Deferral, Placement, Placer, Query
 from masticwind.serving.reservations import reserved
 from masticwind.serving.settings import LiveSettings
 
@@ -176,7 +176,7 @@
         parts.repeats.request(work.service.name)
         progress = _Progress(last_event=work.req.resume_after)
         while True:
-            placement = self._place(work, progress)
+            placement = await self._place_in_time(work, progress)
             if isinstance(placement, Failure):
                 return _final(progress, placement)
             numbers = parts.board.add(placement.jobs)
@@ -192,11 +192,27 @@
             if failure is not None:
                 return failure
 
-    def _place(
+    async def _place_in_time(
         self,
         work: Admitted,
         progress: _Progress,
     ) -> Placement | Failure:
+        while True:
+            placement = self._place(work, progress)
+            if not isinstance(placement, Deferral):
+                return placement
+            logger.bind(
+                request_id=work.req.request_id,
+                wait_ms=round(placement.wait_ms),
+                reason=placement.reason,
+            ).info('placement_deferred')
+            await anyio.sleep(placement.wait_ms / MS_PER_S)
+
+    def _place(
+        self,
+        work: Admitted,
+        progress: _Progress,
+    ) -> Placement | Deferral | Failure:
         parts = self._parts
         left_s = work.left_s()
         if left_s * MS_PER_S <= ANSWER_MARGIN_MS:
@@ -211,6 +227,7 @@
             if share:
                 shares[endpoint.identity] = share
         query = Query(
+            request=work.req.request_id,
             service=work.service,
             candidates=candidates,
             jobs=parts.board.jobs(),
