--- a/src/masticwind/serving/prompts.py
+++ b/src/masticwind/serving/prompts.py
@@ -132,21 +132,33 @@
     tokens: TokenCounts,
     plan: _Plan,
 ) -> Deferral | None:
-    """Return a wait if it spares others a loss and still is in time."""
-    if not plan.lost or not query.first_answer_ms:
+    """Return a wait that makes a loss or a late answer avoidable.
+
+    It is avoidable while the time left suffices for a group of engines that
+    have nothing else to read.
+    """
+    aim_ms = query.first_answer_ms * MARGIN
+    if not aim_ms or (not plan.lost and plan.first_ms <= aim_ms):
         return None
     ends = [
         (job.first_at - query.now) * MS_PER_S
-        for engine in plan.engines
-        for job in engine.jobs
+        for jobs in query.jobs.values()
+        for job in jobs
         if not job.writing
     ]
-    wait_ms = min(LONGEST_WAIT_MS, max(SHORTEST_WAIT_MS, *ends, 0))
+    if not ends:
+        return None
+    wait_ms = min(LONGEST_WAIT_MS, max(SHORTEST_WAIT_MS, min(ends)))
+    count = len(query.candidates)
+    group = max(1, min(MAX_HELPERS + 1, int(count * (1 - FREE_SHARE))))
     reading_ms = read_ms(speed, whole_prompt(tokens.prompt))
-    alone_ms = reading_ms / len(plan.engines) + PASS_ALLOWANCE_MS
-    if wait_ms + alone_ms > query.first_answer_ms * MARGIN:
+    if wait_ms + reading_ms / group + PASS_ALLOWANCE_MS > aim_ms:
         return None
-    return Deferral(wait_ms, f'others would lose {plan.lost:.0f} tokens')
+    if plan.lost:
+        reason = f'others would lose {plan.lost:.0f} tokens'
+    else:
+        reason = f'the first token would take {plan.first_ms:.0f} ms'
+    return Deferral(wait_ms, reason)
 
 
 def worth_of(tokens: TokenCounts) -> float:
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -121,8 +121,21 @@
     may_have_run: bool = False
     last_event: int | None = None
     events: int = 0
+    first_ms: int = 0
+    event_at: float = 0
+    longest_pause_s: float = 0
     started: float = field(default_factory=time.monotonic)
 
+    def note_event(self) -> None:
+        """Note that events arrive now."""
+        now = time.monotonic()
+        if self.event_at:
+            pause_s = now - self.event_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        else:
+            self.first_ms = round((now - self.started) * MS_PER_S)
+        self.event_at = now
+
 
 def admit(
     req: CallerRequest,
@@ -329,9 +342,12 @@
         took_ms = round((time.monotonic() - sent_at) * MS_PER_S)
         if outcome is None:
             parts.health.succeeded(lead.identity)
-            log.bind(took_ms=took_ms, events=progress.events).info(
-                'attempt_done'
-            )
+            log.bind(
+                took_ms=took_ms,
+                events=progress.events,
+                first_ms=progress.first_ms,
+                pause_ms=round(progress.longest_pause_s * MS_PER_S),
+            ).info('attempt_done')
             return True
         log.bind(
             took_ms=took_ms,
@@ -469,8 +485,7 @@
                 continue
             if not answer.started:
                 await answer.start(reply.status, reply.headers, None)
-            if not progress.events:
-                self._first_event(work, progress)
+            progress.note_event()
             self._parts.board.first_token(numbers)
             progress.events += len(whole)
             wait_s = limits.pause_s
@@ -483,14 +498,6 @@
         await answer.finish()
         return None
 
-    def _first_event(self, work: Admitted, progress: _Progress) -> None:
-        first_ms = (time.monotonic() - progress.started) * MS_PER_S
-        logger.bind(
-            request_id=work.req.request_id,
-            first_ms=round(first_ms),
-            prompt=work.req.tokens.prompt if work.req.tokens else 0,
-        ).info('first_event')
-
     async def _note(
         self,
         work: Admitted,
