--- a/src/masticwind/serving/prompts.py
+++ b/src/masticwind/serving/prompts.py
@@ -68,7 +68,7 @@
 RESERVE_SHARE: Final = 0.9
 RETRY_AFTER_MS: Final = 500
 # Bounds of the wait before a deferred prompt is placed again.
-SHORTEST_WAIT_MS: Final = 5.0
+SHORTEST_WAIT_MS: Final = 10.0
 LONGEST_WAIT_MS: Final = 100.0
 # Time of a pass that a prediction on idle engines leaves out.
 PASS_ALLOWANCE_MS: Final = 80.0
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -210,15 +210,23 @@
         work: Admitted,
         progress: _Progress,
     ) -> Placement | Failure:
+        deferred_at = 0.0
         while True:
             placement = self._place(work, progress)
+            now = time.monotonic()
             if not isinstance(placement, Deferral):
+                if deferred_at:
+                    logger.bind(
+                        request_id=work.req.request_id,
+                        waited_ms=round((now - deferred_at) * MS_PER_S),
+                    ).info('placement_resumed')
                 return placement
-            logger.bind(
-                request_id=work.req.request_id,
-                wait_ms=round(placement.wait_ms),
-                reason=placement.reason,
-            ).info('placement_deferred')
+            if not deferred_at:
+                deferred_at = now
+                logger.bind(
+                    request_id=work.req.request_id,
+                    reason=placement.reason,
+                ).info('placement_deferred')
             await anyio.sleep(placement.wait_ms / MS_PER_S)
 
     def _place(
