Refuse a prompt at once where all slots are taken and its aim is lost

Requests queued in the engines, were given up after 0.8 s, and were sent again: from 30 to 34 s, 7 of 113 requests were served in time.

Change: the wait for a slot is part of a prediction, and a request whose prediction lies beyond its aim is refused while every slot is taken.

--- a/src/masticwind/serving/prompts.py
+++ b/src/masticwind/serving/prompts.py
@@ -12,6 +12,7 @@
 """
 
 import math
+import random
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Final
@@ -67,6 +68,13 @@
 # Memory that a reservation leaves free on its engine.
 RESERVE_SHARE: Final = 0.9
 RETRY_AFTER_MS: Final = 500
+# Bounds of the hint to callers that are refused for overload, and its
+# spread, so that they do not return together.
+SHORTEST_RETRY_MS: Final = 1000.0
+LONGEST_RETRY_MS: Final = 3000.0
+RETRY_SPREAD: Final = 0.4
+# A request that has outlived its prediction ends within about this time.
+OVERDUE_END_S: Final = 0.3
 # Bounds of the wait before a deferred prompt is placed again.
 SHORTEST_WAIT_MS: Final = 10.0
 LONGEST_WAIT_MS: Final = 100.0
@@ -122,10 +130,44 @@
                 reason=f'the first token would take {best.first_ms:.0f} ms',
                 retry_after_ms=RETRY_AFTER_MS,
             )
+        if _overloaded(query, speed, engines, best):
+            return Failure(
+                kind=ErrorKind.OVERLOADED,
+                reason=(
+                    'all slots are taken, the first token would take'
+                    f' {best.first_ms:.0f} ms'
+                ),
+                retry_after_ms=_retry_after_ms(query, best),
+            )
         deferral = _deferral(query, speed, tokens, best)
         return deferral or _placement(query, speed, tokens, best)
 
 
+def _overloaded(
+    query: Query,
+    speed: EngineSpeed,
+    engines: list[_Engine],
+    plan: _Plan,
+) -> bool:
+    """Tell whether a request is better refused than queued.
+
+    Where every slot is taken and the wait goes beyond the aim, a queue makes
+    all later requests late too. A refused caller comes back while the
+    callers that are let in are served in time.
+    """
+    if plan.first_ms <= query.first_answer_ms * MARGIN:
+        return False
+    if not query.first_answer_ms:
+        return False
+    return all(engine.leads >= speed.slots for engine in engines)
+
+
+def _retry_after_ms(query: Query, plan: _Plan) -> int:
+    excess_ms = plan.first_ms - query.first_answer_ms * MARGIN
+    wait_ms = min(LONGEST_RETRY_MS, max(SHORTEST_RETRY_MS, excess_ms))
+    return int(wait_ms * random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD))
+
+
 def _deferral(
     query: Query,
     speed: EngineSpeed,
@@ -226,8 +268,7 @@
     first_ms = first_token_ms(speed, lead.state, part)
     for engine in group[1:]:
         first_ms = max(first_ms, _part_ms(speed, engine, part))
-    if lead.leads >= speed.slots:
-        first_ms += _slot_wait_ms(query, lead)
+    first_ms += _slot_wait_ms(query, speed, lead)
     losses: dict[str, float] = {}
     for engine in group:
         losses.update(_losses(query, speed, engine, part))
@@ -282,6 +323,7 @@
 ) -> float:
     """Return how unfavourable an engine is for one part, as a wait."""
     cost = first_token_ms(speed, engine.state, part) + engine.extra_ms
+    cost += _slot_wait_ms(query, speed, engine)
     cost += sum(_losses(query, speed, engine, part).values())
     slots = speed.slots
     if engine.leads >= slots - SPARE_SLOTS:
@@ -327,9 +369,21 @@
     return lost
 
 
-def _slot_wait_ms(query: Query, engine: _Engine) -> float:
-    ends = sorted(job.end_at for job in engine.jobs if job.context)
-    return max(0.0, ends[0] - query.now) * MS_PER_S if ends else 0.0
+def _slot_wait_ms(
+    query: Query,
+    speed: EngineSpeed,
+    engine: _Engine,
+) -> float:
+    """Return the time until a slot is free for one more request."""
+    queued = engine.leads - speed.slots
+    if queued < 0:
+        return 0.0
+    ends = sorted(
+        max(job.end_at, query.now + OVERDUE_END_S)
+        for job in engine.jobs
+        if job.context
+    )
+    return (ends[queued] - query.now) * MS_PER_S
 
 
 def _credit(query: Query, first_ms: float) -> float:
