Count no loss for requests that are late already; keep engines for streams

Change: what is late already loses nothing more. A long read leaves as many engines free as the streams with short pauses need. Keys are accepted for 3.6 s after the last confirmation (0.72 of the bound); a watch that hears nothing for a second stays within the bound.

--- a/src/masticwind/serving/freshness.py
+++ b/src/masticwind/serving/freshness.py
@@ -16,7 +16,7 @@
 MS_PER_S: Final = 1000
 # Part of the time that a removed key may still work in which a copy is
 # trusted; the rest covers watches that hear nothing for a while.
-TRUSTED_SHARE: Final = 0.62
+TRUSTED_SHARE: Final = 0.72
 RETRY_AFTER_MS: Final = 400
 
 
--- a/src/masticwind/serving/prompts.py
+++ b/src/masticwind/serving/prompts.py
@@ -63,6 +63,8 @@
 # A part that blocks its engine longer leaves this share of all engines free.
 BLOCKING_MS: Final = 120.0
 FREE_SHARE: Final = 0.2
+# Slots that the streams on these engines fill.
+FILLED_SHARE: Final = 0.75
 # Streams that stand pauses up to this are held up by a long read.
 SENSITIVE_PAUSE_MS: Final = 300.0
 # Memory that a reservation leaves free on its engine.
@@ -255,8 +257,7 @@
     )
     part_ms = read_ms(speed, part)
     if part_ms > BLOCKING_MS and parts > 1:
-        kept = math.ceil(len(engines) * FREE_SHARE)
-        if parts > len(engines) - kept:
+        if parts > len(engines) - _kept(speed, engines):
             return None
     lead = _lead(query, speed, tokens, ranked, parts)
     if lead is None:
@@ -290,6 +291,15 @@
 _TIE_BREAK: Final = 1e-5
 
 
+def _kept(speed: EngineSpeed, engines: list[_Engine]) -> int:
+    """Return how many engines a long read leaves to sensitive streams."""
+    streams = sum(
+        1 for engine in engines for job in engine.jobs if _sensitive(job)
+    )
+    needed = math.ceil(streams / (speed.slots * FILLED_SHARE))
+    return max(math.ceil(len(engines) * FREE_SHARE), needed)
+
+
 def _lead(
     query: Query,
     speed: EngineSpeed,
@@ -363,7 +373,9 @@
         if job.writing:
             late = 0 < job.pause_ms * MARGIN < pause_ms
         else:
-            late = max(query.now, job.first_at) + read_s > job.due_at
+            first_at = max(query.now, job.first_at)
+            # One that is late already loses nothing more.
+            late = first_at <= job.due_at < first_at + read_s
         if late:
             lost[job.request] = job.worth * (1 - LATE_CREDIT)
     return lost
