--- a/src/masticwind/serving/prompts.py
+++ b/src/masticwind/serving/prompts.py
@@ -63,6 +63,8 @@
 # A part that blocks its engine longer leaves this share of all engines free.
 BLOCKING_MS: Final = 120.0
 FREE_SHARE: Final = 0.2
+# Share of taken slots from which on requests are refused rather than late.
+FULL_SHARE: Final = 0.85
 # Slots that the streams on these engines fill.
 FILLED_SHARE: Final = 0.75
 # Streams that stand pauses up to this are held up by a long read.
@@ -161,7 +163,9 @@
         return False
     if not query.first_answer_ms:
         return False
-    return all(engine.leads >= speed.slots for engine in engines)
+    slots = speed.slots * len(engines)
+    taken = sum(min(engine.leads, speed.slots) for engine in engines)
+    return taken >= slots * FULL_SHARE
 
 
 def _retry_after_ms(query: Query, plan: _Plan) -> int:
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -390,6 +390,7 @@
                 prompt=work.req.tokens.prompt if work.req.tokens else 0,
                 helpers=[one.endpoint.identity for one in helpers],
                 predicted_ms=round(placement.first_ms),
+                whole_ms=round(placement.whole_ms),
                 left_ms=attempt.work_ms,
                 resume_after=attempt.resume_after,
             ).info('attempt_sent')
