--- a/src/masticwind/serving/passes.py
+++ b/src/masticwind/serving/passes.py
@@ -18,6 +18,9 @@
 MS_PER_S: Final = 1000
 TOKENS_PER_K: Final = 1000
 PAIRS_PER_M: Final = 1_000_000
+# Part of a pass that goes by before a new request is read, and in which its
+# first event is put together.
+RUNNING_PASS: Final = 0.85
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +79,7 @@
     """Return the time until a new request's first token.
 
     What waits is read before it. Beside writers, the request waits for the
-    running pass and gets its token with the steps of its own.
+    rest of the running pass and gets its token with the steps of its own.
     """
     ahead = state.waiting.plus(own)
     chunks = math.ceil(ahead.tokens / speed.chunk_tokens)
@@ -84,7 +87,9 @@
     if not state.contexts:
         return delay_ms + chunks * speed.step_ms
     passes = math.ceil(chunks / speed.stride)
-    return delay_ms + passes * write_pass_ms(speed, state.contexts)
+    return delay_ms + (passes + RUNNING_PASS) * write_pass_ms(
+        speed, state.contexts
+    )
 
 
 def longest_pause_ms(
