--- a/src/masticwind/serving/prompts.py
+++ b/src/masticwind/serving/prompts.py
@@ -63,8 +63,10 @@
 # A part that blocks its engine longer leaves this share of all engines free.
 BLOCKING_MS: Final = 120.0
 FREE_SHARE: Final = 0.2
-# Share of taken slots from which on requests are refused rather than late.
-FULL_SHARE: Final = 0.85
+# Share of taken slots from which on requests are refused rather than late,
+# and the part of the aim that a prediction may use up there.
+FULL_SHARE: Final = 0.5
+ADMIT_SHARE: Final = 0.85
 # Slots that the streams on these engines fill.
 FILLED_SHARE: Final = 0.75
 # Streams that stand pauses up to this are held up by a long read.
@@ -159,7 +161,7 @@
     all later requests late too. A refused caller comes back while the
     callers that are let in are served in time.
     """
-    if plan.first_ms <= query.first_answer_ms * MARGIN:
+    if plan.first_ms <= query.first_answer_ms * ADMIT_SHARE:
         return False
     if not query.first_answer_ms:
         return False
