Refuse what costs others more than it gains; gather short prompts strongly

Short prompts took idle engines, since these now predicted 20 ms against 80 ms on a busy one, and long prompts found no engine without streams; and a long prompt that had waited as long as it could was placed whatever others lost.

Change: opening a further engine for short prompts costs 150 ms; a prompt whose best plan costs others more than it gains is refused; a prompt may wait for writers too, not only for readers.

--- a/src/masticwind/serving/prompts.py
+++ b/src/masticwind/serving/prompts.py
@@ -54,7 +54,7 @@
 # A helper costs a message and a step more; a tie goes to fewer helpers.
 HELPER_COST_MS: Final = 3.0
 # Opening a further engine for short prompts costs as much as this wait.
-SPREAD_COST_MS: Final = 50.0
+SPREAD_COST_MS: Final = 150.0
 # Slots that are left for what other entries are placing right now.
 SPARE_SLOTS: Final = 2
 FULL_COST_MS: Final = 150.0
@@ -146,7 +146,15 @@
                 retry_after_ms=_retry_after_ms(query, best),
             )
         deferral = _deferral(query, speed, tokens, best)
-        return deferral or _placement(query, speed, tokens, best)
+        if deferral is not None:
+            return deferral
+        if best.gain < 0:
+            return Failure(
+                kind=ErrorKind.OVERLOADED,
+                reason=f'others would lose {best.lost:.0f} tokens',
+                retry_after_ms=_retry_after_ms(query, best),
+            )
+        return _placement(query, speed, tokens, best)
 
 
 def _overloaded(
@@ -196,8 +204,7 @@
         for job in jobs
         if not job.writing
     ]
-    if not ends:
-        return None
+    ends.append(LONGEST_WAIT_MS)
     wait_ms = min(LONGEST_WAIT_MS, max(SHORTEST_WAIT_MS, min(ends)))
     count = len(query.candidates)
     group = max(1, min(MAX_HELPERS + 1, int(count * (1 - FREE_SHARE))))
