Start and stop without refusals: wait for the first copies, close idle connections

Change: a starting entry leaves callers in the listen backlog until it has its copies, for half a second at most; a leaving entry closes idle connections and serves what ends before the process does.

--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import math
 import time
 from dataclasses import dataclass, replace
 from typing import Final
@@ -107,8 +108,9 @@
         self._parts: Final = parts
         self.running = 0
         self.last_request_at = time.monotonic()
-        # Refuses new requests, which still get a true answer.
-        self.refusing = False
+        # When the process ends, on the monotonic clock; a request that
+        # would take longer is refused.
+        self.ends_at = math.inf
 
     async def __call__(
         self,
@@ -183,12 +185,6 @@
 
     def _admit(self, req: CallerRequest) -> Admitted | Failure:
         parts = self._parts
-        if self.refusing:
-            return Failure(
-                kind=ErrorKind.DRAINING,
-                reason='shutting down',
-                retry_after_ms=1,
-            )
         route = parts.active.route_of(req)
         team = None
         if not isinstance(route, Failure):
@@ -200,7 +196,10 @@
             return route
         if isinstance(team, Failure):
             return team
-        return admit(req, route, team, parts.active.config)
+        work = admit(req, route, team, parts.active.config)
+        if isinstance(work, Failure):
+            return work
+        return replace(work, process_ends_at=self.ends_at)
 
 
 async def _until_gone(receive: Receive, scope: anyio.CancelScope) -> None:
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -54,6 +54,8 @@
 )
 # A connection in the same region is there within a few milliseconds.
 CONNECT_S: Final = 0.4
+# A whole answer may take this many times its predicted time.
+WHOLE_MARGIN: Final = 1.5
 # Sendings of one request, refused ones included.
 MAX_SENDINGS: Final = 6
 # The answer must be back a little before the time is over.
@@ -90,13 +92,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Admitted:
-    """A request with the configuration under which it was admitted."""
+    """A request with the configuration under which it was admitted.
+
+    `process_ends_at` is infinite unless this process is shutting down.
+    """
 
     req: CallerRequest
     route: Route
     service: Service
     team: TeamKeys
     deadline: float
+    process_ends_at: float = math.inf
 
     def left_s(self) -> float:
         """Return the seconds that are left for it."""
@@ -215,6 +221,12 @@
             placement = self._place(work, progress)
             now = time.monotonic()
             if not isinstance(placement, Deferral):
+                if _ends_too_late(work, placement):
+                    return Failure(
+                        kind=ErrorKind.DRAINING,
+                        reason='shutting down',
+                        retry_after_ms=1,
+                    )
                 if deferred_at:
                     logger.bind(
                         request_id=work.req.request_id,
@@ -552,6 +564,13 @@
         return None
 
 
+def _ends_too_late(work: Admitted, placement: Placement | Failure) -> bool:
+    if isinstance(placement, Failure):
+        return False
+    whole_s = placement.whole_ms * WHOLE_MARGIN / MS_PER_S
+    return time.monotonic() + whole_s > work.process_ends_at
+
+
 def _final(progress: _Progress, failure: Failure) -> Failure:
     """Return the true answer after the last attempt."""
     if progress.may_have_run and not_run(failure.kind):
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -47,8 +47,11 @@
 REGISTRATION_BATCH_S: Final = 0.3
 ENTRIES_WAIT_S: Final = 10.0
 ENTRIES_BATCH_S: Final = 1.0
-# After SIGTERM, new requests are served for this long: the balancer needs
-# two failed checks, a second apart, to send callers elsewhere.
+# Callers that arrive before the first copies have been read wait this long.
+LONGEST_START_S: Final = 0.5
+START_POLL_S: Final = 0.005
+# After SIGTERM, callers still arrive for this long: the balancer needs two
+# failed checks, a second apart, to send them elsewhere.
 SERVE_ON_S: Final = 3.0
 # Time before SIGKILL that is left for closing down.
 CLOSE_S: Final = 0.4
@@ -137,19 +140,32 @@
             tasks.start_soon(entries.run)
             tasks.start_soon(registrar.run)
             tasks.start_soon(link.run)
+            await self._until_informed()
             await self._server.run()
             tasks.cancel_scope.cancel()
 
+    async def _until_informed(self) -> None:
+        """Wait for the first copies; callers wait in the listen backlog."""
+        with anyio.move_on_after(LONGEST_START_S):
+            while not self._informed():
+                await anyio.sleep(START_POLL_S)
+
+    def _informed(self) -> bool:
+        return self._config_mirror.listed and self._registrations.listed
+
     async def drain(self) -> None:
-        """Serve what runs, and what still arrives for a while; then end."""
+        """Serve what runs, and what still arrives and ends in time."""
         started = time.monotonic()
         last = started + self._settings.bounds.shutdown_ms / MS_PER_S - CLOSE_S
         self._leaving = True
         self._server.closing = True
-        await anyio.sleep(SERVE_ON_S)
-        self._app.refusing = True
-        while self._app.running and time.monotonic() < last:
+        self._app.ends_at = last
+        while time.monotonic() < last:
+            self._server.close_idle()
             await anyio.sleep(POLL_S)
+            served_on = time.monotonic() - started >= SERVE_ON_S
+            if served_on and not self._app.running:
+                break
         logger.bind(cut=self._app.running).info('drained')
         await self._server.finish(CLOSE_S / 2)
 
@@ -194,10 +210,6 @@
         receive: Receive,
         send: Send,
     ) -> None:
-        ready = (
-            not self._leaving
-            and self._config_mirror.listed
-            and self._registrations.listed
-        )
+        ready = self._informed() and not self._leaving
         status = 200 if ready else 503
         await send_response(send, json_response(status, {'ready': ready}))
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -199,6 +199,12 @@
         """Take no new connections and end when the last request has."""
         self._server.should_exit = True
 
+    def close_idle(self) -> None:
+        """Close connections that have had an answer and wait for more."""
+        for conn in tuple(self._server.server_state.connections):
+            if isinstance(conn, LimitedProtocol) and conn.idle:
+                conn.transport.close()
+
     async def finish(self, timeout_s: float) -> None:
         """Stop, and wait until the last answer is written.
 
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -27,6 +27,13 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def idle(self) -> bool:
+        """Whether the last request has its answer and no new one begins."""
+        if self.cycle is None or not self.cycle.response_complete:
+            return False
+        return not self._head_bytes
+
     def connection_made(  # type: ignore[override]
         self,
         transport: asyncio.Transport,
