--- a/src/masticwind/ctl/main.py
+++ b/src/masticwind/ctl/main.py
@@ -26,8 +26,8 @@
 from masticwind.ctl.backend import ApiBackend, Backend, StoreBackend
 from masticwind.ctl.table import status_lines
 from masticwind.errors import ErrorKind, Failure
-from masticwind.store.http import HttpKeyValue
 from masticwind.settings import PlatformSettings
+from masticwind.store.http import HttpKeyValue
 
 DONE: Final = 0
 DIFFERENT: Final = 1
--- a/src/masticwind/entry/claim_bucket.py
+++ b/src/masticwind/entry/claim_bucket.py
@@ -35,8 +35,8 @@
     Waiter,
 )
 from masticwind.errors import ErrorKind, Failure
-from masticwind.store.base import Conflict, KeyValue, Unknown, Written
 from masticwind.settings import ClaimSettings
+from masticwind.store.base import Conflict, KeyValue, Unknown, Written
 
 MAX_WAITING: Final = 4096
 MAX_BATCH: Final = 512
--- a/src/masticwind/entry/claims.py
+++ b/src/masticwind/entry/claims.py
@@ -19,8 +19,8 @@
 from masticwind.entry.claim_records import ClaimState, Order, Record
 from masticwind.entry.claim_waiters import ClaimAnswer, Claimed, Pace
 from masticwind.errors import ErrorKind, Failure
-from masticwind.store.base import KeyValue
 from masticwind.settings import ClaimSettings
+from masticwind.store.base import KeyValue
 
 MS_PER_S: Final = 1000
 SETTLE_POLL_S: Final = 0.02
--- a/src/masticwind/entry/neighbours.py
+++ b/src/masticwind/entry/neighbours.py
@@ -19,12 +19,12 @@
 )
 from masticwind.entry.limits import UsageShares
 from masticwind.node import Node
-from masticwind.store.base import Instance
 from masticwind.protocol.channel import Channel
 from masticwind.protocol.dialer import keep_connected
 from masticwind.protocol.listener import Listener, PeerHandler
 from masticwind.protocol.messages import AnyMessage, Usage
 from masticwind.settings import Address, EntrySettings
+from masticwind.store.base import Instance
 
 MS_PER_S: Final = 1000
 
--- a/src/masticwind/entry/peers.py
+++ b/src/masticwind/entry/peers.py
@@ -23,7 +23,6 @@
 from masticwind.entry.subset import choose_subset
 from masticwind.errors import Failure
 from masticwind.node import Node
-from masticwind.store.base import Instance, InstanceList
 from masticwind.protocol.channel import Channel
 from masticwind.protocol.dialer import keep_connected
 from masticwind.protocol.listener import PeerHandler
@@ -42,6 +41,7 @@
     Revoked,
 )
 from masticwind.settings import Address, EntrySettings
+from masticwind.store.base import Instance, InstanceList
 
 MS_PER_S: Final = 1000
 # Longer than a request may wait for its agent's next connection.
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -18,12 +18,12 @@
 from masticwind.entry.tier_count import TierCounter
 from masticwind.node import Node
 from masticwind.planner.runner import Planner
+from masticwind.settings import EntrySettings
 from masticwind.store.http import (
     HttpInstanceList,
     HttpKeyValue,
     HttpWeightStore,
 )
-from masticwind.settings import EntrySettings
 from masticwind.telemetry import make_telemetry
 from masticwind.web import WebServer
 from masticwind.web_protocol import WRITE_STALL_S
--- a/src/masticwind/entry/subset.py
+++ b/src/masticwind/entry/subset.py
@@ -10,8 +10,8 @@
 
 import xxhash
 
-from masticwind.store.base import Instance
 from masticwind.settings import EntrySettings
+from masticwind.store.base import Instance
 
 
 def choose_subset(
--- a/src/masticwind/planner/runner.py
+++ b/src/masticwind/planner/runner.py
@@ -11,9 +11,9 @@
 from masticwind.errors import Failure
 from masticwind.planner.leader import Leadership
 from masticwind.planner.placement import EndpointView, Order, plan_order
-from masticwind.store.base import KeyValue, WeightStore
 from masticwind.protocol.messages import EndpointOrder
 from masticwind.settings import EntrySettings
+from masticwind.store.base import KeyValue, WeightStore
 
 INTERVAL_S: Final = 1.0
 FRESH_S: Final = 2.0
--- a/src/masticwind/platform/headers.py
+++ b/src/masticwind/platform/headers.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterable
 from typing import Any, Final
 
-
 from masticwind.budget import MS_PER_S, Budget
 from masticwind.errors import ANSWERS, ErrorKind, Failure
 from masticwind.serving.edge import Edge
--- a/src/masticwind/platform/main.py
+++ b/src/masticwind/platform/main.py
@@ -68,9 +68,7 @@
             store=cfg.store.address,
         ).info('started')
         tasks.start_soon(stop_on_signals, entry.drain, tasks.cancel_scope)
-        tasks.start_soon(
-            reload_on_change, path, DirectSettings, settings.adopt
-        )
+        tasks.start_soon(reload_on_change, path, DirectSettings, settings.adopt)
         tasks.start_soon(entry.run)
 
 
--- a/src/masticwind/platform/store.py
+++ b/src/masticwind/platform/store.py
@@ -111,10 +111,7 @@
             path,
             timeout_s=wait_s + CALL_TIMEOUT_S,
         )
-        if (
-            isinstance(answer, HttpAnswer)
-            and answer.status == HTTPStatus.GONE
-        ):
+        if isinstance(answer, HttpAnswer) and answer.status == HTTPStatus.GONE:
             return Compacted()
         events = _decode(answer, _Events)
         if isinstance(events, Failure):
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -6,6 +6,7 @@
 
 import abc
 import math
+import random
 import time
 from dataclasses import dataclass, replace
 from typing import Final
@@ -13,7 +14,7 @@
 import anyio
 from loguru import logger
 
-from masticwind.errors import ErrorKind, Failure
+from masticwind.errors import ANSWERS, ErrorKind, Failure
 from masticwind.serving.freshness import Freshness
 from masticwind.serving.link import CallerAnswer
 from masticwind.serving.model import CallerRequest, Headers
@@ -31,6 +32,11 @@
 MS_PER_S: Final = 1000
 # A body must arrive within this time, also from a caller with more patience.
 BODY_TIMEOUT_S: Final = 10.0
+UNAVAILABLE: Final = 503
+# Hint where nothing better is known, and its spread, so that callers do not
+# return together.
+RETRY_AFTER_MS: Final = 300
+RETRY_SPREAD: Final = 0.5
 
 
 class Edge(abc.ABC):
@@ -143,6 +149,7 @@
             failure = await self._request(req, receive, answer)
         if failure is None:
             return
+        failure = _with_hint(failure)
         logger.bind(
             request_id=request_id,
             kind=failure.kind.value,
@@ -202,6 +209,15 @@
         return replace(work, process_ends_at=self.ends_at)
 
 
+def _with_hint(failure: Failure) -> Failure:
+    """Tell callers of a request that did not run when to come back."""
+    answer = ANSWERS[failure.kind]
+    if failure.retry_after_ms or answer.status != UNAVAILABLE:
+        return failure
+    spread = random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
+    return replace(failure, retry_after_ms=int(RETRY_AFTER_MS * spread))
+
+
 async def _until_gone(receive: Receive, scope: anyio.CancelScope) -> None:
     while True:
         event = await receive()
--- a/src/masticwind/serving/load.py
+++ b/src/masticwind/serving/load.py
@@ -166,9 +166,7 @@
                 if job.endpoint != part.endpoint or job.writing:
                     continue
                 if job.request != part.request:
-                    jobs[number] = replace(
-                        job, first_at=job.first_at + delay_s
-                    )
+                    jobs[number] = replace(job, first_at=job.first_at + delay_s)
 
     def _note(self, numbers: Iterable[int]) -> None:
         self._changed.update(numbers)
--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -84,9 +84,7 @@
 
     def returned_within(self, seconds: float) -> bool:
         """Tell whether the store came back at most `seconds` ago."""
-        return (
-            not self._connected or boot_time() - self._returned_at <= seconds
-        )
+        return not self._connected or boot_time() - self._returned_at <= seconds
 
     async def run(self) -> None:
         """Mirror until cancelled."""
--- a/src/masticwind/serving/prompts.py
+++ b/src/masticwind/serving/prompts.py
@@ -433,9 +433,7 @@
     for engine in sorted(helpers, key=_memory, reverse=True):
         reserved = min(missing, int(engine.memory * RESERVE_SHARE))
         missing -= reserved
-        shares.append(
-            Share(endpoint=engine.endpoint, reserved_tokens=reserved)
-        )
+        shares.append(Share(endpoint=engine.endpoint, reserved_tokens=reserved))
     whole_ms = plan.first_ms + _write_ms(speed, lead.state, tokens)
     part = whole_prompt(tokens.prompt).part(1 / len(plan.engines))
     job = Job(
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -69,9 +69,6 @@
 # Pauses between events: this many of the route's longest pause, at least.
 PAUSE_FACTOR: Final = 4.0
 PAUSE_FLOOR_S: Final = 1.2
-# Wait before a request that every endpoint refused is tried again.
-RETRY_AFTER_MS: Final = 300
-RETRY_SPREAD: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -356,7 +353,7 @@
             )
         except BrokenStreamError as exc:
             outcome = Failure(
-                kind=ErrorKind.OUTCOME_UNKNOWN,
+                kind=ErrorKind.FAILED_AFTER_START,
                 reason=f'the answer broke off: {exc}',
             )
         took_ms = round((time.monotonic() - sent_at) * MS_PER_S)
@@ -437,7 +434,7 @@
             )
         if reply.verdict is Verdict.FOREIGN:
             return Failure(
-                kind=ErrorKind.OUTCOME_UNKNOWN,
+                kind=ErrorKind.FAILED_AFTER_START,
                 reason=f'not an answer to this request ({reply.status})',
             )
         if work.route.kind is Kind.STREAM and reply.success:
@@ -580,14 +577,7 @@
                 kind=ErrorKind.FAILED_AFTER_START,
                 reason='an earlier attempt may have run',
             )
-    if not not_run(failure.kind) or failure.retry_after_ms:
-        return failure
-    spread = random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
-    return Failure(
-        kind=failure.kind,
-        reason=failure.reason,
-        retry_after_ms=int(RETRY_AFTER_MS * spread),
-    )
+    return failure
 
 
 def _attempt_of(
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -116,6 +116,16 @@
             address_of(cfg.ready),
         )
 
+    @property
+    def port(self) -> int:
+        """TCP port of the callers' edge."""
+        return self._server.port
+
+    @property
+    def ready_port(self) -> int:
+        """TCP port of the readiness check."""
+        return self._ready.port
+
     async def run(self) -> None:
         """Serve until cancelled."""
         cfg = self._settings.cfg
--- a/src/masticwind/store/http.py
+++ b/src/masticwind/store/http.py
@@ -9,6 +9,7 @@
 
 from masticwind.errors import ErrorKind, Failure
 from masticwind.httpclient import HttpAnswer, HttpClient
+from masticwind.settings import PlatformSettings
 from masticwind.store.base import (
     MAX_VALUE_BYTES,
     Conflict,
@@ -22,7 +23,6 @@
     WriteResult,
     Written,
 )
-from masticwind.settings import PlatformSettings
 
 MS_PER_S: Final = 1000
 _REFUSED: Final = (
--- a/src/masticwind_dev/bench/orders.py
+++ b/src/masticwind_dev/bench/orders.py
@@ -29,9 +29,9 @@
 from masticwind.entry.claims import ClaimOutcome, Claims
 from masticwind.errors import Failure
 from masticwind.httpclient import HttpClient
+from masticwind.settings import ClaimSettings, PlatformSettings
 from masticwind.store.base import Conflict, Versioned, WriteResult
 from masticwind.store.http import HttpKeyValue
-from masticwind.settings import ClaimSettings, PlatformSettings
 from masticwind_dev.faults.processes import process_group
 
 MAX_LATENCY_US: Final = 60_000_000
--- a/src/masticwind_dev/bench/slopes_control.py
+++ b/src/masticwind_dev/bench/slopes_control.py
@@ -21,8 +21,8 @@
 from masticwind.config.store import ConfigStore
 from masticwind.errors import Failure
 from masticwind.httpclient import HttpAnswer, HttpClient
-from masticwind.store.http import HttpKeyValue
 from masticwind.settings import PlatformSettings
+from masticwind.store.http import HttpKeyValue
 from masticwind_dev.bench.arena import arena_config
 from masticwind_dev.bench.slopes_peers import Totals
 from masticwind_dev.faults.fleet import SECRET
--- a/src/masticwind_dev/bench/slopes_listing.py
+++ b/src/masticwind_dev/bench/slopes_listing.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from masticwind.entry.subset import choose_subset
-from masticwind.store.base import Instance
 from masticwind.settings import EntrySettings, PeerSettings
+from masticwind.store.base import Instance
 
 ENTRY_SHARE: Final = 530 / 6930
 ZONES: Final = 17
--- a/src/masticwind_dev/bench/slopes_spread.py
+++ b/src/masticwind_dev/bench/slopes_spread.py
@@ -17,8 +17,8 @@
 from masticwind.config.model import Configuration
 from masticwind.config.store import ConfigStore
 from masticwind.errors import Failure
-from masticwind.store.http import HttpKeyValue
 from masticwind.settings import PlatformSettings
+from masticwind.store.http import HttpKeyValue
 from masticwind_dev.bench.slopes_config import teams_config, with_weight
 from masticwind_dev.faults.fleet import SECRET
 from masticwind_dev.faults.processes import (
--- a/src/masticwind_dev/faults/fleet.py
+++ b/src/masticwind_dev/faults/fleet.py
@@ -7,8 +7,8 @@
 import anyio
 
 from masticwind.config.store import ConfigStore
-from masticwind.store.http import HttpKeyValue
 from masticwind.settings import PlatformSettings
+from masticwind.store.http import HttpKeyValue
 from masticwind_dev.faults.processes import Process, ProcessGroup, control
 from masticwind_dev.faults.proxy import TcpProxy
 
--- a/src/masticwind_dev/local/fleet.py
+++ b/src/masticwind_dev/local/fleet.py
@@ -13,8 +13,6 @@
 from masticwind.config.store import ConfigStore
 from masticwind.entry.server import Entry
 from masticwind.errors import Failure
-from masticwind.store.base import Instance
-from masticwind.store.http import HttpKeyValue
 from masticwind.settings import (
     Address,
     AgentSettings,
@@ -25,6 +23,8 @@
     PlatformSettings,
     TraceSettings,
 )
+from masticwind.store.base import Instance
+from masticwind.store.http import HttpKeyValue
 from masticwind.web import App, WebServer
 from masticwind_dev.standins.engine import EngineModel, EngineStandin
 from masticwind_dev.standins.instances import InstancesStandin
--- a/src/masticwind_dev/play/engines.py
+++ b/src/masticwind_dev/play/engines.py
@@ -160,9 +160,7 @@
                 self.helping.remove(part)
             # The slot is kept until the request has its first token.
             part.request.lead_engine.part_done(part.request)
-        self.own = [
-            part for part in self.own if part.request.parts_left
-        ]
+        self.own = [part for part in self.own if part.request.parts_left]
         self.busy = False
         self._wake()
 
--- a/src/masticwind_dev/play/load.py
+++ b/src/masticwind_dev/play/load.py
@@ -1,8 +1,8 @@
 """Arrivals of the users' sheets, and what callers get of a placer.
 
-    sheet = Sheet(engines=14, phases=QUIET)
-    results = play(PromptPlacer(), sheet, seed=1)
-    results['short'].in_aim
+sheet = Sheet(engines=14, phases=QUIET)
+results = play(PromptPlacer(), sheet, seed=1)
+results['short'].in_aim
 """
 
 import math
--- a/src/masticwind_dev/standins/metadata.py
+++ b/src/masticwind_dev/standins/metadata.py
@@ -125,9 +125,7 @@
         prefix = req.query['prefix']
         after = req.query.get('after', '')
         keys = sorted(
-            key
-            for key in self._rows
-            if key.startswith(prefix) and key > after
+            key for key in self._rows if key.startswith(prefix) and key > after
         )
         page = keys[:PAGE_ITEMS]
         return json_response(
--- a/src/masticwind_dev/standins/raw_endpoint.py
+++ b/src/masticwind_dev/standins/raw_endpoint.py
@@ -46,7 +46,9 @@
         headers: tuple[str, ...] = (),
     ) -> None:
         """Write a whole answer with a length, sealed as the endpoint's."""
-        await self.write(head(req, status, (f'Content-Length: {len(body)}', *headers)))
+        await self.write(
+            head(req, status, (f'Content-Length: {len(body)}', *headers))
+        )
         await self.write(body)
 
     async def close(self) -> None:
--- a/src/masticwind_platform.py
+++ b/src/masticwind_platform.py
@@ -13,7 +13,7 @@
     SIGHUP must not end the process while the modules are still loading.
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    from masticwind.platform.main import main  # noqa: PLC0415
+    from masticwind.platform.main import main
 
     main()
 
--- /dev/null
+++ b/tests/direct_rig.py
@@ -0,0 +1,290 @@
+"""An entry that serves endpoints directly, with stand-ins, in one process."""
+
+import base64
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from masticwind.errors import Failure
+from masticwind.httpclient import HttpAnswer, HttpClient
+from masticwind.platform.documents import (
+    ENTRIES,
+    OPERATIONS,
+    REGISTRATIONS,
+    PlatformDecoder,
+)
+from masticwind.platform.endpoints import PlatformLink
+from masticwind.platform.headers import PlatformEdge
+from masticwind.platform.store import PlatformStore
+from masticwind.serving.server import Adapter, DirectEntry, Prefixes
+from masticwind.serving.settings import (
+    DirectSettings,
+    FleetBounds,
+    LiveSettings,
+    StoreSettings,
+)
+from masticwind.settings import Address
+from masticwind.web import WebServer
+from masticwind_dev.standins.metadata import MetadataStandin
+from masticwind_dev.standins.raw_endpoint import (
+    LAST_CHUNK,
+    RawConnection,
+    RawEndpoint,
+    Received,
+    Script,
+    event_chunk,
+    stream_head,
+)
+
+HOST = 'fleet.example'
+KEY = 'key-of-a'
+CALLS = 'calls'
+ENGINES = 'engines'
+WAIT_S = 5.0
+
+
+def route(name: str, **fields: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': f'/{name}/',
+        'kind': 'idempotent',
+        'service': CALLS,
+        'timeout_ms': 3000,
+        'goal_ms': 150,
+        'priority': 1,
+        'max_attempts': 2,
+        'public': False,
+        **fields,
+    }
+
+
+ENGINE_FIGURES = {
+    'slots': 8,
+    'kv_capacity': 450_000,
+    'step_ms': 0.925,
+    'per_seq_ms': 0.00966,
+    'context_per_k': 0.00254,
+    'read_per_s': 256_000.0,
+    'pairs_per_m': 0.0917,
+    'chunk': 2048,
+    'stride': 46,
+    'hop_ms': 0.1,
+}
+
+
+def sample_document(version: int = 3, **changes: Any) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    return {
+        'version': version,
+        'routes': [
+            route('read'),
+            route('order', kind='non_idempotent', max_attempts=1),
+            route(
+                'chat',
+                kind='streaming',
+                service=ENGINES,
+                resumable=True,
+                gap_target_ms=200,
+                goal_ms=300,
+            ),
+            route('open', public=True),
+        ],
+        'services': [
+            {'name': CALLS, 'max_conns': 100},
+            {'name': ENGINES, 'max_conns': 100, 'engine': ENGINE_FIGURES},
+        ],
+        'tenants': [
+            {'name': 'team-a', 'api_keys': [KEY], 'priority': 1},
+        ],
+        **changes,
+    }
+
+
+async def answer_whole(req: Received, conn: RawConnection) -> None:
+    """Answer with the body `done`."""
+    await conn.answer(req)
+
+
+async def answer_events(req: Received, conn: RawConnection) -> None:
+    """Answer with events 1 to 4, from the one after `Last-Event-Id`."""
+    first = int(req.headers.get('last-event-id', '0')) + 1
+    await conn.write(stream_head(req))
+    for number in range(first, 5):
+        await conn.write(event_chunk(number))
+    await conn.write(LAST_CHUNK)
+
+
+@dataclass
+class Rig:
+    """The running parts, and shorthands for a test's steps."""
+
+    store: MetadataStandin
+    entry: DirectEntry
+    tasks: anyio.abc.TaskGroup
+    client: HttpClient
+    endpoints: dict[str, RawEndpoint] = field(default_factory=dict)
+    revision: int = 0
+
+    def configure(self, document: dict[str, Any]) -> None:
+        """Write a configuration as the operator does."""
+        self.store.write('op/config', json.dumps(document).encode())
+
+    async def endpoint(
+        self,
+        identity: str,
+        script: Script,
+        service: str = CALLS,
+        **fields: Any,
+    ) -> RawEndpoint:
+        """Start an endpoint and register it."""
+        endpoint = RawEndpoint(script)
+        await self.tasks.start(endpoint.run)
+        self.endpoints[identity] = endpoint
+        self.register(identity, service, **fields)
+        return endpoint
+
+    def register(self, identity: str, service: str, **fields: Any) -> None:
+        """Write the registration of an endpoint."""
+        document = {
+            'service': service,
+            'addr': f'127.0.0.1:{self.endpoints[identity].port}',
+            'zone': 'zone-a',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'cold_left_ms': 0,
+            'born': 1,
+            'seq': 1,
+            **fields,
+        }
+        self.store.write(f'servers/{identity}', json.dumps(document).encode())
+
+    async def ask(
+        self,
+        path: str,
+        *,
+        method: str = 'GET',
+        body: bytes = b'',
+        key: str = KEY,
+        request_id: str = 'r1',
+        timeout_ms: int = 3000,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> HttpAnswer:
+        """Make a caller's request and return the whole answer."""
+        answer = await self.client.request(
+            method,
+            path,
+            timeout_s=WAIT_S,
+            body=body,
+            headers=(
+                *caller_headers(key, request_id, timeout_ms),
+                *headers,
+            ),
+        )
+        assert not isinstance(answer, Failure), answer
+        return answer
+
+    async def until_served(self, path: str, status: int = 200) -> HttpAnswer:
+        """Ask until the answer has a status."""
+        with anyio.fail_after(WAIT_S):
+            while True:
+                answer = await self.ask(path)
+                if answer.status == status:
+                    return answer
+                await anyio.sleep(0.02)
+
+    @property
+    def received(self) -> list[Received]:
+        """Return everything that endpoints received."""
+        return [
+            req
+            for endpoint in self.endpoints.values()
+            for req in endpoint.received
+        ]
+
+
+def caller_headers(
+    key: str,
+    request_id: str,
+    timeout_ms: int,
+) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the headers of a caller's request."""
+    return (
+        (b'Host', HOST.encode()),
+        (b'X-Attempt-Id', request_id.encode()),
+        (b'X-Deadline-Ms', str(timeout_ms).encode()),
+        (b'Authorization', f'Bearer {key}'.encode()),
+    )
+
+
+def prompt_headers(
+    tokens: int = 1000,
+    output: int = 200,
+) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the headers of a request for a model."""
+    return (
+        (b'X-Model', b'm'),
+        (b'X-Token-Counts', f'{tokens},{output}'.encode()),
+        (b'X-Prompt-Prefix', f'5c1e07a2:{tokens}'.encode()),
+    )
+
+
+@asynccontextmanager
+async def direct_rig(
+    document: dict[str, Any] | None = None,
+    bounds: FleetBounds | None = None,
+) -> AsyncIterator[Rig]:
+    """Run a store and an entry; a test adds endpoints."""
+    store = MetadataStandin()
+    server = WebServer(store.app, Address())
+    cfg = DirectSettings(
+        node='entry-1',
+        zone='zone-a',
+        region='region-a',
+        zones={'zone-a': 'region-a', 'zone-b': 'region-b'},
+        listen='127.0.0.1:0',
+        ready='127.0.0.1:0',
+        store=StoreSettings(address=f'127.0.0.1:{server.port}'),
+        bounds=bounds or FleetBounds(),
+    )
+    adapter = Adapter(
+        store=PlatformStore(cfg.store),
+        decoder=PlatformDecoder(),
+        edge=PlatformEdge(),
+        link=PlatformLink(),
+        prefixes=Prefixes(
+            operations=OPERATIONS,
+            registrations=REGISTRATIONS,
+            entries=ENTRIES,
+        ),
+    )
+    entry = DirectEntry(LiveSettings(cfg), adapter)
+    client = HttpClient(f'http://127.0.0.1:{entry.port}')
+    async with anyio.create_task_group() as tasks:
+        rig = Rig(store, entry, tasks, client)
+        if document is None:
+            document = sample_document()
+        rig.configure(document)
+        tasks.start_soon(server.run)
+        tasks.start_soon(entry.run)
+        yield rig
+        await client.close()
+        tasks.cancel_scope.cancel()
+
+
+def decoded(value: bytes | None) -> Any:
+    """Return a JSON value of the store."""
+    assert value is not None
+    return json.loads(value)
+
+
+def encoded(value: bytes) -> str:
+    """Return a value as the store carries it."""
+    return base64.b64encode(value).decode()
--- a/tests/routing_fakes.py
+++ b/tests/routing_fakes.py
@@ -6,9 +6,9 @@
 from masticwind.entry.affinity import AffinityIndex
 from masticwind.entry.peers import AgentLink
 from masticwind.entry.predict import Job
-from masticwind.store.base import Instance
 from masticwind.protocol.messages import Load
 from masticwind.settings import EntrySettings, PeerSettings
+from masticwind.store.base import Instance
 
 
 def entry_settings(**changes: Any) -> EntrySettings:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -33,6 +33,7 @@
 )
 from masticwind.entry.claim_waiters import Claimed, Pace, Waiter
 from masticwind.errors import ErrorKind, Failure, not_run
+from masticwind.settings import ClaimSettings
 from masticwind.store.base import (
     Conflict,
     KeyValue,
@@ -42,7 +43,6 @@
     WriteResult,
     Written,
 )
-from masticwind.settings import ClaimSettings
 from masticwind_dev.standins.service import ServiceStandin
 
 KEYS = tuple(f'order-{number}' for number in range(6))
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -15,7 +15,6 @@
 )
 from masticwind.config.store import ConfigStore
 from masticwind.errors import Failure
-from masticwind.store.base import Instance
 from masticwind.protocol.messages import (
     AnyMessage,
     ConfigData,
@@ -23,6 +22,7 @@
     Hello,
     Message,
 )
+from masticwind.store.base import Instance
 from masticwind_dev.local.fleet import Fleet, FleetPlan, running_fleet
 from masticwind_dev.standins.engine import EngineModel
 from tests.memory_kv import MemoryKeyValue
--- /dev/null
+++ b/tests/test_direct_path.py
@@ -0,0 +1,204 @@
+"""The whole path of an entry that serves endpoints directly."""
+
+import anyio
+import pytest
+
+from masticwind.errors import Failure
+from masticwind.httpclient import HttpClient
+from masticwind_dev.standins.raw_endpoint import RawConnection, Received
+from tests.direct_rig import (
+    CALLS,
+    ENGINES,
+    KEY,
+    answer_events,
+    answer_whole,
+    caller_headers,
+    direct_rig,
+    prompt_headers,
+    route,
+    sample_document,
+)
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_request_arrives_unchanged() -> None:
+    """Guards against a changed method, path, query or body, a key that is
+    passed on, a missing team or identity, and a longer time than is left.
+    """
+    async with direct_rig() as rig:
+        await rig.endpoint('i-1', answer_whole)
+        await rig.until_served('/read/a')
+        answer = await rig.ask(
+            '/order/b%20c?x=%C3%A4&y=1',
+            method='POST',
+            body=b'\x00bytes',
+            request_id='order-1',
+            timeout_ms=2500,
+            headers=((b'X-Own', b'kept'), (b'X-Tenant', b'forged')),
+        )
+        assert answer.status == 200
+        assert answer.body == b'done'
+        assert answer.headers['x-server-seal'] == '3e1b.07'
+        req = rig.received[-1]
+        assert req.method == 'POST'
+        assert req.target == '/order/b%20c?x=%C3%A4&y=1'
+        assert req.body == b'\x00bytes'
+        assert req.headers['x-own'] == 'kept'
+        assert req.headers['x-attempt-id'] == 'order-1'
+        assert req.headers['x-tenant'] == 'team-a'
+        assert req.headers['x-expect-instance'] == 'i-1'
+        assert 'authorization' not in req.headers
+        assert 0 < int(req.headers['x-deadline-ms']) <= 2500
+
+
+async def test_deadline_is_bounded_by_the_route() -> None:
+    """Guards against an endpoint that works longer than the route allows."""
+    document = sample_document()
+    document['routes'].append(route('quick', timeout_ms=800))
+    async with direct_rig(document) as rig:
+        await rig.endpoint('i-1', answer_whole)
+        await rig.until_served('/quick/a')
+        assert int(rig.received[-1].headers['x-deadline-ms']) <= 800
+
+
+async def test_longest_prefix_wins_and_others_are_not_found() -> None:
+    """Guards against a route that takes the requests of a longer one."""
+    document = sample_document()
+    document['routes'].append(route('read/deep', service='other'))
+    document['services'].append({'name': 'other', 'max_conns': 10})
+    async with direct_rig(document) as rig:
+        await rig.endpoint('i-1', answer_whole)
+        await rig.endpoint('i-2', answer_whole, 'other')
+        await rig.until_served('/read/deep/x')
+        assert not rig.endpoints['i-1'].received
+        assert (await rig.ask('/readdeep/x')).status == 404
+
+
+async def test_keys_decide_except_on_public_routes() -> None:
+    """Guards against unknown keys that are served, and public routes that
+    ask for a key.
+    """
+    async with direct_rig() as rig:
+        await rig.endpoint('i-1', answer_whole)
+        await rig.until_served('/read/a')
+        assert (await rig.ask('/read/a', key='wrong')).status == 401
+        assert (await rig.ask('/open/a', key='wrong')).status == 200
+        assert 'x-tenant' not in rig.received[-1].headers
+
+
+async def test_without_a_configuration_nothing_is_said_to_be_missing() -> None:
+    """Guards against 404 and 401 from an entry that knows no configuration."""
+    async with direct_rig({'broken': True}) as rig:
+        answer = await rig.ask('/read/a')
+        assert answer.status == 503
+        assert float(answer.headers['retry-after']) > 0
+
+
+async def test_readiness_follows_the_first_copies() -> None:
+    """Guards against callers that are sent to an entry without a copy."""
+    async with direct_rig() as rig:
+        ready = HttpClient(f'http://127.0.0.1:{rig.entry.ready_port}')
+        with anyio.fail_after(5):
+            while True:
+                answer = await ready.request('GET', '/any', timeout_s=1)
+                assert not isinstance(answer, Failure)
+                if answer.status == 200:
+                    break
+                await anyio.sleep(0.01)
+
+
+async def test_stream_is_relayed_event_by_event() -> None:
+    """Guards against events that wait for the end of the stream."""
+    second = anyio.Event()
+
+    async def script(req: Received, conn: RawConnection) -> None:
+        await answer_slowly(req, conn, second)
+
+    async with direct_rig() as rig:
+        await rig.endpoint('i-1', script, ENGINES)
+        await rig.endpoint('c-1', answer_whole)
+        await rig.until_served('/read/a')
+        async with rig.client.stream(
+            'POST',
+            '/chat/x',
+            timeout_s=5,
+            headers=(*caller_headers(KEY, 's1', 5000), *prompt_headers()),
+        ) as answer:
+            assert not isinstance(answer, Failure)
+            chunks = aiter(answer.chunks)
+            assert b'id: 1\n' in await anext(chunks)
+            second.set()
+            rest = b''.join([chunk async for chunk in chunks])
+            assert b'id: 2\n' in rest
+
+
+async def answer_slowly(
+    req: Received,
+    conn: RawConnection,
+    second: anyio.Event,
+) -> None:
+    """Answer with two events; the second one only when told."""
+    from masticwind_dev.standins import raw_endpoint as raw
+
+    await conn.write(raw.stream_head(req))
+    await conn.write(raw.event_chunk(1))
+    await second.wait()
+    await conn.write(raw.event_chunk(2))
+    await conn.write(raw.LAST_CHUNK)
+
+
+async def test_caller_that_leaves_stops_the_endpoint() -> None:
+    """Guards against work that goes on after its caller has left."""
+    hung_up = anyio.Event()
+
+    async def script(_req: Received, conn: RawConnection) -> None:
+        with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+            await conn.stream.receive(1)
+        hung_up.set()
+        conn.closed = True
+
+    async with direct_rig() as rig:
+        await rig.endpoint('i-1', script)
+        await rig.endpoint('e-1', answer_events, ENGINES)
+        with anyio.move_on_after(0.5):
+            await rig.ask('/order/a', method='POST')
+        with anyio.fail_after(1):
+            await hung_up.wait()
+
+
+async def test_newer_version_wins_and_older_is_ignored() -> None:
+    """Guards against a configuration that reverts."""
+    async with direct_rig() as rig:
+        await rig.endpoint('i-1', answer_whole)
+        await rig.until_served('/read/a')
+        newer = sample_document(version=9)
+        newer['routes'].append(route('late'))
+        rig.configure(newer)
+        await rig.until_served('/late/a')
+        rig.configure(sample_document(version=5))
+        await anyio.sleep(0.3)
+        assert (await rig.ask('/late/a')).status == 200
+
+
+async def test_evacuated_zone_and_leaving_endpoint_get_nothing_new() -> None:
+    """Guards against new work for a zone that was taken out and for an
+    endpoint that leaves.
+    """
+    async with direct_rig() as rig:
+        await rig.endpoint('i-1', answer_whole, CALLS, zone='zone-a')
+        await rig.endpoint('i-2', answer_whole, CALLS, zone='zone-b')
+        await rig.until_served('/read/a')
+        rig.store.write('op/evacuate/zone-a', b'{}')
+        await anyio.sleep(0.2)
+        count = len(rig.endpoints['i-1'].received)
+        for _ in range(5):
+            assert (await rig.ask('/read/a')).status == 200
+        assert len(rig.endpoints['i-1'].received) == count
+        rig.store.write('op/evacuate/zone-a', None)
+        rig.register('i-2', CALLS, zone='zone-b', state='draining')
+        await anyio.sleep(0.5)
+        gone = len(rig.endpoints['i-2'].received)
+        for _ in range(5):
+            assert (await rig.ask('/read/a')).status == 200
+        assert len(rig.endpoints['i-2'].received) == gone
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,9 +11,9 @@
 from masticwind.entry.peers import AgentLink, AgentPool, PoolParts
 from masticwind.entry.subset import choose_subset
 from masticwind.node import Node
-from masticwind.store.base import Instance
 from masticwind.protocol.messages import Heartbeat, Load
 from masticwind.settings import EntrySettings, PeerSettings
+from masticwind.store.base import Instance
 from masticwind_dev.local.fleet import FleetPlan, running_fleet
 from masticwind_dev.standins.engine import EngineModel
 from tests.scenarios import sample_config
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -10,9 +10,9 @@
 from masticwind.engines.http import HttpEngine
 from masticwind.planner.leader import MARGIN_S, TTL_S, Leadership
 from masticwind.planner.placement import EndpointView, Order, plan_order
-from masticwind.store.http import HttpKeyValue
 from masticwind.protocol.messages import EndpointOrder, Load, LoadState
 from masticwind.settings import Address, PlatformSettings
+from masticwind.store.http import HttpKeyValue
 from masticwind.web import WebServer
 from masticwind_dev.standins.engine import EngineModel, EngineStandin
 from masticwind_dev.standins.keyvalue import KeyValueStandin
--- a/tests/test_resume_machine.py
+++ b/tests/test_resume_machine.py
@@ -35,9 +35,9 @@
 from masticwind.entry.predict import Job
 from masticwind.errors import Failure
 from masticwind.node import Node
-from masticwind.store.base import Instance
 from masticwind.protocol.messages import Heartbeat, Load, Message, Offer, Output
 from masticwind.settings import AgentSettings, PeerSettings
+from masticwind.store.base import Instance
 from tests.scenarios import sample_config
 
 PROMPT = b'x' * 600_000
