Split the relay and the prompt placer by concern; test bounds, load, deployment

relay.py (650 lines) becomes work (what was admitted and what happened), attempt (one sending) and relay (the loop); prompts.py becomes engine_view, plans and prompts.

Found by a test: a SIGHUP or a changed file right after the start was lost, since the settings' content was remembered only after 'started' was logged.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,11 @@
 test: setup
 	$(PY) -m pytest $(ARGS)
 
+requirements.txt: pyproject.toml
+	python3 -c "import tomllib; \
+	names = tomllib.load(open('$<', 'rb'))['project']['dependencies']; \
+	print('-c constraints.txt', *names, sep='\n')" > $@
+
 demo: setup
 	$(PY) -m masticwind_dev.local.main $(ARGS)
 
--- a/src/masticwind/platform/headers.py
+++ b/src/masticwind/platform/headers.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Iterable
+from http import HTTPStatus
 from typing import Any, Final
 
 from masticwind.budget import MS_PER_S, Budget
@@ -28,8 +29,9 @@
 SEAL: Final = 'x-server-seal'
 NOT_RUN: Final = 'x-not-executed'
 AT_FAULT: Final = 'at-server'
-WRONG_ENDPOINT: Final = 421
-REFUSED: Final = frozenset((429, 503))
+_REFUSED: Final = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+)
 # A caller may wait this long for a request that names no time.
 DEFAULT_TIMEOUT_MS: Final = 60_000
 
@@ -111,16 +113,16 @@
     headers: dict[str, str],
 ) -> Verdict:
     """Tell what an answer says of the request it should belong to."""
-    if status == WRONG_ENDPOINT:
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
         return Verdict.WRONG_ENDPOINT
     if NOT_RUN in headers:
         return Verdict.NOT_RUN
     if headers.get(REQUEST_ID.decode()) != req.request_id:
         return Verdict.FOREIGN
-    success = 200 <= status < 300
+    success = HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
     if success and (SEAL not in headers or 'content-encoding' in headers):
         return Verdict.FOREIGN
-    if status in REFUSED:
+    if status in _REFUSED:
         # Without the header, such a status does not say that nothing ran.
         return Verdict.FOREIGN
     return Verdict.RAN
--- a/src/masticwind/platform/main.py
+++ b/src/masticwind/platform/main.py
@@ -20,8 +20,10 @@
 from masticwind.platform.store import PlatformStore
 from masticwind.program import (
     EXIT_USAGE,
+    SettingsFile,
     load_or_exit,
     reload_on_change,
+    settings_file,
     stop_on_signals,
 )
 from masticwind.serving.server import Adapter, DirectEntry, Prefixes
@@ -37,17 +39,21 @@
     if not path:
         sys.stderr.write(f'{SETTINGS_VARIABLE} names no settings file\n')
         sys.exit(EXIT_USAGE)
-    cfg = load_or_exit(Path(path), DirectSettings)
+    settings = settings_file(Path(path), DirectSettings)
+    cfg = load_or_exit(settings.path, DirectSettings)
     anyio.run(
         _serve,
-        Path(path),
+        settings,
         LiveSettings(cfg),
         backend_options={'use_uvloop': True},
     )
 
 
-async def _serve(path: Path, settings: LiveSettings) -> None:
-    cfg = settings.cfg
+async def _serve(
+    settings: SettingsFile[DirectSettings],
+    live: LiveSettings,
+) -> None:
+    cfg = live.cfg
     adapter = Adapter(
         store=PlatformStore(cfg.store),
         decoder=PlatformDecoder(),
@@ -59,17 +65,17 @@
             entries=ENTRIES,
         ),
     )
+    name_process('entry', cfg.node)
     async with anyio.create_task_group() as tasks:
-        entry = DirectEntry(settings, adapter)
-        name_process('entry', cfg.node)
+        entry = DirectEntry(live, adapter)
+        await tasks.start(reload_on_change, settings, live.adopt)
+        tasks.start_soon(stop_on_signals, entry.drain, tasks.cancel_scope)
+        tasks.start_soon(entry.run)
         logger.bind(
             zone=cfg.zone,
             listen=cfg.listen,
             store=cfg.store.address,
         ).info('started')
-        tasks.start_soon(stop_on_signals, entry.drain, tasks.cancel_scope)
-        tasks.start_soon(reload_on_change, path, DirectSettings, settings.adopt)
-        tasks.start_soon(entry.run)
 
 
 if __name__ == '__main__':
--- a/src/masticwind/program.py
+++ b/src/masticwind/program.py
@@ -4,10 +4,12 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Final, TypeVar
+from typing import Final, Generic, TypeVar
 
 import anyio
+from anyio.abc import TaskStatus
 from loguru import logger
 
 from masticwind.errors import Failure
@@ -22,6 +24,23 @@
 _Settings = TypeVar('_Settings')
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsFile(Generic[_Settings]):
+    """A settings file with its content when it was first read."""
+
+    path: Path
+    kind: type[_Settings]
+    content: bytes
+
+
+def settings_file(
+    path: Path,
+    kind: type[_Settings],
+) -> SettingsFile[_Settings]:
+    """Remember a file's content, before it is read as settings."""
+    return SettingsFile(path, kind, _content(path))
+
+
 def load_or_exit(path: Path, kind: type[_Settings]) -> _Settings:
     """Read settings, or print one line and exit with code 2."""
     cfg = read_settings(path, kind)
@@ -33,38 +52,43 @@
 
 
 async def reload_on_change(
-    path: Path,
-    kind: type[_Settings],
+    settings: SettingsFile[_Settings],
     adopt: Callable[[_Settings], None],
+    *,
+    task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Read settings again at SIGHUP, and when their file has changed.
 
     Settings that cannot be used are logged and leave those in force.
     """
+    content = settings.content
     with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-        content = path.read_bytes()
+        task_status.started()
         while True:
             hangup = False
             with anyio.move_on_after(RELOAD_POLL_S):
                 await anext(aiter(signals))
                 hangup = True
-            try:
-                newest = path.read_bytes()
-            except OSError as exc:
-                logger.bind(reason=str(exc)).warning('settings_unreadable')
-                continue
+            newest = _content(settings.path)
             if newest == content and not hangup:
                 continue
             content = newest
-            _reload(path, kind, adopt)
+            _reload(settings, adopt)
+
+
+def _content(path: Path) -> bytes:
+    """Return a file's content; a file that cannot be read has none."""
+    try:
+        return path.read_bytes()
+    except OSError:
+        return b''
 
 
 def _reload(
-    path: Path,
-    kind: type[_Settings],
+    settings: SettingsFile[_Settings],
     adopt: Callable[[_Settings], None],
 ) -> None:
-    cfg = read_settings(path, kind)
+    cfg = read_settings(settings.path, settings.kind)
     if isinstance(cfg, Failure):
         logger.bind(reason=cfg.reason).error('settings_rejected')
         return
--- a/src/masticwind/serving/bounds.py
+++ b/src/masticwind/serving/bounds.py
@@ -14,8 +14,6 @@
 # Part of the slack that is used: an entry that was restarted knows nothing
 # of the repeats before.
 SLACK_SHARE: Final = 0.7
-# Until the number of entries is known.
-ASSUMED_ENTRIES: Final = 8
 
 
 class SlidingCount:
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -14,12 +14,14 @@
 import anyio
 from loguru import logger
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import ANSWERS, ErrorKind, Failure
 from masticwind.serving.freshness import Freshness
 from masticwind.serving.link import CallerAnswer
 from masticwind.serving.model import CallerRequest, Headers
-from masticwind.serving.relay import Admitted, Relay, admit
+from masticwind.serving.relay import Relay
 from masticwind.serving.routes import ActiveConfig
+from masticwind.serving.work import Admitted, admit
 from masticwind.web import (
     Receive,
     Response,
@@ -29,7 +31,6 @@
     send_response,
 )
 
-MS_PER_S: Final = 1000
 # A body must arrive within this time, also from a caller with more patience.
 BODY_TIMEOUT_S: Final = 10.0
 UNAVAILABLE: Final = 503
--- a/src/masticwind/serving/events.py
+++ b/src/masticwind/serving/events.py
@@ -31,8 +31,9 @@
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the events that are whole with this chunk."""
-        *whole, self._rest = (self._rest + chunk).split(b'\n\n')
-        return [Event(_number(text), b'%b\n\n' % text) for text in whole]
+        parts = (self._rest + chunk).split(b'\n\n')
+        self._rest = parts.pop()
+        return [Event(_number(text), b'%b\n\n' % text) for text in parts]
 
 
 def _number(text: bytes) -> int | None:
--- a/src/masticwind/serving/freshness.py
+++ b/src/masticwind/serving/freshness.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 from typing import Final
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.model import Route, TeamKeys
 from masticwind.serving.settings import LiveSettings
 
-MS_PER_S: Final = 1000
 # Part of the time that a removed key may still work in which a copy is
 # trusted; the rest covers watches that hear nothing for a while.
 TRUSTED_SHARE: Final = 0.72
--- a/src/masticwind/serving/health.py
+++ b/src/masticwind/serving/health.py
@@ -7,12 +7,14 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final
 
 from loguru import logger
 
+from masticwind.serving.model import Endpoint
+
 FIRST_OUT_S: Final = 0.5
 LONGEST_OUT_S: Final = 4.0
 # Weight of the newest result in the failure share of an endpoint.
@@ -40,10 +42,14 @@
         record = self._records.get(endpoint)
         return record is not None and record.out_until > self._clock()
 
-    def failure_share(self, endpoint: str) -> float:
-        """Return the recent share of failures, from 0 to 1."""
-        record = self._records.get(endpoint)
-        return 0.0 if record is None else record.share
+    def shares(self, endpoints: Iterable[Endpoint]) -> dict[str, float]:
+        """Return the recent shares of failures, from 0 to 1, above zero."""
+        shares: dict[str, float] = {}
+        for endpoint in endpoints:
+            record = self._records.get(endpoint.identity)
+            if record is not None and record.share > 0:
+                shares[endpoint.identity] = record.share
+        return shares
 
     def succeeded(self, endpoint: str) -> None:
         """Note a request that the endpoint served."""
--- a/src/masticwind/serving/link.py
+++ b/src/masticwind/serving/link.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from masticwind.errors import Failure
 from masticwind.serving.model import CallerRequest, Endpoint, Headers
@@ -84,7 +85,7 @@
     @property
     def success(self) -> bool:
         """Whether the endpoint served the request."""
-        return 200 <= self.status < 300
+        return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
 
 
 class EndpointLink(abc.ABC):
--- a/src/masticwind/serving/load.py
+++ b/src/masticwind/serving/load.py
@@ -92,7 +92,7 @@
             if job.context:
                 self._own[number] = replace(job, writing=True)
             else:
-                del self._own[number]
+                self._own.pop(number)
             self._note((number,))
 
     def remove(self, numbers: Iterable[int]) -> None:
--- a/src/masticwind/serving/passes.py
+++ b/src/masticwind/serving/passes.py
@@ -13,9 +13,9 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from masticwind.budget import MS_PER_S
 from masticwind.serving.model import EngineSpeed
 
-MS_PER_S: Final = 1000
 TOKENS_PER_K: Final = 1000
 PAIRS_PER_M: Final = 1_000_000
 # Part of a pass that goes by before a new request is read, and in which its
--- a/src/masticwind/serving/peers.py
+++ b/src/masticwind/serving/peers.py
@@ -8,7 +8,7 @@
 
 import math
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -17,6 +17,7 @@
 import msgspec
 from loguru import logger
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.load import Job, LoadBoard
 from masticwind.serving.mirror import Sink, boot_time
@@ -24,7 +25,8 @@
 from masticwind.serving.settings import DirectSettings
 from masticwind.serving.store import Item, MetadataStore
 
-MS_PER_S: Final = 1000
+# Number of entries until the registrations have been read.
+ASSUMED_ENTRIES: Final = 8
 LEASE_S: Final = 4.0
 RENEW_S: Final = 1.3
 RETRY_S: Final = 0.5
@@ -91,9 +93,9 @@
         self._node: Final = cfg.node
         self._peers: dict[str, _Peer] = {}
 
-    def count(self, assumed: int) -> int:
+    def count(self) -> int:
         """Return how many entries may be alive."""
-        return len(self._peers) or assumed
+        return len(self._peers) or ASSUMED_ENTRIES
 
     def others(self) -> list[_Peer]:
         """Return the addresses of the other entries."""
@@ -210,7 +212,7 @@
             await anyio.sleep(REFRESH_S)
             for entry, heard in list(self._heard.items()):
                 if boot_time() - heard.at > SILENT_S:
-                    del self._heard[entry]
+                    self._heard.pop(entry)
                     self._board.update_others(entry, (), (), whole=True)
                     logger.bind(entry=entry).info('entry_silent')
 
@@ -284,15 +286,6 @@
         )
 
 
-def entries_alive(peers: EntryPeers, assumed: int) -> Callable[[], int]:
-    """Return a function that counts the entries that may be alive."""
-
-    def count() -> int:
-        return peers.count(assumed)
-
-    return count
-
-
 def _row(job: Job, now: float) -> _Row:
     return _Row(
         number=job.number,
--- a/src/masticwind/serving/placement.py
+++ b/src/masticwind/serving/placement.py
@@ -10,12 +10,12 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.load import Job
 from masticwind.serving.model import Endpoint, Service, TokenCounts
 from masticwind.serving.passes import Reading
 
-MS_PER_S: Final = 1000
 # Expected time of a plain call, for the queue of a plain service.
 CALL_MS: Final = 40.0
 # What a call to another zone costs, as a share of a slot.
--- /dev/null
+++ b/src/masticwind/serving/plans.py
@@ -0,0 +1,197 @@
+"""Plans for one prompt: which engines read it, and what that gains.
+
+A plan's gain is the worth of the request, less if it will be late, and less
+what others lose. Worth is counted in tokens read.
+"""
+
+import math
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from masticwind.serving.engine_view import (
+    LATE_CREDIT,
+    MARGIN,
+    EngineView,
+    cost_ms,
+    free_memory,
+    is_sensitive,
+    losses,
+    part_ms,
+    slot_wait_ms,
+)
+from masticwind.serving.model import EngineSpeed, TokenCounts
+from masticwind.serving.passes import (
+    Reading,
+    first_token_ms,
+    read_ms,
+    whole_prompt,
+)
+from masticwind.serving.placement import Query
+
+# A token that is written counts as this many that are read, as on the
+# users' sheets.
+WRITTEN_WORTH: Final = 10
+# The platform's engines take a list of at most this many helpers.
+MAX_HELPERS: Final = 15
+# A part that takes less time than this gains nothing.
+SMALLEST_PART_MS: Final = 12.0
+# Callers give a stream up that has not begun after this many times its aim.
+ABANDON_FACTOR: Final = 4.0
+# Worth of an answer that its caller has probably given up.
+ABANDONED_CREDIT: Final = 0.12
+# A helper costs a message and a step more; a tie goes to fewer helpers.
+HELPER_COST_MS: Final = 3.0
+# A part that blocks its engine longer leaves this share of all engines free.
+BLOCKING_MS: Final = 120.0
+FREE_SHARE: Final = 0.2
+# Slots that the streams on these engines fill.
+FILLED_SHARE: Final = 0.75
+# Memory that a reservation takes of what is free on its engine.
+RESERVE_SHARE: Final = 0.9
+# Worth of a millisecond, as a share; far below that of being in time.
+TIE_BREAK: Final = 1e-5
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """The engines of a prompt, the leading one first.
+
+    `lost` is what others lose, `gain` what remains of the request's worth.
+    """
+
+    engines: tuple[EngineView, ...]
+    first_ms: float
+    gain: float
+    lost: float
+
+
+def worth_of(tokens: TokenCounts) -> float:
+    """Return the work that a caller gets, in tokens read."""
+    return tokens.prompt + WRITTEN_WORTH * tokens.expected_output
+
+
+def best_plan(
+    query: Query,
+    speed: EngineSpeed,
+    tokens: TokenCounts,
+    engines: Sequence[EngineView],
+) -> Plan | None:
+    """Return the plan with the largest gain; None if no memory suffices."""
+    best: Plan | None = None
+    for parts in _part_counts(speed, tokens, len(engines)):
+        plan = _plan(query, speed, tokens, engines, parts)
+        if plan is not None and (best is None or plan.gain > best.gain):
+            best = plan
+    return best
+
+
+def _part_counts(
+    speed: EngineSpeed,
+    tokens: TokenCounts,
+    engines: int,
+) -> Iterable[int]:
+    if not speed.joint:
+        return (1,)
+    whole_ms = read_ms(speed, whole_prompt(tokens.prompt))
+    most = min(engines, MAX_HELPERS + 1, int(whole_ms / SMALLEST_PART_MS))
+    return range(1, max(1, most) + 1)
+
+
+def _plan(
+    query: Query,
+    speed: EngineSpeed,
+    tokens: TokenCounts,
+    engines: Sequence[EngineView],
+    parts: int,
+) -> Plan | None:
+    part = whole_prompt(tokens.prompt).part(1 / parts)
+    if parts > 1 and read_ms(speed, part) > BLOCKING_MS:
+        if parts > len(engines) - _kept(speed, engines):
+            return None
+    costs = {
+        engine.endpoint.identity: cost_ms(query, speed, engine, part)
+        for engine in engines
+    }
+    ranked = sorted(engines, key=lambda one: costs[one.endpoint.identity])
+    lead = _lead(tokens, ranked, parts)
+    if lead is None:
+        return None
+    group = [lead]
+    for engine in ranked:
+        if len(group) < parts and engine is not lead:
+            group.append(engine)
+    first_ms = _first_ms(query, speed, group, part)
+    lost = _lost(query, speed, group, part)
+    # Among plans that serve everybody as well, the quicker one is better.
+    wait_ms = first_ms + parts * HELPER_COST_MS
+    wait_ms += max(costs[engine.endpoint.identity] for engine in group)
+    credit = _credit(query, first_ms) - wait_ms * TIE_BREAK
+    return Plan(
+        engines=tuple(group),
+        first_ms=first_ms,
+        gain=worth_of(tokens) * credit - lost,
+        lost=lost,
+    )
+
+
+def _kept(speed: EngineSpeed, engines: Sequence[EngineView]) -> int:
+    """Return how many engines a long read leaves to sensitive streams."""
+    streams = 0
+    for engine in engines:
+        streams += sum(is_sensitive(job.pause_ms) for job in engine.jobs)
+    needed = math.ceil(streams / (speed.slots * FILLED_SHARE))
+    return max(math.ceil(len(engines) * FREE_SHARE), needed)
+
+
+def _lead(
+    tokens: TokenCounts,
+    ranked: Sequence[EngineView],
+    parts: int,
+) -> EngineView | None:
+    """Return the leading engine: the best one that holds the memory."""
+    needed = tokens.prompt + tokens.max_output
+    for engine in ranked:
+        if needed <= engine.memory:
+            return engine
+    if parts == 1:
+        return None
+    # The others of the group hold a part of the memory under reservations.
+    group = sorted(ranked[:parts], key=free_memory, reverse=True)
+    room = group[0].memory
+    room += sum(int(one.memory * RESERVE_SHARE) for one in group[1:])
+    return group[0] if needed <= room else None
+
+
+def _first_ms(
+    query: Query,
+    speed: EngineSpeed,
+    group: Sequence[EngineView],
+    part: Reading,
+) -> float:
+    lead, *helpers = group
+    first_ms = first_token_ms(speed, lead.state, part)
+    for engine in helpers:
+        first_ms = max(first_ms, part_ms(speed, engine, part))
+    return first_ms + slot_wait_ms(query, speed, lead)
+
+
+def _lost(
+    query: Query,
+    speed: EngineSpeed,
+    group: Sequence[EngineView],
+    part: Reading,
+) -> float:
+    lost: dict[str, float] = {}
+    for engine in group:
+        lost.update(losses(query, speed, engine, part))
+    return sum(lost.values())
+
+
+def _credit(query: Query, first_ms: float) -> float:
+    aim_ms = query.first_answer_ms or query.left_ms
+    if first_ms <= aim_ms * MARGIN:
+        return 1.0
+    if first_ms <= min(query.left_ms, aim_ms * ABANDON_FACTOR) * MARGIN:
+        return LATE_CREDIT
+    return ABANDONED_CREDIT
--- a/src/masticwind/serving/routes.py
+++ b/src/masticwind/serving/routes.py
@@ -3,9 +3,6 @@
 Versions only grow: an older one is ignored, wherever it comes from.
 """
 
-import time
-from typing import Final
-
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.model import (
     NO_CONFIG,
@@ -21,7 +18,6 @@
 
     def __init__(self) -> None:
         self.config: FleetConfig = NO_CONFIG
-        self.since = time.monotonic()
         self._by_host: dict[str, list[Route]] = {}
 
     def adopt(self, config: FleetConfig) -> bool:
@@ -34,7 +30,6 @@
         for routes in by_host.values():
             routes.sort(key=_prefix_length, reverse=True)
         self.config = config
-        self.since = time.monotonic()
         self._by_host = by_host
         return True
 
@@ -74,6 +69,3 @@
 
 def _prefix_length(route: Route) -> int:
     return len(route.prefix)
-
-
-NO_TEAM: Final = TeamKeys(name='')
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -3,12 +3,14 @@
 import secrets
 import time
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Final
 
 import anyio
 from loguru import logger
 
-from masticwind.serving.bounds import ASSUMED_ENTRIES, ColdRate, RepeatBudget
+from masticwind.budget import MS_PER_S
+from masticwind.serving.bounds import ColdRate, RepeatBudget
 from masticwind.serving.directory import Decoder, Directory, Operations
 from masticwind.serving.edge import Edge, EdgeApp, EdgeParts
 from masticwind.serving.freshness import Freshness
@@ -20,7 +22,6 @@
     EntryPeers,
     LoadLink,
     Registrar,
-    entries_alive,
 )
 from masticwind.serving.placement import CallPlacer
 from masticwind.serving.prompts import PromptPlacer
@@ -37,14 +38,14 @@
     send_response,
 )
 
-MS_PER_S: Final = 1000
 # A watch of the configuration returns at least this often, which confirms
 # that the copy is recent.
 CONFIRM_S: Final = 1.0
 REGISTRATION_WAIT_S: Final = 5.0
 # Registrations change with every heartbeat of every endpoint; they are
-# taken over in batches.
-REGISTRATION_BATCH_S: Final = 0.3
+# taken over in batches, well within the time in which an endpoint that
+# leaves must get no more work.
+BATCH_SHARE: Final = 0.35
 ENTRIES_WAIT_S: Final = 10.0
 ENTRIES_BATCH_S: Final = 1.0
 # Callers that arrive before the first copies have been read wait this long.
@@ -106,7 +107,7 @@
             MirrorOptions(
                 prefix=adapter.prefixes.registrations,
                 wait_s=REGISTRATION_WAIT_S,
-                batch_s=REGISTRATION_BATCH_S,
+                batch_s=cfg.bounds.leave_ms * BATCH_SHARE / MS_PER_S,
             ),
         )
         self._app: Final = EdgeApp(self._edge_parts())
@@ -182,7 +183,7 @@
     def _edge_parts(self) -> EdgeParts:
         adapter = self._adapter
         settings = self._settings
-        entries = entries_alive(self._peers, ASSUMED_ENTRIES)
+        entries = self._peers.count
         relay = Relay(
             RelayParts(
                 settings=settings,
@@ -221,5 +222,7 @@
         send: Send,
     ) -> None:
         ready = self._informed() and not self._leaving
-        status = 200 if ready else 503
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        if ready:
+            status = HTTPStatus.OK
         await send_response(send, json_response(status, {'ready': ready}))
--- /dev/null
+++ b/src/masticwind/serving/work.py
@@ -0,0 +1,159 @@
+"""A request that was admitted, and what has happened to it so far."""
+
+import math
+import random
+import time
+from dataclasses import dataclass, field
+from typing import Final
+
+from masticwind.budget import MS_PER_S
+from masticwind.errors import ErrorKind, Failure, not_run
+from masticwind.serving.model import (
+    CallerRequest,
+    FleetConfig,
+    Route,
+    Service,
+    TeamKeys,
+)
+
+# Sendings of one request, refused ones included.
+MAX_SENDINGS: Final = 6
+NO_TEAM: Final = TeamKeys(name='')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Admitted:
+    """A request with the configuration under which it was admitted.
+
+    `deadline` is a moment of the monotonic clock, as is `process_ends_at`,
+    which is infinite unless this process is shutting down.
+    """
+
+    req: CallerRequest
+    route: Route
+    service: Service
+    team: TeamKeys
+    deadline: float
+    process_ends_at: float = math.inf
+
+    def left_s(self) -> float:
+        """Return the seconds that are left for it."""
+        return max(0.0, self.deadline - time.monotonic())
+
+    @property
+    def prompt(self) -> int:
+        """Return the tokens of the prompt; zero for a plain call."""
+        return 0 if self.req.tokens is None else self.req.tokens.prompt
+
+    @property
+    def urgency(self) -> int:
+        """Rank of the request; a team's rank goes before the route's."""
+        if self.team.priority is not None:
+            return self.team.priority
+        return self.route.priority
+
+
+def admit(
+    req: CallerRequest,
+    route: Route,
+    team: TeamKeys | None,
+    config: FleetConfig,
+) -> Admitted | Failure:
+    """Choose the service and fix the time that a request has."""
+    service = config.services.get(_choose_service(route))
+    if service is None:
+        return Failure(
+            kind=ErrorKind.NO_CAPACITY,
+            reason=f'route {route.name} names no known service',
+        )
+    deadline = req.budget.deadline
+    if route.timeout_ms:
+        longest = time.monotonic() + route.timeout_ms / MS_PER_S
+        deadline = min(deadline, longest)
+    return Admitted(
+        req=req,
+        route=route,
+        service=service,
+        team=team or NO_TEAM,
+        deadline=deadline,
+    )
+
+
+def _choose_service(route: Route) -> str:
+    weights = [backend.weight for backend in route.backends]
+    if len(weights) == 1 or not sum(weights):
+        return route.backends[0].service
+    return random.choices(route.backends, weights)[0].service
+
+
+@dataclass(slots=True)
+class Progress:
+    """What has happened to one request.
+
+    `ran_at` are the endpoints that may have run it, `excluded` those that
+    are not asked again. `last_event` is the id of the last event that the
+    caller has.
+    """
+
+    sendings: int = 0
+    ran_at: set[str] = field(default_factory=set)
+    excluded: set[str] = field(default_factory=set)
+    failure: Failure | None = None
+    last_event: int | None = None
+    events: int = 0
+    first_ms: int = 0
+    event_at: float = 0
+    longest_pause_s: float = 0
+    started: float = field(default_factory=time.monotonic)
+
+    def elapsed_ms(self) -> float:
+        """Return the milliseconds since the request was admitted."""
+        return (time.monotonic() - self.started) * MS_PER_S
+
+    def note_events(self, count: int) -> None:
+        """Note that events arrive now."""
+        now = time.monotonic()
+        if self.events:
+            pause_s = now - self.event_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        else:
+            self.first_ms = round(self.elapsed_ms())
+        self.event_at = now
+        self.events += count
+
+    def note_failure(self, endpoint: str, failure: Failure) -> None:
+        """Note the failure of an attempt at an endpoint."""
+        self.excluded.add(endpoint)
+        self.failure = failure
+        if not not_run(failure.kind):
+            self.ran_at.add(endpoint)
+
+    def may_ask_another(self, work: Admitted) -> bool:
+        """Tell whether one more endpoint may run the request after an
+        attempt that is in progress.
+        """
+        return (
+            work.route.repeatable
+            and len(self.ran_at) + 1 < work.route.max_endpoints
+            and self.sendings < MAX_SENDINGS
+        )
+
+    def may_send_again(self, work: Admitted) -> bool:
+        """Tell whether the request may be sent once more now."""
+        if self.sendings >= MAX_SENDINGS:
+            return False
+        if self.ran_at and not work.route.repeatable:
+            return False
+        return len(self.ran_at) < work.route.max_endpoints
+
+    def final(self, failure: Failure) -> Failure:
+        """Return the true answer if `failure` is the last word.
+
+        A refusal does not undo that an earlier attempt may have run.
+        """
+        if not self.ran_at or not not_run(failure.kind):
+            return failure
+        return Failure(
+            kind=ErrorKind.FAILED_AFTER_START,
+            reason=f'may have run before: {failure.reason}',
+        )
--- a/src/masticwind_dev/play/engines.py
+++ b/src/masticwind_dev/play/engines.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from masticwind.budget import MS_PER_S
 from masticwind.serving.model import EngineSpeed
 from masticwind.serving.passes import (
-    MS_PER_S,
     Reading,
     read_ms,
     write_pass_ms,
--- a/src/masticwind_dev/play/load.py
+++ b/src/masticwind_dev/play/load.py
@@ -12,6 +12,7 @@
 from types import MappingProxyType
 from typing import Final
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import Failure
 from masticwind.serving.load import LoadBoard
 from masticwind.serving.model import (
@@ -20,7 +21,7 @@
     Service,
     TokenCounts,
 )
-from masticwind.serving.passes import MS_PER_S, whole_prompt
+from masticwind.serving.passes import whole_prompt
 from masticwind.serving.placement import Deferral, Placement, Placer, Query
 from masticwind_dev.play.engines import Clock, Played, PlayedEngine
 
--- /dev/null
+++ b/tests/test_direct_bounds.py
@@ -0,0 +1,191 @@
+"""Bounds that entries keep together without asking each other."""
+
+from dataclasses import replace
+from pathlib import Path
+from typing import Final
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from masticwind.serving.bounds import ColdRate, RepeatBudget
+from masticwind.serving.health import FIRST_OUT_S, SOFT_LIMIT, Health
+from masticwind.serving.settings import (
+    DirectSettings,
+    FleetBounds,
+    LiveSettings,
+    StoreSettings,
+)
+
+BOUNDS: Final = FleetBounds(repeat_slack=100, repeat_ratio=0.2)
+CFG: Final = DirectSettings(
+    node='entry-1',
+    zone='zone-a',
+    listen='127.0.0.1:0',
+    ready='127.0.0.1:0',
+    store=StoreSettings(address='127.0.0.1:1'),
+    bounds=BOUNDS,
+)
+SERVICE: Final = 'calls'
+
+
+class ManualClock:
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        """Return the time."""
+        return self.now
+
+
+@settings(deadline=None)
+@given(
+    entries=st.integers(min_value=1, max_value=30),
+    steps=st.lists(
+        st.tuples(st.floats(0, 3), st.integers(0, 40), st.integers(0, 60)),
+        max_size=30,
+    ),
+)
+def test_repeats_of_all_entries_stay_within_the_bound(
+    entries: int,
+    steps: list[tuple[float, int, int]],
+) -> None:
+    """Guards against entries that each keep to the bound but break it
+    together: all entries behave alike here, which is the worst case.
+    """
+    clock = ManualClock()
+    budget = RepeatBudget(LiveSettings(CFG), lambda: entries, clock)
+    requests: list[float] = []
+    repeats: list[float] = []
+    for wait_s, asked, wanted in steps:
+        clock.now += wait_s
+        for _ in range(asked):
+            budget.request(SERVICE)
+            requests.append(clock.now)
+        taken = sum(budget.take(SERVICE) for _ in range(wanted))
+        repeats.extend([clock.now] * taken)
+        since = clock.now - BOUNDS.repeat_window_s
+        asked_now = sum(at >= since for at in requests) * entries
+        repeated = sum(at >= since for at in repeats) * entries
+        allowed = BOUNDS.repeat_ratio * asked_now + BOUNDS.repeat_slack
+        assert repeated <= allowed
+
+
+@settings(deadline=None)
+@given(
+    entries=st.integers(min_value=1, max_value=30),
+    waits=st.lists(st.floats(0, 0.5), max_size=200),
+)
+def test_cold_endpoint_gets_no_more_than_it_bears(
+    entries: int,
+    waits: list[float],
+) -> None:
+    """Guards against requests of all entries that add up above the rate of
+    a cold endpoint in some second.
+    """
+    clock = ManualClock()
+    rate = ColdRate(LiveSettings(CFG), lambda: entries, clock)
+    sent: list[float] = []
+    for wait_s in waits:
+        clock.now += wait_s
+        if rate.free('i-1', 38):
+            rate.sent('i-1')
+            sent.append(clock.now)
+        recent = sum(at > clock.now - 1 for at in sent) * entries
+        assert recent <= 38 * BOUNDS.cold_factor + BOUNDS.cold_slack
+
+
+def test_bounds_follow_reloaded_settings() -> None:
+    """Guards against bounds that stay as they were at the start."""
+    live = LiveSettings(CFG)
+    clock = ManualClock()
+    budget = RepeatBudget(live, lambda: 1, clock)
+    assert budget.take(SERVICE)
+    live.adopt(replace(CFG, bounds=replace(BOUNDS, repeat_slack=0)))
+    assert not budget.take(SERVICE)
+
+
+def test_reload_keeps_what_needs_a_restart() -> None:
+    """Guards against an address that changes while its socket is open."""
+    live = LiveSettings(CFG)
+    live.adopt(replace(CFG, listen='10.0.0.1:80', node='other'))
+    assert live.cfg.listen == CFG.listen
+    assert live.cfg.node == CFG.node
+
+
+def test_broken_connection_takes_an_endpoint_out_for_a_while() -> None:
+    """Guards against an endpoint that is asked again and again while it is
+    down, and against one that never comes back.
+    """
+    clock = ManualClock()
+    health = Health(clock)
+    health.failed('i-1', 'reset', broken=True)
+    assert health.out('i-1')
+    clock.now += FIRST_OUT_S * 1.1
+    assert not health.out('i-1')
+    health.failed('i-1', 'reset', broken=True)
+    clock.now += FIRST_OUT_S * 1.1
+    assert health.out('i-1')
+    health.succeeded('i-1')
+    assert not health.out('i-1')
+
+
+def test_single_failed_answer_takes_no_endpoint_out() -> None:
+    """Guards against good endpoints that are left alone because of requests
+    that fail everywhere.
+    """
+    health = Health(ManualClock())
+    for _ in range(SOFT_LIMIT - 1):
+        health.failed('i-1', 'status 500', broken=False)
+        assert not health.out('i-1')
+    health.failed('i-1', 'status 500', broken=False)
+    assert health.out('i-1')
+
+
+def test_no_module_outside_the_adapter_knows_the_platform() -> None:
+    """Guards against wire names and adapter types that leak into the
+    product.
+    """
+    root = Path(__file__).parent.parent / 'src' / 'masticwind'
+    names = (
+        'masticwind.platform',
+        'x-attempt-id',
+        'x-deadline-ms',
+        'x-token-counts',
+        'x-server-seal',
+        'x-not-executed',
+        'x-helpers',
+        'x-expect-instance',
+        '/-/kv',
+        '/-/order',
+        'op/config',
+        'servers/',
+        'api_keys',
+        'MASTICWIND_BOOT',
+    )
+    found: list[str] = []
+    for path in root.rglob('*.py'):
+        if path.is_relative_to(root / 'platform'):
+            continue
+        text = path.read_text().lower()
+        found.extend(
+            f'{path.name}: {name}' for name in names if name.lower() in text
+        )
+    assert not found
+
+
+def test_adapter_stays_a_small_part_of_the_product() -> None:
+    """Guards against decisions that move into the adapter: it stays below a
+    tenth of the product.
+    """
+    root = Path(__file__).parent.parent / 'src' / 'masticwind'
+    sizes = {
+        path: len(path.read_text().splitlines()) for path in root.rglob('*.py')
+    }
+    adapter = sum(
+        size
+        for path, size in sizes.items()
+        if path.is_relative_to(root / 'platform')
+    )
+    assert adapter * 10 <= sum(sizes.values())
