Bound the logs, serve counters and histograms

Log lines go to standard output of the serving programs through a writer that never waits: lines beyond 500 a second, or that the reader has no room for, are left out and counted. Counters, a histogram of the first event by prompt size, and gauges are served on the metrics port by prometheus-client.

--- a/src/masticwind/logs.py
+++ b/src/masticwind/logs.py
@@ -1,4 +1,7 @@
-"""Logging set-up: one JSON object per line on standard output.
+"""Logging set-up: one JSON object per line.
+
+The serving programs log to standard output; commands whose standard output
+is their result log to standard error.
 
     log = get_logger('entry', 'e1')
     log.bind(request_id=req_id).warning('attempt_lost')
@@ -9,16 +12,20 @@
 import asyncio
 import logging
 import sys
+from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
 from loguru import logger
 
+from masticwind.log_writer import LineWriter
+
 if TYPE_CHECKING:
     from loguru import Logger, Message
 
 
-def _write_line(message: 'Message') -> None:
+def _write_line(write: Callable[[bytes], object], message: 'Message') -> None:
     record = message.record
     line: dict[str, object] = {
         'time': record['time'].isoformat(),
@@ -30,8 +37,7 @@
     if exc is not None:
         line['error'] = repr(exc.value)
         line['traceback'] = _format_traceback(exc.traceback)
-    sys.stdout.write(f'{msgspec.json.encode(line, enc_hook=str).decode()}\n')
-    sys.stdout.flush()
+    write(msgspec.json.encode(line, enc_hook=str) + b'\n')
 
 
 def _format_traceback(traceback: object) -> list[str]:
@@ -59,10 +65,16 @@
         )
 
 
-def configure_logs(level: str) -> None:
-    """Send logs of `level` and above to standard output as JSON lines."""
+def configure_logs(level: str, *, to_stderr: bool = False) -> None:
+    """Write logs of `level` and above as JSON lines, without blocking."""
+    stream = sys.stderr if to_stderr else sys.stdout
+    writer = LineWriter(stream.fileno())
     logger.remove()
-    logger.add(_write_line, level=level.upper(), catch=False)
+    logger.add(
+        partial(_write_line, writer.write),
+        level=level.upper(),
+        catch=False,
+    )
     logging.basicConfig(
         handlers=[_LibraryLogs()],
         level=logging.WARNING,
--- a/src/masticwind/serving/directory.py
+++ b/src/masticwind/serving/directory.py
@@ -45,7 +45,6 @@
 @dataclass(slots=True)
 class _Known:
     endpoint: Endpoint
-    cold_until: float
     lapsed_at: float | None = None
 
 
@@ -71,15 +70,9 @@
                 found.append(endpoint)
         return found
 
-    def usable(self, identity: str) -> bool:
-        """Tell whether an endpoint still takes new work."""
-        known = self._known.get(identity)
-        return known is not None and not known.endpoint.leaving
-
-    def cold(self, identity: str) -> bool:
-        """Tell whether an endpoint last said that it is cold."""
-        known = self._known.get(identity)
-        return known is not None and known.cold_until > boot_time()
+    def count(self) -> int:
+        """Return how many endpoints are known."""
+        return len(self._known)
 
     def remove(self, identity: str, reason: str) -> None:
         """Forget an endpoint that another one has replaced."""
@@ -114,7 +107,6 @@
             self._known.pop(identity, None)
             return
         known = self._known.get(identity)
-        cold_until = boot_time() + endpoint.cold_left_ms / 1000
         if known is None or _differs(known.endpoint, endpoint):
             logger.bind(
                 endpoint=identity,
@@ -125,7 +117,7 @@
                 cold_ms=endpoint.cold_left_ms,
                 revision=item.revision,
             ).info('endpoint_registered')
-        self._known[identity] = _Known(endpoint, cold_until)
+        self._known[identity] = _Known(endpoint)
 
     def _lapse(self, identity: str) -> None:
         known = self._known.get(identity)
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -21,6 +21,7 @@
 from masticwind.serving.model import CallerRequest, Headers
 from masticwind.serving.relay import Relay
 from masticwind.serving.routes import ActiveConfig
+from masticwind.serving.telemetry import Telemetry
 from masticwind.serving.work import Admitted, admit
 from masticwind.web import (
     Receive,
@@ -106,6 +107,7 @@
     active: ActiveConfig
     freshness: Freshness
     relay: Relay
+    telemetry: Telemetry
 
 
 class EdgeApp:
@@ -148,6 +150,8 @@
         else:
             request_id = req.request_id
             failure = await self._request(req, receive, answer)
+        outcome = 'served' if failure is None else failure.kind.value
+        self._parts.telemetry.requests.labels(outcome).inc()
         if failure is None:
             return
         failure = _with_hint(failure)
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -29,6 +29,7 @@
 from masticwind.serving.model import Endpoint
 from masticwind.serving.placement import Deferral, Placement, Placer, Query
 from masticwind.serving.settings import LiveSettings
+from masticwind.serving.telemetry import Telemetry, size_of
 from masticwind.serving.work import Admitted, Progress
 
 # A whole answer may take this many times its predicted time.
@@ -57,6 +58,7 @@
     link: EndpointLink
     repeats: RepeatBudget
     cold: ColdRate
+    telemetry: Telemetry
 
 
 class Relay:
@@ -82,6 +84,7 @@
             if isinstance(placement, Failure):
                 return progress.final(placement)
             failure = await self._attempt(work, placement, progress, answer)
+            self._count(work, progress, failure)
             if failure is None:
                 parts.health.succeeded(placement.lead.identity)
                 return None
@@ -89,6 +92,21 @@
             if not self._may_send_again(work, progress):
                 return progress.final(failure)
 
+    def _count(
+        self,
+        work: Admitted,
+        progress: Progress,
+        failure: Failure | None,
+    ) -> None:
+        telemetry = self._parts.telemetry
+        if failure is not None:
+            telemetry.attempts.labels(failure.kind.value).inc()
+            return
+        telemetry.attempts.labels('served').inc()
+        first_ms = progress.first_ms or progress.elapsed_ms()
+        size = size_of(work.prompt)
+        telemetry.first_event.labels(size).observe(first_ms / MS_PER_S)
+
     async def _place_in_time(
         self,
         work: Admitted,
@@ -100,6 +118,8 @@
             if not isinstance(placement, Deferral):
                 break
             self._log_placement(work, placement, deferred_ms)
+            if not deferred_ms:
+                self._parts.telemetry.deferrals.inc()
             deferred_ms += placement.wait_ms
             await anyio.sleep(placement.wait_ms / MS_PER_S)
         self._log_placement(work, placement, deferred_ms)
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -29,6 +29,8 @@
 from masticwind.serving.routes import ActiveConfig
 from masticwind.serving.settings import LiveSettings, address_of
 from masticwind.serving.store import MetadataStore
+from masticwind.serving.telemetry import Telemetry
+from masticwind.settings import Address
 from masticwind.web import (
     Receive,
     Scope,
@@ -110,7 +112,9 @@
                 batch_s=cfg.bounds.leave_ms * BATCH_SHARE / MS_PER_S,
             ),
         )
+        self._telemetry: Final = Telemetry()
         self._app: Final = EdgeApp(self._edge_parts())
+        self._add_gauges()
         self._server: Final = WebServer(self._app, address_of(cfg.listen))
         self._ready: Final = WebServer(
             self._answer_ready,
@@ -151,10 +155,17 @@
             tasks.start_soon(entries.run)
             tasks.start_soon(registrar.run)
             tasks.start_soon(link.run)
+            if cfg.metrics_port:
+                tasks.start_soon(self._metrics_server().run)
             await self._until_informed()
             await self._server.run()
             tasks.cancel_scope.cancel()
 
+    def _metrics_server(self) -> WebServer:
+        host = address_of(self._settings.cfg.listen).host
+        address = Address(host=host, port=self._settings.cfg.metrics_port)
+        return WebServer(self._telemetry.serve, address)
+
     async def _until_informed(self) -> None:
         """Wait for the first copies; callers wait in the listen backlog."""
         with anyio.move_on_after(LONGEST_START_S):
@@ -196,6 +207,7 @@
                 link=adapter.link,
                 repeats=RepeatBudget(settings, entries),
                 cold=ColdRate(settings, entries),
+                telemetry=self._telemetry,
             )
         )
         return EdgeParts(
@@ -203,6 +215,35 @@
             active=self._active,
             freshness=Freshness(settings, self._config_mirror.age_s),
             relay=relay,
+            telemetry=self._telemetry,
+        )
+
+    def _add_gauges(self) -> None:
+        gauge = self._telemetry.gauge
+        gauge(
+            'masticwind_requests_running',
+            'Requests in progress',
+            lambda: self._app.running,
+        )
+        gauge(
+            'masticwind_config_version',
+            'Version of the configuration in force',
+            lambda: self._active.config.version,
+        )
+        gauge(
+            'masticwind_config_age_seconds',
+            'Time since the configuration was last confirmed',
+            self._config_mirror.age_s,
+        )
+        gauge(
+            'masticwind_endpoints',
+            'Endpoints that are known',
+            self._directory.count,
+        )
+        gauge(
+            'masticwind_entries',
+            'Entries that are registered',
+            self._peers.count,
         )
 
     def _mirror(
--- a/src/masticwind_dev/faults/processes.py
+++ b/src/masticwind_dev/faults/processes.py
@@ -138,14 +138,11 @@
             # A restarted process has a log of its own, which also keeps the
             # ports of its predecessor from being read as its own.
             log_path.rename(self.folder / f'{name}.{len(self.processes)}.log')
-        with (
-            log_path.open('ab') as log,
-            (self.folder / f'{name}.out').open('wb') as out,
-        ):
+        with log_path.open('ab') as log:
             popen = subprocess.Popen(
                 [sys.executable, '-m', _MODULES[role], *arguments],
                 stdin=subprocess.DEVNULL,
-                stdout=out,
+                stdout=log,
                 stderr=log,
                 env={**os.environ, 'PYTHONUNBUFFERED': '1'},
             )
--- a/src/masticwind_dev/local/main.py
+++ b/src/masticwind_dev/local/main.py
@@ -53,7 +53,7 @@
     ] = 'warning',
 ) -> None:
     """Serve sample requests, print how to call the fleet, and keep serving."""
-    configure_logs(log_level)
+    configure_logs(log_level, to_stderr=True)
     options = LocalOptions(once=once, port=0 if once else port)
     failed = anyio.run(
         _serve,
