Pass the only endpoint's own failure on

Whether another endpoint may be asked now includes that one is there and that a repeat is left. The test fails without the change (502 for 500).

--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -50,7 +50,9 @@
 class Trial:
     """An attempt that is being made.
 
-    `on_event` is called for each batch of events that the caller gets.
+    `another` says that another endpoint may run the request if this one
+    does not serve it. `on_event` is called for each batch of events that
+    the caller gets.
     """
 
     work: Admitted
@@ -58,13 +60,15 @@
     progress: Progress
     answer: CallerAnswer
     limits: AttemptLimits
+    another: bool
     on_event: Callable[[], None]
 
 
 def limits_of(
     work: Admitted,
     placement: Placement,
-    progress: Progress,
+    *,
+    another: bool,
 ) -> AttemptLimits:
     """Return the time limits of an attempt.
 
@@ -73,7 +77,7 @@
     """
     left_s = work.left_s()
     connect_s = min(CONNECT_S, left_s)
-    if not progress.may_ask_another(work):
+    if not another:
         return AttemptLimits(
             connect_s=connect_s,
             first_s=left_s,
@@ -209,7 +213,7 @@
             reason=f'resuming was answered with status {reply.status}',
         )
     failed = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-    if failed and trial.progress.may_ask_another(trial.work):
+    if failed and trial.another:
         return Failure(
             kind=ErrorKind.INTERNAL,
             reason=f'the endpoint failed with status {reply.status}',
--- a/src/masticwind/serving/bounds.py
+++ b/src/masticwind/serving/bounds.py
@@ -59,16 +59,19 @@
         """Count a caller's request."""
         self._counter(self._requests, service).add()
 
-    def take(self, service: str) -> bool:
-        """Take the right to one repeat; false if there is none left."""
+    def left(self, service: str) -> float:
+        """Return how many repeats are left."""
         bounds = self._settings.bounds
         slack = bounds.repeat_slack * SLACK_SHARE / self._entries()
         requests = self._counter(self._requests, service).count()
         allowed = slack + requests * bounds.repeat_ratio * SLACK_SHARE
-        repeats = self._counter(self._repeats, service)
-        if repeats.count() + 1 > allowed:
+        return allowed - self._counter(self._repeats, service).count()
+
+    def take(self, service: str) -> bool:
+        """Take the right to one repeat; false if there is none left."""
+        if self.left(service) < 1:
             return False
-        repeats.add()
+        self._counter(self._repeats, service).add()
         return True
 
     def _counter(
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -226,7 +226,8 @@
         answer: CallerAnswer,
     ) -> Failure | None:
         parts = self._parts
-        limits = limits_of(work, placement, progress)
+        another = self._another(work, progress)
+        limits = limits_of(work, placement, another=another)
         progress.sendings += 1
         parts.cold.sent(placement.lead.identity)
         numbers = parts.board.add(placement.jobs)
@@ -236,6 +237,7 @@
             progress=progress,
             answer=answer,
             limits=limits,
+            another=another,
             on_event=partial(parts.board.first_token, numbers),
         )
         try:
@@ -243,6 +245,16 @@
         finally:
             parts.board.remove(numbers)
 
+    def _another(self, work: Admitted, progress: Progress) -> bool:
+        """Tell whether the request may be sent to one more endpoint after
+        the one that it is being sent to.
+        """
+        if not progress.may_ask_another(work):
+            return False
+        if len(self._candidates(work, progress)) < 2:
+            return False
+        return self._parts.repeats.left(work.service.name) >= 1
+
     async def _note_failure(
         self,
         lead: Endpoint,
--- a/tests/test_direct_answers.py
+++ b/tests/test_direct_answers.py
@@ -216,6 +216,18 @@
         assert answer.headers['x-server-seal'] == '3e1b.07'
 
 
+async def test_failure_of_the_only_endpoint_is_passed_on() -> None:
+    """Guards against a read that is answered 502 in place of its endpoint's
+    own failure because nobody else could be asked.
+    """
+    async with direct_rig() as rig:
+        await rig.endpoint('i-1', once_then(fail, fail))
+        await _warm(rig)
+        answer = await rig.ask('/read/a')
+        assert answer.status == 500
+        assert answer.headers['x-server-seal'] == '3e1b.07'
+
+
 async def test_extra_answer_on_a_connection_reaches_no_caller() -> None:
     """Guards against the second answer of a doubled one being taken for the
     answer to the next request on that connection.
