--- a/src/masticwind/serving/freshness.py
+++ b/src/masticwind/serving/freshness.py
@@ -31,20 +31,25 @@
         self._settings: Final = settings
         self._age_s: Final = age_s
 
+    def trusted(self) -> bool:
+        """Tell whether the copy is recent enough to accept keys."""
+        bounds = self._settings.bounds
+        return self._age_s() * MS_PER_S <= bounds.key_age_ms * TRUSTED_SHARE
+
     def check(
         self,
         route: Route | Failure,
         team: TeamKeys | Failure | None,
     ) -> Failure | None:
         """Return a refusal if the copy is too old for this request."""
-        age_s = self._age_s()
-        if age_s * MS_PER_S <= self._settings.bounds.key_age_ms * TRUSTED_SHARE:
+        if self.trusted():
             return None
         decided = isinstance(route, Route) and not isinstance(team, Failure)
         if decided and (team is None or not self._settings.bounds.fail_closed):
             return None
+        age = f'{self._age_s():.1f} s'
         return Failure(
             kind=ErrorKind.PLATFORM_DOWN,
-            reason=f'the configuration was last confirmed {age_s:.1f} s ago',
+            reason=f'the configuration was last confirmed {age} ago',
             retry_after_ms=RETRY_AFTER_MS,
         )
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -112,6 +112,10 @@
                 batch_s=cfg.bounds.leave_ms * BATCH_SHARE / MS_PER_S,
             ),
         )
+        self._freshness: Final = Freshness(
+            settings,
+            self._config_mirror.age_s,
+        )
         self._telemetry: Final = Telemetry()
         self._app: Final = EdgeApp(self._edge_parts())
         self._add_gauges()
@@ -213,7 +217,7 @@
         return EdgeParts(
             edge=adapter.edge,
             active=self._active,
-            freshness=Freshness(settings, self._config_mirror.age_s),
+            freshness=self._freshness,
             relay=relay,
             telemetry=self._telemetry,
         )
@@ -262,7 +266,10 @@
         receive: Receive,
         send: Send,
     ) -> None:
+        # An entry that cannot accept keys leaves callers to entries that can;
+        # if none can, the balancer uses all of them.
         ready = self._informed() and not self._leaving
+        ready = ready and self._freshness.trusted()
         status = HTTPStatus.SERVICE_UNAVAILABLE
         if ready:
             status = HTTPStatus.OK
--- a/tests/test_direct_store.py
+++ b/tests/test_direct_store.py
@@ -5,9 +5,12 @@
 import anyio
 import pytest
 
+from masticwind.errors import Failure
+from masticwind.httpclient import HttpClient
 from masticwind.serving.settings import FleetBounds
 from tests.direct_rig import (
     CALLS,
+    Rig,
     answer_whole,
     direct_rig,
     route,
@@ -47,6 +50,32 @@
         assert len(rig.received) == count
 
 
+async def test_entry_that_cannot_accept_keys_is_not_ready() -> None:
+    """Guards against callers that the balancer keeps sending to an entry
+    that has lost the store while other entries have not.
+    """
+    bounds = FleetBounds(key_age_ms=2000)
+    async with direct_rig(bounds=bounds) as rig:
+        await rig.endpoint('i-1', answer_whole)
+        await rig.until_served('/read/a')
+        assert await _ready(rig) == 200
+        rig.store.switches.outage = True
+        await anyio.sleep(2.1)
+        assert await _ready(rig) == 503
+        rig.store.switches.outage = False
+        with anyio.fail_after(3):
+            while await _ready(rig) != 200:
+                await anyio.sleep(0.05)
+
+
+async def _ready(rig: Rig) -> int:
+    client = HttpClient(f'http://127.0.0.1:{rig.entry.ready_port}')
+    answer = await client.request('GET', '/ready', timeout_s=1)
+    await client.close()
+    assert not isinstance(answer, Failure)
+    return answer.status
+
+
 async def test_unknown_routes_are_not_missing_in_an_old_copy() -> None:
     """Guards against 404 for a route that was added during an outage."""
     bounds = FleetBounds(key_age_ms=500)
