--- a/src/masticwind/serving/engine_view.py
+++ b/src/masticwind/serving/engine_view.py
@@ -67,12 +67,14 @@
     extra_ms = query.failure_shares.get(endpoint.identity, 0) * SUSPECT_COST_MS
     if endpoint.zone != query.zone:
         extra_ms += OTHER_ZONE_COST_MS
+    used = sum(job.memory for job in jobs)
     return EngineView(
         endpoint=endpoint,
         state=state_of(jobs, query.now),
         jobs=jobs,
         leads=sum(1 for job in jobs if job.context),
-        memory=speed.memory_tokens - sum(job.memory for job in jobs),
+        # Engines preempt where more was placed than they hold.
+        memory=max(0, speed.memory_tokens - used),
         sensitive=any(is_sensitive(job.pause_ms) for job in jobs),
         extra_ms=extra_ms,
     )
