Keep teams out of the garbage collector's sight

Teams are msgspec structs without collector tracking now; the fields of both kinds of class are described in one place, and once.

The check of the configuration page compares the same fields, defaults and required keys through that description, since teams are no data class any more.

--- a/src/masticwind/config/diff.py
+++ b/src/masticwind/config/diff.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from masticwind.config.model import Configuration
+from masticwind.config.model import Configuration, described_fields
 
 # Enough to tell digests apart by eye.
 DIGEST_SHOWN: Final = 15
@@ -57,7 +57,7 @@
 
 
 def _field_changes(old: Any, new: Any) -> Iterator[str]:
-    for one in fields(old):
+    for one in described_fields(type(old)):
         was, now = getattr(old, one.name), getattr(new, one.name)
         if was != now:
             yield f'{one.name} {_text(was)} -> {_text(now)}'
--- a/src/masticwind/config/model.py
+++ b/src/masticwind/config/model.py
@@ -6,9 +6,11 @@
 """
 
 from dataclasses import dataclass, field
-from typing import Annotated, Final, Literal
+from functools import cache
+from typing import Annotated, Any, Final, Literal
 
 import msgspec
+import msgspec.inspect
 
 Name = Annotated[
     str, msgspec.Meta(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')
@@ -40,11 +42,25 @@
     max_timeout_ms: TimeoutMs = MAX_TIMEOUT_MS
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Team:
+@cache
+def described_fields(kind: Any) -> tuple[msgspec.inspect.Field, ...]:
+    """Return the fields of a class of the model, with their names and
+    whether they are required.
+    """
+    described = msgspec.inspect.type_info(kind)
+    assert isinstance(
+        described,
+        msgspec.inspect.DataclassType | msgspec.inspect.StructType,
+    )
+    return described.fields
+
+
+class Team(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """A customer: its tier, credentials, weight and limits.
 
-    Limits hold for the whole fleet; zero means no limit.
+    Limits hold for the whole fleet; zero means no limit. Teams are structs
+    that the garbage collector does not visit: with two configurations of
+    47,000 teams in memory, a full collection stopped an entry for 124 ms.
     """
 
     tier: Name
--- a/src/masticwind/config/reader.py
+++ b/src/masticwind/config/reader.py
@@ -15,7 +15,7 @@
 import yaml
 
 from masticwind.config.checks import check_configuration
-from masticwind.config.model import Configuration, Name
+from masticwind.config.model import Configuration, Name, described_fields
 from masticwind.config.problems import Problem
 
 Problems = tuple[Problem, ...]
@@ -157,12 +157,8 @@
             yield f'.{shown(key)}', _unknown_key(key, hints)
             continue
         yield from _field_problems(f'.{key}', content, hints[key])
-    for field in dataclasses.fields(kind):
-        has_default = (
-            field.default is not dataclasses.MISSING
-            or field.default_factory is not dataclasses.MISSING
-        )
-        if not has_default and field.name not in value:
+    for field in described_fields(kind):
+        if field.required and field.name not in value:
             yield f'.{field.name}', 'expected a value; the key is required'
 
 
--- a/tests/test_configuration_page.py
+++ b/tests/test_configuration_page.py
@@ -1,6 +1,5 @@
 """The operators' page against the code, and the examples."""
 
-import dataclasses
 from pathlib import Path
 from typing import Any, Literal, get_args, get_origin, get_type_hints
 
@@ -47,13 +46,13 @@
 def test_page_has_every_key_with_its_default(kind: Any) -> None:
     """Guards against a page that has fallen behind the code."""
     rows = _rows(kind)
-    fields = dataclasses.fields(kind)
+    fields = model.described_fields(kind)
     assert list(rows) == [one.name for one in fields]
     for one in fields:
         shown = rows[one.name][3].strip('| ')
-        if one.default is not dataclasses.MISSING:
+        if one.default is not msgspec.NODEFAULT:
             assert shown == f'`{msgspec.json.encode(one.default).decode()}`'
-        elif one.default_factory is dataclasses.MISSING:
+        elif one.default_factory is msgspec.NODEFAULT:
             assert shown == 'required'
         if one.name.endswith('_ms'):
             assert rows[one.name][2] == 'ms'
