--- a/src/masticwind_dev/faults/processes.py
+++ b/src/masticwind_dev/faults/processes.py
@@ -36,6 +36,7 @@
         'local': 'masticwind_dev.local.main',
     }
 )
+_LOGGING: Final = frozenset(('entry', 'agent'))
 _SERVES: Final = re.compile(r'serves on http://127\.0\.0\.1:(\d+)\.')
 
 
@@ -138,11 +139,16 @@
             # A restarted process has a log of its own, which also keeps the
             # ports of its predecessor from being read as its own.
             log_path.rename(self.folder / f'{name}.{len(self.processes)}.log')
-        with log_path.open('ab') as log:
+        with (
+            log_path.open('ab') as log,
+            (self.folder / f'{name}.out').open('wb') as out,
+        ):
             popen = subprocess.Popen(
                 [sys.executable, '-m', _MODULES[role], *arguments],
                 stdin=subprocess.DEVNULL,
-                stdout=log,
+                # The serving programs log to standard output; the others
+                # print their ports there.
+                stdout=log if role in _LOGGING else out,
                 stderr=log,
                 env={**os.environ, 'PYTHONUNBUFFERED': '1'},
             )
