Soak entries that run as processes with random faults

Two faults of the stand-ins were found and mended: the proxy reset a socket that was gone, and the raw endpoint ended at a request that broke off.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CELL ?=
 ARGS ?=
 
-.PHONY: setup lint format test demo bench faults
+.PHONY: setup lint format test demo bench faults soak
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -38,5 +38,8 @@
 bench: setup
 	$(PY) -m masticwind_dev.bench.main $(ARGS)
 
+soak: setup
+	$(PY) -m masticwind_dev.soak.main --seed $(SEED) $(ARGS)
+
 faults: setup
 	$(PY) -m masticwind_dev.faults.main --seed $(SEED) --cell '$(CELL)' $(ARGS)
--- a/src/masticwind_dev/faults/proxy.py
+++ b/src/masticwind_dev/faults/proxy.py
@@ -73,8 +73,13 @@
     def reset(self) -> None:
         """End both sides with a TCP reset."""
         for side in (self.caller, self.target):
-            # A side that its peer has reset has no socket any more.
-            with suppress(OSError, anyio.TypedAttributeLookupError):
+            # A side that its peer has reset has no socket any more; anyio
+            # then fails with one of these.
+            with suppress(
+                OSError,
+                AttributeError,
+                anyio.TypedAttributeLookupError,
+            ):
                 raw = side.extra(anyio.abc.SocketAttribute.raw_socket)
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
 
--- /dev/null
+++ b/src/masticwind_dev/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak of entries that run as real processes."""
--- a/src/masticwind_dev/standins/raw_endpoint.py
+++ b/src/masticwind_dev/standins/raw_endpoint.py
@@ -118,7 +118,11 @@
         parser = h11.Connection(h11.SERVER)
         async with stream:
             while not conn.closed:
-                req = await _read(parser, stream, number)
+                try:
+                    req = await _read(parser, stream, number)
+                except h11.RemoteProtocolError:
+                    # The sender broke off within a request.
+                    return
                 if req is None:
                     return
                 self.received.append(req)
