--- a/src/masticwind/ctl/main.py
+++ b/src/masticwind/ctl/main.py
@@ -24,6 +24,7 @@
 from masticwind.config.reader import read_configuration
 from masticwind.config.store import ConfigStore
 from masticwind.ctl.backend import ApiBackend, Backend, StoreBackend
+from masticwind.ctl.explain import explain
 from masticwind.ctl.table import status_lines
 from masticwind.errors import ErrorKind, Failure
 from masticwind.settings import PlatformSettings
@@ -289,6 +290,20 @@
     return INVALID if failure.kind in _INVALID_KINDS else REFUSED
 
 
+@cli.command(name='explain')
+def explain_request(
+    request_id: str,
+    *,
+    logs: Annotated[list[Path], cyclopts.Parameter(consume_multiple=True)],
+) -> None:
+    """Explain what happened to request REQUEST_ID, from entries' LOGS."""
+    explanation = explain(request_id, logs)
+    if not explanation.lines:
+        sys.stderr.write(f'no line of {request_id} in these logs\n')
+        sys.exit(DIFFERENT)
+    sys.stdout.write('\n'.join((*explanation.lines, '')))
+
+
 def main() -> None:
     """Run the program."""
     # Cyclopts would end a usage error with code 1, which means a conflict.
