--- a/src/masticwind_dev/bench/slopes_config.py
+++ b/src/masticwind_dev/bench/slopes_config.py
@@ -94,7 +94,7 @@
 def with_weight(config: Configuration, number: int) -> Configuration:
     """Return `config` with the weight of one team changed."""
     name = 'team-00007'
-    changed = replace(config.teams[name], weight=1.0 + number)
+    changed = msgspec.structs.replace(config.teams[name], weight=1.0 + number)
     return replace(config, teams={**config.teams, name: changed})
 
 
