--- a/tests/test_direct_bounds.py
+++ b/tests/test_direct_bounds.py
@@ -15,6 +15,7 @@
     LiveSettings,
     StoreSettings,
 )
+from tests.manual_clock import ManualClock
 
 BOUNDS: Final = FleetBounds(repeat_slack=100, repeat_ratio=0.2)
 CFG: Final = DirectSettings(
@@ -28,17 +29,6 @@
 SERVICE: Final = 'calls'
 
 
-class ManualClock:
-    """A clock that a test moves."""
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        """Return the time."""
-        return self.now
-
-
 @settings(deadline=None)
 @given(
     entries=st.integers(min_value=1, max_value=30),
--- a/tests/test_load_board.py
+++ b/tests/test_load_board.py
@@ -11,6 +11,7 @@
 from masticwind.serving.peers import EntryPeers, LoadLink
 from masticwind.serving.settings import DirectSettings, StoreSettings
 from masticwind.serving.store import Item
+from tests.manual_clock import ManualClock
 
 pytestmark = pytest.mark.anyio
 
@@ -27,17 +28,6 @@
 )
 
 
-class ManualClock:
-    """A clock that a test moves."""
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        """Return the time."""
-        return self.now
-
-
 def test_reading_shrinks_and_writing_begins() -> None:
     """Guards against engines that look busy with what they have read."""
     clock = ManualClock()
