Keep only settings that are used; refuse a time that is no number

Six settings of the platform's entry had no effect and are gone; a changed log level is taken over on reload. X-Deadline-Ms: nan or inf made a request without an end; it is answered 400 now, and the test fails for both without the change. The page of settings and its test cover the new classes.

--- a/src/masticwind/platform/headers.py
+++ b/src/masticwind/platform/headers.py
@@ -3,6 +3,7 @@
 Each header is decoded here once. The names are in lower case.
 """
 
+import math
 from collections.abc import Iterable
 from http import HTTPStatus
 from typing import Any, Final
@@ -145,6 +146,8 @@
         target = b'%b?%b' % (target, scope['query_string'])
     # A fractional or negative time is no reason to refuse a request.
     timeout_ms = float(time_left) if time_left else DEFAULT_TIMEOUT_MS
+    if not math.isfinite(timeout_ms):
+        raise ValueError(f'{timeout_ms} is no time')
     return CallerRequest(
         request_id=found.get(REQUEST_ID, b'').decode('latin-1'),
         method=scope['method'],
--- a/src/masticwind/platform/main.py
+++ b/src/masticwind/platform/main.py
@@ -2,13 +2,14 @@
 
 import os
 import sys
+from functools import partial
 from pathlib import Path
 from typing import Final
 
 import anyio
 from loguru import logger
 
-from masticwind.logs import name_process
+from masticwind.logs import configure_logs, name_process
 from masticwind.platform.documents import (
     ENTRIES,
     OPERATIONS,
@@ -68,7 +69,7 @@
     name_process('entry', cfg.node)
     async with anyio.create_task_group() as tasks:
         entry = DirectEntry(live, adapter)
-        await tasks.start(reload_on_change, settings, live.adopt)
+        await tasks.start(reload_on_change, settings, partial(_adopt, live))
         tasks.start_soon(stop_on_signals, entry.drain, tasks.cancel_scope)
         tasks.start_soon(entry.run)
         logger.bind(
@@ -78,5 +79,10 @@
         ).info('started')
 
 
+def _adopt(live: LiveSettings, cfg: DirectSettings) -> None:
+    live.adopt(cfg)
+    configure_logs(cfg.log_level)
+
+
 if __name__ == '__main__':
     main()
--- a/src/masticwind/serving/settings.py
+++ b/src/masticwind/serving/settings.py
@@ -17,14 +17,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoreSettings:
-    """The metadata store: where it is and how many calls it takes.
-
-    The rates count the calls of all entries together.
-    """
+    """The metadata store, as IP address and port."""
 
     address: HostPort
-    writes_per_s: Rate = 400
-    reads_per_s: Rate = 2000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,7 +27,8 @@
     """Promises of the fleet as a whole, as its operators state them.
 
     `key_age_ms` is how long a key may still be accepted after it was taken
-    away. Repeats of a service are at most `repeat_ratio` of its requests
+    away. An endpoint that leaves gets no more work after `leave_ms`. Repeats
+    of a service are at most `repeat_ratio` of its requests
     plus `repeat_slack` in any `repeat_window_s`. A cold endpoint gets at
     most `cold_factor` times its own rate plus `cold_slack` in a second.
     `shutdown_ms` is the time from SIGTERM to SIGKILL.
@@ -41,28 +37,25 @@
     fail_closed: bool = True
     key_age_ms: PositiveMs = 5000
     leave_ms: PositiveMs = 2000
-    config_ms: PositiveMs = 2000
     shutdown_ms: PositiveMs = 8000
     repeat_ratio: Ratio = 0.2
     repeat_window_s: Ratio = 10
     repeat_slack: Rate = 100
     cold_factor: Ratio = 1.5
     cold_slack: Rate = 5
-    max_hold_ms: PositiveMs = 20_000
-    address_reuse_s: Ratio = 2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DirectSettings:
     """Settings of an entry that serves endpoints directly.
 
-    `peer_port` is the UDP port on which entries tell each other their load;
+    `zones` gives the region of each availability zone. `peer_port` is the
+    UDP port on which entries tell each other their load;
     `metrics_port` of zero serves no metrics.
     """
 
     node: Name
     zone: Name
-    region: str = ''
     zones: dict[str, str] = field(default_factory=dict)
     listen: HostPort
     ready: HostPort
--- a/tests/direct_rig.py
+++ b/tests/direct_rig.py
@@ -250,7 +250,6 @@
     cfg = DirectSettings(
         node='entry-1',
         zone='zone-a',
-        region='region-a',
         zones={'zone-a': 'region-a', 'zone-b': 'region-b'},
         listen='127.0.0.1:0',
         ready='127.0.0.1:0',
--- a/tests/test_configuration_page.py
+++ b/tests/test_configuration_page.py
@@ -10,6 +10,7 @@
 from masticwind.config import model
 from masticwind.config.reader import read_configuration
 from masticwind.errors import Failure
+from masticwind.serving import settings as direct
 
 ROOT = Path(__file__).parent.parent
 PAGE = ROOT / 'docs' / 'CONFIGURATION.md'
@@ -20,6 +21,7 @@
     *(settings.EntrySettings, settings.AgentSettings, settings.PeerSettings),
     *(settings.PlatformSettings, settings.MetricsSettings),
     *(settings.TraceSettings, settings.Address, settings.ClaimSettings),
+    *(direct.DirectSettings, direct.StoreSettings, direct.FleetBounds),
 )
 
 
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -62,6 +62,28 @@
         assert int(rig.received[-1].headers['x-deadline-ms']) <= 800
 
 
+@pytest.mark.parametrize('value', [b'nan', b'inf', b'soon'])
+async def test_time_that_is_no_number_is_refused(value: bytes) -> None:
+    """Guards against a request without an end because its time is no time."""
+    async with direct_rig() as rig:
+        await rig.endpoint('i-1', answer_whole)
+        await rig.until_served('/read/a')
+        count = len(rig.received)
+        answer = await rig.client.request(
+            'GET',
+            '/read/a',
+            timeout_s=2,
+            headers=(
+                *caller_headers(KEY, 'r1', 100)[:2],
+                (b'Authorization', f'Bearer {KEY}'.encode()),
+                (b'X-Deadline-Ms', value),
+            ),
+        )
+        assert not isinstance(answer, Failure)
+        assert answer.status == 400
+        assert len(rig.received) == count
+
+
 async def test_longest_prefix_wins_and_others_are_not_found() -> None:
     """Guards against a route that takes the requests of a longer one."""
     document = sample_document()
