Check the page of metrics in its two parts

The full run failed at test_page_lists_every_metric_with_its_type, since the page has a second table now. The first table keeps its check; the second one is compared, names and types, with what an entry on the platform serves.

--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -5,11 +5,15 @@
 from pathlib import Path
 
 import msgspec
+import pytest
+from prometheus_client import generate_latest
 
 from masticwind.metrics import Metric, Metrics
 from masticwind.settings import MetricsSettings, TraceSettings
 from masticwind.tracing import Tracer
+from tests.direct_rig import direct_rig
 
+PLATFORM = '## On the platform'
 PAGE = Path(__file__).parent.parent / 'docs' / 'METRICS.md'
 SOURCE = Path(__file__).parent.parent / 'src' / 'masticwind'
 PARENT = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'
@@ -17,7 +21,8 @@
 
 def test_page_lists_every_metric_with_its_type() -> None:
     """Guards against a page that has fallen behind the code."""
-    rows = re.findall(r'^\| `([^`]+)` \| (\w+) \|', PAGE.read_text(), re.M)
+    page = PAGE.read_text().partition(PLATFORM)[0]
+    rows = re.findall(r'^\| `([^`]+)` \| (\w+) \|', page, re.M)
     assert [name for name, _ in rows] == [one.value for one in Metric]
     code = ''.join(
         path.read_text()
@@ -34,6 +39,21 @@
         assert re.search(calls[kind].format(member), code), name
 
 
+@pytest.mark.anyio
+async def test_page_lists_what_an_entry_on_the_platform_serves() -> None:
+    """Guards against a metric that the page does not have, or has with
+    another type.
+    """
+    page = PAGE.read_text().partition(PLATFORM)[2]
+    listed = set(re.findall(r'^\| `([^`]+)` \| (\w+)', page, re.M))
+    async with direct_rig() as rig:
+        text = generate_latest(rig.entry._telemetry._registry).decode()
+    served = set(re.findall(r'^# TYPE (\w+) (\w+)$', text, re.M))
+    assert listed == {
+        (name, kind) for name, kind in served if not name.endswith('_created')
+    }
+
+
 def test_metrics_are_aggregated_and_sent() -> None:
     """Guards against metrics that never leave the process."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
