--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -10,7 +10,7 @@
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 import anyio
 import httpcore
@@ -236,6 +236,7 @@
         return httpcore.AsyncHTTPConnection(
             origin=self._origin,
             socket_options=SOCKET_OPTIONS,
+            network_backend=_Backend(),
         )
 
     def _url(self, path: bytes) -> httpcore.URL:
@@ -247,6 +248,25 @@
         )
 
 
+class _Backend(httpcore.AnyIOBackend):
+    """Opens connections.
+
+    Where the other side resets a connection before its options are set,
+    httpcore finds no socket and fails with an `AttributeError`.
+    """
+
+    async def connect_tcp(
+        self,
+        *args: Any,
+        **options: Any,
+    ) -> httpcore.AsyncNetworkStream:
+        """Connect; a connection that is gone at once was not made."""
+        try:
+            return await super().connect_tcp(*args, **options)
+        except AttributeError as exc:
+            raise httpcore.ConnectError('reset at once') from exc
+
+
 class BrokenStreamError(Exception):
     """A streamed answer broke off before its end."""
 
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -1,10 +1,13 @@
 """The HTTP client's reuse of connections."""
 
 import anyio
+import httpcore
 import pytest
 
 from masticwind.engines.base import Done, EngineRequest
 from masticwind.engines.http import HttpEngine
+from masticwind.errors import ErrorKind, Failure
+from masticwind.httpclient import HttpClient
 from masticwind.settings import Address
 from masticwind.web import WebServer
 from masticwind_dev.standins.engine import EngineModel, EngineStandin
@@ -39,3 +42,20 @@
             assert len(engine._client._idle) == 1
         await engine._client.close()
         tasks.cancel_scope.cancel()
+
+
+async def test_connection_that_is_reset_at_once_was_not_made(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that fails with an exception because its
+    connection was reset before its options were set; nothing was sent.
+    """
+
+    async def connect(*_args: object, **_options: object) -> None:
+        raise AttributeError('no setsockopt')
+
+    monkeypatch.setattr(httpcore.AnyIOBackend, 'connect_tcp', connect)
+    client = HttpClient('http://127.0.0.1:1')
+    answer = await client.request('GET', '/', timeout_s=1)
+    assert isinstance(answer, Failure)
+    assert answer.kind is ErrorKind.NO_CAPACITY
