Count by name in one place, build the adapter in one place, drop dead fields

RepeatBudget and ColdRate each kept their own table of sliding counts; main and the tests' rig each built the platform's adapter. Nothing read Reply.cold_ms, CallerRequest.has_deadline, EdgeApp.last_request_at or called ColdRate.forget. No behaviour changes: a name's window is still that in force when it is first counted. Run: mypy, linters, the direct, bounds, deployment, telemetry, board and reservation tests.

--- a/src/masticwind/platform/headers.py
+++ b/src/masticwind/platform/headers.py
@@ -156,7 +156,6 @@
         path=scope['path'],
         forwarded=_forwarded(scope['headers']),
         budget=Budget.from_ms(timeout_ms),
-        has_deadline=time_left is not None,
         key=_key(found.get(KEY, b'').decode('latin-1')),
         tokens=_tokens(found),
         resume_after=int(last) if last.isdigit() else None,
--- a/src/masticwind/platform/main.py
+++ b/src/masticwind/platform/main.py
@@ -50,12 +50,9 @@
     )
 
 
-async def _serve(
-    settings: SettingsFile[DirectSettings],
-    live: LiveSettings,
-) -> None:
-    cfg = live.cfg
-    adapter = Adapter(
+def platform_adapter(cfg: DirectSettings) -> Adapter:
+    """Return what an entry needs of the platform."""
+    return Adapter(
         store=PlatformStore(cfg.store),
         decoder=PlatformDecoder(),
         edge=PlatformEdge(),
@@ -66,9 +63,16 @@
             entries=ENTRIES,
         ),
     )
+
+
+async def _serve(
+    settings: SettingsFile[DirectSettings],
+    live: LiveSettings,
+) -> None:
+    cfg = live.cfg
     name_process('entry', cfg.node)
     async with anyio.create_task_group() as tasks:
-        entry = DirectEntry(live, adapter)
+        entry = DirectEntry(live, platform_adapter(cfg))
         await tasks.start(reload_on_change, settings, partial(_adopt, live))
         tasks.start_soon(stop_on_signals, entry.drain, tasks.cancel_scope)
         tasks.start_soon(entry.run)
--- a/src/masticwind/serving/bounds.py
+++ b/src/masticwind/serving/bounds.py
@@ -14,6 +14,8 @@
 # Part of the slack that is used: an entry that was restarted knows nothing
 # of the repeats before.
 SLACK_SHARE: Final = 0.8
+# The rate of a cold endpoint holds for each second.
+COLD_WINDOW_S: Final = 1.0
 
 
 class SlidingCount:
@@ -36,6 +38,27 @@
         return len(self._times)
 
 
+class SlidingCounts:
+    """Counts events by name; a new name takes the window in force."""
+
+    def __init__(
+        self,
+        window_s: Callable[[], float],
+        clock: Callable[[], float],
+    ) -> None:
+        self._window_s: Final = window_s
+        self._clock: Final = clock
+        self._counts: Final[dict[str, SlidingCount]] = {}
+
+    def of(self, name: str) -> SlidingCount:
+        """Return the count of a name, which begins with zero."""
+        found = self._counts.get(name)
+        if found is None:
+            found = SlidingCount(self._window_s(), self._clock)
+            self._counts[name] = found
+        return found
+
+
 class RepeatBudget:
     """How often requests of one service may be sent once more.
 
@@ -51,42 +74,30 @@
     ) -> None:
         self._settings: Final = settings
         self._entries: Final = entries
-        self._clock: Final = clock
-        self._requests: Final[dict[str, SlidingCount]] = {}
-        self._repeats: Final[dict[str, SlidingCount]] = {}
+        self._requests: Final = SlidingCounts(self._window_s, clock)
+        self._repeats: Final = SlidingCounts(self._window_s, clock)
 
     def request(self, service: str) -> None:
         """Count a caller's request."""
-        self._counter(self._requests, service).add()
+        self._requests.of(service).add()
 
     def left(self, service: str) -> float:
         """Return how many repeats are left."""
         bounds = self._settings.bounds
         slack = bounds.repeat_slack * SLACK_SHARE / self._entries()
-        requests = self._counter(self._requests, service).count()
+        requests = self._requests.of(service).count()
         allowed = slack + requests * bounds.repeat_ratio * SLACK_SHARE
-        return allowed - self._counter(self._repeats, service).count()
+        return allowed - self._repeats.of(service).count()
 
     def take(self, service: str) -> bool:
         """Take the right to one repeat; false if there is none left."""
         if self.left(service) < 1:
             return False
-        self._counter(self._repeats, service).add()
+        self._repeats.of(service).add()
         return True
 
-    def _counter(
-        self,
-        counters: dict[str, SlidingCount],
-        service: str,
-    ) -> SlidingCount:
-        counter = counters.get(service)
-        if counter is None:
-            counter = SlidingCount(
-                self._settings.bounds.repeat_window_s,
-                self._clock,
-            )
-            counters[service] = counter
-        return counter
+    def _window_s(self) -> float:
+        return self._settings.bounds.repeat_window_s
 
 
 class ColdRate:
@@ -104,8 +115,7 @@
     ) -> None:
         self._settings: Final = settings
         self._entries: Final = entries
-        self._clock: Final = clock
-        self._sent: Final[dict[str, SlidingCount]] = {}
+        self._sent: Final = SlidingCounts(lambda: COLD_WINDOW_S, clock)
 
     def free(self, endpoint: str, cold_per_s: float) -> bool:
         """Tell whether an endpoint may get one more request now."""
@@ -114,19 +124,8 @@
         bounds = self._settings.bounds
         whole = cold_per_s * bounds.cold_factor + bounds.cold_slack
         share = max(1.0, whole * SLACK_SHARE / self._entries())
-        return self._counter(endpoint).count() + 1 <= share
+        return self._sent.of(endpoint).count() + 1 <= share
 
     def sent(self, endpoint: str) -> None:
         """Count a request that is being sent."""
-        self._counter(endpoint).add()
-
-    def forget(self, endpoint: str) -> None:
-        """Drop the count of an endpoint that is gone."""
-        self._sent.pop(endpoint, None)
-
-    def _counter(self, endpoint: str) -> SlidingCount:
-        counter = self._sent.get(endpoint)
-        if counter is None:
-            counter = SlidingCount(1.0, self._clock)
-            self._sent[endpoint] = counter
-        return counter
+        self._sent.of(endpoint).add()
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -116,7 +116,6 @@
     def __init__(self, parts: EdgeParts) -> None:
         self._parts: Final = parts
         self.running = 0
-        self.last_request_at = time.monotonic()
         # When the process ends, on the monotonic clock; a request that
         # would take longer is refused.
         self.ends_at = math.inf
@@ -129,7 +128,6 @@
     ) -> None:
         """Serve one request."""
         self.running += 1
-        self.last_request_at = time.monotonic()
         try:
             await self._serve(scope, receive, send)
         finally:
--- a/src/masticwind/serving/link.py
+++ b/src/masticwind/serving/link.py
@@ -81,7 +81,6 @@
     chunks: AsyncIterator[bytes]
     at_fault: Endpoint | None = None
     length: int | None = None
-    cold_ms: float = 0
 
     @property
     def success(self) -> bool:
--- a/src/masticwind/serving/model.py
+++ b/src/masticwind/serving/model.py
@@ -196,7 +196,6 @@
     path: str
     forwarded: Headers
     budget: Budget
-    has_deadline: bool
     key: str = ''
     tokens: TokenCounts | None = None
     resume_after: int | None = None
--- a/tests/direct_rig.py
+++ b/tests/direct_rig.py
@@ -13,16 +13,8 @@
 
 from masticwind.errors import Failure
 from masticwind.httpclient import HttpAnswer, HttpClient
-from masticwind.platform.documents import (
-    ENTRIES,
-    OPERATIONS,
-    REGISTRATIONS,
-    PlatformDecoder,
-)
-from masticwind.platform.endpoints import PlatformLink
-from masticwind.platform.headers import PlatformEdge
-from masticwind.platform.store import PlatformStore
-from masticwind.serving.server import Adapter, DirectEntry, Prefixes
+from masticwind.platform.main import platform_adapter
+from masticwind.serving.server import DirectEntry
 from masticwind.serving.settings import (
     DirectSettings,
     FleetBounds,
@@ -256,18 +248,7 @@
         store=StoreSettings(address=f'127.0.0.1:{server.port}'),
         bounds=bounds or FleetBounds(),
     )
-    adapter = Adapter(
-        store=PlatformStore(cfg.store),
-        decoder=PlatformDecoder(),
-        edge=PlatformEdge(),
-        link=PlatformLink(),
-        prefixes=Prefixes(
-            operations=OPERATIONS,
-            registrations=REGISTRATIONS,
-            entries=ENTRIES,
-        ),
-    )
-    entry = DirectEntry(LiveSettings(cfg), adapter)
+    entry = DirectEntry(LiveSettings(cfg), platform_adapter(cfg))
     client = HttpClient(f'http://127.0.0.1:{entry.port}')
     async with anyio.create_task_group() as tasks:
         rig = Rig(store, entry, tasks, client)
