Limit the first starts on an idle engine to its cold capacity

Shown: test_relapse_of_an_idle_engine_is_respected fails before (requests failed after start) and passes after; a warm engine is filled again by its second test.

--- a/src/masticwind/agent/executor.py
+++ b/src/masticwind/agent/executor.py
@@ -289,14 +289,13 @@
 
     def _start_queued(self) -> None:
         self._end_hopeless()
-        capacity = self.gate.capacity()
         while True:
-            req = self.scheduler.take(capacity)
+            req = self.scheduler.take(self.gate.capacity())
             if req is None:
                 break
             self._observer.left_queue(req)
             self._start(req)
-        for victim in self.scheduler.preemptible(capacity):
+        for victim in self.scheduler.preemptible(self.gate.capacity()):
             victim.preempted = True
             self._observer.preempted()
             if victim.scope is not None:
@@ -304,6 +303,8 @@
 
     def _start(self, req: AgentRequest) -> None:
         req.state = 'running'
+        if not self.running:
+            self.ramp.leave_idle()
         self.running.add(req)
         self._tasks.start_soon(self._run_request, req)
 
--- a/src/masticwind/agent/ramp.py
+++ b/src/masticwind/agent/ramp.py
@@ -7,8 +7,10 @@
 engine restarts, reloads, reports a cold start, fails a stream, or when the
 decode intervals grow well beyond what the outstanding work explains.
 
-A relapse shows in the decode intervals of running streams. A relapse of an
-idle engine, or one within the few iterations before a start, cannot be seen.
+A relapse shows in the decode intervals of running streams. An idle engine
+shows nothing, so what starts after an idle time keeps to the cold capacity
+until its decode intervals are usual ones. A relapse within the few iterations
+before a start cannot be seen.
 """
 
 import math
@@ -108,6 +110,19 @@
         """Note a stream that the engine has failed."""
         self.enter()
 
+    def leave_idle(self) -> None:
+        """Note the first start on an idle engine, which may have relapsed.
+
+        The earlier limit is given back after a few usual intervals.
+        """
+        if not self._limit:
+            return
+        self._suspected_limit = max(self._limit, self._suspected_limit)
+        self._limit = 0
+        self._completed = 0
+        self._usual_intervals = 0
+        self._plain_intervals = 0
+
     def interval(self, seconds: float, prefill_tokens: int) -> None:
         """Take the time between two tokens of one stream.
 
--- a/tests/test_agent_life.py
+++ b/tests/test_agent_life.py
@@ -286,6 +286,29 @@
         assert rig.engine.offers_over_capacity == 0
 
 
+async def test_relapse_of_an_idle_engine_is_respected() -> None:
+    """Guards against a rush on an engine that turned cold while idle."""
+    async with agent_rig(EngineModel(cold_requests=4)) as rig:
+        rig.offer('earlier', 100, max_tokens=60)
+        assert await rig.ended('earlier') == ['done']
+        rig.engine.turn_cold()
+        names = [f'r{one}' for one in range(12)]
+        for name in names:
+            rig.offer(name, 100, max_tokens=60)
+        assert set(await rig.ended(*names)) == {'done'}
+        assert rig.engine.offers_over_capacity == 0
+
+
+async def test_warm_engine_is_full_soon_after_idle_time() -> None:
+    """Guards against an engine that stays at its cold capacity when warm."""
+    async with agent_rig() as rig:
+        names = [f'r{one}' for one in range(12)]
+        for name in names:
+            rig.offer(name, 100, max_tokens=200)
+        await rig.until(lambda: len(rig.executor.running) == len(names))
+        assert set(await rig.ended(*names)) == {'done'}
+
+
 async def test_broken_connection_is_resumed() -> None:
     """Guards against losing a stream whose connection alone broke."""
     async with agent_rig(EngineModel(decode_ms=20, report_lag_ms=100)) as rig:
