Offer a request again to an agent whose connection was silent

Cause: an offer on a silent connection is withdrawn after a second. The agent then refused every later offer of that request id, and the entry did not try the agent again, so a request with no other endpoint to go to ended as 'revoked, not run' (matrix cell silent@accepted). Ruled out: the retry budget (50 tokens, 12 callers). Change: a withdrawal counts for one attempt, and an agent that has confirmed the withdrawal is a candidate again where no other one takes the request. Shown: test_offer_on_a_silent_connection_is_served gets 503 before and 200 after, with one execution.

--- a/src/masticwind/agent/executor.py
+++ b/src/masticwind/agent/executor.py
@@ -212,8 +212,8 @@
 
     def revoke(self, channel: Channel, message: Revoke) -> None:
         """Withdraw a request and say whether it can have run."""
-        self.gate.revoke(message.request_id)
         key = (message.request_id, message.attempt)
+        self.gate.revoke(key)
         req = self._requests.get(key)
         orphan = req is None and self.reconciler.claim(key) is not None
         started = orphan or (req is not None and req.started)
@@ -235,7 +235,7 @@
         key = (message.request_id, message.attempt, message.share)
         refusal = None
         if not self.shares.known(message):
-            refusal = self.gate.closed(message.request_id)
+            refusal = self.gate.closed(key[:2])
         refusal = refusal or self.shares.reserve(message)
         if refusal is None:
             channel.send(Reserved(*key))
@@ -264,7 +264,7 @@
 
     def _decide(self, req: AgentRequest) -> int | Failure:
         offer = req.offer
-        closed = self.gate.closed(offer.request_id)
+        closed = self.gate.closed((offer.request_id, offer.attempt))
         if closed is not None:
             return closed
         if not self.gate.has_model(offer.model):
--- a/src/masticwind/agent/gate.py
+++ b/src/masticwind/agent/gate.py
@@ -1,9 +1,10 @@
-"""What an agent may take at all: service state, drain and revoked ids."""
+"""What an agent may take: service state, drain and revoked attempts."""
 
 import time
 from typing import Final
 
 from masticwind.agent.ramp import Ramp
+from masticwind.agent.requests import RequestKey
 from masticwind.config.current import CurrentConfig
 from masticwind.engines.base import EngineReport
 from masticwind.errors import ErrorKind, Failure
@@ -14,7 +15,7 @@
 
 
 class Gate:
-    """Owns the engine's last report and the ids of revoked requests."""
+    """Owns the engine's last report and the revoked attempts."""
 
     def __init__(
         self,
@@ -25,19 +26,19 @@
         self._cfg: Final = cfg
         self._config: Final = config
         self._ramp: Final = ramp
-        self._revoked: Final[dict[str, float]] = {}
+        self._revoked: Final[dict[RequestKey, float]] = {}
         self.report: EngineReport | None = None
         self.draining = False
 
-    def revoke(self, request_id: str) -> None:
-        """Refuse later offers of a request."""
-        self._revoked[request_id] = time.monotonic()
+    def revoke(self, key: RequestKey) -> None:
+        """Refuse an offer of this attempt that arrives late."""
+        self._revoked[key] = time.monotonic()
         if len(self._revoked) > MAX_REVOKED:
             self._revoked.pop(next(iter(self._revoked)))
 
-    def closed(self, request_id: str) -> Failure | None:
+    def closed(self, key: RequestKey) -> Failure | None:
         """Return why no new work is taken, if none is."""
-        if request_id in self._revoked:
+        if key in self._revoked:
             return Failure(kind=ErrorKind.REVOKED, reason='revoked before')
         if self.draining:
             return Failure(kind=ErrorKind.DRAINING, reason='shutting down')
--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -167,6 +167,7 @@
     ) -> Done | Failure:
         refusals = Refusals()
         tried: set[AgentLink] = set()
+        withdrawn: set[AgentLink] = set()
         link = first
         for number in range(MAX_ATTEMPTS):
             tried.add(link)
@@ -185,7 +186,13 @@
             refusals.add(outcome)
             if not may_move(outcome, attempt.received):
                 break
+            if outcome.kind is ErrorKind.REVOKED:
+                withdrawn.add(link)
             chosen = self._choose(req, tried)
+            if withdrawn and isinstance(chosen, Failure):
+                # An agent whose connection was silent has answered on another
+                # one; it knows the earlier attempt as withdrawn.
+                chosen = self._choose(req, tried - withdrawn)
             if isinstance(chosen, Failure) or not self._retries.take():
                 break
             link = chosen
--- a/tests/test_relay_faults.py
+++ b/tests/test_relay_faults.py
@@ -93,6 +93,18 @@
     act()
 
 
+@pytest.mark.parametrize('tokens', [200, 20_000])
+async def test_offer_on_a_silent_connection_is_served(tokens: int) -> None:
+    """Guards against "revoked" as the answer of the only endpoint."""
+    async with bench(decode_ms=5) as one:
+        one.proxy.inject(Faults(silent_old=True))
+        body = chat_body('word ' * tokens, max_tokens=4)
+        answer = await ask(one.client, body)
+        assert isinstance(answer, HttpAnswer)
+        assert answer.status == 200
+        assert len(one.engine.executed) == 1
+
+
 @pytest.mark.parametrize('kind', ['reset', 'silent', 'up', 'down'])
 async def test_stream_resumes_without_gap_or_repeat(kind: str) -> None:
     """Guards against tokens lost or repeated with a replaced connection."""
