Apply the connection limits of the configuration to callers

Cause: max_header_bytes, header_timeout_ms and idle_timeout_ms were decoded, but the server closed a kept connection after a fixed 60 s, a head after 10 s and refused over 32 KB, so callers within larger limits were cut and smaller limits did not hold. Change: WebServer takes its limits from a source that is asked at each head; an entry on the platform gives those of the configuration in force.

--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -39,6 +39,7 @@
     json_response,
     send_response,
 )
+from masticwind.web_protocol import ConnectionLimits
 
 # A watch of the configuration returns at least this often, which confirms
 # that the copy is recent.
@@ -119,7 +120,11 @@
         self._telemetry: Final = Telemetry()
         self._app: Final = EdgeApp(self._edge_parts())
         self._add_gauges()
-        self._server: Final = WebServer(self._app, address_of(cfg.listen))
+        self._server: Final = WebServer(
+            self._app,
+            address_of(cfg.listen),
+            self._connection_limits,
+        )
         self._ready: Final = WebServer(
             self._answer_ready,
             address_of(cfg.ready),
@@ -260,6 +265,14 @@
     def _store_returned_within(self, seconds: float) -> bool:
         return self._registrations.returned_within(seconds)
 
+    def _connection_limits(self) -> ConnectionLimits:
+        limits = self._active.config.limits
+        return ConnectionLimits(
+            header_bytes=limits.max_header_bytes,
+            header_timeout_s=limits.header_timeout_ms / MS_PER_S,
+            idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
+        )
+
     async def _answer_ready(
         self,
         scope: Scope,
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -18,7 +18,7 @@
 from masticwind.errors import ANSWERS, ErrorKind, Failure
 from masticwind.settings import Address
 from masticwind.sockets import listen_tcp
-from masticwind.web_protocol import LimitedProtocol
+from masticwind.web_protocol import ConnectionLimits, LimitedProtocol
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -28,7 +28,6 @@
 _Content = TypeVar('_Content')
 
 JSON_TYPE: Final = b'application/json'
-KEEP_ALIVE_S: Final = 60
 MS_PER_S: Final = 1000
 CLOSE_HEADER: Final = (b'connection', b'close')
 # Decoding a larger body on the event loop would stall other requests.
@@ -169,24 +168,29 @@
 class WebServer:
     """Serves an ASGI application on one address until `stop` is called."""
 
-    def __init__(self, app: App, address: Address) -> None:
+    def __init__(
+        self,
+        app: App,
+        address: Address,
+        limits: Callable[[], ConnectionLimits] = ConnectionLimits,
+    ) -> None:
         self.closing = False
         self._app: Final = app
         self._stopped: Final = anyio.Event()
         self._socket: Final = listen_tcp(address)
         self.port: Final = int(self._socket.getsockname()[1])
+        protocol: Any = partial(LimitedProtocol, limits=limits)
         self._server: Final = _Server(
             uvicorn.Config(
                 self._serve,
                 loop='none',
                 interface='asgi3',
-                http=LimitedProtocol,
+                http=protocol,
                 ws='none',
                 lifespan='off',
                 log_config=None,
                 access_log=False,
                 server_header=False,
-                timeout_keep_alive=KEEP_ALIVE_S,
             )
         )
 
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -6,22 +6,50 @@
 """
 
 import asyncio
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, Final
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-MAX_HEAD_BYTES: Final = 32_768
 MAX_HEADERS: Final = 128
-HEAD_TIMEOUT_S: Final = 10.0
+# Room for the request line and separators beside the headers.
+REQUEST_LINE_BYTES: Final = 8192
 # A caller that reads nothing for this long is treated as gone.
 WRITE_STALL_S: Final = 30.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConnectionLimits:
+    """What a caller may send before its request begins, and how slowly.
+
+    `header_bytes` counts names and values. `header_timeout_s` runs from the
+    first byte of a head to its end. A connection without a request is closed
+    after `idle_timeout_s`.
+    """
+
+    header_bytes: int = 32_768
+    header_timeout_s: float = 10
+    idle_timeout_s: float = 60
+
+
 class LimitedProtocol(HttpToolsProtocol):
-    """One HTTP connection of a caller."""
+    """One HTTP connection of a caller.
+
+    `limits` is asked at each head, so that a new configuration holds for
+    the next request of an open connection.
+    """
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        *args: Any,
+        limits: Callable[[], ConnectionLimits],
+        **kwargs: Any,
+    ) -> None:
         super().__init__(*args, **kwargs)
+        self._limits_now: Final = limits
+        self._limits = limits()
         self._head_bytes = 0
         self._in_head = True
         self._head_timer: asyncio.TimerHandle | None = None
@@ -38,9 +66,10 @@
         self,
         transport: asyncio.Transport,
     ) -> None:
-        """Start the time limit of the first head."""
+        """Start the time limit of a connection without a request."""
         super().connection_made(transport)
         self._start_head()
+        self._close_after(self._limits.idle_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timers."""
@@ -54,7 +83,7 @@
         if not self._in_head:
             return
         self._head_bytes += len(data)
-        if self._head_bytes > MAX_HEAD_BYTES:
+        if self._head_bytes > self._limits.header_bytes + REQUEST_LINE_BYTES:
             if not self.transport.is_closing():
                 self.send_400_response('Request head is too large.')
             self.transport.abort()
@@ -63,12 +92,13 @@
         """Start the limits of the next head."""
         super().on_message_begin()
         self._start_head()
+        self._close_after(self._limits.header_timeout_s)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Refuse too many or too large headers of one chunk."""
         super().on_header(name, value)
         size = sum(len(key) + len(text) for key, text in self.headers)
-        if len(self.headers) > MAX_HEADERS or size > MAX_HEAD_BYTES:
+        if len(self.headers) > MAX_HEADERS or size > self._limits.header_bytes:
             # The parser turns this into a 400 answer.
             raise ValueError('request head is too large')
 
@@ -95,11 +125,13 @@
     def _start_head(self) -> None:
         self._head_bytes = 0
         self._in_head = True
+        self._limits = self._limits_now()
+        # uvicorn closes a kept connection after this time without a request.
+        self.timeout_keep_alive = math.ceil(self._limits.idle_timeout_s)
+
+    def _close_after(self, seconds: float) -> None:
         self._stop_head_timer()
-        self._head_timer = self.loop.call_later(
-            HEAD_TIMEOUT_S,
-            self.transport.close,
-        )
+        self._head_timer = self.loop.call_later(seconds, self.transport.close)
 
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -62,6 +62,25 @@
         assert int(rig.received[-1].headers['x-deadline-ms']) <= 800
 
 
+async def test_limits_of_the_configuration_hold_for_callers() -> None:
+    """Guards against headers that are refused by a limit of our own."""
+    document = sample_document()
+    document['limits'] = {'max_header_bytes': 60_000}
+    async with direct_rig(document) as rig:
+        await rig.endpoint('i-1', answer_whole)
+        await rig.until_served('/read/a')
+        long = (b'X-Long', b'x' * 50_000)
+        answer = await rig.ask('/read/a', headers=(long,))
+        assert answer.status == 200
+        document['limits'] = {'max_header_bytes': 5000}
+        document['version'] += 1
+        rig.configure(document)
+        with anyio.fail_after(5):
+            while answer.status == 200:
+                answer = await rig.ask('/read/a', headers=(long,))
+        assert answer.status == 400
+
+
 @pytest.mark.parametrize('value', [b'nan', b'inf', b'soon'])
 async def test_time_that_is_no_number_is_refused(value: bytes) -> None:
     """Guards against a request without an end because its time is no time."""
