Let entries confirm each other's copies of the configuration

Cause: every entry asked the store once a second whether its copy of the configuration still held. Change: two entries ask the store every second or so; the others ask them by datagram. A reply repeats the time of its question on the asking entry's clock, so a late datagram never makes a copy look younger. An entry that gets no confirmation asks the store itself, and a watch that misses a change which others know is given up.

--- /dev/null
+++ b/src/masticwind/serving/confirmations.py
@@ -0,0 +1,144 @@
+"""Entries confirm each other's copies of the configuration.
+
+A few entries ask the store every second or so whether their copy is still
+right. The others ask these entries, not the store, for the revision of the
+last change that they know and for the age of their copy; a copy that holds
+that change is as recent. So the number of calls does not grow with that of
+entries, and an entry that the store turns away goes on accepting keys while
+other entries are served. An entry that gets no confirmation asks the store.
+
+A reply repeats the time at which its question was sent, on the clock of the
+entry that asked. The age counts from then, so a reply that was delayed on
+the way or that waited in a suspended process makes the copy older, never
+younger than it is. No two clocks are compared.
+"""
+
+import contextlib
+import math
+import random
+from typing import Any, Final
+
+import anyio
+import msgspec
+
+from masticwind.budget import MS_PER_S
+from masticwind.serving.datagrams import Peer, PeerSocket, Receiver
+from masticwind.serving.mirror import Mirror, boot_time
+from masticwind.serving.peers import EntryPeers
+from masticwind.serving.settings import LiveSettings
+
+QUESTION: Final = 'question'
+CONFIRMATION: Final = 'confirmation'
+# Time between questions, at most.
+LONGEST_PAUSE_S: Final = 0.7
+# Entries that ask the store first; two, so that one may be lost or cut off.
+CONFIRMING_ENTRIES: Final = 2
+# Parts of the time for which a removed key may be accepted. A copy of this
+# age is confirmed at the store; the second value leaves the confirming
+# entries time to answer, and time until the copy is no longer trusted.
+CONFIRM_SHARE: Final = 0.2
+FALLBACK_SHARE: Final = 0.36
+# Questions or replies that wait; a later question replaces a dropped one.
+MAX_WAITING: Final = 64
+
+
+class Question(msgspec.Struct, array_like=True):
+    """Asked at `asked_ms` on the clock of the entry that asks."""
+
+    asked_ms: int
+
+
+class Confirmation(msgspec.Struct, array_like=True):
+    """The last change in a copy and its age when the question arrived."""
+
+    asked_ms: int
+    changed: int
+    age_ms: int
+
+
+class _Inbox(Receiver):
+    """Keeps messages of one kind until they are read; drops the rest."""
+
+    def __init__(self, kind: type[msgspec.Struct]) -> None:
+        self._kind: Final = kind
+        put, arrived = anyio.create_memory_object_stream[tuple[Any, Peer]](
+            MAX_WAITING,
+        )
+        self._put: Final = put
+        self.arrived: Final = arrived
+
+    def receive(self, message: object, sender: Peer) -> None:
+        """Keep a message."""
+        with contextlib.suppress(anyio.WouldBlock):
+            self._put.send_nowait(
+                (msgspec.convert(message, type=self._kind), sender),
+            )
+
+
+class Confirmations:
+    """Asks other entries and answers them."""
+
+    def __init__(
+        self,
+        peer_socket: PeerSocket,
+        peers: EntryPeers,
+        mirror: Mirror,
+        settings: LiveSettings,
+    ) -> None:
+        self._settings: Final = settings
+        self._socket: Final = peer_socket
+        self._peers: Final = peers
+        self._mirror: Final = mirror
+        self._questions: Final = _Inbox(Question)
+        self._replies: Final = _Inbox(Confirmation)
+        peer_socket.add(QUESTION, self._questions)
+        peer_socket.add(CONFIRMATION, self._replies)
+
+    async def run(self) -> None:
+        """Ask, answer and take replies until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._ask)
+            tasks.start_soon(self._answer)
+            tasks.start_soon(self._take)
+
+    def question(self) -> Question:
+        """Return a question that is sent now."""
+        return Question(int(boot_time() * MS_PER_S))
+
+    def reply(self, question: Question) -> Confirmation | None:
+        """Return what this entry can say of its copy, if anything."""
+        if not self._mirror.listed:
+            return None
+        # The age is rounded up, so that no copy looks younger than it is.
+        age_ms = math.ceil(self._mirror.age_s() * MS_PER_S)
+        return Confirmation(question.asked_ms, self._mirror.changed, age_ms)
+
+    def take(self, reply: Confirmation) -> None:
+        """Take over the reply of another entry."""
+        as_of = (reply.asked_ms - reply.age_ms) / MS_PER_S
+        self._mirror.confirm(reply.changed, as_of)
+
+    async def _ask(self) -> None:
+        while True:
+            await anyio.sleep(random.uniform(0.5, 1) * LONGEST_PAUSE_S)
+            self._mirror.catch_up()
+            first = self._peers.first(CONFIRMING_ENTRIES)
+            asked = [peer for node, peer in first if node != self._socket.node]
+            await self._socket.send(QUESTION, self.question(), asked)
+            share = FALLBACK_SHARE
+            if len(asked) < CONFIRMING_ENTRIES:
+                share = CONFIRM_SHARE
+            limit_s = self._settings.bounds.key_age_ms * share / MS_PER_S
+            # Without a watch, the mirror itself goes on trying.
+            if self._mirror.connected and self._mirror.age_s() > limit_s:
+                await self._mirror.poll()
+
+    async def _answer(self) -> None:
+        async for question, sender in self._questions.arrived:
+            reply = self.reply(question)
+            if reply is not None:
+                await self._socket.send(CONFIRMATION, reply, (sender,))
+
+    async def _take(self) -> None:
+        async for reply, _ in self._replies.arrived:
+            self.take(reply)
--- /dev/null
+++ b/src/masticwind/serving/load_link.py
@@ -0,0 +1,207 @@
+"""Entries tell each other their load.
+
+Changes are sent as they happen, and everything once a second, so that a lost
+datagram is made good. A datagram carries times as milliseconds from now; no
+two clocks are compared.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+import msgspec
+from loguru import logger
+
+from masticwind.budget import MS_PER_S
+from masticwind.serving.datagrams import Peer, PeerSocket, Receiver
+from masticwind.serving.load import Job, LoadBoard
+from masticwind.serving.mirror import boot_time
+from masticwind.serving.passes import Reading
+from masticwind.serving.peers import EntryPeers
+
+LOAD: Final = 'load'
+# Changes within this time travel in one datagram.
+BATCH_S: Final = 0.005
+REFRESH_S: Final = 1.0
+# An entry that says nothing for this long has no running work any more.
+SILENT_S: Final = 2.5
+# Jobs in one datagram, so that it stays below 1,400 bytes.
+JOBS_PER_DATAGRAM: Final = 16
+
+
+class _Row(msgspec.Struct, array_like=True):
+    """A job on the wire; times are ms from now."""
+
+    number: int
+    request: str
+    endpoint: str
+    tokens: float
+    pairs_m: float
+    context: int
+    memory: int
+    started_ms: int
+    first_ms: int
+    end_ms: int
+    pause_ms: int
+    worth: float
+    due_ms: int | None
+    writing: bool
+
+
+class _News(msgspec.Struct, array_like=True):
+    """Jobs that are new or changed, and numbers of those that ended.
+
+    `whole` says that the sender has no other jobs.
+    """
+
+    entry: str
+    incarnation: str
+    sequence: int
+    whole: bool
+    jobs: list[_Row]
+    ended: list[int]
+
+
+@dataclass(slots=True)
+class _Heard:
+    incarnation: str = ''
+    sequence: int = 0
+    at: float = 0
+
+
+class LoadLink(Receiver):
+    """Sends this entry's jobs to the others and takes in theirs."""
+
+    def __init__(
+        self,
+        peer_socket: PeerSocket,
+        peers: EntryPeers,
+        board: LoadBoard,
+        incarnation: str,
+    ) -> None:
+        self._socket: Final = peer_socket
+        self._peers: Final = peers
+        self._board: Final = board
+        self._incarnation: Final = incarnation
+        self._sequence = 0
+        self._heard: Final[dict[str, _Heard]] = {}
+        peer_socket.add(LOAD, self)
+
+    async def run(self) -> None:
+        """Exchange load until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._send_changes)
+            tasks.start_soon(self._send_all)
+            tasks.start_soon(self._forget_silent)
+
+    def receive(self, message: object, sender: Peer) -> None:
+        """Take over what another entry runs."""
+        news = msgspec.convert(message, type=_News)
+        heard = self._heard.setdefault(news.entry, _Heard())
+        if heard.incarnation == news.incarnation:
+            if news.sequence <= heard.sequence:
+                return
+        else:
+            self._board.update_others(news.entry, (), (), whole=True)
+        heard.incarnation = news.incarnation
+        heard.sequence = news.sequence
+        heard.at = boot_time()
+        now = self._board.clock()
+        self._board.update_others(
+            news.entry,
+            [_job(row, now) for row in news.jobs],
+            news.ended,
+            whole=news.whole,
+        )
+
+    async def _send_changes(self) -> None:
+        while True:
+            changed, ended = await self._board.wait_for_changes()
+            await self._send(changed, ended, whole=False)
+            await anyio.sleep(BATCH_S)
+
+    async def _send_all(self) -> None:
+        while True:
+            await anyio.sleep(REFRESH_S)
+            await self._send(self._board.own(), (), whole=True)
+
+    async def _forget_silent(self) -> None:
+        while True:
+            await anyio.sleep(REFRESH_S)
+            for entry, heard in list(self._heard.items()):
+                if boot_time() - heard.at > SILENT_S:
+                    self._heard.pop(entry)
+                    self._board.update_others(entry, (), (), whole=True)
+                    logger.bind(entry=entry).info('entry_silent')
+
+    async def _send(
+        self,
+        jobs: Iterable[Job],
+        ended: Iterable[int],
+        *,
+        whole: bool,
+    ) -> None:
+        others = self._peers.others()
+        if not others:
+            return
+        rows = [_row(job, self._board.clock()) for job in jobs]
+        numbers = list(ended)
+        first = True
+        while first or rows:
+            self._sequence += 1
+            news = _News(
+                entry=self._socket.node,
+                incarnation=self._incarnation,
+                sequence=self._sequence,
+                whole=whole and first,
+                jobs=rows[:JOBS_PER_DATAGRAM],
+                ended=numbers if first else [],
+            )
+            rows = rows[JOBS_PER_DATAGRAM:]
+            first = False
+            await self._socket.send(LOAD, news, others)
+
+
+def _row(job: Job, now: float) -> _Row:
+    return _Row(
+        number=job.number,
+        request=job.request,
+        endpoint=job.endpoint,
+        tokens=round(job.reading.tokens),
+        pairs_m=round(job.reading.pairs_m),
+        context=job.context,
+        memory=job.memory,
+        started_ms=int((job.started - now) * MS_PER_S),
+        first_ms=int((job.first_at - now) * MS_PER_S),
+        end_ms=int((job.end_at - now) * MS_PER_S),
+        pause_ms=int(job.pause_ms),
+        worth=round(job.worth),
+        due_ms=_due_ms(job, now),
+        writing=job.writing,
+    )
+
+
+def _due_ms(job: Job, now: float) -> int | None:
+    if math.isinf(job.due_at):
+        return None
+    return int((job.due_at - now) * MS_PER_S)
+
+
+def _job(row: _Row, now: float) -> Job:
+    return Job(
+        number=row.number,
+        request=row.request,
+        endpoint=row.endpoint,
+        reading=Reading(row.tokens, row.pairs_m),
+        context=row.context,
+        memory=row.memory,
+        started=now + row.started_ms / MS_PER_S,
+        first_at=now + row.first_ms / MS_PER_S,
+        end_at=now + row.end_ms / MS_PER_S,
+        pause_ms=row.pause_ms,
+        worth=row.worth,
+        due_at=math.inf if row.due_ms is None else now + row.due_ms / MS_PER_S,
+        writing=row.writing,
+    )
--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -2,9 +2,12 @@
 
 One watch is open for each prefix. After a failure the prefix is watched on
 from the last revision, and after compaction it is listed again. The moment
-at which the last successful call began tells how old the copy can be; it is
-measured on a clock that also counts the time in which the instance was
-suspended.
+at which the last successful call began tells how old the copy can be, unless
+another entry confirms a later moment; it is measured on a clock that also
+counts the time in which the instance was suspended.
+
+`changed` is a revision after which nothing had changed when the copy was
+last confirmed.
 """
 
 import abc
@@ -17,12 +20,19 @@
 from loguru import logger
 
 from masticwind.errors import Failure
-from masticwind.serving.store import Changes, Compacted, Item, MetadataStore
+from masticwind.serving.store import (
+    Changes,
+    Compacted,
+    Item,
+    MetadataStore,
+)
 
 # Pause after a failed call; doubled up to the limit, with full jitter, so
 # that entries do not return to a recovered store at the same moment.
 FIRST_PAUSE_S: Final = 0.1
 LONGEST_PAUSE_S: Final = 0.5
+# Shortest time that a watch call can wait.
+POLL_WAIT_S: Final = 0.001
 
 
 def boot_time() -> float:
@@ -72,44 +82,106 @@
         self._revision = 0
         self._connected = False
         self._returned_at = float('-inf')
+        self._told = 0
+        self._told_before = 0
+        self._watch: anyio.CancelScope | None = None
+        self.changed = 0
 
-    def age_s(self) -> float:
-        """Return how old the copy can be, in seconds."""
-        return boot_time() - self._as_of
+    @property
+    def connected(self) -> bool:
+        """Whether the last call to the store was answered."""
+        return self._connected
 
     @property
     def listed(self) -> bool:
         """Whether the prefix has been read once."""
         return self._revision > 0
 
+    def age_s(self) -> float:
+        """Return how old the copy can be, in seconds."""
+        return boot_time() - self._as_of
+
     def returned_within(self, seconds: float) -> bool:
         """Tell whether the store came back at most `seconds` ago."""
         return not self._connected or boot_time() - self._returned_at <= seconds
 
+    def confirm(self, changed: int, as_of: float) -> None:
+        """Take over that nothing changed from a revision until a moment.
+
+        `changed` is the last change before `as_of`, on the clock of
+        `boot_time`. A copy that holds it is as recent as that.
+        """
+        if not self.listed:
+            return
+        if changed <= self._revision:
+            self._as_of = max(self._as_of, as_of)
+        else:
+            self._told = changed
+
+    async def poll(self) -> None:
+        """Ask the store whether there are changes, beside the open watch."""
+        started = boot_time()
+        changes = await self._store.watch_prefix(
+            self._options.prefix,
+            self._revision,
+            POLL_WAIT_S,
+        )
+        if isinstance(changes, Changes):
+            newest = max((item.revision for item in changes.items), default=0)
+            self.confirm(newest, started)
+        elif isinstance(changes, Compacted):
+            self._give_up_watch('history compacted')
+
+    def catch_up(self) -> None:
+        """Watch anew if a change was missed; to be called now and then.
+
+        The present watch is given up if a later change was known before the
+        last call and the watch has still not brought it.
+        """
+        late = self.listed and self._revision < self._told_before
+        self._told_before = self._told
+        self._told = 0
+        if late:
+            self._told_before = 0
+            self._give_up_watch('change missed')
+
     async def run(self) -> None:
         """Mirror until cancelled."""
         pause_s = FIRST_PAUSE_S
         while True:
-            started = boot_time()
-            failure = await self._step()
+            watch = anyio.CancelScope()
+            self._watch = watch
+            with watch:
+                failure = await self.step()
+            if watch.cancelled_caught:
+                continue
             if failure is None:
-                self._succeeded(started)
                 pause_s = FIRST_PAUSE_S
                 await anyio.sleep(self._options.batch_s)
                 continue
-            self._failed(failure)
             await anyio.sleep(pause_s * random.uniform(0.5, 1))
             pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
 
-    async def _step(self) -> Failure | None:
+    async def step(self) -> Failure | None:
+        """List or watch once and take over what is new."""
+        started = boot_time()
+        failure = await self._list_or_watch()
+        if failure is None:
+            self._as_of = max(self._as_of, started)
+        else:
+            self._note_loss(failure)
+        return failure
+
+    async def _list_or_watch(self) -> Failure | None:
         options = self._options
-        if not self._revision:
+        if not self.listed:
             listing = await self._store.list_prefix(options.prefix)
             if isinstance(listing, Failure):
                 return listing
             self._note_return()
             self._sink.replace(listing.items)
             self._revision = listing.revision
+            self.changed = listing.revision
             return None
         changes = await self._store.watch_prefix(
             options.prefix,
@@ -124,15 +196,25 @@
                 'store_history_compacted'
             )
             self._revision = 0
-            return await self._step()
+            return await self._list_or_watch()
         self._take(changes)
         return None
 
     def _take(self, changes: Changes) -> None:
         if changes.items:
             self._sink.change(changes.items)
+            self.changed = max(item.revision for item in changes.items)
         self._revision = max(self._revision, changes.revision)
 
+    def _give_up_watch(self, reason: str) -> None:
+        logger.bind(
+            prefix=self._options.prefix,
+            revision=self._revision,
+            reason=reason,
+        ).warning('watch_given_up')
+        if self._watch is not None:
+            self._watch.cancel()
+
     def _note_return(self) -> None:
         if self._connected:
             return
@@ -140,10 +222,7 @@
         self._returned_at = boot_time()
         logger.bind(prefix=self._options.prefix).info('store_connected')
 
-    def _succeeded(self, started: float) -> None:
-        self._as_of = started
-
-    def _failed(self, failure: Failure) -> None:
+    def _note_loss(self, failure: Failure) -> None:
         if self._connected:
             logger.bind(
                 prefix=self._options.prefix,
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -11,18 +11,17 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.serving.bounds import ColdRate, RepeatBudget
+from masticwind.serving.confirmations import Confirmations
+from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.directory import Decoder, Directory, Operations
 from masticwind.serving.edge import Edge, EdgeApp, EdgeParts
 from masticwind.serving.freshness import Freshness
 from masticwind.serving.health import Health
 from masticwind.serving.link import EndpointLink
 from masticwind.serving.load import LoadBoard
+from masticwind.serving.load_link import LoadLink
 from masticwind.serving.mirror import Mirror, MirrorOptions, Sink
-from masticwind.serving.peers import (
-    EntryPeers,
-    LoadLink,
-    Registrar,
-)
+from masticwind.serving.peers import EntryPeers, Registrar
 from masticwind.serving.placement import CallPlacer
 from masticwind.serving.prompts import PromptPlacer
 from masticwind.serving.relay import Relay, RelayParts
@@ -41,9 +40,9 @@
 )
 from masticwind.web_protocol import ConnectionLimits
 
-# A watch of the configuration returns at least this often, which confirms
-# that the copy is recent.
-CONFIRM_S: Final = 1.0
+# Changes end a watch at once. A watch that hears nothing is given up when a
+# change is known from elsewhere, so this time only bounds the calls.
+OPERATIONS_WAIT_S: Final = 5.0
 REGISTRATION_WAIT_S: Final = 5.0
 # Registrations change with every heartbeat of every endpoint; they are
 # taken over in batches, well within the time in which an endpoint that
@@ -102,7 +101,7 @@
             self._operations,
             MirrorOptions(
                 prefix=adapter.prefixes.operations,
-                wait_s=CONFIRM_S,
+                wait_s=OPERATIONS_WAIT_S,
             ),
         )
         self._registrations: Final = self._mirror(
@@ -156,14 +155,31 @@
             self._adapter.store,
             self._adapter.prefixes.entries,
         )
-        link = LoadLink(cfg, self._peers, self._board, secrets.token_hex(4))
+        peer_socket = PeerSocket(cfg)
+        load = LoadLink(
+            peer_socket,
+            self._peers,
+            self._board,
+            secrets.token_hex(4),
+        )
+        confirmations = Confirmations(
+            peer_socket,
+            self._peers,
+            self._config_mirror,
+            self._settings,
+        )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._ready.run)
-            tasks.start_soon(self._config_mirror.run)
-            tasks.start_soon(self._registrations.run)
-            tasks.start_soon(entries.run)
-            tasks.start_soon(registrar.run)
-            tasks.start_soon(link.run)
+            for part in (
+                self._ready,
+                self._config_mirror,
+                self._registrations,
+                entries,
+                registrar,
+                peer_socket,
+                load,
+                confirmations,
+            ):
+                tasks.start_soon(part.run)
             if cfg.metrics_port:
                 tasks.start_soon(self._metrics_server().run)
             await self._until_informed()
--- a/tests/direct_rig.py
+++ b/tests/direct_rig.py
@@ -58,6 +58,31 @@
     }
 
 
+def registration(port: int, service: str = CALLS, **fields: Any) -> bytes:
+    """Return the registration of an endpoint as it writes it."""
+    document = {
+        'service': service,
+        'addr': f'127.0.0.1:{port}',
+        'zone': 'zone-a',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'cold_left_ms': 0,
+        'born': 1,
+        'seq': 1,
+        **fields,
+    }
+    return json.dumps(document).encode()
+
+
+async def free_udp_port() -> int:
+    """Return a port that no datagram socket has."""
+    async with await anyio.create_udp_socket(local_host='127.0.0.1') as udp:
+        port = udp.extra(anyio.abc.SocketAttribute.local_port)
+        assert isinstance(port, int)
+        return port
+
+
 ENGINE_FIGURES: Mapping[str, float] = MappingProxyType(
     {
         'slots': 8,
@@ -147,19 +172,11 @@
 
     def register(self, identity: str, service: str, **fields: Any) -> None:
         """Write the registration of an endpoint."""
-        document = {
-            'service': service,
-            'addr': f'127.0.0.1:{self.endpoints[identity].port}',
-            'zone': 'zone-a',
-            'version': 'v1',
-            'slots': 8,
-            'state': 'ready',
-            'cold_left_ms': 0,
-            'born': 1,
-            'seq': 1,
-            **fields,
-        }
-        self.store.write(f'servers/{identity}', json.dumps(document).encode())
+        port = self.endpoints[identity].port
+        self.store.write(
+            f'servers/{identity}',
+            registration(port, service, **fields),
+        )
 
     async def ask(
         self,
--- /dev/null
+++ b/tests/test_confirmation_machine.py
@@ -0,0 +1,275 @@
+"""Two copies of the configuration that confirm each other, in any order."""
+
+import contextlib
+from collections.abc import Coroutine
+from typing import Any, Final
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.confirmations import (
+    Confirmation,
+    Confirmations,
+)
+from masticwind.serving.datagrams import PeerSocket
+from masticwind.serving.mirror import Mirror, MirrorOptions, Sink
+from masticwind.serving.peers import EntryPeers
+from masticwind.serving.settings import (
+    DirectSettings,
+    LiveSettings,
+    StoreSettings,
+)
+from masticwind.serving.store import (
+    Changes,
+    Compacted,
+    Item,
+    Listing,
+    MetadataStore,
+)
+from tests.manual_clock import ManualClock
+
+KEYS: Final = ('op/config', 'op/evacuate/zone-a', 'op/evacuate/zone-b')
+DOWN: Final = Failure(kind=ErrorKind.PLATFORM_DOWN, reason='down')
+
+
+class History:
+    """Every change of the store with its time."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock: Final = clock
+        self.items: Final[list[Item]] = []
+        self.times: Final[list[float]] = []
+        self.compacted = 0
+
+    @property
+    def revision(self) -> int:
+        """Return the present revision."""
+        return len(self.items) + 1
+
+    def write(self, key: str, value: bytes | None) -> None:
+        """Change a key."""
+        self.items.append(Item(key, value, self.revision + 1))
+        self.times.append(self._clock())
+
+    def rows(self) -> dict[str, Item]:
+        """Return what is there."""
+        rows = {item.key: item for item in self.items}
+        return {key: row for key, row in rows.items() if row.value is not None}
+
+    def states(self, key: str, since: float) -> list[Item | None]:
+        """Return what a key has held since a moment; `None` is nothing."""
+        states: list[Item | None] = [None]
+        for item, at in zip(self.items, self.times, strict=True):
+            if item.key != key:
+                continue
+            if at < since:
+                states.clear()
+            states.append(None if item.value is None else item)
+        return states
+
+
+class ScriptedStore(MetadataStore):
+    """Answers from a history, after a delay that a test sets."""
+
+    def __init__(self, history: History, clock: ManualClock) -> None:
+        self._history: Final = history
+        self._clock: Final = clock
+        self.down = False
+        self.late_s = 0.0
+        self.torn: tuple[str, bytes] | None = None
+
+    async def list_prefix(self, prefix: str) -> Listing | Failure:
+        """Read in pages; a change may come between two of them."""
+        if self.down:
+            return DOWN
+        revision = self._history.revision
+        rows = self._history.rows()
+        if self.torn is not None:
+            early = {KEYS[0]: rows[KEYS[0]]} if KEYS[0] in rows else {}
+            self._history.write(KEYS[0], self.torn[1])
+            self._history.write(KEYS[1], self.torn[1])
+            rows = {**self._history.rows(), **early}
+        self._clock.now += self.late_s
+        return Listing(tuple(rows.values()), revision)
+
+    async def watch_prefix(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+    ) -> Changes | Compacted | Failure:
+        """Answer at once; the answer may be late."""
+        if self.down:
+            return DOWN
+        if after < self._history.compacted:
+            return Compacted()
+        revision = self._history.revision
+        items = tuple(
+            item for item in self._history.items if item.revision > after
+        )
+        self._clock.now += self.late_s
+        return Changes(items, revision)
+
+    async def grant_lease(self, ttl_s: float) -> int | Failure:
+        """Nothing is written here."""
+        return DOWN
+
+    async def renew_lease(self, lease: int) -> Failure | None:
+        """Nothing is written here."""
+        return DOWN
+
+    async def put(self, key: str, value: bytes, lease: int) -> Failure | None:
+        """Nothing is written here."""
+        return DOWN
+
+
+class Copy(Sink):
+    """The copy of one entry."""
+
+    def __init__(self, history: History, clock: ManualClock) -> None:
+        self.rows: dict[str, Item] = {}
+        self.store: Final = ScriptedStore(history, clock)
+        self.mirror: Final = Mirror(
+            self.store,
+            self,
+            MirrorOptions(prefix='op/', wait_s=1),
+        )
+        cfg = DirectSettings(
+            node='entry-1',
+            zone='zone-a',
+            listen='127.0.0.1:0',
+            ready='127.0.0.1:0',
+            store=StoreSettings(address='127.0.0.1:1'),
+        )
+        self.link: Final = Confirmations(
+            PeerSocket(cfg),
+            EntryPeers(cfg),
+            self.mirror,
+            LiveSettings(cfg),
+        )
+
+    def replace(self, items: tuple[Item, ...]) -> None:
+        """Take over a listing."""
+        self.rows = {item.key: item for item in items}
+
+    def change(self, items: tuple[Item, ...]) -> None:
+        """Take over changes."""
+        for item in items:
+            self.rows.pop(item.key, None)
+            if item.value is not None:
+                self.rows[item.key] = item
+
+
+def _run(coroutine: Coroutine[Any, Any, object]) -> None:
+    # Scripted stores never wait.
+    with contextlib.suppress(StopIteration):
+        coroutine.send(None)
+
+
+class ConfirmationMachine(RuleBasedStateMachine):
+    """Two entries with late, lost and doubled calls and datagrams."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = ManualClock()
+        self.history = History(self.clock)
+        self.copies = [Copy(self.history, self.clock) for _ in range(2)]
+        self.replies: list[tuple[int, Confirmation]] = []
+        self.patch = pytest.MonkeyPatch()
+        for module in ('mirror', 'confirmations'):
+            name = f'masticwind.serving.{module}.boot_time'
+            self.patch.setattr(name, self.clock)
+
+    def teardown(self) -> None:
+        """Give the clock back."""
+        self.patch.undo()
+
+    @initialize()
+    def first_configuration(self) -> None:
+        """The operator writes before traffic starts."""
+        self.write(KEYS[0], b'first')
+
+    @rule(
+        key=st.sampled_from(KEYS),
+        value=st.one_of(st.none(), st.binary(max_size=2)),
+    )
+    def write(self, key: str, value: bytes | None) -> None:
+        """An operator changes a key."""
+        self.history.write(key, value)
+
+    @rule(seconds=st.floats(0.01, 2))
+    def wait(self, seconds: float) -> None:
+        """Time passes."""
+        self.clock.now += seconds
+
+    @rule(
+        entry=st.integers(0, 1),
+        down=st.booleans(),
+        late_s=st.floats(0, 1),
+        torn=st.booleans(),
+        poll=st.booleans(),
+    )
+    def call(
+        self,
+        entry: int,
+        late_s: float,
+        *,
+        down: bool,
+        torn: bool,
+        poll: bool,
+    ) -> None:
+        """An entry lists, watches or polls once."""
+        copy = self.copies[entry]
+        copy.store.down = down
+        copy.store.late_s = late_s
+        copy.store.torn = (KEYS[0], b'torn') if torn else None
+        _run(copy.mirror.poll() if poll else copy.mirror.step())
+
+    @rule()
+    def compact(self) -> None:
+        """The store forgets its history."""
+        self.history.compacted = self.history.revision
+
+    @rule(entry=st.integers(0, 1), late_s=st.floats(0, 1))
+    def ask(self, entry: int, late_s: float) -> None:
+        """A question arrives at the other entry, some time after it was sent.
+
+        The reply is under way until it is taken.
+        """
+        question = self.copies[entry].link.question()
+        self.clock.now += late_s
+        reply = self.copies[1 - entry].link.reply(question)
+        if reply is not None:
+            self.replies.append((entry, reply))
+
+    @rule(newest=st.booleans())
+    def take(self, *, newest: bool) -> None:
+        """A reply arrives, possibly late, out of order or once more."""
+        if self.replies:
+            entry, reply = self.replies[-1 if newest else 0]
+            self.copies[entry].link.take(reply)
+
+    @invariant()
+    def no_copy_is_older_than_it_says(self) -> None:
+        """Guards against a removed key that is accepted for too long."""
+        for copy in self.copies:
+            as_of = self.clock() - copy.mirror.age_s()
+            for key in KEYS:
+                held = copy.rows.get(key)
+                assert held in self.history.states(key, as_of), key
+
+
+TestConfirmationMachine = ConfirmationMachine.TestCase
+TestConfirmationMachine.settings = settings(
+    max_examples=300,
+    stateful_step_count=50,
+    deadline=None,
+)
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -3,8 +3,10 @@
 import anyio
 import pytest
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import Failure
 from masticwind.httpclient import HttpClient
+from masticwind.serving.settings import FleetBounds
 from masticwind_dev.standins.raw_endpoint import RawConnection, Received
 from tests.direct_rig import (
     CALLS,
@@ -226,10 +228,12 @@
     """Guards against new work for a zone that was taken out and for an
     endpoint that leaves.
     """
-    async with direct_rig() as rig:
+    bounds = FleetBounds(leave_ms=1000)
+    async with direct_rig(bounds=bounds) as rig:
         await rig.endpoint('i-1', answer_whole, CALLS, zone='zone-a')
         await rig.endpoint('i-2', answer_whole, CALLS, zone='zone-b')
-        await rig.until_served('/read/a')
+        while not rig.endpoints['i-2'].received:
+            await rig.until_served('/read/a')
         rig.store.write('op/evacuate/zone-a', b'{}')
         await anyio.sleep(0.2)
         count = len(rig.endpoints['i-1'].received)
@@ -238,7 +242,7 @@
         assert len(rig.endpoints['i-1'].received) == count
         rig.store.write('op/evacuate/zone-a', None)
         rig.register('i-2', CALLS, zone='zone-b', state='draining')
-        await anyio.sleep(0.5)
+        await anyio.sleep(bounds.leave_ms / MS_PER_S)
         gone = len(rig.endpoints['i-2'].received)
         for _ in range(5):
             assert (await rig.ask('/read/a')).status == 200
--- a/tests/test_load_board.py
+++ b/tests/test_load_board.py
@@ -6,11 +6,14 @@
 import anyio
 import pytest
 
+from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.load import OVERDUE_S, Job, LoadBoard, state_of
+from masticwind.serving.load_link import LoadLink
 from masticwind.serving.passes import Reading
-from masticwind.serving.peers import EntryPeers, LoadLink
+from masticwind.serving.peers import EntryPeers
 from masticwind.serving.settings import DirectSettings, StoreSettings
 from masticwind.serving.store import Item
+from tests.direct_rig import free_udp_port
 from tests.manual_clock import ManualClock
 
 pytestmark = pytest.mark.anyio
@@ -86,19 +89,12 @@
     )
 
 
-async def _free_port() -> int:
-    async with await anyio.create_udp_socket(local_host='127.0.0.1') as udp:
-        port = udp.extra(anyio.abc.SocketAttribute.local_port)
-        assert isinstance(port, int)
-        return port
-
-
 async def test_entries_learn_each_others_jobs() -> None:
     """Guards against two entries that place on the same engine because
     neither knows of the other's work, and against jobs that stay known after
     their end.
     """
-    ports = [await _free_port(), await _free_port()]
+    ports = [await free_udp_port(), await free_udp_port()]
     boards = [LoadBoard(), LoadBoard()]
     async with anyio.create_task_group() as tasks:
         for number, port in enumerate(ports):
@@ -115,7 +111,11 @@
                 )
             )
             assert peers.count() == 2
-            link = LoadLink(cfg, peers, boards[number], f'start-{number}')
+            peer_socket = PeerSocket(cfg)
+            tasks.start_soon(peer_socket.run)
+            link = LoadLink(
+                peer_socket, peers, boards[number], f'start-{number}'
+            )
             tasks.start_soon(link.run)
         await anyio.sleep(0.1)
         now = boards[0].clock()
@@ -138,16 +138,19 @@
 
 async def test_unreadable_datagrams_are_passed_over() -> None:
     """Guards against an entry that ends because of a stray datagram."""
-    port = await _free_port()
+    port = await free_udp_port()
     cfg = _settings('entry-0', port)
     peers = EntryPeers(cfg)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(LoadLink(cfg, peers, LoadBoard(), 'start').run)
+        peer_socket = PeerSocket(cfg)
+        tasks.start_soon(peer_socket.run)
+        link = LoadLink(peer_socket, peers, LoadBoard(), 'start')
+        tasks.start_soon(link.run)
         await anyio.sleep(0.05)
         async with await anyio.create_connected_udp_socket(
             '127.0.0.1', port
         ) as udp:
-            for content in (b'', b'\xff' * 40, b'\x83\x01\x02\x03'):
+            for content in (b'', b'\xff' * 40, b'\x82\x64load\x02', b'\x01'):
                 await udp.send(content)
         await anyio.sleep(0.1)
         assert not tasks.cancel_scope.cancel_called
