Leave out an availability zone that gives no sign at all

Change: silence of two endpoints of a zone without any sign of it in between leaves the zone out; one request tries it when the time is over. A failure says whether the other side was silent.

--- a/src/masticwind/errors.py
+++ b/src/masticwind/errors.py
@@ -60,12 +60,14 @@
     """A sentinel value that stands for a result that could not be had.
 
     `retry_after_ms` is the time in milliseconds after which a new request
-    is worth sending; zero gives no hint.
+    is worth sending; zero gives no hint. `silent` says that the other side
+    gave no sign at all within the time.
     """
 
     kind: ErrorKind
     reason: str
     retry_after_ms: int = 0
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -292,7 +292,11 @@
 
 
 def _failure(kind: ErrorKind, exc: Exception) -> Failure:
-    return Failure(kind=kind, reason=f'{type(exc).__name__}: {exc}')
+    return Failure(
+        kind=kind,
+        reason=f'{type(exc).__name__}: {exc}',
+        silent=isinstance(exc, httpcore.TimeoutException),
+    )
 
 
 def _with_length(headers: Headers, body: bytes) -> list[tuple[bytes, bytes]]:
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -153,6 +153,7 @@
     return Failure(
         kind=ErrorKind.TIMED_OUT,
         reason=f'no answer for {trial.limits.first_s:.2f} s',
+        silent=True,
     )
 
 
@@ -243,6 +244,7 @@
             return Failure(
                 kind=ErrorKind.TIMED_OUT,
                 reason=f'no event for {wait_s:.2f} s',
+                silent=True,
             )
         if not chunk:
             break
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -6,6 +6,7 @@
 """
 
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass
 from functools import partial
 from typing import Final
@@ -28,6 +29,7 @@
 from masticwind.serving.load import LoadBoard
 from masticwind.serving.model import Endpoint
 from masticwind.serving.placement import Deferral, Placement, Placer, Query
+from masticwind.serving.reach import Reach
 from masticwind.serving.settings import LiveSettings
 from masticwind.serving.telemetry import Telemetry, size_of
 from masticwind.serving.work import Admitted, Progress
@@ -52,6 +54,7 @@
     directory: Directory
     operations: Operations
     health: Health
+    reach: Reach
     board: LoadBoard
     calls: Placer
     prompts: Placer
@@ -87,6 +90,7 @@
             self._count(work, progress, failure)
             if failure is None:
                 parts.health.succeeded(placement.lead.identity)
+                parts.reach.answered(placement.lead)
                 return None
             await self._note_failure(placement.lead, failure, progress)
             if not self._may_send_again(work, progress):
@@ -191,25 +195,39 @@
     ) -> list[Endpoint]:
         """Return the endpoints that may run the request.
 
-        Endpoints that fail are used only where no other one is left.
+        Endpoints that fail or cannot be reached are used only where no other
+        one is left.
         """
-        parts = self._parts
-        cold_per_s = work.service.cold_per_s
         usable: list[Endpoint] = []
-        healthy: list[Endpoint] = []
-        for endpoint in parts.directory.endpoints(work.service.name):
-            if endpoint.zone in parts.operations.zones_out:
-                continue
-            if endpoint.identity in progress.excluded:
-                continue
-            if not self._at_home(work, endpoint):
-                continue
-            if not parts.cold.free(endpoint.identity, cold_per_s):
+        sound: list[Endpoint] = []
+        for endpoint in self._parts.directory.endpoints(work.service.name):
+            if not self._allowed(work, progress, endpoint):
                 continue
             usable.append(endpoint)
-            if not parts.health.out(endpoint.identity):
-                healthy.append(endpoint)
-        return healthy or usable
+            if self._sound(endpoint):
+                sound.append(endpoint)
+        return sound or usable
+
+    def _allowed(
+        self,
+        work: Admitted,
+        progress: Progress,
+        endpoint: Endpoint,
+    ) -> bool:
+        parts = self._parts
+        if endpoint.zone in parts.operations.zones_out:
+            return False
+        if endpoint.identity in progress.excluded:
+            return False
+        if not self._at_home(work, endpoint):
+            return False
+        return parts.cold.free(endpoint.identity, work.service.cold_per_s)
+
+    def _sound(self, endpoint: Endpoint) -> bool:
+        parts = self._parts
+        if parts.reach.out(endpoint.zone):
+            return False
+        return not parts.health.out(endpoint.identity)
 
     def _at_home(self, work: Admitted, endpoint: Endpoint) -> bool:
         region = self._parts.settings.region_of(endpoint.zone)
@@ -230,6 +248,7 @@
         limits = limits_of(work, placement, another=another)
         progress.sendings += 1
         parts.cold.sent(placement.lead.identity)
+        parts.reach.sent(placement.lead)
         numbers = parts.board.add(placement.jobs)
         trial = Trial(
             work=work,
@@ -238,13 +257,17 @@
             answer=answer,
             limits=limits,
             another=another,
-            on_event=partial(parts.board.first_token, numbers),
+            on_event=partial(self._on_event, placement.lead, numbers),
         )
         try:
             return await attempt(parts.link, trial)
         finally:
             parts.board.remove(numbers)
 
+    def _on_event(self, lead: Endpoint, numbers: Iterable[int]) -> None:
+        self._parts.board.first_token(numbers)
+        self._parts.reach.answered(lead)
+
     def _another(self, work: Admitted, progress: Progress) -> bool:
         """Tell whether the request may be sent to one more endpoint after
         the one that it is being sent to.
@@ -264,6 +287,10 @@
         """Take over what a failed attempt says of the request and endpoint."""
         parts = self._parts
         at_fault = progress.note_failure(lead, failure)
+        if failure.silent:
+            parts.reach.silent(at_fault)
+        else:
+            parts.reach.answered(at_fault)
         if failure.kind is ErrorKind.REVOKED:
             parts.directory.remove(at_fault.identity, 'its address has another')
             await parts.link.forget(at_fault)
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -24,6 +24,7 @@
 from masticwind.serving.peers import EntryPeers, Registrar
 from masticwind.serving.placement import CallPlacer
 from masticwind.serving.prompts import PromptPlacer
+from masticwind.serving.reach import Reach
 from masticwind.serving.relay import Relay, RelayParts
 from masticwind.serving.routes import ActiveConfig
 from masticwind.serving.settings import LiveSettings, address_of
@@ -226,6 +227,7 @@
                 directory=self._directory,
                 operations=self._operations,
                 health=Health(),
+                reach=Reach(),
                 board=self._board,
                 calls=CallPlacer(),
                 prompts=PromptPlacer(),
