Drop what is kept for endpoints that are gone

Cause: connections, failure records and cold counts by endpoint were dropped only after a 421, so an entry kept some for every endpoint it had ever seen. Change: Cleanup drops them two minutes after an endpoint has gone, longer than any request to it can run. Placement log lines give the prompt's size. Shown: test_nothing_is_kept_of_endpoints_that_are_gone.

--- a/src/masticwind/serving/bounds.py
+++ b/src/masticwind/serving/bounds.py
@@ -58,6 +58,10 @@
             self._counts[name] = found
         return found
 
+    def drop(self, name: str) -> None:
+        """Drop the count of a name that is not used any more."""
+        self._counts.pop(name, None)
+
 
 class RepeatBudget:
     """How often requests of one service may be sent once more.
@@ -129,3 +133,7 @@
     def sent(self, endpoint: str) -> None:
         """Count a request that is being sent."""
         self._sent.of(endpoint).add()
+
+    def forget(self, endpoint: str) -> None:
+        """Drop the count of an endpoint that is gone."""
+        self._sent.drop(endpoint)
--- /dev/null
+++ b/src/masticwind/serving/cleanup.py
@@ -0,0 +1,45 @@
+"""Drops what is kept for endpoints that are gone.
+
+It is kept for a while after an endpoint has gone: streams may still run on
+its connections, and it may come back.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+from loguru import logger
+
+from masticwind.serving.bounds import ColdRate
+from masticwind.serving.directory import Directory
+from masticwind.serving.health import Health
+from masticwind.serving.link import EndpointLink
+
+# Longer than any request that was sent to the endpoint before it went.
+KEEP_S: Final = 120.0
+POLL_S: Final = 15.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Cleanup:
+    """Where something is kept by endpoint."""
+
+    directory: Directory
+    health: Health
+    cold: ColdRate
+    link: EndpointLink
+
+    async def run(self) -> None:
+        """Drop what is not needed any more, until cancelled."""
+        while True:
+            await anyio.sleep(POLL_S)
+            await self.step(KEEP_S)
+
+    async def step(self, keep_s: float) -> None:
+        """Drop what belongs to endpoints gone for `keep_s` or longer."""
+        for endpoint in self.directory.take_gone(keep_s):
+            self.health.forget(endpoint.identity)
+            self.cold.forget(endpoint.identity)
+            if not self.directory.has_address(endpoint.address):
+                await self.link.forget(endpoint)
+            logger.bind(endpoint=endpoint.identity).debug('endpoint_forgotten')
--- a/src/masticwind/serving/directory.py
+++ b/src/masticwind/serving/directory.py
@@ -48,6 +48,12 @@
     lapsed_at: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Gone:
+    endpoint: Endpoint
+    at: float
+
+
 class Directory(Sink):
     """Endpoints by identity."""
 
@@ -59,6 +65,7 @@
         self._decoder: Final = decoder
         self._returned_within: Final = returned_within
         self._known: dict[str, _Known] = {}
+        self._gone: Final[dict[str, _Gone]] = {}
 
     def endpoints(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that take new work."""
@@ -75,10 +82,28 @@
         return len(self._known)
 
     def remove(self, identity: str, reason: str) -> None:
-        """Forget an endpoint that another one has replaced."""
-        if self._known.pop(identity, None) is not None:
+        """Give an endpoint no more work."""
+        known = self._known.pop(identity, None)
+        if known is not None:
+            self._gone[identity] = _Gone(known.endpoint, boot_time())
             logger.bind(endpoint=identity, reason=reason).info('endpoint_gone')
 
+    def has_address(self, address: str) -> bool:
+        """Tell whether a known endpoint has an address."""
+        return any(
+            known.endpoint.address == address for known in self._known.values()
+        )
+
+    def take_gone(self, seconds: float) -> list[Endpoint]:
+        """Return endpoints that have been gone for `seconds`, once."""
+        taken: list[Endpoint] = []
+        for identity, gone in list(self._gone.items()):
+            if boot_time() - gone.at < seconds:
+                continue
+            self._gone.pop(identity)
+            taken.append(gone.endpoint)
+        return taken
+
     def replace(self, items: tuple[Item, ...]) -> None:
         """Take over a whole listing."""
         listed: set[str] = set()
@@ -118,6 +143,7 @@
                 revision=item.revision,
             ).info('endpoint_registered')
         self._known[identity] = _Known(endpoint)
+        self._gone.pop(identity, None)
 
     def _lapse(self, identity: str) -> None:
         known = self._known.get(identity)
--- a/src/masticwind/serving/health.py
+++ b/src/masticwind/serving/health.py
@@ -80,3 +80,7 @@
             failures=record.failures,
             failure_share=round(record.share, 2),
         ).warning('endpoint_suspected')
+
+    def forget(self, endpoint: str) -> None:
+        """Drop the record of an endpoint that is gone."""
+        self._records.pop(endpoint, None)
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -144,6 +144,7 @@
         """Log a refusal, the first deferral, and what ends deferrals."""
         log = logger.bind(
             request_id=work.req.request_id,
+            prompt=work.prompt,
             left_ms=round(work.left_s() * MS_PER_S),
         )
         if isinstance(placement, Failure):
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -11,6 +11,7 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.serving.bounds import ColdRate, RepeatBudget
+from masticwind.serving.cleanup import Cleanup
 from masticwind.serving.confirmations import Confirmations
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.directory import Decoder, Directory, Operations
@@ -113,6 +114,12 @@
                 batch_s=cfg.bounds.leave_ms * BATCH_SHARE / MS_PER_S,
             ),
         )
+        self._cleanup: Final = Cleanup(
+            directory=self._directory,
+            health=Health(),
+            cold=ColdRate(settings, self._peers.count),
+            link=adapter.link,
+        )
         self._freshness: Final = Freshness(
             settings,
             self._config_mirror.age_s,
@@ -179,6 +186,7 @@
                 peer_socket,
                 load,
                 confirmations,
+                self._cleanup,
             ):
                 tasks.start_soon(part.run)
             if cfg.metrics_port:
@@ -226,14 +234,14 @@
                 settings=settings,
                 directory=self._directory,
                 operations=self._operations,
-                health=Health(),
+                health=self._cleanup.health,
                 reach=Reach(),
                 board=self._board,
                 calls=CallPlacer(),
                 prompts=PromptPlacer(),
                 link=adapter.link,
                 repeats=RepeatBudget(settings, entries),
-                cold=ColdRate(settings, entries),
+                cold=self._cleanup.cold,
                 telemetry=self._telemetry,
             )
         )
--- /dev/null
+++ b/tests/test_cleanup.py
@@ -0,0 +1,59 @@
+"""What an entry keeps for endpoints that are gone."""
+
+import anyio
+import pytest
+
+from masticwind.platform.documents import PlatformDecoder
+from masticwind.platform.endpoints import PlatformLink
+from masticwind.serving.bounds import ColdRate
+from masticwind.serving.cleanup import Cleanup
+from masticwind.serving.directory import Directory
+from masticwind.serving.health import Health
+from masticwind.serving.settings import (
+    DirectSettings,
+    LiveSettings,
+    StoreSettings,
+)
+from masticwind.serving.store import Item
+from tests.direct_rig import registration
+
+pytestmark = pytest.mark.anyio
+
+
+def _item(number: int, *, removed: bool = False) -> Item:
+    value = None if removed else registration(7000 + number)
+    return Item(f'servers/i-{number}', value, number + 1)
+
+
+async def test_nothing_is_kept_of_endpoints_that_are_gone() -> None:
+    """Guards against memory that grows with every endpoint ever seen, and
+    against records of a present endpoint that are dropped.
+    """
+    cfg = DirectSettings(
+        node='entry-1',
+        zone='zone-a',
+        listen='127.0.0.1:0',
+        ready='127.0.0.1:0',
+        store=StoreSettings(address='127.0.0.1:1'),
+    )
+    directory = Directory(PlatformDecoder(), lambda _seconds: False)
+    health = Health()
+    cleanup = Cleanup(
+        directory=directory,
+        health=health,
+        cold=ColdRate(LiveSettings(cfg), lambda: 1),
+        link=PlatformLink(),
+    )
+    for number in range(3):
+        directory.change((_item(number),))
+        for _ in range(3):
+            health.failed(f'i-{number}', 'reset', broken=True)
+    directory.change((_item(0, removed=True), _item(1, removed=True)))
+    directory.change((_item(1),))
+    await cleanup.step(60)
+    assert health.out('i-0')
+    await anyio.sleep(0.01)
+    await cleanup.step(0)
+    assert not health.out('i-0')
+    assert health.out('i-1')
+    assert health.out('i-2')
