Settle a copy that seems behind with one call

Cause: a copy that was listed later names a later revision, though only other parts of the store have changed. Change: an entry that is told of a later change asks the store once, takes what it answers, and gives its watch up only if a change was missed. Shown: test_one_call_settles_what_changed_elsewhere_in_the_store.

--- a/src/masticwind/serving/confirmations.py
+++ b/src/masticwind/serving/confirmations.py
@@ -121,7 +121,7 @@
     async def _ask(self) -> None:
         while True:
             await anyio.sleep(random.uniform(0.5, 1) * LONGEST_PAUSE_S)
-            self._mirror.catch_up()
+            behind = self._mirror.behind()
             first = self._peers.first(CONFIRMING_ENTRIES)
             asked = [peer for node, peer in first if node != self._socket.node]
             await self._socket.send(QUESTION, self.question(), asked)
@@ -130,7 +130,8 @@
                 share = CONFIRM_SHARE
             limit_s = self._settings.bounds.key_age_ms * share / MS_PER_S
             # Without a watch, the mirror itself goes on trying.
-            if self._mirror.connected and self._mirror.age_s() > limit_s:
+            old = self._mirror.age_s() > limit_s
+            if self._mirror.connected and (old or behind):
                 await self._mirror.poll()
 
     async def _answer(self) -> None:
--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -118,32 +118,36 @@
         else:
             self._told = changed
 
+    def behind(self) -> bool:
+        """Tell whether a change was missed; to be called now and then.
+
+        That is so if a later change was known before the last call and has
+        still not arrived.
+        """
+        late = self.listed and self._revision < self._told_before
+        self._told_before = self._told
+        self._told = 0
+        return late
+
     async def poll(self) -> None:
         """Ask the store whether there are changes, beside the open watch."""
         started = boot_time()
+        after = self._revision
         changes = await self._store.watch_prefix(
             self._options.prefix,
-            self._revision,
+            after,
             POLL_WAIT_S,
         )
-        if isinstance(changes, Changes):
-            newest = max((item.revision for item in changes.items), default=0)
-            self.confirm(newest, started)
-        elif isinstance(changes, Compacted):
+        if isinstance(changes, Failure) or self._revision != after:
+            # The watch reports a loss of the store, or it was quicker.
+            return
+        if isinstance(changes, Compacted):
             self._give_up_watch('history compacted')
-
-    def catch_up(self) -> None:
-        """Watch anew if a change was missed; to be called now and then.
-
-        The present watch is given up if a later change was known before the
-        last call and the watch has still not brought it.
-        """
-        late = self.listed and self._revision < self._told_before
-        self._told_before = self._told
-        self._told = 0
-        if late:
-            self._told_before = 0
+            return
+        if changes.items:
             self._give_up_watch('change missed')
+        self._take(changes)
+        self._as_of = max(self._as_of, started)
 
     async def run(self) -> None:
         """Mirror until cancelled."""
--- a/tests/test_confirmation_machine.py
+++ b/tests/test_confirmation_machine.py
@@ -59,10 +59,14 @@
         self.items.append(Item(key, value, self.revision + 1))
         self.times.append(self._clock())
 
-    def rows(self) -> dict[str, Item]:
+    def rows(self, prefix: str) -> dict[str, Item]:
         """Return what is there."""
-        rows = {item.key: item for item in self.items}
-        return {key: row for key, row in rows.items() if row.value is not None}
+        last = {item.key: item for item in self.items}
+        return {
+            key: item
+            for key, item in last.items()
+            if item.value is not None and key.startswith(prefix)
+        }
 
     def states(self, key: str, since: float) -> list[Item | None]:
         """Return what a key has held since a moment; `None` is nothing."""
@@ -91,12 +95,12 @@
         if self.down:
             return DOWN
         revision = self._history.revision
-        rows = self._history.rows()
+        rows = self._history.rows(prefix)
         if self.torn is not None:
             early = {KEYS[0]: rows[KEYS[0]]} if KEYS[0] in rows else {}
             self._history.write(KEYS[0], self.torn[1])
             self._history.write(KEYS[1], self.torn[1])
-            rows = {**self._history.rows(), **early}
+            rows = {**self._history.rows(prefix), **early}
         self._clock.now += self.late_s
         return Listing(tuple(rows.values()), revision)
 
@@ -113,7 +117,9 @@
             return Compacted()
         revision = self._history.revision
         items = tuple(
-            item for item in self._history.items if item.revision > after
+            item
+            for item in self._history.items
+            if item.revision > after and item.key.startswith(prefix)
         )
         self._clock.now += self.late_s
         return Changes(items, revision)
@@ -273,3 +279,28 @@
     stateful_step_count=50,
     deadline=None,
 )
+
+
+def test_one_call_settles_what_changed_elsewhere_in_the_store() -> None:
+    """Guards against a copy that seems to be behind, call after call, when
+    only other parts of the store have changed.
+    """
+    machine = ConfirmationMachine()
+    try:
+        machine.first_configuration()
+        early, late = machine.copies
+        _run(early.mirror.step())
+        machine.write('servers/i-1', b'')
+        _run(late.mirror.step())
+        polls = 0
+        for _ in range(6):
+            reply = late.link.reply(early.link.question())
+            assert reply is not None
+            early.link.take(reply)
+            if early.mirror.behind():
+                polls += 1
+                _run(early.mirror.poll())
+        assert polls == 1
+        assert early.mirror.age_s() == 0
+    finally:
+        machine.teardown()
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -176,7 +176,10 @@
     """Guards against calls that grow with the number of entries."""
     async with running_pair(key_age_ms=5000) as pair:
         before = pair.store.calls['watch']
-        await anyio.sleep(6)
+        for number in range(60):
+            pair.store.write('elsewhere', str(number).encode())
+            await anyio.sleep(0.1)
         # Two entries ask the store after a second or more; beside that, each
-        # has watches that return after some seconds.
+        # has watches that return after some seconds. What changes elsewhere
+        # in the store is no reason to ask.
         assert pair.store.calls['watch'] - before <= 2 * (6 + 4)
