--- a/tests/test_confirmation_machine.py
+++ b/tests/test_confirmation_machine.py
@@ -1,7 +1,7 @@
 """Two copies of the configuration that confirm each other, in any order."""
 
 import contextlib
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
 from typing import Any, Final
 
 import pytest
@@ -281,26 +281,32 @@
 )
 
 
-def test_one_call_settles_what_changed_elsewhere_in_the_store() -> None:
+@pytest.fixture
+def machine() -> Iterator[ConfirmationMachine]:
+    """Return two entries and their store."""
+    made = ConfirmationMachine()
+    made.first_configuration()
+    yield made
+    made.teardown()
+
+
+def test_one_call_settles_what_changed_elsewhere_in_the_store(
+    machine: ConfirmationMachine,
+) -> None:
     """Guards against a copy that seems to be behind, call after call, when
     only other parts of the store have changed.
     """
-    machine = ConfirmationMachine()
-    try:
-        machine.first_configuration()
-        early, late = machine.copies
-        _run(early.mirror.step())
-        machine.write('servers/i-1', b'')
-        _run(late.mirror.step())
-        polls = 0
-        for _ in range(6):
-            reply = late.link.reply(early.link.question())
-            assert reply is not None
-            early.link.take(reply)
-            if early.mirror.behind():
-                polls += 1
-                _run(early.mirror.poll())
-        assert polls == 1
-        assert early.mirror.age_s() == 0
-    finally:
-        machine.teardown()
+    early, late = machine.copies
+    _run(early.mirror.step())
+    machine.write('servers/i-1', b'')
+    _run(late.mirror.step())
+    polls = 0
+    for _ in range(6):
+        reply = late.link.reply(early.link.question())
+        assert reply is not None
+        early.link.take(reply)
+        if early.mirror.behind():
+            polls += 1
+            _run(early.mirror.poll())
+    assert polls == 1
+    assert early.mirror.age_s() == 0
