--- a/src/masticwind/agent/admission.py
+++ b/src/masticwind/agent/admission.py
@@ -7,11 +7,11 @@
 from masticwind.agent.rates import Rates
 from masticwind.agent.running import PASSING_SHARE, Running
 from masticwind.agent.scheduler import Scheduler
+from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
 from masticwind.protocol.messages import Offer
 from masticwind.settings import AgentSettings
 
-MS_PER_S: Final = 1000
 MIN_RETRY_MS: Final = 50
 MAX_RETRY_MS: Final = 30_000
 
--- a/src/masticwind/agent/drain.py
+++ b/src/masticwind/agent/drain.py
@@ -9,12 +9,12 @@
 
 import anyio
 
+from masticwind.budget import MS_PER_S
 from masticwind.protocol.channel import Channel
 from masticwind.settings import AgentSettings
 
 DRAIN_POLL_S: Final = 0.05
 CLOSE_TIMEOUT_S: Final = 2.0
-MS_PER_S: Final = 1000
 
 
 class Drainable(Protocol):
--- a/src/masticwind/agent/executor.py
+++ b/src/masticwind/agent/executor.py
@@ -26,7 +26,7 @@
 from masticwind.agent.scheduler import Scheduler, SchedulerParts
 from masticwind.agent.shares import Shares
 from masticwind.agent.steps import StepFeeder
-from masticwind.budget import Budget
+from masticwind.budget import MS_PER_S, Budget
 from masticwind.config.current import CurrentConfig
 from masticwind.engines.base import Engine, EngineReport
 from masticwind.errors import ErrorKind, Failure
@@ -53,7 +53,6 @@
 SWEEP_INTERVAL_S: Final = 0.25
 # Queued requests are looked at this often even if nothing changes.
 QUEUE_INTERVAL_S: Final = 0.05
-MS_PER_S: Final = 1000
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/masticwind/agent/reconcile.py
+++ b/src/masticwind/agent/reconcile.py
@@ -15,14 +15,13 @@
 from masticwind.agent.requests import AgentRequest, RequestKey
 from masticwind.agent.running import Running
 from masticwind.agent.shares import Shares
-from masticwind.budget import Budget
+from masticwind.budget import MS_PER_S, Budget
 from masticwind.engines.base import Engine, RunningRequest
 from masticwind.errors import Failure
 from masticwind.protocol.channel import Channel
 from masticwind.protocol.messages import Offer, Resume
 from masticwind.settings import AgentSettings
 
-MS_PER_S: Final = 1000
 # Resumed requests of an earlier agent whose time budget is not stated.
 ADOPTED_TIMEOUT_MS: Final = 600_000
 # Room for the output that an adopted request may still generate.
--- a/src/masticwind/agent/server.py
+++ b/src/masticwind/agent/server.py
@@ -6,9 +6,10 @@
 from anyio.abc import TaskGroup
 
 from masticwind.agent.calls import CallExecutor
-from masticwind.agent.drain import DRAIN_POLL_S, MS_PER_S, Drainer
+from masticwind.agent.drain import DRAIN_POLL_S, Drainer
 from masticwind.agent.executor import Executor, ExecutorParts
 from masticwind.agent.orders import OrderKeeper
+from masticwind.budget import MS_PER_S
 from masticwind.config.current import CurrentConfig
 from masticwind.config.distribute import ConfigSync
 from masticwind.engines.http import HttpEngine, HttpService
--- a/src/masticwind/agent/shares.py
+++ b/src/masticwind/agent/shares.py
@@ -16,11 +16,11 @@
 
 from masticwind.agent.ledger import Ledger
 from masticwind.agent.requests import AgentRequest, RequestKey
+from masticwind.budget import MS_PER_S
 from masticwind.engines.base import Engine
 from masticwind.errors import ErrorKind, Failure
 from masticwind.protocol.messages import End, Offer, Reserve
 
-MS_PER_S: Final = 1000
 MAX_LEASE_MS: Final = 60_000
 DROP_TIMEOUT_S: Final = 3.0
 
--- a/src/masticwind/agent/steps.py
+++ b/src/masticwind/agent/steps.py
@@ -13,12 +13,12 @@
 from masticwind.agent.requests import AgentRequest
 from masticwind.agent.running import Running
 from masticwind.agent.scheduler import Scheduler
+from masticwind.budget import MS_PER_S
 from masticwind.engines.base import Done, Engine, EngineRequest
 from masticwind.errors import ErrorKind, Failure
 from masticwind.settings import AgentSettings
 from masticwind.tokens import BLOCK_BYTES
 
-MS_PER_S: Final = 1000
 TURN_POLL_S: Final = 0.05
 # Each step sends its whole prefix; this bounds how often that happens.
 MAX_STEPS: Final = 128
--- a/src/masticwind/entry/admission.py
+++ b/src/masticwind/entry/admission.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from masticwind.budget import MS_PER_S
 from masticwind.entry.limits import FairShare
 from masticwind.entry.peers import AgentLink
 from masticwind.entry.predict import Job
@@ -16,7 +17,6 @@
 from masticwind.errors import ErrorKind, Failure
 from masticwind.settings import EntrySettings
 
-MS_PER_S: Final = 1000
 LEARNING_RATE: Final = 0.05
 MIN_HINT_MS: Final = 100
 MAX_HINT_MS: Final = 60_000
--- a/src/masticwind/entry/calls.py
+++ b/src/masticwind/entry/calls.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from masticwind.budget import Budget
+from masticwind.budget import MS_PER_S, Budget
 from masticwind.call_rules import find_rule, is_plain_path
 from masticwind.config.current import CurrentConfig
 from masticwind.config.model import CallRule
@@ -52,7 +52,6 @@
 )
 
 PREFIX: Final = '/v1/services/'
-MS_PER_S: Final = 1000
 REQUEST_ID_BYTES: Final = 16
 MAX_ATTEMPTS: Final = 3
 MAX_KEY_CHARS: Final = 128
--- a/src/masticwind/entry/claim_bucket.py
+++ b/src/masticwind/entry/claim_bucket.py
@@ -13,6 +13,7 @@
 import anyio
 import msgspec
 
+from masticwind.budget import MS_PER_S
 from masticwind.entry.claim_records import (
     ClaimState,
     Head,
@@ -42,7 +43,6 @@
 MAX_BATCH: Final = 512
 MAX_OUTCOMES: Final = 4096
 FULL_RETRY_MS: Final = 60_000
-MS_PER_S: Final = 1000
 # A segment is deleted when a newer head no longer names it, so a reader
 # with the older head reads the head again.
 MAX_READS: Final = 3
--- a/src/masticwind/entry/claims.py
+++ b/src/masticwind/entry/claims.py
@@ -14,7 +14,7 @@
 import anyio
 import msgspec
 
-from masticwind.budget import Budget
+from masticwind.budget import MS_PER_S, Budget
 from masticwind.entry.claim_bucket import Bucket
 from masticwind.entry.claim_records import ClaimState, Order, Record
 from masticwind.entry.claim_waiters import ClaimAnswer, Claimed, Pace
@@ -22,7 +22,6 @@
 from masticwind.settings import ClaimSettings
 from masticwind.store.base import KeyValue
 
-MS_PER_S: Final = 1000
 SETTLE_POLL_S: Final = 0.02
 SETTLE_TIMEOUT_S: Final = 5.0
 
--- a/src/masticwind/entry/groups.py
+++ b/src/masticwind/entry/groups.py
@@ -12,6 +12,7 @@
 
 import anyio
 
+from masticwind.budget import MS_PER_S
 from masticwind.engines.base import Done
 from masticwind.entry.attempts import (
     Attempt,
@@ -26,7 +27,6 @@
 from masticwind.protocol.messages import Release, Reserve, Reserved
 from masticwind.tracing import Tracer
 
-MS_PER_S: Final = 1000
 LEASE_MS: Final = 3000
 RESERVE_TIMEOUT_S: Final = 1.0
 # Two renewals may be lost before a lease ends.
--- a/src/masticwind/entry/limits.py
+++ b/src/masticwind/entry/limits.py
@@ -12,11 +12,11 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from masticwind.budget import MS_PER_S
 from masticwind.config.model import Team
 from masticwind.errors import ErrorKind, Failure
 from masticwind.protocol.messages import MAX_USAGE_TEAMS
 
-MS_PER_S: Final = 1000
 # A bucket holds this much of its rate, so that short bursts pass.
 BURST_S: Final = 1.0
 # Half of each limit is split evenly among the entries with demand; the rest
--- a/src/masticwind/entry/neighbours.py
+++ b/src/masticwind/entry/neighbours.py
@@ -12,6 +12,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from masticwind.budget import MS_PER_S
 from masticwind.config.distribute import (
     ConfigSync,
     ConfigWatcher,
@@ -26,8 +27,6 @@
 from masticwind.settings import Address, EntrySettings
 from masticwind.store.base import Instance
 
-MS_PER_S: Final = 1000
-
 InnerAddress = tuple[str, int]
 
 
--- a/src/masticwind/entry/outcomes.py
+++ b/src/masticwind/entry/outcomes.py
@@ -11,6 +11,7 @@
 from http import HTTPStatus
 from typing import Final, Literal
 
+from masticwind.budget import MS_PER_S
 from masticwind.engines.base import Done
 from masticwind.entry.claim_records import (
     ClaimState,
@@ -23,7 +24,6 @@
 from masticwind.web import Response, json_response
 
 MAX_RECORDS: Final = 20_000
-MS_PER_S: Final = 1000
 # Writer and reader stamp with different clocks, and an outcome is written
 # with a delay; within this time a claim without outcome is still running.
 RUNNING_GRACE_S: Final = 5
--- a/src/masticwind/entry/peers.py
+++ b/src/masticwind/entry/peers.py
@@ -16,6 +16,7 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
+from masticwind.budget import MS_PER_S
 from masticwind.config.current import CurrentConfig
 from masticwind.config.distribute import ConfigSync
 from masticwind.entry.affinity import AffinityIndex
@@ -43,7 +44,6 @@
 from masticwind.settings import Address, EntrySettings
 from masticwind.store.base import Instance, InstanceList
 
-MS_PER_S: Final = 1000
 # Longer than a request may wait for its agent's next connection.
 UNLISTED_GRACE_S: Final = 10.0
 AttemptKey = tuple[str, int]
--- a/src/masticwind/entry/predict.py
+++ b/src/masticwind/entry/predict.py
@@ -11,10 +11,10 @@
 from typing import Final
 from weakref import WeakKeyDictionary
 
+from masticwind.budget import MS_PER_S
 from masticwind.entry.peers import AgentLink
 from masticwind.settings import EntrySettings
 
-MS_PER_S: Final = 1000
 # A heartbeat that arrives sooner after a send may have left before the offer
 # arrived; longer than the round trip between two availability zones.
 VISIBLE_AFTER_S: Final = 0.05
--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
+from masticwind.budget import MS_PER_S
 from masticwind.config.current import CurrentConfig
 from masticwind.engines.base import Done, Tokens
 from masticwind.entry.admission import Admission, Ask
@@ -37,7 +38,6 @@
 from masticwind.telemetry import NO_TELEMETRY, Telemetry
 
 MAX_ATTEMPTS: Final = 4
-MS_PER_S: Final = 1000
 # Two heartbeats later the entry knows of endpoints that have returned.
 NO_CAPACITY_HINT_MS: Final = 1000
 _SERVING: Final = ('serving', 'cold')
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from masticwind.budget import MS_PER_S
 from masticwind.config.current import CurrentConfig
 from masticwind.config.distribute import ConfigSync, ConfigWatcher
 from masticwind.config.store import ConfigStore
@@ -29,7 +30,6 @@
 from masticwind.web_protocol import WRITE_STALL_S
 
 DRAIN_POLL_S: Final = 0.05
-MS_PER_S: Final = 1000
 
 
 class Entry:
--- a/src/masticwind/metrics.py
+++ b/src/masticwind/metrics.py
@@ -21,9 +21,9 @@
 import statsd
 from hdrh.histogram import HdrHistogram
 
+from masticwind.budget import MS_PER_S
 from masticwind.settings import MetricsSettings
 
-MS_PER_S: Final = 1000
 US_PER_MS: Final = 1000
 MAX_TIME_US: Final = 3_600_000_000
 SIGNIFICANT_DIGITS: Final = 2
--- a/src/masticwind/protocol/channel.py
+++ b/src/masticwind/protocol/channel.py
@@ -21,6 +21,7 @@
 from websockets.asyncio.connection import Connection
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
 from masticwind.protocol.beats import Beats
 from masticwind.protocol.codec import (
@@ -52,7 +53,6 @@
 # The same bound for the bodies within those messages.
 MAX_QUEUED_BODY_BYTES: Final = 67_108_864
 BULK_QUEUE: Final = 4
-MS_PER_S: Final = 1000
 FLUSH_POLL_S: Final = 0.01
 
 _Kind = TypeVar('_Kind', bound=Message)
--- a/src/masticwind/protocol/dialer.py
+++ b/src/masticwind/protocol/dialer.py
@@ -8,6 +8,7 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import WebSocketException
 
+from masticwind.budget import MS_PER_S
 from masticwind.config.current import CurrentConfig
 from masticwind.errors import ErrorKind, Failure
 from masticwind.node import Node
@@ -16,7 +17,6 @@
 from masticwind.protocol.listener import PeerHandler, serve_channel
 from masticwind.settings import Address, PeerSettings
 
-MS_PER_S: Final = 1000
 FIRST_DELAY_S: Final = 0.05
 MAX_DELAY_S: Final = 2.0
 # A connection that lasts this long has shown that its peer is well.
--- a/src/masticwind/protocol/listener.py
+++ b/src/masticwind/protocol/listener.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from websockets.asyncio.server import ServerConnection, serve
 
+from masticwind.budget import MS_PER_S
 from masticwind.config.current import CurrentConfig
 from masticwind.errors import ErrorKind, Failure
 from masticwind.node import Node
@@ -17,7 +18,6 @@
 from masticwind.settings import Address, PeerSettings
 from masticwind.sockets import listen_tcp
 
-MS_PER_S: Final = 1000
 # How long frames that are under way on a silent connection are still read.
 DRAIN_S: Final = 0.5
 # Connections in the handshake; each ends within the connect timeout.
--- a/src/masticwind/store/http.py
+++ b/src/masticwind/store/http.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
 from masticwind.httpclient import HttpAnswer, HttpClient
 from masticwind.settings import PlatformSettings
@@ -24,7 +25,6 @@
     Written,
 )
 
-MS_PER_S: Final = 1000
 _REFUSED: Final = (
     HTTPStatus.TOO_MANY_REQUESTS,
     HTTPStatus.SERVICE_UNAVAILABLE,
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -15,6 +15,7 @@
 import msgspec
 import uvicorn
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import ANSWERS, ErrorKind, Failure
 from masticwind.settings import Address
 from masticwind.sockets import listen_tcp
@@ -28,7 +29,6 @@
 _Content = TypeVar('_Content')
 
 JSON_TYPE: Final = b'application/json'
-MS_PER_S: Final = 1000
 CLOSE_HEADER: Final = (b'connection', b'close')
 # Decoding a larger body on the event loop would stall other requests.
 INLINE_DECODE_BYTES: Final = 262_144
--- a/src/masticwind_dev/bench/loadgen.py
+++ b/src/masticwind_dev/bench/loadgen.py
@@ -8,12 +8,12 @@
 import anyio
 import msgspec
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import Failure
 from masticwind.httpclient import BrokenStreamError, HttpClient
 from masticwind_dev.bench.workload import Planned
 from masticwind_dev.standins.answers import expected_answer
 
-MS_PER_S: Final = 1000
 # Beyond its time budget a request is counted as lost, not waited for.
 ANSWER_GRACE_S: Final = 5.0
 MAX_CONNECTIONS: Final = 4096
--- a/src/masticwind_dev/bench/overhead.py
+++ b/src/masticwind_dev/bench/overhead.py
@@ -10,6 +10,7 @@
 import msgspec
 import psutil
 
+from masticwind.budget import MS_PER_S
 from masticwind.httpclient import HttpAnswer, HttpClient
 from masticwind_dev.bench.arena import Arena, RunningArena, running_arena
 from masticwind_dev.bench.summary import percentiles
@@ -26,7 +27,6 @@
 BYTES_PER_TOKEN: Final = 4
 TIMEOUT_S: Final = 300
 PROMPT: Final = 'How long must the second coat cure? ' * 100
-MS_PER_S: Final = 1000
 OK_STATUS: Final = 200
 
 Ask = Callable[[int], Awaitable[bool]]
--- a/src/masticwind_dev/bench/short_beside_long.py
+++ b/src/masticwind_dev/bench/short_beside_long.py
@@ -18,6 +18,7 @@
 from hdrh.histogram import HdrHistogram
 
 from masticwind.agent.executor import Executor, ExecutorParts
+from masticwind.budget import MS_PER_S
 from masticwind.config.current import CurrentConfig
 from masticwind.config.model import Configuration, Generation, Zone
 from masticwind.engines.base import Done, EngineRequest
@@ -31,7 +32,6 @@
 
 Mode = Literal['alone', 'agent', 'priorities', 'unbounded']
 MODES: Final[tuple[Mode, ...]] = ('alone', 'agent', 'priorities', 'unbounded')
-MS_PER_S: Final = 1000
 MAX_MS: Final = 600_000
 # A full chunk and one decode step give the engine's rate under load.
 LOAD: Final = 0.8
--- a/src/masticwind_dev/bench/slopes_config.py
+++ b/src/masticwind_dev/bench/slopes_config.py
@@ -18,6 +18,7 @@
 import msgspec
 import psutil
 
+from masticwind.budget import MS_PER_S
 from masticwind.config.current import CurrentConfig, token_digest
 from masticwind.config.model import (
     Configuration,
@@ -33,7 +34,6 @@
 TEAMS: Final = (10, 1_000, 47_000)
 LOOK_UPS: Final = 100_000
 KIB: Final = 1024
-MS_PER_S: Final = 1000
 NS_PER_S: Final = 1_000_000_000
 ZONES: Final = 17
 REGIONS: Final = 7
--- a/src/masticwind_dev/bench/slopes_listing.py
+++ b/src/masticwind_dev/bench/slopes_listing.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from masticwind.budget import MS_PER_S
 from masticwind.entry.subset import choose_subset
 from masticwind.settings import EntrySettings, PeerSettings
 from masticwind.store.base import Instance
@@ -13,7 +14,6 @@
 ENTRY_SHARE: Final = 530 / 6930
 ZONES: Final = 17
 REPEATS: Final = 5
-MS_PER_S: Final = 1000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/masticwind_dev/bench/stalls.py
+++ b/src/masticwind_dev/bench/stalls.py
@@ -14,13 +14,13 @@
 import anyio
 import msgspec
 
+from masticwind.budget import MS_PER_S
 from masticwind.entry.chat_body import BodyReader
 from masticwind.errors import Failure
 
 MEGABYTE: Final = 1_000_000
 TICK_S: Final = 0.001
 CONCURRENT: Final = 4
-MS_PER_S: Final = 1000
 
 
 def _bodies() -> Iterator[tuple[str, bytes]]:
--- a/src/masticwind_dev/bench/workload.py
+++ b/src/masticwind_dev/bench/workload.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from typing import Final, Literal
 
+from masticwind.budget import MS_PER_S
+
 LengthClass = Literal['short', 'medium', 'long']
 TierName = Literal['paid', 'free']
 
@@ -18,7 +20,6 @@
 BASE_TIMEOUT_MS: Final = 3000
 # A request may take this many times its own prefill time on an idle engine.
 PREFILL_STRETCH: Final = 4
-MS_PER_S: Final = 1000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/masticwind_dev/faults/call_checks.py
+++ b/src/masticwind_dev/faults/call_checks.py
@@ -8,10 +8,10 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
+from masticwind.budget import MS_PER_S
 from masticwind_dev.faults.injection import Execution
 from masticwind_dev.faults.orders import TIMEOUT_MS, OrderAnswer
 
-MS_PER_S: Final = 1000
 ANSWER_SLACK_S: Final = 1.0
 # The stated time after which a zone that is out gets no new work.
 ZONE_OUT_S: Final = 2.0
--- a/src/masticwind_dev/faults/checks.py
+++ b/src/masticwind_dev/faults/checks.py
@@ -9,12 +9,12 @@
 
 import msgspec
 
+from masticwind.budget import MS_PER_S
 from masticwind.config.heads import HEAD_KEY
 from masticwind.errors import ANSWERS, ErrorKind
 from masticwind_dev.faults.callers import TIMEOUT_MS, Received
 from masticwind_dev.faults.matrix import Cell
 
-MS_PER_S: Final = 1000
 # For the way of the last answer to a caller on a busy machine.
 ANSWER_SLACK_S: Final = 1.0
 
--- a/src/masticwind_dev/faults/proxy.py
+++ b/src/masticwind_dev/faults/proxy.py
@@ -18,12 +18,12 @@
 import anyio
 from anyio.abc import SocketStream
 
+from masticwind.budget import MS_PER_S
 from masticwind.settings import Address
 from masticwind.web import Response, WebServer, json_response
 from masticwind_dev.standins.routes import Routes, StandinRequest
 
 CHUNK_BYTES: Final = 65_536
-MS_PER_S: Final = 1000
 GATE_POLL_S: Final = 0.01
 BOTH_SIDES: Final = 2
 # Closing a socket with this option sends a reset.
--- a/src/masticwind_dev/standins/engine.py
+++ b/src/masticwind_dev/standins/engine.py
@@ -19,13 +19,13 @@
 import anyio
 import msgspec
 
+from masticwind.budget import MS_PER_S
 from masticwind.engines.base import CacheEvents, EngineReport, RunningRequest
 from masticwind.tokens import BLOCK_BYTES, prefix_hashes
 from masticwind.web import Response, json_response
 from masticwind_dev.standins.answers import answer_token, prompt_digest
 from masticwind_dev.standins.routes import Routes, StandinRequest
 
-MS_PER_S: Final = 1000
 NDJSON: Final = b'application/x-ndjson'
 KEEP_ALIVE_S: Final = 1.0
 
--- a/src/masticwind_dev/standins/keyvalue.py
+++ b/src/masticwind_dev/standins/keyvalue.py
@@ -16,11 +16,11 @@
 import anyio
 import msgspec
 
+from masticwind.budget import MS_PER_S
 from masticwind.store.base import MAX_VALUE_BYTES
 from masticwind.web import Response, json_response
 from masticwind_dev.standins.routes import Handler, Routes, StandinRequest
 
-MS_PER_S: Final = 1000
 OCTETS: Final = b'application/octet-stream'
 LEASE_SWEEP_S: Final = 0.05
 
--- a/src/masticwind_dev/standins/metadata.py
+++ b/src/masticwind_dev/standins/metadata.py
@@ -13,10 +13,10 @@
 
 import anyio
 
+from masticwind.budget import MS_PER_S
 from masticwind.web import Response, json_response
 from masticwind_dev.standins.routes import Handler, Routes, StandinRequest
 
-MS_PER_S: Final = 1000
 PAGE_ITEMS: Final = 500
 
 
--- a/src/masticwind_dev/standins/service.py
+++ b/src/masticwind_dev/standins/service.py
@@ -11,11 +11,10 @@
 import anyio
 import msgspec
 
+from masticwind.budget import MS_PER_S
 from masticwind.web import Response, json_response
 from masticwind_dev.standins.routes import Routes, StandinRequest
 
-MS_PER_S: Final = 1000
-
 
 @dataclass(slots=True)
 class ServiceSwitches:
