Take only replies to questions of this machine

A datagram for an earlier machine of the same address would carry a time of that machine's clock and could make a copy look recent for hours. Replies are matched with the last questions now. Shown: test_replies_to_questions_of_another_machine_are_left_out (the copy's age fell below zero before).

--- a/src/masticwind/serving/confirmations.py
+++ b/src/masticwind/serving/confirmations.py
@@ -16,7 +16,8 @@
 import contextlib
 import math
 import random
-from typing import Any, Final
+from collections import deque
+from typing import Annotated, Any, Final
 
 import anyio
 import msgspec
@@ -38,6 +39,8 @@
 # entries time to answer, and time until the copy is no longer trusted.
 CONFIRM_SHARE: Final = 0.2
 FALLBACK_SHARE: Final = 0.36
+# Questions whose replies are taken; later replies would hardly help.
+OPEN_QUESTIONS: Final = 8
 # Questions or replies that wait; a later question replaces a dropped one.
 MAX_WAITING: Final = 64
 
@@ -53,7 +56,7 @@
 
     asked_ms: int
     changed: int
-    age_ms: int
+    age_ms: Annotated[int, msgspec.Meta(ge=0)]
 
 
 class _Inbox(Receiver):
@@ -89,6 +92,7 @@
         self._socket: Final = peer_socket
         self._peers: Final = peers
         self._mirror: Final = mirror
+        self._asked: Final = deque[int](maxlen=OPEN_QUESTIONS)
         self._questions: Final = _Inbox(Question)
         self._replies: Final = _Inbox(Confirmation)
         peer_socket.add(QUESTION, self._questions)
@@ -103,7 +107,9 @@
 
     def question(self) -> Question:
         """Return a question that is sent now."""
-        return Question(int(boot_time() * MS_PER_S))
+        question = Question(int(boot_time() * MS_PER_S))
+        self._asked.append(question.asked_ms)
+        return question
 
     def reply(self, question: Question) -> Confirmation | None:
         """Return what this entry can say of its copy, if anything."""
@@ -114,7 +120,13 @@
         return Confirmation(question.asked_ms, self._mirror.changed, age_ms)
 
     def take(self, reply: Confirmation) -> None:
-        """Take over the reply of another entry."""
+        """Take over the reply of another entry to a recent question.
+
+        Others are left out: a datagram for an earlier machine with this
+        address would carry a time of that machine's clock.
+        """
+        if reply.asked_ms not in self._asked:
+            return
         as_of = (reply.asked_ms - reply.age_ms) / MS_PER_S
         self._mirror.confirm(reply.changed, as_of)
 
--- a/tests/test_confirmation_machine.py
+++ b/tests/test_confirmation_machine.py
@@ -14,6 +14,7 @@
     rule,
 )
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.confirmations import (
     Confirmation,
@@ -310,3 +311,17 @@
             _run(early.mirror.poll())
     assert polls == 1
     assert early.mirror.age_s() == 0
+
+
+def test_replies_to_questions_of_another_machine_are_left_out(
+    machine: ConfirmationMachine,
+) -> None:
+    """Guards against a copy that looks recent for hours because a datagram
+    for an earlier machine of the same address has reached this entry.
+    """
+    copy = machine.copies[0]
+    _run(copy.mirror.step())
+    machine.wait(5)
+    later_ms = int(machine.clock() * MS_PER_S) + 60_000
+    copy.link.take(Confirmation(later_ms, copy.mirror.changed, 0))
+    assert copy.mirror.age_s() == 5
