--- /dev/null
+++ b/tests/endpoint_scripts.py
@@ -0,0 +1,37 @@
+"""Faulty answers of a raw endpoint that several tests play."""
+
+from masticwind_dev.standins.raw_endpoint import RawConnection, Received, head
+
+
+async def wrong_endpoint(_req: Received, conn: RawConnection) -> None:
+    """Say that another endpoint has this address now."""
+    await conn.write(
+        b'HTTP/1.1 421 Misdirected\r\nX-Instance-Id: i-9\r\n'
+        b'Content-Length: 0\r\n\r\n'
+    )
+
+
+async def hang_up(_req: Received, conn: RawConnection) -> None:
+    """Close the connection without an answer."""
+    await conn.close()
+
+
+async def truncate(req: Received, conn: RawConnection) -> None:
+    """Close the connection within the body."""
+    await conn.write(head(req, 200, ('Content-Length: 50',)))
+    await conn.write(b'half')
+    await conn.close()
+
+
+async def answer_another(_req: Received, conn: RawConnection) -> None:
+    """Answer a request that somebody else sent."""
+    await conn.write(
+        b'HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\n'
+        b'Content-Length: 5\r\n\r\nother'
+    )
+
+
+async def no_protocol(_req: Received, conn: RawConnection) -> None:
+    """Send bytes that are no answer."""
+    await conn.write(b'\x15\x03\x01 nothing known\r\n\r\n')
+    await conn.close()
--- a/tests/test_answer_machine.py
+++ b/tests/test_answer_machine.py
@@ -18,7 +18,6 @@
     Received,
     Script,
     event_chunk,
-    head,
     stream_head,
 )
 from tests.direct_rig import (
@@ -30,6 +29,13 @@
     direct_rig,
     prompt_headers,
 )
+from tests.endpoint_scripts import (
+    answer_another,
+    hang_up,
+    no_protocol,
+    truncate,
+    wrong_endpoint,
+)
 
 EVENTS: Final = 4
 # Statuses that promise a caller that its request has not run.
@@ -69,10 +75,7 @@
 
 async def _with_another(req: Received, conn: RawConnection) -> None:
     await _whole(req, conn)
-    await conn.write(
-        b'HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\n'
-        b'Content-Length: 5\r\n\r\nother'
-    )
+    await answer_another(req, conn)
 
 
 async def _twice(req: Received, conn: RawConnection) -> None:
@@ -81,38 +84,14 @@
 
 
 async def _truncated(req: Received, conn: RawConnection) -> None:
-    if '/chat/' in req.target:
-        await conn.write(stream_head(req))
-        await conn.write(event_chunk(1, req.headers['x-attempt-id'])[:-6])
-    else:
-        await conn.write(head(req, 200, ('Content-Length: 50',)))
-        await conn.write(b'answer')
-    await conn.close()
-
-
-async def _foreign(_req: Received, conn: RawConnection) -> None:
-    await conn.write(
-        b'HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\n'
-        b'Content-Length: 5\r\n\r\nother'
-    )
-
-
-async def _hang_up(_req: Received, conn: RawConnection) -> None:
-    await conn.close()
-
-
-async def _no_protocol(_req: Received, conn: RawConnection) -> None:
-    await conn.write(b'\x16\x03\x01 no answer\r\n\r\n')
+    if '/chat/' not in req.target:
+        await truncate(req, conn)
+        return
+    await conn.write(stream_head(req))
+    await conn.write(event_chunk(1, req.headers['x-attempt-id'])[:-6])
     await conn.close()
 
 
-async def _elsewhere(_req: Received, conn: RawConnection) -> None:
-    await conn.write(
-        b'HTTP/1.1 421 Misdirected\r\nX-Instance-Id: i-9\r\n'
-        b'Content-Length: 0\r\n\r\n'
-    )
-
-
 FAULTS: Final[Mapping[str, Script]] = MappingProxyType(
     {
         'whole': _whole,
@@ -120,10 +99,10 @@
         'another': _with_another,
         'twice': _twice,
         'truncated': _truncated,
-        'foreign': _foreign,
-        'hang up': _hang_up,
-        'no protocol': _no_protocol,
-        'elsewhere': _elsewhere,
+        'foreign': answer_another,
+        'hang up': hang_up,
+        'no protocol': no_protocol,
+        'elsewhere': wrong_endpoint,
     }
 )
 
--- a/tests/test_direct_answers.py
+++ b/tests/test_direct_answers.py
@@ -30,6 +30,13 @@
     direct_rig,
     prompt_headers,
 )
+from tests.endpoint_scripts import (
+    answer_another,
+    hang_up,
+    no_protocol,
+    truncate,
+    wrong_endpoint,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -39,34 +46,6 @@
     await conn.write(head(req, 503, ('X-Not-Executed: 1', 'Content-Length: 0')))
 
 
-async def wrong_endpoint(_req: Received, conn: RawConnection) -> None:
-    """Say that another endpoint has this address now."""
-    await conn.write(
-        b'HTTP/1.1 421 Misdirected\r\nX-Instance-Id: i-9\r\n'
-        b'Content-Length: 0\r\n\r\n'
-    )
-
-
-async def hang_up(_req: Received, conn: RawConnection) -> None:
-    """Close the connection without an answer."""
-    await conn.close()
-
-
-async def truncate(req: Received, conn: RawConnection) -> None:
-    """Close the connection within the body."""
-    await conn.write(head(req, 200, ('Content-Length: 50',)))
-    await conn.write(b'half')
-    await conn.close()
-
-
-async def answer_another(_req: Received, conn: RawConnection) -> None:
-    """Answer a request that somebody else sent."""
-    await conn.write(
-        b'HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\n'
-        b'Content-Length: 5\r\n\r\nother'
-    )
-
-
 async def without_seal(req: Received, conn: RawConnection) -> None:
     """Answer like something that is not the endpoint."""
     await conn.write(
@@ -80,12 +59,6 @@
     await conn.answer(req, headers=('Content-Encoding: gzip',))
 
 
-async def no_protocol(_req: Received, conn: RawConnection) -> None:
-    """Send bytes that are no answer."""
-    await conn.write(b'\x15\x03\x01 nothing known\r\n\r\n')
-    await conn.close()
-
-
 async def busy_without_proof(req: Received, conn: RawConnection) -> None:
     """Answer 503 without saying that the request was not run."""
     await conn.answer(req, 503, b'busy')
