Count a request's candidates once for each placement

Whether another endpoint can be asked scanned all endpoints of the service again right after the placement had done so, with nothing in between that could change the result. The placement notes the number now.

--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -172,6 +172,7 @@
                 reason='no time is left',
             )
         candidates = self._candidates(work, progress)
+        progress.candidates = len(candidates)
         query = Query(
             request=work.req.request_id,
             service=work.service,
@@ -275,8 +276,6 @@
         """
         if not progress.may_ask_another(work):
             return False
-        if len(self._candidates(work, progress)) < 2:
-            return False
         return self._parts.repeats.left(work.service.name) >= 1
 
     async def _note_failure(
--- a/src/masticwind/serving/work.py
+++ b/src/masticwind/serving/work.py
@@ -92,13 +92,15 @@
     """What has happened to one request.
 
     `ran_at` are the endpoints that may have run it, `excluded` those that
-    are not asked again. `at_fault` is the endpoint that the last refusal
+    are not asked again, `candidates` how many the last placement could
+    choose from. `at_fault` is the endpoint that the last refusal
     names. `last_event` is the id of the last event that the caller has.
     """
 
     sendings: int = 0
     ran_at: set[str] = field(default_factory=set)
     excluded: set[str] = field(default_factory=set)
+    candidates: int = 0
     at_fault: Endpoint | None = None
     last_event: int | None = None
     events: int = 0
@@ -138,6 +140,7 @@
         """
         return (
             work.route.repeatable
+            and self.candidates > 1
             and len(self.ran_at) + 1 < work.route.max_endpoints
             and self.sendings < MAX_SENDINGS
         )
