Take replies of other entries where they arrive

Taking a reply never waits, so the queue and the task for replies did nothing that the receiver cannot do itself. Only questions, whose answers are sent, are queued. The options of a mirror no longer say that the wait bounds the age of a copy, which polls and other entries confirm.

--- a/src/masticwind/serving/confirmations.py
+++ b/src/masticwind/serving/confirmations.py
@@ -17,7 +17,7 @@
 import math
 import random
 from collections import deque
-from typing import Annotated, Any, Final
+from typing import Annotated, Final
 
 import anyio
 import msgspec
@@ -41,7 +41,7 @@
 FALLBACK_SHARE: Final = 0.36
 # Questions whose replies are taken; later replies would hardly help.
 OPEN_QUESTIONS: Final = 8
-# Questions or replies that wait; a later question replaces a dropped one.
+# Questions that wait; a later one replaces one that is dropped.
 MAX_WAITING: Final = 64
 
 
@@ -59,27 +59,25 @@
     age_ms: Annotated[int, msgspec.Meta(ge=0)]
 
 
-class _Inbox(Receiver):
-    """Keeps messages of one kind until they are read; drops the rest."""
+class _Questions(Receiver):
+    """Keeps questions until they are answered; drops the rest."""
 
-    def __init__(self, kind: type[msgspec.Struct]) -> None:
-        self._kind: Final = kind
-        put, arrived = anyio.create_memory_object_stream[tuple[Any, Peer]](
+    def __init__(self) -> None:
+        put, arrived = anyio.create_memory_object_stream[tuple[Question, Peer]](
             MAX_WAITING,
         )
         self._put: Final = put
         self.arrived: Final = arrived
 
     def receive(self, message: object, sender: Peer) -> None:
-        """Keep a message."""
+        """Keep a question."""
+        question = msgspec.convert(message, type=Question)
         with contextlib.suppress(anyio.WouldBlock):
-            self._put.send_nowait(
-                (msgspec.convert(message, type=self._kind), sender),
-            )
+            self._put.send_nowait((question, sender))
 
 
-class Confirmations:
-    """Asks other entries and answers them."""
+class Confirmations(Receiver):
+    """Asks other entries, answers them and takes their replies."""
 
     def __init__(
         self,
@@ -93,17 +91,19 @@
         self._peers: Final = peers
         self._mirror: Final = mirror
         self._asked: Final = deque[int](maxlen=OPEN_QUESTIONS)
-        self._questions: Final = _Inbox(Question)
-        self._replies: Final = _Inbox(Confirmation)
+        self._questions: Final = _Questions()
         peer_socket.add(QUESTION, self._questions)
-        peer_socket.add(CONFIRMATION, self._replies)
+        peer_socket.add(CONFIRMATION, self)
 
     async def run(self) -> None:
-        """Ask, answer and take replies until cancelled."""
+        """Ask and answer until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._ask)
             tasks.start_soon(self._answer)
-            tasks.start_soon(self._take)
+
+    def receive(self, message: object, sender: Peer) -> None:
+        """Take over a reply that has arrived."""
+        self.take(msgspec.convert(message, type=Confirmation))
 
     def question(self) -> Question:
         """Return a question that is sent now."""
@@ -151,7 +151,3 @@
             reply = self.reply(question)
             if reply is not None:
                 await self._socket.send(CONFIRMATION, reply, (sender,))
-
-    async def _take(self) -> None:
-        async for reply, _ in self._replies.arrived:
-            self.take(reply)
--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -56,9 +56,8 @@
 class MirrorOptions:
     """How one prefix is watched.
 
-    `wait_s` is the longest time that one watch call waits; it bounds how old
-    an unchanged copy looks. `batch_s` is a pause between watch calls, in
-    which changes collect.
+    `wait_s` is the longest time that one watch call waits. `batch_s` is a
+    pause between watch calls, in which changes collect.
     """
 
     prefix: str
