--- a/src/masticwind/agent/ramp.py
+++ b/src/masticwind/agent/ramp.py
@@ -115,13 +115,8 @@
 
         The earlier limit is given back after a few usual intervals.
         """
-        if not self._limit:
-            return
-        self._suspected_limit = max(self._limit, self._suspected_limit)
-        self._limit = 0
-        self._completed = 0
-        self._usual_intervals = 0
-        self._plain_intervals = 0
+        if self._limit:
+            self._set_aside(max(self._limit, self._suspected_limit))
 
     def interval(self, seconds: float, prefill_tokens: int) -> None:
         """Take the time between two tokens of one stream.
@@ -162,9 +157,16 @@
         """
         # A second suspicion does not forget what the first one took away.
         limit = max(self._limit, 2 * self._suspected_limit)
-        self.enter()
+        self.entries += 1
+        self._set_aside(limit // 2)
+
+    def _set_aside(self, limit: int) -> None:
+        """Use the cold capacity until usual intervals give `limit` back."""
+        self._limit = 0
+        self._completed = 0
+        self._usual_intervals = 0
         self._plain_intervals = 0
-        self._suspected_limit = limit // 2
+        self._suspected_limit = limit
 
     def _follow(self, seconds: float) -> None:
         if self._base_s == 0:
