--- a/src/masticwind/platform/store.py
+++ b/src/masticwind/platform/store.py
@@ -6,11 +6,13 @@
 
 import base64
 import binascii
+from collections.abc import Iterable
 from http import HTTPStatus
 from typing import Final, TypeVar
 from urllib.parse import quote
 
 import msgspec
+from loguru import logger
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
@@ -86,10 +88,7 @@
             if isinstance(page, Failure):
                 return page
             revision = revision or page.as_of
-            for one in page.items:
-                item = _item(one)
-                if isinstance(item, Item):
-                    items.append(item)
+            items.extend(_items(page.items))
             if not page.has_more or not page.items:
                 return Listing(tuple(items), revision)
             after = page.items[-1].key
@@ -116,12 +115,7 @@
         events = _decode(answer, _Events)
         if isinstance(events, Failure):
             return events
-        items: list[Item] = []
-        for one in events.events:
-            item = _item(one)
-            if isinstance(item, Item):
-                items.append(item)
-        return Changes(tuple(items), events.as_of)
+        return Changes(tuple(_items(events.events)), events.as_of)
 
     async def grant_lease(self, ttl_s: float) -> int | Failure:
         """Ask for a lease."""
@@ -166,14 +160,22 @@
         )
 
 
-def _item(found: _Item) -> Item | Failure:
-    if found.deleted:
-        return Item(found.key, None, found.rev)
-    try:
-        value = base64.b64decode(found.value, validate=True)
-    except binascii.Error as exc:
-        return _down(f'{found.key} is not base64: {exc}')
-    return Item(found.key, value, found.rev)
+def _items(rows: Iterable[_Item]) -> list[Item]:
+    """Decode rows; those that are not readable are logged and left out."""
+    items: list[Item] = []
+    for row in rows:
+        if row.deleted:
+            items.append(Item(row.key, None, row.rev))
+            continue
+        try:
+            value = base64.b64decode(row.value, validate=True)
+        except binascii.Error as exc:
+            logger.bind(key=row.key, reason=str(exc)).warning(
+                'value_unreadable'
+            )
+            continue
+        items.append(Item(row.key, value, row.rev))
+    return items
 
 
 def _decode(
--- a/tests/test_direct_store.py
+++ b/tests/test_direct_store.py
@@ -7,12 +7,24 @@
 
 from masticwind.errors import Failure
 from masticwind.httpclient import HttpClient
-from masticwind.serving.settings import FleetBounds
+from masticwind.platform.store import PlatformStore
+from masticwind.serving.settings import FleetBounds, StoreSettings
+from masticwind.serving.store import Changes, Item, Listing
+from masticwind.settings import Address
+from masticwind.web import (
+    Receive,
+    Scope,
+    Send,
+    WebServer,
+    json_response,
+    send_response,
+)
 from tests.direct_rig import (
     CALLS,
     Rig,
     answer_whole,
     direct_rig,
+    encoded,
     route,
     sample_document,
 )
@@ -213,3 +225,26 @@
         with anyio.fail_after(4):
             while rig.store.read(key) is None:
                 await anyio.sleep(0.05)
+
+
+async def test_unreadable_value_leaves_out_only_its_key() -> None:
+    """Guards against a listing or a watch that one bad value breaks."""
+    rows = [
+        {'key': 'op/bad', 'rev': 5, 'value': '?'},
+        {'key': 'op/good', 'rev': 6, 'value': encoded(b'here')},
+        {'key': 'op/gone', 'rev': 7, 'deleted': True},
+    ]
+
+    async def answer(scope: Scope, _receive: Receive, send: Send) -> None:
+        listed = 'items' if scope['path'] == '/-/kv-range' else 'events'
+        body = {listed: rows, 'as_of': 7, 'has_more': False}
+        await send_response(send, json_response(200, body))
+
+    server = WebServer(answer, Address())
+    store = PlatformStore(StoreSettings(address=f'127.0.0.1:{server.port}'))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run)
+        wanted = (Item('op/good', b'here', 6), Item('op/gone', None, 7))
+        assert await store.list_prefix('op/') == Listing(wanted, 7)
+        assert await store.watch_prefix('op/', 4, 0) == Changes(wanted, 7)
+        tasks.cancel_scope.cancel()
