--- a/tests/direct_rig.py
+++ b/tests/direct_rig.py
@@ -75,6 +75,21 @@
     return json.dumps(document).encode()
 
 
+def sample_settings(node: str = 'entry-1', **fields: Any) -> DirectSettings:
+    """Return an entry's settings; its store is at a closed port."""
+    return DirectSettings(
+        **{
+            'node': node,
+            'zone': 'zone-a',
+            'zones': {'zone-a': 'region-a', 'zone-b': 'region-b'},
+            'listen': '127.0.0.1:0',
+            'ready': '127.0.0.1:0',
+            'store': StoreSettings(address='127.0.0.1:1'),
+            **fields,
+        }
+    )
+
+
 async def free_udp_port() -> int:
     """Return a port that no datagram socket has."""
     async with await anyio.create_udp_socket(local_host='127.0.0.1') as udp:
@@ -270,12 +285,7 @@
     """Run a store and an entry; a test adds endpoints."""
     store = MetadataStandin()
     server = WebServer(store.app, Address())
-    cfg = DirectSettings(
-        node='entry-1',
-        zone='zone-a',
-        zones={'zone-a': 'region-a', 'zone-b': 'region-b'},
-        listen='127.0.0.1:0',
-        ready='127.0.0.1:0',
+    cfg = sample_settings(
         store=StoreSettings(address=f'127.0.0.1:{server.port}'),
         bounds=bounds or FleetBounds(),
     )
--- a/tests/test_cleanup.py
+++ b/tests/test_cleanup.py
@@ -9,13 +9,9 @@
 from masticwind.serving.cleanup import Cleanup
 from masticwind.serving.directory import Directory
 from masticwind.serving.health import Health
-from masticwind.serving.settings import (
-    DirectSettings,
-    LiveSettings,
-    StoreSettings,
-)
+from masticwind.serving.settings import LiveSettings
 from masticwind.serving.store import Item
-from tests.direct_rig import registration
+from tests.direct_rig import registration, sample_settings
 
 pytestmark = pytest.mark.anyio
 
@@ -29,13 +25,7 @@
     """Guards against memory that grows with every endpoint ever seen, and
     against records of a present endpoint that are dropped.
     """
-    cfg = DirectSettings(
-        node='entry-1',
-        zone='zone-a',
-        listen='127.0.0.1:0',
-        ready='127.0.0.1:0',
-        store=StoreSettings(address='127.0.0.1:1'),
-    )
+    cfg = sample_settings()
     directory = Directory(PlatformDecoder(), lambda _seconds: False)
     health = Health()
     cleanup = Cleanup(
--- a/tests/test_confirmation_machine.py
+++ b/tests/test_confirmation_machine.py
@@ -23,11 +23,7 @@
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.mirror import Mirror, MirrorOptions, Sink
 from masticwind.serving.peers import EntryPeers
-from masticwind.serving.settings import (
-    DirectSettings,
-    LiveSettings,
-    StoreSettings,
-)
+from masticwind.serving.settings import LiveSettings
 from masticwind.serving.store import (
     Changes,
     Compacted,
@@ -35,6 +31,7 @@
     Listing,
     MetadataStore,
 )
+from tests.direct_rig import sample_settings
 from tests.manual_clock import ManualClock
 
 KEYS: Final = ('op/config', 'op/evacuate/zone-a', 'op/evacuate/zone-b')
@@ -149,13 +146,7 @@
             self,
             MirrorOptions(prefix='op/', wait_s=1),
         )
-        cfg = DirectSettings(
-            node='entry-1',
-            zone='zone-a',
-            listen='127.0.0.1:0',
-            ready='127.0.0.1:0',
-            store=StoreSettings(address='127.0.0.1:1'),
-        )
+        cfg = sample_settings()
         self.link: Final = Confirmations(
             PeerSocket(cfg),
             EntryPeers(cfg),
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -15,7 +15,6 @@
 from masticwind.serving.confirmations import LONGEST_PAUSE_S
 from masticwind.serving.server import OPERATIONS_WAIT_S, DirectEntry
 from masticwind.serving.settings import (
-    DirectSettings,
     FleetBounds,
     LiveSettings,
     StoreSettings,
@@ -39,6 +38,7 @@
     registration,
     route,
     sample_document,
+    sample_settings,
 )
 
 pytestmark = pytest.mark.anyio
@@ -113,12 +113,8 @@
         await tasks.start(endpoint.run)
         store.write('servers/i-1', registration(endpoint.port))
         for number, gate in enumerate(gates):
-            cfg = DirectSettings(
-                node=f'entry-{number}',
-                zone='zone-a',
-                zones={'zone-a': 'region-a', 'zone-b': 'region-b'},
-                listen='127.0.0.1:0',
-                ready='127.0.0.1:0',
+            cfg = sample_settings(
+                f'entry-{number}',
                 store=StoreSettings(address=gate.address),
                 peer_port=await free_udp_port(),
                 bounds=FleetBounds(key_age_ms=key_age_ms),
--- a/tests/test_direct_bounds.py
+++ b/tests/test_direct_bounds.py
@@ -10,22 +10,14 @@
 from masticwind.serving.bounds import ColdRate, RepeatBudget
 from masticwind.serving.health import FIRST_OUT_S, SOFT_LIMIT, Health
 from masticwind.serving.settings import (
-    DirectSettings,
     FleetBounds,
     LiveSettings,
-    StoreSettings,
 )
+from tests.direct_rig import sample_settings
 from tests.manual_clock import ManualClock
 
 BOUNDS: Final = FleetBounds(repeat_slack=100, repeat_ratio=0.2)
-CFG: Final = DirectSettings(
-    node='entry-1',
-    zone='zone-a',
-    listen='127.0.0.1:0',
-    ready='127.0.0.1:0',
-    store=StoreSettings(address='127.0.0.1:1'),
-    bounds=BOUNDS,
-)
+CFG: Final = sample_settings(bounds=BOUNDS)
 SERVICE: Final = 'calls'
 
 
--- a/tests/test_load_board.py
+++ b/tests/test_load_board.py
@@ -11,9 +11,8 @@
 from masticwind.serving.load_link import LoadLink
 from masticwind.serving.passes import Reading
 from masticwind.serving.peers import EntryPeers
-from masticwind.serving.settings import DirectSettings, StoreSettings
 from masticwind.serving.store import Item
-from tests.direct_rig import free_udp_port
+from tests.direct_rig import free_udp_port, sample_settings
 from tests.manual_clock import ManualClock
 
 pytestmark = pytest.mark.anyio
@@ -78,17 +77,6 @@
     assert not board.jobs()
 
 
-def _settings(node: str, port: int) -> DirectSettings:
-    return DirectSettings(
-        node=node,
-        zone='zone-a',
-        listen='127.0.0.1:0',
-        ready='127.0.0.1:0',
-        peer_port=port,
-        store=StoreSettings(address='127.0.0.1:1'),
-    )
-
-
 async def test_entries_learn_each_others_jobs() -> None:
     """Guards against two entries that place on the same engine because
     neither knows of the other's work, and against jobs that stay known after
@@ -98,7 +86,7 @@
     boards = [LoadBoard(), LoadBoard()]
     async with anyio.create_task_group() as tasks:
         for number, port in enumerate(ports):
-            cfg = _settings(f'entry-{number}', port)
+            cfg = sample_settings(f'entry-{number}', peer_port=port)
             peers = EntryPeers(cfg)
             peers.replace(
                 tuple(
@@ -139,7 +127,7 @@
 async def test_unreadable_datagrams_are_passed_over() -> None:
     """Guards against an entry that ends because of a stray datagram."""
     port = await free_udp_port()
-    cfg = _settings('entry-0', port)
+    cfg = sample_settings('entry-0', peer_port=port)
     peers = EntryPeers(cfg)
     async with anyio.create_task_group() as tasks:
         peer_socket = PeerSocket(cfg)
