Notice the return of a silent store within two seconds

Cause: a mirror that had lost the store tried again with a watch of 5 s. Polls did not help: they are made only while the mirror is connected. A change that others knew was asked for only after two rounds of questions, and a poll over a silent connection took 1 s.

Change: while the store is lost, calls do not wait for changes. A poll has 0.5 s; one that fails takes the watch with it. A missed change is asked for 0.2 s after another entry told of it. A watch of registrations waits for 1 s instead of 5 s, since endpoints renew them every second or so.

Term by term, an entry in touch is behind for at most: 0.7 s until it asks, 0.2 s of grace, 0.1 s until it looks, 0.5 s for a silent connection, 0.1 s and one call; where nobody confirms, 1.8 s + 0.1 s + the same polls.

--- a/src/masticwind/platform/store.py
+++ b/src/masticwind/platform/store.py
@@ -19,6 +19,7 @@
 from masticwind.httpclient import HttpAnswer, HttpClient
 from masticwind.serving.settings import StoreSettings
 from masticwind.serving.store import (
+    ANSWER_S,
     Changes,
     Compacted,
     Item,
@@ -26,8 +27,6 @@
     MetadataStore,
 )
 
-# Answers come in milliseconds; a slow store takes up to some hundred.
-CALL_TIMEOUT_S: Final = 1.0
 # Idle connections to the store are not kept longer than this.
 KEEP_ALIVE_S: Final = 10.0
 
@@ -98,6 +97,7 @@
         prefix: str,
         after: int,
         wait_s: float,
+        answer_s: float = ANSWER_S,
     ) -> Changes | Compacted | Failure:
         """Wait for changes after a revision."""
         wait_ms = int(wait_s * MS_PER_S)
@@ -108,7 +108,7 @@
         answer = await self._client.request(
             'GET',
             path,
-            timeout_s=wait_s + CALL_TIMEOUT_S,
+            timeout_s=wait_s + answer_s,
         )
         if isinstance(answer, HttpAnswer) and answer.status == HTTPStatus.GONE:
             return Compacted()
@@ -146,7 +146,7 @@
         answer = await self._client.request(
             'GET',
             path,
-            timeout_s=CALL_TIMEOUT_S,
+            timeout_s=ANSWER_S,
         )
         return _decode(answer, _Range)
 
@@ -154,7 +154,7 @@
         return await self._client.request(
             'POST',
             path,
-            timeout_s=CALL_TIMEOUT_S,
+            timeout_s=ANSWER_S,
             body=body,
             headers=((b'content-type', b'application/json'),),
         )
--- a/src/masticwind/serving/confirmations.py
+++ b/src/masticwind/serving/confirmations.py
@@ -32,6 +32,8 @@
 CONFIRMATION: Final = 'confirmation'
 # Time between questions, at most.
 LONGEST_PAUSE_S: Final = 0.7
+# Time between looks at the own copy.
+CHECK_S: Final = 0.1
 # Entries that ask the store first; two, so that one may be lost or cut off.
 CONFIRMING_ENTRIES: Final = 2
 # Parts of the time for which a removed key may be accepted. A copy of this
@@ -100,6 +102,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._ask)
             tasks.start_soon(self._answer)
+            tasks.start_soon(self._check)
 
     def receive(self, message: object, sender: Peer) -> None:
         """Take over a reply that has arrived."""
@@ -133,19 +136,30 @@
     async def _ask(self) -> None:
         while True:
             await anyio.sleep(random.uniform(0.5, 1) * LONGEST_PAUSE_S)
-            behind = self._mirror.behind()
-            first = self._peers.first(CONFIRMING_ENTRIES)
-            asked = [peer for node, peer in first if node != self._socket.node]
-            await self._socket.send(QUESTION, self.question(), asked)
-            share = FALLBACK_SHARE
-            if len(asked) < CONFIRMING_ENTRIES:
-                share = CONFIRM_SHARE
-            limit_s = self._settings.bounds.key_age_ms * share / MS_PER_S
+            await self._socket.send(
+                QUESTION, self.question(), self._asked_peers()
+            )
+
+    async def _check(self) -> None:
+        """Ask the store where the copy is old or a change was missed."""
+        while True:
+            await anyio.sleep(CHECK_S)
             # Without a watch, the mirror itself goes on trying.
-            old = self._mirror.age_s() > limit_s
-            if self._mirror.connected and (old or behind):
+            if not self._mirror.connected:
+                continue
+            if self._mirror.behind() or self._mirror.age_s() > self._limit_s():
                 await self._mirror.poll()
 
+    def _asked_peers(self) -> list[Peer]:
+        first = self._peers.first(CONFIRMING_ENTRIES)
+        return [peer for node, peer in first if node != self._socket.node]
+
+    def _limit_s(self) -> float:
+        share = FALLBACK_SHARE
+        if len(self._asked_peers()) < CONFIRMING_ENTRIES:
+            share = CONFIRM_SHARE
+        return self._settings.bounds.key_age_ms * share / MS_PER_S
+
     async def _answer(self) -> None:
         async for question, sender in self._questions.arrived:
             reply = self.reply(question)
--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -33,6 +33,11 @@
 LONGEST_PAUSE_S: Final = 0.5
 # Shortest time that a watch call can wait.
 POLL_WAIT_S: Final = 0.001
+# A poll without an answer for this long has met a store that is lost or a
+# connection that has gone silent.
+POLL_ANSWER_S: Final = 0.5
+# Time in which the open watch brings a change that others know already.
+NEWS_GRACE_S: Final = 0.2
 
 
 def boot_time() -> float:
@@ -82,7 +87,7 @@
         self._connected = False
         self._returned_at = float('-inf')
         self._told = 0
-        self._told_before = 0
+        self._told_at = float('-inf')
         self._watch: anyio.CancelScope | None = None
         self.changed = 0
 
@@ -114,39 +119,48 @@
             return
         if changed <= self._revision:
             self._as_of = max(self._as_of, as_of)
-        else:
+        elif changed > self._told:
+            if self._told <= self._revision:
+                self._told_at = boot_time()
             self._told = changed
 
     def behind(self) -> bool:
-        """Tell whether a change was missed; to be called now and then.
-
-        That is so if a later change was known before the last call and has
-        still not arrived.
+        """Tell whether a change was missed: another entry told of it some
+        time ago, and it has still not arrived.
         """
-        late = self.listed and self._revision < self._told_before
-        self._told_before = self._told
-        self._told = 0
-        return late
+        if not self.listed or self._told <= self._revision:
+            return False
+        return boot_time() - self._told_at >= NEWS_GRACE_S
+
+    async def poll(self) -> bool:
+        """Ask the store whether there are changes, beside the open watch.
 
-    async def poll(self) -> None:
-        """Ask the store whether there are changes, beside the open watch."""
+        Returns whether there was an answer.
+        """
         started = boot_time()
         after = self._revision
         changes = await self._store.watch_prefix(
             self._options.prefix,
             after,
             POLL_WAIT_S,
+            POLL_ANSWER_S,
         )
-        if isinstance(changes, Failure) or self._revision != after:
-            # The watch reports a loss of the store, or it was quicker.
-            return
+        if isinstance(changes, Failure):
+            # The watch may have gone silent as well.
+            self._note_loss(changes)
+            self._give_up_watch('poll failed')
+            return False
+        if self._revision != after:
+            # The watch was quicker.
+            return True
         if isinstance(changes, Compacted):
             self._give_up_watch('history compacted')
-            return
+            return True
         if changes.items:
             self._give_up_watch('change missed')
         self._take(changes)
         self._as_of = max(self._as_of, started)
+        return True
 
     async def run(self) -> None:
         """Mirror until cancelled."""
@@ -186,10 +200,13 @@
             self._revision = listing.revision
             self.changed = listing.revision
             return None
+        # A call that begins before the store's return may never be answered,
+        # so calls that look for the return do not wait for changes.
+        wait_s = options.wait_s if self._connected else POLL_WAIT_S
         changes = await self._store.watch_prefix(
             options.prefix,
             self._revision,
-            options.wait_s,
+            wait_s,
         )
         if isinstance(changes, Failure):
             return changes
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -45,7 +45,9 @@
 # Changes end a watch at once. A watch that hears nothing is given up when a
 # change is known from elsewhere, so this time only bounds the calls.
 OPERATIONS_WAIT_S: Final = 5.0
-REGISTRATION_WAIT_S: Final = 5.0
+# Endpoints renew their registrations every second or so: a watch that hears
+# nothing for longer has gone silent.
+REGISTRATION_WAIT_S: Final = 1.0
 # Registrations change with every heartbeat of every endpoint; they are
 # taken over in batches, well within the time in which an endpoint that
 # leaves must get no more work.
--- a/src/masticwind/serving/store.py
+++ b/src/masticwind/serving/store.py
@@ -6,9 +6,13 @@
 
 import abc
 from dataclasses import dataclass
+from typing import Final
 
 from masticwind.errors import Failure
 
+# Answers come in milliseconds; a slow store takes up to some hundred.
+ANSWER_S: Final = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class Item:
@@ -53,8 +57,12 @@
         prefix: str,
         after: int,
         wait_s: float,
+        answer_s: float = ANSWER_S,
     ) -> Changes | Compacted | Failure:
-        """Wait for changes after a revision, at most `wait_s` seconds."""
+        """Wait for changes after a revision, at most `wait_s` seconds.
+
+        The call is given up if it has no answer `answer_s` later.
+        """
 
     @abc.abstractmethod
     async def grant_lease(self, ttl_s: float) -> int | Failure:
--- /dev/null
+++ b/tests/test_mirror.py
@@ -0,0 +1,170 @@
+"""A mirror of a prefix while calls to the store stay without an answer."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Final
+
+import anyio
+import pytest
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.mirror import (
+    NEWS_GRACE_S,
+    Mirror,
+    MirrorOptions,
+    Sink,
+)
+from masticwind.serving.store import (
+    ANSWER_S,
+    Changes,
+    Compacted,
+    Item,
+    Listing,
+    MetadataStore,
+)
+from tests.manual_clock import ManualClock
+
+pytestmark = pytest.mark.anyio
+
+WAIT_S: Final = 2.5
+# Time in which a change must be in force, of the users' smallest sites.
+CHANGE_S: Final = 2.0
+CHANGE: Final = Item('op/config', b'new', 2)
+DOWN: Final = Failure(kind=ErrorKind.PLATFORM_DOWN, reason='silent')
+
+
+class SilentStore(MetadataStore):
+    """Never answers calls that begin while it is silent."""
+
+    def __init__(self) -> None:
+        self.silent = False
+        self.changed = anyio.Event()
+
+    async def list_prefix(self, prefix: str) -> Listing | Failure:
+        """Return an empty listing."""
+        return Listing((), 1)
+
+    async def watch_prefix(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        answer_s: float = ANSWER_S,
+    ) -> Changes | Compacted | Failure:
+        """Wait for the change, or for the client's time-out."""
+        if self.silent:
+            await anyio.sleep(wait_s + answer_s)
+            return DOWN
+        if after >= CHANGE.revision:
+            await anyio.sleep(wait_s)
+            return Changes((), after)
+        with anyio.move_on_after(wait_s):
+            await self.changed.wait()
+            return Changes((CHANGE,), CHANGE.revision)
+        return Changes((), after)
+
+    async def grant_lease(self, ttl_s: float) -> int | Failure:
+        """Nothing is written here."""
+        return DOWN
+
+    async def renew_lease(self, lease: int) -> Failure | None:
+        """Nothing is written here."""
+        return DOWN
+
+    async def put(self, key: str, value: bytes, lease: int) -> Failure | None:
+        """Nothing is written here."""
+        return DOWN
+
+
+class LastItem(Sink):
+    """Keeps the last change."""
+
+    def __init__(self) -> None:
+        self.arrived: Final = anyio.Event()
+
+    def replace(self, items: tuple[Item, ...]) -> None:
+        """Listings are empty here."""
+
+    def change(self, items: tuple[Item, ...]) -> None:
+        """Note that the change has arrived."""
+        self.arrived.set()
+
+
+@asynccontextmanager
+async def _running(
+    store: SilentStore,
+    sink: Sink,
+) -> AsyncIterator[Mirror]:
+    mirror = Mirror(store, sink, MirrorOptions(prefix='op/', wait_s=WAIT_S))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mirror.run)
+        while not mirror.listed:
+            await anyio.sleep(0.01)
+        yield mirror
+        tasks.cancel_scope.cancel()
+
+
+async def test_return_of_a_silent_store_is_noticed_in_time() -> None:
+    """Guards against an entry that is versions behind for seconds after the
+    store's return, because it still waits for a call of the outage.
+    """
+    store = SilentStore()
+    sink = LastItem()
+    store.silent = True
+    async with _running(store, sink) as mirror:
+        while mirror.connected:
+            await anyio.sleep(0.05)
+        # The mirror has noticed the loss and has begun its next call.
+        await anyio.sleep(0.6)
+        store.silent = False
+        store.changed.set()
+        with anyio.fail_after(CHANGE_S):
+            await sink.arrived.wait()
+
+
+async def test_poll_over_a_silent_connection_ends_soon() -> None:
+    """Guards against a poll that waits for a connection that has gone
+    silent for as long as a change may take to be in force.
+    """
+    store = SilentStore()
+    async with _running(store, LastItem()) as mirror:
+        store.silent = True
+        with anyio.fail_after(CHANGE_S / 2):
+            assert not await mirror.poll()
+
+
+async def test_missed_change_is_noticed_after_one_reply(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a change that other entries know and that this one
+    asks for only after several rounds of questions.
+    """
+    clock = ManualClock()
+    monkeypatch.setattr('masticwind.serving.mirror.boot_time', clock)
+    mirror = Mirror(
+        SilentStore(),
+        LastItem(),
+        MirrorOptions(prefix='op/', wait_s=WAIT_S),
+    )
+    await mirror.step()
+    mirror.confirm(CHANGE.revision, clock())
+    assert not mirror.behind()
+    clock.now += NEWS_GRACE_S
+    assert mirror.behind()
+
+
+async def test_watch_that_went_silent_with_a_poll_is_replaced() -> None:
+    """Guards against a watch that stays silent for seconds after all open
+    connections to the store have gone silent.
+    """
+    store = SilentStore()
+    sink = LastItem()
+    async with _running(store, sink) as mirror:
+        store.silent = True
+        await anyio.sleep(WAIT_S + 0.1)
+        # The next watch hangs by now.
+        assert not await mirror.poll()
+        store.silent = False
+        store.changed.set()
+        with anyio.fail_after(CHANGE_S / 2):
+            await sink.arrived.wait()
