Give a long read twice its aim before it is begun again

Nine attempts were given up after 3.0 to 6.0 s (1.2 times the aim) at engines that were still reading, and read again from the start elsewhere or refused for lack of memory: the second read could not be in time either and delayed the others.

Change: an attempt has twice the aim. An engine that has lost power is noticed by probes of the kernel instead, 2.5 s after the first lost one.

Tests: test_late_long_read_is_not_begun_again_elsewhere and test_connection_to_a_machine_without_power_does_not_stay_open failed before.

--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -26,9 +26,16 @@
 KEEP_ALIVE_SHARE: Final = 0.7
 # Bytes that are not acknowledged for this long break a connection. Without
 # it the kernel goes on for many minutes.
-UNACKNOWLEDGED_MS: Final = 4000
+UNACKNOWLEDGED_MS: Final = 2500
+# The kernel probes a connection on which nothing arrives for this long, and
+# again until a probe has been lost for `UNACKNOWLEDGED_MS`: the other side may
+# have lost power while this one waits for an answer.
+PROBE_S: Final = 1
 SOCKET_OPTIONS: Final = (
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_S),
 )
 
 _NOT_SENT: Final = (
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -36,8 +36,9 @@
 LATE_FACTOR: Final = 3.0
 LATE_FLOOR_S: Final = 0.8
 # A long read is not given up, and begun again elsewhere, before this many
-# times its aim has gone by.
-LATE_AIM_FACTOR: Final = 1.2
+# times its aim has gone by: the second one could not be in time either. The
+# caller stays for four times the aim.
+LATE_AIM_FACTOR: Final = 2.0
 # Pauses between events: this many of the route's longest pause, at least.
 PAUSE_FACTOR: Final = 4.0
 PAUSE_FLOOR_S: Final = 1.2
--- a/tests/test_direct_answers.py
+++ b/tests/test_direct_answers.py
@@ -29,6 +29,8 @@
     caller_headers,
     direct_rig,
     prompt_headers,
+    route,
+    sample_document,
 )
 from tests.endpoint_scripts import (
     answer_another,
@@ -419,3 +421,38 @@
         with anyio.fail_after(1):
             answer = await rig.ask('/order/a', method='POST', timeout_ms=400)
         assert answer.status == 504
+
+
+async def test_late_long_read_is_not_begun_again_elsewhere() -> None:
+    """Guards against long prompts that are given up shortly after their aim
+    and read a second time, which can only be later and costs the engines of
+    others as much again.
+    """
+
+    async def slowly(req: Received, conn: RawConnection) -> None:
+        await anyio.sleep(1.6)
+        await answer_events(req, conn)
+
+    document = sample_document()
+    document['routes'].append(
+        route(
+            'long',
+            kind='streaming',
+            service=ENGINES,
+            resumable=True,
+            gap_target_ms=1000,
+            goal_ms=1000,
+            timeout_ms=8000,
+        )
+    )
+    async with direct_rig(document) as rig:
+        await rig.endpoint('i-1', slowly, ENGINES)
+        await rig.endpoint('i-2', slowly, ENGINES)
+        answer = await rig.ask(
+            '/long/a',
+            timeout_ms=8000,
+            headers=prompt_headers(),
+        )
+        assert answer.status == 200
+        assert answer.body.count(b'id:') == 4
+        assert len(rig.received) == 1
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -1,9 +1,13 @@
-"""The HTTP client's reuse of connections."""
+"""The HTTP client's connections."""
+
+import socket
+from typing import Final
 
 import anyio
 import httpcore
 import pytest
 
+from masticwind.budget import MS_PER_S
 from masticwind.engines.base import Done, EngineRequest
 from masticwind.engines.http import HttpEngine
 from masticwind.errors import ErrorKind, Failure
@@ -14,6 +18,9 @@
 
 pytestmark = pytest.mark.anyio
 
+# A caller of the longest prompts stays for at least this long.
+SILENT_MACHINE_MS: Final = 4000
+
 
 async def _read_to_the_end(engine: HttpEngine, req: EngineRequest) -> None:
     async with engine.generate(req) as events:
@@ -59,3 +66,25 @@
     answer = await client.request('GET', '/', timeout_s=1)
     assert isinstance(answer, Failure)
     assert answer.kind is ErrorKind.NO_CAPACITY
+
+
+async def test_connection_to_a_machine_without_power_does_not_stay_open() -> (
+    None
+):
+    """Guards against an answer that is waited for without end from a machine
+    that has lost power: only probes of the kernel show that nobody is there.
+    """
+    standin = EngineStandin(EngineModel())
+    server = WebServer(standin.app, Address())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run)
+        client = HttpClient(f'http://127.0.0.1:{server.port}')
+        await client.request('GET', '/', timeout_s=1)
+        stream = client._idle[0].conn._connection._network_stream  # type: ignore[union-attr]
+        sock = stream.get_extra_info('socket')
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        idle_s = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+        limit_ms = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert idle_s * MS_PER_S + limit_ms <= SILENT_MACHINE_MS
+        await client.close()
+        tasks.cancel_scope.cancel()
