Keep an entry running after an unexpected error in one of its parts

Cause, found while looking for what operators of similar systems reported: all parts of an entry ran in one task group, so an exception in a decoder or a sink of the store's changes ended the process, and the same value ended it again after each start.

Changes that a sink cannot take are given to it one by one, and the one at fault is left out. A registration must name an IPv4 address and a port that exists; another one was an error at each connection.

Tests: test_supervision.py; of its tests, test_change_that_cannot_be_taken_hides_no_other and test_entry_serves_on_after_an_error_in_the_code failed before. The new registrations in test_direct_store.py were survived before, too, by retries.

--- a/src/masticwind/platform/documents.py
+++ b/src/masticwind/platform/documents.py
@@ -5,6 +5,7 @@
 missing field or a field of another type cannot be used.
 """
 
+import ipaddress
 from types import MappingProxyType
 from typing import Final, Literal
 
@@ -25,11 +26,13 @@
     TeamKeys,
 )
 from masticwind.serving.store import Item
+from masticwind.settings import Address
 
 OPERATIONS: Final = 'op/'
 REGISTRATIONS: Final = 'servers/'
 # Entries of this product; the platform reserves no name for them.
 ENTRIES: Final = 'masticwind/entries/'
+LAST_PORT: Final = 65_535
 _CONFIG: Final = 'op/config'
 _EVACUATE: Final = 'op/evacuate/'
 
@@ -129,12 +132,12 @@
         """Decode the registration of an endpoint."""
         try:
             found = msgspec.json.decode(item.value or b'', type=_Registration)
-            host, _, port = found.addr.rpartition(':')
+            address = _ip_address(found.addr)
             return Endpoint(
                 identity=self.identity(item.key),
                 service=found.service,
-                host=host,
-                port=int(port),
+                host=address.host,
+                port=address.port,
                 zone=found.zone,
                 slots=found.slots,
                 leaving=found.state == 'draining',
@@ -240,6 +243,18 @@
     return by_key
 
 
+def _ip_address(text: str) -> Address:
+    """Return an IP address with a port; raise `ValueError` for anything else.
+
+    Names are not looked up here, and a port that cannot be is an error at
+    each connection.
+    """
+    host, _, port = text.rpartition(':')
+    if not 0 < int(port) <= LAST_PORT:
+        raise ValueError(f'{port} is no port')
+    return Address(host=str(ipaddress.IPv4Address(host)), port=int(port))
+
+
 def _unreadable(exc: Exception) -> Failure:
     return Failure(
         kind=ErrorKind.INVALID_CONFIG,
--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -222,10 +222,22 @@
 
     def _take(self, changes: Changes) -> None:
         if changes.items:
-            self._sink.change(changes.items)
+            self._pass_on(changes.items)
             self.changed = max(item.revision for item in changes.items)
         self._revision = max(self._revision, changes.revision)
 
+    def _pass_on(self, items: tuple[Item, ...]) -> None:
+        """Give changes to the sink; one that it cannot take is left out."""
+        try:
+            self._sink.change(items)
+        except Exception as exc:
+            logger.opt(exception=exc).bind(
+                keys=[item.key for item in items],
+            ).error('change_failed')
+            if len(items) > 1:
+                for item in items:
+                    self._pass_on((item,))
+
     def _give_up_watch(self, reason: str) -> None:
         logger.bind(
             prefix=self._options.prefix,
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -30,8 +30,8 @@
 from masticwind.serving.routes import ActiveConfig
 from masticwind.serving.settings import LiveSettings, address_of
 from masticwind.serving.store import MetadataStore
+from masticwind.serving.supervision import supervise
 from masticwind.serving.telemetry import Telemetry
-from masticwind.settings import Address
 from masticwind.web import (
     Receive,
     Scope,
@@ -196,9 +196,9 @@
                 confirmations,
                 self._cleanup,
             ):
-                tasks.start_soon(part.run)
+                tasks.start_soon(supervise, part.run)
             if cfg.metrics_port:
-                tasks.start_soon(self._metrics_server().run)
+                tasks.start_soon(supervise, self._metrics_server().run)
             await self._until_informed()
             await self._server.run()
             tasks.cancel_scope.cancel()
@@ -220,8 +220,9 @@
         await self._server.finish(CLOSE_S / 2)
 
     def _metrics_server(self) -> WebServer:
-        host = address_of(self._settings.cfg.listen).host
-        address = Address(host=host, port=self._settings.cfg.metrics_port)
+        cfg = self._settings.cfg
+        host = address_of(cfg.listen).host
+        address = address_of(f'{host}:{cfg.metrics_port}')
         return WebServer(self._telemetry.serve, address)
 
     async def _until_informed(self) -> None:
--- a/tests/test_direct_store.py
+++ b/tests/test_direct_store.py
@@ -25,6 +25,7 @@
     answer_whole,
     direct_rig,
     encoded,
+    registration,
     route,
     sample_document,
 )
@@ -171,6 +172,10 @@
                 'state': 'ready',
             }
         ).encode(),
+        registration(70_000),
+        registration(0),
+        registration(9, addr='nowhere.example:9'),
+        registration(9, addr=':9'),
     ],
 )
 async def test_registration_of_another_writer_names_no_endpoint(
--- /dev/null
+++ b/tests/test_supervision.py
@@ -0,0 +1,93 @@
+"""Errors in the code that must not end an entry."""
+
+from collections.abc import Sequence
+
+import anyio
+import pytest
+
+from masticwind.errors import Failure
+from masticwind.platform.documents import PlatformDecoder
+from masticwind.serving.mirror import Mirror, MirrorOptions, Sink
+from masticwind.serving.model import Endpoint
+from masticwind.serving.store import Item
+from masticwind.serving.supervision import supervise
+from tests.direct_rig import answer_whole, direct_rig
+from tests.test_mirror import SilentStore
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_part_that_fails_starts_again() -> None:
+    """Guards against an unexpected error that takes the process down."""
+    runs: list[int] = []
+
+    async def part() -> None:
+        runs.append(1)
+        await anyio.sleep(0.01)
+        if len(runs) < 3:
+            raise ZeroDivisionError
+
+    with anyio.fail_after(3):
+        await supervise(part)
+    assert len(runs) == 3
+
+
+async def test_part_is_not_started_again_when_it_is_cancelled() -> None:
+    """Guards against a process that cannot be stopped."""
+    runs: list[int] = []
+
+    async def part() -> None:
+        runs.append(1)
+        await anyio.sleep_forever()
+
+    with anyio.move_on_after(0.1):
+        await supervise(part)
+    assert len(runs) == 1
+
+
+class PickySink(Sink):
+    """Fails on one key and keeps the others."""
+
+    def __init__(self) -> None:
+        self.taken: list[str] = []
+
+    def replace(self, items: Sequence[Item]) -> None:
+        """Take nothing."""
+
+    def change(self, items: Sequence[Item]) -> None:
+        """Take items until the one that cannot be taken."""
+        for item in items:
+            if item.key == 'poison':
+                raise TypeError(item.key)
+            self.taken.append(item.key)
+
+
+def test_change_that_cannot_be_taken_hides_no_other() -> None:
+    """Guards against one value of the store that stops all later ones."""
+    sink = PickySink()
+    mirror = Mirror(SilentStore(), sink, MirrorOptions(prefix='', wait_s=1))
+    mirror._pass_on(
+        tuple(Item(key, b'', 2) for key in ('a', 'poison', 'b')),
+    )
+    assert sink.taken[-2:] == ['a', 'b']
+
+
+async def test_entry_serves_on_after_an_error_in_the_code(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against one registration that ends the process."""
+    decode = PlatformDecoder.endpoint
+
+    def failing(self: PlatformDecoder, item: Item) -> Endpoint | Failure:
+        if item.key.endswith('poison'):
+            raise RecursionError
+        return decode(self, item)
+
+    monkeypatch.setattr(PlatformDecoder, 'endpoint', failing)
+    async with direct_rig() as rig:
+        await rig.endpoint('i-1', answer_whole)
+        await rig.until_served('/open/a')
+        rig.store.write('servers/poison', b'')
+        await rig.endpoint('i-2', answer_whole)
+        assert (await rig.ask('/open/a')).status == 200
+        assert rig.entry.endpoints_known == 2
