Look at 48 engines for a long prompt and sum their work up once

Change: what an engine's work takes is summed up once for a placement, and the plans choose among the 48 engines that are cheapest for the smallest part.

--- a/src/masticwind/serving/engine_view.py
+++ b/src/masticwind/serving/engine_view.py
@@ -12,10 +12,12 @@
 from masticwind.serving.model import Endpoint, EngineSpeed
 from masticwind.serving.passes import (
     EngineState,
+    EngineTimes,
     Reading,
     first_token_ms,
     longest_pause_ms,
     read_ms,
+    times_of,
 )
 from masticwind.serving.placement import Query
 
@@ -43,15 +45,19 @@
 class EngineView:
     """An engine as a placement sees it.
 
-    `leads` counts the requests that hold or await a slot; `memory` is what
-    is free, in tokens. `sensitive` says that a stream here notices a pause
-    of `SENSITIVE_PAUSE_MS`.
+    `leads` counts the requests that hold or await a slot, `slot_wait_ms` is
+    the time until one more request gets a slot; `memory` is what is free, in
+    tokens. `sensitive` says that a stream here notices a pause of
+    `SENSITIVE_PAUSE_MS`. `extra_ms` is what makes the engine unfavourable
+    whatever it reads, as a wait.
     """
 
     endpoint: Endpoint
     state: EngineState
+    times: EngineTimes
     jobs: tuple[Job, ...]
     leads: int
+    slot_wait_ms: float
     memory: int
     sensitive: bool
     extra_ms: float
@@ -64,18 +70,28 @@
 ) -> EngineView:
     """Sum up what is known of an engine."""
     jobs = tuple(query.jobs.get(endpoint.identity, ()))
+    state = state_of(jobs, query.now)
+    leads = sum(1 for job in jobs if job.context)
+    sensitive = any(is_sensitive(job.pause_ms) for job in jobs)
+    used = sum(job.memory for job in jobs)
     extra_ms = query.failure_shares.get(endpoint.identity, 0) * SUSPECT_COST_MS
     if endpoint.zone != query.zone:
         extra_ms += OTHER_ZONE_COST_MS
-    used = sum(job.memory for job in jobs)
+    taken = leads - speed.slots + SPARE_SLOTS
+    if taken >= 0:
+        extra_ms += FULL_COST_MS * (taken + 1)
+    if is_sensitive(query.pause_ms) and not sensitive:
+        extra_ms += SPREAD_COST_MS
     return EngineView(
         endpoint=endpoint,
-        state=state_of(jobs, query.now),
+        state=state,
+        times=times_of(speed, state),
         jobs=jobs,
-        leads=sum(1 for job in jobs if job.context),
+        leads=leads,
+        slot_wait_ms=_slot_wait_ms(query, speed, jobs, leads),
         # Engines preempt where more was placed than they hold.
         memory=max(0, speed.memory_tokens - used),
-        sensitive=any(is_sensitive(job.pause_ms) for job in jobs),
+        sensitive=sensitive,
         extra_ms=extra_ms,
     )
 
@@ -97,14 +113,10 @@
     part: Reading,
 ) -> float:
     """Return how unfavourable an engine is for one part, as a wait."""
-    cost = first_token_ms(speed, engine.state, part) + engine.extra_ms
-    cost += slot_wait_ms(query, speed, engine)
-    cost += sum(losses(query, speed, engine, part).values())
-    taken = engine.leads - speed.slots + SPARE_SLOTS
-    if taken >= 0:
-        cost += FULL_COST_MS * (taken + 1)
-    if is_sensitive(query.pause_ms) and not engine.sensitive:
-        cost += SPREAD_COST_MS
+    cost = first_token_ms(speed, engine.times, part)
+    cost += engine.extra_ms + engine.slot_wait_ms
+    if engine.jobs:
+        cost += sum(losses(query, speed, engine, part).values())
     return cost
 
 
@@ -113,11 +125,9 @@
 
     The part goes before what waits there, but not into a running pass.
     """
-    state = EngineState(contexts=engine.state.contexts)
-    running_ms = 0.0
-    if state.contexts:
-        running_ms = read_ms(speed, engine.state.waiting) / 2
-    return running_ms + first_token_ms(speed, state, part)
+    times = engine.times
+    running_ms = times.waiting_ms / 2 if times.write_ms else 0.0
+    return running_ms + first_token_ms(speed, times.without_waiting(), part)
 
 
 def losses(
@@ -131,7 +141,7 @@
     Writers lose by a long pause, and what is being read waits for the part.
     What is late already loses nothing more.
     """
-    pause_ms = longest_pause_ms(speed, engine.state, part)
+    pause_ms = longest_pause_ms(speed, engine.times, part)
     read_s = read_ms(speed, part) / MS_PER_S
     lost: dict[str, float] = {}
     for job in engine.jobs:
@@ -145,18 +155,18 @@
     return lost
 
 
-def slot_wait_ms(
+def _slot_wait_ms(
     query: Query,
     speed: EngineSpeed,
-    engine: EngineView,
+    jobs: tuple[Job, ...],
+    leads: int,
 ) -> float:
-    """Return the time until a slot is free for one more request."""
-    queued = engine.leads - speed.slots
+    queued = leads - speed.slots
     if queued < 0:
         return 0.0
     ends = sorted(
         max(job.end_at, query.now + OVERDUE_END_S)
-        for job in engine.jobs
+        for job in jobs
         if job.context
     )
     return (ends[queued] - query.now) * MS_PER_S
--- a/src/masticwind/serving/passes.py
+++ b/src/masticwind/serving/passes.py
@@ -6,7 +6,8 @@
 the pass that is running. Nothing here knows of a network or of time passing.
 
     state = EngineState(contexts=(5000, 12_000), waiting=Reading(4000, 8))
-    delay_ms = first_token_ms(speed, state, Reading(5000, 12.5))
+    times = times_of(speed, state)
+    delay_ms = first_token_ms(speed, times, Reading(5000, 12.5))
 """
 
 import math
@@ -71,9 +72,39 @@
     return step_ms * speed.stride
 
 
+@dataclass(frozen=True, slots=True)
+class EngineTimes:
+    """What an engine's work takes, summed up once for many predictions.
+
+    `waiting_ms` is the time for reading `waiting_tokens`, and `write_ms` that
+    of one pass's steps with the present writers; zero means that nobody
+    writes.
+    """
+
+    waiting_tokens: float = 0
+    waiting_ms: float = 0
+    write_ms: float = 0
+
+    def without_waiting(self) -> 'EngineTimes':
+        """Return the times of the writers alone."""
+        return EngineTimes(write_ms=self.write_ms)
+
+
+def times_of(speed: EngineSpeed, state: EngineState) -> EngineTimes:
+    """Sum up what an engine's work takes."""
+    write_ms = 0.0
+    if state.contexts:
+        write_ms = write_pass_ms(speed, state.contexts)
+    return EngineTimes(
+        state.waiting.tokens,
+        read_ms(speed, state.waiting),
+        write_ms,
+    )
+
+
 def first_token_ms(
     speed: EngineSpeed,
-    state: EngineState,
+    times: EngineTimes,
     own: Reading,
 ) -> float:
     """Return the time until a new request's first token.
@@ -81,27 +112,27 @@
     What waits is read before it. Beside writers, the request waits for the
     rest of the running pass and gets its token with the steps of its own.
     """
-    ahead = state.waiting.plus(own)
-    chunks = math.ceil(ahead.tokens / speed.chunk_tokens)
-    delay_ms = read_ms(speed, ahead)
-    if not state.contexts:
+    tokens = times.waiting_tokens + own.tokens
+    chunks = math.ceil(tokens / speed.chunk_tokens)
+    delay_ms = times.waiting_ms + read_ms(speed, own)
+    if not times.write_ms:
         return delay_ms + chunks * speed.step_ms
     passes = math.ceil(chunks / speed.stride)
-    return delay_ms + (passes + RUNNING_PASS) * write_pass_ms(
-        speed, state.contexts
-    )
+    return delay_ms + (passes + RUNNING_PASS) * times.write_ms
 
 
 def longest_pause_ms(
     speed: EngineSpeed,
-    state: EngineState,
+    times: EngineTimes,
     own: Reading,
 ) -> float:
     """Return the longest time between two tokens of the engine's writers
     while it reads `own` beside what waits.
     """
-    ahead = state.waiting.plus(own)
+    tokens = times.waiting_tokens + own.tokens
+    reading_ms = times.waiting_ms + read_ms(speed, own)
     most = speed.chunk_tokens * speed.stride
-    if ahead.tokens > most:
-        ahead = ahead.part(most / ahead.tokens)
-    return read_ms(speed, ahead) + write_pass_ms(speed, state.contexts)
+    if tokens > most:
+        reading_ms *= most / tokens
+    write_ms = times.write_ms or write_pass_ms(speed, ())
+    return reading_ms + write_ms
--- a/src/masticwind/serving/plans.py
+++ b/src/masticwind/serving/plans.py
@@ -4,6 +4,7 @@
 what others lose. Worth is counted in tokens read.
 """
 
+import heapq
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -18,7 +19,6 @@
     is_sensitive,
     losses,
     part_ms,
-    slot_wait_ms,
 )
 from masticwind.serving.model import EngineSpeed, TokenCounts
 from masticwind.serving.passes import (
@@ -34,6 +34,8 @@
 WRITTEN_WORTH: Final = 10
 # The platform's engines take a list of at most this many helpers.
 MAX_HELPERS: Final = 15
+# Engines among which a plan chooses; three times as many as it can take.
+SHORTLIST: Final = 48
 # A part that takes less time than this gains nothing.
 SMALLEST_PART_MS: Final = 12.0
 # Callers give a stream up that has not begun after this many times its aim.
@@ -90,8 +92,15 @@
 ) -> Plan | None:
     """Return the plan with the largest gain; None if no memory suffices."""
     best: Plan | None = None
-    for parts in range(1, min(len(engines), most_parts(speed, tokens)) + 1):
-        plan = _plan(query, speed, tokens, engines, parts)
+    most = min(len(engines), most_parts(speed, tokens))
+    # A long read leaves engines to sensitive streams.
+    spare = len(engines) - _kept(speed, engines)
+    smallest = whole_prompt(tokens.prompt).part(1 / most)
+    shortlist = _shortlist(query, speed, engines, smallest)
+    for parts in range(1, most + 1):
+        if 1 < parts and spare < parts and _blocks(speed, tokens, parts):
+            continue
+        plan = _plan(query, speed, tokens, shortlist, parts)
         if plan is not None and (best is None or plan.gain > best.gain):
             best = plan
     return best
@@ -105,6 +114,28 @@
     return max(1, min(MAX_HELPERS + 1, int(whole_ms / SMALLEST_PART_MS)))
 
 
+def _blocks(speed: EngineSpeed, tokens: TokenCounts, parts: int) -> bool:
+    """Tell whether one of so many parts blocks its engine for long."""
+    part = whole_prompt(tokens.prompt).part(1 / parts)
+    return read_ms(speed, part) > BLOCKING_MS
+
+
+def _shortlist(
+    query: Query,
+    speed: EngineSpeed,
+    engines: Sequence[EngineView],
+    part: Reading,
+) -> Sequence[EngineView]:
+    """Return the engines that a plan can take, for any size of the fleet."""
+    if len(engines) <= SHORTLIST:
+        return engines
+    return heapq.nsmallest(
+        SHORTLIST,
+        engines,
+        key=lambda one: cost_ms(query, speed, one, part),
+    )
+
+
 def _plan(
     query: Query,
     speed: EngineSpeed,
@@ -113,9 +144,6 @@
     parts: int,
 ) -> Plan | None:
     part = whole_prompt(tokens.prompt).part(1 / parts)
-    if parts > 1 and read_ms(speed, part) > BLOCKING_MS:
-        if parts > len(engines) - _kept(speed, engines):
-            return None
     costs = {
         one.endpoint.identity: cost_ms(query, speed, one, part)
         for one in engines
@@ -128,7 +156,7 @@
     for engine in ranked:
         if len(group) < parts and engine is not lead:
             group.append(engine)
-    first_ms = _first_ms(query, speed, group, part)
+    first_ms = _first_ms(speed, group, part)
     lost = _lost(query, speed, group, part)
     # Among plans that serve everybody as well, the quicker one is better.
     wait_ms = first_ms + parts * HELPER_COST_MS
@@ -171,16 +199,15 @@
 
 
 def _first_ms(
-    query: Query,
     speed: EngineSpeed,
     group: Sequence[EngineView],
     part: Reading,
 ) -> float:
     lead, *helpers = group
-    first_ms = first_token_ms(speed, lead.state, part)
+    first_ms = first_token_ms(speed, lead.times, part)
     for engine in helpers:
         first_ms = max(first_ms, part_ms(speed, engine, part))
-    return first_ms + slot_wait_ms(query, speed, lead)
+    return first_ms + lead.slot_wait_ms
 
 
 def _lost(
