Let one mirror look for the return of a lost store

Change: the mirrors of registrations and entries wait until that of the configuration has the store back.

Test: test_mirrors_of_a_lost_store_do_not_all_look_for_its_return.

--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -71,17 +71,24 @@
 
 
 class Mirror:
-    """Mirrors one prefix into a sink."""
+    """Mirrors one prefix into a sink.
+
+    A mirror with a `leader` leaves it to that mirror of the same store to
+    find out when a lost store is back.
+    """
 
     def __init__(
         self,
         store: MetadataStore,
         sink: Sink,
         options: MirrorOptions,
+        leader: 'Mirror | None' = None,
     ) -> None:
         self._store: Final = store
         self._sink: Final = sink
         self._options: Final = options
+        self._leader: Final = leader
+        self._back = anyio.Event()
         self._as_of = float('-inf')
         self._revision = 0
         self._connected = False
@@ -162,6 +169,11 @@
         self._as_of = max(self._as_of, started)
         return True
 
+    async def until_connected(self) -> None:
+        """Wait until the last call to the store was answered."""
+        while not self._connected:
+            await self._back.wait()
+
     async def run(self) -> None:
         """Mirror until cancelled."""
         pause_s = FIRST_PAUSE_S
@@ -178,6 +190,8 @@
                 continue
             await anyio.sleep(pause_s * random.uniform(0.5, 1))
             pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+            if self._leader is not None:
+                await self._leader.until_connected()
 
     async def step(self) -> Failure | None:
         """List or watch once and take over what is new."""
@@ -251,6 +265,8 @@
         if self._connected:
             return
         self._connected = True
+        self._back.set()
+        self._back = anyio.Event()
         self._returned_at = boot_time()
         logger.bind(prefix=self._options.prefix).info('store_connected')
 
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -102,7 +102,8 @@
             adapter.decoder,
             self._store_returned_within,
         )
-        self._config_mirror: Final = self._mirror(
+        self._config_mirror: Final = Mirror(
+            adapter.store,
             self._operations,
             MirrorOptions(
                 prefix=adapter.prefixes.operations,
@@ -295,7 +296,12 @@
         sink: Sink,
         options: MirrorOptions,
     ) -> Mirror:
-        return Mirror(self._adapter.store, sink, options)
+        return Mirror(
+            self._adapter.store,
+            sink,
+            options,
+            leader=self._config_mirror,
+        )
 
     def _store_returned_within(self, seconds: float) -> bool:
         return self._registrations.returned_within(seconds)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -1,5 +1,6 @@
 """A mirror of a prefix while calls to the store stay without an answer."""
 
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Final
@@ -39,6 +40,7 @@
     def __init__(self) -> None:
         self.silent = False
         self.changed = anyio.Event()
+        self.calls: Final = Counter[str]()
 
     async def list_prefix(self, prefix: str) -> Listing | Failure:
         """Return an empty listing."""
@@ -52,6 +54,7 @@
         answer_s: float = ANSWER_S,
     ) -> Changes | Compacted | Failure:
         """Wait for the change, or for the client's time-out."""
+        self.calls[prefix] += 1
         if self.silent:
             await anyio.sleep(wait_s + answer_s)
             return DOWN
@@ -104,6 +107,11 @@
         tasks.cancel_scope.cancel()
 
 
+async def _until(mirror: Mirror, *, connected: bool) -> None:
+    while mirror.connected != connected:
+        await anyio.sleep(0.01)
+
+
 async def test_return_of_a_silent_store_is_noticed_in_time() -> None:
     """Guards against an entry that is versions behind for seconds after the
     store's return, because it still waits for a call of the outage.
@@ -168,3 +176,30 @@
         store.changed.set()
         with anyio.fail_after(CHANGE_S / 2):
             await sink.arrived.wait()
+
+
+async def test_mirrors_of_a_lost_store_do_not_all_look_for_its_return() -> None:
+    """Guards against calls that every mirror of every entry makes while the
+    store is away, and against a mirror that misses its return.
+    """
+    store = SilentStore()
+    async with _running(store, LastItem()) as leader:
+        follower = Mirror(
+            store,
+            LastItem(),
+            MirrorOptions(prefix='servers/', wait_s=0.1),
+            leader=leader,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            await anyio.sleep(0.05)
+            store.silent = True
+            await _until(leader, connected=False)
+            await _until(follower, connected=False)
+            calls = store.calls['servers/']
+            await anyio.sleep(2.5)
+            assert store.calls['servers/'] - calls <= 1
+            store.silent = False
+            with anyio.fail_after(CHANGE_S):
+                await _until(follower, connected=True)
+            tasks.cancel_scope.cancel()
