Tell other entries of endpoints that cannot be reached

Cause: an entry learned of a crashed endpoint only by requests of its own.

Change: an entry tells the others of each broken or failed connection. It is advice: a suspected endpoint costs more and is still used where no other one is left; being served by it ends the suspicion. Time-outs of slow answers are not reported.

--- a/src/masticwind/serving/health.py
+++ b/src/masticwind/serving/health.py
@@ -4,6 +4,9 @@
 either way. A broken connection takes an endpoint out at once; a slow or
 failed answer, which also good endpoints give, only when several follow each
 other. The time doubles with each further one; a success brings it back.
+
+Broken connections are told to the other entries, and what they tell counts
+like a share of failures.
 """
 
 import time
@@ -14,6 +17,7 @@
 from loguru import logger
 
 from masticwind.serving.model import Endpoint
+from masticwind.serving.suspicions import Suspicions
 
 FIRST_OUT_S: Final = 0.5
 LONGEST_OUT_S: Final = 4.0
@@ -21,6 +25,8 @@
 NEWEST_WEIGHT: Final = 0.25
 # Slow or failed answers in a row that take an endpoint out.
 SOFT_LIMIT: Final = 3
+# Failure share of an endpoint that other entries could not reach.
+SUSPECTED_SHARE: Final = 1.0
 
 
 @dataclass(slots=True)
@@ -33,7 +39,12 @@
 class Health:
     """Failures by endpoint."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        elsewhere: Suspicions,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._elsewhere: Final = elsewhere
         self._clock: Final = clock
         self._records: Final[dict[str, _Record]] = {}
 
@@ -47,12 +58,16 @@
         shares: dict[str, float] = {}
         for endpoint in endpoints:
             record = self._records.get(endpoint.identity)
-            if record is not None and record.share > 0:
-                shares[endpoint.identity] = record.share
+            share = 0.0 if record is None else record.share
+            if self._elsewhere.holds(endpoint.identity):
+                share = SUSPECTED_SHARE
+            if share > 0:
+                shares[endpoint.identity] = share
         return shares
 
     def succeeded(self, endpoint: str) -> None:
         """Note a request that the endpoint served."""
+        self._elsewhere.succeeded(endpoint)
         record = self._records.get(endpoint)
         if record is None:
             return
@@ -69,7 +84,9 @@
         record.failures += 1
         record.share += NEWEST_WEIGHT * (1 - record.share)
         counted = record.failures
-        if not broken:
+        if broken:
+            self._elsewhere.report(endpoint)
+        else:
             counted -= SOFT_LIMIT - 1
         if counted > 0:
             out_s = FIRST_OUT_S * 2 ** (counted - 1)
@@ -83,4 +100,5 @@
 
     def forget(self, endpoint: str) -> None:
         """Drop the record of an endpoint that is gone."""
+        self._elsewhere.forget(endpoint)
         self._records.pop(endpoint, None)
--- a/src/masticwind/serving/load_link.py
+++ b/src/masticwind/serving/load_link.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import secrets
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Annotated, Final
@@ -89,12 +90,12 @@
         peer_socket: PeerSocket,
         peers: EntryPeers,
         board: LoadBoard,
-        incarnation: str,
+        incarnation: str = '',
     ) -> None:
         self._socket: Final = peer_socket
         self._peers: Final = peers
         self._board: Final = board
-        self._incarnation: Final = incarnation
+        self._incarnation: Final = incarnation or secrets.token_hex(4)
         self._sequence = 0
         self._heard: Final[dict[str, _Heard]] = {}
         peer_socket.add(LOAD, News, self)
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -1,6 +1,5 @@
 """An entry that serves endpoints directly, as one object."""
 
-import secrets
 import time
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -31,6 +30,7 @@
 from masticwind.serving.settings import LiveSettings, address_of
 from masticwind.serving.store import MetadataStore
 from masticwind.serving.supervision import supervise
+from masticwind.serving.suspicions import Suspicions
 from masticwind.serving.telemetry import Telemetry
 from masticwind.web import (
     Receive,
@@ -44,7 +44,7 @@
 
 # Changes end a watch at once. A watch that hears nothing is given up when a
 # change is known from elsewhere, so this time only bounds the calls.
-OPERATIONS_WAIT_S: Final = 5.0
+OPERATIONS_WAIT_S: Final = 10.0
 # Endpoints renew their registrations every second or so: a watch that hears
 # nothing for longer has gone silent.
 REGISTRATION_WAIT_S: Final = 1.0
@@ -52,7 +52,7 @@
 # taken over in batches, well within the time in which an endpoint that
 # leaves must get no more work. The rest of that time is left for a call that
 # has to be made again.
-BATCH_SHARE: Final = 0.55
+BATCH_SHARE: Final = 0.7
 ENTRIES_WAIT_S: Final = 10.0
 ENTRIES_BATCH_S: Final = 1.0
 # Callers that arrive before the first copies have been read wait this long.
@@ -97,6 +97,7 @@
         self._active: Final = ActiveConfig()
         self._board: Final = LoadBoard()
         self._peers: Final = EntryPeers(cfg)
+        self._peer_socket: Final = PeerSocket(cfg)
         self._operations: Final = Operations(adapter.decoder, self._active)
         self._directory: Final = Directory(
             adapter.decoder,
@@ -120,7 +121,9 @@
         )
         self._cleanup: Final = Cleanup(
             directory=self._directory,
-            health=Health(),
+            health=Health(
+                Suspicions(self._peer_socket, self._peers, cfg.zone),
+            ),
             cold=ColdRate(settings, self._peers.count),
             link=adapter.link,
         )
@@ -172,15 +175,13 @@
             self._adapter.store,
             self._adapter.prefixes.entries,
         )
-        peer_socket = PeerSocket(cfg)
         load = LoadLink(
-            peer_socket,
+            self._peer_socket,
             self._peers,
             self._board,
-            secrets.token_hex(4),
         )
         confirmations = Confirmations(
-            peer_socket,
+            self._peer_socket,
             self._peers,
             self._config_mirror,
             self._settings,
@@ -192,7 +193,7 @@
                 self._registrations,
                 entries,
                 registrar,
-                peer_socket,
+                self._peer_socket,
                 load,
                 confirmations,
                 self._cleanup,
--- a/tests/direct_rig.py
+++ b/tests/direct_rig.py
@@ -14,6 +14,8 @@
 from masticwind.errors import Failure
 from masticwind.httpclient import HttpAnswer, HttpClient
 from masticwind.platform.main import platform_adapter
+from masticwind.serving.datagrams import PeerSocket
+from masticwind.serving.peers import EntryPeers
 from masticwind.serving.server import DirectEntry
 from masticwind.serving.settings import (
     DirectSettings,
@@ -21,6 +23,7 @@
     LiveSettings,
     StoreSettings,
 )
+from masticwind.serving.suspicions import Suspicions
 from masticwind.settings import Address
 from masticwind.web import WebServer
 from masticwind_dev.standins.metadata import MetadataStandin
@@ -90,6 +93,12 @@
     )
 
 
+def quiet_suspicions() -> Suspicions:
+    """Return suspicions of an entry that hears of no other one."""
+    cfg = sample_settings()
+    return Suspicions(PeerSocket(cfg), EntryPeers(cfg), cfg.zone)
+
+
 async def free_udp_port() -> int:
     """Return a port that no datagram socket has."""
     async with await anyio.create_udp_socket(local_host='127.0.0.1') as udp:
--- a/tests/test_cleanup.py
+++ b/tests/test_cleanup.py
@@ -11,7 +11,7 @@
 from masticwind.serving.health import Health
 from masticwind.serving.settings import LiveSettings
 from masticwind.serving.store import Item
-from tests.direct_rig import registration, sample_settings
+from tests.direct_rig import quiet_suspicions, registration, sample_settings
 
 pytestmark = pytest.mark.anyio
 
@@ -27,7 +27,7 @@
     """
     cfg = sample_settings()
     directory = Directory(PlatformDecoder(), lambda _seconds: False)
-    health = Health()
+    health = Health(quiet_suspicions())
     cleanup = Cleanup(
         directory=directory,
         health=health,
--- a/tests/test_direct_bounds.py
+++ b/tests/test_direct_bounds.py
@@ -13,7 +13,7 @@
     FleetBounds,
     LiveSettings,
 )
-from tests.direct_rig import sample_settings
+from tests.direct_rig import quiet_suspicions, sample_settings
 from tests.manual_clock import ManualClock
 
 BOUNDS: Final = FleetBounds(repeat_slack=100, repeat_ratio=0.2)
@@ -101,7 +101,7 @@
     down, and against one that never comes back.
     """
     clock = ManualClock()
-    health = Health(clock)
+    health = Health(quiet_suspicions(), clock)
     health.failed('i-1', 'reset', broken=True)
     assert health.out('i-1')
     clock.now += FIRST_OUT_S * 1.1
@@ -117,7 +117,7 @@
     """Guards against good endpoints that are left alone because of requests
     that fail everywhere.
     """
-    health = Health(ManualClock())
+    health = Health(quiet_suspicions(), ManualClock())
     for _ in range(SOFT_LIMIT - 1):
         health.failed('i-1', 'status 500', broken=False)
         assert not health.out('i-1')
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -3,6 +3,7 @@
 from masticwind.serving.health import Health
 from masticwind.serving.model import Endpoint
 from masticwind.serving.reach import FIRST_OUT_S, WINDOW_S, Reach
+from tests.direct_rig import quiet_suspicions
 from tests.manual_clock import ManualClock
 
 REQUESTS = 300
@@ -86,7 +87,7 @@
     """
     clock = ManualClock()
     reach = Reach(clock)
-    health = Health(clock)
+    health = Health(quiet_suspicions(), clock)
     endpoints = [_endpoint(f'cut-{number}') for number in range(CUT_OFF)]
     endpoints.append(_endpoint('good', 'zone-a'))
     silences: list[tuple[float, Endpoint]] = []
