Keep the rate of a cold endpoint by construction among many entries

Cause: each entry might send one request a second to each endpoint, however many entries there are. With 68 entries, cold_per_s 15, factor 1.5 and slack 5 the bound is 27.5 in a second and the floors added up to 68. And entries whose registrations lapsed with the store no longer counted, so that shares of all bounds grew while the entries were alive.

Change: where there are more entries than four fifths of the bound, only the first 22 in the endpoint's own order of a hash may send to it, one request a second each, and up to 27 if they have no other endpoint. The order needs no message and no lease: two entries that know the same entries agree on it. Each entry of the large site so has about a third of the engines to lead with; the others still help to read. Lapsed entries count for 5 s.

What remains: entries that know different sets of entries differ by as many places; the fifth that is left covers five of them. Where endpoints are few and entries very many (1 endpoint, 68 entries), the entries beyond the first 27 refuse and say so; their callers return to another entry.

Tests: test_cold_endpoint_bears_all_entries_at_the_same_moment (1 to 300 entries, 1 to 112 endpoints; the old floor adds up to 68 and 300 by calculation), test_lapsed_entries_still_count.

--- a/src/masticwind/serving/bounds.py
+++ b/src/masticwind/serving/bounds.py
@@ -4,6 +4,7 @@
 to the whole bound divided by the number of entries that may be alive.
 """
 
+import abc
 import time
 from collections import deque
 from collections.abc import Callable
@@ -104,31 +105,61 @@
         return self._settings.bounds.repeat_window_s
 
 
+class Fleet(abc.ABC):
+    """The entries that keep a bound together, this one included."""
+
+    @abc.abstractmethod
+    def count(self) -> int:
+        """Return how many entries may be alive."""
+
+    @abc.abstractmethod
+    def position(self, endpoint: str) -> int:
+        """Return this entry's place in the order of entries that all of them
+        give an endpoint; zero is the first.
+        """
+
+
 class ColdRate:
     """How many requests this entry sends to an endpoint in a second.
 
     An endpoint can turn cold at any moment without saying so, so the bound
     holds for every endpoint of a service that knows cold starts.
+
+    Where there are no more entries than the bound allows requests, each one
+    has an equal share. Among more entries, a share would be less than one
+    request: then only the first ones in the endpoint's own order may send to
+    it, one request a second each. A few more of them may if they have no
+    other endpoint; together they stay within the bound, too.
     """
 
     def __init__(
         self,
         settings: LiveSettings,
-        entries: Callable[[], int],
+        fleet: Fleet,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._settings: Final = settings
-        self._entries: Final = entries
+        self._fleet: Final = fleet
         self._sent: Final = SlidingCounts(lambda: COLD_WINDOW_S, clock)
 
     def free(self, endpoint: str, cold_per_s: float) -> bool:
         """Tell whether an endpoint may get one more request now."""
         if cold_per_s <= 0:
             return True
-        bounds = self._settings.bounds
-        whole = cold_per_s * bounds.cold_factor + bounds.cold_slack
-        share = max(1.0, whole * SLACK_SHARE / self._entries())
-        return self._sent.of(endpoint).count() + 1 <= share
+        whole = self._whole(cold_per_s) * SLACK_SHARE
+        entries = self._fleet.count()
+        if entries > whole:
+            return self._first(endpoint, int(whole))
+        return self._sent.of(endpoint).count() + 1 <= whole / entries
+
+    def free_in_need(self, endpoint: str, cold_per_s: float) -> bool:
+        """Tell whether an endpoint may get one more request of an entry that
+        has no other endpoint.
+        """
+        whole = self._whole(cold_per_s)
+        if self._fleet.count() <= whole * SLACK_SHARE:
+            return self.free(endpoint, cold_per_s)
+        return self._first(endpoint, int(whole))
 
     def sent(self, endpoint: str) -> None:
         """Count a request that is being sent."""
@@ -137,3 +168,15 @@
     def forget(self, endpoint: str) -> None:
         """Drop the count of an endpoint that is gone."""
         self._sent.drop(endpoint)
+
+    def _whole(self, cold_per_s: float) -> float:
+        bounds = self._settings.bounds
+        return cold_per_s * bounds.cold_factor + bounds.cold_slack
+
+    def _first(self, endpoint: str, entries: int) -> bool:
+        """Tell whether this entry is among the first ones of an endpoint and
+        has not sent to it within the last second.
+        """
+        if self._sent.of(endpoint).count():
+            return False
+        return self._fleet.position(endpoint) < entries
--- a/src/masticwind/serving/engine_view.py
+++ b/src/masticwind/serving/engine_view.py
@@ -49,7 +49,7 @@
     the time until one more request gets a slot; `memory` is what is free, in
     tokens. `sensitive` says that a stream here notices a pause of
     `SENSITIVE_PAUSE_MS`. `extra_ms` is what makes the engine unfavourable
-    whatever it reads, as a wait.
+    whatever it reads, as a wait. Without `may_lead` it only reads parts.
     """
 
     endpoint: Endpoint
@@ -61,12 +61,15 @@
     memory: int
     sensitive: bool
     extra_ms: float
+    may_lead: bool = True
 
 
 def view_engine(
     query: Query,
     speed: EngineSpeed,
     endpoint: Endpoint,
+    *,
+    may_lead: bool = True,
 ) -> EngineView:
     """Sum up what is known of an engine."""
     jobs = tuple(query.jobs.get(endpoint.identity, ()))
@@ -93,6 +96,7 @@
         memory=max(0, speed.memory_tokens - used),
         sensitive=sensitive,
         extra_ms=extra_ms,
+        may_lead=may_lead,
     )
 
 
--- a/src/masticwind/serving/peers.py
+++ b/src/masticwind/serving/peers.py
@@ -3,6 +3,7 @@
 Every entry registers the address of its datagram socket under a lease.
 """
 
+from dataclasses import dataclass
 from typing import Final
 
 import anyio
@@ -10,34 +11,69 @@
 from loguru import logger
 
 from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.bounds import Fleet
 from masticwind.serving.datagrams import Peer
-from masticwind.serving.mirror import Sink
+from masticwind.serving.mirror import Sink, boot_time
 from masticwind.serving.settings import DirectSettings
 from masticwind.serving.store import Item, MetadataStore
 
 # Number of entries until the registrations have been read.
 ASSUMED_ENTRIES: Final = 8
 LEASE_S: Final = 4.0
+# Entries that are alive are registered again this long after the store's
+# return; it takes a failed renewal and a new lease.
+LAPSED_S: Final = 5.0
 RENEW_S: Final = 1.3
 RETRY_S: Final = 0.5
 
 
-class EntryPeers(Sink):
-    """The entries that are registered, this one included."""
+@dataclass(frozen=True, slots=True)
+class _Lapsed:
+    peer: Peer
+    at: float
+
+
+class EntryPeers(Sink, Fleet):
+    """The entries that are registered, this one included.
+
+    All registrations can lapse while the store is away, though the entries
+    are alive. A lapsed one still counts for `LAPSED_S`, so that no entry
+    takes too large a share of what all of them keep to together.
+    """
 
     def __init__(self, cfg: DirectSettings) -> None:
         self._node: Final = cfg.node
         self._peers: dict[str, Peer] = {}
+        self._lapsed: Final[dict[str, _Lapsed]] = {}
+        self._positions: Final[dict[str, int]] = {}
 
     def count(self) -> int:
         """Return how many entries may be alive."""
-        return len(self._peers) or ASSUMED_ENTRIES
+        self._forget_lapsed()
+        return len(self._peers) + len(self._lapsed) or ASSUMED_ENTRIES
+
+    def position(self, endpoint: str) -> int:
+        """Return this entry's place in an endpoint's order of the entries.
+
+        The order is that of a hash of both names: entries that know the same
+        entries agree on it, and one that comes or goes moves no other one by
+        more than a place.
+        """
+        self._forget_lapsed()
+        found = self._positions.get(endpoint)
+        if found is None:
+            own = _distance(endpoint, self._node)
+            nodes = {*self._peers, *self._lapsed} - {self._node}
+            found = sum(_distance(endpoint, node) < own for node in nodes)
+            self._positions[endpoint] = found
+        return found
 
     def others(self) -> list[Peer]:
         """Return the addresses of the other entries."""
-        return [
-            peer for node, peer in self._peers.items() if node != self._node
-        ]
+        self._forget_lapsed()
+        lapsed = {node: entry.peer for node, entry in self._lapsed.items()}
+        known = {**lapsed, **self._peers}
+        return [peer for node, peer in known.items() if node != self._node]
 
     def first(self, count: int) -> list[tuple[str, Peer]]:
         """Return the entries that all entries agree to ask first.
@@ -50,23 +86,39 @@
 
     def replace(self, items: tuple[Item, ...]) -> None:
         """Take over a whole listing."""
-        self._peers = {}
+        listed = {_node_of(item) for item in items}
+        for node in list(self._peers):
+            if node not in listed:
+                self._lapse(node)
         self.change(items)
 
     def change(self, items: tuple[Item, ...]) -> None:
         """Take over changed and removed registrations."""
+        self._positions.clear()
         for item in items:
-            node = item.key.rpartition('/')[2]
+            node = _node_of(item)
             if item.value is None:
-                self._peers.pop(node, None)
+                self._lapse(node)
                 continue
             host, _, port = item.value.decode('latin-1').rpartition(':')
             if not port.isdigit():
                 logger.bind(key=item.key).warning('entry_unreadable')
                 continue
             self._peers[node] = Peer(host, int(port))
+            self._lapsed.pop(node, None)
         logger.bind(entries=len(self._peers)).info('entries_changed')
 
+    def _lapse(self, node: str) -> None:
+        peer = self._peers.pop(node, None)
+        if peer is not None:
+            self._lapsed[node] = _Lapsed(peer, boot_time())
+
+    def _forget_lapsed(self) -> None:
+        for node, entry in list(self._lapsed.items()):
+            if boot_time() - entry.at > LAPSED_S:
+                self._lapsed.pop(node)
+                self._positions.clear()
+
 
 class Registrar:
     """Keeps this entry registered."""
@@ -106,5 +158,13 @@
         return failure
 
 
+def _node_of(item: Item) -> str:
+    return item.key.rpartition('/')[2]
+
+
+def _distance(endpoint: str, node: str) -> int:
+    return xxhash.xxh64_intdigest(f'{endpoint} {node}'.encode())
+
+
 def _rank(peer: tuple[str, Peer]) -> int:
     return xxhash.xxh64_intdigest(peer[0].encode())
--- a/src/masticwind/serving/placement.py
+++ b/src/masticwind/serving/placement.py
@@ -26,14 +26,17 @@
 class Query:
     """What a placement is decided on.
 
-    `failure_shares` are recent shares of failures by endpoint; `now` is the
-    time of the load board. `first_answer_ms` is the time to the first event
-    that the route aims for, and `pause_ms` its longest pause in time.
+    Each of `candidates` may run the request; `helpers` may only read a part
+    of its prompt. `failure_shares` are recent shares of failures by endpoint;
+    `now` is the time of the load board. `first_answer_ms` is the time to the
+    first event that the route aims for, and `pause_ms` its longest pause in
+    time.
     """
 
     request: str
     service: Service
     candidates: Sequence[Endpoint]
+    helpers: Sequence[Endpoint] = ()
     jobs: Mapping[str, Sequence[Job]]
     now: float
     zone: str
--- a/src/masticwind/serving/plans.py
+++ b/src/masticwind/serving/plans.py
@@ -129,11 +129,15 @@
     """Return the engines that a plan can take, for any size of the fleet."""
     if len(engines) <= SHORTLIST:
         return engines
-    return heapq.nsmallest(
+    ranked = heapq.nsmallest(
         SHORTLIST,
         engines,
         key=lambda one: cost_ms(query, speed, one, part),
     )
+    if any(one.may_lead for one in ranked):
+        return ranked
+    leads = [one for one in engines if one.may_lead]
+    return ranked + leads[:SHORTLIST]
 
 
 def _plan(
@@ -152,10 +156,7 @@
     lead = _lead(tokens, ranked, parts)
     if lead is None:
         return None
-    group = [lead]
-    for engine in ranked:
-        if len(group) < parts and engine is not lead:
-            group.append(engine)
+    group = _group(ranked, lead, parts)
     first_ms = _first_ms(speed, group, part)
     lost = _lost(query, speed, group, part)
     # Among plans that serve everybody as well, the quicker one is better.
@@ -187,15 +188,27 @@
     """Return the leading engine: the best one that holds the memory."""
     needed = tokens.prompt + tokens.max_output
     for engine in ranked:
-        if needed <= engine.memory:
+        if engine.may_lead and needed <= engine.memory:
             return engine
-    if parts == 1:
+    leads = [one for one in ranked if one.may_lead]
+    if parts == 1 or not leads:
         return None
     # The others of the group hold a part of the memory under reservations.
-    group = sorted(ranked[:parts], key=free_memory, reverse=True)
-    room = int(group[0].memory * LEAD_SHARE)
-    room += sum(int(one.memory * RESERVE_SHARE) for one in group[1:])
-    return group[0] if needed <= room else None
+    lead = max(leads[:parts], key=free_memory)
+    room = int(lead.memory * LEAD_SHARE)
+    helpers = _group(ranked, lead, parts)[1:]
+    room += sum(int(helper.memory * RESERVE_SHARE) for helper in helpers)
+    return lead if needed <= room else None
+
+
+def _group(
+    ranked: Sequence[EngineView],
+    lead: EngineView,
+    parts: int,
+) -> list[EngineView]:
+    """Return the leading engine and the best ones beside it."""
+    helpers = [one for one in ranked if one is not lead]
+    return [lead, *helpers[: parts - 1]]
 
 
 def _first_ms(
--- a/src/masticwind/serving/prompts.py
+++ b/src/masticwind/serving/prompts.py
@@ -30,7 +30,7 @@
     view_engine,
 )
 from masticwind.serving.load import Job
-from masticwind.serving.model import EngineSpeed, TokenCounts
+from masticwind.serving.model import Endpoint, EngineSpeed, TokenCounts
 from masticwind.serving.passes import read_ms, whole_prompt, write_pass_ms
 from masticwind.serving.placement import (
     Deferral,
@@ -80,10 +80,7 @@
         tokens = query.tokens
         if speed is None or tokens is None or not query.candidates:
             return no_candidates()
-        candidates = query.candidates
-        if len(candidates) > DRAWN_ENGINES and most_parts(speed, tokens) < 2:
-            candidates = self._chance.sample(candidates, DRAWN_ENGINES)
-        engines = [view_engine(query, speed, one) for one in candidates]
+        engines = self._views(query, speed, tokens)
         plan = best_plan(query, speed, tokens, engines)
         if plan is None:
             return _refusal('the engines have no memory for this prompt')
@@ -102,6 +99,25 @@
             )
         return _placement(query, speed, tokens, plan)
 
+    def _views(
+        self,
+        query: Query,
+        speed: EngineSpeed,
+        tokens: TokenCounts,
+    ) -> list[EngineView]:
+        """Return the engines among which the plans choose."""
+        candidates = query.candidates
+        helpers: Sequence[Endpoint] = ()
+        if most_parts(speed, tokens) > 1:
+            helpers = query.helpers
+        elif len(candidates) > DRAWN_ENGINES:
+            candidates = self._chance.sample(candidates, DRAWN_ENGINES)
+        leads = [view_engine(query, speed, one) for one in candidates]
+        others = [
+            view_engine(query, speed, one, may_lead=False) for one in helpers
+        ]
+        return leads + others
+
 
 def _overloaded(
     query: Query,
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -171,12 +171,13 @@
                 kind=ErrorKind.OVERLOADED,
                 reason='no time is left',
             )
-        candidates = self._candidates(work, progress)
+        candidates, helpers = self._candidates(work, progress)
         progress.candidates = len(candidates)
         query = Query(
             request=work.req.request_id,
             service=work.service,
             candidates=candidates,
+            helpers=helpers,
             jobs=parts.board.jobs(),
             now=parts.board.clock(),
             zone=parts.settings.zone,
@@ -184,7 +185,7 @@
             left_ms=left_ms,
             first_answer_ms=_aim_left_ms(work, progress),
             pause_ms=work.route.pause_ms,
-            failure_shares=parts.health.shares(candidates),
+            failure_shares=parts.health.shares((*candidates, *helpers)),
         )
         if work.service.speed is None or work.req.tokens is None:
             return parts.calls.place(query)
@@ -194,21 +195,35 @@
         self,
         work: Admitted,
         progress: Progress,
-    ) -> list[Endpoint]:
-        """Return the endpoints that may run the request.
+    ) -> tuple[list[Endpoint], list[Endpoint]]:
+        """Return the endpoints that may run the request, and others that may
+        only help to read its prompt.
 
         Endpoints that fail or cannot be reached are used only where no other
-        one is left.
+        one is left. A part of a prompt is no request, so the rate of a cold
+        endpoint does not count it.
         """
+        cold = self._parts.cold
+        cold_per_s = work.service.cold_per_s
         usable: list[Endpoint] = []
         sound: list[Endpoint] = []
+        in_need: list[Endpoint] = []
+        helpers: list[Endpoint] = []
         for endpoint in self._parts.directory.endpoints(work.service.name):
             if not self._allowed(work, progress, endpoint):
                 continue
-            usable.append(endpoint)
+            if cold.free(endpoint.identity, cold_per_s):
+                usable.append(endpoint)
+                if self._sound(endpoint):
+                    sound.append(endpoint)
+                continue
+            if cold.free_in_need(endpoint.identity, cold_per_s):
+                in_need.append(endpoint)
             if self._sound(endpoint):
-                sound.append(endpoint)
-        return sound or usable
+                helpers.append(endpoint)
+        if sound or usable:
+            return sound or usable, helpers
+        return in_need, []
 
     def _allowed(
         self,
@@ -221,9 +236,7 @@
             return False
         if endpoint.identity in progress.excluded:
             return False
-        if not self._at_home(work, endpoint):
-            return False
-        return parts.cold.free(endpoint.identity, work.service.cold_per_s)
+        return self._at_home(work, endpoint)
 
     def _sound(self, endpoint: Endpoint) -> bool:
         parts = self._parts
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -124,7 +124,7 @@
             health=Health(
                 Suspicions(self._peer_socket, self._peers, cfg.zone),
             ),
-            cold=ColdRate(settings, self._peers.count),
+            cold=ColdRate(settings, self._peers),
             link=adapter.link,
         )
         self._freshness: Final = Freshness(
--- a/tests/direct_rig.py
+++ b/tests/direct_rig.py
@@ -23,6 +23,7 @@
     LiveSettings,
     StoreSettings,
 )
+from masticwind.serving.store import Item
 from masticwind.serving.suspicions import Suspicions
 from masticwind.settings import Address
 from masticwind.web import WebServer
@@ -99,6 +100,20 @@
     return Suspicions(PeerSocket(cfg), EntryPeers(cfg), cfg.zone)
 
 
+def known_entries(count: int) -> list[EntryPeers]:
+    """Return what each of some entries knows of all of them."""
+    items = tuple(
+        Item(f'entries/entry-{number}', b'127.0.0.1:7', number + 1)
+        for number in range(count)
+    )
+    found: list[EntryPeers] = []
+    for number in range(count):
+        peers = EntryPeers(sample_settings(f'entry-{number}'))
+        peers.replace(items)
+        found.append(peers)
+    return found
+
+
 async def free_udp_port() -> int:
     """Return a port that no datagram socket has."""
     async with await anyio.create_udp_socket(local_host='127.0.0.1') as udp:
--- a/tests/test_cleanup.py
+++ b/tests/test_cleanup.py
@@ -9,6 +9,7 @@
 from masticwind.serving.cleanup import Cleanup
 from masticwind.serving.directory import Directory
 from masticwind.serving.health import Health
+from masticwind.serving.peers import EntryPeers
 from masticwind.serving.settings import LiveSettings
 from masticwind.serving.store import Item
 from tests.direct_rig import quiet_suspicions, registration, sample_settings
@@ -31,7 +32,7 @@
     cleanup = Cleanup(
         directory=directory,
         health=health,
-        cold=ColdRate(LiveSettings(cfg), lambda: 1),
+        cold=ColdRate(LiveSettings(cfg), EntryPeers(cfg)),
         link=PlatformLink(),
     )
     for number in range(3):
--- a/tests/test_direct_bounds.py
+++ b/tests/test_direct_bounds.py
@@ -1,24 +1,38 @@
 """Bounds that entries keep together without asking each other."""
 
+from collections import Counter
 from dataclasses import replace
 from pathlib import Path
 from typing import Final
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from masticwind.serving.bounds import ColdRate, RepeatBudget
+from masticwind.serving.bounds import SLACK_SHARE, ColdRate, RepeatBudget
 from masticwind.serving.health import FIRST_OUT_S, SOFT_LIMIT, Health
+from masticwind.serving.peers import LAPSED_S
 from masticwind.serving.settings import (
     FleetBounds,
     LiveSettings,
 )
-from tests.direct_rig import quiet_suspicions, sample_settings
+from masticwind.serving.store import Item
+from tests.direct_rig import (
+    known_entries,
+    quiet_suspicions,
+    sample_settings,
+)
 from tests.manual_clock import ManualClock
 
 BOUNDS: Final = FleetBounds(repeat_slack=100, repeat_ratio=0.2)
 CFG: Final = sample_settings(bounds=BOUNDS)
 SERVICE: Final = 'calls'
+# The large deployment of the users.
+LARGE_CFG: Final = sample_settings(
+    bounds=FleetBounds(cold_factor=1.5, cold_slack=5),
+)
+LARGE_COLD_PER_S: Final = 15
+LARGE_COLD_BOUND: Final = 27.5
 
 
 @settings(deadline=None)
@@ -67,7 +81,7 @@
     a cold endpoint in some second.
     """
     clock = ManualClock()
-    rate = ColdRate(LiveSettings(CFG), lambda: entries, clock)
+    rate = ColdRate(LiveSettings(CFG), known_entries(entries)[0], clock)
     sent: list[float] = []
     for wait_s in waits:
         clock.now += wait_s
@@ -78,6 +92,58 @@
         assert recent <= 38 * BOUNDS.cold_factor + BOUNDS.cold_slack
 
 
+@pytest.mark.parametrize('entries', [1, 3, 22, 23, 68, 300])
+@pytest.mark.parametrize('endpoints', [1, 5, 112])
+def test_cold_endpoint_bears_all_entries_at_the_same_moment(
+    entries: int,
+    endpoints: int,
+) -> None:
+    """Guards against an endpoint that has just come back and is the emptiest
+    one for all entries at once, and against bounds that leave every entry of
+    a large fleet without an endpoint.
+    """
+    clock = ManualClock()
+    live = LiveSettings(LARGE_CFG)
+    rates = [ColdRate(live, peers, clock) for peers in known_entries(entries)]
+    names = [f'i-{number}' for number in range(endpoints)]
+    sent = Counter[str]()
+    serving: set[int] = set()
+    for _ in range(9):
+        for number, rate in enumerate(rates):
+            for name in names:
+                free = rate.free(name, LARGE_COLD_PER_S)
+                if not free and number not in serving:
+                    free = rate.free_in_need(name, LARGE_COLD_PER_S)
+                if free:
+                    rate.sent(name)
+                    sent[name] += 1
+                    serving.add(number)
+        clock.now += 0.1
+    assert max(sent.values()) <= LARGE_COLD_BOUND
+    # Each endpoint serves at least the number of entries that it bears, at
+    # four fifths of its bound; with many endpoints, every entry has some.
+    assert len(serving) >= min(entries, int(LARGE_COLD_BOUND * SLACK_SHARE))
+    if endpoints == 112:
+        assert len(serving) == entries
+
+
+def test_lapsed_entries_still_count(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against shares that grow because all registrations lapsed while
+    the store was away, though the entries are alive.
+    """
+    clock = ManualClock()
+    monkeypatch.setattr('masticwind.serving.peers.boot_time', clock)
+    peers = known_entries(20)[3]
+    position = peers.position('i-1')
+    peers.replace((Item('entries/entry-3', b'127.0.0.1:7', 99),))
+    assert peers.count() == 20
+    assert peers.position('i-1') == position
+    assert len(peers.others()) == 19
+    clock.now += LAPSED_S + 0.1
+    assert peers.count() == 1
+    assert peers.position('i-1') == 0
+
+
 def test_bounds_follow_reloaded_settings() -> None:
     """Guards against bounds that stay as they were at the start."""
     live = LiveSettings(CFG)
