Let an entry know the others before it serves

Cause: an entry that has just started and does not know the others yet takes the shares of eight entries. No test of its own; test_direct_* pass.

--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -119,6 +119,14 @@
                 batch_s=cfg.bounds.leave_ms * BATCH_SHARE / MS_PER_S,
             ),
         )
+        self._entries: Final = self._mirror(
+            self._peers,
+            MirrorOptions(
+                prefix=adapter.prefixes.entries,
+                wait_s=ENTRIES_WAIT_S,
+                batch_s=ENTRIES_BATCH_S,
+            ),
+        )
         self._cleanup: Final = Cleanup(
             directory=self._directory,
             health=Health(
@@ -162,14 +170,6 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         cfg = self._settings.cfg
-        entries = self._mirror(
-            self._peers,
-            MirrorOptions(
-                prefix=self._adapter.prefixes.entries,
-                wait_s=ENTRIES_WAIT_S,
-                batch_s=ENTRIES_BATCH_S,
-            ),
-        )
         registrar = Registrar(
             cfg,
             self._adapter.store,
@@ -191,7 +191,7 @@
                 self._ready,
                 self._config_mirror,
                 self._registrations,
-                entries,
+                self._entries,
                 registrar,
                 self._peer_socket,
                 load,
@@ -230,7 +230,7 @@
     async def _until_informed(self) -> None:
         """Wait for the first copies; callers wait in the listen backlog."""
         with anyio.move_on_after(LONGEST_START_S):
-            while not self._informed():
+            while not (self._informed() and self._entries.listed):
                 await anyio.sleep(START_POLL_S)
 
     def _informed(self) -> bool:
