Call the store less often where many entries run

Each change of an entry's registration ended the watch of all 68 entries within a second, and entries that the store turns away tried again twice a second although others confirmed their copies.

Change: registrations of entries are taken over every 5 s (every second in the first 8 s of a process); an entry is known to the others from its datagrams before. An entry whose copy others confirm looks for the store every 2 s. Of the two entries that confirm, one that has been silent for 2.5 s is replaced; before, all others polled the store until its registration had lapsed.

Tests: test_entry_is_known_from_its_datagrams, test_silent_entries_are_not_asked_first.

--- a/src/masticwind/serving/load_link.py
+++ b/src/masticwind/serving/load_link.py
@@ -20,14 +20,12 @@
 from masticwind.serving.load import Job, LoadBoard
 from masticwind.serving.mirror import boot_time
 from masticwind.serving.passes import Reading
-from masticwind.serving.peers import EntryPeers
+from masticwind.serving.peers import SILENT_S, EntryPeers
 
 LOAD: Final = 'load'
 # Changes within this time travel in one datagram.
 BATCH_S: Final = 0.005
 REFRESH_S: Final = 1.0
-# An entry that says nothing for this long has no running work any more.
-SILENT_S: Final = 2.5
 # Jobs in one datagram, so that it stays below 1,400 bytes.
 JOBS_PER_DATAGRAM: Final = 16
 # Far above the tokens, and their pairs in millions, of any prompt.
@@ -110,6 +108,7 @@
     def receive(self, message: News, sender: Peer) -> None:
         """Take over what another entry runs."""
         news = message
+        self._peers.heard(news.entry, sender)
         heard = self._heard.setdefault(news.entry, _Heard())
         if heard.incarnation == news.incarnation:
             if news.sequence <= heard.sequence:
--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -31,6 +31,12 @@
 # that entries do not return to a recovered store at the same moment.
 FIRST_PAUSE_S: Final = 0.1
 LONGEST_PAUSE_S: Final = 0.5
+# Longest pause while other entries confirm the copy.
+CONFIRMED_PAUSE_S: Final = 2.0
+# While a process has run for less than this, many others may just have been
+# started, too, and changes collect for a shorter time.
+SETTLING_S: Final = 8.0
+FIRST_BATCH_S: Final = 1.0
 # Shortest time that a watch call can wait.
 POLL_WAIT_S: Final = 0.001
 # A poll without an answer for this long has met a store that is lost or a
@@ -177,6 +183,7 @@
     async def run(self) -> None:
         """Mirror until cancelled."""
         pause_s = FIRST_PAUSE_S
+        begun = boot_time()
         while True:
             watch = anyio.CancelScope()
             self._watch = watch
@@ -186,10 +193,10 @@
                 continue
             if failure is None:
                 pause_s = FIRST_PAUSE_S
-                await anyio.sleep(self._options.batch_s)
+                await anyio.sleep(self._batch_s(boot_time() - begun))
                 continue
             await anyio.sleep(pause_s * random.uniform(0.5, 1))
-            pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+            pause_s = min(self._longest_pause_s(), pause_s * 2)
             if self._leader is not None:
                 await self._leader.until_connected()
 
@@ -203,6 +210,16 @@
             self._note_loss(failure)
         return failure
 
+    def _batch_s(self, running_s: float) -> float:
+        if running_s < SETTLING_S:
+            return min(FIRST_BATCH_S, self._options.batch_s)
+        return self._options.batch_s
+
+    def _longest_pause_s(self) -> float:
+        if self.listed and self.age_s() < CONFIRMED_PAUSE_S:
+            return CONFIRMED_PAUSE_S
+        return LONGEST_PAUSE_S
+
     async def _list_or_watch(self) -> Failure | None:
         options = self._options
         if not self.listed:
--- a/src/masticwind/serving/peers.py
+++ b/src/masticwind/serving/peers.py
@@ -22,13 +22,20 @@
 LEASE_S: Final = 4.0
 # Entries that are alive are registered again this long after the store's
 # return; it takes a failed renewal and a new lease.
-LAPSED_S: Final = 5.0
+UNLISTED_S: Final = 5.0
+# Datagrams may come from anywhere.
+MOST_UNLISTED: Final = 1000
+# Entries tell their load every second; one that says nothing for this long
+# is not asked.
+SILENT_S: Final = 2.5
 RENEW_S: Final = 1.3
 RETRY_S: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True)
-class _Lapsed:
+class _Unlisted:
+    """An entry without a registration and when it last gave a sign."""
+
     peer: Peer
     at: float
 
@@ -37,20 +44,23 @@
     """The entries that are registered, this one included.
 
     All registrations can lapse while the store is away, though the entries
-    are alive. A lapsed one still counts for `LAPSED_S`, so that no entry
-    takes too large a share of what all of them keep to together.
+    are alive, and a new one is known from its datagrams before it is read
+    from the store. Such entries count for `UNLISTED_S` after their last sign,
+    so that no entry takes too large a share of what all of them keep to
+    together.
     """
 
     def __init__(self, cfg: DirectSettings) -> None:
         self._node: Final = cfg.node
         self._peers: dict[str, Peer] = {}
-        self._lapsed: Final[dict[str, _Lapsed]] = {}
+        self._unlisted: Final[dict[str, _Unlisted]] = {}
+        self._heard: Final[dict[str, float]] = {}
         self._positions: Final[dict[str, int]] = {}
 
     def count(self) -> int:
         """Return how many entries may be alive."""
-        self._forget_lapsed()
-        return len(self._peers) + len(self._lapsed) or ASSUMED_ENTRIES
+        self._forget_silent()
+        return len(self._peers) + len(self._unlisted) or ASSUMED_ENTRIES
 
     def position(self, endpoint: str) -> int:
         """Return this entry's place in an endpoint's order of the entries.
@@ -59,30 +69,46 @@
         entries agree on it, and one that comes or goes moves no other one by
         more than a place.
         """
-        self._forget_lapsed()
+        self._forget_silent()
         found = self._positions.get(endpoint)
         if found is None:
             own = _distance(endpoint, self._node)
-            nodes = {*self._peers, *self._lapsed} - {self._node}
+            nodes = {*self._peers, *self._unlisted} - {self._node}
             found = sum(_distance(endpoint, node) < own for node in nodes)
             self._positions[endpoint] = found
         return found
 
     def others(self) -> list[Peer]:
         """Return the addresses of the other entries."""
-        self._forget_lapsed()
-        lapsed = {node: entry.peer for node, entry in self._lapsed.items()}
-        known = {**lapsed, **self._peers}
+        self._forget_silent()
+        unlisted = {node: entry.peer for node, entry in self._unlisted.items()}
+        known = {**unlisted, **self._peers}
         return [peer for node, peer in known.items() if node != self._node]
 
+    def heard(self, node: str, peer: Peer) -> None:
+        """Note a datagram of another entry."""
+        now = boot_time()
+        if node in self._peers:
+            self._heard[node] = now
+            return
+        if node in self._unlisted or len(self._unlisted) < MOST_UNLISTED:
+            if node not in self._unlisted:
+                self._positions.clear()
+            self._unlisted[node] = _Unlisted(peer, now)
+
     def first(self, count: int) -> list[tuple[str, Peer]]:
         """Return the entries that all entries agree to ask first.
 
         The order is that of a hash of their names, which spreads them over
-        the availability zones.
+        the availability zones. Entries that have fallen silent are left out.
         """
-        ranked = sorted(self._peers.items(), key=_rank)
-        return ranked[:count]
+        limit = boot_time() - SILENT_S
+        alive = [
+            (node, peer)
+            for node, peer in self._peers.items()
+            if self._heard.get(node, limit) >= limit
+        ]
+        return sorted(alive, key=_rank)[:count]
 
     def replace(self, items: tuple[Item, ...]) -> None:
         """Take over a whole listing."""
@@ -105,18 +131,19 @@
                 logger.bind(key=item.key).warning('entry_unreadable')
                 continue
             self._peers[node] = Peer(host, int(port))
-            self._lapsed.pop(node, None)
+            self._unlisted.pop(node, None)
         logger.bind(entries=len(self._peers)).info('entries_changed')
 
     def _lapse(self, node: str) -> None:
         peer = self._peers.pop(node, None)
+        self._heard.pop(node, None)
         if peer is not None:
-            self._lapsed[node] = _Lapsed(peer, boot_time())
+            self._unlisted[node] = _Unlisted(peer, boot_time())
 
-    def _forget_lapsed(self) -> None:
-        for node, entry in list(self._lapsed.items()):
-            if boot_time() - entry.at > LAPSED_S:
-                self._lapsed.pop(node)
+    def _forget_silent(self) -> None:
+        for node, entry in list(self._unlisted.items()):
+            if boot_time() - entry.at > UNLISTED_S:
+                self._unlisted.pop(node)
                 self._positions.clear()
 
 
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -54,7 +54,8 @@
 # has to be made again.
 BATCH_SHARE: Final = 0.7
 ENTRIES_WAIT_S: Final = 10.0
-ENTRIES_BATCH_S: Final = 1.0
+# A new entry is known from its datagrams within a second.
+ENTRIES_BATCH_S: Final = 5.0
 # Callers that arrive before the first copies have been read wait this long.
 LONGEST_START_S: Final = 0.5
 START_POLL_S: Final = 0.005
--- a/tests/test_direct_bounds.py
+++ b/tests/test_direct_bounds.py
@@ -10,8 +10,9 @@
 from hypothesis import strategies as st
 
 from masticwind.serving.bounds import SLACK_SHARE, ColdRate, RepeatBudget
+from masticwind.serving.datagrams import Peer
 from masticwind.serving.health import FIRST_OUT_S, SOFT_LIMIT, Health
-from masticwind.serving.peers import LAPSED_S
+from masticwind.serving.peers import MOST_UNLISTED, SILENT_S, UNLISTED_S
 from masticwind.serving.settings import (
     FleetBounds,
     LiveSettings,
@@ -139,11 +140,51 @@
     assert peers.count() == 20
     assert peers.position('i-1') == position
     assert len(peers.others()) == 19
-    clock.now += LAPSED_S + 0.1
+    clock.now += UNLISTED_S + 0.1
     assert peers.count() == 1
     assert peers.position('i-1') == 0
 
 
+def test_entry_is_known_from_its_datagrams(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an entry that hears nothing of the load until its
+    registration is read, and against strangers that count for good.
+    """
+    clock = ManualClock()
+    monkeypatch.setattr('masticwind.serving.peers.boot_time', clock)
+    peers = known_entries(3)[0]
+    peers.heard('entry-9', Peer('127.0.0.9', 7))
+    assert peers.count() == 4
+    assert Peer('127.0.0.9', 7) in peers.others()
+    for number in range(2 * MOST_UNLISTED):
+        peers.heard(f'stranger-{number}', Peer('127.0.0.9', 7))
+    assert peers.count() <= 3 + MOST_UNLISTED
+    clock.now += UNLISTED_S + 0.1
+    assert peers.count() == 3
+
+
+def test_silent_entries_are_not_asked_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against every entry asking the store because the two that
+    confirm have been killed and their registrations are still there.
+    """
+    clock = ManualClock()
+    monkeypatch.setattr('masticwind.serving.peers.boot_time', clock)
+    peers = known_entries(6)[0]
+    for number in range(1, 6):
+        peers.heard(f'entry-{number}', Peer('127.0.0.1', 7))
+    before = [node for node, _ in peers.first(2)]
+    clock.now += SILENT_S + 0.1
+    for number in range(1, 6):
+        if f'entry-{number}' not in before:
+            peers.heard(f'entry-{number}', Peer('127.0.0.1', 7))
+    after = [node for node, _ in peers.first(2)]
+    assert len(after) == 2
+    assert not set(after) & set(before) - {'entry-0'}
+
+
 def test_bounds_follow_reloaded_settings() -> None:
     """Guards against bounds that stay as they were at the start."""
     live = LiveSettings(CFG)
