--- a/src/masticwind/serving/datagrams.py
+++ b/src/masticwind/serving/datagrams.py
@@ -141,6 +141,5 @@
             route.receiver.receive(message, sender)
         except Exception as exc:
             # One message must not end the process.
-            log.opt(exception=exc).bind(kind=envelope.kind).error(
-                'datagram_failed'
-            )
+            log = log.opt(exception=exc).bind(kind=envelope.kind)
+            log.error('datagram_failed')
