Count the pause of a stream from its last whole event

Cause, found while looking for what operators of similar systems reported: the limit on pauses began anew with each chunk, so an endpoint that sent a byte now and then kept a stream until the end of the caller's patience.

Change: the limit counts from the last whole event. A stream that makes no progress goes on at another endpoint behind its last event.

Test: test_stream_that_makes_no_progress_goes_on_elsewhere failed before, with and without a first event.

--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -236,10 +236,13 @@
     splitter = EventSplitter()
     answer = trial.answer
     wait_s = trial.limits.first_s
+    # Counts from the last whole event: an endpoint that sends a byte now and
+    # then makes no progress.
+    due_at = anyio.current_time() + wait_s
     chunks = aiter(reply.chunks)
     while True:
         chunk: bytes | None = None
-        with anyio.move_on_after(wait_s):
+        with anyio.CancelScope(deadline=due_at):
             chunk = await anext(chunks, b'')
         if chunk is None:
             return Failure(
@@ -258,6 +261,7 @@
         trial.on_event()
         wait_s = trial.limits.pause_s
         await answer.write(b''.join(event.content for event in events))
+        due_at = anyio.current_time() + wait_s
     if splitter.partial or not answer.started:
         return Failure(
             kind=ErrorKind.FAILED_AFTER_START,
--- a/tests/test_direct_answers.py
+++ b/tests/test_direct_answers.py
@@ -456,3 +456,36 @@
         assert answer.status == 200
         assert answer.body.count(b'id:') == 4
         assert len(rig.received) == 1
+
+
+@pytest.mark.parametrize('events', [0, 1])
+async def test_stream_that_makes_no_progress_goes_on_elsewhere(
+    events: int,
+) -> None:
+    """Guards against a stalled endpoint that keeps a stream for as long as
+    it sends a byte now and then.
+    """
+    asked: list[str] = []
+
+    async def drip_first(req: Received, conn: RawConnection) -> None:
+        asked.append(req.target)
+        if len(asked) > 1:
+            await answer_events(req, conn)
+            return
+        await conn.write(stream_head(req))
+        if events:
+            await conn.write(event_chunk(1))
+        for _ in range(60):
+            await conn.write(b'1\r\n:\r\n')
+            await anyio.sleep(0.1)
+
+    async with direct_rig() as rig:
+        await rig.endpoint('i-1', drip_first, ENGINES)
+        await rig.endpoint('i-2', drip_first, ENGINES)
+        answer = await rig.ask(
+            '/chat/a',
+            headers=prompt_headers(),
+            timeout_ms=2900,
+        )
+        assert answer.body.count(b'id:') == 4
+        assert len(asked) == 2
