Let a caller's patience go on while the machine is suspended

Cause, found while looking for what operators of similar systems reported: a request's budget was measured on the monotonic clock, which stands still while the machine is suspended. After 10 s of suspension an order could still be sent though its caller had given up and might have ordered once more.

Change: budgets are on the clock that keys are judged by, in both edges.

--- a/src/masticwind/agent/scheduler.py
+++ b/src/masticwind/agent/scheduler.py
@@ -7,7 +7,6 @@
 its credit; this keeps a large team from declaring everything urgent.
 """
 
-import time
 from dataclasses import dataclass
 from typing import Final
 
@@ -15,6 +14,7 @@
 from masticwind.agent.rates import Rates
 from masticwind.agent.requests import AgentRequest
 from masticwind.agent.running import Running
+from masticwind.budget import boot_time
 from masticwind.settings import AgentSettings
 
 URGENT_SLACK_S: Final = 0.25
@@ -118,7 +118,7 @@
 
     def slack_s(self, req: AgentRequest) -> float:
         """Return the seconds by which a request can still be delayed."""
-        return req.budget.deadline - time.monotonic() - self._service_s(req)
+        return req.budget.deadline - boot_time() - self._service_s(req)
 
     def urgent(self, req: AgentRequest) -> bool:
         """Tell whether a request's slack is running out."""
--- a/src/masticwind/budget.py
+++ b/src/masticwind/budget.py
@@ -1,8 +1,9 @@
-"""The remaining time budget of a request, on this process's monotonic clock.
+"""The remaining time budget of a request, on a clock of this machine.
 
 The budget travels between processes as remaining milliseconds. Each process
 turns it into a local deadline on arrival, so that no decision compares the
-clocks of two machines.
+clocks of two machines. The clock also counts the time in which the machine
+was suspended: a caller's patience goes on meanwhile.
 
     budget = Budget.from_ms(offer.timeout_ms)
     with anyio.move_on_after(budget.remaining_s()):
@@ -16,20 +17,25 @@
 MS_PER_S: Final = 1000
 
 
+def boot_time() -> float:
+    """Return seconds of a clock that runs while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @dataclass(frozen=True, slots=True)
 class Budget:
-    """A deadline in seconds of the monotonic clock."""
+    """A deadline in seconds of `boot_time`."""
 
     deadline: float
 
     @classmethod
     def from_ms(cls, timeout_ms: float) -> Self:
         """Start a budget of `timeout_ms` milliseconds now."""
-        return cls(time.monotonic() + timeout_ms / MS_PER_S)
+        return cls(boot_time() + timeout_ms / MS_PER_S)
 
     def remaining_s(self) -> float:
         """Return the seconds left, never less than zero."""
-        return max(0.0, self.deadline - time.monotonic())
+        return max(0.0, self.deadline - boot_time())
 
     def remaining_ms(self) -> int:
         """Return the whole milliseconds left, never less than zero."""
@@ -37,4 +43,4 @@
 
     def expired(self) -> bool:
         """Tell whether no time is left."""
-        return time.monotonic() >= self.deadline
+        return boot_time() >= self.deadline
--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -1,11 +1,10 @@
 """The entry's HTTP application: routes, authentication, error answers."""
 
-import time
 from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 from typing import Final
 
-from masticwind.budget import MS_PER_S, Budget
+from masticwind.budget import MS_PER_S, Budget, boot_time
 from masticwind.config.current import CurrentConfig
 from masticwind.engines.base import Done
 from masticwind.entry.admin import PREFIX as ADMIN_PREFIX
@@ -191,7 +190,7 @@
         cfg = self._parts.cfg
         # The time that the body takes counts towards the caller's budget.
         timeout_ms = read_timeout(scope, caller.tier)
-        started = time.monotonic()
+        started = boot_time()
         body = await read_large_body(
             receive,
             cfg.max_body_bytes,
--- a/src/masticwind/serving/confirmations.py
+++ b/src/masticwind/serving/confirmations.py
@@ -22,9 +22,9 @@
 import anyio
 import msgspec
 
-from masticwind.budget import MS_PER_S
+from masticwind.budget import MS_PER_S, boot_time
 from masticwind.serving.datagrams import Peer, PeerSocket, Receiver
-from masticwind.serving.mirror import Mirror, boot_time
+from masticwind.serving.mirror import Mirror
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.settings import LiveSettings
 
--- a/src/masticwind/serving/directory.py
+++ b/src/masticwind/serving/directory.py
@@ -12,8 +12,9 @@
 
 from loguru import logger
 
+from masticwind.budget import boot_time
 from masticwind.errors import Failure
-from masticwind.serving.mirror import Sink, boot_time
+from masticwind.serving.mirror import Sink
 from masticwind.serving.model import Endpoint, FleetConfig
 from masticwind.serving.routes import ActiveConfig
 from masticwind.serving.store import Item
--- a/src/masticwind/serving/load_link.py
+++ b/src/masticwind/serving/load_link.py
@@ -15,10 +15,9 @@
 import msgspec
 from loguru import logger
 
-from masticwind.budget import MS_PER_S
+from masticwind.budget import MS_PER_S, boot_time
 from masticwind.serving.datagrams import Peer, PeerSocket, Receiver
 from masticwind.serving.load import Job, LoadBoard
-from masticwind.serving.mirror import boot_time
 from masticwind.serving.passes import Reading
 from masticwind.serving.peers import SILENT_S, EntryPeers
 
--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -12,13 +12,13 @@
 
 import abc
 import random
-import time
 from dataclasses import dataclass
 from typing import Final
 
 import anyio
 from loguru import logger
 
+from masticwind.budget import boot_time
 from masticwind.errors import Failure
 from masticwind.serving.store import (
     Changes,
@@ -46,11 +46,6 @@
 NEWS_GRACE_S: Final = 0.2
 
 
-def boot_time() -> float:
-    """Return seconds of a clock that runs while the instance is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Sink(abc.ABC):
     """Receives what a mirror reads."""
 
--- a/src/masticwind/serving/peers.py
+++ b/src/masticwind/serving/peers.py
@@ -10,10 +10,11 @@
 import xxhash
 from loguru import logger
 
+from masticwind.budget import boot_time
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.bounds import Fleet
 from masticwind.serving.datagrams import Peer
-from masticwind.serving.mirror import Sink, boot_time
+from masticwind.serving.mirror import Sink
 from masticwind.serving.settings import DirectSettings
 from masticwind.serving.store import Item, MetadataStore
 
--- a/src/masticwind/serving/work.py
+++ b/src/masticwind/serving/work.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from masticwind.budget import MS_PER_S
+from masticwind.budget import MS_PER_S, boot_time
 from masticwind.errors import ErrorKind, Failure, not_run
 from masticwind.serving.model import (
     CallerRequest,
@@ -26,8 +26,8 @@
 class Admitted:
     """A request with the configuration under which it was admitted.
 
-    `deadline` is a moment of the monotonic clock, as is `process_ends_at`,
-    which is infinite unless this process is shutting down.
+    `deadline` is a moment of `boot_time`; `process_ends_at` is one of the
+    monotonic clock, and infinite unless this process is shutting down.
     """
 
     req: CallerRequest
@@ -39,7 +39,7 @@
 
     def left_s(self) -> float:
         """Return the seconds that are left for it."""
-        return max(0.0, self.deadline - time.monotonic())
+        return max(0.0, self.deadline - boot_time())
 
     @property
     def prompt(self) -> int:
@@ -69,7 +69,7 @@
         )
     deadline = req.budget.deadline
     if route.timeout_ms:
-        longest = time.monotonic() + route.timeout_ms / MS_PER_S
+        longest = boot_time() + route.timeout_ms / MS_PER_S
         deadline = min(deadline, longest)
     return Admitted(
         req=req,
