--- a/src/masticwind_dev/standins/metadata.py
+++ b/src/masticwind_dev/standins/metadata.py
@@ -139,6 +139,7 @@
 
     async def _watch(self, req: StandinRequest) -> Response:
         after = req.number('after')
+        self.calls[f'watch {req.query["prefix"]}'] += 1
         if after < self._compacted:
             return json_response(410, {'error': 'compacted'})
         found: list[_Row] = []
