--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -110,8 +110,11 @@
             return answer
         if answer.status == HTTPStatus.OK:
             return None
+        kind = ErrorKind.CONFLICT
+        if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+            kind = ErrorKind.REVOKED
         return Failure(
-            kind=ErrorKind.CONFLICT,
+            kind=kind,
             reason=f'{order.op} was answered with status {answer.status}',
         )
 
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -25,7 +25,7 @@
 )
 from masticwind.serving.model import Kind
 from masticwind.serving.placement import Placement
-from masticwind.serving.reservations import reserved
+from masticwind.serving.reservations import Unreserved, reserved
 from masticwind.serving.work import Admitted, Progress
 
 # A connection in the same region is there within a few milliseconds.
@@ -141,8 +141,9 @@
 async def _send(link: EndpointLink, trial: Trial) -> Failure | None:
     request_id = trial.work.req.request_id
     async with reserved(link, trial.placement, request_id) as helpers:
-        if isinstance(helpers, Failure):
-            return helpers
+        if isinstance(helpers, Unreserved):
+            trial.progress.at_fault = helpers.endpoint
+            return helpers.failure
         sending = _encode(trial, helpers)
         _log_sending(trial, sending)
         with anyio.move_on_after(trial.limits.first_s) as waiting:
--- a/src/masticwind/serving/reservations.py
+++ b/src/masticwind/serving/reservations.py
@@ -10,6 +10,7 @@
 import secrets
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
 from typing import Final
 
 import anyio
@@ -17,6 +18,7 @@
 
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.link import EndpointLink, Helper
+from masticwind.serving.model import Endpoint
 from masticwind.serving.placement import Placement, Share
 
 # Shorter than the four seconds that unused memory may stay reserved.
@@ -25,17 +27,25 @@
 RELEASE_TRIES: Final = 3
 
 
+@dataclass(frozen=True, slots=True)
+class Unreserved:
+    """Why a prompt's memory was not reserved, and the endpoint at fault."""
+
+    failure: Failure
+    endpoint: Endpoint
+
+
 @asynccontextmanager
 async def reserved(
     link: EndpointLink,
     placement: Placement,
     request_id: str,
-) -> AsyncIterator[tuple[Helper, ...] | Failure]:
+) -> AsyncIterator[tuple[Helper, ...] | Unreserved]:
     """Hold a placement's reservations while its request runs.
 
-    Yields the helpers in the order in which their memory is filled, or a
-    `Failure` of kind `overloaded` if an engine does not give its memory;
-    what others gave is released then.
+    Yields the helpers in the order in which their memory is filled, or the
+    engine that does not give its memory; what others gave is released then.
+    In either case of a failure the request has not run.
     """
     tickets = _tickets(placement.shares)
     helpers = tuple(
@@ -49,10 +59,13 @@
     held = [share for share in placement.shares if share.reserved_tokens]
     held.sort(key=_identity)
     try:
-        failure = await _reserve_all(link, held, tickets)
-        if failure is not None:
-            log.bind(reason=failure.reason).info('memory_not_reserved')
-            yield failure
+        missing = await _reserve_all(link, held, tickets)
+        if missing is not None:
+            log.bind(
+                endpoint=missing.endpoint.identity,
+                reason=missing.failure.reason,
+            ).info('memory_not_reserved')
+            yield missing
             return
         log.info('memory_reserved')
         async with anyio.create_task_group() as tasks:
@@ -80,7 +93,7 @@
     link: EndpointLink,
     held: list[Share],
     tickets: dict[str, str],
-) -> Failure | None:
+) -> Unreserved | None:
     for share in held:
         failure = await link.reserve(
             share.endpoint,
@@ -89,13 +102,23 @@
             HOLD_MS,
         )
         if failure is not None:
-            return Failure(
-                kind=ErrorKind.OVERLOADED,
-                reason=f'{share.endpoint.identity}: {failure.reason}',
-            )
+            return Unreserved(_not_run(failure), share.endpoint)
     return None
 
 
+def _not_run(failure: Failure) -> Failure:
+    """Return what a failed reservation means for its request.
+
+    A reservation whose answer is lost may have been made; it ends by itself.
+    """
+    kind = ErrorKind.NO_CAPACITY
+    if failure.kind is ErrorKind.REVOKED:
+        kind = ErrorKind.REVOKED
+    elif failure.kind is ErrorKind.CONFLICT:
+        kind = ErrorKind.OVERLOADED
+    return replace(failure, kind=kind)
+
+
 async def _renew(
     link: EndpointLink,
     held: list[Share],
@@ -103,11 +126,12 @@
 ) -> None:
     while True:
         await anyio.sleep(RENEW_S)
-        failure = await _reserve_all(link, held, tickets)
-        if failure is not None:
-            logger.bind(reason=failure.reason).warning(
-                'reservation_not_renewed'
-            )
+        missing = await _reserve_all(link, held, tickets)
+        if missing is not None:
+            logger.bind(
+                endpoint=missing.endpoint.identity,
+                reason=missing.failure.reason,
+            ).warning('reservation_not_renewed')
 
 
 async def _release_all(
--- a/tests/test_direct_answers.py
+++ b/tests/test_direct_answers.py
@@ -28,7 +28,9 @@
     answer_whole,
     caller_headers,
     direct_rig,
+    free_udp_port,
     prompt_headers,
+    registration,
     route,
     sample_document,
 )
@@ -489,3 +491,38 @@
         )
         assert answer.body.count(b'id:') == 4
         assert len(asked) == 2
+
+
+async def test_helper_that_is_down_does_not_exclude_leading_endpoints() -> None:
+    """Guards against a prompt beyond one engine's memory that fails because
+    the same dead helper is asked for memory again and again, while one sound
+    leading engine after the other is left out in its place.
+    """
+
+    async def engine(req: Received, conn: RawConnection) -> None:
+        if req.target == '/-/order':
+            await conn.answer(req, body=b'{}')
+            return
+        await answer_events(req, conn)
+
+    document = sample_document()
+    document['services'][1]['engine']['kv_capacity'] = 20_000
+    async with direct_rig(document) as rig:
+        await rig.endpoint('i-1', engine, ENGINES)
+        await rig.until_known()
+        # Nobody listens at this port.
+        rig.store.write(
+            'servers/i-2',
+            registration(await free_udp_port(), ENGINES),
+        )
+        for name in ('i-3', 'i-4'):
+            await rig.endpoint(name, engine, ENGINES)
+        with anyio.fail_after(3):
+            while rig.entry.endpoints_known < 4:
+                await anyio.sleep(0.01)
+        answer = await rig.ask('/chat/a', headers=prompt_headers(30_000))
+        assert answer.status == 200
+        assert answer.body.count(b'id:') == 4
+        asked = [req for req in rig.received if req.target != '/-/order']
+        assert len(asked) == 1
+        assert asked[0].headers['x-expect-instance'] == 'i-1'
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -21,7 +21,12 @@
 from masticwind.serving.passes import Reading
 from masticwind.serving.placement import Placement, Query, Share
 from masticwind.serving.prompts import PromptPlacer
-from masticwind.serving.reservations import HOLD_MS, RENEW_S, reserved
+from masticwind.serving.reservations import (
+    HOLD_MS,
+    RENEW_S,
+    Unreserved,
+    reserved,
+)
 from masticwind_dev.play.load import SPEED
 
 pytestmark = pytest.mark.anyio
@@ -107,7 +112,7 @@
     """
     link = OrderedLink()
     async with reserved(link, _placement('e2', 'e1'), 'r1') as helpers:
-        assert not isinstance(helpers, Failure)
+        assert not isinstance(helpers, Unreserved)
         assert [one.endpoint.identity for one in helpers] == ['e2', 'e1']
         assert {one.ticket for one in helpers} == set(link.held.values())
     assert link.orders[:2] == ['reserve e1', 'reserve e2']
@@ -118,8 +123,9 @@
     """Guards against memory that stays reserved for a refused prompt."""
     link = OrderedLink(refusing={'e2'})
     async with reserved(link, _placement('e1', 'e2'), 'r1') as helpers:
-        assert isinstance(helpers, Failure)
-        assert helpers.kind is ErrorKind.OVERLOADED
+        assert isinstance(helpers, Unreserved)
+        assert helpers.failure.kind is ErrorKind.OVERLOADED
+        assert helpers.endpoint.identity == 'e2'
     assert not link.held
 
 
