--- a/tests/test_confirmation_machine.py
+++ b/tests/test_confirmation_machine.py
@@ -15,7 +15,7 @@
 )
 
 from masticwind.budget import MS_PER_S
-from masticwind.errors import ErrorKind, Failure
+from masticwind.errors import Failure
 from masticwind.serving.confirmations import (
     Confirmation,
     Confirmations,
@@ -35,13 +35,12 @@
     Compacted,
     Item,
     Listing,
-    MetadataStore,
 )
 from tests.direct_rig import sample_settings
 from tests.manual_clock import ManualClock
+from tests.unwritable_store import DOWN, UnwritableStore
 
 KEYS: Final = ('op/config', 'op/evacuate/zone-a', 'op/evacuate/zone-b')
-DOWN: Final = Failure(kind=ErrorKind.PLATFORM_DOWN, reason='down')
 
 
 class History:
@@ -84,7 +83,7 @@
         return states
 
 
-class ScriptedStore(MetadataStore):
+class ScriptedStore(UnwritableStore):
     """Answers from a history, after a delay that a test sets."""
 
     def __init__(self, history: History, clock: ManualClock) -> None:
@@ -129,18 +128,6 @@
         self._clock.now += self.late_s
         return Changes(items, revision)
 
-    async def grant_lease(self, ttl_s: float) -> int | Failure:
-        """Nothing is written here."""
-        return DOWN
-
-    async def renew_lease(self, lease: int) -> Failure | None:
-        """Nothing is written here."""
-        return DOWN
-
-    async def put(self, key: str, value: bytes, lease: int) -> Failure | None:
-        """Nothing is written here."""
-        return DOWN
-
 
 class Copy(Sink):
     """The copy of one entry."""
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from masticwind.errors import ErrorKind, Failure
+from masticwind.errors import Failure
 from masticwind.serving.mirror import (
     NEWS_GRACE_S,
     Mirror,
@@ -21,9 +21,9 @@
     Compacted,
     Item,
     Listing,
-    MetadataStore,
 )
 from tests.manual_clock import ManualClock
+from tests.unwritable_store import DOWN, UnwritableStore
 
 pytestmark = pytest.mark.anyio
 
@@ -31,10 +31,9 @@
 # Time in which a change must be in force, of the users' smallest sites.
 CHANGE_S: Final = 2.0
 CHANGE: Final = Item('op/config', b'new', 2)
-DOWN: Final = Failure(kind=ErrorKind.PLATFORM_DOWN, reason='silent')
 
 
-class SilentStore(MetadataStore):
+class SilentStore(UnwritableStore):
     """Never answers calls that begin while it is silent."""
 
     def __init__(self) -> None:
@@ -66,18 +65,6 @@
             return Changes((CHANGE,), CHANGE.revision)
         return Changes((), after)
 
-    async def grant_lease(self, ttl_s: float) -> int | Failure:
-        """Nothing is written here."""
-        return DOWN
-
-    async def renew_lease(self, lease: int) -> Failure | None:
-        """Nothing is written here."""
-        return DOWN
-
-    async def put(self, key: str, value: bytes, lease: int) -> Failure | None:
-        """Nothing is written here."""
-        return DOWN
-
 
 class LastItem(Sink):
     """Keeps the last change."""
--- /dev/null
+++ b/tests/unwritable_store.py
@@ -0,0 +1,24 @@
+"""A metadata store of tests that only read."""
+
+from typing import Final
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.store import MetadataStore
+
+DOWN: Final = Failure(kind=ErrorKind.PLATFORM_DOWN, reason='down')
+
+
+class UnwritableStore(MetadataStore):
+    """Fails every write."""
+
+    async def grant_lease(self, ttl_s: float) -> int | Failure:
+        """Grant nothing."""
+        return DOWN
+
+    async def renew_lease(self, lease: int) -> Failure | None:
+        """Renew nothing."""
+        return DOWN
+
+    async def put(self, key: str, value: bytes, lease: int) -> Failure | None:
+        """Write nothing."""
+        return DOWN
