Do work of a placement once, and read addresses in one place

Found in the read-through: the endpoints that may be used in need were looked for with each placement, though they matter only where no other one is left, and asked the rate of a cold endpoint a second time; a registration's address was split apart beside address_of; a message had two names. No change of behaviour.

--- a/src/masticwind/platform/documents.py
+++ b/src/masticwind/platform/documents.py
@@ -25,6 +25,7 @@
     Service,
     TeamKeys,
 )
+from masticwind.serving.settings import address_of
 from masticwind.serving.store import Item
 from masticwind.settings import Address
 
@@ -249,10 +250,11 @@
     Names are not looked up here, and a port that cannot be is an error at
     each connection.
     """
-    host, _, port = text.rpartition(':')
-    if not 0 < int(port) <= LAST_PORT:
-        raise ValueError(f'{port} is no port')
-    return Address(host=str(ipaddress.IPv4Address(host)), port=int(port))
+    address = address_of(text)
+    if not 0 < address.port <= LAST_PORT:
+        raise ValueError(f'{address.port} is no port')
+    ipaddress.IPv4Address(address.host)
+    return address
 
 
 def _unreadable(exc: Exception) -> Failure:
--- a/src/masticwind/serving/load_link.py
+++ b/src/masticwind/serving/load_link.py
@@ -106,23 +106,22 @@
 
     def receive(self, message: News, sender: Peer) -> None:
         """Take over what another entry runs."""
-        news = message
-        self._peers.heard(news.entry, sender)
-        heard = self._heard.setdefault(news.entry, _Heard())
-        if heard.incarnation == news.incarnation:
-            if news.sequence <= heard.sequence:
+        self._peers.heard(message.entry, sender)
+        heard = self._heard.setdefault(message.entry, _Heard())
+        if heard.incarnation == message.incarnation:
+            if message.sequence <= heard.sequence:
                 return
         else:
-            self._board.update_others(news.entry, (), (), whole=True)
-        heard.incarnation = news.incarnation
-        heard.sequence = news.sequence
+            self._board.update_others(message.entry, (), (), whole=True)
+        heard.incarnation = message.incarnation
+        heard.sequence = message.sequence
         heard.at = boot_time()
         now = self._board.clock()
         self._board.update_others(
-            news.entry,
-            [_job(row, now) for row in news.jobs],
-            news.ended,
-            whole=news.whole,
+            message.entry,
+            [_job(row, now) for row in message.jobs],
+            message.ended,
+            whole=message.whole,
         )
 
     async def _send_changes(self) -> None:
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -207,8 +207,7 @@
         cold_per_s = work.service.cold_per_s
         usable: list[Endpoint] = []
         sound: list[Endpoint] = []
-        in_need: list[Endpoint] = []
-        helpers: list[Endpoint] = []
+        limited: list[Endpoint] = []
         for endpoint in self._parts.directory.endpoints(work.service.name):
             if not self._allowed(work, progress, endpoint):
                 continue
@@ -216,13 +215,16 @@
                 usable.append(endpoint)
                 if self._sound(endpoint):
                     sound.append(endpoint)
-                continue
-            if cold.free_in_need(endpoint.identity, cold_per_s):
-                in_need.append(endpoint)
-            if self._sound(endpoint):
-                helpers.append(endpoint)
-        if sound or usable:
+            else:
+                limited.append(endpoint)
+        if usable:
+            helpers = [one for one in limited if self._sound(one)]
             return sound or usable, helpers
+        in_need = [
+            one
+            for one in limited
+            if cold.free_in_need(one.identity, cold_per_s)
+        ]
         return in_need, []
 
     def _allowed(
