Draw of the placers in a play from the play's seed

Change: a play gives each entry's placer a source that its seed decides; the refusal draws from it as well.

--- a/src/masticwind/serving/prompts.py
+++ b/src/masticwind/serving/prompts.py
@@ -83,9 +83,9 @@
         engines = self._views(query, speed, tokens)
         plan = best_plan(query, speed, tokens, engines)
         if plan is None:
-            return _refusal('the engines have no memory for this prompt')
+            return self._refusal('the engines have no memory for this prompt')
         if _overloaded(query, speed, engines, plan):
-            return _refusal(
+            return self._refusal(
                 f'the first token would take {plan.first_ms:.0f} ms',
                 plan.first_ms - query.first_answer_ms * MARGIN,
             )
@@ -93,7 +93,7 @@
         if deferral is not None:
             return deferral
         if plan.gain < 0:
-            return _refusal(
+            return self._refusal(
                 f'others would lose {plan.lost:.0f} tokens',
                 plan.first_ms,
             )
@@ -118,6 +118,15 @@
         ]
         return leads + others
 
+    def _refusal(self, reason: str, excess_ms: float = 0) -> Failure:
+        wait_ms = min(LONGEST_RETRY_MS, max(SHORTEST_RETRY_MS, excess_ms))
+        spread = self._chance.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
+        return Failure(
+            kind=ErrorKind.OVERLOADED,
+            reason=reason,
+            retry_after_ms=int(wait_ms * spread),
+        )
+
 
 def _overloaded(
     query: Query,
@@ -180,16 +189,6 @@
     return soonest_ms
 
 
-def _refusal(reason: str, excess_ms: float = 0) -> Failure:
-    wait_ms = min(LONGEST_RETRY_MS, max(SHORTEST_RETRY_MS, excess_ms))
-    spread = random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
-    return Failure(
-        kind=ErrorKind.OVERLOADED,
-        reason=reason,
-        retry_after_ms=int(wait_ms * spread),
-    )
-
-
 def _placement(
     query: Query,
     speed: EngineSpeed,
--- a/src/masticwind_dev/play/baselines.py
+++ b/src/masticwind_dev/play/baselines.py
@@ -1,6 +1,7 @@
 """Simple ways of placing, which the placers are compared with."""
 
 import itertools
+import random
 from typing import Final
 
 from masticwind.errors import Failure
@@ -43,6 +44,16 @@
         return _alone(query, best)
 
 
+def round_robin(_chance: random.Random) -> Placer:
+    """Make a placer that draws nothing."""
+    return RoundRobin()
+
+
+def least_outstanding(_chance: random.Random) -> Placer:
+    """Make a placer that draws nothing."""
+    return LeastOutstanding()
+
+
 def _alone(query: Query, endpoint: Endpoint) -> Placement:
     job = Job(
         number=0,
--- a/src/masticwind_dev/play/main.py
+++ b/src/masticwind_dev/play/main.py
@@ -6,20 +6,25 @@
 owed and the share of each class within its aim.
 """
 
-from collections.abc import Callable
+import random
 from typing import Final
 
 import cyclopts
 
-from masticwind.serving.placement import Placer
 from masticwind.serving.prompts import PromptPlacer
-from masticwind_dev.play.baselines import LeastOutstanding, RoundRobin
-from masticwind_dev.play.load import CLASSES, Outcome, Sheet, play
+from masticwind_dev.play.baselines import least_outstanding, round_robin
+from masticwind_dev.play.load import (
+    CLASSES,
+    Outcome,
+    PlacerMaker,
+    Sheet,
+    play,
+)
 
-PLACERS: Final[tuple[Callable[[], Placer], ...]] = (
+PLACERS: Final[tuple[PlacerMaker, ...]] = (
     PromptPlacer,
-    LeastOutstanding,
-    RoundRobin,
+    least_outstanding,
+    round_robin,
 )
 # All engines of the sheets, a zone less, half of them, and what is left when
 # a zone is out and engines leave.
@@ -40,8 +45,8 @@
             print(f'{engines} engines, {_name(make)}: {_line(days)}')
 
 
-def _name(make: Callable[[], Placer]) -> str:
-    return type(make()).__name__
+def _name(make: PlacerMaker) -> str:
+    return type(make(random.Random())).__name__
 
 
 def _line(days: list[dict[str, Outcome]]) -> str:
