Pass changes of the configuration on to entries that the store turns away

Cause: an entry that the store turns away hears from the confirming entries that something has changed, but not what. It refused every request with a key until the store answered again.

Change: such an entry asks another entry, drawn anew each quarter of a second, for its whole copy in one datagram and adopts it as it adopts a listing. Only an entry with a later change answers. The age counts from the request, as with confirmations.

Before: test_peers_pass_on_a_change_to_a_shut_off_entry fails (503 until the store is back); after: 401 and the new route within 2 s.

--- a/src/masticwind/serving/confirmations.py
+++ b/src/masticwind/serving/confirmations.py
@@ -6,26 +6,21 @@
 that change is as recent. So the number of calls does not grow with that of
 entries, and an entry that the store turns away goes on accepting keys while
 other entries are served. An entry that gets no confirmation asks the store.
-
-A reply repeats the time at which its question was sent, on the clock of the
-entry that asked. The age counts from then, so a reply that was delayed on
-the way or that waited in a suspended process makes the copy older, never
-younger than it is. No two clocks are compared.
 """
 
 import contextlib
-import math
 import random
-from collections import deque
-from typing import Annotated, Final
+from typing import Final
 
 import anyio
 import msgspec
 
-from masticwind.budget import MS_PER_S, boot_time
+from masticwind.budget import MS_PER_S
+from masticwind.serving.copies import Copies
 from masticwind.serving.datagrams import Peer, PeerSocket, Receiver
 from masticwind.serving.mirror import Mirror
 from masticwind.serving.peers import EntryPeers
+from masticwind.serving.questions import Age, OpenQuestions, rounded_age_ms
 from masticwind.serving.settings import LiveSettings
 
 QUESTION: Final = 'question'
@@ -41,8 +36,6 @@
 # entries time to answer, and time until the copy is no longer trusted.
 CONFIRM_SHARE: Final = 0.2
 FALLBACK_SHARE: Final = 0.36
-# Questions whose replies are taken; later replies would hardly help.
-OPEN_QUESTIONS: Final = 8
 # Questions that wait; a later one replaces one that is dropped.
 MAX_WAITING: Final = 64
 
@@ -58,7 +51,7 @@
 
     asked_ms: int
     changed: int
-    age_ms: Annotated[int, msgspec.Meta(ge=0)]
+    age_ms: Age
 
 
 class _Questions(Receiver[Question]):
@@ -91,7 +84,8 @@
         self._socket: Final = peer_socket
         self._peers: Final = peers
         self._mirror: Final = mirror
-        self._asked: Final = deque[int](maxlen=OPEN_QUESTIONS)
+        self._open: Final = OpenQuestions()
+        self._copies: Final = Copies(peer_socket, peers, mirror)
         self._questions: Final = _Questions()
         peer_socket.add(QUESTION, Question, self._questions)
         peer_socket.add(CONFIRMATION, Confirmation, self)
@@ -102,6 +96,7 @@
             tasks.start_soon(self._ask)
             tasks.start_soon(self._answer)
             tasks.start_soon(self._check)
+            tasks.start_soon(self._copies.run)
 
     def receive(self, message: Confirmation, sender: Peer) -> None:
         """Take over a reply that has arrived."""
@@ -109,28 +104,20 @@
 
     def question(self) -> Question:
         """Return a question that is sent now."""
-        question = Question(int(boot_time() * MS_PER_S))
-        self._asked.append(question.asked_ms)
-        return question
+        return Question(self._open.ask())
 
     def reply(self, question: Question) -> Confirmation | None:
         """Return what this entry can say of its copy, if anything."""
         if not self._mirror.listed:
             return None
-        # The age is rounded up, so that no copy looks younger than it is.
-        age_ms = math.ceil(self._mirror.age_s() * MS_PER_S)
+        age_ms = rounded_age_ms(self._mirror.age_s())
         return Confirmation(question.asked_ms, self._mirror.changed, age_ms)
 
     def take(self, reply: Confirmation) -> None:
-        """Take over the reply of another entry to a recent question.
-
-        Others are left out: a datagram for an earlier machine with this
-        address would carry a time of that machine's clock.
-        """
-        if reply.asked_ms not in self._asked:
-            return
-        as_of = (reply.asked_ms - reply.age_ms) / MS_PER_S
-        self._mirror.confirm(reply.changed, as_of)
+        """Take over the reply of another entry to a recent question."""
+        as_of = self._open.as_of(reply.asked_ms, reply.age_ms)
+        if as_of is not None:
+            self._mirror.confirm(reply.changed, as_of)
 
     async def _ask(self) -> None:
         while True:
--- /dev/null
+++ b/src/masticwind/serving/copies.py
@@ -0,0 +1,142 @@
+"""Entries give each other their copies of the configuration.
+
+An entry that the store turns away learns from confirmations that something
+has changed, but not what. Until it knows, it can accept no key: the change
+may have removed one. So it asks the other entries, one at a time and in any
+order, for all that their copies hold, until its own copy has the change.
+
+The load is one datagram of the size of the configuration for each change and
+entry that is turned away; an entry without that change does not answer.
+"""
+
+import random
+from typing import Final
+
+import anyio
+import msgspec
+from loguru import logger
+
+from masticwind.serving.datagrams import Peer, PeerSocket, Receiver
+from masticwind.serving.mirror import Mirror
+from masticwind.serving.peers import EntryPeers
+from masticwind.serving.questions import Age, OpenQuestions, rounded_age_ms
+from masticwind.serving.store import Item, Listing
+
+COPY_REQUEST: Final = 'copy_request'
+COPY: Final = 'copy'
+# Time between two requests; a reply takes some milliseconds.
+PAUSE_S: Final = 0.25
+# Bytes of the values in one datagram of at most 65,507 bytes; the rest is for
+# keys. An entry gets a larger configuration from the store only.
+MAX_COPY_BYTES: Final = 60_000
+
+
+class CopyRequest(msgspec.Struct, array_like=True):
+    """Asks at `asked_ms` for a copy with changes after `revision`."""
+
+    asked_ms: int
+    revision: int
+
+
+class CopyReply(msgspec.Struct, array_like=True):
+    """A whole copy that is complete up to `revision`.
+
+    `changed` is its last change, `age_ms` its age when the request arrived.
+    """
+
+    asked_ms: int
+    age_ms: Age
+    revision: int
+    changed: int
+    rows: tuple[Item, ...]
+
+
+class _Requests(Receiver[CopyRequest]):
+    """Answers the requests of other entries."""
+
+    def __init__(self, peer_socket: PeerSocket, mirror: Mirror) -> None:
+        self._socket: Final = peer_socket
+        self._mirror: Final = mirror
+
+    def receive(self, message: CopyRequest, sender: Peer) -> None:
+        """Answer if this entry's copy holds more."""
+        reply = self.reply(message)
+        if reply is not None:
+            self._socket.send(COPY, reply, (sender,))
+
+    def reply(self, request: CopyRequest) -> CopyReply | None:
+        """Return this entry's copy if it holds more and is not too large."""
+        mirror = self._mirror
+        if not mirror.listed or mirror.changed <= request.revision:
+            return None
+        listing = mirror.listing()
+        size = sum(len(row.value or b'') for row in listing.items)
+        if size > MAX_COPY_BYTES:
+            logger.bind(bytes=size).warning('copy_too_large')
+            return None
+        return CopyReply(
+            asked_ms=request.asked_ms,
+            age_ms=rounded_age_ms(mirror.age_s()),
+            revision=listing.revision,
+            changed=mirror.changed,
+            rows=listing.items,
+        )
+
+
+class Copies(Receiver[CopyReply]):
+    """Asks for copies, answers such requests and takes the replies."""
+
+    def __init__(
+        self,
+        peer_socket: PeerSocket,
+        peers: EntryPeers,
+        mirror: Mirror,
+    ) -> None:
+        self._socket: Final = peer_socket
+        self._peers: Final = peers
+        self._mirror: Final = mirror
+        self._open: Final = OpenQuestions()
+        self._requests: Final = _Requests(peer_socket, mirror)
+        peer_socket.add(COPY_REQUEST, CopyRequest, self._requests)
+        peer_socket.add(COPY, CopyReply, self)
+
+    async def run(self) -> None:
+        """Ask while a change is missing and the store does not answer."""
+        while True:
+            await anyio.sleep(PAUSE_S)
+            others = self._peers.others()
+            if others and self.missing():
+                asked = (random.choice(others),)
+                self._socket.send(COPY_REQUEST, self.request(), asked)
+
+    def missing(self) -> bool:
+        """Tell whether this entry's copy lacks a change it cannot read."""
+        return not self._mirror.connected and self._mirror.behind()
+
+    def request(self) -> CopyRequest:
+        """Return a request that is sent now."""
+        return CopyRequest(self._open.ask(), self._mirror.revision)
+
+    def reply(self, request: CopyRequest) -> CopyReply | None:
+        """Return what this entry answers, if anything."""
+        return self._requests.reply(request)
+
+    def receive(self, message: CopyReply, sender: Peer) -> None:
+        """Take over a reply that has arrived."""
+        if sender not in self._peers.others():
+            logger.bind(sender=sender.host).warning('copy_from_stranger')
+            return
+        if self.take(message):
+            logger.bind(
+                sender=sender.host,
+                revision=message.revision,
+                age_s=round(self._mirror.age_s(), 3),
+            ).info('copy_taken')
+
+    def take(self, reply: CopyReply) -> bool:
+        """Take over a reply to a recent request, if it holds more."""
+        as_of = self._open.as_of(reply.asked_ms, reply.age_ms)
+        if as_of is None:
+            return False
+        listing = Listing(reply.rows, reply.revision)
+        return self._mirror.adopt(listing, reply.changed, as_of)
--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -24,6 +24,7 @@
     Changes,
     Compacted,
     Item,
+    Listing,
     MetadataStore,
 )
 
@@ -90,6 +91,7 @@
         self._options: Final = options
         self._leader: Final = leader
         self._back = anyio.Event()
+        self._rows: dict[str, Item] = {}
         self._as_of = float('-inf')
         self._revision = 0
         self._connected = False
@@ -109,6 +111,15 @@
         """Whether the prefix has been read once."""
         return self._revision > 0
 
+    @property
+    def revision(self) -> int:
+        """The revision up to which the copy has every change."""
+        return self._revision
+
+    def listing(self) -> Listing:
+        """Return all that the copy holds."""
+        return Listing(tuple(self._rows.values()), self._revision)
+
     def age_s(self) -> float:
         """Return how old the copy can be, in seconds."""
         return boot_time() - self._as_of
@@ -132,6 +143,19 @@
                 self._told_at = boot_time()
             self._told = changed
 
+    def adopt(self, listing: Listing, changed: int, as_of: float) -> bool:
+        """Take over a copy of another entry; tell whether it holds more.
+
+        `changed` is its last change before `as_of`, on the clock of
+        `boot_time`.
+        """
+        if not self.listed or listing.revision <= self._revision:
+            return False
+        self._replace(listing)
+        self.changed = changed
+        self._as_of = max(self._as_of, as_of)
+        return True
+
     def behind(self) -> bool:
         """Tell whether a change was missed: another entry told of it some
         time ago, and it has still not arrived.
@@ -222,8 +246,7 @@
             if isinstance(listing, Failure):
                 return listing
             self._note_return()
-            self._sink.replace(listing.items)
-            self._revision = listing.revision
+            self._replace(listing)
             self.changed = listing.revision
             return None
         # A call that begins before the store's return may never be answered,
@@ -246,12 +269,29 @@
         self._take(changes)
         return None
 
+    def _replace(self, listing: Listing) -> None:
+        self._rows = {item.key: item for item in listing.items}
+        self._sink.replace(listing.items)
+        self._revision = listing.revision
+
     def _take(self, changes: Changes) -> None:
-        if changes.items:
-            self._pass_on(changes.items)
-            self.changed = max(item.revision for item in changes.items)
+        # A watch that was open when a copy was adopted repeats older changes.
+        items = tuple(
+            item for item in changes.items if item.revision > self._revision
+        )
+        if items:
+            self._keep(items)
+            self._pass_on(items)
+            self.changed = max(item.revision for item in items)
         self._revision = max(self._revision, changes.revision)
 
+    def _keep(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            if item.value is None:
+                self._rows.pop(item.key, None)
+                continue
+            self._rows[item.key] = item
+
     def _pass_on(self, items: tuple[Item, ...]) -> None:
         """Give changes to the sink; one that it cannot take is left out."""
         try:
