Settle a revision that others told of with one answered call

Two entries had listed the prefix at different revisions of the store. The later one told of its revision as the last change; the earlier one asked the store, and a watch without events returns the revision that was asked for where the store names the last event rather than its present revision (the stand-in does so; the platform's page leaves it open and its example shows it). So the copy stayed behind, and the entry asked ten times a second until the next change of the configuration.

Change: a call that is answered and began after a revision was known has every change up to it, whatever revision the answer names.

Before: test_one_call_settles_what_changed_elsewhere_in_the_store fails with such a store (6 calls rather than 1); after: 1.

--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -170,6 +170,7 @@
         Returns whether there was an answer.
         """
         started = boot_time()
+        told = self._told
         after = self._revision
         changes = await self._store.watch_prefix(
             self._options.prefix,
@@ -191,6 +192,7 @@
         if changes.items:
             self._give_up_watch('change missed')
         self._take(changes)
+        self._settle(told)
         self._as_of = max(self._as_of, started)
         return True
 
@@ -222,8 +224,10 @@
     async def step(self) -> Failure | None:
         """List or watch once and take over what is new."""
         started = boot_time()
+        told = self._told
         failure = await self._list_or_watch()
         if failure is None:
+            self._settle(told)
             self._as_of = max(self._as_of, started)
         else:
             self._note_loss(failure)
@@ -285,6 +289,15 @@
             self.changed = max(item.revision for item in items)
         self._revision = max(self._revision, changes.revision)
 
+    def _settle(self, told: int) -> None:
+        """Note that a call answered which began after `told` was known.
+
+        The store had that revision by then, so the copy has every change up
+        to it; the answer itself may name the revision of the last change
+        under the prefix only.
+        """
+        self._revision = max(self._revision, told)
+
     def _keep(self, items: tuple[Item, ...]) -> None:
         for item in items:
             if item.value is None:
--- a/tests/test_confirmation_machine.py
+++ b/tests/test_confirmation_machine.py
@@ -93,6 +93,9 @@
         self._clock: Final = clock
         self.down = False
         self.late_s = 0.0
+        # Whether a watch without events returns the revision that was asked
+        # for, rather than the present one.
+        self.echoes = False
         self.torn: tuple[str, bytes] | None = None
         # Runs once while the answer of a watch is under way.
         self.meanwhile: Callable[[], None] | None = None
@@ -134,6 +137,8 @@
         self.meanwhile = None
         if meanwhile is not None:
             meanwhile()
+        if self.echoes:
+            revision = items[-1].revision if items else after
         return Changes(items, revision)
 
 
@@ -220,6 +225,7 @@
         torn=st.booleans(),
         poll=st.booleans(),
         copied=st.booleans(),
+        echoes=st.booleans(),
     )
     def call(
         self,
@@ -230,6 +236,7 @@
         torn: bool,
         poll: bool,
         copied: bool,
+        echoes: bool,
     ) -> None:
         """An entry lists, watches or polls once.
 
@@ -238,6 +245,7 @@
         copy = self.copies[entry]
         copy.store.down = down
         copy.store.late_s = late_s
+        copy.store.echoes = echoes
         copy.store.torn = (KEYS[0], b'torn') if torn else None
         copy.store.meanwhile = None
         if copied:
@@ -311,13 +319,18 @@
     made.teardown()
 
 
+@pytest.mark.parametrize('echoes', [False, True])
 def test_one_call_settles_what_changed_elsewhere_in_the_store(
     machine: ConfirmationMachine,
+    *,
+    echoes: bool,
 ) -> None:
     """Guards against a copy that seems to be behind, call after call, when
-    only other parts of the store have changed.
+    only other parts of the store have changed, whichever revision a store
+    returns with no events.
     """
     early, late = machine.copies
+    early.store.echoes = echoes
     _run(early.mirror.step())
     machine.write('servers/i-1', b'')
     _run(late.mirror.step())
