Start an entry without the host's own packages

Most of the time of an entry's own goes into loading modules, and a part of that into the host's site-packages and their .pth files, of which an entry needs nothing: its libraries lie in target/deps, which is on the path.

Change: python3 -S. The test runs the program with the command of the deploy file, and checks the last word of that command as the program's file.

How much a host's .pth files cost differs from host to host.

--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import sysconfig
 import time
 import tomllib
 from collections.abc import Iterator, Mapping
@@ -88,19 +89,29 @@
     """Guards against a role whose program or template is not there."""
     deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
     for role in deploy['roles'].values():
-        assert (ROOT / role['run'].split()[1]).is_file()
+        assert (ROOT / role['run'].split()[-1]).is_file()
         assert (ROOT / role['template']).is_file()
 
 
 @pytest.fixture
 def program(tmp_path: Path) -> Iterator[subprocess.Popen[str]]:
-    """Run the entry's program with rendered settings."""
+    """Run the entry's program as deployed, with rendered settings.
+
+    As on the platform, the libraries are on the path of modules, and the
+    host's own packages need not be.
+    """
     path = tmp_path / 'settings'
     path.write_text(_rendered(FIELDS))
+    deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
+    arguments = deploy['roles']['entry']['run'].split()[1:]
     process = subprocess.Popen(
-        [sys.executable, 'src/masticwind_platform.py'],
+        [sys.executable, *arguments],
         cwd=ROOT,
-        env={**os.environ, 'MASTICWIND_BOOT': str(path)},
+        env={
+            **os.environ,
+            'MASTICWIND_BOOT': str(path),
+            'PYTHONPATH': sysconfig.get_path('purelib'),
+        },
         stdout=subprocess.PIPE,
         text=True,
     )
