--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -181,6 +181,8 @@
         endpoint=sending.endpoint.identity,
         attempt=trial.progress.sendings,
         route=work.route.name,
+        config_version=work.config_version,
+        config_age_s=round(work.config_age_s, 3),
         prompt=work.prompt,
         helpers=[helper.endpoint.identity for helper in sending.helpers],
         predicted_ms=round(trial.placement.first_ms),
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -155,6 +155,8 @@
         failure = _with_hint(failure)
         logger.bind(
             request_id=request_id,
+            config_version=self._parts.active.config.version,
+            config_age_s=_logged_age(self._parts.freshness.age_s()),
             kind=failure.kind.value,
             reason=failure.reason,
             retry_after_ms=failure.retry_after_ms,
@@ -209,7 +211,16 @@
         work = admit(req, route, team, parts.active.config)
         if isinstance(work, Failure):
             return work
-        return replace(work, process_ends_at=self.ends_at)
+        return replace(
+            work,
+            config_age_s=parts.freshness.age_s(),
+            process_ends_at=self.ends_at,
+        )
+
+
+def _logged_age(age_s: float) -> float | None:
+    """Return an age for the logs; none before a first copy."""
+    return round(age_s, 3) if math.isfinite(age_s) else None
 
 
 def _with_hint(failure: Failure) -> Failure:
--- a/src/masticwind/serving/freshness.py
+++ b/src/masticwind/serving/freshness.py
@@ -31,6 +31,10 @@
         self._settings: Final = settings
         self._age_s: Final = age_s
 
+    def age_s(self) -> float:
+        """Return how old the configuration can be, in seconds."""
+        return self._age_s()
+
     def trusted(self) -> bool:
         """Tell whether the copy is recent enough to accept keys."""
         bounds = self._settings.bounds
--- a/src/masticwind/serving/work.py
+++ b/src/masticwind/serving/work.py
@@ -28,6 +28,7 @@
 
     `deadline` is a moment of `boot_time`; `process_ends_at` is one of the
     monotonic clock, and infinite unless this process is shutting down.
+    `config_age_s` is how old the configuration could be on admission.
     """
 
     req: CallerRequest
@@ -35,6 +36,8 @@
     service: Service
     team: TeamKeys
     deadline: float
+    config_version: int
+    config_age_s: float = 0
     process_ends_at: float = math.inf
 
     def left_s(self) -> float:
@@ -77,6 +80,7 @@
         service=service,
         team=team or NO_TEAM,
         deadline=deadline,
+        config_version=config.version,
     )
 
 
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -23,7 +23,16 @@
 TOOLS = frozenset(('head', 'curl', 'export', 'kill', 'printf', 'jq'))
 HTTP_NAMES = frozenset(('traceparent',))
 LOG_FIELDS = frozenset(
-    ('time', 'level', 'event', 'traceback', 'left_ms', 'deferred_ms')
+    (
+        'time',
+        'level',
+        'event',
+        'traceback',
+        'left_ms',
+        'deferred_ms',
+        'config_version',
+        'config_age_s',
+    )
 )
 STATES = frozenset(('serving', 'cold', 'out', 'down'))
 VALUES = frozenset(('true', 'false', 'reader'))
