Soak with keys that are removed, entries turned away, and a calm end

The two entries of a soak shared one datagram port, so they never exchanged a confirmation or a copy, and one proxy before the store, so that it never turned away a single entry. Now each has its own. A fault keeps one entry from the store for longer than a removed key may be accepted; callers use keys that each version replaces, and one that is accepted too long breaks a promise. After the faults, and the time for which an entry may avoid an endpoint, every request must be served, once.

--- a/src/masticwind_dev/soak/faults.py
+++ b/src/masticwind_dev/soak/faults.py
@@ -15,6 +15,13 @@
 
 LONGEST_FAULT_S: Final = 1.5
 LONGEST_PAUSE_S: Final = 0.6
+# Longer than a removed key may be accepted.
+LONG_FAULT_S: Final = 7.0
+LOST: Final = (
+    Faults(refuse=True),
+    Faults(silent=True),
+    Faults(drop_down=True),
+)
 LINKS: Final = (
     Faults(delay_ms=30, jitter_ms=60),
     Faults(silent=True),
@@ -41,6 +48,7 @@
             self._pause_entry,
             self._disturb_endpoint_link,
             self._disturb_store_link,
+            self._turn_away_entry,
             self._reset_links,
             self._change_mood,
             self._store_trouble,
@@ -56,7 +64,6 @@
     async def calm(self) -> None:
         """End all faults."""
         world = self._world
-        world.store_proxy.inject(Faults())
         world.store.switches.outage = False
         world.store.switches.silent = False
         for endpoint in world.endpoints:
@@ -64,6 +71,7 @@
             _proxy_of(endpoint).inject(Faults())
             world.register(endpoint)
         for entry in world.entries:
+            entry.store_proxy.inject(Faults())
             entry.signal(signal.SIGCONT)
 
     def _some_time(self) -> float:
@@ -88,7 +96,15 @@
         await self._disturb(_proxy_of(self._endpoint()))
 
     async def _disturb_store_link(self) -> None:
-        await self._disturb(self._world.store_proxy)
+        entry = self._random.choice(self._world.entries)
+        await self._disturb(entry.store_proxy)
+
+    async def _turn_away_entry(self) -> None:
+        """Keep one entry from the store, until another fault of its link."""
+        entry = self._random.choice(self._world.entries)
+        entry.store_proxy.inject(self._random.choice(LOST))
+        await anyio.sleep(LONG_FAULT_S)
+        entry.store_proxy.inject(Faults())
 
     async def _disturb(self, proxy: TcpProxy) -> None:
         proxy.inject(self._random.choice(LINKS))
--- a/src/masticwind_dev/soak/main.py
+++ b/src/masticwind_dev/soak/main.py
@@ -3,13 +3,15 @@
     python -m masticwind_dev.soak.main --seed 7 --seconds 20
 
 Runs two entries as processes among stand-ins for some seconds of faults, then
-a calm time in which service must return. Exit code 1 says that a promise was
-broken; the lines say which, and the folder with the logs is kept.
+a calm time in which service must return, at last for every request. Exit code
+1 says that a promise was broken; the lines say which, and the folder with the
+logs is kept.
 """
 
 import shutil
 import sys
 import tempfile
+import time
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Final
@@ -27,6 +29,10 @@
 # Service must be back this long after the last fault.
 RECOVER_S: Final = 8.0
 SETTLE_S: Final = 0.5
+# An entry may avoid an endpoint for this long after its last fault; after it,
+# every request is served.
+REMEMBERED_S: Final = 5.0
+CALM_S: Final = 2.0
 
 cli = cyclopts.App(name='soak', help='Break entries at random, and check.')
 
@@ -90,7 +96,7 @@
     async with anyio.create_task_group() as callers:
         for number in range(CALLERS):
             entry = world.entries[number % len(world.entries)]
-            caller = Caller(f'c{number}', world.seed, findings)
+            caller = Caller(f'c{number}', world.seed, findings, world.keys)
             callers.start_soon(caller.run, entry)
         if not await _serves_again(findings, START_S):
             findings.broken.append('nothing was served before the faults')
@@ -101,6 +107,9 @@
         await disturber.calm()
         if not await _serves_again(findings, RECOVER_S):
             findings.broken.append('no service after the faults')
+        await anyio.sleep(REMEMBERED_S)
+        findings.calm_at = time.monotonic()
+        await anyio.sleep(CALM_S)
         callers.cancel_scope.cancel()
 
 
--- a/src/masticwind_dev/soak/world.py
+++ b/src/masticwind_dev/soak/world.py
@@ -8,9 +8,12 @@
 import json
 import random
 import signal
+import socket
 import subprocess
 import sys
+import time
 from collections import Counter
+from contextlib import closing
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
@@ -19,6 +22,7 @@
 import yaml
 from anyio.abc import TaskGroup
 
+from masticwind.budget import MS_PER_S
 from masticwind.settings import Address
 from masticwind.web import WebServer
 from masticwind_dev.faults.proxy import TcpProxy
@@ -38,8 +42,8 @@
 KEY: Final = 'soak-key'
 EVENTS: Final = 6
 SHUTDOWN_MS: Final = 3000
-# Keys stay valid for the whole soak, so their age is no bound here.
-KEY_AGE_MS: Final = 60_000
+# How long a removed key may still be accepted.
+KEY_AGE_MS: Final = 5000
 
 
 @dataclass(slots=True)
@@ -49,6 +53,35 @@
     counts: Counter[str] = field(default_factory=Counter)
 
 
+class Keys:
+    """The keys of the callers: one that stays, and one for each version."""
+
+    def __init__(self) -> None:
+        self._passing: Final = ['key-0']
+        self._removed_at: Final[dict[str, float]] = {}
+
+    @property
+    def valid(self) -> list[str]:
+        """The keys in the newest version."""
+        return [KEY, self._passing[-1]]
+
+    def replace(self, version: int) -> None:
+        """Replace the passing key; call it when the version is written."""
+        self._removed_at[self._passing[-1]] = time.monotonic()
+        self._passing.append(f'key-{version}')
+
+    def passing(self, age: int) -> str:
+        """Return the passing key of `age` versions ago, or the first one."""
+        return self._passing[max(0, len(self._passing) - 1 - age)]
+
+    def expired(self, key: str, sent_at: float) -> bool:
+        """Tell whether a key must not be accepted in a request of then."""
+        removed_at = self._removed_at.get(key)
+        if removed_at is None:
+            return False
+        return sent_at - removed_at > KEY_AGE_MS / MS_PER_S
+
+
 @dataclass(slots=True)
 class Mood:
     """How one endpoint answers: shares of spoiled and refused answers."""
@@ -130,14 +163,18 @@
 
 
 class Entry:
-    """An entry as a process, which is started again whenever it ends."""
+    """An entry as a process, which is started again whenever it ends.
+
+    It reaches the store over a proxy of its own.
+    """
 
-    def __init__(self, name: str, folder: Path, store_port: int) -> None:
+    def __init__(self, name: str, folder: Path, store_proxy: TcpProxy) -> None:
         self.name: Final = name
         self.url = ''
         self.starts = 0
+        self.store_proxy: Final = store_proxy
         self._folder: Final = folder
-        self._store_port: Final = store_port
+        self._peer_port: Final = _free_udp_port()
         self._process: subprocess.Popen[bytes] | None = None
 
     async def run(self) -> None:
@@ -186,7 +223,8 @@
             'zone': 'zone-a',
             'listen': f'127.0.0.1:{port}',
             'ready': '127.0.0.1:0',
-            'store': {'address': f'127.0.0.1:{self._store_port}'},
+            'peer_port': self._peer_port,
+            'store': {'address': f'127.0.0.1:{self.store_proxy.port}'},
             'bounds': {
                 'shutdown_ms': SHUTDOWN_MS,
                 'key_age_ms': KEY_AGE_MS,
@@ -203,6 +241,13 @@
         return port
 
 
+def _free_udp_port() -> int:
+    with closing(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) as udp:
+        udp.bind(('127.0.0.1', 0))
+        port: int = udp.getsockname()[1]
+        return port
+
+
 class World:
     """The store, the endpoints and the entries of one soak."""
 
@@ -211,7 +256,7 @@
         self.ran: Final = Ran()
         self.store: Final = MetadataStandin()
         self._server: Final = WebServer(self.store.app, Address())
-        self.store_proxy: Final = TcpProxy('127.0.0.1', self._server.port, seed)
+        self.keys: Final = Keys()
         self.endpoints: Final = [
             *(
                 Endpoint(f'call-{number}', 'calls', self.ran, seed)
@@ -223,7 +268,11 @@
             ),
         ]
         self.entries: Final = [
-            Entry(f'entry-{number}', folder, self.store_proxy.port)
+            Entry(
+                f'entry-{number}',
+                folder,
+                TcpProxy('127.0.0.1', self._server.port, seed + number),
+            )
             for number in range(2)
         ]
         self.version = 1
@@ -231,12 +280,12 @@
     async def start(self, tasks: TaskGroup) -> None:
         """Start everything; entries serve a little later."""
         tasks.start_soon(self._server.run)
-        tasks.start_soon(self.store_proxy.run)
         for endpoint in self.endpoints:
             await endpoint.start(tasks)
             self.register(endpoint)
         self.configure()
         for entry in self.entries:
+            tasks.start_soon(entry.store_proxy.run)
             tasks.start_soon(entry.run)
 
     def register(self, endpoint: Endpoint, *, leaving: bool = False) -> None:
@@ -247,6 +296,7 @@
     def configure(self) -> None:
         """Write the next version of the configuration."""
         self.version += 1
+        self.keys.replace(self.version)
         self.store.write('op/config', json.dumps(self._document()).encode())
 
     def _document(self) -> dict[str, Any]:
@@ -262,7 +312,7 @@
                 {'name': 'calls', 'max_conns': 100},
                 {'name': 'engines', 'max_conns': 100, 'engine': dict(_FIGURES)},
             ],
-            'tenants': [{'name': 'team-a', 'api_keys': [KEY]}],
+            'tenants': [{'name': 'team-a', 'api_keys': self.keys.valid}],
         }
 
 
