--- a/src/masticwind/serving/directory.py
+++ b/src/masticwind/serving/directory.py
@@ -43,32 +43,11 @@
         """Return the zone that a key takes out of service, or nothing."""
 
 
-@dataclass(frozen=True, slots=True)
-class Departure:
-    """An endpoint that was leaving at a revision of the store."""
-
-    endpoint: str
-    revision: int
-
-
 @dataclass(slots=True)
 class _Known:
-    """A registration as of `revision`.
-
-    `told` is a revision at which another entry has read that the endpoint is
-    leaving.
-    """
-
     endpoint: Endpoint
-    revision: int
-    told: int = 0
     lapsed_at: float | None = None
 
-    @property
-    def leaving(self) -> bool:
-        """Whether the endpoint takes no new work."""
-        return self.endpoint.leaving or self.told > self.revision
-
 
 @dataclass(frozen=True, slots=True)
 class _Gone:
@@ -88,7 +67,6 @@
         self._returned_within: Final = returned_within
         self._known: dict[str, _Known] = {}
         self._gone: Final[dict[str, _Gone]] = {}
-        self._departures: list[Departure] = []
 
     def endpoints(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that take new work."""
@@ -96,7 +74,7 @@
         found: list[Endpoint] = []
         for known in self._known.values():
             endpoint = known.endpoint
-            if endpoint.service == service and not known.leaving:
+            if endpoint.service == service and not endpoint.leaving:
                 found.append(endpoint)
         return found
 
@@ -117,24 +95,6 @@
             known.endpoint.address == address for known in self._known.values()
         )
 
-    def hear(self, departure: Departure) -> None:
-        """Take over that another entry has read of a departure."""
-        known = self._known.get(departure.endpoint)
-        if known is None or departure.revision <= known.revision:
-            return
-        if not known.leaving:
-            logger.bind(
-                endpoint=departure.endpoint,
-                revision=departure.revision,
-            ).info('endpoint_leaving_elsewhere')
-        known.told = max(known.told, departure.revision)
-
-    def take_departures(self) -> list[Departure]:
-        """Return departures that nobody has told of, once."""
-        taken = self._departures
-        self._departures = []
-        return taken
-
     def take_gone(self, seconds: float) -> list[Endpoint]:
         """Return endpoints that have been gone for `seconds`, once."""
         taken: list[Endpoint] = []
@@ -183,10 +143,7 @@
                 cold_ms=endpoint.cold_left_ms,
                 revision=item.revision,
             ).info('endpoint_registered')
-        if endpoint.leaving and known is not None and not known.leaving:
-            self._departures.append(Departure(identity, item.revision))
-        told = 0 if known is None else known.told
-        self._known[identity] = _Known(endpoint, item.revision, told)
+        self._known[identity] = _Known(endpoint)
         self._gone.pop(identity, None)
 
     def _lapse(self, identity: str) -> None:
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -7,7 +7,7 @@
 
 import time
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from typing import Final
 
@@ -54,6 +54,7 @@
     directory: Directory
     operations: Operations
     health: Health
+    reach: Reach
     board: LoadBoard
     calls: Placer
     prompts: Placer
@@ -61,7 +62,6 @@
     repeats: RepeatBudget
     cold: ColdRate
     telemetry: Telemetry
-    reach: Reach = field(default_factory=Reach)
 
 
 class Relay:
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -13,7 +13,6 @@
 from masticwind.serving.cleanup import Cleanup
 from masticwind.serving.confirmations import Confirmations
 from masticwind.serving.datagrams import PeerSocket
-from masticwind.serving.departures import DepartureLink
 from masticwind.serving.directory import Decoder, Directory, Operations
 from masticwind.serving.edge import Edge, EdgeApp, EdgeParts
 from masticwind.serving.freshness import Freshness
@@ -25,6 +24,7 @@
 from masticwind.serving.peers import EntryPeers, Registrar
 from masticwind.serving.placement import CallPlacer
 from masticwind.serving.prompts import PromptPlacer
+from masticwind.serving.reach import Reach
 from masticwind.serving.relay import Relay, RelayParts
 from masticwind.serving.routes import ActiveConfig
 from masticwind.serving.settings import LiveSettings, address_of
@@ -113,7 +113,7 @@
             ),
         )
         self._registrations: Final = self._mirror(
-            DepartureLink(self._peer_socket, self._peers, self._directory),
+            self._directory,
             MirrorOptions(
                 prefix=adapter.prefixes.registrations,
                 wait_s=REGISTRATION_WAIT_S,
@@ -247,6 +247,7 @@
                 directory=self._directory,
                 operations=self._operations,
                 health=self._cleanup.health,
+                reach=Reach(),
                 board=self._board,
                 calls=CallPlacer(),
                 prompts=PromptPlacer(),
