Watch on from the store's own revision only

A call that settled what others told of raised the revision from which the prefix is watched, and changes up to it are left out as known. A wrong revision of another entry would have hidden every later change, while the copy looked recent.

Change: the revision of which others told is kept apart; it tells whether something is missing, and nothing else.

test_a_wrong_revision_hides_no_change fails before (the old value stays) and passes after.

--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -94,6 +94,8 @@
         self._rows: dict[str, Item] = {}
         self._as_of = float('-inf')
         self._revision = 0
+        # A revision of which others told, and up to which nothing is missing.
+        self._settled = 0
         self._connected = False
         self._returned_at = float('-inf')
         self._told = 0
@@ -136,10 +138,10 @@
         """
         if not self.listed:
             return
-        if changed <= self._revision:
+        if changed <= self._complete():
             self._as_of = max(self._as_of, as_of)
         elif changed > self._told:
-            if self._told <= self._revision:
+            if self._told <= self._complete():
                 self._told_at = boot_time()
             self._told = changed
 
@@ -160,7 +162,7 @@
         """Tell whether a change was missed: another entry told of it some
         time ago, and it has still not arrived.
         """
-        if not self.listed or self._told <= self._revision:
+        if not self.listed or self._told <= self._complete():
             return False
         return boot_time() - self._told_at >= NEWS_GRACE_S
 
@@ -290,13 +292,17 @@
         self._revision = max(self._revision, changes.revision)
 
     def _settle(self, told: int) -> None:
-        """Note that a call answered which began after `told` was known.
+        """Note that a call was answered which began after `told` was known.
 
         The store had that revision by then, so the copy has every change up
         to it; the answer itself may name the revision of the last change
-        under the prefix only.
+        under the prefix only. What others say is no place to watch on from:
+        a wrong revision would hide changes.
         """
-        self._revision = max(self._revision, told)
+        self._settled = max(self._settled, told)
+
+    def _complete(self) -> int:
+        return max(self._revision, self._settled)
 
     def _keep(self, items: tuple[Item, ...]) -> None:
         for item in items:
--- a/tests/test_confirmation_machine.py
+++ b/tests/test_confirmation_machine.py
@@ -395,6 +395,23 @@
     assert early.copies.take(reply)
 
 
+def test_a_wrong_revision_hides_no_change(
+    machine: ConfirmationMachine,
+) -> None:
+    """Guards against an entry that takes no change any more because another
+    one has told it of a revision that the store does not have.
+    """
+    copy = machine.copies[0]
+    _run(copy.mirror.step())
+    question = copy.link.question()
+    copy.link.take(Confirmation(question.asked_ms, 1_000_000, 0))
+    _run(copy.mirror.poll())
+    _run(copy.mirror.step())
+    machine.write(KEYS[0], b'second')
+    _run(copy.mirror.step())
+    assert copy.rows[KEYS[0]].value == b'second'
+
+
 def test_no_copy_is_sent_that_holds_nothing_new(
     machine: ConfirmationMachine,
 ) -> None:
