End reservations soon after their leading engine has lost power

With the pause of 4 s that a stream of this class stands it can happen after the first token, too.

Change: before it renews, an entry opens a connection to the leading engine. One that gets no answer, not even a refusal, renews nothing, so that the lease of 3 s ends the reservation. It is tried again after 0.2 s: three lost tries in a row leave the reservation in force.

Before: test_reservations_end_after_their_leading_engine sees three reservations of e1 in 2.5 s; after: one, and the renewal 0.2 s after the engine answers again.

--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -198,6 +198,22 @@
                 raise
             yield _failure(ErrorKind.FAILED_AFTER_START, exc)
 
+    async def silent(self, timeout_s: float) -> bool:
+        """Tell whether a new connection has no answer within `timeout_s`.
+
+        A refusal is an answer. Nothing is sent over the connection.
+        """
+        host = self._origin.host.decode('ascii')
+        try:
+            with anyio.fail_after(timeout_s):
+                conn = await anyio.connect_tcp(host, self._origin.port)
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
+        await conn.aclose()
+        return False
+
     async def close(self) -> None:
         """Close all connections; a request in progress breaks off."""
         while self._idle:
--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -88,6 +88,10 @@
         """End a reservation."""
         return await self._order(endpoint, _Order('release', ticket))
 
+    async def silent(self, endpoint: Endpoint) -> bool:
+        """Tell whether a new connection gets no answer."""
+        return await self._client(endpoint).silent(ORDER_TIMEOUT_S)
+
     async def forget(self, endpoint: Endpoint) -> None:
         """Close the connections to an endpoint."""
         client = self._clients.pop(endpoint.address, None)
--- a/src/masticwind/serving/link.py
+++ b/src/masticwind/serving/link.py
@@ -118,6 +118,14 @@
     async def release(self, endpoint: Endpoint, ticket: str) -> Failure | None:
         """End a reservation; one that has ended is no error."""
 
+    @abc.abstractmethod
+    async def silent(self, endpoint: Endpoint) -> bool:
+        """Tell whether a new connection gets no answer, not even a refusal.
+
+        An endpoint that refuses has broken its open connections, if it has
+        started again, or has too many of them.
+        """
+
     @abc.abstractmethod
     async def forget(self, endpoint: Endpoint) -> None:
         """Close the idle connections to an endpoint that is gone."""
--- a/src/masticwind/serving/reservations.py
+++ b/src/masticwind/serving/reservations.py
@@ -2,7 +2,9 @@
 
 A reservation has a lease that is shorter than the time for which unused
 memory may stay reserved, and is renewed while its request runs. So it ends
-by itself soon after its entry has died. Reservations are made all or
+by itself soon after its entry has died, and soon after the leading engine has
+lost power, though the entry waits longer for a long read: an entry that gets
+no connection to that engine renews nothing. Reservations are made all or
 nothing, in the order of the endpoints' identities: two prompts that want the
 same engines meet at the first one and cannot block each other.
 """
@@ -24,6 +26,9 @@
 # Shorter than the four seconds that unused memory may stay reserved.
 HOLD_MS: Final = 3000
 RENEW_S: Final = 1.0
+# A leading engine that has just been silent is tried again after this time;
+# three lost tries in a row leave the reservation in force.
+TRY_AGAIN_S: Final = 0.2
 RELEASE_TRIES: Final = 3
 
 
@@ -69,7 +74,7 @@
             return
         log.info('memory_reserved')
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_renew, link, held, tickets)
+            tasks.start_soon(_renew, link, placement.lead, held, tickets)
             yield helpers
             tasks.cancel_scope.cancel()
     finally:
@@ -95,12 +100,7 @@
     tickets: dict[str, str],
 ) -> Unreserved | None:
     for share in held:
-        failure = await link.reserve(
-            share.endpoint,
-            tickets[share.endpoint.identity],
-            share.reserved_tokens,
-            HOLD_MS,
-        )
+        failure = await _reserve(link, share, tickets)
         if failure is not None:
             return Unreserved(_not_run(failure), share.endpoint)
     return None
@@ -121,17 +121,49 @@
 
 async def _renew(
     link: EndpointLink,
+    lead: Endpoint,
     held: list[Share],
     tickets: dict[str, str],
 ) -> None:
+    pause_s = RENEW_S
     while True:
-        await anyio.sleep(RENEW_S)
-        missing = await _reserve_all(link, held, tickets)
-        if missing is not None:
-            logger.bind(
-                endpoint=missing.endpoint.identity,
-                reason=missing.failure.reason,
-            ).warning('reservation_not_renewed')
+        await anyio.sleep(pause_s)
+        if await link.silent(lead):
+            logger.bind(endpoint=lead.identity).info('leading_endpoint_silent')
+            pause_s = TRY_AGAIN_S
+            continue
+        pause_s = RENEW_S
+        # All at once: a slow one must not let the others expire, and what is
+        # held already cannot block another prompt.
+        async with anyio.create_task_group() as tasks:
+            for share in held:
+                tasks.start_soon(_renew_one, link, share, tickets)
+
+
+async def _renew_one(
+    link: EndpointLink,
+    share: Share,
+    tickets: dict[str, str],
+) -> None:
+    failure = await _reserve(link, share, tickets)
+    if failure is not None:
+        logger.bind(
+            endpoint=share.endpoint.identity,
+            reason=failure.reason,
+        ).warning('reservation_not_renewed')
+
+
+async def _reserve(
+    link: EndpointLink,
+    share: Share,
+    tickets: dict[str, str],
+) -> Failure | None:
+    return await link.reserve(
+        share.endpoint,
+        tickets[share.endpoint.identity],
+        share.reserved_tokens,
+        HOLD_MS,
+    )
 
 
 async def _release_all(
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -1,6 +1,7 @@
 """The HTTP client's connections."""
 
 import socket
+from contextlib import ExitStack, closing
 from typing import Final
 
 import anyio
@@ -20,6 +21,9 @@
 
 # A caller of the longest prompts stays for at least this long.
 SILENT_MACHINE_MS: Final = 4000
+ANSWER_S: Final = 0.3
+# More connections than a listening socket without room keeps waiting.
+QUEUED: Final = 4
 
 
 async def _read_to_the_end(engine: HttpEngine, req: EngineRequest) -> None:
@@ -89,3 +93,23 @@
         assert idle_s * MS_PER_S + limit_ms <= SILENT_MACHINE_MS
         await client.close()
         tasks.cancel_scope.cancel()
+
+
+async def test_only_a_missing_answer_is_silence() -> None:
+    """Guards against an endpoint that is taken for silent because it refuses
+    connections, and against one without power that is taken for alive.
+    """
+    with closing(socket.socket()) as listening:
+        listening.bind(('127.0.0.1', 0))
+        client = HttpClient(f'http://127.0.0.1:{listening.getsockname()[1]}')
+        # Bound, but not listening: connections are refused.
+        assert not await client.silent(ANSWER_S)
+        listening.listen(0)
+        assert not await client.silent(ANSWER_S)
+        with ExitStack() as open_sockets:
+            # Nobody accepts, so a full queue drops what comes next.
+            for _ in range(QUEUED):
+                waiting = open_sockets.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(listening.getsockname())
+            assert await client.silent(ANSWER_S)
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -24,6 +24,7 @@
 from masticwind.serving.reservations import (
     HOLD_MS,
     RENEW_S,
+    TRY_AGAIN_S,
     Unreserved,
     reserved,
 )
@@ -54,6 +55,7 @@
     held: dict[str, str] = field(default_factory=dict)
     orders: list[str] = field(default_factory=list)
     unanswered: int = 0
+    silent_endpoints: set[str] = field(default_factory=set)
 
     def send(
         self,
@@ -89,6 +91,10 @@
             self.held.pop(endpoint.identity)
         return None
 
+    async def silent(self, endpoint: Endpoint) -> bool:
+        """Tell whether a test has made the endpoint fall silent."""
+        return endpoint.identity in self.silent_endpoints
+
     async def forget(self, endpoint: Endpoint) -> None:
         """Forget nothing."""
 
@@ -137,6 +143,22 @@
         assert link.orders.count('reserve e1') == 2
 
 
+async def test_reservations_end_after_their_leading_engine() -> None:
+    """Guards against memory that stays reserved for as long as an entry waits
+    for an engine that has lost power, which can be longer than the four
+    seconds allowed, and against one lost packet that ends a reservation.
+    """
+    link = OrderedLink()
+    async with reserved(link, _placement('e1', 'e2'), 'r1'):
+        link.silent_endpoints.add('lead')
+        await anyio.sleep(RENEW_S * 2.5)
+        assert link.orders.count('reserve e1') == 1
+        link.silent_endpoints.clear()
+        await anyio.sleep(TRY_AGAIN_S * 2)
+        assert link.orders.count('reserve e1') == 2
+        assert link.orders.count('reserve e2') == 2
+
+
 async def test_cancelled_request_gives_its_memory_back() -> None:
     """Guards against memory that a caller who left keeps reserved, also
     where the first release has no answer.
