--- a/tests/test_zone_cut.py
+++ b/tests/test_zone_cut.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Final
 
 import pytest
@@ -23,7 +24,7 @@
 
 pytestmark = pytest.mark.anyio
 
-ZONES: Final[Mapping[str, int]] = {'zone-a': 5, 'zone-b': 8}
+ZONES: Final[Mapping[str, int]] = MappingProxyType({'zone-a': 5, 'zone-b': 8})
 
 
 def _cut_off(zone: str, zone_of: Mapping[str, str]) -> Script:
