Log the parts, team and state of prompts whose endpoint crashed

Callers saw 502 and 503 while engines ended one after the other.

attempt_sent has team and parts, attempt_failed has answer_begun. After a connection breaks before any event, the entry opens a new connection: only an endpoint whose process has ended refuses it (endpoint_crashed, with the jobs that it had, and masticwind_prompts_at_crashes). Routing is unchanged.

--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -4,6 +4,7 @@
 without receiving a complete response. Only the former certainly did not run.
 """
 
+import enum
 import socket
 import ssl
 import time
@@ -90,6 +91,14 @@
     read_s: float
 
 
+class ConnectResult(enum.Enum):
+    """The reply to an attempt to connect; `SILENT` is none at all."""
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+    SILENT = 'silent'
+
+
 @dataclass(slots=True)
 class _IdleConnection:
     conn: httpcore.AsyncHTTPConnection
@@ -202,21 +211,21 @@
                 raise
             yield _failure(ErrorKind.FAILED_AFTER_START, exc)
 
-    async def connect_times_out(self, timeout_s: float) -> bool:
-        """Tell whether a new connection gets no reply within `timeout_s`.
+    async def try_connect(self, timeout_s: float) -> ConnectResult:
+        """Return the reply to a new connection within `timeout_s`.
 
-        A refused connection is a reply. Nothing is sent over the connection.
+        Nothing is sent over the connection.
         """
         host = self._origin.host.decode('ascii')
         try:
             with anyio.fail_after(timeout_s):
                 conn = await anyio.connect_tcp(host, self._origin.port)
         except TimeoutError:
-            return True
+            return ConnectResult.SILENT
         except OSError:
-            return False
+            return ConnectResult.REFUSED
         await conn.aclose()
-        return False
+        return ConnectResult.ACCEPTED
 
     async def close(self) -> None:
         """Close all connections; requests in progress fail."""
--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -8,7 +8,12 @@
 import msgspec
 
 from masticwind.errors import ErrorKind, Failure
-from masticwind.httpclient import HttpClient, HttpStream, RequestTimeouts
+from masticwind.httpclient import (
+    ConnectResult,
+    HttpClient,
+    HttpStream,
+    RequestTimeouts,
+)
 from masticwind.platform.headers import (
     AT_FAULT_HEADER,
     classify_answer,
@@ -94,11 +99,9 @@
             endpoint, _Order('release', reservation_id)
         )
 
-    async def is_silent(self, endpoint: Endpoint) -> bool:
-        """Tell whether a new connection gets no reply."""
-        return await self._client_for(endpoint).connect_times_out(
-            ORDER_TIMEOUT_S
-        )
+    async def try_connect(self, endpoint: Endpoint) -> ConnectResult:
+        """Open a connection and close it at once."""
+        return await self._client_for(endpoint).try_connect(ORDER_TIMEOUT_S)
 
     async def close_idle(self, endpoint: Endpoint) -> None:
         """Close the connections to an endpoint and drop its client."""
--- a/src/masticwind/platform/headers.py
+++ b/src/masticwind/platform/headers.py
@@ -20,6 +20,7 @@
 TIME_LEFT_MS_HEADER: Final = b'x-deadline-ms'
 LAST_EVENT_ID_HEADER: Final = b'last-event-id'
 TOKEN_COUNTS_HEADER: Final = b'x-token-counts'
+PROMPT_PARTS_HEADER: Final = b'x-prompt-prefix'
 LENGTH_HINT_HEADER: Final = b'x-length-hint'
 AUTHORIZATION_HEADER: Final = b'authorization'
 BEARER_PREFIX: Final = 'bearer '
@@ -177,6 +178,7 @@
             headers.get(AUTHORIZATION_HEADER, b'').decode('latin-1')
         ),
         tokens=_parse_token_counts(headers),
+        prompt_parts=_parse_prompt_parts(headers),
         resume_after=int(last_event_id) if last_event_id.isdigit() else None,
     )
 
@@ -206,6 +208,17 @@
     return text[len(BEARER_PREFIX) :].strip()
 
 
+def _parse_prompt_parts(headers: dict[bytes, bytes]) -> tuple[str, ...]:
+    """Return the ids of a list such as `5c1e07a2:800,91bd3f06:410`."""
+    text = headers.get(PROMPT_PARTS_HEADER, b'').decode('latin-1')
+    part_ids: list[str] = []
+    for entry in text.split(','):
+        part_id = entry.partition(':')[0].strip()
+        if part_id:
+            part_ids.append(part_id)
+    return tuple(part_ids)
+
+
 def _parse_token_counts(headers: dict[bytes, bytes]) -> TokenCounts | None:
     counts = headers.get(TOKEN_COUNTS_HEADER)
     if counts is None:
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -3,7 +3,7 @@
 import math
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Final
 
@@ -50,9 +50,20 @@
 LEAST_URGENT_PRIORITY: Final = 9
 
 
+@dataclass(slots=True)
+class AttemptState:
+    """What the entry has received from the endpoint of an attempt.
+
+    `answer_begun` says that the head of the answer has arrived.
+    """
+
+    answer_begun: bool = False
+    event_count: int = 0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AttemptContext:
-    """The state of an attempt.
+    """The parameters of an attempt, and its state.
 
     With `may_retry_elsewhere`, another endpoint may run the request if this
     attempt fails. `on_event` is called for each batch of events before it is
@@ -66,6 +77,7 @@
     limits: AttemptLimits
     may_retry_elsewhere: bool
     on_event: Callable[[], None]
+    state: AttemptState = field(default_factory=AttemptState)
 
 
 def attempt_limits(
@@ -133,6 +145,7 @@
     log = log.bind(
         took_ms=round((time.monotonic() - sent_at) * MS_PER_S),
         events=context.progress.event_count,
+        answer_begun=context.state.answer_begun,
     )
     if outcome is None:
         log.bind(
@@ -165,6 +178,7 @@
                 answer_timeout.deadline = math.inf
                 if isinstance(reply, Failure):
                     return reply
+                context.state.answer_begun = True
                 return await _receive(context, reply)
     return Failure(
         kind=ErrorKind.TIMED_OUT,
@@ -201,7 +215,9 @@
         route=admitted.route.name,
         config_version=admitted.config_version,
         config_age_s=round(admitted.config_age_s, 3),
+        team=admitted.team.name,
         prompt=admitted.prompt_tokens,
+        parts=admitted.req.prompt_parts,
         helpers=[helper.endpoint.identity for helper in request.helpers],
         predicted_ms=round(context.placement.first_event_ms),
         whole_ms=round(context.placement.total_ms),
@@ -282,6 +298,7 @@
             continue
         if not answer.started:
             await answer.start(reply.status, reply.headers, None)
+        context.state.event_count += len(events)
         context.progress.record_events(len(events))
         context.on_event()
         timeout_s = context.limits.idle_timeout_s
--- /dev/null
+++ b/src/masticwind/serving/crash_detector.py
@@ -0,0 +1,60 @@
+"""Tells a process of an endpoint that has ended from a broken connection.
+
+A connection also breaks when an answer is lost, when a network link fails or
+when the endpoint has too many connections. Only an endpoint whose process has
+ended refuses the next connection.
+"""
+
+from typing import Final
+
+from loguru import logger
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.httpclient import ConnectResult
+from masticwind.serving.attempt import AttemptContext
+from masticwind.serving.interfaces import EndpointClient
+from masticwind.serving.load_table import LoadTable
+from masticwind.serving.telemetry import Telemetry
+
+
+class CrashDetector:
+    """Checks the endpoints of attempts that broke off before any event."""
+
+    def __init__(
+        self,
+        endpoint_client: EndpointClient,
+        load_table: LoadTable,
+        telemetry: Telemetry,
+    ) -> None:
+        self._endpoint_client: Final = endpoint_client
+        self._load_table: Final = load_table
+        self._telemetry: Final = telemetry
+
+    async def has_crashed(
+        self, context: AttemptContext, failure: Failure
+    ) -> bool:
+        """Tell whether the endpoint crashed before it wrote an event.
+
+        Attempts without a prompt are not checked.
+        """
+        if not context.admitted.req.prompt_parts:
+            return False
+        if failure.kind is not ErrorKind.FAILED_AFTER_START:
+            return False
+        if context.progress.event_count:
+            return False
+        endpoint = context.placement.lead
+        result = await self._endpoint_client.try_connect(endpoint)
+        if result is not ConnectResult.REFUSED:
+            return False
+        self._telemetry.crashes.inc()
+        jobs = self._load_table.jobs_by_endpoint().get(endpoint.identity, ())
+        logger.bind(
+            request_id=context.admitted.req.request_id,
+            endpoint=endpoint.identity,
+            team=context.admitted.team.name,
+            parts=context.admitted.req.prompt_parts,
+            answer_begun=context.state.answer_begun,
+            jobs=len(jobs) + 1,
+        ).warning('endpoint_crashed')
+        return True
--- a/src/masticwind/serving/interfaces.py
+++ b/src/masticwind/serving/interfaces.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 
 from masticwind.errors import Failure
+from masticwind.httpclient import ConnectResult
 from masticwind.serving.model import CallerRequest, Endpoint, Headers
 
 
@@ -129,11 +130,11 @@
         """End a reservation; no error if it has already ended."""
 
     @abc.abstractmethod
-    async def is_silent(self, endpoint: Endpoint) -> bool:
-        """Tell whether a new connection gets no reply, not even a refusal.
+    async def try_connect(self, endpoint: Endpoint) -> ConnectResult:
+        """Open a new connection, on which nothing is sent.
 
-        A refusal comes from an endpoint that has restarted, which has broken
-        its open connections, or that has too many connections.
+        It is refused if the process of the endpoint has ended, and silent if
+        its instance has lost power or cannot be reached.
         """
 
     @abc.abstractmethod
--- a/src/masticwind/serving/model.py
+++ b/src/masticwind/serving/model.py
@@ -192,7 +192,9 @@
 
     `forwarded_headers` are sent to the endpoint unchanged. `api_key` is a
     secret and never forwarded. To resume a stream, the caller gives the id of
-    the last event that it received as `resume_after`.
+    the last event that it received as `resume_after`. `prompt_parts` are the
+    ids of the parts of the prompt, in order; requests share all parts but the
+    last one.
     """
 
     request_id: str
@@ -204,5 +206,6 @@
     budget: Budget
     api_key: str = ''
     tokens: TokenCounts | None = None
+    prompt_parts: tuple[str, ...] = ()
     resume_after: int | None = None
     body: bytes = b''
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -7,7 +7,7 @@
 
 import time
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from typing import Final
 
@@ -24,17 +24,20 @@
     run_attempt,
 )
 from masticwind.serving.bounds import ColdEndpointLimiter, RetryBudget
+from masticwind.serving.crash_detector import CrashDetector
 from masticwind.serving.directory import EndpointDirectory, OperatorState
 from masticwind.serving.health import EndpointHealth
 from masticwind.serving.interfaces import CallerAnswer, EndpointClient
 from masticwind.serving.load_table import LoadTable
 from masticwind.serving.model import Endpoint
 from masticwind.serving.placement import (
+    CallPlacer,
     Deferral,
     Placement,
     PlacementQuery,
     Placer,
 )
+from masticwind.serving.prompt_placer import PromptPlacer
 from masticwind.serving.reach import ZoneReachability
 from masticwind.serving.settings import LiveSettings
 from masticwind.serving.telemetry import Telemetry, prompt_size_label
@@ -62,12 +65,13 @@
     health: EndpointHealth
     reach: ZoneReachability
     load_table: LoadTable
-    call_placer: Placer
-    prompt_placer: Placer
     endpoint_client: EndpointClient
     retry_budget: RetryBudget
     cold_limiter: ColdEndpointLimiter
+    crash_detector: CrashDetector
     telemetry: Telemetry
+    call_placer: Placer = field(default_factory=CallPlacer)
+    prompt_placer: Placer = field(default_factory=PromptPlacer)
 
 
 class Relay:
@@ -295,9 +299,12 @@
             on_event=partial(self._record_event, placement.lead, job_ids),
         )
         try:
-            return await run_attempt(deps.endpoint_client, context)
+            failure = await run_attempt(deps.endpoint_client, context)
         finally:
             deps.load_table.remove(job_ids)
+        if failure is not None:
+            await deps.crash_detector.has_crashed(context, failure)
+        return failure
 
     def _record_event(self, lead: Endpoint, job_ids: Iterable[int]) -> None:
         self._deps.load_table.record_first_token(job_ids)
--- a/src/masticwind/serving/reservations.py
+++ b/src/masticwind/serving/reservations.py
@@ -21,6 +21,7 @@
 from loguru import logger
 
 from masticwind.errors import ErrorKind, Failure
+from masticwind.httpclient import ConnectResult
 from masticwind.serving.interfaces import EndpointClient, PrefillHelper
 from masticwind.serving.model import Endpoint
 from masticwind.serving.placement import HelperPlacement, Placement
@@ -148,7 +149,7 @@
     interval_s = RENEW_INTERVAL_S
     while True:
         await anyio.sleep(interval_s)
-        if await endpoint_client.is_silent(lead):
+        if await endpoint_client.try_connect(lead) is ConnectResult.SILENT:
             logger.bind(endpoint=lead.identity).info('leading_endpoint_silent')
             interval_s = SILENT_LEAD_RETRY_S
             continue
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -13,6 +13,7 @@
 from masticwind.serving.bounds import ColdEndpointLimiter, RetryBudget
 from masticwind.serving.cleanup import Cleanup
 from masticwind.serving.confirmations import Confirmations
+from masticwind.serving.crash_detector import CrashDetector
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.directory import (
     EndpointDirectory,
@@ -27,8 +28,6 @@
 from masticwind.serving.load_table import LoadTable
 from masticwind.serving.mirror import Mirror, MirrorOptions, Sink
 from masticwind.serving.peers import EntryPeers, Registrar
-from masticwind.serving.placement import CallPlacer
-from masticwind.serving.prompt_placer import PromptPlacer
 from masticwind.serving.reach import ZoneReachability
 from masticwind.serving.relay import Relay, RelayDependencies
 from masticwind.serving.settings import LiveSettings, parse_address
@@ -266,11 +265,12 @@
                 health=self._cleanup.health,
                 reach=ZoneReachability(),
                 load_table=self._load_table,
-                call_placer=CallPlacer(),
-                prompt_placer=PromptPlacer(),
                 endpoint_client=adapter.endpoint_client,
                 retry_budget=RetryBudget(settings, entries),
                 cold_limiter=self._cleanup.cold_limiter,
+                crash_detector=CrashDetector(
+                    adapter.endpoint_client, self._load_table, self._telemetry
+                ),
                 telemetry=self._telemetry,
             )
         )
--- a/src/masticwind/serving/telemetry.py
+++ b/src/masticwind/serving/telemetry.py
@@ -57,6 +57,11 @@
             'Prompts that waited for a better placement',
             registry=self._registry,
         )
+        self.crashes: Final = Counter(
+            'masticwind_prompts_at_crashes',
+            'Prompts whose endpoint ended before it wrote an event',
+            registry=self._registry,
+        )
         self.first_event: Final = Histogram(
             'masticwind_first_event_seconds',
             'Time from admission to the first event or the answer',
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -12,7 +12,7 @@
 from masticwind.engines.base import Done, EngineRequest
 from masticwind.engines.http import HttpEngine
 from masticwind.errors import ErrorKind, Failure
-from masticwind.httpclient import HttpClient
+from masticwind.httpclient import ConnectResult, HttpClient
 from masticwind.settings import Address
 from masticwind.web import WebServer
 from masticwind_dev.standins.engine import EngineModel, EngineStandin
@@ -101,13 +101,16 @@
         listener.bind(('127.0.0.1', 0))
         client = HttpClient(f'http://127.0.0.1:{listener.getsockname()[1]}')
         # Bound, but not listening: connections are refused.
-        assert not await client.connect_times_out(REPLY_TIMEOUT_S)
+        refused = await client.try_connect(REPLY_TIMEOUT_S)
+        assert refused is ConnectResult.REFUSED
         listener.listen(0)
-        assert not await client.connect_times_out(REPLY_TIMEOUT_S)
+        accepted = await client.try_connect(REPLY_TIMEOUT_S)
+        assert accepted is ConnectResult.ACCEPTED
         with ExitStack() as open_sockets:
             # Nothing is accepted, so a full backlog drops further connections.
             for _ in range(QUEUED_CONNECTIONS):
                 queued = open_sockets.enter_context(socket.socket())
                 queued.setblocking(False)
                 queued.connect_ex(listener.getsockname())
-            assert await client.connect_times_out(REPLY_TIMEOUT_S)
+            silent = await client.try_connect(REPLY_TIMEOUT_S)
+            assert silent is ConnectResult.SILENT
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from masticwind.errors import ErrorKind, Failure
+from masticwind.httpclient import ConnectResult
 from masticwind.serving.interfaces import (
     Attempt,
     AttemptLimits,
@@ -97,9 +98,11 @@
             self.held_reservations.pop(endpoint.identity)
         return None
 
-    async def is_silent(self, endpoint: Endpoint) -> bool:
-        """Tell whether a test has made the endpoint unreachable."""
-        return endpoint.identity in self.silent_endpoints
+    async def try_connect(self, endpoint: Endpoint) -> ConnectResult:
+        """Get no reply from endpoints that a test has made unreachable."""
+        if endpoint.identity in self.silent_endpoints:
+            return ConnectResult.SILENT
+        return ConnectResult.ACCEPTED
 
     async def close_idle(self, endpoint: Endpoint) -> None:
         """Do nothing: this client has no connections."""
