--- a/src/masticwind_dev/standins/raw_endpoint.py
+++ b/src/masticwind_dev/standins/raw_endpoint.py
@@ -104,17 +104,23 @@
     abandoned_requests: int = 0
     connection_count: int = 0
     port: int = 0
+    _process_scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
     async def run(
         self,
         *,
         task_status: anyio_abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve until cancelled."""
+        """Serve until cancelled or crashed."""
         listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
         self.port = listener.extra(anyio_abc.SocketAttribute.local_port)
         task_status.started()
-        await listener.serve(self._serve_connection)
+        with self._process_scope:
+            await listener.serve(self._serve_connection)
+
+    def crash(self) -> None:
+        """Close all connections; new ones are refused from now on."""
+        self._process_scope.cancel()
 
     async def _serve_connection(self, stream: anyio_abc.SocketStream) -> None:
         self.connection_count += 1
