Hold prompts with a part under which engines crash

Cause: a poison request. One part of a prompt ends each engine that begins to answer it, and nothing remembered under which prompts an engine had ended. An entry sent the request to a second engine at once, its caller came back, and new requests with the part came to every entry. About half of the crashes came under the entries' own repeats. This is a correlated failure through retries.

The only connection with the head of an answer and no event is the culprit's at 44 of 45 crashes; 45 of 46 such prompts list one part that no completed request lists, while their first part is in 43 completed ones.

Each entry now records the prompts that waited on a crashed engine, tells the others, and clears the parts of prompts that are answered afterwards. A prompt is held after its second crash, a part after crashes under two different prompts, in all entries; held prompts are rejected at once (503, quarantined, Retry-After the time of the hold) and recalled from engines. It works because the comparison is of crashes with answers: a poison part is never cleared, the parts of sound prompts are within seconds. Crashes that happen together count once, since an attempt carries the scores that its parts had when it was sent, so the failure of a zone accuses nobody. Crash reports only grow and are keyed by the process that ended, so they merge in any order.

The stand-in now closes its listener before its connections, as a process that ends does.

--- a/src/masticwind/ctl/explain.py
+++ b/src/masticwind/ctl/explain.py
@@ -23,6 +23,7 @@
         ErrorKind.OVERLOADED: 'the load: masticwind_requests{outcome}',
         ErrorKind.PLATFORM_DOWN: 'store_lost and store_connected there',
         ErrorKind.NO_CAPACITY: 'endpoint_suspected, endpoint_gone, zones_out',
+        ErrorKind.QUARANTINED: 'prompt_part_held, endpoint_crashed',
         ErrorKind.DRAINING: 'shutdown_started of this entry',
         ErrorKind.FAILED_AFTER_START: 'the endpoint of the last attempt',
         ErrorKind.TIMED_OUT: 'the endpoint of the last attempt',
--- a/src/masticwind/errors.py
+++ b/src/masticwind/errors.py
@@ -46,6 +46,7 @@
     NO_CAPACITY = 'no_capacity'
     ZONE_OUT = 'zone_out'
     DRAINING = 'draining'
+    QUARANTINED = 'quarantined'
     PLATFORM_DOWN = 'platform_down'
     REVOKED = 'revoked'
     CANCELLED = 'cancelled'
@@ -126,6 +127,10 @@
         ),
         ErrorKind.ZONE_OUT: ErrorResponse(503, Run.NOT_RUN, repeat_safe=True),
         ErrorKind.DRAINING: ErrorResponse(503, Run.NOT_RUN, repeat_safe=True),
+        # Prompts like this one have crashed engines.
+        ErrorKind.QUARANTINED: ErrorResponse(
+            503, Run.NOT_RUN, repeat_safe=False
+        ),
         ErrorKind.PLATFORM_DOWN: ErrorResponse(
             503, Run.NOT_RUN, repeat_safe=True
         ),
--- a/src/masticwind/serving/admission.py
+++ b/src/masticwind/serving/admission.py
@@ -140,6 +140,10 @@
             self.may_have_run_at.add(lead.identity)
         return at_fault
 
+    def record_recall(self, lead: Endpoint) -> None:
+        """Record that an attempt was recalled, which says nothing of `lead`."""
+        self.may_have_run_at.add(lead.identity)
+
     def may_retry_after_current(self, admitted: AdmittedRequest) -> bool:
         """Tell whether another endpoint could still run the request if the
         current attempt fails.
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -54,11 +54,13 @@
 class AttemptState:
     """What the entry has received from the endpoint of an attempt.
 
-    `answer_begun` says that the head of the answer has arrived.
+    `answer_begun` says that the head of the answer has arrived. Cancelling
+    `recall_scope` ends the attempt.
     """
 
     answer_begun: bool = False
     event_count: int = 0
+    recall_scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -121,7 +123,10 @@
 async def run_attempt(
     endpoint_client: EndpointClient, context: AttemptContext
 ) -> Failure | None:
-    """Run an attempt; None means that the answer has been sent."""
+    """Run an attempt; None means that the answer has been sent.
+
+    A failure of kind `quarantined` means that the attempt was recalled.
+    """
     admitted = context.admitted
     log = logger.bind(
         request_id=admitted.req.request_id,
@@ -129,8 +134,15 @@
         attempt=context.progress.attempts,
     )
     sent_at = time.monotonic()
+    outcome: Failure | None = Failure(
+        kind=ErrorKind.QUARANTINED,
+        reason='prompts like this one have crashed engines meanwhile',
+    )
     try:
-        with anyio.fail_after(admitted.remaining_s()):
+        with (
+            anyio.fail_after(admitted.remaining_s()),
+            context.state.recall_scope,
+        ):
             outcome = await _send(endpoint_client, context)
     except TimeoutError:
         outcome = Failure(
--- a/src/masticwind/serving/crash_detector.py
+++ b/src/masticwind/serving/crash_detector.py
@@ -41,7 +41,8 @@
             return False
         if failure.kind is not ErrorKind.FAILED_AFTER_START:
             return False
-        if context.progress.event_count:
+        if context.progress.event_count or context.progress.last_event_id:
+            # An engine has begun to answer this prompt and did not crash.
             return False
         endpoint = context.placement.lead
         result = await self._endpoint_client.try_connect(endpoint)
--- /dev/null
+++ b/src/masticwind/serving/crash_evidence.py
@@ -0,0 +1,363 @@
+"""Which parts of prompts were present when engines crashed.
+
+A prompt can crash each engine that begins to answer it (a poison request).
+The culprit is found by comparison: a poison part is present at crashes, and no
+prompt that lists it is ever answered. For each crash the evidence holds the
+prompts that were about to be answered (suspects), and the keys that have been
+cleared since, because a prompt with the key was answered after the crash was
+known. A key is a part of a prompt or the whole prompt.
+
+Crashes that happen together count once. A failed zone ends many engines at the
+same time, and the large parts of the traffic are present at all of them. So
+each attempt carries the score that its keys had when it was sent, and a crash
+adds to that score. Only an attempt that is sent after an earlier crash was
+known raises the score further.
+
+All data only grows, so copies of several entries can be merged in any order
+and more than once. A crash is identified by the process that ended, so it
+counts once, however many entries had prompts there.
+"""
+
+import itertools
+import math
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Annotated, Final
+
+import msgspec
+import xxhash
+
+from masticwind.budget import boot_time
+
+# A request with more parts than this is judged by its first ones only.
+MAX_PARTS: Final = 64
+MAX_KEY_CHARS: Final = 64
+MAX_SUSPECTS: Final = 16
+MAX_CLEARED: Final = MAX_SUSPECTS * (MAX_PARTS + 1)
+MAX_CRASHES: Final = 256
+EVIDENCE_TTL_S: Final = 3600.0
+# What a crash adds to the score of a key: much if the answer to a prompt with
+# the key had begun, little if the prompts only waited on the engine.
+BEGUN_SCORE: Final = 2
+WAITING_SCORE: Final = 1
+HELD_SCORE: Final = 4
+# Two different prompts must have crashed an engine before a part that they
+# share is held; the prompt itself is held after its second crash.
+MIN_CRASHES: Final = 2
+MIN_PROMPTS: Final = 2
+# Time after the last crash for which a key is held; doubles with each crash.
+INITIAL_HOLD_S: Final = 30.0
+MAX_HOLD_S: Final = 1800.0
+_PROMPT_KEY: Final = 'prompt:'
+
+Key = Annotated[str, msgspec.Meta(max_length=MAX_KEY_CHARS)]
+Score = Annotated[int, msgspec.Meta(ge=0, le=MAX_CRASHES * BEGUN_SCORE)]
+_PartKeys = Annotated[tuple[Key, ...], msgspec.Meta(max_length=MAX_PARTS)]
+_PriorScores = Annotated[
+    tuple[Score, ...], msgspec.Meta(max_length=MAX_PARTS + 1)
+]
+
+
+@dataclass(frozen=True, slots=True)
+class PromptFingerprint:
+    """The keys of a prompt; a request without a prompt has none.
+
+    `parts` lacks the last part, which belongs to the request alone.
+    """
+
+    prompt: str = ''
+    parts: tuple[str, ...] = ()
+
+    @property
+    def keys(self) -> tuple[str, ...]:
+        """All keys of the prompt."""
+        return (self.prompt, *self.parts) if self.prompt else ()
+
+
+def fingerprint(prompt_parts: tuple[str, ...]) -> PromptFingerprint:
+    """Return the keys of a prompt with these parts."""
+    if not prompt_parts:
+        return PromptFingerprint()
+    digest = xxhash.xxh3_128_hexdigest('\n'.join(prompt_parts).encode())
+    *shared_parts, _own_part = prompt_parts
+    return PromptFingerprint(
+        f'{_PROMPT_KEY}{digest}',
+        tuple(_limit_length(part) for part in shared_parts[:MAX_PARTS]),
+    )
+
+
+class Suspect(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """A prompt that had no event yet when its engine crashed.
+
+    `prior_scores` are the scores that its keys, the prompt first, had when it
+    was sent. `answer_begun` says that the head of its answer had arrived.
+    """
+
+    request_id: Key
+    answer_begun: bool
+    prompt: Key
+    parts: _PartKeys
+    prior_scores: _PriorScores
+
+    def scores(self) -> Iterator[tuple[str, int]]:
+        """Yield each key with its prior score."""
+        keys = (self.prompt, *self.parts)
+        yield from zip(keys, self.prior_scores, strict=False)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Hold:
+    """A key whose prompts are rejected, and the evidence for it.
+
+    While several parts are common to all crashes, `company` has them all: a
+    prompt that lacks one of them is let through and shows which one it is.
+    Times are on the evidence's clock.
+    """
+
+    key: str
+    company: frozenset[str]
+    crashes: int
+    first_at: float
+    last_at: float
+
+    @property
+    def duration_s(self) -> float:
+        """Time after the last crash for which the key is held."""
+        return min(
+            MAX_HOLD_S,
+            math.ldexp(INITIAL_HOLD_S, self.crashes - MIN_CRASHES),
+        )
+
+
+# Called with a key, and its hold before and after a change.
+HoldListener = Callable[[str, Hold | None, Hold | None], None]
+
+
+@dataclass(slots=True)
+class Crash:
+    """One process of an endpoint that ended while prompts waited there."""
+
+    observed_at: float
+    suspects: dict[str, Suspect] = field(default_factory=dict)
+    cleared: set[str] = field(default_factory=set)
+
+    def culprits(self) -> list[Suspect]:
+        """Return the prompts whose answers had begun, else all that waited."""
+        begun = [one for one in self.suspects.values() if one.answer_begun]
+        return begun or list(self.suspects.values())
+
+    def accused_keys(self) -> set[str]:
+        """Return the keys that this crash speaks against."""
+        keys: set[str] = set()
+        for suspect in self.culprits():
+            keys.update((suspect.prompt, *suspect.parts))
+        return keys - self.cleared
+
+
+class CrashEvidence:
+    """The crashes that are known to this entry, and the keys that it holds."""
+
+    def __init__(self, clock: Callable[[], float] = boot_time) -> None:
+        self.clock: Final = clock
+        self._crashes: Final[dict[str, Crash]] = {}
+        self._crashes_by_key: Final[dict[str, set[str]]] = {}
+        self._scores: Final[dict[str, int]] = {}
+        self._holds: Final[dict[str, Hold]] = {}
+        self.on_hold_change: HoldListener = _ignore_hold_change
+
+    def merge(
+        self,
+        crash_id: str,
+        observed_at: float,
+        suspects: Iterable[Suspect] = (),
+        cleared: Iterable[str] = (),
+    ) -> bool:
+        """Add what is known of a crash; tell whether anything was new."""
+        if observed_at + EVIDENCE_TTL_S < self.clock():
+            return False
+        crash = self._crashes.get(crash_id)
+        is_new = crash is None
+        if crash is None:
+            self._make_room()
+            crash = Crash(observed_at)
+            self._crashes[crash_id] = crash
+        crash.observed_at = min(crash.observed_at, observed_at)
+        before = (dict(crash.suspects), len(crash.cleared))
+        for suspect in suspects:
+            _add_suspect(crash, suspect)
+        crash.cleared.update(itertools.islice(cleared, MAX_CLEARED))
+        if not is_new and before == (crash.suspects, len(crash.cleared)):
+            return False
+        self._update_keys(crash_id, crash)
+        return True
+
+    def crashes(self) -> dict[str, Crash]:
+        """Return the crashes that speak against any key, by their id."""
+        return {
+            crash_id: crash
+            for crash_id, crash in self._crashes.items()
+            if crash.accused_keys()
+        }
+
+    def accusations(self, keys: Iterable[str]) -> list[tuple[str, str]]:
+        """Return the crash and the key of each accusation against `keys`."""
+        return [
+            (crash_id, key)
+            for key in keys
+            for crash_id in self._crashes_by_key.get(key, ())
+        ]
+
+    def crash_ids(self, key: str) -> list[str]:
+        """Return the crashes that speak against a key."""
+        return sorted(self._crashes_by_key.get(key, ()))
+
+    def observed_at(self, crash_id: str) -> float:
+        """Return the time of a crash that is known."""
+        return self._crashes[crash_id].observed_at
+
+    def score(self, key: str) -> int:
+        """Return the score of a key; zero if nothing speaks against it."""
+        return self._scores.get(key, 0)
+
+    def holds(self) -> dict[str, Hold]:
+        """Return the holds by their keys."""
+        return dict(self._holds)
+
+    def find_hold(self, prompt: PromptFingerprint) -> Hold | None:
+        """Return the hold that rejects a prompt, if there is one."""
+        if not self._holds:
+            return None
+        for key in prompt.keys:
+            hold = self._holds.get(key)
+            if hold is not None and hold.company.issubset(prompt.keys):
+                return hold
+        return None
+
+    def remove_expired(self) -> None:
+        """Drop the crashes that are too old."""
+        oldest = self.clock() - EVIDENCE_TTL_S
+        for crash_id, crash in list(self._crashes.items()):
+            if crash.observed_at < oldest:
+                self._remove(crash_id)
+
+    def _make_room(self) -> None:
+        """Drop the oldest crash, of those without a held key if there are any.
+
+        So a held key cannot be released by causing other crashes.
+        """
+        if len(self._crashes) < MAX_CRASHES:
+            return
+        by_age = sorted(
+            self._crashes, key=lambda one: self._crashes[one].observed_at
+        )
+        for crash_id in by_age:
+            if not self._holds.keys() & self._crashes[crash_id].accused_keys():
+                self._remove(crash_id)
+                return
+        self._remove(by_age[0])
+
+    def _remove(self, crash_id: str) -> None:
+        self._update_keys(crash_id, self._crashes.pop(crash_id))
+
+    def _update_keys(self, crash_id: str, crash: Crash) -> None:
+        """Update the index and the holds for all keys of a crash."""
+        accused: set[str] = set()
+        if crash_id in self._crashes:
+            accused = crash.accused_keys()
+        keys = set(crash.cleared)
+        for suspect in crash.suspects.values():
+            keys.update((suspect.prompt, *suspect.parts))
+        for key in keys:
+            crash_ids = self._crashes_by_key.setdefault(key, set())
+            if key in accused:
+                crash_ids.add(crash_id)
+            else:
+                crash_ids.discard(crash_id)
+        for key in keys:
+            self._update_hold(key)
+
+    def _update_hold(self, key: str) -> None:
+        before = self._holds.pop(key, None)
+        self._scores.pop(key, None)
+        after: Hold | None = None
+        if self._crashes_by_key[key]:
+            after = self._find_evidence(key)
+        else:
+            self._crashes_by_key.pop(key)
+        if after is not None:
+            self._holds[key] = after
+        if before != after:
+            self.on_hold_change(key, before, after)
+
+    def _find_evidence(self, key: str) -> Hold | None:
+        """Update the score of a key; return a hold if the evidence suffices."""
+        crash_ids = self._crashes_by_key[key]
+        crashes = [self._crashes[crash_id] for crash_id in crash_ids]
+        accusing = [
+            (crash, suspect)
+            for crash in crashes
+            for suspect in crash.culprits()
+            if key in (suspect.prompt, *suspect.parts)
+        ]
+        score = max(_score(suspect, key) for _, suspect in accusing)
+        self._scores[key] = score
+        prompts = {suspect.prompt for _, suspect in accusing}
+        min_prompts = 1 if key.startswith(_PROMPT_KEY) else MIN_PROMPTS
+        if (
+            score < HELD_SCORE
+            or len(crashes) < MIN_CRASHES
+            or len(prompts) < min_prompts
+        ):
+            return None
+        return Hold(
+            key=key,
+            company=_company(key, accusing),
+            crashes=len(crashes),
+            first_at=min(crash.observed_at for crash in crashes),
+            last_at=max(crash.observed_at for crash in crashes),
+        )
+
+
+def _ignore_hold_change(
+    _key: str, _before: Hold | None, _after: Hold | None
+) -> None:
+    """Do nothing; the listener until another one is set."""
+
+
+def _add_suspect(crash: Crash, suspect: Suspect) -> None:
+    """Add a suspect; of two under one id, the greater one counts.
+
+    With too many suspects, those stay whose answers had begun.
+    """
+    known = crash.suspects.get(suspect.request_id, suspect)
+    crash.suspects[suspect.request_id] = max(known, suspect)
+    if len(crash.suspects) <= MAX_SUSPECTS:
+        return
+    least = min(
+        crash.suspects.values(),
+        key=lambda one: (one.answer_begun, one.request_id),
+    )
+    crash.suspects.pop(least.request_id)
+
+
+def _score(suspect: Suspect, key: str) -> int:
+    added = BEGUN_SCORE if suspect.answer_begun else WAITING_SCORE
+    prior_scores = (score for one, score in suspect.scores() if one == key)
+    return added + max(prior_scores, default=0)
+
+
+def _company(key: str, accusing: list[tuple[Crash, Suspect]]) -> frozenset[str]:
+    """Return the parts that all these prompts share with the key."""
+    if key.startswith(_PROMPT_KEY):
+        return frozenset((key,))
+    company: set[str] | None = None
+    for crash, suspect in accusing:
+        parts = set(suspect.parts) - crash.cleared
+        company = parts if company is None else company & parts
+    return frozenset(company or (key,))
+
+
+def _limit_length(part: str) -> str:
+    if len(part) <= MAX_KEY_CHARS:
+        return part
+    return xxhash.xxh3_128_hexdigest(part.encode())
--- /dev/null
+++ b/src/masticwind/serving/quarantine.py
@@ -0,0 +1,202 @@
+"""Keeps poison prompts away from the engines.
+
+A prompt that can crash each engine which begins to answer it would otherwise
+go from engine to engine: its entry repeats it, and its caller comes back. All
+entries share the evidence of crashes and hold the same parts of prompts.
+Prompts with a held part are rejected at once, and those on an engine that has
+not begun to answer them are recalled.
+
+A hold ends when a prompt with the part is answered. After the time of the
+hold, one entry of the fleet may send one such prompt as a trial. A crash makes
+the hold longer.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import Final
+
+from loguru import logger
+
+from masticwind.budget import MS_PER_S
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.attempt import AttemptState
+from masticwind.serving.bounds import EntryFleet
+from masticwind.serving.crash_evidence import (
+    CrashEvidence,
+    Hold,
+    PromptFingerprint,
+    Suspect,
+    fingerprint,
+)
+from masticwind.serving.crash_link import CrashLink
+from masticwind.serving.datagrams import PeerSocket
+from masticwind.serving.model import CallerRequest, Endpoint
+from masticwind.serving.peers import EntryPeers
+
+# An engine that writes a second event has not crashed under the first one.
+SOUND_EVENTS: Final = 2
+
+
+@dataclass(slots=True, kw_only=True)
+class RunningPrompt:
+    """A prompt that has been sent to an engine.
+
+    `prior_scores` are the scores of its keys when it was sent.
+    """
+
+    request_id: str
+    prompt: PromptFingerprint
+    prior_scores: tuple[int, ...]
+    attempt: AttemptState
+    proved_sound: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Trial:
+    """The use of the trial that a hold allows in one period."""
+
+    crashes: int
+    period: int
+    request_id: str
+
+
+class Quarantine:
+    """Decides which prompts may be sent, from the evidence of crashes."""
+
+    def __init__(
+        self, evidence: CrashEvidence, link: CrashLink, fleet: EntryFleet
+    ) -> None:
+        self._evidence: Final = evidence
+        self._link: Final = link
+        self._fleet: Final = fleet
+        self._running: Final[dict[int, RunningPrompt]] = {}
+        self._trials: Final[dict[str, _Trial]] = {}
+        evidence.on_hold_change = self._handle_hold_change
+
+    async def run(self) -> None:
+        """Exchange evidence with the other entries until cancelled."""
+        await self._link.run()
+
+    def held_count(self) -> int:
+        """Return the number of parts and prompts that are held."""
+        return len(self._evidence.holds())
+
+    def check(self, req: CallerRequest) -> Failure | None:
+        """Return the rejection of a request, None if it may be sent."""
+        hold = self._evidence.find_hold(fingerprint(req.prompt_parts))
+        if hold is None or self._is_trial(hold, req.request_id):
+            return None
+        age_s = self._evidence.clock() - hold.last_at
+        period_end_s = (self._period(hold) + 1) * hold.duration_s
+        return Failure(
+            kind=ErrorKind.QUARANTINED,
+            reason=f'{hold.crashes} engines have crashed under prompts with'
+            f' {hold.key}',
+            retry_after_ms=math.ceil((period_end_s - age_s) * MS_PER_S),
+        )
+
+    def start(self, req: CallerRequest, attempt: AttemptState) -> RunningPrompt:
+        """Track a request that is sent to an engine, until `end`."""
+        prompt = fingerprint(req.prompt_parts)
+        running = RunningPrompt(
+            request_id=req.request_id,
+            prompt=prompt,
+            prior_scores=tuple(
+                self._evidence.score(key) for key in prompt.keys
+            ),
+            attempt=attempt,
+        )
+        self._running[id(running)] = running
+        return running
+
+    def end(self, running: RunningPrompt) -> None:
+        """Stop tracking a request whose attempt has ended."""
+        self._running.pop(id(running))
+
+    def record_events(self, running: RunningPrompt) -> None:
+        """Take note of new events; the second one proves a prompt sound."""
+        if running.attempt.event_count >= SOUND_EVENTS:
+            self.record_sound(running)
+
+    def record_sound(self, running: RunningPrompt) -> None:
+        """Record that an engine has answered a prompt without a crash."""
+        if not running.proved_sound:
+            running.proved_sound = True
+            self._link.clear(running.prompt.keys)
+
+    def record_crash(self, running: RunningPrompt, endpoint: Endpoint) -> None:
+        """Record that an engine crashed before it wrote an event."""
+        self._link.report_crash(
+            f'{endpoint.identity}/{endpoint.started_at_ms}',
+            Suspect(
+                request_id=running.request_id,
+                answer_begun=running.attempt.answer_begun,
+                prompt=running.prompt.prompt,
+                parts=running.prompt.parts,
+                prior_scores=running.prior_scores,
+            ),
+        )
+
+    def _is_trial(self, hold: Hold, request_id: str) -> bool:
+        """Tell whether a request is the trial of a hold in this period.
+
+        In each period, another entry of the fleet may send the trial, since
+        callers may reach some entries only.
+        """
+        period = self._period(hold)
+        if not period:
+            return False
+        trial = self._trials.get(hold.key)
+        if (
+            trial is not None
+            and trial.crashes == hold.crashes
+            and trial.period == period
+        ):
+            return trial.request_id == request_id
+        if self._fleet.rank_for(f'{hold.key} {period}'):
+            return False
+        self._trials[hold.key] = _Trial(hold.crashes, period, request_id)
+        log = logger.bind(request_id=request_id, part=hold.key)
+        log.info('held_prompt_tried')
+        return True
+
+    def _period(self, hold: Hold) -> int:
+        """Return how many times the duration of a hold has passed."""
+        age_s = self._evidence.clock() - hold.last_at
+        return max(0, int(age_s / hold.duration_s))
+
+    def _handle_hold_change(
+        self, key: str, before: Hold | None, hold: Hold | None
+    ) -> None:
+        """Log a change, and recall the prompts that are held now."""
+        log = logger.bind(part=key)
+        if hold is None:
+            self._trials.pop(key, None)
+            log.info('prompt_part_released')
+            return
+        recalled = self._recall(hold)
+        if before is None or before.crashes != hold.crashes or recalled:
+            log.bind(
+                company=sorted(hold.company),
+                crashes=self._evidence.crash_ids(key),
+                hold_s=hold.duration_s,
+                recalled=recalled,
+            ).warning('prompt_part_held')
+
+    def _recall(self, hold: Hold) -> int:
+        """Cancel the held prompts without an event; return their number."""
+        recalled = 0
+        for running in self._running.values():
+            if running.attempt.event_count:
+                continue
+            if hold.company.issubset(running.prompt.keys):
+                running.attempt.recall_scope.cancel()
+                recalled += 1
+        return recalled
+
+
+def build_quarantine(peer_socket: PeerSocket, peers: EntryPeers) -> Quarantine:
+    """Return the quarantine of an entry, which shares evidence with peers."""
+    evidence = CrashEvidence()
+    link = CrashLink(peer_socket, peers, evidence)
+    return Quarantine(evidence, link, peers)
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -20,6 +20,7 @@
 from masticwind.serving.attempt import (
     ANSWER_MARGIN_MS,
     AttemptContext,
+    AttemptState,
     attempt_limits,
     run_attempt,
 )
@@ -38,6 +39,7 @@
     Placer,
 )
 from masticwind.serving.prompt_placer import PromptPlacer
+from masticwind.serving.quarantine import Quarantine, RunningPrompt
 from masticwind.serving.reach import ZoneReachability
 from masticwind.serving.settings import LiveSettings
 from masticwind.serving.telemetry import Telemetry, prompt_size_label
@@ -69,6 +71,7 @@
     retry_budget: RetryBudget
     cold_limiter: ColdEndpointLimiter
     crash_detector: CrashDetector
+    quarantine: Quarantine
     telemetry: Telemetry
     call_placer: Placer = field(default_factory=CallPlacer)
     prompt_placer: Placer = field(default_factory=PromptPlacer)
@@ -105,6 +108,9 @@
                 deps.health.record_success(placement.lead.identity)
                 deps.reach.record_answer(placement.lead)
                 return None
+            if failure.kind is ErrorKind.QUARANTINED:
+                progress.record_recall(placement.lead)
+                return progress.final_failure(failure)
             await self._record_failure(placement.lead, failure, progress)
             if not self._try_acquire_retry(admitted, progress):
                 return progress.final_failure(failure)
@@ -184,6 +190,9 @@
                 kind=ErrorKind.OVERLOADED,
                 reason='the deadline has passed or is too close',
             )
+        rejection = deps.quarantine.check(admitted.req)
+        if rejection is not None:
+            return rejection
         candidates, helpers = self._find_candidates(admitted, progress)
         progress.candidate_count = len(candidates)
         query = PlacementQuery(
@@ -289,6 +298,8 @@
         deps.cold_limiter.record_request(placement.lead.identity)
         deps.reach.record_attempt(placement.lead)
         job_ids = deps.load_table.add(placement.jobs)
+        state = AttemptState()
+        running = deps.quarantine.start(admitted.req, state)
         context = AttemptContext(
             admitted=admitted,
             placement=placement,
@@ -296,19 +307,28 @@
             answer=answer,
             limits=limits,
             may_retry_elsewhere=may_retry,
-            on_event=partial(self._record_event, placement.lead, job_ids),
+            on_event=partial(
+                self._record_event, placement.lead, job_ids, running
+            ),
+            state=state,
         )
         try:
             failure = await run_attempt(deps.endpoint_client, context)
         finally:
             deps.load_table.remove(job_ids)
-        if failure is not None:
-            await deps.crash_detector.has_crashed(context, failure)
+            deps.quarantine.end(running)
+        if failure is None:
+            deps.quarantine.record_sound(running)
+        elif await deps.crash_detector.has_crashed(context, failure):
+            deps.quarantine.record_crash(running, placement.lead)
         return failure
 
-    def _record_event(self, lead: Endpoint, job_ids: Iterable[int]) -> None:
+    def _record_event(
+        self, lead: Endpoint, job_ids: Iterable[int], running: RunningPrompt
+    ) -> None:
         self._deps.load_table.record_first_token(job_ids)
         self._deps.reach.record_answer(lead)
+        self._deps.quarantine.record_events(running)
 
     def _may_retry_elsewhere(
         self, admitted: AdmittedRequest, progress: RequestProgress
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -28,6 +28,7 @@
 from masticwind.serving.load_table import LoadTable
 from masticwind.serving.mirror import Mirror, MirrorOptions, Sink
 from masticwind.serving.peers import EntryPeers, Registrar
+from masticwind.serving.quarantine import build_quarantine
 from masticwind.serving.reach import ZoneReachability
 from masticwind.serving.relay import Relay, RelayDependencies
 from masticwind.serving.settings import LiveSettings, parse_address
@@ -145,6 +146,9 @@
             cold_limiter=ColdEndpointLimiter(settings, self._peers),
             endpoint_client=adapter.endpoint_client,
         )
+        self._quarantine: Final = build_quarantine(
+            self._peer_socket, self._peers
+        )
         self._freshness: Final = ConfigFreshness(
             settings,
             self._config_mirror.age_s,
@@ -205,6 +209,7 @@
                 registrar,
                 self._peer_socket,
                 load,
+                self._quarantine,
                 confirmations,
                 self._cleanup,
             ):
@@ -271,6 +276,7 @@
                 crash_detector=CrashDetector(
                     adapter.endpoint_client, self._load_table, self._telemetry
                 ),
+                quarantine=self._quarantine,
                 telemetry=self._telemetry,
             )
         )
@@ -309,6 +315,11 @@
             'Entries that are registered',
             self._peers.count,
         )
+        add_gauge(
+            'masticwind_held_prompt_parts',
+            'Parts whose prompts are rejected, and whole prompts',
+            self._quarantine.held_count,
+        )
 
     def _new_mirror(
         self,
--- a/src/masticwind_dev/standins/raw_endpoint.py
+++ b/src/masticwind_dev/standins/raw_endpoint.py
@@ -105,6 +105,7 @@
     connection_count: int = 0
     port: int = 0
     _process_scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    _listener: anyio_abc.Listener[anyio_abc.SocketStream] | None = None
 
     async def run(
         self,
@@ -115,11 +116,18 @@
         listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
         self.port = listener.extra(anyio_abc.SocketAttribute.local_port)
         task_status.started()
+        self._listener = listener
         with self._process_scope:
-            await listener.serve(self._serve_connection)
-
-    def crash(self) -> None:
-        """Close all connections; new ones are refused from now on."""
+            try:
+                await listener.serve(self._serve_connection)
+            except* anyio.ClosedResourceError:
+                # `crash` closes the listener before it cancels this task.
+                self._listener = None
+
+    async def crash(self) -> None:
+        """Refuse new connections and close the open ones."""
+        if self._listener is not None:
+            await self._listener.aclose()
         self._process_scope.cancel()
 
     async def _serve_connection(self, stream: anyio_abc.SocketStream) -> None:
--- a/tests/poison_fleet.py
+++ b/tests/poison_fleet.py
@@ -101,8 +101,8 @@
     async def crash_engine(self, identity: str) -> None:
         """End an engine; another one replaces it after some time."""
         self.crash_count += 1
-        self.engines.pop(identity).crash()
         self.tasks.start_soon(self._replace_engine, identity)
+        await self.engines.pop(identity).crash()
 
     async def send_prompt(
         self, entry: RunningDirectEntry, *parts: str
