--- a/src/masticwind/platform/documents.py
+++ b/src/masticwind/platform/documents.py
@@ -31,8 +31,10 @@
 
 OPERATIONS_PREFIX: Final = 'op/'
 REGISTRATIONS_PREFIX: Final = 'servers/'
-# Addresses of entry instances; the platform defines no prefix for them.
+# Addresses of entry instances, and crashes of engines; the platform defines no
+# prefixes for them.
 ENTRIES_PREFIX: Final = 'masticwind/entries/'
+CRASHES_PREFIX: Final = 'masticwind/crashes/'
 MAX_PORT: Final = 65_535
 _CONFIG_KEY: Final = 'op/config'
 _EVACUATION_PREFIX: Final = 'op/evacuate/'
--- a/src/masticwind/platform/main.py
+++ b/src/masticwind/platform/main.py
@@ -11,6 +11,7 @@
 
 from masticwind.logs import bind_process_fields, configure_logs
 from masticwind.platform.documents import (
+    CRASHES_PREFIX,
     ENTRIES_PREFIX,
     OPERATIONS_PREFIX,
     REGISTRATIONS_PREFIX,
@@ -65,6 +66,7 @@
             operations=OPERATIONS_PREFIX,
             registrations=REGISTRATIONS_PREFIX,
             entries=ENTRIES_PREFIX,
+            crashes=CRASHES_PREFIX,
         ),
     )
 
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -54,13 +54,20 @@
 class AttemptState:
     """What the entry has received from the endpoint of an attempt.
 
-    `answer_begun` says that the head of the answer has arrived. Cancelling
-    `recall_scope` ends the attempt.
+    `answer_begun` says that the head of the answer has arrived. `scope` is
+    that of the attempt while it runs.
     """
 
     answer_begun: bool = False
     event_count: int = 0
-    recall_scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    recalled: bool = False
+    scope: anyio.CancelScope | None = None
+
+    def recall(self) -> None:
+        """End the attempt."""
+        self.recalled = True
+        if self.scope is not None:
+            self.scope.cancel()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -138,10 +145,12 @@
         kind=ErrorKind.QUARANTINED,
         reason='prompts like this one have crashed engines meanwhile',
     )
+    scope = anyio.CancelScope()
+    context.state.scope = scope
     try:
         with (
             anyio.fail_after(admitted.remaining_s()),
-            context.state.recall_scope,
+            scope,
         ):
             outcome = await _send(endpoint_client, context)
     except TimeoutError:
--- /dev/null
+++ b/src/masticwind/serving/crash_archive.py
@@ -0,0 +1,130 @@
+"""Keeps the reports of crashes behind a hold in the metadata store.
+
+The entries repair each other's evidence, but all of them may end at the same
+time. So each entry writes the reports that it has made itself to the store,
+once a key is held because of them, under a lease that lasts as long as the
+hold. An entry reads all of them once, when it starts. There are a few writes
+for each hold and none for a request.
+"""
+
+from typing import Final
+
+import anyio
+import msgspec
+import xxhash
+from loguru import logger
+
+from masticwind.errors import Failure
+from masticwind.serving.crash_evidence import (
+    INITIAL_HOLD_S,
+    CrashEvidence,
+    Suspect,
+)
+from masticwind.serving.crash_link import CrashLink, CrashReport
+from masticwind.serving.store import Item, MetadataStore
+
+# Changes within this time are written together.
+BATCH_INTERVAL_S: Final = 0.1
+RETRY_DELAY_S: Final = 0.5
+# The store grants leases of ten minutes at most.
+MAX_LEASE_S: Final = 600.0
+
+
+# The suspects and the cleared keys of a report.
+_Content = tuple[list[Suspect], list[str]]
+
+
+class CrashArchive:
+    """Writes this entry's reports, and reads those of earlier processes."""
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        prefix: str,
+        link: CrashLink,
+        evidence: CrashEvidence,
+    ) -> None:
+        self._store: Final = store
+        self._prefix: Final = prefix
+        self._link: Final = link
+        self._evidence: Final = evidence
+        self._changed = anyio.Event()
+        # What the store has of each report; ages, which change, are left out.
+        self._written: Final[dict[str, _Content]] = {}
+
+    def notify(self) -> None:
+        """Write what has changed soon."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Read all reports, then write changes until cancelled."""
+        await self._load()
+        while True:
+            await self._changed.wait()
+            self._changed = anyio.Event()
+            await anyio.sleep(BATCH_INTERVAL_S)
+            for crash_id, lease_s in self._leases_s().items():
+                failure = await self._write(crash_id, lease_s)
+                if failure is not None:
+                    self.notify()
+                    await anyio.sleep(RETRY_DELAY_S)
+                    break
+
+    async def _load(self) -> None:
+        while True:
+            listing = await self._store.list_prefix(self._prefix)
+            if not isinstance(listing, Failure):
+                break
+            await anyio.sleep(RETRY_DELAY_S)
+        for item in listing.items:
+            self._load_report(item)
+
+    def _load_report(self, item: Item) -> None:
+        try:
+            report = msgspec.json.decode(item.value or b'', type=CrashReport)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            logger.bind(key=item.key, reason=str(exc)).warning(
+                'crash_report_unreadable'
+            )
+            return
+        # The time since it was written is unknown, so the hold may last longer.
+        self._link.apply(report)
+
+    def _leases_s(self) -> dict[str, float]:
+        """Return how long to keep each of this entry's reports of holds.
+
+        Reports that were written for a hold which has ended are among them:
+        they are written once more with the keys that have been cleared.
+        """
+        leases_s = {
+            crash_id: INITIAL_HOLD_S
+            for crash_id in self._written
+            if self._evidence.is_known(crash_id)
+        }
+        for key, hold in self._evidence.holds().items():
+            for crash_id in self._evidence.crash_ids(key):
+                if crash_id in self._link.reported:
+                    lease_s = leases_s.get(crash_id, 0)
+                    leases_s[crash_id] = max(lease_s, hold.duration_s)
+        return leases_s
+
+    async def _write(self, crash_id: str, lease_s: float) -> Failure | None:
+        report = self._link.report_of(crash_id)
+        written = (report.suspects, report.cleared)
+        if self._written.get(crash_id) == written:
+            return None
+        lease = await self._store.grant_lease(min(lease_s, MAX_LEASE_S))
+        if isinstance(lease, Failure):
+            return lease
+        failure = await self._store.put(
+            self._key(crash_id), msgspec.json.encode(report), lease
+        )
+        if failure is None:
+            self._written[crash_id] = written
+        return failure
+
+    def _key(self, crash_id: str) -> str:
+        digest = xxhash.xxh3_64_hexdigest(
+            f'{crash_id} {self._link.node}'.encode()
+        )
+        return f'{self._prefix}{digest}'
--- a/src/masticwind/serving/crash_evidence.py
+++ b/src/masticwind/serving/crash_evidence.py
@@ -45,6 +45,9 @@
 # share is held; the prompt itself is held after its second crash.
 MIN_CRASHES: Final = 2
 MIN_PROMPTS: Final = 2
+# From this number of crashes on, a prompt passes for want of another part only
+# if that is a first part, which a caller's sound prompts share too.
+STRICT_CRASHES: Final = 5
 # Time after the last crash for which a key is held; doubles with each crash.
 INITIAL_HOLD_S: Final = 30.0
 MAX_HOLD_S: Final = 1800.0
@@ -211,9 +214,13 @@
         """Return the crashes that speak against a key."""
         return sorted(self._crashes_by_key.get(key, ()))
 
-    def observed_at(self, crash_id: str) -> float:
-        """Return the time of a crash that is known."""
-        return self._crashes[crash_id].observed_at
+    def is_known(self, crash_id: str) -> bool:
+        """Tell whether a crash is known and not expired."""
+        return crash_id in self._crashes
+
+    def crash(self, crash_id: str) -> Crash:
+        """Return a crash that is known."""
+        return self._crashes[crash_id]
 
     def score(self, key: str) -> int:
         """Return the score of a key; zero if nothing speaks against it."""
@@ -311,7 +318,9 @@
             return None
         return Hold(
             key=key,
-            company=_company(key, accusing),
+            company=_company(
+                key, accusing, strict=len(crashes) >= STRICT_CRASHES
+            ),
             crashes=len(crashes),
             first_at=min(crash.observed_at for crash in crashes),
             last_at=max(crash.observed_at for crash in crashes),
@@ -346,15 +355,25 @@
     return added + max(prior_scores, default=0)
 
 
-def _company(key: str, accusing: list[tuple[Crash, Suspect]]) -> frozenset[str]:
-    """Return the parts that all these prompts share with the key."""
+def _company(
+    key: str, accusing: list[tuple[Crash, Suspect]], *, strict: bool
+) -> frozenset[str]:
+    """Return the parts that all these prompts share with the key.
+
+    With `strict`, parts that come first in none of the prompts are left out.
+    """
     if key.startswith(_PROMPT_KEY):
         return frozenset((key,))
     company: set[str] | None = None
+    first_parts: set[str] = set()
     for crash, suspect in accusing:
         parts = set(suspect.parts) - crash.cleared
         company = parts if company is None else company & parts
-    return frozenset(company or (key,))
+        first_parts.add(suspect.parts[0])
+    company = company or set()
+    if strict:
+        company &= first_parts
+    return frozenset((key, *company))
 
 
 def _limit_length(part: str) -> str:
--- a/src/masticwind/serving/quarantine.py
+++ b/src/masticwind/serving/quarantine.py
@@ -15,12 +15,14 @@
 from dataclasses import dataclass
 from typing import Final
 
+import anyio
 from loguru import logger
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.attempt import AttemptState
 from masticwind.serving.bounds import EntryFleet
+from masticwind.serving.crash_archive import CrashArchive
 from masticwind.serving.crash_evidence import (
     CrashEvidence,
     Hold,
@@ -32,6 +34,7 @@
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.model import CallerRequest, Endpoint
 from masticwind.serving.peers import EntryPeers
+from masticwind.serving.store import MetadataStore
 
 # An engine that writes a second event has not crashed under the first one.
 SOUND_EVENTS: Final = 2
@@ -64,18 +67,25 @@
     """Decides which prompts may be sent, from the evidence of crashes."""
 
     def __init__(
-        self, evidence: CrashEvidence, link: CrashLink, fleet: EntryFleet
+        self,
+        evidence: CrashEvidence,
+        link: CrashLink,
+        archive: CrashArchive,
+        fleet: EntryFleet,
     ) -> None:
         self._evidence: Final = evidence
         self._link: Final = link
+        self._archive: Final = archive
         self._fleet: Final = fleet
         self._running: Final[dict[int, RunningPrompt]] = {}
         self._trials: Final[dict[str, _Trial]] = {}
         evidence.on_hold_change = self._handle_hold_change
 
     async def run(self) -> None:
-        """Exchange evidence with the other entries until cancelled."""
-        await self._link.run()
+        """Exchange evidence with entries and the store until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._link.run)
+            tasks.start_soon(self._archive.run)
 
     def held_count(self) -> int:
         """Return the number of parts and prompts that are held."""
@@ -169,6 +179,7 @@
         self, key: str, before: Hold | None, hold: Hold | None
     ) -> None:
         """Log a change, and recall the prompts that are held now."""
+        self._archive.notify()
         log = logger.bind(part=key)
         if hold is None:
             self._trials.pop(key, None)
@@ -190,13 +201,23 @@
             if running.attempt.event_count:
                 continue
             if hold.company.issubset(running.prompt.keys):
-                running.attempt.recall_scope.cancel()
+                running.attempt.recall()
                 recalled += 1
         return recalled
 
 
-def build_quarantine(peer_socket: PeerSocket, peers: EntryPeers) -> Quarantine:
-    """Return the quarantine of an entry, which shares evidence with peers."""
+def build_quarantine(
+    peer_socket: PeerSocket,
+    peers: EntryPeers,
+    store: MetadataStore,
+    prefix: str,
+) -> Quarantine:
+    """Return the quarantine of an entry.
+
+    It shares its evidence with the other entries, and keeps what is behind a
+    hold in the store under `prefix`.
+    """
     evidence = CrashEvidence()
     link = CrashLink(peer_socket, peers, evidence)
-    return Quarantine(evidence, link, peers)
+    archive = CrashArchive(store, prefix, link, evidence)
+    return Quarantine(evidence, link, archive, peers)
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -78,6 +78,7 @@
     operations: str
     registrations: str
     entries: str
+    crashes: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -147,7 +148,10 @@
             endpoint_client=adapter.endpoint_client,
         )
         self._quarantine: Final = build_quarantine(
-            self._peer_socket, self._peers
+            self._peer_socket,
+            self._peers,
+            adapter.store,
+            adapter.prefixes.crashes,
         )
         self._freshness: Final = ConfigFreshness(
             settings,
--- a/tests/poison_fleet.py
+++ b/tests/poison_fleet.py
@@ -107,10 +107,18 @@
     async def send_prompt(
         self, entry: RunningDirectEntry, *parts: str
     ) -> HttpAnswer:
-        """Send a prompt with these parts and return the answer."""
+        """Send a prompt with these parts; its answer must be complete."""
+        answer = await self.try_prompt(entry, *parts)
+        assert not isinstance(answer, Failure), answer
+        return answer
+
+    async def try_prompt(
+        self, entry: RunningDirectEntry, *parts: str
+    ) -> HttpAnswer | Failure:
+        """Send a prompt with these parts; its answer may break off."""
         prompt = ','.join(f'{part}:{PART_TOKENS}' for part in parts)
         request_id = f'r{next(self._numbers)}'
-        answer = await entry.client.request(
+        return await entry.client.request(
             'POST',
             '/chat/a',
             timeout_s=REQUEST_TIMEOUT_S,
@@ -124,8 +132,6 @@
                 (b'X-Prompt-Prefix', prompt.encode()),
             ),
         )
-        assert not isinstance(answer, Failure), answer
-        return answer
 
     def count_received(self, part: str) -> int:
         """Return how many prompts with a part reached an engine."""
@@ -141,7 +147,7 @@
     async def _is_ready(self, running: RunningDirectEntry) -> bool:
         if running.entry.endpoint_count < len(self.engines):
             return False
-        if running.entry._peers.count() != len(self.entries):
+        if len(running.entry._peers.others()) < len(self.entries) - 1:
             return False
         warm_up = f'warm-{next(self._numbers)}'
         return (await self.send_prompt(running, warm_up)).status == 200
--- /dev/null
+++ b/tests/test_crash_evidence.py
@@ -0,0 +1,329 @@
+"""Which keys of prompts are held, from the evidence of crashes."""
+
+from collections.abc import Iterable
+from typing import Final
+
+import pytest
+
+from masticwind.budget import Budget
+from masticwind.errors import ErrorKind
+from masticwind.platform.store import PlatformStore
+from masticwind.serving.attempt import AttemptState
+from masticwind.serving.crash_archive import CrashArchive
+from masticwind.serving.crash_evidence import (
+    EVIDENCE_TTL_S,
+    INITIAL_HOLD_S,
+    MAX_CRASHES,
+    MAX_PARTS,
+    STRICT_CRASHES,
+    CrashEvidence,
+    Suspect,
+    fingerprint,
+)
+from masticwind.serving.crash_link import CrashLink
+from masticwind.serving.datagrams import PeerSocket
+from masticwind.serving.model import CallerRequest, Endpoint
+from masticwind.serving.peers import EntryPeers
+from masticwind.serving.quarantine import Quarantine
+from tests.entry_harness import peers_of_each_entry, sample_settings
+from tests.manual_clock import ManualClock
+
+FIRST: Final = 'first'
+POISON: Final = 'poison'
+# The parts of prompts.
+Prompts = Iterable[tuple[str, ...]]
+
+
+class Scene:
+    """An entry's quarantine, of which a test makes the crashes."""
+
+    def __init__(self, peers: EntryPeers | None = None) -> None:
+        cfg = sample_settings()
+        self.clock = ManualClock()
+        self.evidence = CrashEvidence(self.clock)
+        peers = peers or EntryPeers(cfg)
+        self.link = CrashLink(PeerSocket(cfg), peers, self.evidence)
+        archive = CrashArchive(
+            PlatformStore(cfg.store), 'crashes/', self.link, self.evidence
+        )
+        self.quarantine = Quarantine(self.evidence, self.link, archive, peers)
+        self._engines = 0
+        self._requests = 0
+
+    def request(self, *parts: str) -> CallerRequest:
+        """Return a request with these parts."""
+        self._requests += 1
+        return CallerRequest(
+            request_id=f'r{self._requests}',
+            method='POST',
+            target=b'/',
+            host='',
+            path='/',
+            forwarded_headers=(),
+            budget=Budget.from_ms(1000),
+            prompt_parts=parts,
+        )
+
+    def is_held(self, *parts: str) -> bool:
+        """Tell whether a prompt with these parts is rejected."""
+        return self.quarantine.check(self.request(*parts)) is not None
+
+    def crash(
+        self,
+        begun: Prompts = (),
+        waiting: Prompts = (),
+    ) -> None:
+        """Crash an engine with prompts that had begun or only waited."""
+        self.crash_together([(begun, waiting)])
+
+    def crash_together(
+        self,
+        crashes: Iterable[tuple[Prompts, Prompts]],
+    ) -> None:
+        """Crash engines whose prompts had all been sent before."""
+        running = []
+        for begun, waiting in crashes:
+            self._engines += 1
+            endpoint = _endpoint(f'e-{self._engines}')
+            for prompts, answer_begun in ((begun, True), (waiting, False)):
+                for parts in prompts:
+                    state = AttemptState(answer_begun=answer_begun)
+                    started = self.quarantine.start(self.request(*parts), state)
+                    running.append((started, endpoint))
+        for one, endpoint in running:
+            self.quarantine.end(one)
+            self.quarantine.record_crash(one, endpoint)
+
+    def answer(self, *parts: str) -> None:
+        """Answer a prompt."""
+        running = self.quarantine.start(self.request(*parts), AttemptState())
+        self.quarantine.end(running)
+        self.quarantine.record_sound(running)
+
+
+def _endpoint(identity: str) -> Endpoint:
+    return Endpoint(
+        identity=identity,
+        service='s',
+        host='127.0.0.1',
+        port=1,
+        zone='zone-a',
+        slots=8,
+    )
+
+
+def test_part_is_held_after_crashes_under_two_prompts() -> None:
+    """Guards against more crashes than it takes to find the part."""
+    scene = Scene()
+    scene.crash(begun=[(FIRST, POISON, 'a')])
+    assert not scene.is_held(FIRST, POISON, 'b')
+    scene.answer(FIRST, 'c')
+    scene.crash(begun=[(FIRST, POISON, 'b')])
+    assert scene.is_held(FIRST, POISON, 'd')
+    assert not scene.is_held(FIRST, 'd')
+
+
+def test_prompt_is_held_after_its_second_crash() -> None:
+    """Guards against a caller that returns with a prompt until all engines
+    have ended, and against holding parts of it on the word of one prompt.
+    """
+    scene = Scene()
+    for _ in range(2):
+        scene.crash(begun=[(FIRST, POISON, 'a')])
+    assert scene.is_held(FIRST, POISON, 'a')
+    assert not scene.is_held(FIRST, POISON, 'b')
+
+
+def test_first_part_of_poison_prompts_is_not_held() -> None:
+    """Guards against the rejection of all prompts of a caller, when none of
+    them was answered between the crashes.
+    """
+    scene = Scene()
+    for own in ('a', 'b', 'c'):
+        scene.crash(begun=[(FIRST, POISON, own)])
+    assert scene.is_held(FIRST, POISON, 'd')
+    assert not scene.is_held(FIRST, 'd')
+    assert not scene.is_held(POISON, 'd')
+
+
+@pytest.mark.parametrize('culprit', [FIRST, POISON])
+def test_prompt_with_one_of_two_accused_parts_shows_the_culprit(
+    culprit: str,
+) -> None:
+    """Guards against evidence that stays ambiguous between two parts."""
+    scene = Scene()
+    for own in ('a', 'b'):
+        scene.crash(begun=[(FIRST, POISON, own)])
+    sound = FIRST if culprit == POISON else POISON
+    scene.crash(begun=[(culprit, 'd')])
+    scene.answer(sound, 'e')
+    assert scene.is_held(culprit, 'f')
+    assert not scene.is_held(sound, 'f')
+
+
+def test_poison_prompts_that_each_lack_another_part_are_held() -> None:
+    """Guards against one more crash for each part that prompts share."""
+    scene = Scene()
+    shared = tuple(f'shared-{number}' for number in range(20))
+    crashes = 0
+    for number in range(20):
+        parts = (FIRST, *shared[: 20 - number], POISON, f'own-{number}')
+        if not scene.is_held(*parts):
+            scene.crash(begun=[parts])
+            crashes += 1
+    assert crashes <= STRICT_CRASHES
+
+
+def test_engines_that_crash_together_accuse_no_part() -> None:
+    """Guards against large parts held because a zone has failed."""
+    scene = Scene()
+    prompts = [(FIRST, f'own-{number}') for number in range(4)]
+    scene.crash_together((prompts, ()) for _ in range(7))
+    assert not scene.is_held(FIRST, 'next')
+
+
+def test_answers_between_crashes_clear_a_part() -> None:
+    """Guards against a part held for crashes in series under load."""
+    scene = Scene()
+    for number in range(20):
+        scene.crash(begun=[(FIRST, f'own-{number}')])
+        scene.answer(FIRST, f'next-{number}')
+    assert not scene.is_held(FIRST, 'last')
+
+
+def test_prompts_that_waited_are_not_blamed_beside_one_that_had_begun() -> None:
+    """Guards against a sound part that shares engines with a poison one."""
+    scene = Scene()
+    for own in ('a', 'b', 'c', 'd', 'e'):
+        scene.crash(begun=[(POISON, own)], waiting=[('hot', own)])
+    assert scene.is_held(POISON, 'f')
+    assert not scene.is_held('hot', 'f')
+
+
+def test_part_is_held_though_no_head_of_an_answer_arrives() -> None:
+    """Guards against engines that end before the head reaches the entry."""
+    scene = Scene()
+    for own in ('a', 'b', 'c', 'd'):
+        scene.crash(waiting=[(POISON, own), (f'other-{own}', own)])
+    assert scene.is_held(POISON, 'e')
+    assert not scene.is_held('other-a', 'e')
+
+
+def test_last_part_is_not_held() -> None:
+    """Guards against blaming the part that belongs to one request alone."""
+    scene = Scene()
+    for number in range(5):
+        scene.crash(begun=[(f'first-{number}', 'own')])
+    assert not scene.is_held('first-9', 'own')
+    assert not scene.is_held('own')
+
+
+def test_rejection_says_not_run_and_when_the_hold_ends() -> None:
+    """Guards against callers that are told to return within the hold."""
+    scene = Scene()
+    for own in ('a', 'b'):
+        scene.crash(begun=[(POISON, own)])
+    scene.clock.now += 10
+    rejection = scene.quarantine.check(scene.request(POISON, 'c'))
+    assert rejection is not None
+    assert rejection.kind is ErrorKind.QUARANTINED
+    expected_ms = (INITIAL_HOLD_S - 10) * 1000
+    assert expected_ms <= rejection.retry_after_ms <= expected_ms + 1
+
+
+def test_hold_doubles_with_each_crash() -> None:
+    """Guards against a trial, and so a crash, every few seconds."""
+    scene = Scene()
+    for own in ('a', 'b', 'c', 'd', 'e'):
+        scene.crash(begun=[(POISON, own)])
+    scene.clock.now += INITIAL_HOLD_S * 8 - 1
+    assert scene.is_held(POISON, 'f')
+    scene.clock.now += 2
+    assert not scene.is_held(POISON, 'f')
+
+
+def test_one_entry_tries_a_held_part_once_in_a_period() -> None:
+    """Guards against trials of several entries, and of several prompts."""
+    scenes = [Scene(peers) for peers in peers_of_each_entry(7)]
+    for scene in scenes:
+        for own in ('a', 'b'):
+            scene.crash(begun=[(POISON, own)])
+    for _ in range(3):
+        tried = 0
+        for scene in scenes:
+            scene.clock.now += INITIAL_HOLD_S
+            tried += not scene.is_held(POISON, 'c')
+            tried += not scene.is_held(POISON, 'd')
+        assert tried == 1
+
+
+def test_answered_trial_releases_a_part() -> None:
+    """Guards against a part that stays held though it is sound by now."""
+    scene = Scene()
+    for own in ('a', 'b'):
+        scene.crash(begun=[(POISON, own)])
+    scene.clock.now += INITIAL_HOLD_S
+    assert not scene.is_held(POISON, 'c')
+    assert scene.is_held(POISON, 'd')
+    scene.answer(POISON, 'c')
+    assert not scene.is_held(POISON, 'd')
+
+
+def test_prompts_on_an_engine_are_recalled_when_their_part_is_held() -> None:
+    """Guards against crashes by prompts that were sent before the hold."""
+    scene = Scene()
+    states = {
+        'poison': AttemptState(),
+        'sound': AttemptState(),
+        'begun': AttemptState(event_count=1),
+    }
+    scene.quarantine.start(scene.request(POISON, 'x'), states['poison'])
+    scene.quarantine.start(scene.request('sound', 'x'), states['sound'])
+    scene.quarantine.start(scene.request(POISON, 'y'), states['begun'])
+    for own in ('a', 'b'):
+        scene.crash(begun=[(POISON, own)])
+    assert [name for name, state in states.items() if state.recalled] == [
+        'poison'
+    ]
+
+
+def test_evidence_expires() -> None:
+    """Guards against memory of crashes that grows for ever."""
+    scene = Scene()
+    for own in ('a', 'b'):
+        scene.crash(begun=[(POISON, own)])
+    scene.clock.now += EVIDENCE_TTL_S + 1
+    scene.evidence.remove_expired()
+    assert not scene.evidence.crashes()
+    assert not scene.evidence.score(POISON)
+    assert not scene.is_held(POISON, 'c')
+
+
+def test_other_crashes_do_not_evict_a_held_part() -> None:
+    """Guards against a caller that makes entries forget a held part."""
+    scene = Scene()
+    for own in ('a', 'b'):
+        scene.crash(begun=[(POISON, own)])
+    for number in range(2 * MAX_CRASHES):
+        scene.clock.now += 0.01
+        parts = tuple(f'part-{number}-{one}' for one in range(9))
+        scene.crash(begun=[parts])
+    assert len(scene.evidence.crashes()) <= MAX_CRASHES
+    assert scene.is_held(POISON, 'c')
+
+
+def test_number_and_length_of_parts_are_limited() -> None:
+    """Guards against reports that exceed a datagram."""
+    parts = tuple(f'{number:0>2000}' for number in range(2 * MAX_PARTS))
+    prompt = fingerprint(parts)
+    assert len(prompt.parts) == MAX_PARTS
+    assert len(set(prompt.parts)) == MAX_PARTS
+    assert max(map(len, prompt.keys)) <= 64
+
+
+def test_suspect_without_scores_does_not_stop_the_evidence() -> None:
+    """Guards against a faulty report that raises an exception."""
+    scene = Scene()
+    suspect = Suspect('r', True, 'prompt:x', (POISON,), ())
+    scene.evidence.merge('e/1', scene.clock(), (suspect,))
+    assert scene.evidence.score(POISON)
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -6,7 +6,8 @@
 import anyio
 import pytest
 
-from tests.poison_fleet import PoisonFleet, running_fleet
+from masticwind.httpclient import HttpAnswer
+from tests.poison_fleet import PoisonFleet, RunningDirectEntry, running_fleet
 
 pytestmark = pytest.mark.anyio
 
@@ -44,3 +45,80 @@
     async with running_fleet(entries=2) as fleet:
         fleet.poison_parts.add(POISON)
         assert await _send_poison_and_sound_prompts(fleet, rounds=16) == 16
+
+
+async def _crash_until_held(fleet: PoisonFleet) -> None:
+    """Send poison prompts to the first entry until they are rejected."""
+    fleet.poison_parts.add(POISON)
+    for number in range(MAX_REQUESTS):
+        answer = await fleet.send_prompt(
+            fleet.entries[0], f'{FIRST}-{number}', POISON, f'own-{number}'
+        )
+        if answer.status == 503:
+            return
+    raise AssertionError('the part is not held')
+
+
+async def test_rejected_prompt_did_not_run_and_is_not_to_come_again() -> None:
+    """Guards against callers that return at once with a held part."""
+    async with running_fleet() as fleet:
+        await _crash_until_held(fleet)
+        received = len(fleet.received)
+        answer = await fleet.send_prompt(fleet.entries[0], POISON, 'own')
+        assert answer.status == 503
+        assert float(answer.headers['retry-after']) > 10
+        assert len(fleet.received) == received
+
+
+async def test_started_entry_gets_held_parts_from_its_peers() -> None:
+    """Guards against an entry that forgets held parts when it restarts."""
+    async with running_fleet() as fleet:
+        await _crash_until_held(fleet)
+        running = await fleet.start_entry()
+        await fleet.wait_until_served()
+        with anyio.fail_after(5):
+            while not running.entry._quarantine.held_count():
+                await anyio.sleep(0.02)
+        received = fleet.count_received(POISON)
+        answer = await fleet.send_prompt(running, 'new', POISON, 'new-own')
+        assert answer.status == 503
+        assert fleet.count_received(POISON) == received
+
+
+async def test_held_part_survives_the_end_of_all_entries() -> None:
+    """Guards against new crashes after all entries were killed."""
+    async with running_fleet() as fleet:
+        await _crash_until_held(fleet)
+        await anyio.sleep(0.5)
+        for entry in fleet.entries:
+            entry.scope.cancel()
+        fleet.entries.clear()
+        running = await fleet.start_entry()
+        await fleet.wait_until_served()
+        received = fleet.count_received(POISON)
+        answer = await fleet.send_prompt(running, 'new', POISON, 'new-own')
+        assert answer.status == 503
+        assert fleet.count_received(POISON) == received
+
+
+async def test_crashes_without_a_poison_part_hold_nothing() -> None:
+    """Guards against sound prompts held because engines end in series."""
+    async with running_fleet() as fleet:
+        bodies: list[bytes] = []
+
+        async def send_prompts(entry: RunningDirectEntry) -> None:
+            for number in range(60):
+                answer = await fleet.try_prompt(
+                    entry, FIRST, f'shared-{number % 3}', f'own-{number}'
+                )
+                if isinstance(answer, HttpAnswer):
+                    bodies.append(answer.body)
+
+        async with anyio.create_task_group() as tasks:
+            for entry in (*fleet.entries, *fleet.entries):
+                tasks.start_soon(send_prompts, entry)
+            for _ in range(25):
+                await anyio.sleep(0.08)
+                await fleet.crash_engine(next(iter(fleet.engines)))
+        assert any(b'id: 4' in body for body in bodies)
+        assert not any(b'quarantined' in body for body in bodies)
