Cut off answers of endpoints that have no end

An endpoint that sends bytes without end could fill the memory of an entry until it was killed, and its callers were answered only at their deadline.

Cause: an answer that is no stream was collected without a limit, and so were the start of an event, a line of an engine (agents) and documents of the store or of an engine. Complete informational responses without end kept the parser busy.

Beyond it the connection is closed and the request fails as after a broken answer, so it may go to another endpoint.

--- a/src/masticwind/engines/http.py
+++ b/src/masticwind/engines/http.py
@@ -41,6 +41,7 @@
 # The response to a hold request arrives after its whole prefill.
 HOLD_TIMEOUT_S: Final = 600.0
 MAX_REASON_CHARS: Final = 200
+MAX_LINE_BYTES: Final = 1_048_576
 _NO_CAPACITY_STATUSES: Final = (
     HTTPStatus.TOO_MANY_REQUESTS,
     HTTPStatus.SERVICE_UNAVAILABLE,
@@ -280,6 +281,12 @@
     try:
         async for chunk in stream.chunks:
             *lines, partial_line = (partial_line + chunk).split(b'\n')
+            if len(partial_line) > MAX_LINE_BYTES:
+                yield Failure(
+                    kind=ErrorKind.OUTCOME_UNKNOWN,
+                    reason=f'a line is over {MAX_LINE_BYTES} bytes',
+                )
+                return
             for line in lines:
                 # Empty lines are keep-alives.
                 if line:
--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -11,17 +11,24 @@
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Final
 
 import anyio
 import httpcore
 
 from masticwind.errors import ErrorKind, Failure
+from masticwind.http_limits import (
+    NetworkBackend,
+    end_head_limit,
+    join_chunks,
+)
 
 Headers = Sequence[tuple[bytes, bytes]]
 
 KEEP_ALIVE_S: Final = 30
 BODY_END_TIMEOUT_S: Final = 0.02
+# Larger than any document of the store and any report of an engine.
+MAX_BODY_BYTES: Final = 16_777_216
 # Share of the server's keep-alive timeout in which a connection is reused. A
 # request that is sent later could arrive after the server has closed it.
 USABLE_KEEP_ALIVE_SHARE: Final = 0.7
@@ -142,26 +149,25 @@
         """Make one request and read the complete response.
 
         Returns a `Failure` of kind `no_capacity` if nothing was sent and of
-        kind `outcome_unknown` if the request may have had an effect.
+        kind `outcome_unknown` if the request may have had an effect, also if
+        the body is over `MAX_BODY_BYTES`.
         """
         try:
-            async with self._connection() as conn:
-                response = await conn.request(
+            async with (
+                self._connection() as conn,
+                conn.stream(
                     method,
                     self._url(path.encode('ascii')),
                     headers=_with_content_length(headers, body),
                     content=body,
                     extensions={'timeout': _timeouts(timeout_s)},
-                )
+                ) as response,
+            ):
+                return await _read_answer(response)
         except _NOT_SENT_ERRORS as exc:
             return _failure(ErrorKind.NO_CAPACITY, exc)
         except _CONNECTION_ERRORS as exc:
             return _failure(ErrorKind.OUTCOME_UNKNOWN, exc)
-        return HttpAnswer(
-            response.status,
-            _header_map(response.headers),
-            response.content,
-        )
 
     @asynccontextmanager
     async def stream(
@@ -276,7 +282,7 @@
         return httpcore.AsyncHTTPConnection(
             origin=self._origin,
             socket_options=SOCKET_OPTIONS,
-            network_backend=_NetworkBackend(),
+            network_backend=NetworkBackend(),
         )
 
     def _url(self, path: bytes) -> httpcore.URL:
@@ -288,25 +294,15 @@
         )
 
 
-class _NetworkBackend(httpcore.AnyIOBackend):
-    """Opens connections.
-
-    If the server resets a connection before its socket options are set,
-    httpcore finds no socket and raises an `AttributeError`.
-    """
-
-    async def connect_tcp(
-        self,
-        *args: Any,
-        **options: Any,
-    ) -> httpcore.AsyncNetworkStream:
-        """Connect; an immediate reset is raised as a `ConnectError`."""
-        try:
-            return await super().connect_tcp(*args, **options)
-        except AttributeError as exc:
-            raise httpcore.ConnectError(
-                'connection reset while connecting'
-            ) from exc
+async def _read_answer(response: httpcore.Response) -> HttpAnswer | Failure:
+    end_head_limit(response)
+    body = await join_chunks(response.aiter_stream(), MAX_BODY_BYTES)
+    if body is None:
+        return Failure(
+            kind=ErrorKind.OUTCOME_UNKNOWN,
+            reason=f'the body is over {MAX_BODY_BYTES} bytes',
+        )
+    return HttpAnswer(response.status, _header_map(response.headers), body)
 
 
 class BrokenStreamError(Exception):
@@ -359,6 +355,7 @@
 
 
 def _http_stream(response: httpcore.Response) -> HttpStream:
+    end_head_limit(response)
     return HttpStream(
         response.status,
         _chunks(response),
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -12,9 +12,14 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
+from masticwind.http_limits import join_chunks
 from masticwind.httpclient import BrokenStreamError
 from masticwind.serving.admission import AdmittedRequest, RequestProgress
-from masticwind.serving.events import Event, EventSplitter
+from masticwind.serving.events import (
+    MAX_EVENT_BYTES,
+    Event,
+    EventSplitter,
+)
 from masticwind.serving.interfaces import (
     Attempt,
     AttemptLimits,
@@ -33,6 +38,8 @@
 
 # Connecting within a region takes a few milliseconds.
 CONNECT_TIMEOUT_S: Final = 0.4
+# An answer that is not a stream is complete before it is passed on.
+MAX_ANSWER_BYTES: Final = 4_194_304
 # Time for the answer to reach the caller before the deadline.
 ANSWER_MARGIN_MS: Final = 10
 # Timeout for the first event, as a multiple of its predicted time.
@@ -274,7 +281,12 @@
 async def _relay_whole_answer(
     context: AttemptContext, reply: Reply
 ) -> Failure | None:
-    body = b''.join([chunk async for chunk in reply.chunks])
+    body = await join_chunks(reply.chunks, MAX_ANSWER_BYTES)
+    if body is None:
+        return Failure(
+            kind=ErrorKind.FAILED_AFTER_START,
+            reason=f'the answer is over {MAX_ANSWER_BYTES} bytes',
+        )
     if context.answer.started:
         return Failure(
             kind=ErrorKind.FAILED_AFTER_START,
@@ -315,6 +327,11 @@
         if not chunk:
             break
         events = _new_events(context.progress, splitter.feed(chunk))
+        if splitter.is_oversized:
+            return Failure(
+                kind=ErrorKind.FAILED_AFTER_START,
+                reason=f'an event is over {MAX_EVENT_BYTES} bytes',
+            )
         if not events:
             continue
         if not answer.started:
--- a/src/masticwind/serving/events.py
+++ b/src/masticwind/serving/events.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 ID_FIELD: Final = b'id:'
+MAX_EVENT_BYTES: Final = 262_144
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +30,11 @@
         """Whether the buffer holds the start of an incomplete event."""
         return bool(self._buffer)
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the incomplete event is over `MAX_EVENT_BYTES`."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     def feed(self, chunk: bytes) -> list[Event]:
         """Add a chunk and return the events that it completes."""
         texts = (self._buffer + chunk).split(b'\n\n')
