Resume and retry prompts with reserved memory whose engine breaks off

Callers of prompts that need the memory of several engines got a broken connection as soon as the first engine ended; the request was neither resumed nor repeated, and its crash was not counted, so a poison part in such prompts would not have been held.

Cause: the exception for a broken answer passed through the task group that renews the reservations, which wraps it in an exception group that the handler does not match.

The exception is turned into a failure where the answer is received, before the task group ends.

--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -165,11 +165,6 @@
             kind=ErrorKind.TIMED_OUT,
             reason='the endpoint did not finish before the deadline',
         )
-    except BrokenStreamError as exc:
-        outcome = Failure(
-            kind=ErrorKind.FAILED_AFTER_START,
-            reason=f'the connection broke during the answer: {exc}',
-        )
     log = log.bind(
         took_ms=round((time.monotonic() - sent_at) * MS_PER_S),
         events=context.progress.event_count,
@@ -207,7 +202,7 @@
                 if isinstance(reply, Failure):
                     return reply
                 context.state.answer_begun = True
-                return await _receive(context, reply)
+                return await _receive_or_fail(context, reply)
     return Failure(
         kind=ErrorKind.TIMED_OUT,
         reason=f'no answer for {context.limits.head_timeout_s:.2f} s',
@@ -254,6 +249,20 @@
     ).info('attempt_sent')
 
 
+async def _receive_or_fail(
+    context: AttemptContext, reply: Reply
+) -> Failure | None:
+    # The exception must not reach the task group that renews reservations,
+    # which would wrap it in an exception group.
+    try:
+        return await _receive(context, reply)
+    except BrokenStreamError as exc:
+        return Failure(
+            kind=ErrorKind.FAILED_AFTER_START,
+            reason=f'the connection broke during the answer: {exc}',
+        )
+
+
 async def _receive(context: AttemptContext, reply: Reply) -> Failure | None:
     at_fault = reply.at_fault or context.placement.lead
     if reply.verdict is Verdict.WRONG_ENDPOINT:
--- a/tests/poison_fleet.py
+++ b/tests/poison_fleet.py
@@ -43,7 +43,7 @@
 
 EVENT_GAP_S: Final = 0.01
 RESTART_S: Final = 0.3
-PART_TOKENS: Final = 40
+KV_CACHE_TOKENS: Final = 8000
 
 
 @dataclass
@@ -66,6 +66,7 @@
     store: MetadataStandin
     store_address: str
     tasks: TaskGroup
+    part_tokens: int
     poison_parts: set[str] = field(default_factory=set)
     entries: list[RunningDirectEntry] = field(default_factory=list)
     received: list[tuple[str, ...]] = field(default_factory=list)
@@ -116,7 +117,7 @@
         self, entry: RunningDirectEntry, *parts: str
     ) -> HttpAnswer | Failure:
         """Send a prompt with these parts; its answer may break off."""
-        prompt = ','.join(f'{part}:{PART_TOKENS}' for part in parts)
+        prompt = ','.join(f'{part}:{self.part_tokens}' for part in parts)
         request_id = f'r{next(self._numbers)}'
         return await entry.client.request(
             'POST',
@@ -127,7 +128,7 @@
                 (b'X-Model', b'm'),
                 (
                     b'X-Token-Counts',
-                    f'{PART_TOKENS * len(parts)},100'.encode(),
+                    f'{self.part_tokens * len(parts)},100'.encode(),
                 ),
                 (b'X-Prompt-Prefix', prompt.encode()),
             ),
@@ -163,6 +164,9 @@
         await self.start_engine()
 
     async def _answer(self, req: ReceivedRequest, conn: RawConnection) -> None:
+        if req.target == '/-/order':
+            await conn.send_answer(req, body=b'{}')
+            return
         prompt = req.headers.get('x-prompt-prefix', '')
         parts = tuple(
             entry.partition(':')[0] for entry in prompt.split(',') if entry
@@ -182,15 +186,22 @@
 
 @asynccontextmanager
 async def running_fleet(
-    entries: int = 2, engines: int = 12
+    entries: int = 2, engines: int = 12, part_tokens: int = 40
 ) -> AsyncIterator[PoisonFleet]:
-    """Run a store, entries and engines that serve."""
+    """Run a store, entries and engines that serve.
+
+    An engine has memory for `KV_CACHE_TOKENS`.
+    """
     store = MetadataStandin()
     server = WebServer(store.app, Address())
-    store.write('op/config', json.dumps(sample_config_document()).encode())
+    document = sample_config_document()
+    document['services'][1]['engine']['kv_capacity'] = KV_CACHE_TOKENS
+    store.write('op/config', json.dumps(document).encode())
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.run)
-        fleet = PoisonFleet(store, f'127.0.0.1:{server.port}', tasks)
+        fleet = PoisonFleet(
+            store, f'127.0.0.1:{server.port}', tasks, part_tokens
+        )
         for _ in range(engines):
             await fleet.start_engine()
         for _ in range(entries):
--- a/tests/test_direct_answers.py
+++ b/tests/test_direct_answers.py
@@ -564,3 +564,36 @@
         attempts = [req for req in harness.received if req.target != '/-/order']
         assert len(attempts) == 1
         assert attempts[0].headers['x-expect-instance'] == 'i-1'
+
+
+async def test_broken_stream_with_reserved_memory_is_resumed() -> None:
+    """Guards against a prompt of several engines that fails with its first
+    engine, although another one could go on.
+    """
+    calls: list[bool] = []
+
+    async def script(req: ReceivedRequest, conn: RawConnection) -> None:
+        if req.target == '/-/order':
+            await conn.send_answer(req, body=b'{}')
+            return
+        calls.append(True)
+        if calls[1:]:
+            await answer_with_events(req, conn)
+            return
+        await conn.write(encode_stream_head(req))
+        await conn.write(encode_event_chunk(1))
+        await conn.close()
+
+    document = sample_config_document()
+    document['services'][1]['engine']['kv_capacity'] = 8000
+    async with running_entry(document) as harness:
+        for number in range(4):
+            await harness.start_endpoint(f'e-{number}', script, ENGINE_SERVICE)
+        await harness.start_endpoint('i-1', answer_completely, CALL_SERVICE)
+        await harness.wait_until_served('/read/a')
+        answer = await harness.request(
+            '/chat/a', method='POST', headers=prompt_headers(tokens=9000)
+        )
+        assert answer.status == 200
+        assert all(b'id: %d\n' % one in answer.body for one in range(1, 5))
+        assert any('x-helpers' in req.headers for req in harness.received)
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -40,6 +40,14 @@
         assert fleet.count_received(POISON) <= MAX_REQUESTS
 
 
+async def test_poison_prompts_of_several_engines_are_held() -> None:
+    """Guards against a poison prompt that evades as it needs more memory."""
+    async with running_fleet(part_tokens=4000) as fleet:
+        fleet.poison_parts.add(POISON)
+        await _send_poison_and_sound_prompts(fleet, rounds=12)
+        assert fleet.count_received(POISON) <= MAX_REQUESTS
+
+
 async def test_sound_prompts_are_served_beside_a_poison_part() -> None:
     """Guards against sound prompts that are held for their first part."""
     async with running_fleet(entries=2) as fleet:
