List and release held parts of prompts

Operators saw a held part only in the log lines of the time when it was held, and could not release it.

The metrics port of an entry answers GET /held with what is held, since when, for how long and after which crashes; masticwind-ctl held list shows it. held release clears a part in all entries, with the operator_token of the settings. The crash detector is created by the relay, which alone uses it.

--- a/src/masticwind/ctl/main.py
+++ b/src/masticwind/ctl/main.py
@@ -25,6 +25,7 @@
 from masticwind.config.store import ConfigStore
 from masticwind.ctl.backend import ApiBackend, Backend, StoreBackend
 from masticwind.ctl.explain import explain
+from masticwind.ctl.held import held_app
 from masticwind.ctl.table import format_status
 from masticwind.errors import ErrorKind, Failure
 from masticwind.settings import PlatformSettings
@@ -52,6 +53,7 @@
     ),
     version=__version__,
 )
+cli.command(held_app)
 
 
 @cyclopts.Parameter(name='*')
--- /dev/null
+++ b/src/masticwind/serving/operations.py
@@ -0,0 +1,85 @@
+"""What operators read and do at one entry, on its metrics port.
+
+`GET /held` lists the parts of prompts that are held, `POST /held/release?part=`
+releases one in all entries, and every other path answers with the metrics.
+Releasing needs the operators' token of the settings.
+"""
+
+import hmac
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Final
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.quarantine import Quarantine
+from masticwind.serving.settings import LiveSettings
+from masticwind.serving.telemetry import Telemetry
+from masticwind.web import (
+    Receive,
+    Response,
+    Scope,
+    Send,
+    failure_response,
+    json_response,
+    query_parameters,
+    request_header,
+    send_response,
+)
+
+HELD_PATH: Final = '/held'
+RELEASE_PATH: Final = '/held/release'
+BEARER_PREFIX: Final = 'Bearer '
+
+
+class OperationsApp:
+    """ASGI application of the metrics port."""
+
+    def __init__(
+        self,
+        settings: LiveSettings,
+        telemetry: Telemetry,
+        quarantine: Quarantine,
+    ) -> None:
+        self._settings: Final = settings
+        self._telemetry: Final = telemetry
+        self._quarantine: Final = quarantine
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answer one request."""
+        answers: dict[tuple[str, str], Callable[[Scope], Response]] = {
+            ('GET', HELD_PATH): self._list_held,
+            ('POST', RELEASE_PATH): self._release,
+        }
+        answer = answers.get((scope['method'], scope['path']))
+        if answer is None:
+            await self._telemetry.serve(scope, receive, send)
+            return
+        await send_response(send, answer(scope))
+
+    def _list_held(self, _scope: Scope) -> Response:
+        return json_response(
+            HTTPStatus.OK, {'held': self._quarantine.describe()}
+        )
+
+    def _release(self, scope: Scope) -> Response:
+        token = self._settings.cfg.operator_token
+        given = request_header(scope, b'authorization')
+        if not token or not hmac.compare_digest(
+            given.encode(), f'{BEARER_PREFIX}{token}'.encode()
+        ):
+            return failure_response(
+                Failure(
+                    kind=ErrorKind.FORBIDDEN,
+                    reason='releasing needs the operator_token of the settings',
+                )
+            )
+        part = query_parameters(scope).get('part', '')
+        if not self._quarantine.release(part):
+            return failure_response(
+                Failure(
+                    kind=ErrorKind.NOT_FOUND, reason=f'{part!r} is not held'
+                )
+            )
+        return json_response(HTTPStatus.OK, {'released': part})
--- a/src/masticwind/serving/quarantine.py
+++ b/src/masticwind/serving/quarantine.py
@@ -45,6 +45,22 @@
 SOUND_EVENTS: Final = 2
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeldPart:
+    """A held part of prompts, or a whole prompt, as shown to operators.
+
+    `since_s` is the time since the first crash, and `left_s` the time until
+    one prompt with it may be tried. `endpoints` are those that crashed.
+    """
+
+    part: str
+    company: list[str]
+    crashes: int
+    since_s: float
+    left_s: float
+    endpoints: list[str]
+
+
 @dataclass(slots=True, kw_only=True)
 class RunningPrompt:
     """A prompt that has been sent to an engine.
@@ -123,18 +139,45 @@
         """Return the number of parts and prompts that are held."""
         return len(self._evidence.holds())
 
+    def describe(self) -> list[HeldPart]:
+        """Return what is held, the oldest first."""
+        now = self._evidence.clock()
+        holds = sorted(
+            self._evidence.holds().values(), key=lambda one: one.first_at
+        )
+        return [
+            HeldPart(
+                part=hold.key,
+                company=sorted(hold.company),
+                crashes=hold.crashes,
+                since_s=now - hold.first_at,
+                left_s=self._remaining_s(hold),
+                endpoints=[
+                    crash_id.partition('/')[0]
+                    for crash_id in self._evidence.crash_ids(hold.key)
+                ],
+            )
+            for hold in holds
+        ]
+
+    def release(self, part: str) -> bool:
+        """Release a held part in all entries; false if it is not held."""
+        if part not in self._evidence.holds():
+            return False
+        logger.bind(part=part).info('prompt_part_release_ordered')
+        self._link.clear((part,))
+        return True
+
     def check(self, req: CallerRequest) -> Failure | None:
         """Return the rejection of a request, None if it may be sent."""
         hold = self._evidence.find_hold(fingerprint(req.prompt_parts))
         if hold is None or self._is_trial(hold, req.request_id):
             return None
-        age_s = self._evidence.clock() - hold.last_at
-        period_end_s = (self._period(hold) + 1) * hold.duration_s
         return Failure(
             kind=ErrorKind.QUARANTINED,
             reason=f'{hold.crashes} engines have crashed under prompts with'
             f' {hold.key}',
-            retry_after_ms=math.ceil((period_end_s - age_s) * MS_PER_S),
+            retry_after_ms=math.ceil(self._remaining_s(hold) * MS_PER_S),
         )
 
     def start(self, req: CallerRequest, attempt: AttemptState) -> RunningPrompt:
@@ -204,6 +247,11 @@
         log.info('held_prompt_tried')
         return True
 
+    def _remaining_s(self, hold: Hold) -> float:
+        """Return the time until the next trial is allowed."""
+        age_s = self._evidence.clock() - hold.last_at
+        return (self._period(hold) + 1) * hold.duration_s - age_s
+
     def _period(self, hold: Hold) -> int:
         """Return how many times the duration of a hold has passed."""
         age_s = self._evidence.clock() - hold.last_at
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -70,7 +70,6 @@
     endpoint_client: EndpointClient
     retry_budget: RetryBudget
     cold_limiter: ColdEndpointLimiter
-    crash_detector: CrashDetector
     quarantine: Quarantine
     telemetry: Telemetry
     call_placer: Placer = field(default_factory=CallPlacer)
@@ -82,6 +81,9 @@
 
     def __init__(self, deps: RelayDependencies) -> None:
         self._deps: Final = deps
+        self._crash_detector: Final = CrashDetector(
+            deps.endpoint_client, deps.load_table, deps.telemetry
+        )
 
     async def serve(
         self,
@@ -319,7 +321,7 @@
             deps.quarantine.end(running)
         if failure is None:
             deps.quarantine.record_sound(running)
-        elif await deps.crash_detector.has_crashed(context, failure):
+        elif await self._crash_detector.has_crashed(context, failure):
             deps.quarantine.record_crash(running, placement.lead)
         return failure
 
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -13,7 +13,6 @@
 from masticwind.serving.bounds import ColdEndpointLimiter, RetryBudget
 from masticwind.serving.cleanup import Cleanup
 from masticwind.serving.confirmations import Confirmations
-from masticwind.serving.crash_detector import CrashDetector
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.directory import (
     EndpointDirectory,
@@ -27,6 +26,7 @@
 from masticwind.serving.load_link import LoadLink
 from masticwind.serving.load_table import LoadTable
 from masticwind.serving.mirror import Mirror, MirrorOptions, Sink
+from masticwind.serving.operations import OperationsApp
 from masticwind.serving.peers import EntryPeers, Registrar
 from masticwind.serving.quarantine import build_quarantine
 from masticwind.serving.reach import ZoneReachability
@@ -251,7 +251,8 @@
         cfg = self._settings.cfg
         host = parse_address(cfg.listen).host
         address = parse_address(f'{host}:{cfg.metrics_port}')
-        return WebServer(self._telemetry.serve, address)
+        app = OperationsApp(self._settings, self._telemetry, self._quarantine)
+        return WebServer(app, address)
 
     async def _wait_until_loaded(self) -> None:
         """Wait for the mirrors to load; callers wait in the listen backlog."""
@@ -277,9 +278,6 @@
                 endpoint_client=adapter.endpoint_client,
                 retry_budget=RetryBudget(settings, entries),
                 cold_limiter=self._cleanup.cold_limiter,
-                crash_detector=CrashDetector(
-                    adapter.endpoint_client, self._load_table, self._telemetry
-                ),
                 quarantine=self._quarantine,
                 telemetry=self._telemetry,
             )
--- a/src/masticwind/serving/settings.py
+++ b/src/masticwind/serving/settings.py
@@ -53,7 +53,8 @@
 
     `zones` maps each availability zone to its region. `peer_port` is the UDP
     port for messages between entries, such as their load. A `metrics_port` of
-    zero disables the metrics server.
+    zero disables the metrics server. Without an `operator_token`, no held
+    part of a prompt can be released.
     """
 
     node: Name
@@ -66,6 +67,7 @@
     store: StoreSettings
     bounds: FleetBounds = field(default_factory=FleetBounds)
     log_level: LogLevel = 'info'
+    operator_token: str = ''
 
 
 def parse_address(text: HostPort) -> Address:
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -124,6 +124,14 @@
         return port
 
 
+async def free_tcp_port() -> int:
+    """Return a TCP port that is not in use."""
+    async with await anyio.create_tcp_listener(
+        local_host='127.0.0.1'
+    ) as listener:
+        return int(listener.extra(anyio.abc.SocketAttribute.local_port))
+
+
 ENGINE_SETTINGS: Mapping[str, float] = MappingProxyType(
     {
         'slots': 8,
--- a/tests/poison_fleet.py
+++ b/tests/poison_fleet.py
@@ -35,12 +35,14 @@
     ENGINE_SERVICE,
     REQUEST_TIMEOUT_S,
     caller_headers,
+    free_tcp_port,
     free_udp_port,
     registration_json,
     sample_config_document,
     sample_settings,
 )
 
+OPERATOR_TOKEN: Final = 'release-token'
 EVENT_GAP_S: Final = 0.01
 RESTART_S: Final = 0.3
 KV_CACHE_TOKENS: Final = 8000
@@ -53,6 +55,7 @@
     entry: DirectEntry
     client: HttpClient
     scope: anyio.CancelScope
+    operations_address: str
 
 
 @dataclass
@@ -80,10 +83,17 @@
             f'entry-{next(self._numbers)}',
             store=StoreSettings(address=self.store_address),
             peer_port=await free_udp_port(),
+            metrics_port=await free_tcp_port(),
+            operator_token=OPERATOR_TOKEN,
         )
         entry = DirectEntry(LiveSettings(cfg), platform_adapter(cfg))
         client = HttpClient(f'http://127.0.0.1:{entry.port}')
-        running = RunningDirectEntry(entry, client, anyio.CancelScope())
+        running = RunningDirectEntry(
+            entry,
+            client,
+            anyio.CancelScope(),
+            f'127.0.0.1:{cfg.metrics_port}',
+        )
         self.entries.append(running)
         self.tasks.start_soon(self._run_entry, running)
         return running
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -9,9 +9,11 @@
 
 from masticwind import settings
 from masticwind.config import model
+from masticwind.ctl import held
 from masticwind.ctl import main as ctl
 from masticwind.errors import ErrorKind
 from masticwind.metrics import Metric
+from masticwind.serving.settings import DirectSettings
 
 ROOT = Path(__file__).parent.parent
 PAGE = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
@@ -56,6 +58,7 @@
         model.Zone,
         model.Team,
         model.Operator,
+        DirectSettings,
     )
     return set().union(*(_setting_keys(kind) for kind in kinds))
 
@@ -98,7 +101,14 @@
         f'--{option.name.replace("_", "-")}'
         for option in dataclasses.fields(ctl.Options)
     }
-    for command in (ctl.status, ctl.show, ctl.apply, ctl.explain_request):
+    for command in (
+        ctl.status,
+        ctl.show,
+        ctl.apply,
+        ctl.explain_request,
+        held.list_held,
+        held.release,
+    ):
         names = inspect.signature(command).parameters
         options |= {f'--{name}' for name in names}
     text = [*_commands(), *re.findall(r'`(masticwind-[^`]*)`', PAGE)]
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -7,7 +7,13 @@
 import pytest
 
 from masticwind.httpclient import HttpAnswer
-from tests.poison_fleet import PoisonFleet, RunningDirectEntry, running_fleet
+from tests.poison_fleet import (
+    OPERATOR_TOKEN,
+    PoisonFleet,
+    RunningDirectEntry,
+    running_fleet,
+)
+from tests.test_ctl import run_ctl
 
 pytestmark = pytest.mark.anyio
 
@@ -109,6 +115,30 @@
         assert fleet.count_received(POISON) == received
 
 
+async def test_operators_list_and_release_a_held_part() -> None:
+    """Guards against a held part that operators cannot see or release."""
+    async with running_fleet() as fleet:
+        await _crash_until_held(fleet)
+        fleet.poison_parts.clear()
+        first, second = fleet.entries
+        entry = ('--entry', first.operations_address)
+        code, listing, error = await run_ctl('held', 'list', *entry)
+        assert code == 0, error
+        assert f'{POISON}: ' in listing
+        code, listing, error = await run_ctl('held', 'release', POISON, *entry)
+        assert code == 3
+        assert 'operator_token' in error
+        code, _, error = await run_ctl(
+            'held', 'release', POISON, *entry, token=OPERATOR_TOKEN
+        )
+        assert code == 0, error
+        await anyio.sleep(0.2)
+        answer = await fleet.send_prompt(second, 'new', POISON, 'new-own')
+        assert answer.status == 200
+        code, listing, _ = await run_ctl('held', 'list', *entry, '--json')
+        assert POISON not in listing
+
+
 async def test_crashes_without_a_poison_part_hold_nothing() -> None:
     """Guards against sound prompts held because engines end in series."""
     async with running_fleet() as fleet:
