Separate the evidence of crashes from the way it is sent

No change in behaviour. The quarantine takes keys of prompts instead of requests of direct serving, and reports go through an abstract link, so that entries of the chat interface can use it over their own connections.

--- a/src/masticwind/serving/crash_archive.py
+++ b/src/masticwind/serving/crash_archive.py
@@ -15,12 +15,9 @@
 from loguru import logger
 
 from masticwind.errors import Failure
-from masticwind.serving.crash_evidence import (
-    INITIAL_HOLD_S,
-    CrashEvidence,
-    Suspect,
-)
-from masticwind.serving.crash_link import CrashLink, CrashReport
+from masticwind.serving.crash_evidence import INITIAL_HOLD_S
+from masticwind.serving.crash_link import CrashLink
+from masticwind.serving.evidence_link import CrashReport
 from masticwind.serving.store import Item, MetadataStore
 
 # Changes within this time are written together.
@@ -30,10 +27,6 @@
 MAX_LEASE_S: Final = 600.0
 
 
-# The suspects and the cleared keys of a report.
-_Content = tuple[list[Suspect], list[str]]
-
-
 class CrashArchive:
     """Writes this entry's reports, and reads those of earlier processes."""
 
@@ -42,15 +35,13 @@
         store: MetadataStore,
         prefix: str,
         link: CrashLink,
-        evidence: CrashEvidence,
     ) -> None:
         self._store: Final = store
         self._prefix: Final = prefix
         self._link: Final = link
-        self._evidence: Final = evidence
+        self._evidence: Final = link.evidence
         self._changed = anyio.Event()
-        # What the store has of each report; ages, which change, are left out.
-        self._written: Final[dict[str, _Content]] = {}
+        self._written: Final[dict[str, CrashReport]] = {}
 
     def notify(self) -> None:
         """Write what has changed soon."""
@@ -110,8 +101,8 @@
 
     async def _write(self, crash_id: str, lease_s: float) -> Failure | None:
         report = self._link.report_of(crash_id)
-        written = (report.suspects, report.cleared)
-        if self._written.get(crash_id) == written:
+        written = self._written.get(crash_id)
+        if written is not None and written.has_same_content(report):
             return None
         lease = await self._store.grant_lease(min(lease_s, MAX_LEASE_S))
         if isinstance(lease, Failure):
@@ -120,7 +111,7 @@
             self._key(crash_id), msgspec.json.encode(report), lease
         )
         if failure is None:
-            self._written[crash_id] = written
+            self._written[crash_id] = report
         return failure
 
     def _key(self, crash_id: str) -> str:
--- /dev/null
+++ b/src/masticwind/serving/evidence_link.py
@@ -0,0 +1,118 @@
+"""How the evidence of crashes goes from one entry to the others.
+
+The reports are the same on each way between entries; a subclass sends them.
+"""
+
+import abc
+import math
+from collections.abc import Iterable
+from typing import Annotated, Final
+
+import msgspec
+
+from masticwind.budget import MS_PER_S
+from masticwind.serving.crash_evidence import (
+    EVIDENCE_TTL_S,
+    MAX_CLEARED,
+    MAX_KEY_CHARS,
+    MAX_SUSPECTS,
+    CrashEvidence,
+    Key,
+    Suspect,
+)
+
+# The time of a crash in a message is an age, so clocks are never compared.
+MAX_AGE_MS: Final = int(EVIDENCE_TTL_S * MS_PER_S)
+
+
+class CrashReport(msgspec.Struct, array_like=True):
+    """What an entry knows of one crash; with `complete`, all of it."""
+
+    crash_id: Annotated[str, msgspec.Meta(max_length=4 * MAX_KEY_CHARS)]
+    age_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_AGE_MS)]
+    suspects: Annotated[list[Suspect], msgspec.Meta(max_length=MAX_SUSPECTS)]
+    cleared: Annotated[list[Key], msgspec.Meta(max_length=MAX_CLEARED)]
+    complete: bool
+
+    def has_same_content(self, other: 'CrashReport') -> bool:
+        """Tell whether two reports have the same evidence, whatever its age."""
+        return (self.suspects, self.cleared) == (other.suspects, other.cleared)
+
+
+class EvidenceLink(abc.ABC):
+    """Records what happens at this entry, and tells the other entries."""
+
+    def __init__(self, evidence: CrashEvidence) -> None:
+        self.evidence: Final = evidence
+        # Crashes at which this entry had a prompt.
+        self.reported: Final[set[str]] = set()
+
+    @abc.abstractmethod
+    async def run(self) -> None:
+        """Exchange evidence until cancelled."""
+
+    @abc.abstractmethod
+    def broadcast(self, report: CrashReport) -> None:
+        """Send a report to the other entries."""
+
+    def report_crash(self, crash_id: str, suspect: Suspect) -> None:
+        """Record a prompt at a crash and tell the other entries."""
+        self.reported.add(crash_id)
+        self.evidence.merge(crash_id, self.evidence.clock(), (suspect,))
+        self.broadcast(self._to_report(crash_id, (suspect,), ()))
+
+    def clear(self, keys: Iterable[str]) -> None:
+        """Clear keys of which a prompt was answered, here and elsewhere."""
+        cleared_keys: dict[str, list[str]] = {}
+        for crash_id, key in self.evidence.accusations(keys):
+            cleared_keys.setdefault(crash_id, []).append(key)
+        for crash_id, cleared in cleared_keys.items():
+            crash = self.evidence.crash(crash_id)
+            self.evidence.merge(crash_id, crash.observed_at, (), cleared)
+            self.broadcast(self._to_report(crash_id, (), cleared))
+
+    def apply(self, report: CrashReport) -> bool:
+        """Merge a report; tell whether anything in it was new."""
+        return self.evidence.merge(
+            report.crash_id,
+            self.evidence.clock() - report.age_ms / MS_PER_S,
+            report.suspects,
+            report.cleared,
+        )
+
+    def reports(self) -> list[CrashReport]:
+        """Return the crashes that speak against a key, as they are sent."""
+        return [self.report_of(one) for one in self.evidence.crashes()]
+
+    def report_of(self, crash_id: str) -> CrashReport:
+        """Return all that is known of a crash."""
+        crash = self.evidence.crash(crash_id)
+        return self._to_report(
+            crash_id,
+            sorted(crash.suspects.values()),
+            sorted(crash.cleared),
+            complete=True,
+        )
+
+    def remove_expired(self) -> None:
+        """Drop the crashes that are too old."""
+        self.evidence.remove_expired()
+        self.reported.intersection_update(self.evidence.crashes())
+
+    def _to_report(
+        self,
+        crash_id: str,
+        suspects: Iterable[Suspect],
+        cleared: Iterable[str],
+        *,
+        complete: bool = False,
+    ) -> CrashReport:
+        observed_at = self.evidence.crash(crash_id).observed_at
+        age_s = max(0.0, self.evidence.clock() - observed_at)
+        return CrashReport(
+            crash_id=crash_id,
+            age_ms=min(MAX_AGE_MS, math.ceil(age_s * MS_PER_S)),
+            suspects=list(suspects),
+            cleared=list(cleared),
+            complete=complete,
+        )
--- a/src/masticwind/serving/quarantine.py
+++ b/src/masticwind/serving/quarantine.py
@@ -30,11 +30,10 @@
     Hold,
     PromptFingerprint,
     Suspect,
-    fingerprint,
 )
 from masticwind.serving.crash_link import CrashLink
 from masticwind.serving.datagrams import PeerSocket
-from masticwind.serving.model import CallerRequest, Endpoint
+from masticwind.serving.evidence_link import EvidenceLink
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.store import MetadataStore
 
@@ -115,11 +114,11 @@
 
     def __init__(
         self,
-        evidence: CrashEvidence,
-        link: CrashLink,
-        archive: CrashArchive,
+        link: EvidenceLink,
         fleet: EntryFleet,
+        archive: CrashArchive | None = None,
     ) -> None:
+        evidence = link.evidence
         self._evidence: Final = evidence
         self._link: Final = link
         self._archive: Final = archive
@@ -133,7 +132,8 @@
         """Exchange evidence with entries and the store until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._link.run)
-            tasks.start_soon(self._archive.run)
+            if self._archive is not None:
+                tasks.start_soon(self._archive.run)
 
     def held_count(self) -> int:
         """Return the number of parts and prompts that are held."""
@@ -168,10 +168,12 @@
         self._link.clear((part,))
         return True
 
-    def check(self, req: CallerRequest) -> Failure | None:
-        """Return the rejection of a request, None if it may be sent."""
-        hold = self._evidence.find_hold(fingerprint(req.prompt_parts))
-        if hold is None or self._is_trial(hold, req.request_id):
+    def check(
+        self, prompt: PromptFingerprint, request_id: str
+    ) -> Failure | None:
+        """Return the rejection of a prompt, None if it may be sent."""
+        hold = self._evidence.find_hold(prompt)
+        if hold is None or self._is_trial(hold, request_id):
             return None
         return Failure(
             kind=ErrorKind.QUARANTINED,
@@ -180,11 +182,12 @@
             retry_after_ms=math.ceil(self._remaining_s(hold) * MS_PER_S),
         )
 
-    def start(self, req: CallerRequest, attempt: AttemptState) -> RunningPrompt:
-        """Track a request that is sent to an engine, until `end`."""
-        prompt = fingerprint(req.prompt_parts)
+    def start(
+        self, prompt: PromptFingerprint, request_id: str, attempt: AttemptState
+    ) -> RunningPrompt:
+        """Track a prompt that is sent to an engine, until `end`."""
         running = RunningPrompt(
-            request_id=req.request_id,
+            request_id=request_id,
             prompt=prompt,
             prior_scores=tuple(
                 self._evidence.score(key) for key in prompt.keys
@@ -210,10 +213,15 @@
             self._answered.record(running.prompt.parts)
             self._link.clear(running.prompt.keys)
 
-    def record_crash(self, running: RunningPrompt, endpoint: Endpoint) -> None:
-        """Record that an engine crashed before it wrote an event."""
+    def record_crash(
+        self, running: RunningPrompt, endpoint: str, process: str
+    ) -> None:
+        """Record that an engine crashed before it wrote an event.
+
+        `process` tells apart two processes of the same endpoint.
+        """
         self._link.report_crash(
-            f'{endpoint.identity}/{endpoint.started_at_ms}',
+            f'{endpoint}/{process}',
             Suspect(
                 request_id=running.request_id,
                 answer_begun=running.attempt.answer_begun,
@@ -261,7 +269,8 @@
         self, key: str, before: Hold | None, hold: Hold | None
     ) -> None:
         """Log a change, and recall the prompts that are held now."""
-        self._archive.notify()
+        if self._archive is not None:
+            self._archive.notify()
         log = logger.bind(part=key)
         if hold is None:
             self._trials.pop(key, None)
@@ -299,7 +308,6 @@
     It shares its evidence with the other entries, and keeps what is behind a
     hold in the store under `prefix`.
     """
-    evidence = CrashEvidence()
-    link = CrashLink(peer_socket, peers, evidence)
-    archive = CrashArchive(store, prefix, link, evidence)
-    return Quarantine(evidence, link, archive, peers)
+    link = CrashLink(peer_socket, peers, CrashEvidence())
+    archive = CrashArchive(store, prefix, link)
+    return Quarantine(link, peers, archive)
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -26,6 +26,7 @@
 )
 from masticwind.serving.bounds import ColdEndpointLimiter, RetryBudget
 from masticwind.serving.crash_detector import CrashDetector
+from masticwind.serving.crash_evidence import fingerprint
 from masticwind.serving.directory import EndpointDirectory, OperatorState
 from masticwind.serving.health import EndpointHealth
 from masticwind.serving.interfaces import CallerAnswer, EndpointClient
@@ -192,7 +193,9 @@
                 kind=ErrorKind.OVERLOADED,
                 reason='the deadline has passed or is too close',
             )
-        rejection = deps.quarantine.check(admitted.req)
+        rejection = deps.quarantine.check(
+            fingerprint(admitted.req.prompt_parts), admitted.req.request_id
+        )
         if rejection is not None:
             return rejection
         candidates, helpers = self._find_candidates(admitted, progress)
@@ -301,7 +304,11 @@
         deps.reach.record_attempt(placement.lead)
         job_ids = deps.load_table.add(placement.jobs)
         state = AttemptState()
-        running = deps.quarantine.start(admitted.req, state)
+        running = deps.quarantine.start(
+            fingerprint(admitted.req.prompt_parts),
+            admitted.req.request_id,
+            state,
+        )
         context = AttemptContext(
             admitted=admitted,
             placement=placement,
@@ -322,7 +329,11 @@
         if failure is None:
             deps.quarantine.record_sound(running)
         elif await self._crash_detector.has_crashed(context, failure):
-            deps.quarantine.record_crash(running, placement.lead)
+            deps.quarantine.record_crash(
+                running,
+                placement.lead.identity,
+                str(placement.lead.started_at_ms),
+            )
         return failure
 
     def _record_event(
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -5,11 +5,8 @@
 
 import pytest
 
-from masticwind.budget import Budget
-from masticwind.errors import ErrorKind
-from masticwind.platform.store import PlatformStore
+from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.attempt import AttemptState
-from masticwind.serving.crash_archive import CrashArchive
 from masticwind.serving.crash_evidence import (
     EVIDENCE_TTL_S,
     INITIAL_HOLD_S,
@@ -21,9 +18,8 @@
 )
 from masticwind.serving.crash_link import CrashLink
 from masticwind.serving.datagrams import PeerSocket
-from masticwind.serving.model import CallerRequest, Endpoint
 from masticwind.serving.peers import EntryPeers
-from masticwind.serving.quarantine import Quarantine
+from masticwind.serving.quarantine import Quarantine, RunningPrompt
 from tests.entry_harness import peers_of_each_entry, sample_settings
 from tests.manual_clock import ManualClock
 
@@ -41,31 +37,30 @@
         self.clock = ManualClock()
         self.evidence = CrashEvidence(self.clock)
         peers = peers or EntryPeers(cfg)
-        self.link = CrashLink(PeerSocket(cfg), peers, self.evidence)
-        archive = CrashArchive(
-            PlatformStore(cfg.store), 'crashes/', self.link, self.evidence
-        )
-        self.quarantine = Quarantine(self.evidence, self.link, archive, peers)
+        link = CrashLink(PeerSocket(cfg), peers, self.evidence)
+        self.quarantine = Quarantine(link, peers)
         self._engines = 0
         self._requests = 0
 
-    def request(self, *parts: str) -> CallerRequest:
-        """Return a request with these parts."""
-        self._requests += 1
-        return CallerRequest(
-            request_id=f'r{self._requests}',
-            method='POST',
-            target=b'/',
-            host='',
-            path='/',
-            forwarded_headers=(),
-            budget=Budget.from_ms(1000),
-            prompt_parts=parts,
+    def start(
+        self, parts: tuple[str, ...], state: AttemptState | None = None
+    ) -> RunningPrompt:
+        """Send a prompt to an engine."""
+        return self.quarantine.start(
+            fingerprint(parts), self._new_id(), state or AttemptState()
         )
 
+    def check(self, *parts: str) -> Failure | None:
+        """Return the rejection of a prompt."""
+        return self.quarantine.check(fingerprint(parts), self._new_id())
+
     def is_held(self, *parts: str) -> bool:
         """Tell whether a prompt with these parts is rejected."""
-        return self.quarantine.check(self.request(*parts)) is not None
+        return self.check(*parts) is not None
+
+    def _new_id(self) -> str:
+        self._requests += 1
+        return f'r{self._requests}'
 
     def crash(
         self,
@@ -80,37 +75,25 @@
         crashes: Iterable[tuple[Prompts, Prompts]],
     ) -> None:
         """Crash engines whose prompts had all been sent before."""
-        running = []
+        running: list[tuple[RunningPrompt, str]] = []
         for begun, waiting in crashes:
             self._engines += 1
-            endpoint = _endpoint(f'e-{self._engines}')
+            engine = f'e-{self._engines}'
             for prompts, answer_begun in ((begun, True), (waiting, False)):
                 for parts in prompts:
                     state = AttemptState(answer_begun=answer_begun)
-                    started = self.quarantine.start(self.request(*parts), state)
-                    running.append((started, endpoint))
-        for one, endpoint in running:
+                    running.append((self.start(parts, state), engine))
+        for one, engine in running:
             self.quarantine.end(one)
-            self.quarantine.record_crash(one, endpoint)
+            self.quarantine.record_crash(one, engine, '1')
 
     def answer(self, *parts: str) -> None:
         """Answer a prompt."""
-        running = self.quarantine.start(self.request(*parts), AttemptState())
+        running = self.start(parts)
         self.quarantine.end(running)
         self.quarantine.record_sound(running)
 
 
-def _endpoint(identity: str) -> Endpoint:
-    return Endpoint(
-        identity=identity,
-        service='s',
-        host='127.0.0.1',
-        port=1,
-        zone='zone-a',
-        slots=8,
-    )
-
-
 def test_part_is_held_after_crashes_under_two_prompts() -> None:
     """Guards against more crashes than it takes to find the part."""
     scene = Scene()
@@ -258,7 +241,7 @@
     for own in ('a', 'b'):
         scene.crash(begun=[(POISON, own)])
     scene.clock.now += 10
-    rejection = scene.quarantine.check(scene.request(POISON, 'c'))
+    rejection = scene.check(POISON, 'c')
     assert rejection is not None
     assert rejection.kind is ErrorKind.QUARANTINED
     expected_ms = (INITIAL_HOLD_S - 10) * 1000
@@ -311,9 +294,9 @@
         'sound': AttemptState(),
         'begun': AttemptState(event_count=1),
     }
-    scene.quarantine.start(scene.request(POISON, 'x'), states['poison'])
-    scene.quarantine.start(scene.request('sound', 'x'), states['sound'])
-    scene.quarantine.start(scene.request(POISON, 'y'), states['begun'])
+    scene.start((POISON, 'x'), states['poison'])
+    scene.start(('sound', 'x'), states['sound'])
+    scene.start((POISON, 'y'), states['begun'])
     for own in ('a', 'b'):
         scene.crash(begun=[(POISON, own)])
     assert [name for name, state in states.items() if state.recalled] == [
--- a/tests/test_crash_machine.py
+++ b/tests/test_crash_machine.py
@@ -23,8 +23,9 @@
     Suspect,
     fingerprint,
 )
-from masticwind.serving.crash_link import CRASH, CrashLink, CrashReport
+from masticwind.serving.crash_link import CRASH, CrashLink
 from masticwind.serving.datagrams import PeerAddress, PeerSocket
+from masticwind.serving.evidence_link import CrashReport
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.store import Item
 from tests.entry_harness import sample_settings
