Hold prompts that crash engines on the chat interface too

A prompt that ends each engine which begins to answer it went to up to four engines there, and came to all of them again with each request.

Cause: as on the platform, an attempt that was lost with its engine goes to another agent, and nothing counts the crashes.

An agent that loses a stream before the first token asks the engine for its report, and says in End if the connection was refused. The entry counts these crashes by the blocks of the prompt and holds them as direct serving does. Not covered: the shares of a prompt for several engines are checked at admission but not counted, running attempts are not recalled, and evidence is not written to the key-value service.

--- a/src/masticwind/agent/ramp.py
+++ b/src/masticwind/agent/ramp.py
@@ -66,6 +66,11 @@
         self.restarts = 0
         self.restart()
 
+    @property
+    def boot_id(self) -> str:
+        """Boot id of the engine's process; empty before its first report."""
+        return self._boot_id
+
     @property
     def cold(self) -> bool:
         """Whether the capacity is still below that of a warm engine.
--- a/src/masticwind/agent/runner.py
+++ b/src/masticwind/agent/runner.py
@@ -20,6 +20,7 @@
     Done,
     Engine,
     EngineEvent,
+    EngineReport,
     EngineRequest,
     Tokens,
 )
@@ -28,6 +29,11 @@
 from masticwind.settings import AgentSettings
 
 CANCEL_TIMEOUT_S: Final = 3.0
+CRASH_CHECK_TIMEOUT_S: Final = 0.4
+# Failures of a connection; the former breaks before the answer begins.
+_LOST_KINDS: Final = frozenset(
+    (ErrorKind.FAILED_AFTER_START, ErrorKind.OUTCOME_UNKNOWN)
+)
 MAX_RESUMES: Final = 3
 RESUME_DELAY_S: Final = 0.1
 # Longer prompts get a lower priority in the engine.
@@ -91,9 +97,24 @@
         if failure is None:
             return True
         if req.end is None:
-            self._fail(req, failure)
+            self._fail(req, failure, await self._crashed_engine(req, failure))
         return False
 
+    async def _crashed_engine(self, req: AgentRequest, failure: Failure) -> str:
+        """Return the boot id of the engine if its process has ended."""
+        if req.generated_tokens or failure.kind not in _LOST_KINDS:
+            return ''
+        report: EngineReport | Failure | None = None
+        with anyio.move_on_after(CRASH_CHECK_TIMEOUT_S):
+            report = await self.engine.read_report()
+        # Nothing was sent and nothing is silent: the connection was refused.
+        refused = (
+            isinstance(report, Failure)
+            and report.kind is ErrorKind.NO_CAPACITY
+            and not report.silent
+        )
+        return self.ramp.boot_id if refused else ''
+
     async def _generate(self, req: AgentRequest) -> Failure | None:
         """Generate the output; resume a stream whose connection broke."""
         req.prefill_started_at = self.rates.begin_prefill()
@@ -201,13 +222,24 @@
             else MEDIUM_PRIORITY
         )
 
-    def _fail(self, req: AgentRequest, failure: Failure) -> None:
+    def _fail(
+        self, req: AgentRequest, failure: Failure, crashed_engine: str
+    ) -> None:
         if failure.kind is ErrorKind.NO_CAPACITY and not req.reached_engine:
             end_with_error(req, failure.kind, failure.reason)
             return
         # If the engine has failed, its other streams fail at the same time.
         self.ramp.record_failure()
-        end_with_error(req, ErrorKind.FAILED_AFTER_START, failure.reason)
+        req.finish(
+            End(
+                *req.key,
+                req.generated_tokens,
+                ErrorKind.FAILED_AFTER_START,
+                failure.reason,
+                crashed_engine=crashed_engine,
+                answer_begun=failure.kind is ErrorKind.OUTCOME_UNKNOWN,
+            )
+        )
 
     async def _cancel_on_engine(self, req: AgentRequest) -> None:
         with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
--- a/src/masticwind/entry/attempts.py
+++ b/src/masticwind/entry/attempts.py
@@ -36,6 +36,7 @@
     Revoke,
     Revoked,
 )
+from masticwind.serving.crash_evidence import PromptFingerprint
 
 OFFER_TIMEOUT_S: Final = 1.0
 REVOKE_TIMEOUT_S: Final = 1.0
@@ -52,6 +53,8 @@
     reason='the agent restarted and lost the request',
 )
 
+NO_FINGERPRINT: Final = PromptFingerprint()
+
 Emit = Callable[[Tokens], Awaitable[None]]
 
 
@@ -61,7 +64,8 @@
 
     For a share of a prompt, `earlier_handles` has the cache handles of the
     earlier shares, separated by spaces, or "-" for the first share. It is
-    empty if one engine gets the whole prompt.
+    empty if one engine gets the whole prompt. `fingerprint` has the keys under
+    which crashes of engines are counted.
     """
 
     request_id: str
@@ -72,6 +76,7 @@
     budget: Budget
     trace: str = ''
     earlier_handles: str = ''
+    fingerprint: PromptFingerprint = NO_FINGERPRINT
 
 
 @dataclass(slots=True, kw_only=True)
@@ -81,7 +86,9 @@
     `received_tokens` counts the tokens passed to the caller. `may_be_held`
     is true while the agent may have the request, so that it must be
     cancelled. `cache_handle` names the cache that the share of a prompt has
-    left at its agent.
+    left at its agent. `crashed_engine` is the boot id of an engine that has
+    crashed under the request, and `answer_begun` tells whether it had begun
+    to answer.
     """
 
     req: ModelRequest
@@ -95,6 +102,8 @@
     connection_lost: bool = False
     incarnation: str = ''
     cache_handle: str = ''
+    crashed_engine: str = ''
+    answer_begun: bool = False
 
     @property
     def key(self) -> tuple[str, int]:
@@ -315,6 +324,8 @@
 
 
 def _end_outcome(attempt: Attempt, end: End) -> Done | Failure:
+    attempt.crashed_engine = end.crashed_engine
+    attempt.answer_begun = end.answer_begun
     if end.kind:
         return Failure(kind=_end_kind(attempt, end), reason=end.reason)
     if end.count != attempt.received_tokens:
--- a/src/masticwind/entry/chat.py
+++ b/src/masticwind/entry/chat.py
@@ -13,6 +13,7 @@
 from masticwind.entry.attempts import ModelRequest
 from masticwind.entry.chat_body import ChatRequest
 from masticwind.entry.chat_writer import ChatWriter
+from masticwind.entry.crash_gossip import prompt_fingerprint
 from masticwind.entry.predict import Job
 from masticwind.entry.relay import Relay
 from masticwind.errors import ErrorKind, Failure
@@ -80,6 +81,7 @@
         weight=caller.team.weight,
         prompt=chat.prompt,
         budget=budget,
+        fingerprint=prompt_fingerprint(chat.prompt, chat.prefix_hashes),
         job=Job(
             model=chat.model,
             prompt_tokens=prompt_tokens,
--- a/src/masticwind/entry/neighbours.py
+++ b/src/masticwind/entry/neighbours.py
@@ -18,12 +18,17 @@
     ConfigWatcher,
     rank_by_rendezvous_hash,
 )
+from masticwind.entry.crash_gossip import CrashGossip, NamedEntries
 from masticwind.entry.limits import DemandShares
 from masticwind.peer_identity import PeerIdentity
 from masticwind.protocol.channel import Channel
 from masticwind.protocol.dialer import keep_connected
 from masticwind.protocol.listener import Listener, PeerHandler
-from masticwind.protocol.messages import AnyMessage, Usage
+from masticwind.protocol.messages import (
+    MAX_USAGE_CRASHES,
+    AnyMessage,
+    Usage,
+)
 from masticwind.settings import Address, EntrySettings
 from masticwind.store.base import Instance
 
@@ -37,6 +42,7 @@
         self._sync: Final = sync
         self._channels: Final[dict[str, Channel]] = {}
         self.shares: DemandShares | None = None
+        self.gossip: CrashGossip | None = None
 
     @property
     def channels(self) -> Sequence[Channel]:
@@ -56,6 +62,8 @@
         if isinstance(message, Usage):
             if self.shares is not None:
                 self.shares.record_report(channel.peer.node, message.rates)
+            if self.gossip is not None:
+                self.gossip.receive(message.crashes)
             return
         self._sync.handle_message(channel, message)
 
@@ -126,6 +134,17 @@
         """Report the demand in `shares`, and store others' reports in it."""
         self._handler.shares = shares
 
+    def start_crash_gossip(self, gossip: CrashGossip) -> None:
+        """Exchange the evidence of crashes with the connected entries."""
+        self._handler.gossip = gossip
+        gossip.send_to_neighbours = self._send_crashes
+
+    def fleet(self) -> NamedEntries:
+        """Return the entries of the instance list."""
+        return NamedEntries(
+            self._deps.node.name, lambda: self._deps.watcher.entry_names
+        )
+
     async def run(self) -> None:
         """Accept and maintain connections until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -140,6 +159,8 @@
         shares = self._handler.shares
         while shares is not None:
             await anyio.sleep(self._deps.cfg.peers.heartbeat_ms / MS_PER_S)
+            if self._handler.gossip is not None:
+                self._send_crashes(self._handler.gossip.sample())
             message = Usage(shares.local_report())
             channels = self._handler.channels
             # Without a report of every other entry, limits are split evenly.
@@ -149,6 +170,16 @@
             for channel in channels:
                 channel.send(message)
 
+    def _send_crashes(self, contents: Sequence[bytes]) -> None:
+        shares = self._handler.shares
+        if shares is None:
+            return
+        for start in range(0, len(contents), MAX_USAGE_CRASHES):
+            batch = tuple(contents[start : start + MAX_USAGE_CRASHES])
+            message = Usage(shares.local_report(), batch)
+            for channel in self._handler.channels:
+                channel.send(message)
+
     def _update_connections(self, tasks: TaskGroup) -> None:
         for address in list(self._scopes):
             if address not in self._target_addresses:
--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -38,6 +38,8 @@
 from masticwind.errors import ErrorKind, Failure, guarantees_not_run
 from masticwind.metrics import Metric
 from masticwind.protocol.messages import Load
+from masticwind.serving.attempt import AttemptState
+from masticwind.serving.quarantine import Quarantine
 from masticwind.settings import EntrySettings
 from masticwind.telemetry import NO_TELEMETRY, Telemetry
 
@@ -74,11 +76,13 @@
         pool: AgentPool,
         config: CurrentConfig,
         view: RoutingView,
+        quarantine: Quarantine,
         telemetry: Telemetry = NO_TELEMETRY,
     ) -> None:
         self._pool: Final = pool
         self._config: Final = config
         self.view: Final = view
+        self._quarantine: Final = quarantine
         self._router: Final[Router] = make_router(cfg, self.view)
         self._metrics: Final = telemetry.metrics
         self._tracer: Final = telemetry.tracer
@@ -144,6 +148,9 @@
         work: float,
         emit: Emit,
     ) -> Done | Failure:
+        rejection = self._quarantine.check(req.fingerprint, req.request_id)
+        if rejection is not None:
+            return rejection
         with self._tracer.span('entry.admission', req.trace):
             serving = self._serving_links(req.job)
             needs_group = self._groups.needs_group(req.job, serving)
@@ -185,7 +192,7 @@
             ) as span:
                 traced_req = replace(req, trace=span.traceparent)
                 attempt = self._open_attempt(traced_req, number, link)
-                outcome = await self._run_attempt(attempt, emit)
+                outcome = await self._run_tracked(attempt, emit)
             if isinstance(outcome, Done):
                 return outcome
             failures.add(outcome)
@@ -193,16 +200,48 @@
                 break
             if outcome.kind is ErrorKind.REVOKED:
                 revoked.add(link)
-            chosen = self._choose_link(req, tried)
-            if revoked and isinstance(chosen, Failure):
-                # An agent whose connection was silent has confirmed the
-                # revocation on a new one and can be offered another attempt.
-                chosen = self._choose_link(req, tried - revoked)
+            chosen = self._choose_other_link(req, tried, revoked)
             if isinstance(chosen, Failure) or not self._retries.acquire_retry():
                 break
             link = chosen
         return failures.combined(_NO_CAPACITY)
 
+    def _choose_other_link(
+        self,
+        req: ModelRequest,
+        tried: set[AgentLink],
+        revoked: set[AgentLink],
+    ) -> AgentLink | Failure:
+        rejection = self._quarantine.check(req.fingerprint, req.request_id)
+        if rejection is not None:
+            return rejection
+        chosen = self._choose_link(req, tried)
+        if revoked and isinstance(chosen, Failure):
+            # An agent whose connection was silent has confirmed the revocation
+            # on a new one and can be offered another attempt.
+            return self._choose_link(req, tried - revoked)
+        return chosen
+
+    async def _run_tracked(
+        self, attempt: Attempt, emit: Emit
+    ) -> Done | Failure:
+        """Run an attempt and record whether the engine crashed under it."""
+        state = AttemptState()
+        req = attempt.req
+        running = self._quarantine.start(req.fingerprint, req.request_id, state)
+        try:
+            outcome = await self._run_attempt(attempt, emit)
+        finally:
+            self._quarantine.end(running)
+        state.answer_begun = attempt.answer_begun
+        if isinstance(outcome, Done):
+            self._quarantine.record_sound(running)
+        elif attempt.crashed_engine and not attempt.received_tokens:
+            self._quarantine.record_crash(
+                running, attempt.link.endpoint, attempt.crashed_engine
+            )
+        return outcome
+
     async def _run_attempt(
         self, attempt: Attempt, emit: Emit
     ) -> Done | Failure:
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -13,12 +13,15 @@
 from masticwind.entry.agent_pool import AgentPool, PoolDependencies
 from masticwind.entry.app import AppDependencies, EntryApp
 from masticwind.entry.claims import Claims
+from masticwind.entry.crash_gossip import CrashGossip
 from masticwind.entry.neighbours import NeighbourDependencies, Neighbours
 from masticwind.entry.relay import Relay
 from masticwind.entry.router import RoutingView
 from masticwind.entry.tier_outcomes import TierOutcomeCounter
 from masticwind.peer_identity import PeerIdentity
 from masticwind.planner.runner import Planner
+from masticwind.serving.crash_evidence import CrashEvidence
+from masticwind.serving.quarantine import Quarantine
 from masticwind.settings import EntrySettings
 from masticwind.store.http import (
     HttpInstanceList,
@@ -61,7 +64,12 @@
         telemetry = make_telemetry(cfg, self.config)
         self.metrics: Final = telemetry.metrics
         self.tracer: Final = telemetry.tracer
-        relay = Relay(cfg, self.pool, self.config, view, telemetry)
+        gossip = CrashGossip(CrashEvidence())
+        self.neighbours.start_crash_gossip(gossip)
+        self._quarantine: Final = Quarantine(gossip, self.neighbours.fleet())
+        relay = Relay(
+            cfg, self.pool, self.config, view, self._quarantine, telemetry
+        )
         self.neighbours.start_usage_exchange(relay.limit_shares)
         self.claims: Final = Claims(HttpKeyValue(cfg.platform), cfg.claims)
         tier_counter = TierOutcomeCounter()
@@ -102,6 +110,7 @@
             tasks.start_soon(self.claims.run)
             tasks.start_soon(self.metrics.run)
             tasks.start_soon(self.neighbours.run)
+            tasks.start_soon(self._quarantine.run)
             if self._cfg.watch_config:
                 tasks.start_soon(self._watcher.run)
             if self._cfg.planner:
--- a/src/masticwind/protocol/messages.py
+++ b/src/masticwind/protocol/messages.py
@@ -12,6 +12,9 @@
 
 PROTOCOL_VERSION: Final = 1
 MAX_USAGE_TEAMS: Final = 64
+# Reports of crashes in one message, and the size of each.
+MAX_USAGE_CRASHES: Final = 4
+MAX_CRASH_BYTES: Final = 32_768
 BODY_CHUNK_BYTES: Final = 262_144
 MAX_INLINE_BODY_BYTES: Final = 65_536
 MAX_OUTPUT_TOKENS_PER_MESSAGE: Final = 4096
@@ -163,7 +166,12 @@
 
 
 class End(Message, frozen=True, tag='end'):
-    """The request has ended after `count` tokens; empty `kind` is success."""
+    """The request has ended after `count` tokens; empty `kind` is success.
+
+    If the engine's process has ended under the request, `crashed_engine` is
+    the boot id that it had, and `answer_begun` tells whether it had begun to
+    answer.
+    """
 
     request_id: Id
     attempt: NonNegative
@@ -171,6 +179,8 @@
     kind: str = ''
     reason: Text = ''
     cached_tokens: NonNegative = 0
+    crashed_engine: Text = ''
+    answer_begun: bool = False
 
 
 class Revoke(Message, frozen=True, tag='revoke'):
@@ -298,13 +308,18 @@
 class Usage(Message, frozen=True, tag='usage'):
     """Demand of an entry's busiest rate-limited teams, in requests a second.
 
-    A team that is not listed has no demand at that entry.
+    A team that is not listed has no demand at that entry. `crashes` are
+    encoded reports of prompts under which engines crashed.
     """
 
     rates: Annotated[
         dict[Id, float],
         msgspec.Meta(max_length=MAX_USAGE_TEAMS),
     ] = {}
+    crashes: Annotated[
+        tuple[Annotated[bytes, msgspec.Meta(max_length=MAX_CRASH_BYTES)], ...],
+        msgspec.Meta(max_length=MAX_USAGE_CRASHES),
+    ] = ()
 
 
 AnyMessage = (
--- a/tests/executor_harness.py
+++ b/tests/executor_harness.py
@@ -11,7 +11,11 @@
 from masticwind.agent.executor import Executor, ExecutorDependencies
 from masticwind.config.current import CurrentConfig
 from masticwind.config.model import Generation
-from masticwind.engines.base import EngineEvent, EngineRequest
+from masticwind.engines.base import (
+    EngineEvent,
+    EngineReport,
+    EngineRequest,
+)
 from masticwind.engines.http import HttpEngine
 from masticwind.errors import ErrorKind, Failure
 from masticwind.protocol.channel import Channel
@@ -119,11 +123,13 @@
     """An engine client that simulates process and connection faults.
 
     `pending_breaks` is the number of streams that are still to be broken.
+    With `has_ended`, the engine refuses connections.
     """
 
     def __init__(self, base_url: str) -> None:
         super().__init__(base_url)
         self.ignores_cancel = False
+        self.has_ended = False
         self.pending_breaks = 0
 
     async def cancel(self, request_id: str) -> Failure | None:
@@ -132,6 +138,12 @@
             return None
         return await super().cancel(request_id)
 
+    async def read_report(self) -> EngineReport | Failure:
+        """Read the report, unless the engine is simulated as ended."""
+        if self.has_ended:
+            return Failure(kind=ErrorKind.NO_CAPACITY, reason='refused')
+        return await super().read_report()
+
     @asynccontextmanager
     async def generate(
         self,
--- a/tests/scripted_relay.py
+++ b/tests/scripted_relay.py
@@ -11,6 +11,7 @@
 from masticwind.entry.affinity import AffinityIndex
 from masticwind.entry.agent_pool import AgentLink, AgentPool
 from masticwind.entry.attempts import ModelRequest
+from masticwind.entry.crash_gossip import CrashGossip, NamedEntries
 from masticwind.entry.predict import Job
 from masticwind.entry.relay import Relay
 from masticwind.entry.router import RoutingView
@@ -24,6 +25,8 @@
     Revoke,
     Revoked,
 )
+from masticwind.serving.crash_evidence import CrashEvidence, fingerprint
+from masticwind.serving.quarantine import Quarantine
 from tests.routing_fakes import entry_settings, fake_job, fake_link
 from tests.scenarios import sample_config
 
@@ -97,11 +100,15 @@
             Generation(number=1, config=sample_config(**sections))
         )
         self.pool = FakePool([channel.link for channel in self.channels])
+        self.quarantine = Quarantine(
+            CrashGossip(CrashEvidence()), NamedEntries('e', frozenset)
+        )
         self.relay = Relay(
             cfg,
             cast(AgentPool, self.pool),
             self.config,
             RoutingView(cfg, AffinityIndex(100)),
+            self.quarantine,
         )
         self.output: list[str] = []
 
@@ -111,6 +118,7 @@
         job: Job | None = None,
         prompt: bytes = b'x',
         request_id: str = 'r',
+        parts: tuple[str, ...] = (),
     ) -> Done | Failure:
         """Run one request."""
         return await self.relay.run(
@@ -121,6 +129,7 @@
                 job=job or fake_job(),
                 prompt=prompt,
                 budget=Budget.from_ms(timeout_ms),
+                fingerprint=fingerprint(parts),
             ),
             self._emit,
         )
