Keep reports of crashes in the store as long as the hold lasts

After a restart of all entries later than 30 s after the first crashes, two or three more engines would have ended under a part that was held.

Cause: a hold grows with each crash, but the report of an earlier crash was written again only if its content changed, so its lease ended with the first hold. test_reports_stay_in_the_store_as_long_as_the_hold fails on the parent commit (30 s where the hold is 120 s). A report is written again when it needs a longer lease.

--- a/src/masticwind/serving/crash_archive.py
+++ b/src/masticwind/serving/crash_archive.py
@@ -7,6 +7,7 @@
 for each hold and none for a request.
 """
 
+from dataclasses import dataclass
 from typing import Final
 
 import anyio
@@ -27,6 +28,14 @@
 MAX_LEASE_S: Final = 600.0
 
 
+@dataclass(frozen=True, slots=True)
+class _WrittenReport:
+    """A report in the store, and the length of its lease."""
+
+    report: CrashReport
+    lease_s: float
+
+
 class CrashArchive:
     """Writes this entry's reports, and reads those of earlier processes."""
 
@@ -41,7 +50,7 @@
         self._link: Final = link
         self._evidence: Final = link.evidence
         self._changed = anyio.Event()
-        self._written: Final[dict[str, CrashReport]] = {}
+        self._written: Final[dict[str, _WrittenReport]] = {}
 
     def notify(self) -> None:
         """Write what has changed soon."""
@@ -101,17 +110,22 @@
 
     async def _write(self, crash_id: str, lease_s: float) -> Failure | None:
         report = self._link.report_of(crash_id)
+        lease_s = min(lease_s, MAX_LEASE_S)
         written = self._written.get(crash_id)
-        if written is not None and written.has_same_content(report):
+        if (
+            written is not None
+            and written.lease_s >= lease_s
+            and written.report.has_same_content(report)
+        ):
             return None
-        lease = await self._store.grant_lease(min(lease_s, MAX_LEASE_S))
+        lease = await self._store.grant_lease(lease_s)
         if isinstance(lease, Failure):
             return lease
         failure = await self._store.put(
             self._key(crash_id), msgspec.json.encode(report), lease
         )
         if failure is None:
-            self._written[crash_id] = report
+            self._written[crash_id] = _WrittenReport(report, lease_s)
         return failure
 
     def _key(self, crash_id: str) -> str:
--- /dev/null
+++ b/tests/test_crash_archive.py
@@ -0,0 +1,168 @@
+"""The reports of crashes that an entry keeps in the metadata store."""
+
+from typing import Final
+
+import anyio
+import pytest
+
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.crash_archive import CrashArchive
+from masticwind.serving.crash_evidence import CrashEvidence, Suspect
+from masticwind.serving.crash_link import CrashLink
+from masticwind.serving.datagrams import PeerSocket
+from masticwind.serving.peers import EntryPeers
+from masticwind.serving.quarantine import Quarantine
+from masticwind.serving.store import (
+    Changes,
+    Compacted,
+    Item,
+    Listing,
+    MetadataStore,
+)
+from tests.entry_harness import sample_settings
+
+pytestmark = pytest.mark.anyio
+
+POISON: Final = 'poison'
+DOWN: Final = Failure(kind=ErrorKind.PLATFORM_DOWN, reason='down')
+
+
+class RecordingStore(MetadataStore):
+    """Keeps values and the lengths of their leases; it can be down."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.values: dict[str, bytes] = {}
+        self.leases_s: dict[str, float] = {}
+        self._granted_s: list[float] = []
+
+    async def list_prefix(self, prefix: str) -> Listing | Failure:
+        """Return all values."""
+        items = (Item(key, value, 1) for key, value in self.values.items())
+        return DOWN if self.down else Listing(tuple(items), 1)
+
+    async def watch_prefix(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        answer_timeout_s: float = 1,
+    ) -> Changes | Compacted | Failure:
+        """Fail: the archive does not watch."""
+        return DOWN
+
+    async def grant_lease(self, ttl_s: float) -> int | Failure:
+        """Grant a lease."""
+        self._granted_s.append(ttl_s)
+        return DOWN if self.down else len(self._granted_s)
+
+    async def renew_lease(self, lease: int) -> Failure | None:
+        """Fail: the archive renews no lease."""
+        return DOWN
+
+    async def put(self, key: str, value: bytes, lease: int) -> Failure | None:
+        """Write a value under a lease."""
+        if self.down:
+            return DOWN
+        self.values[key] = value
+        self.leases_s[key] = self._granted_s[lease - 1]
+        return None
+
+
+class ArchivingEntry:
+    """The quarantine of an entry that keeps its reports in a store."""
+
+    def __init__(self, store: MetadataStore) -> None:
+        cfg = sample_settings()
+        peers = EntryPeers(cfg)
+        self.evidence = CrashEvidence()
+        self.link = CrashLink(PeerSocket(cfg), peers, self.evidence)
+        archive = CrashArchive(store, 'crashes/', self.link)
+        self.quarantine = Quarantine(self.link, peers, archive)
+
+    def crash(self, number: int) -> None:
+        """Crash an engine under a new prompt with the part."""
+        self.link.report_crash(
+            f'e-{number}/1',
+            Suspect(
+                request_id=f'r{number}',
+                answer_begun=True,
+                prompt=f'prompt:{number}',
+                parts=(POISON,),
+                prior_scores=(0, self.evidence.score(POISON)),
+            ),
+        )
+
+
+async def test_reports_stay_in_the_store_as_long_as_the_hold() -> None:
+    """Guards against a hold of which a restart finds only the last crash."""
+    store = RecordingStore()
+    entry = ArchivingEntry(store)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(entry.quarantine.run)
+        for number in range(4):
+            entry.crash(number)
+            await anyio.sleep(0.3)
+        tasks.cancel_scope.cancel()
+    hold = entry.evidence.holds()[POISON]
+    assert len(store.leases_s) == 4
+    assert min(store.leases_s.values()) >= hold.duration_s
+
+
+async def test_reports_are_written_after_an_outage_of_the_store() -> None:
+    """Guards against a hold that is forgotten as the store was down."""
+    store = RecordingStore()
+    entry = ArchivingEntry(store)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(entry.quarantine.run)
+        await anyio.sleep(0.1)
+        store.down = True
+        for number in range(2):
+            entry.crash(number)
+        await anyio.sleep(0.3)
+        assert not store.values
+        store.down = False
+        with anyio.fail_after(3):
+            while len(store.values) < 2:
+                await anyio.sleep(0.02)
+        tasks.cancel_scope.cancel()
+    restarted = ArchivingEntry(store)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(restarted.quarantine.run)
+        await anyio.sleep(0.1)
+        assert POISON in restarted.evidence.holds()
+        tasks.cancel_scope.cancel()
+
+
+async def test_released_part_is_not_held_again_after_a_restart() -> None:
+    """Guards against a store that brings back what was released."""
+    store = RecordingStore()
+    entry = ArchivingEntry(store)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(entry.quarantine.run)
+        for number in range(2):
+            entry.crash(number)
+        await anyio.sleep(0.3)
+        assert entry.quarantine.release(POISON)
+        await anyio.sleep(0.3)
+        tasks.cancel_scope.cancel()
+    restarted = ArchivingEntry(store)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(restarted.quarantine.run)
+        await anyio.sleep(0.1)
+        assert not restarted.evidence.holds()
+        tasks.cancel_scope.cancel()
+
+
+async def test_unreadable_report_does_not_stop_the_others() -> None:
+    """Guards against a value of another writer that hides all reports."""
+    store = RecordingStore()
+    entry = ArchivingEntry(store)
+    store.values['crashes/other'] = b'\xff{'
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(entry.quarantine.run)
+        for number in range(2):
+            entry.crash(number)
+        await anyio.sleep(0.3)
+        tasks.cancel_scope.cancel()
+    assert len(store.values) == 3
