Bound the names and scores in reports of crashes

Long names are sent as digests, scores and cleared keys have an upper limit.

Events that arrive in the same read as the start of an oversized one are passed on before the attempt fails, so that no event is missing when the stream is resumed. A prompt of the chat interface that has had output is recorded as sound, and only attempts that can be cancelled count as recalled.

--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -234,9 +234,9 @@
         finally:
             self._quarantine.end(running)
         state.answer_begun = attempt.answer_begun
-        if isinstance(outcome, Done):
+        if isinstance(outcome, Done) or attempt.received_tokens:
             self._quarantine.record_sound(running)
-        elif attempt.crashed_engine and not attempt.received_tokens:
+        elif attempt.crashed_engine:
             self._quarantine.record_crash(
                 running, attempt.link.endpoint, attempt.crashed_engine
             )
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -61,21 +61,14 @@
 class AttemptState:
     """What the entry has received from the endpoint of an attempt.
 
-    `answer_begun` says that the head of the answer has arrived. `scope` is
-    that of the attempt while it runs.
+    `answer_begun` says that the head of the answer has arrived. Cancelling
+    `scope` recalls the attempt.
     """
 
     answer_begun: bool = False
     event_count: int = 0
-    recalled: bool = False
     scope: anyio.CancelScope | None = None
 
-    def recall(self) -> None:
-        """End the attempt."""
-        self.recalled = True
-        if self.scope is not None:
-            self.scope.cancel()
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AttemptContext:
@@ -336,21 +329,20 @@
         if not chunk:
             break
         events = _new_events(context.progress, splitter.feed(chunk))
+        if events:
+            context.state.event_count += len(events)
+            context.progress.record_events(len(events))
+            if not answer.started:
+                await answer.start(reply.status, reply.headers, None)
+            context.on_event()
+            timeout_s = context.limits.idle_timeout_s
+            await answer.write(b''.join(event.content for event in events))
+            timeout_at = anyio.current_time() + timeout_s
         if splitter.is_oversized:
             return Failure(
                 kind=ErrorKind.FAILED_AFTER_START,
                 reason=f'an event is over {MAX_EVENT_BYTES} bytes',
             )
-        if not events:
-            continue
-        if not answer.started:
-            await answer.start(reply.status, reply.headers, None)
-        context.state.event_count += len(events)
-        context.progress.record_events(len(events))
-        context.on_event()
-        timeout_s = context.limits.idle_timeout_s
-        await answer.write(b''.join(event.content for event in events))
-        timeout_at = anyio.current_time() + timeout_s
     if splitter.has_partial_event or not answer.started:
         return Failure(
             kind=ErrorKind.FAILED_AFTER_START,
--- a/src/masticwind/serving/crash_evidence.py
+++ b/src/masticwind/serving/crash_evidence.py
@@ -43,6 +43,7 @@
 BEGUN_SCORE: Final = 6
 WAITING_SCORE: Final = 3
 HELD_SCORE: Final = 12
+MAX_SCORE: Final = 100 * HELD_SCORE
 # Two different prompts must have crashed an engine before a part that they
 # share is held; the prompt itself is held after its second crash.
 MIN_CRASHES: Final = 2
@@ -53,7 +54,7 @@
 _PROMPT_KEY: Final = 'prompt:'
 
 Key = Annotated[str, msgspec.Meta(max_length=MAX_KEY_CHARS)]
-Score = Annotated[int, msgspec.Meta(ge=0, le=MAX_CRASHES * BEGUN_SCORE)]
+Score = Annotated[int, msgspec.Meta(ge=0, le=MAX_SCORE)]
 _PartKeys = Annotated[tuple[Key, ...], msgspec.Meta(max_length=MAX_PARTS)]
 _PriorScores = Annotated[
     tuple[Score, ...], msgspec.Meta(max_length=MAX_PARTS + 1)
@@ -84,7 +85,7 @@
     *shared_parts, _own_part = prompt_parts
     return PromptFingerprint(
         f'{_PROMPT_KEY}{digest}',
-        tuple(_limit_length(part) for part in shared_parts[:MAX_PARTS]),
+        tuple(limit_length(part) for part in shared_parts[:MAX_PARTS]),
     )
 
 
@@ -189,7 +190,8 @@
         before = (dict(crash.suspects), len(crash.cleared))
         for suspect in suspects:
             _add_suspect(crash, suspect)
-        crash.cleared.update(itertools.islice(cleared, MAX_CLEARED))
+        room = max(0, MAX_CLEARED - len(crash.cleared))
+        crash.cleared.update(itertools.islice(cleared, room))
         if not is_new and before == (crash.suspects, len(crash.cleared)):
             return False
         self._update_keys(crash_id, crash)
@@ -355,7 +357,8 @@
         added //= 2
     prompts = {culprit.prompt for culprit in crash.culprits()}
     prior_scores = (score for one, score in suspect.scores() if one == key)
-    return max(1, added // len(prompts)) + max(prior_scores, default=0)
+    score = max(1, added // len(prompts)) + max(prior_scores, default=0)
+    return min(MAX_SCORE, score)
 
 
 def _company(key: str, accusing: list[tuple[Crash, Suspect]]) -> frozenset[str]:
@@ -369,7 +372,8 @@
     return frozenset((key, *(company or ())))
 
 
-def _limit_length(part: str) -> str:
-    if len(part) <= MAX_KEY_CHARS:
-        return part
-    return xxhash.xxh3_128_hexdigest(part.encode())
+def limit_length(name: str) -> str:
+    """Return a name, or a digest of it if it is too long for a report."""
+    if len(name) <= MAX_KEY_CHARS:
+        return name
+    return xxhash.xxh3_128_hexdigest(name.encode())
--- a/src/masticwind/serving/quarantine.py
+++ b/src/masticwind/serving/quarantine.py
@@ -30,6 +30,7 @@
     Hold,
     PromptFingerprint,
     Suspect,
+    limit_length,
 )
 from masticwind.serving.crash_link import CrashLink
 from masticwind.serving.datagrams import PeerSocket
@@ -221,9 +222,9 @@
         `process` tells apart two processes of the same endpoint.
         """
         self._link.report_crash(
-            f'{endpoint}/{process}',
+            f'{limit_length(endpoint)}/{limit_length(process)}',
             Suspect(
-                request_id=running.request_id,
+                request_id=limit_length(running.request_id),
                 answer_begun=running.attempt.answer_begun,
                 prompt=running.prompt.prompt,
                 parts=running.prompt.parts,
@@ -289,10 +290,11 @@
         """Cancel the held prompts without an event; return their number."""
         recalled = 0
         for running in self._running.values():
-            if running.attempt.event_count:
+            scope = running.attempt.scope
+            if scope is None or running.attempt.event_count:
                 continue
             if hold.company.issubset(running.prompt.keys):
-                running.attempt.recall()
+                scope.cancel()
                 recalled += 1
         return recalled
 
