--- a/src/masticwind/ctl/held.py
+++ b/src/masticwind/ctl/held.py
@@ -101,7 +101,7 @@
 
 
 def _format_held(held: dict[str, Any]) -> str:
-    others = [part for part in held['company'] if part != held['part']]
+    others = [part for part in held['common_parts'] if part != held['part']]
     together = f' together with {", ".join(others)}' if others else ''
     return (
         f'{held["part"]}{together}: {held["crashes"]} crashes, the first'
--- a/src/masticwind/serving/crash_evidence.py
+++ b/src/masticwind/serving/crash_evidence.py
@@ -114,13 +114,14 @@
 class Hold:
     """A key whose prompts are rejected, and the evidence for it.
 
-    While several parts are common to all crashes, `company` has them all: a
-    prompt that lacks one of them is let through and shows which one it is.
+    `common_parts` has all parts that the prompts at these crashes share. While
+    there are several, a prompt that lacks one of them is let through and shows
+    which one it is.
     Times are on the evidence's clock.
     """
 
     key: str
-    company: frozenset[str]
+    common_parts: frozenset[str]
     crashes: int
     first_at: float
     last_at: float
@@ -239,7 +240,7 @@
             return None
         for key in prompt.keys:
             hold = self._holds.get(key)
-            if hold is not None and hold.company.issubset(prompt.keys):
+            if hold is not None and hold.common_parts.issubset(prompt.keys):
                 return hold
         return None
 
@@ -291,7 +292,7 @@
         self._scores.pop(key, None)
         after: Hold | None = None
         if self._crashes_by_key[key]:
-            after = self._find_evidence(key)
+            after = self._evaluate_key(key)
         else:
             self._crashes_by_key.pop(key)
         if after is not None:
@@ -299,7 +300,7 @@
         if before != after:
             self.on_hold_change(key, before, after)
 
-    def _find_evidence(self, key: str) -> Hold | None:
+    def _evaluate_key(self, key: str) -> Hold | None:
         """Update the score of a key; return a hold if the evidence suffices."""
         crash_ids = self._crashes_by_key[key]
         crashes = [self._crashes[crash_id] for crash_id in crash_ids]
@@ -321,7 +322,7 @@
             return None
         return Hold(
             key=key,
-            company=_company(key, accusing),
+            common_parts=_find_common_parts(key, accusing),
             crashes=len(crashes),
             first_at=min(crash.observed_at for crash in crashes),
             last_at=max(crash.observed_at for crash in crashes),
@@ -361,15 +362,17 @@
     return min(MAX_SCORE, score)
 
 
-def _company(key: str, accusing: list[tuple[Crash, Suspect]]) -> frozenset[str]:
+def _find_common_parts(
+    key: str, accusing: list[tuple[Crash, Suspect]]
+) -> frozenset[str]:
     """Return the parts that all these prompts share with the key."""
     if key.startswith(_PROMPT_KEY):
         return frozenset((key,))
-    company: set[str] | None = None
+    common_parts: set[str] | None = None
     for crash, suspect in accusing:
         parts = set(suspect.parts) - crash.cleared
-        company = parts if company is None else company & parts
-    return frozenset((key, *(company or ())))
+        common_parts = parts if common_parts is None else common_parts & parts
+    return frozenset((key, *(common_parts or ())))
 
 
 def limit_length(name: str) -> str:
--- a/src/masticwind/serving/quarantine.py
+++ b/src/masticwind/serving/quarantine.py
@@ -54,7 +54,7 @@
     """
 
     part: str
-    company: list[str]
+    common_parts: list[str]
     crashes: int
     since_s: float
     left_s: float
@@ -149,7 +149,7 @@
         return [
             HeldPart(
                 part=hold.key,
-                company=sorted(hold.company),
+                common_parts=sorted(hold.common_parts),
                 crashes=hold.crashes,
                 since_s=now - hold.first_at,
                 left_s=self._remaining_s(hold),
@@ -280,7 +280,7 @@
         recalled = self._recall(hold)
         if before is None or before.crashes != hold.crashes or recalled:
             log.bind(
-                company=sorted(hold.company),
+                common_parts=sorted(hold.common_parts),
                 crashes=self._evidence.crash_ids(key),
                 hold_s=hold.duration_s,
                 recalled=recalled,
@@ -293,7 +293,7 @@
             scope = running.attempt.scope
             if scope is None or running.attempt.event_count:
                 continue
-            if hold.company.issubset(running.prompt.keys):
+            if hold.common_parts.issubset(running.prompt.keys):
                 scope.cancel()
                 recalled += 1
         return recalled
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -32,7 +32,7 @@
 Prompts = Iterable[tuple[str, ...]]
 
 
-class Scene:
+class QuarantineHarness:
     """An entry's quarantine, of which a test makes the crashes."""
 
     def __init__(self, peers: EntryPeers | None = None) -> None:
@@ -99,36 +99,36 @@
 
 def test_part_is_held_after_crashes_under_two_prompts() -> None:
     """Guards against more crashes than it takes to find the part."""
-    scene = Scene()
-    scene.crash(begun=[(FIRST, POISON, 'a')])
-    assert not scene.is_held(FIRST, POISON, 'b')
-    scene.answer(FIRST, 'c')
-    scene.crash(begun=[(FIRST, POISON, 'b')])
-    assert scene.is_held(FIRST, POISON, 'd')
-    assert not scene.is_held(FIRST, 'd')
+    harness = QuarantineHarness()
+    harness.crash(begun=[(FIRST, POISON, 'a')])
+    assert not harness.is_held(FIRST, POISON, 'b')
+    harness.answer(FIRST, 'c')
+    harness.crash(begun=[(FIRST, POISON, 'b')])
+    assert harness.is_held(FIRST, POISON, 'd')
+    assert not harness.is_held(FIRST, 'd')
 
 
 def test_prompt_is_held_after_its_second_crash() -> None:
     """Guards against a caller that returns with a prompt until all engines
     have ended, and against holding parts of it on the word of one prompt.
     """
-    scene = Scene()
+    harness = QuarantineHarness()
     for _ in range(2):
-        scene.crash(begun=[(FIRST, POISON, 'a')])
-    assert scene.is_held(FIRST, POISON, 'a')
-    assert not scene.is_held(FIRST, POISON, 'b')
+        harness.crash(begun=[(FIRST, POISON, 'a')])
+    assert harness.is_held(FIRST, POISON, 'a')
+    assert not harness.is_held(FIRST, POISON, 'b')
 
 
 def test_first_part_of_poison_prompts_is_not_held() -> None:
     """Guards against the rejection of all prompts of a caller, when none of
     them was answered between the crashes.
     """
-    scene = Scene()
+    harness = QuarantineHarness()
     for own in ('a', 'b', 'c'):
-        scene.crash(begun=[(FIRST, POISON, own)])
-    assert scene.is_held(FIRST, POISON, 'd')
-    assert not scene.is_held(FIRST, 'd')
-    assert not scene.is_held(POISON, 'd')
+        harness.crash(begun=[(FIRST, POISON, own)])
+    assert harness.is_held(FIRST, POISON, 'd')
+    assert not harness.is_held(FIRST, 'd')
+    assert not harness.is_held(POISON, 'd')
 
 
 @pytest.mark.parametrize('culprit', [FIRST, POISON])
@@ -136,115 +136,115 @@
     culprit: str,
 ) -> None:
     """Guards against evidence that stays ambiguous between two parts."""
-    scene = Scene()
+    harness = QuarantineHarness()
     for own in ('a', 'b'):
-        scene.crash(begun=[(FIRST, POISON, own)])
+        harness.crash(begun=[(FIRST, POISON, own)])
     sound = FIRST if culprit == POISON else POISON
-    scene.crash(begun=[(culprit, 'd')])
-    scene.answer(sound, 'e')
-    assert scene.is_held(culprit, 'f')
-    assert not scene.is_held(sound, 'f')
+    harness.crash(begun=[(culprit, 'd')])
+    harness.answer(sound, 'e')
+    assert harness.is_held(culprit, 'f')
+    assert not harness.is_held(sound, 'f')
 
 
 def test_poison_prompts_that_lack_common_parts_cost_a_crash_for_each() -> None:
     """Guards against more crashes than there are parts to tell apart."""
-    scene = Scene()
+    harness = QuarantineHarness()
     shared = ('shared-0', 'shared-1', 'shared-2')
     crashes = 0
     for number in range(20):
         parts = (FIRST, *shared[: number % 4], POISON, f'own-{number}')
-        if not scene.is_held(*parts):
-            scene.crash(begun=[parts])
+        if not harness.is_held(*parts):
+            harness.crash(begun=[parts])
             crashes += 1
     assert crashes <= 2 + len(shared)
 
 
 def test_engines_that_crash_together_accuse_no_part() -> None:
     """Guards against large parts held because a zone has failed."""
-    scene = Scene()
+    harness = QuarantineHarness()
     prompts = [(FIRST, f'own-{number}') for number in range(4)]
-    scene.crash_together((prompts, ()) for _ in range(7))
-    assert not scene.is_held(FIRST, 'next')
+    harness.crash_together((prompts, ()) for _ in range(7))
+    assert not harness.is_held(FIRST, 'next')
 
 
 def test_answers_between_crashes_clear_a_part() -> None:
     """Guards against a part held for crashes in series under load."""
-    scene = Scene()
+    harness = QuarantineHarness()
     for number in range(20):
-        scene.crash(begun=[(FIRST, f'own-{number}')])
-        scene.answer(FIRST, f'next-{number}')
-    assert not scene.is_held(FIRST, 'last')
+        harness.crash(begun=[(FIRST, f'own-{number}')])
+        harness.answer(FIRST, f'next-{number}')
+    assert not harness.is_held(FIRST, 'last')
 
 
 def test_crashes_in_quick_succession_accuse_no_part_answered_before() -> None:
     """Guards against a hot part held for crashes between two answers."""
-    scene = Scene()
-    scene.answer(FIRST, 'shared', 'before')
+    harness = QuarantineHarness()
+    harness.answer(FIRST, 'shared', 'before')
     for number in range(3):
-        scene.crash(begun=[(FIRST, 'shared', f'own-{number}')])
-        assert not scene.is_held(FIRST, 'shared', 'next')
-    assert not scene.is_held(FIRST, 'next')
+        harness.crash(begun=[(FIRST, 'shared', f'own-{number}')])
+        assert not harness.is_held(FIRST, 'shared', 'next')
+    assert not harness.is_held(FIRST, 'next')
 
 
 def test_part_that_becomes_poison_is_held_before_the_fifth_crash() -> None:
     """Guards against answers of the past that excuse a part for ever."""
-    scene = Scene()
-    scene.answer(POISON, 'before')
+    harness = QuarantineHarness()
+    harness.answer(POISON, 'before')
     for number in range(4):
-        assert not scene.is_held(POISON, 'next')
-        scene.crash(begun=[(POISON, f'own-{number}')])
-    assert scene.is_held(POISON, 'next')
+        assert not harness.is_held(POISON, 'next')
+        harness.crash(begun=[(POISON, f'own-{number}')])
+    assert harness.is_held(POISON, 'next')
 
 
 def test_prompts_that_waited_are_not_blamed_beside_one_that_had_begun() -> None:
     """Guards against a sound part that shares engines with a poison one."""
-    scene = Scene()
+    harness = QuarantineHarness()
     for own in ('a', 'b', 'c', 'd', 'e'):
-        scene.crash(begun=[(POISON, own)], waiting=[('hot', own)])
-    assert scene.is_held(POISON, 'f')
-    assert not scene.is_held('hot', 'f')
+        harness.crash(begun=[(POISON, own)], waiting=[('hot', own)])
+    assert harness.is_held(POISON, 'f')
+    assert not harness.is_held('hot', 'f')
 
 
 def test_part_is_held_though_no_head_of_an_answer_arrives() -> None:
     """Guards against engines that end before the head reaches the entry."""
-    scene = Scene()
+    harness = QuarantineHarness()
     for own in ('a', 'b', 'c', 'd'):
-        scene.crash(waiting=[(POISON, own)])
-    assert scene.is_held(POISON, 'e')
+        harness.crash(waiting=[(POISON, own)])
+    assert harness.is_held(POISON, 'e')
 
 
 def test_prompts_that_waited_together_share_the_blame() -> None:
     """Guards against sound parts held for a few crashes under load."""
-    scene = Scene()
+    harness = QuarantineHarness()
     for number in range(12):
-        assert not scene.is_held(POISON, 'e')
-        scene.crash(
+        assert not harness.is_held(POISON, 'e')
+        harness.crash(
             waiting=[
                 (POISON, f'own-{number}'),
                 (f'other-{number}', f'own-{number}'),
                 (f'third-{number}', f'own-{number}'),
             ]
         )
-    assert scene.is_held(POISON, 'e')
-    assert not scene.is_held('other-1', 'e')
+    assert harness.is_held(POISON, 'e')
+    assert not harness.is_held('other-1', 'e')
 
 
 def test_last_part_is_not_held() -> None:
     """Guards against blaming the part that belongs to one request alone."""
-    scene = Scene()
+    harness = QuarantineHarness()
     for number in range(5):
-        scene.crash(begun=[(f'first-{number}', 'own')])
-    assert not scene.is_held('first-9', 'own')
-    assert not scene.is_held('own')
+        harness.crash(begun=[(f'first-{number}', 'own')])
+    assert not harness.is_held('first-9', 'own')
+    assert not harness.is_held('own')
 
 
 def test_rejection_says_not_run_and_when_the_hold_ends() -> None:
     """Guards against callers that are told to return within the hold."""
-    scene = Scene()
+    harness = QuarantineHarness()
     for own in ('a', 'b'):
-        scene.crash(begun=[(POISON, own)])
-    scene.clock.now += 10
-    rejection = scene.check(POISON, 'c')
+        harness.crash(begun=[(POISON, own)])
+    harness.clock.now += 10
+    rejection = harness.check(POISON, 'c')
     assert rejection is not None
     assert rejection.kind is ErrorKind.QUARANTINED
     expected_ms = (INITIAL_HOLD_S - 10) * 1000
@@ -253,82 +253,82 @@
 
 def test_hold_doubles_with_each_crash() -> None:
     """Guards against a trial, and so a crash, every few seconds."""
-    scene = Scene()
+    harness = QuarantineHarness()
     for own in ('a', 'b', 'c', 'd', 'e'):
-        scene.crash(begun=[(POISON, own)])
-    scene.clock.now += INITIAL_HOLD_S * 8 - 1
-    assert scene.is_held(POISON, 'f')
-    scene.clock.now += 2
-    assert not scene.is_held(POISON, 'f')
+        harness.crash(begun=[(POISON, own)])
+    harness.clock.now += INITIAL_HOLD_S * 8 - 1
+    assert harness.is_held(POISON, 'f')
+    harness.clock.now += 2
+    assert not harness.is_held(POISON, 'f')
 
 
 def test_one_entry_tries_a_held_part_once_in_a_period() -> None:
     """Guards against trials of several entries, and of several prompts."""
-    scenes = [Scene(peers) for peers in peers_of_each_entry(7)]
-    for scene in scenes:
+    harnesses = [QuarantineHarness(peers) for peers in peers_of_each_entry(7)]
+    for harness in harnesses:
         for own in ('a', 'b'):
-            scene.crash(begun=[(POISON, own)])
+            harness.crash(begun=[(POISON, own)])
     for _ in range(3):
         tried = 0
-        for scene in scenes:
-            scene.clock.now += INITIAL_HOLD_S
-            tried += not scene.is_held(POISON, 'c')
-            tried += not scene.is_held(POISON, 'd')
+        for harness in harnesses:
+            harness.clock.now += INITIAL_HOLD_S
+            tried += not harness.is_held(POISON, 'c')
+            tried += not harness.is_held(POISON, 'd')
         assert tried == 1
 
 
 def test_answered_trial_releases_a_part() -> None:
     """Guards against a part that stays held though it is sound by now."""
-    scene = Scene()
+    harness = QuarantineHarness()
     for own in ('a', 'b'):
-        scene.crash(begun=[(POISON, own)])
-    scene.clock.now += INITIAL_HOLD_S
-    assert not scene.is_held(POISON, 'c')
-    assert scene.is_held(POISON, 'd')
-    scene.answer(POISON, 'c')
-    assert not scene.is_held(POISON, 'd')
+        harness.crash(begun=[(POISON, own)])
+    harness.clock.now += INITIAL_HOLD_S
+    assert not harness.is_held(POISON, 'c')
+    assert harness.is_held(POISON, 'd')
+    harness.answer(POISON, 'c')
+    assert not harness.is_held(POISON, 'd')
 
 
 @pytest.mark.anyio
 async def test_prompts_on_an_engine_are_recalled_when_held() -> None:
     """Guards against crashes by prompts that were sent before the hold."""
-    scene = Scene()
+    harness = QuarantineHarness()
     scopes = {
         name: anyio.CancelScope() for name in ('poison', 'sound', 'begun')
     }
-    scene.start((POISON, 'x'), AttemptState(scope=scopes['poison']))
-    scene.start(('sound', 'x'), AttemptState(scope=scopes['sound']))
+    harness.start((POISON, 'x'), AttemptState(scope=scopes['poison']))
+    harness.start(('sound', 'x'), AttemptState(scope=scopes['sound']))
     begun = AttemptState(event_count=1, scope=scopes['begun'])
-    scene.start((POISON, 'y'), begun)
+    harness.start((POISON, 'y'), begun)
     for own in ('a', 'b'):
-        scene.crash(begun=[(POISON, own)])
+        harness.crash(begun=[(POISON, own)])
     recalled = [name for name, scope in scopes.items() if scope.cancel_called]
     assert recalled == ['poison']
 
 
 def test_evidence_expires() -> None:
     """Guards against memory of crashes that grows for ever."""
-    scene = Scene()
+    harness = QuarantineHarness()
     for own in ('a', 'b'):
-        scene.crash(begun=[(POISON, own)])
-    scene.clock.now += EVIDENCE_TTL_S + 1
-    scene.evidence.remove_expired()
-    assert not scene.evidence.crashes()
-    assert not scene.evidence.score(POISON)
-    assert not scene.is_held(POISON, 'c')
+        harness.crash(begun=[(POISON, own)])
+    harness.clock.now += EVIDENCE_TTL_S + 1
+    harness.evidence.remove_expired()
+    assert not harness.evidence.crashes()
+    assert not harness.evidence.score(POISON)
+    assert not harness.is_held(POISON, 'c')
 
 
 def test_other_crashes_do_not_evict_a_held_part() -> None:
     """Guards against a caller that makes entries forget a held part."""
-    scene = Scene()
+    harness = QuarantineHarness()
     for own in ('a', 'b'):
-        scene.crash(begun=[(POISON, own)])
+        harness.crash(begun=[(POISON, own)])
     for number in range(2 * MAX_CRASHES):
-        scene.clock.now += 0.01
+        harness.clock.now += 0.01
         parts = tuple(f'part-{number}-{one}' for one in range(9))
-        scene.crash(begun=[parts])
-    assert len(scene.evidence.crashes()) <= MAX_CRASHES
-    assert scene.is_held(POISON, 'c')
+        harness.crash(begun=[parts])
+    assert len(harness.evidence.crashes()) <= MAX_CRASHES
+    assert harness.is_held(POISON, 'c')
 
 
 def test_number_and_length_of_parts_are_limited() -> None:
@@ -342,23 +342,25 @@
 
 def test_reports_of_long_names_and_long_series_can_be_read() -> None:
     """Guards against crashes that other entries cannot read of."""
-    scene = Scene()
+    harness = QuarantineHarness()
     for number in range(MAX_CRASHES + 20):
-        running = scene.quarantine.start(
+        running = harness.quarantine.start(
             fingerprint((FIRST * 40, POISON, f'own-{number}')),
             f'{number}'.ljust(200, 'r'),
             AttemptState(answer_begun=True),
         )
-        scene.quarantine.end(running)
-        scene.quarantine.record_crash(running, f'{number}'.ljust(300, 'e'), '1')
-    for report in scene.link.reports():
+        harness.quarantine.end(running)
+        harness.quarantine.record_crash(
+            running, f'{number}'.ljust(300, 'e'), '1'
+        )
+    for report in harness.link.reports():
         content = msgspec.msgpack.encode(report)
         assert msgspec.msgpack.decode(content, type=CrashReport) == report
 
 
 def test_suspect_without_scores_does_not_stop_the_evidence() -> None:
     """Guards against a faulty report that raises an exception."""
-    scene = Scene()
+    harness = QuarantineHarness()
     suspect = Suspect('r', True, 'prompt:x', (POISON,), ())
-    scene.evidence.merge('e/1', scene.clock(), (suspect,))
-    assert scene.evidence.score(POISON)
+    harness.evidence.merge('e/1', harness.clock(), (suspect,))
+    assert harness.evidence.score(POISON)
--- a/tests/test_crash_machine.py
+++ b/tests/test_crash_machine.py
@@ -80,9 +80,9 @@
         self.own_crashes = 0
 
     def held_keys(self) -> dict[str, tuple[frozenset[str], int]]:
-        """Return the company and the number of crashes of each held key."""
+        """Return the common parts and the crashes of each held key."""
         return {
-            key: (hold.company, hold.crashes)
+            key: (hold.common_parts, hold.crashes)
             for key, hold in self.evidence.holds().items()
         }
 
