masticwind-ctl held: report unexpected answers, share exit codes

What operators saw: `masticwind-ctl held` ended with a traceback and exit code 1, which means a conflict, when the address answered something else than JSON. `--json` printed no JSON for a failure, and `release` had no `--json`. `show` and the other commands of an entry's API did the same for JSON without an `error`.

Cause: `held` had its own request, exit codes and decoding beside those of the other commands, and neither decoded errors into a type.

Change: one module decodes the answers of entries, one owns the exit codes; all commands use them.

--- a/src/masticwind/ctl/backend.py
+++ b/src/masticwind/ctl/backend.py
@@ -8,7 +8,6 @@
 import abc
 from collections.abc import Sequence
 from dataclasses import dataclass
-from http import HTTPStatus
 from typing import Any, Final, TypeVar
 
 import msgspec
@@ -17,8 +16,9 @@
 from masticwind.config.model import EMPTY_GENERATION, Configuration, Generation
 from masticwind.config.parts import Head, PartCache
 from masticwind.config.store import ConfigStore
+from masticwind.ctl.api_answer import decode_answer
 from masticwind.errors import ErrorKind, Failure
-from masticwind.httpclient import HttpAnswer, HttpClient
+from masticwind.httpclient import HttpClient
 
 # Longer than an entry takes to determine an outcome after a lost response.
 API_TIMEOUT_S: Final = 30.0
@@ -168,10 +168,7 @@
         )
         if isinstance(response, Failure):
             return _connection_failure(response, path)
-        try:
-            return _decode_response(response, response_type)
-        except msgspec.DecodeError as exc:
-            return Failure(kind=ErrorKind.PLATFORM_DOWN, reason=str(exc))
+        return decode_answer(response, response_type)
 
 
 def _connection_failure(failure: Failure, path: str) -> Failure:
@@ -185,14 +182,3 @@
             ),
         )
     return Failure(kind=ErrorKind.PLATFORM_DOWN, reason=failure.reason)
-
-
-def _decode_response(
-    response: HttpAnswer,
-    response_type: type[_Result],
-) -> _Result | Failure:
-    # The body of a conflict is an `Applied` with the diff.
-    if response.status in {HTTPStatus.OK, HTTPStatus.CONFLICT}:
-        return msgspec.json.decode(response.body, type=response_type)
-    error = msgspec.json.decode(response.body)['error']
-    return Failure(kind=ErrorKind(error['kind']), reason=error['message'])
--- a/src/masticwind/ctl/held.py
+++ b/src/masticwind/ctl/held.py
@@ -6,20 +6,21 @@
 
 import os
 import sys
-from http import HTTPStatus
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 from urllib.parse import quote
 
 import anyio
 import cyclopts
 import msgspec
 
+from masticwind.ctl.api_answer import decode_answer
+from masticwind.ctl.exit_codes import EXIT_DONE, exit_code
 from masticwind.errors import Failure
 from masticwind.httpclient import HttpClient
 
 TIMEOUT_S: Final = 5.0
-EXIT_DONE: Final = 0
-EXIT_REFUSED: Final = 3
+
+_Result = TypeVar('_Result')
 
 held_app = cyclopts.App(
     name='held',
@@ -27,6 +28,14 @@
 )
 
 
+class _Listing(msgspec.Struct, frozen=True):
+    held: list[dict[str, Any]]
+
+
+class _Released(msgspec.Struct, frozen=True):
+    released: str
+
+
 @held_app.command(name='list')
 def list_held(*, entry: str, json: bool = False) -> int:
     """List the held parts, and since when they are held.
@@ -42,7 +51,7 @@
 
 
 @held_app.command
-def release(part: str, *, entry: str) -> int:
+def release(part: str, *, entry: str, json: bool = False) -> int:
     """Release PART in all entries; needs MASTICWIND_TOKEN.
 
     Parameters
@@ -51,34 +60,32 @@
         A part of prompts, or a whole prompt, as listed.
     entry
         Host and metrics port of an entry.
+    json
+        Print one JSON object.
     """
-    return anyio.run(_release, part, entry)
+    return anyio.run(_release, part, entry, json)
 
 
 async def _list_held(entry: str, json: bool) -> int:
-    found = await _request('GET', entry, '/held')
+    found = await _request('GET', entry, '/held', _Listing)
     if isinstance(found, Failure):
-        return _report(found.reason)
-    if json:
-        sys.stdout.write(f'{msgspec.json.encode(found).decode()}\n')
-        return EXIT_DONE
-    for held in found['held']:
-        sys.stdout.write(f'{_format_held(held)}\n')
+        return _report(found, json=json)
+    _write(found, [_format_held(held) for held in found.held], json=json)
     return EXIT_DONE
 
 
-async def _release(part: str, entry: str) -> int:
+async def _release(part: str, entry: str, json: bool) -> int:
     path = f'/held/release?part={quote(part, safe="")}'
-    released = await _request('POST', entry, path)
+    released = await _request('POST', entry, path, _Released)
     if isinstance(released, Failure):
-        return _report(released.reason)
-    sys.stdout.write(f'released {part}\n')
+        return _report(released, json=json)
+    _write(released, [f'released {released.released}'], json=json)
     return EXIT_DONE
 
 
 async def _request(
-    method: str, entry: str, path: str
-) -> dict[str, Any] | Failure:
+    method: str, entry: str, path: str, result_type: type[_Result]
+) -> _Result | Failure:
     client = HttpClient(f'http://{entry}')
     headers: list[tuple[bytes, bytes]] = []
     token = os.environ.get('MASTICWIND_TOKEN', '')
@@ -93,11 +100,7 @@
     await client.close()
     if isinstance(answer, Failure):
         return answer
-    content = msgspec.json.decode(answer.body, type=dict[str, Any])
-    if answer.status == HTTPStatus.OK:
-        return content
-    error = msgspec.convert(content['error'], dict[str, Any])
-    return Failure(kind=error['kind'], reason=error['message'])
+    return decode_answer(answer, result_type)
 
 
 def _format_held(held: dict[str, Any]) -> str:
@@ -110,6 +113,16 @@
     )
 
 
-def _report(reason: str) -> int:
-    sys.stderr.write(f'{reason}\n')
-    return EXIT_REFUSED
+def _write(found: object, lines: list[str], *, json: bool) -> None:
+    text = '\n'.join(lines)
+    if json:
+        text = msgspec.json.encode(found).decode()
+    sys.stdout.write(f'{text}\n' if text else '')
+
+
+def _report(failure: Failure, *, json: bool) -> int:
+    if json:
+        _write({'error': failure}, [], json=True)
+    else:
+        sys.stderr.write(f'{failure.reason}\n')
+    return exit_code(failure)
--- a/src/masticwind/ctl/main.py
+++ b/src/masticwind/ctl/main.py
@@ -24,6 +24,12 @@
 from masticwind.config.reader import read_configuration
 from masticwind.config.store import ConfigStore
 from masticwind.ctl.backend import ApiBackend, Backend, StoreBackend
+from masticwind.ctl.exit_codes import (
+    EXIT_DIFFERENT,
+    EXIT_DONE,
+    EXIT_INVALID,
+    exit_code,
+)
 from masticwind.ctl.explain import explain
 from masticwind.ctl.held import held_app
 from masticwind.ctl.table import format_status
@@ -31,18 +37,9 @@
 from masticwind.settings import PlatformSettings
 from masticwind.store.http import HttpKeyValue
 
-EXIT_DONE: Final = 0
-EXIT_DIFFERENT: Final = 1
-EXIT_INVALID: Final = 2
-EXIT_REFUSED: Final = 3
-EXIT_UNKNOWN: Final = 4
-
 WATCH_INTERVAL_S: Final = 2.0
 # An interrupt ends `status --watch` within one of these sleeps.
 WATCH_SLEEPS_PER_INTERVAL: Final = 20
-_INVALID_KINDS: Final = frozenset(
-    (ErrorKind.BAD_REQUEST, ErrorKind.INVALID_CONFIG, ErrorKind.TOO_LARGE),
-)
 
 cli = cyclopts.App(
     name='masticwind-ctl',
@@ -289,9 +286,7 @@
         options.write_output({'error': failure}, [])
     else:
         sys.stderr.write(f'{failure.reason}\n')
-    if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
-        return EXIT_UNKNOWN
-    return EXIT_INVALID if failure.kind in _INVALID_KINDS else EXIT_REFUSED
+    return exit_code(failure)
 
 
 @cli.command(name='explain')
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -137,3 +137,45 @@
     assert counter.last_minute() == {'paid': {'served': 1}}
     now[0] = 200
     assert counter.last_minute() == {}
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nup 1\n',
+        b'HTTP/1.1 404 Not Found\r\ncontent-length: 2\r\n\r\n{}',
+        b'HTTP/1.1 503 Service Unavailable\r\ncontent-length: 4\r\n\r\nbusy',
+    ],
+)
+async def test_answer_of_another_program_is_reported_in_one_line(
+    answer: bytes,
+) -> None:
+    """Guards against a traceback and a wrong exit code in scripts."""
+
+    async def respond(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            async for _ in stream:
+                await stream.send(answer)
+
+    async with anyio.create_task_group() as tasks:
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        tasks.start_soon(listener.serve, respond)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        address = f'127.0.0.1:{port}'
+        for arguments in (
+            ('held', 'list', '--entry', address),
+            ('held', 'release', '91bd3f06', '--entry', address),
+            ('show', '--api', f'http://{address}'),
+        ):
+            code, output, error = await run_ctl(*arguments)
+            assert (code, output, error.count('\n')) == (3, '', 1), error
+        tasks.cancel_scope.cancel()
+
+
+async def test_failure_to_list_held_parts_is_json_on_demand() -> None:
+    """Guards against scripts that get no JSON from `--json`."""
+    code, output, _ = await run_ctl(
+        'held', 'list', '--entry', '127.0.0.1:9', '--json'
+    )
+    assert code == 3
+    assert msgspec.json.decode(output)['error']['reason']
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -12,7 +12,7 @@
 import pytest
 
 from masticwind.config.model import Operator
-from masticwind.ctl.main import EXIT_UNKNOWN
+from masticwind.ctl.exit_codes import EXIT_UNKNOWN
 from masticwind.ctl.table import format_status
 from masticwind.httpclient import HttpAnswer, HttpClient
 from masticwind_dev.local.fleet import Fleet, FleetPlan, running_fleet
