Show and release held prompt parts of the chat interface

What operators saw: entries of the chat interface hold parts of prompts too, but `masticwind-ctl held` only asked entries of direct serving. A sound part that was held by mistake could be released by nobody, and nobody saw the hold but in the log.

Cause: the administration API had no route for it.

Change: `GET /admin/v1/held`, `POST /admin/v1/held/release` for the role writer, and `--api` for both commands. The new test runs the commands against a fleet; before the change it stops at the first access to the quarantine, which was private to the entry, and without the routes the commands answer 404.

Not measured: the second half of that sentence was read from the code.

--- a/src/masticwind/ctl/held.py
+++ b/src/masticwind/ctl/held.py
@@ -2,11 +2,13 @@
 
 masticwind-ctl held list --entry 10.1.0.40:9464
 masticwind-ctl held release 91bd3f06 --entry 10.1.0.40:9464
+masticwind-ctl held list --api http://10.1.0.50:8080
 """
 
 import os
 import sys
-from typing import Any, Final, TypeVar
+from dataclasses import dataclass
+from typing import Annotated, Any, Final, TypeVar
 from urllib.parse import quote
 
 import anyio
@@ -15,7 +17,7 @@
 
 from masticwind.ctl.api_answer import decode_answer
 from masticwind.ctl.exit_codes import EXIT_DONE, exit_code
-from masticwind.errors import Failure
+from masticwind.errors import ErrorKind, Failure
 from masticwind.httpclient import HttpClient
 
 TIMEOUT_S: Final = 5.0
@@ -36,57 +38,85 @@
     released: str
 
 
-@held_app.command(name='list')
-def list_held(*, entry: str, json: bool = False) -> int:
-    """List the held parts, and since when they are held.
+@cyclopts.Parameter(name='*')
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeldOptions:
+    """Options for the entry to ask and for the output.
 
     Parameters
     ----------
     entry
-        Host and metrics port of an entry.
+        Host and metrics port of an entry of direct serving.
+    api
+        Base URL of an entry with an administration API.
     json
         Print one JSON object.
     """
-    return anyio.run(_list_held, entry, json)
+
+    entry: str = ''
+    api: str = ''
+    json: bool = False
+
+    def url(self) -> str | Failure:
+        """Return the URL of what the entry holds."""
+        if self.api:
+            return f'{self.api.rstrip("/")}/admin/v1/held'
+        if self.entry:
+            return f'http://{self.entry}/held'
+        return Failure(
+            kind=ErrorKind.BAD_REQUEST, reason='expected --entry or --api'
+        )
+
+
+Opts = Annotated[HeldOptions, cyclopts.Parameter(name='*')]
+DEFAULT_OPTIONS: Final = HeldOptions()
+
+
+@held_app.command(name='list')
+def list_held(*, options: Opts = DEFAULT_OPTIONS) -> int:
+    """List the held parts, and since when they are held.
+
+    Entries with an administration API need MASTICWIND_TOKEN.
+    """
+    return anyio.run(_list_held, options)
 
 
 @held_app.command
-def release(part: str, *, entry: str, json: bool = False) -> int:
+def release(part: str, *, options: Opts = DEFAULT_OPTIONS) -> int:
     """Release PART in all entries; needs MASTICWIND_TOKEN.
 
     Parameters
     ----------
     part
         A part of prompts, or a whole prompt, as listed.
-    entry
-        Host and metrics port of an entry.
-    json
-        Print one JSON object.
     """
-    return anyio.run(_release, part, entry, json)
+    return anyio.run(_release, part, options)
 
 
-async def _list_held(entry: str, json: bool) -> int:
-    found = await _request('GET', entry, '/held', _Listing)
+async def _list_held(options: HeldOptions) -> int:
+    found = await _request('GET', options, '', _Listing)
     if isinstance(found, Failure):
-        return _report(found, json=json)
-    _write(found, [_format_held(held) for held in found.held], json=json)
+        return _report(found, options)
+    _write(found, [_format_held(held) for held in found.held], options)
     return EXIT_DONE
 
 
-async def _release(part: str, entry: str, json: bool) -> int:
-    path = f'/held/release?part={quote(part, safe="")}'
-    released = await _request('POST', entry, path, _Released)
+async def _release(part: str, options: HeldOptions) -> int:
+    path = f'/release?part={quote(part, safe="")}'
+    released = await _request('POST', options, path, _Released)
     if isinstance(released, Failure):
-        return _report(released, json=json)
-    _write(released, [f'released {released.released}'], json=json)
+        return _report(released, options)
+    _write(released, [f'released {released.released}'], options)
     return EXIT_DONE
 
 
 async def _request(
-    method: str, entry: str, path: str, result_type: type[_Result]
+    method: str, options: HeldOptions, path: str, result_type: type[_Result]
 ) -> _Result | Failure:
-    client = HttpClient(f'http://{entry}')
+    url = options.url()
+    if isinstance(url, Failure):
+        return url
+    client = HttpClient(url)
     headers: list[tuple[bytes, bytes]] = []
     token = os.environ.get('MASTICWIND_TOKEN', '')
     if token:
@@ -113,16 +143,16 @@
     )
 
 
-def _write(found: object, lines: list[str], *, json: bool) -> None:
+def _write(found: object, lines: list[str], options: HeldOptions) -> None:
     text = '\n'.join(lines)
-    if json:
+    if options.json:
         text = msgspec.json.encode(found).decode()
     sys.stdout.write(f'{text}\n' if text else '')
 
 
-def _report(failure: Failure, *, json: bool) -> int:
-    if json:
-        _write({'error': failure}, [], json=True)
+def _report(failure: Failure, options: HeldOptions) -> int:
+    if options.json:
+        _write({'error': failure}, [], options)
     else:
         sys.stderr.write(f'{failure.reason}\n')
     return exit_code(failure)
--- a/src/masticwind/entry/admin.py
+++ b/src/masticwind/entry/admin.py
@@ -1,8 +1,9 @@
 """The administration API of an entry, under `/admin/v1/`.
 
 Operators use their own bearer tokens; only the role writer may apply a
-configuration. This entry adopts an accepted generation at once from memory,
-so that its peers get it even if the key-value service fails right after.
+configuration or release held parts of prompts. This entry adopts an accepted
+generation at once from memory, so that its peers get it even if the key-value
+service fails right after.
 """
 
 import time
@@ -24,6 +25,7 @@
 from masticwind.entry.agent_pool import AgentLink, AgentPool
 from masticwind.entry.tier_outcomes import TierOutcomeCounter
 from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.quarantine import Quarantine
 from masticwind.web import (
     Receive,
     Response,
@@ -42,6 +44,7 @@
 # The configuration for 47,000 teams takes about 10 MB as JSON.
 MAX_CONFIG_BYTES: Final = 67_108_864
 BODY_TIMEOUT_S: Final = 30.0
+RELEASE_ROUTE: Final = 'held/release'
 ROUTES: Final = frozenset(
     (
         ('GET', 'config'),
@@ -50,8 +53,11 @@
         ('POST', 'apply'),
         ('GET', 'history'),
         ('GET', 'status'),
+        ('GET', 'held'),
+        ('POST', RELEASE_ROUTE),
     )
 )
+WRITER_ROUTES: Final = frozenset(('apply', RELEASE_ROUTE))
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +69,7 @@
     store: ConfigStore
     sync: ConfigSync
     pool: AgentPool
+    quarantine: Quarantine
     tier_counter: TierOutcomeCounter = field(default_factory=TierOutcomeCounter)
 
 
@@ -85,11 +92,13 @@
         name, operator = authenticated
         if (scope['method'], route) not in ROUTES:
             return Failure(kind=ErrorKind.NOT_FOUND, reason='no such route')
-        if route == 'apply' and operator.role != 'writer':
+        if route in WRITER_ROUTES and operator.role != 'writer':
             return Failure(
                 kind=ErrorKind.FORBIDDEN,
                 reason='the role writer is required',
             )
+        if route == RELEASE_ROUTE:
+            return self._release_part(scope)
         if scope['method'] == 'POST':
             config = await _read_config(receive)
             if not isinstance(config, Configuration):
@@ -119,6 +128,9 @@
             if isinstance(heads, Failure):
                 return heads
             return json_response(HTTPStatus.OK, heads)
+        if route == 'held':
+            held = self._deps.quarantine.describe()
+            return json_response(HTTPStatus.OK, {'held': held})
         number = query_parameters(scope).get('generation', '')
         if number.isdecimal():
             generation = await self._load_generation(int(number))
@@ -127,6 +139,14 @@
             return json_response(HTTPStatus.OK, generation)
         return json_response(HTTPStatus.OK, self._current_generation())
 
+    def _release_part(self, scope: Scope) -> Response | Failure:
+        part = query_parameters(scope).get('part', '')
+        if not self._deps.quarantine.release(part):
+            return Failure(
+                kind=ErrorKind.NOT_FOUND, reason=f'{part!r} is not held'
+            )
+        return json_response(HTTPStatus.OK, {'released': part})
+
     async def _serve_post(
         self,
         route: str,
--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -66,9 +66,9 @@
         self.tracer: Final = telemetry.tracer
         gossip = CrashGossip(CrashEvidence())
         self.neighbours.start_crash_gossip(gossip)
-        self._quarantine: Final = Quarantine(gossip, self.neighbours.fleet())
+        self.quarantine: Final = Quarantine(gossip, self.neighbours.fleet())
         relay = Relay(
-            cfg, self.pool, self.config, view, self._quarantine, telemetry
+            cfg, self.pool, self.config, view, self.quarantine, telemetry
         )
         self.neighbours.start_usage_exchange(relay.limit_shares)
         self.claims: Final = Claims(HttpKeyValue(cfg.platform), cfg.claims)
@@ -80,6 +80,7 @@
                 self.store,
                 self.sync,
                 self.pool,
+                self.quarantine,
                 tier_counter,
             )
         )
@@ -110,7 +111,7 @@
             tasks.start_soon(self.claims.run)
             tasks.start_soon(self.metrics.run)
             tasks.start_soon(self.neighbours.run)
-            tasks.start_soon(self._quarantine.run)
+            tasks.start_soon(self.quarantine.run)
             if self._cfg.watch_config:
                 tasks.start_soon(self._watcher.run)
             if self._cfg.planner:
--- a/tests/test_admin_stalls.py
+++ b/tests/test_admin_stalls.py
@@ -16,6 +16,7 @@
 from masticwind.config.store import ConfigStore
 from masticwind.entry.admin import AdminApi, AdminDependencies
 from masticwind.entry.agent_pool import AgentPool
+from masticwind.serving.quarantine import Quarantine
 from masticwind.startup_heap import freeze_startup_objects
 from masticwind.web import Response
 from tests.memory_kv import MemoryKeyValue
@@ -90,6 +91,7 @@
             store,
             ConfigSync(current),
             cast(AgentPool, None),
+            cast(Quarantine, None),
         ),
     )
     bodies = [
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -14,6 +14,8 @@
 
 from masticwind.config.current import token_digest
 from masticwind.entry.tier_outcomes import TierOutcomeCounter
+from masticwind.serving.attempt import AttemptState
+from masticwind.serving.crash_evidence import PromptFingerprint
 from masticwind_dev.local.fleet import FleetPlan, running_fleet
 from masticwind_dev.standins.engine import EngineModel
 from tests.scenarios import sample_config
@@ -139,6 +141,47 @@
     assert counter.last_minute() == {}
 
 
+async def test_held_part_of_chat_prompts_is_listed_and_released(
+    tmp_path: Path,
+) -> None:
+    """Guards against a held part that operators cannot see or release."""
+    plan = FleetPlan(
+        config=sample_config(),
+        engines={'e1': ('zone-a', EngineModel())},
+    )
+    async with running_fleet(plan) as fleet:
+        entry = fleet.entries['entry-1']
+        direct = ('--key-value', fleet.platform.key_value_url)
+        files = _write_config(tmp_path)
+        assert (await run_ctl('apply', files, *direct))[0] == 0
+        with anyio.fail_after(5):
+            while entry.config.number < 2:
+                await anyio.sleep(0.01)
+        for number in range(2):
+            attempt = AttemptState()
+            attempt.answer_begun = True
+            running = entry.quarantine.start(
+                PromptFingerprint(prompt=f'prompt:{number}', parts=('poison',)),
+                f'r{number}',
+                attempt,
+            )
+            entry.quarantine.record_crash(running, f'e{number}', 'boot')
+        api = ('--api', f'http://127.0.0.1:{entry.port}')
+        reader, writer = 'reader-token', 'writer-token'
+        listed = await run_ctl('held', 'list', *api, token=reader)
+        assert listed[0] == 0, listed
+        assert 'poison: 2 crashes' in listed[1]
+        release = ('held', 'release', 'poison', *api)
+        assert (await run_ctl(*release))[0] == 3
+        assert (await run_ctl(*release, token=reader))[0] == 3
+        assert entry.quarantine.held_count() == 1
+        released = await run_ctl(*release, token=writer)
+        assert released[:2] == (0, 'released poison\n'), released
+        assert entry.quarantine.held_count() == 0
+        assert (await run_ctl(*release, token=writer))[0] == 3
+        assert (await run_ctl('held', 'list'))[0] == 2
+
+
 @pytest.mark.parametrize(
     'answer',
     [
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -99,7 +99,8 @@
     programs = set(project['project']['scripts'])
     options = {
         f'--{option.name.replace("_", "-")}'
-        for option in dataclasses.fields(ctl.Options)
+        for kind in (ctl.Options, held.HeldOptions)
+        for option in dataclasses.fields(kind)
     }
     for command in (
         ctl.status,
