Keep collection disabled while any worker thread computes

What callers saw: streams can pause when two operators' commands overlap. The end of the first one enabled garbage collection while the second still had all its intermediate objects, which a full pass visits.

Cause: each computation disabled and enabled the collector for the whole process, without regard to others.

Fix: the collector is enabled when the last computation has ended.

--- a/src/masticwind/worker_thread.py
+++ b/src/masticwind/worker_thread.py
@@ -6,9 +6,11 @@
 """
 
 import gc
-from collections.abc import Callable
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from functools import partial
-from typing import ParamSpec, TypeVar
+from typing import Final, ParamSpec, TypeVar
 
 import anyio
 
@@ -16,6 +18,31 @@
 _Result = TypeVar('_Result')
 
 
+class _CollectionPause:
+    """Disables garbage collection until the last of its users has left."""
+
+    def __init__(self) -> None:
+        self._lock: Final = threading.Lock()
+        self._users = 0
+
+    @contextmanager
+    def hold(self) -> Iterator[None]:
+        """Keep collection disabled in the body of the `with` statement."""
+        with self._lock:
+            self._users += 1
+            gc.disable()
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._users -= 1
+                if not self._users:
+                    gc.enable()
+
+
+_PAUSE: Final = _CollectionPause()
+
+
 async def run_in_worker_thread(
     function: Callable[_Params, _Result],
     *args: _Params.args,
@@ -30,8 +57,5 @@
 
 
 def _run(call: Callable[[], _Result]) -> _Result:
-    gc.disable()
-    try:
+    with _PAUSE.hold():
         return call()
-    finally:
-        gc.enable()
