Decode a large configuration without holding the interpreter lock

Cause: one call of the decoder finds the 47,000 items of the document (8.9 MB) and holds the interpreter lock throughout.

Evidence: that call takes 53 to 71 ms on this machine by itself at load 16, and the longest stalls of three traced runs (44 to 95 ms) begin with it.

Fix: a reader takes the outer objects apart in Python, where the lock changes hands, and decodes each item by itself. Documents are read as by the decoder (hypothesis test, with damaged ones); the new test of the reader has no failing state before, as the module is new.

--- a/src/masticwind/entry/admin.py
+++ b/src/masticwind/entry/admin.py
@@ -25,6 +25,7 @@
 from masticwind.entry.agent_pool import AgentLink, AgentPool
 from masticwind.entry.tier_outcomes import TierOutcomeCounter
 from masticwind.errors import ErrorKind, Failure
+from masticwind.json_reader import decode_by_item
 from masticwind.serving.quarantine import Quarantine
 from masticwind.web import (
     Receive,
@@ -37,8 +38,6 @@
 )
 from masticwind.worker_thread import run_in_worker_thread
 
-Section = dict[str, msgspec.Raw]
-
 PATH_PREFIX: Final = '/admin/v1/'
 BEARER_PREFIX: Final = 'bearer '
 # The configuration for 47,000 teams takes about 10 MB as JSON.
@@ -249,27 +248,12 @@
 
 def _decode_and_check(body: bytes) -> Configuration | Problems | Failure:
     try:
-        raw = _decode_by_item(body)
-    except (msgspec.DecodeError, RecursionError):
+        raw = decode_by_item(body)
+    except (msgspec.DecodeError, ValueError, RecursionError):
         return Failure(kind=ErrorKind.BAD_REQUEST, reason='expected JSON')
     return check_decoded(raw, 'request')
 
 
-def _decode_by_item(body: bytes | bytearray) -> object:
-    # The decoder holds the interpreter lock, so that one call for 47,000
-    # teams would stop the other threads for about 150 ms.
-    try:
-        sections = msgspec.json.decode(body, type=dict[str, Section])
-    except msgspec.ValidationError:
-        return msgspec.json.decode(body)
-    return {
-        section: {
-            name: msgspec.json.decode(item) for name, item in items.items()
-        }
-        for section, items in sections.items()
-    }
-
-
 def _build_part_cache(head: Head, config: Configuration) -> PartCache | Failure:
     parts = split_configuration(config)
     if isinstance(parts, Failure):
