--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -19,7 +19,9 @@
     classify_answer,
     encode_attempt,
     end_to_end_headers,
+    names_request,
 )
+from masticwind.platform.rate_limits import decode_rate_limit
 from masticwind.serving.interfaces import (
     Attempt,
     AttemptLimits,
@@ -149,15 +151,22 @@
 
 def _to_reply(attempt: Attempt, answer: HttpStream) -> Reply:
     length = answer.headers.get('content-length', '')
+    verdict = classify_answer(attempt.req, answer.status, answer.headers)
+    # Only the endpoint itself may limit itself.
+    proven = names_request(attempt.req, answer.headers) and verdict in {
+        Verdict.RAN,
+        Verdict.NOT_RUN,
+    }
     return Reply(
         status=answer.status,
-        verdict=classify_answer(attempt.req, answer.status, answer.headers),
+        verdict=verdict,
         headers=end_to_end_headers(answer.raw_headers),
         chunks=answer.chunks,
         at_fault=_find_at_fault(
             attempt, answer.headers.get(AT_FAULT_HEADER, '')
         ),
         length=int(length) if length.isdigit() else None,
+        rate_limit=decode_rate_limit(answer.raw_headers) if proven else None,
     )
 
 
--- a/src/masticwind/platform/headers.py
+++ b/src/masticwind/platform/headers.py
@@ -133,7 +133,7 @@
         return Verdict.WRONG_ENDPOINT
     if NOT_RUN_HEADER in headers:
         return Verdict.NOT_RUN
-    if headers.get(REQUEST_ID_HEADER.decode()) != req.request_id:
+    if not names_request(req, headers):
         return Verdict.UNVERIFIED
     success = HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
     if success and (
@@ -147,6 +147,11 @@
     return Verdict.RAN
 
 
+def names_request(req: CallerRequest, headers: dict[str, str]) -> bool:
+    """Tell whether an answer has the id of a request."""
+    return headers.get(REQUEST_ID_HEADER.decode()) == req.request_id
+
+
 def end_to_end_headers(raw: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return the headers of an answer that are passed on to the caller."""
     forwarded: list[tuple[bytes, bytes]] = []
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -61,11 +61,13 @@
 class AttemptState:
     """What the entry has received from the endpoint of an attempt.
 
-    `answer_begun` says that the head of the answer has arrived. Cancelling
+    `answer_begun` says that the head of the answer has arrived. `rate_limit`
+    is what it says about the endpoint's limit, as in `Reply`. Cancelling
     `scope` recalls the attempt.
     """
 
     answer_begun: bool = False
+    rate_limit: float | None = None
     event_count: int = 0
     scope: anyio.CancelScope | None = None
 
@@ -162,6 +164,7 @@
         took_ms=round((time.monotonic() - sent_at) * MS_PER_S),
         events=context.progress.event_count,
         answer_begun=context.state.answer_begun,
+        named_limit_per_s=_finite_limit(context.state.rate_limit),
     )
     if outcome is None:
         log.bind(
@@ -195,6 +198,7 @@
                 if isinstance(reply, Failure):
                     return reply
                 context.state.answer_begun = True
+                context.state.rate_limit = reply.rate_limit
                 return await _receive_or_fail(context, reply)
     return Failure(
         kind=ErrorKind.TIMED_OUT,
@@ -242,6 +246,13 @@
     ).info('attempt_sent')
 
 
+def _finite_limit(rate_limit: float | None) -> float | None:
+    """Return a limit for the logs; None if there is none."""
+    if rate_limit is None or math.isinf(rate_limit):
+        return None
+    return rate_limit
+
+
 async def _receive_or_fail(
     context: AttemptContext, reply: Reply
 ) -> Failure | None:
--- a/src/masticwind/serving/interfaces.py
+++ b/src/masticwind/serving/interfaces.py
@@ -78,7 +78,9 @@
 
     `headers` are passed to the caller unchanged. `at_fault` is the endpoint
     that caused a refusal, if the answer names it: the lead endpoint or a
-    helper.
+    helper. `rate_limit` is the limit in requests per second that the endpoint
+    names for all entries together: infinite if it names none, and None if the
+    answer proves nothing about the endpoint or its limit is unreadable.
     """
 
     status: int
@@ -87,6 +89,7 @@
     chunks: AsyncIterator[bytes]
     at_fault: Endpoint | None = None
     length: int | None = None
+    rate_limit: float | None = None
 
     @property
     def success(self) -> bool:
