--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -272,12 +272,12 @@
         self.known_endpoint_count = len(self.endpoints)
 
     async def wait_until_served(
-        self, path: str, status: int = 200
+        self, path: str, status: int = 200, request_id: str = 'r1'
     ) -> HttpAnswer:
         """Repeat a request until the answer has the status."""
         with anyio.fail_after(REQUEST_TIMEOUT_S):
             while True:
-                answer = await self.request(path)
+                answer = await self.request(path, request_id=request_id)
                 if answer.status == status:
                     return answer
                 await anyio.sleep(0.02)
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -7,12 +7,8 @@
 import pytest
 
 from masticwind.httpclient import HttpAnswer
-from tests.poison_fleet import (
-    OPERATOR_TOKEN,
-    PoisonFleet,
-    RunningDirectEntry,
-    running_fleet,
-)
+from tests.direct_fleet import OPERATOR_TOKEN, RunningDirectEntry
+from tests.poison_fleet import PoisonFleet, running_fleet
 from tests.test_ctl import run_ctl
 
 pytestmark = pytest.mark.anyio
