Do not take a repeated refusal for the answer to another request

An endpoint that writes a refusal once more on a kept connection was believed: the status 421 and the header that states "not run" were looked at before the id of the answer.

An answer now needs the id of its request first; only a refusal without an id is accepted as well, and only as the first answer on its connection. The id cannot tell apart two refusals of the same request, so a connection is closed after any answer that is not the endpoint's own result. Answers to orders have no id: each order gets a connection of its own, on which nothing else is sent.

--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -75,14 +75,16 @@
     """An HTTP response whose body is being received.
 
     Header names are in lower case in `headers` and as received in
-    `raw_headers`. The connection is not reused if the reader sets `reusable`
-    to false.
+    `raw_headers`. No other request was sent on the connection before this one
+    if it is `fresh`. The connection is not reused if the reader sets
+    `reusable` to false.
     """
 
     status: int
     chunks: AsyncIterator[bytes]
     headers: dict[str, str]
     raw_headers: Headers
+    fresh: bool
     reusable: bool = True
 
 
@@ -132,6 +134,8 @@
         self._connection_slots: Final = anyio.Semaphore(max_connections)
         self._idle: Final[list[_IdleConnection]] = []
         self._busy: Final[set[httpcore.AsyncHTTPConnection]] = set()
+        # Those connections in use that carried an earlier request.
+        self._reused: Final[set[httpcore.AsyncHTTPConnection]] = set()
         # Idle time limits of connections in use, from the servers' headers.
         self._idle_limits_s: Final[
             dict[httpcore.AsyncHTTPConnection, float]
@@ -145,16 +149,20 @@
         timeout_s: float,
         body: bytes = b'',
         headers: Headers = (),
+        single_use: bool = False,
     ) -> HttpAnswer | Failure:
         """Make one request and read the complete response.
 
+        With `single_use`, a new connection is opened and closed again, so that
+        no response to another request can arrive on it.
+
         Returns a `Failure` of kind `no_capacity` if nothing was sent and of
         kind `outcome_unknown` if the request may have had an effect, also if
         the body is over `MAX_BODY_BYTES`.
         """
         try:
             async with (
-                self._connection() as conn,
+                self._connection(fresh=single_use) as conn,
                 conn.stream(
                     method,
                     self._url(path.encode('ascii')),
@@ -163,6 +171,8 @@
                     extensions={'timeout': _timeouts(timeout_s)},
                 ) as response,
             ):
+                if single_use:
+                    self._idle_limits_s[conn] = 0
                 return await _read_answer(response)
         except _NOT_SENT_ERRORS as exc:
             return _failure(ErrorKind.NO_CAPACITY, exc)
@@ -201,7 +211,8 @@
                 ) as response,
             ):
                 response_started = True
-                stream = _http_stream(response)
+                stream = _http_stream(response, fresh=conn not in self._reused)
+                self._idle_limits_s[conn] = 0
                 yield stream
                 if stream.reusable:
                     await _read_body_end(stream.chunks)
@@ -250,11 +261,14 @@
             conn = None if fresh else await self._pop_idle_connection()
             if conn is None:
                 conn = self._new_connection()
+            else:
+                self._reused.add(conn)
             self._busy.add(conn)
             try:
                 yield conn
             finally:
                 self._busy.discard(conn)
+                self._reused.discard(conn)
                 await self._release_connection(conn)
 
     async def _release_connection(
@@ -354,13 +368,14 @@
     }
 
 
-def _http_stream(response: httpcore.Response) -> HttpStream:
+def _http_stream(response: httpcore.Response, *, fresh: bool) -> HttpStream:
     end_head_limit(response)
     return HttpStream(
         response.status,
         _chunks(response),
         _header_map(response.headers),
         tuple(response.headers),
+        fresh,
     )
 
 
--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -76,8 +76,9 @@
                 yield answer
                 return
             reply = _to_reply(attempt, answer)
-            if reply.verdict is Verdict.UNVERIFIED:
-                answer.reusable = False
+            # A second copy of a refusal could arrive as the answer to a
+            # repetition of the request, which has the same id.
+            answer.reusable = reply.verdict is Verdict.RAN
             yield reply
 
     async def reserve(
@@ -124,6 +125,8 @@
                 (b'host', endpoint.address.encode()),
                 (b'x-expect-instance', endpoint.identity.encode()),
             ),
+            # Answers to orders have no id.
+            single_use=True,
         )
         if isinstance(answer, Failure):
             return answer
@@ -151,7 +154,12 @@
 
 def _to_reply(attempt: Attempt, answer: HttpStream) -> Reply:
     length = answer.headers.get('content-length', '')
-    verdict = classify_answer(attempt.req, answer.status, answer.headers)
+    verdict = classify_answer(
+        attempt.req,
+        answer.status,
+        answer.headers,
+        fresh_connection=answer.fresh,
+    )
     # Only the endpoint itself may limit itself.
     proven = names_request(attempt.req, answer.headers) and verdict in {
         Verdict.RAN,
--- a/src/masticwind/platform/headers.py
+++ b/src/masticwind/platform/headers.py
@@ -127,8 +127,20 @@
     req: CallerRequest,
     status: int,
     headers: dict[str, str],
+    *,
+    fresh_connection: bool,
 ) -> Verdict:
-    """Return what an answer proves about the request."""
+    """Return what an answer proves about the request.
+
+    An endpoint can write an earlier answer once more on a kept connection. So
+    an answer must have the id of the request, unless it is the first one on
+    its connection and refuses the request.
+    """
+    answers_request = names_request(req, headers) or (
+        fresh_connection and REQUEST_ID_HEADER.decode() not in headers
+    )
+    if not answers_request:
+        return Verdict.UNVERIFIED
     if status == HTTPStatus.MISDIRECTED_REQUEST:
         return Verdict.WRONG_ENDPOINT
     if NOT_RUN_HEADER in headers:
