Give each generation and call of an agent its own connection

Answers have no id there, so nothing but the connection tells them apart. Generations, held caches and calls of services now use a new connection each; reports and control calls still share theirs.

--- a/src/masticwind/engines/http.py
+++ b/src/masticwind/engines/http.py
@@ -2,6 +2,9 @@
 
 The engine API is JSON over HTTP. Generated output is streamed as JSON lines;
 the last line has the total number of tokens.
+
+Answers have no id, so each generation and each call gets a connection of its
+own: on a kept one, a late copy of an earlier answer could arrive.
 """
 
 from collections.abc import AsyncIterator, Sequence
@@ -102,7 +105,10 @@
             '/v1/generate',
             timeout_s=STREAM_READ_TIMEOUT_S,
             body=msgspec.json.encode(_generate_body(req)),
+            fresh=True,
         ) as stream:
+            if isinstance(stream, HttpStream):
+                stream.reusable = False
             yield _read_events(stream)
 
     async def cancel(self, request_id: str) -> Failure | None:
@@ -138,6 +144,7 @@
                     *_prompt_fields(prompt),
                 )
             ),
+            single_use=True,
         )
         failure = _status_failure(response)
         if failure is not None:
@@ -200,6 +207,7 @@
                 (name.encode('latin-1'), value.encode('latin-1'))
                 for name, value in req.headers
             ],
+            single_use=True,
         )
         if isinstance(response, Failure):
             return response
