Do not write an answer that is no continuation into a begun stream

Error statuses were handled, but any 2xx answer to the resumption was read as events: a plain text or JSON body was written out as an event without an id, and an empty one ended the stream in order.

The answer to a resumption must now be declared as an event stream, each of its events needs an id (comments need none), and one without any event counts as the end only if its end is marked by a length or chunks.

A stream that broke off after its last event is still completed by an empty event stream.

--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -38,6 +38,8 @@
 # For each endpoint. The slots of an endpoint, not its connections, limit how
 # many requests run.
 MAX_CONNECTIONS: Final = 48
+EVENT_STREAM_TYPE: Final = 'text/event-stream'
+_FRAMING_HEADERS: Final = frozenset(('content-length', 'transfer-encoding'))
 
 
 class _Order(msgspec.Struct, omit_defaults=True):
@@ -153,7 +155,6 @@
 
 
 def _to_reply(attempt: Attempt, answer: HttpStream) -> Reply:
-    length = answer.headers.get('content-length', '')
     verdict = classify_answer(
         attempt.req,
         answer.status,
@@ -170,14 +171,20 @@
         verdict=verdict,
         headers=end_to_end_headers(answer.raw_headers),
         chunks=answer.chunks,
+        is_event_stream=_is_event_stream(answer),
+        framed=not _FRAMING_HEADERS.isdisjoint(answer.headers),
         at_fault=_find_at_fault(
             attempt, answer.headers.get(AT_FAULT_HEADER, '')
         ),
-        length=int(length) if length.isdigit() else None,
         rate_limit=decode_rate_limit(answer.raw_headers) if proven else None,
     )
 
 
+def _is_event_stream(answer: HttpStream) -> bool:
+    media_type = answer.headers.get('content-type', '').partition(';')[0]
+    return media_type.strip().lower() == EVENT_STREAM_TYPE
+
+
 def _find_at_fault(
     attempt: Attempt, identity_or_address: str
 ) -> Endpoint | None:
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -2,7 +2,7 @@
 
 import math
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Final
@@ -322,15 +322,16 @@
 ) -> Failure | None:
     splitter = EventSplitter()
     answer = context.answer
+    resumed = answer.started
+    if resumed and not reply.is_event_stream:
+        return _no_continuation('it is no event stream')
     timeout_s = context.limits.head_timeout_s
     # Only a complete event resets the timeout, so that an endpoint that sends
     # single bytes cannot keep the attempt alive.
     timeout_at = anyio.current_time() + timeout_s
     chunks = aiter(reply.chunks)
     while True:
-        chunk: bytes | None = None
-        with anyio.CancelScope(deadline=timeout_at):
-            chunk = await anext(chunks, b'')
+        chunk = await _next_chunk(chunks, timeout_at)
         if chunk is None:
             return Failure(
                 kind=ErrorKind.TIMED_OUT,
@@ -339,30 +340,71 @@
             )
         if not chunk:
             break
-        events = _new_events(context.progress, splitter.feed(chunk))
+        received = splitter.feed(chunk)
+        if resumed and not all(event.is_resumable for event in received):
+            return _no_continuation('an event has no id')
+        events = _new_events(context.progress, received)
         if events:
-            context.state.event_count += len(events)
-            context.progress.record_events(len(events))
-            if not answer.started:
-                await answer.start(reply.status, reply.headers, None)
-            context.on_event()
             timeout_s = context.limits.idle_timeout_s
-            await answer.write(b''.join(event.content for event in events))
+            await _write_events(context, reply, events)
             timeout_at = anyio.current_time() + timeout_s
         if splitter.is_oversized:
             return Failure(
                 kind=ErrorKind.FAILED_AFTER_START,
                 reason=f'an event is over {MAX_EVENT_BYTES} bytes',
             )
-    if splitter.has_partial_event or not answer.started:
+    failure = _premature_end(context, reply, splitter, resumed=resumed)
+    if failure is None:
+        await answer.finish()
+    return failure
+
+
+async def _write_events(
+    context: AttemptContext, reply: Reply, events: list[Event]
+) -> None:
+    context.state.event_count += len(events)
+    context.progress.record_events(len(events))
+    if not context.answer.started:
+        await context.answer.start(reply.status, reply.headers, None)
+    context.on_event()
+    await context.answer.write(b''.join(event.content for event in events))
+
+
+async def _next_chunk(
+    chunks: AsyncIterator[bytes], timeout_at: float
+) -> bytes | None:
+    """Return the next chunk, b'' at the end, or None at the timeout."""
+    with anyio.CancelScope(deadline=timeout_at):
+        return await anext(chunks, b'')
+    return None
+
+
+def _premature_end(
+    context: AttemptContext,
+    reply: Reply,
+    splitter: EventSplitter,
+    *,
+    resumed: bool,
+) -> Failure | None:
+    """Return a failure if the end of the body is not that of the stream."""
+    if splitter.has_partial_event or not context.answer.started:
         return Failure(
             kind=ErrorKind.FAILED_AFTER_START,
             reason='the stream ended within an event',
         )
-    await answer.finish()
+    if resumed and not reply.framed and not context.state.event_count:
+        return _no_continuation('its connection ended without an event')
     return None
 
 
+def _no_continuation(reason: str) -> Failure:
+    """Return the failure of an answer that does not continue a stream."""
+    return Failure(
+        kind=ErrorKind.FAILED_AFTER_START,
+        reason=f'the answer to the resumption does not continue: {reason}',
+    )
+
+
 def _new_events(progress: RequestProgress, events: list[Event]) -> list[Event]:
     """Drop events that the caller has received from an earlier attempt."""
     new_events: list[Event] = []
--- a/src/masticwind/serving/events.py
+++ b/src/masticwind/serving/events.py
@@ -18,6 +18,11 @@
     event_id: int | None
     content: bytes
 
+    @property
+    def is_resumable(self) -> bool:
+        """Whether it has an id, or is a comment, which needs none."""
+        return self.event_id is not None or self.content.startswith(b':')
+
 
 class EventSplitter:
     """Buffers bytes until they form complete events."""
--- a/src/masticwind/serving/interfaces.py
+++ b/src/masticwind/serving/interfaces.py
@@ -76,19 +76,22 @@
 class Reply:
     """The head of an endpoint's answer, and its body as a stream.
 
-    `headers` are passed to the caller unchanged. `at_fault` is the endpoint
-    that caused a refusal, if the answer names it: the lead endpoint or a
-    helper. `rate_limit` is the limit in requests per second that the endpoint
-    names for all entries together: infinite if it names none, and None if the
-    answer proves nothing about the endpoint or its limit is unreadable.
+    `headers` are passed to the caller unchanged. `is_event_stream` says that
+    the body is declared as events, and `framed` that its end is marked by more
+    than the end of the connection. `at_fault` is the endpoint that caused a
+    refusal, if the answer names it: the lead endpoint or a helper.
+    `rate_limit` is the limit in requests per second that the endpoint names
+    for all entries together: infinite if it names none, and None if the answer
+    proves nothing about the endpoint or its limit is unreadable.
     """
 
     status: int
     verdict: Verdict
     headers: Headers
     chunks: AsyncIterator[bytes]
+    is_event_stream: bool = False
+    framed: bool = False
     at_fault: Endpoint | None = None
-    length: int | None = None
     rate_limit: float | None = None
 
     @property
