--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -38,7 +38,7 @@
 from masticwind.errors import ErrorKind, Failure, guarantees_not_run
 from masticwind.metrics import Metric
 from masticwind.protocol.messages import Load
-from masticwind.serving.attempt import AttemptState
+from masticwind.serving.attempt_context import AttemptState
 from masticwind.serving.quarantine import Quarantine
 from masticwind.settings import EntrySettings
 from masticwind.telemetry import NO_TELEMETRY, Telemetry
--- a/src/masticwind/serving/crash_detector.py
+++ b/src/masticwind/serving/crash_detector.py
@@ -11,7 +11,7 @@
 
 from masticwind.errors import ErrorKind, Failure
 from masticwind.httpclient import ConnectResult
-from masticwind.serving.attempt import AttemptContext
+from masticwind.serving.attempt_context import AttemptContext
 from masticwind.serving.interfaces import EndpointClient
 from masticwind.serving.load_table import LoadTable
 from masticwind.serving.telemetry import Telemetry
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -19,11 +19,10 @@
 from masticwind.serving.admission import AdmittedRequest, RequestProgress
 from masticwind.serving.attempt import (
     ANSWER_MARGIN_MS,
-    AttemptContext,
-    AttemptState,
     attempt_limits,
     run_attempt,
 )
+from masticwind.serving.attempt_context import AttemptContext, AttemptState
 from masticwind.serving.bounds import ColdEndpointLimiter, RetryBudget
 from masticwind.serving.crash_detector import CrashDetector
 from masticwind.serving.crash_evidence import fingerprint
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -8,7 +8,7 @@
 import pytest
 
 from masticwind.errors import ErrorKind, Failure
-from masticwind.serving.attempt import AttemptState
+from masticwind.serving.attempt_context import AttemptState
 from masticwind.serving.crash_evidence import (
     EVIDENCE_TTL_S,
     INITIAL_HOLD_S,
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -14,7 +14,7 @@
 
 from masticwind.config.current import token_digest
 from masticwind.entry.tier_outcomes import TierOutcomeCounter
-from masticwind.serving.attempt import AttemptState
+from masticwind.serving.attempt_context import AttemptState
 from masticwind.serving.crash_evidence import PromptFingerprint
 from masticwind_dev.local.fleet import FleetPlan, running_fleet
 from masticwind_dev.standins.engine import EngineModel
