Obey the limits that endpoints name, summed over all entries

One entry grants permits for an endpoint, the first one in the order of entries for that endpoint on which all entries agree. Each request needs a permit, so the sum is bounded for any number of entries, also below one request a second, and permits go where the demand is. An entry obeys a limit from the answer or the message that tells it. A limit ends with an answer without one to a request whose permit was granted after the last change. If another entry becomes the granting one, it waits for those permits that its predecessor has granted. Without a reply the endpoint is not used.

The wait for a permit is part of the predicted time to the first event. A request that would miss its target by that wait is refused at once, with a hint to come back from the rate that is left. A limited engine prefills no parts of prompts for others, as each part may count as a request there. A request that is held back uses no attempt and no repeat budget.

--- a/src/masticwind/platform/main.py
+++ b/src/masticwind/platform/main.py
@@ -28,11 +28,8 @@
     stop_on_signals,
     watch_settings,
 )
-from masticwind.serving.server import (
-    DirectEntry,
-    PlatformAdapter,
-    StorePrefixes,
-)
+from masticwind.serving.adapter import PlatformAdapter, StorePrefixes
+from masticwind.serving.server import DirectEntry
 from masticwind.serving.settings import DirectSettings, LiveSettings
 
 # The platform sets this variable to the path of the settings file.
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -14,6 +14,7 @@
 from masticwind.httpclient import BrokenStreamError
 from masticwind.serving.admission import AdmittedRequest
 from masticwind.serving.attempt_context import AttemptContext
+from masticwind.serving.endpoint_limits import Permit
 from masticwind.serving.event_relay import relay_events
 from masticwind.serving.interfaces import (
     Attempt,
@@ -148,6 +149,12 @@
         if isinstance(helpers, ReservationFailure):
             context.progress.at_fault = helpers.endpoint
             return helpers.failure
+        if context.needs_permit():
+            context.state.held_back = True
+            return Failure(
+                kind=ErrorKind.OVERLOADED,
+                reason='the endpoint has begun to limit its requests',
+            )
         request = _build_attempt(context, helpers)
         _log_sent(context, request)
         with anyio.move_on_after(
@@ -159,6 +166,7 @@
                     return reply
                 context.state.answer_begun = True
                 context.state.rate_limit = reply.rate_limit
+                context.on_answer(reply.rate_limit)
                 return await _receive_or_fail(context, reply)
     return Failure(
         kind=ErrorKind.TIMED_OUT,
@@ -203,9 +211,22 @@
         whole_ms=round(context.placement.total_ms),
         left_ms=request.time_limit_ms,
         resume_after=request.resume_after,
+        **_permit_fields(context.permit),
     ).info('attempt_sent')
 
 
+def _permit_fields(permit: Permit | None) -> dict[str, object]:
+    """Return what the entry knew of the endpoint's limit, for the logs."""
+    if permit is None:
+        return {}
+    return {
+        'limit_per_s': permit.limit.rate_per_s,
+        'limit_age_s': round(permit.known_for_s, 3),
+        'limit_source': permit.source,
+        'permit_wait_ms': round(permit.waited_ms),
+    }
+
+
 def _finite_limit(rate_limit: float | None) -> float | None:
     """Return a limit for the logs; None if there is none."""
     if rate_limit is None or math.isinf(rate_limit):
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -6,6 +6,7 @@
 import anyio
 
 from masticwind.serving.admission import AdmittedRequest, RequestProgress
+from masticwind.serving.endpoint_limits import Permit
 from masticwind.serving.interfaces import AttemptLimits, CallerAnswer
 from masticwind.serving.placement import Placement
 
@@ -15,12 +16,13 @@
     """What the entry has received from the endpoint of an attempt.
 
     `answer_begun` says that the head of the answer has arrived. `rate_limit`
-    is what it says about the endpoint's limit, as in `Reply`. Cancelling
-    `scope` recalls the attempt.
+    is what it says about the endpoint's limit, as in `Reply`. An attempt that
+    is `held_back` has not been sent. Cancelling `scope` recalls the attempt.
     """
 
     answer_begun: bool = False
     rate_limit: float | None = None
+    held_back: bool = False
     event_count: int = 0
     scope: anyio.CancelScope | None = None
 
@@ -31,7 +33,9 @@
 
     With `may_retry_elsewhere`, another endpoint may run the request if this
     attempt fails. `on_event` is called for each batch of events before it is
-    sent to the caller.
+    sent to the caller, and `on_answer` with the limit that an answer names, as
+    in `Reply`. `needs_permit` tells whether the endpoint has begun to limit
+    its requests since the placement, so that this one must not be sent.
     """
 
     admitted: AdmittedRequest
@@ -41,4 +45,7 @@
     limits: AttemptLimits
     may_retry_elsewhere: bool
     on_event: Callable[[], None]
+    on_answer: Callable[[float | None], None]
+    needs_permit: Callable[[], bool]
+    permit: Permit | None = None
     state: AttemptState = field(default_factory=AttemptState)
--- a/src/masticwind/serving/cleanup.py
+++ b/src/masticwind/serving/cleanup.py
@@ -12,6 +12,7 @@
 
 from masticwind.serving.bounds import ColdEndpointLimiter
 from masticwind.serving.directory import EndpointDirectory
+from masticwind.serving.endpoint_limits import EndpointLimits
 from masticwind.serving.health import EndpointHealth
 from masticwind.serving.interfaces import EndpointClient
 
@@ -27,6 +28,7 @@
     directory: EndpointDirectory
     health: EndpointHealth
     cold_limiter: ColdEndpointLimiter
+    limits: EndpointLimits
     endpoint_client: EndpointClient
 
     async def run(self) -> None:
@@ -34,6 +36,7 @@
         while True:
             await anyio.sleep(CLEANUP_INTERVAL_S)
             await self.remove_expired(RETENTION_S)
+            self.limits.retain(self.directory.identities())
 
     async def remove_expired(self, retention_s: float) -> None:
         """Drop the state of endpoints removed `retention_s` ago or earlier."""
--- a/src/masticwind/serving/directory.py
+++ b/src/masticwind/serving/directory.py
@@ -6,7 +6,7 @@
 """
 
 import abc
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -78,6 +78,18 @@
                 found.append(endpoint)
         return found
 
+    def is_usable(self, endpoint: Endpoint) -> bool:
+        """Tell whether the process of an endpoint still accepts new work."""
+        return any(
+            (one.identity, one.started_at_ms)
+            == (endpoint.identity, endpoint.started_at_ms)
+            for one in self.endpoints(endpoint.service)
+        )
+
+    def identities(self) -> Container[str]:
+        """Return the identities of the endpoints in the directory."""
+        return self._registered.keys()
+
     def count(self) -> int:
         """Return the number of endpoints in the directory."""
         return len(self._registered)
--- a/src/masticwind/serving/peers.py
+++ b/src/masticwind/serving/peers.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 import anyio
@@ -14,6 +15,7 @@
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.bounds import EntryFleet
 from masticwind.serving.datagrams import PeerAddress
+from masticwind.serving.endpoint_limits import PermitAuthorities
 from masticwind.serving.mirror import Sink
 from masticwind.serving.settings import DirectSettings
 from masticwind.serving.store import Item, MetadataStore
@@ -44,7 +46,7 @@
     last_seen: float
 
 
-class EntryPeers(Sink, EntryFleet):
+class EntryPeers(Sink, EntryFleet, PermitAuthorities):
     """The registered entries, this one included.
 
     During a store outage all registrations can expire although the entries
@@ -60,6 +62,8 @@
         self._unregistered: Final[dict[str, _Unregistered]] = {}
         self._last_seen: Final[dict[str, float]] = {}
         self._ranks: Final[dict[str, int]] = {}
+        self._permit_granters: Final[dict[str, str]] = {}
+        self._loaded = False
 
     def count(self) -> int:
         """Return how many entries may be alive."""
@@ -83,6 +87,34 @@
             self._ranks[endpoint] = rank
         return rank
 
+    def permit_granter(self, endpoint: str) -> str:
+        """Return the entry that ranks first for an endpoint.
+
+        Before the registrations have been read, it is unknown: ''.
+        """
+        self._remove_silent()
+        if not self._loaded:
+            return ''
+        granter = self._permit_granters.get(endpoint)
+        if granter is None:
+            granter = min(
+                {*self._peers, *self._unregistered, self._node},
+                key=partial(_rendezvous_hash, endpoint),
+            )
+            self._permit_granters[endpoint] = granter
+        return granter
+
+    def grants_permits(self, identity: str) -> bool:
+        """Tell whether this entry ranks first for an endpoint."""
+        return self.permit_granter(identity) == self._node
+
+    def address_of(self, node: str) -> PeerAddress | None:
+        """Return the address of another entry."""
+        peer = self._peers.get(node)
+        if peer is None and node in self._unregistered:
+            return self._unregistered[node].peer
+        return peer
+
     def others(self) -> list[PeerAddress]:
         """Return the addresses of the other entries."""
         self._remove_silent()
@@ -103,7 +135,7 @@
             or len(self._unregistered) < MAX_UNREGISTERED
         ):
             if node not in self._unregistered:
-                self._ranks.clear()
+                self._forget_orders()
             self._unregistered[node] = _Unregistered(peer, now)
 
     def first_by_hash(self, count: int) -> list[tuple[str, PeerAddress]]:
@@ -122,6 +154,7 @@
 
     def replace_all(self, items: tuple[Item, ...]) -> None:
         """Replace the registered entries by a complete listing."""
+        self._loaded = True
         listed = {_node_of(item) for item in items}
         for node in list(self._peers):
             if node not in listed:
@@ -130,7 +163,7 @@
 
     def apply_changes(self, items: tuple[Item, ...]) -> None:
         """Apply changed and removed registrations."""
-        self._ranks.clear()
+        self._forget_orders()
         for item in items:
             node = _node_of(item)
             if item.value is None:
@@ -144,6 +177,10 @@
             self._unregistered.pop(node, None)
         logger.bind(entries=len(self._peers)).info('entries_changed')
 
+    def _forget_orders(self) -> None:
+        self._ranks.clear()
+        self._permit_granters.clear()
+
     def _unregister(self, node: str) -> None:
         peer = self._peers.pop(node, None)
         self._last_seen.pop(node, None)
@@ -154,7 +191,7 @@
         for node, entry in list(self._unregistered.items()):
             if boot_time() - entry.last_seen > UNREGISTERED_TTL_S:
                 self._unregistered.pop(node)
-                self._ranks.clear()
+                self._forget_orders()
 
 
 class Registrar:
--- a/src/masticwind/serving/placement.py
+++ b/src/masticwind/serving/placement.py
@@ -6,6 +6,7 @@
 
 import abc
 import math
+import random
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
@@ -18,6 +19,11 @@
 
 # Expected duration of a plain call; predicts the wait in a queue.
 EXPECTED_CALL_MS: Final = 40.0
+# Bounds of the retry hint for refused callers, and its jitter, which keeps
+# them from returning at the same time.
+MIN_RETRY_AFTER_MS: Final = 1000.0
+MAX_RETRY_AFTER_MS: Final = 3000.0
+RETRY_JITTER_SHARE: Final = 0.4
 # Cost of a call to another zone, added to the share of slots in use.
 OTHER_ZONE_UTILIZATION_COST: Final = 0.05
 
@@ -30,7 +36,8 @@
     part of its prompt. `failure_shares` has the recent share of failed
     requests by endpoint identity; `now` is the time of the load table's
     clock. `first_event_target_ms` is what remains of the route's target for
-    the first event; zero means that there is no target.
+    the first event; zero means that there is no target. `permit_waits_ms` has
+    the wait for a permit of each endpoint that limits its requests.
     """
 
     request_id: str
@@ -45,6 +52,7 @@
     first_event_target_ms: float = 0
     event_gap_target_ms: float = 0
     failure_shares: Mapping[str, float] = field(default_factory=dict)
+    permit_waits_ms: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -107,8 +115,12 @@
                 best, best_cost = endpoint, cost
         if best is None:
             return no_endpoint_failure()
+        permit_wait_ms = query.permit_waits_ms.get(best.identity, 0)
+        if permit_wait_ms > _max_permit_wait_ms(query):
+            return limited_failure(permit_wait_ms)
         running_calls = len(query.jobs_by_endpoint.get(best.identity, ()))
         wait_ms = EXPECTED_CALL_MS * (1 + running_calls // max(1, best.slots))
+        wait_ms += permit_wait_ms
         job = Job(
             job_id=0,
             request_id=query.request_id,
@@ -137,10 +149,44 @@
     )
 
 
+def limited_failure(permit_wait_ms: float) -> Failure:
+    """Return the failure of a request for which no permit is due in time.
+
+    `permit_wait_ms` is the time until one is due.
+    """
+    return Failure(
+        kind=ErrorKind.OVERLOADED,
+        reason=(
+            'the endpoints limit their requests, and the next permit is due'
+            f' in {permit_wait_ms:.0f} ms'
+        ),
+        retry_after_ms=spread_retry_after_ms(permit_wait_ms),
+    )
+
+
+def spread_retry_after_ms(
+    wait_ms: float, rng: random.Random | None = None
+) -> int:
+    """Return a retry hint that keeps callers from returning together."""
+    uniform = random.uniform if rng is None else rng.uniform
+    jitter_factor = uniform(1 - RETRY_JITTER_SHARE, 1 + RETRY_JITTER_SHARE)
+    bounded_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
+    return int(bounded_ms * jitter_factor)
+
+
+def _max_permit_wait_ms(query: PlacementQuery) -> float:
+    """Return how long a call may wait for a permit: until its target, or for
+    its remaining time without one.
+    """
+    target_ms = query.first_event_target_ms or query.remaining_ms
+    return max(0.0, min(target_ms, query.remaining_ms) - EXPECTED_CALL_MS)
+
+
 def _utilization_cost(query: PlacementQuery, endpoint: Endpoint) -> float:
     running_calls = len(query.jobs_by_endpoint.get(endpoint.identity, ()))
     cost = (running_calls + 1) / max(1, endpoint.slots)
     cost += query.failure_shares.get(endpoint.identity, 0)
+    cost += query.permit_waits_ms.get(endpoint.identity, 0) / EXPECTED_CALL_MS
     if endpoint.zone != query.zone:
         cost += OTHER_ZONE_UTILIZATION_COST
     return cost
--- a/src/masticwind/serving/plans.py
+++ b/src/masticwind/serving/plans.py
@@ -175,6 +175,8 @@
     if lead is None:
         return None
     selected = _select_engines(ranked, lead, part_count)
+    if len(selected) < part_count:
+        return None
     first_ms = _first_token_ms(profile, selected, part)
     lost_tokens = _lost_tokens(query, profile, selected, part)
     # Of two plans with the same value, the faster one is better.
@@ -234,8 +236,12 @@
     lead: EngineView,
     part_count: int,
 ) -> list[EngineView]:
-    """Return the lead and the cheapest other engines."""
-    helpers = [engine for engine in ranked if engine is not lead]
+    """Return the lead and the cheapest other engines, fewer if there are not
+    enough of them.
+    """
+    helpers = [
+        engine for engine in ranked if engine is not lead and engine.may_help
+    ]
     return [lead, *helpers[: part_count - 1]]
 
 
--- a/src/masticwind/serving/prompt_placer.py
+++ b/src/masticwind/serving/prompt_placer.py
@@ -42,7 +42,9 @@
     Placement,
     PlacementQuery,
     Placer,
+    limited_failure,
     no_endpoint_failure,
+    spread_retry_after_ms,
 )
 from masticwind.serving.plans import (
     MAX_HELPERS,
@@ -58,11 +60,6 @@
 # Once this share of all slots is in use, requests that would miss their target
 # are refused instead of queued.
 OVERLOAD_SLOT_SHARE: Final = 0.5
-# Bounds of the retry hint for refused callers, and its jitter, which keeps
-# them from returning at the same time.
-MIN_RETRY_AFTER_MS: Final = 1000.0
-MAX_RETRY_AFTER_MS: Final = 3000.0
-RETRY_JITTER_SHARE: Final = 0.4
 # Bounds of the delay before a deferred prompt is placed again.
 MIN_DEFERRAL_MS: Final = 10.0
 MAX_DEFERRAL_MS: Final = 100.0
@@ -89,6 +86,8 @@
         plan = best_plan(query, profile, tokens, engines)
         if plan is None:
             return self._refusal('the engines have no memory for this prompt')
+        if _waits_too_long_for_permit(query, plan):
+            return limited_failure(plan.engines[0].permit_wait_ms)
         if _overloaded(query, profile, engines, plan):
             return self._refusal(
                 f'the first token would take {plan.first_token_ms:.0f} ms',
@@ -129,17 +128,27 @@
         return lead_candidates + helper_views
 
     def _refusal(self, reason: str, excess_ms: float = 0) -> Failure:
-        wait_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, excess_ms))
-        jitter_factor = self._rng.uniform(
-            1 - RETRY_JITTER_SHARE, 1 + RETRY_JITTER_SHARE
-        )
         return Failure(
             kind=ErrorKind.OVERLOADED,
             reason=reason,
-            retry_after_ms=int(wait_ms * jitter_factor),
+            retry_after_ms=spread_retry_after_ms(excess_ms, self._rng),
         )
 
 
+def _waits_too_long_for_permit(query: PlacementQuery, plan: Plan) -> bool:
+    """Tell whether to refuse a request since it would wait for a permit.
+
+    As no plan with an unlimited engine is better, a queue for permits would
+    make all later requests late as well. A refused caller retries.
+    """
+    wait_ms = plan.engines[0].permit_wait_ms
+    target_ms = query.first_event_target_ms or query.remaining_ms
+    usable_ms = target_ms * USABLE_TARGET_SHARE
+    if wait_ms > usable_ms:
+        return True
+    return plan.first_token_ms - wait_ms <= usable_ms < plan.first_token_ms
+
+
 def _overloaded(
     query: PlacementQuery,
     profile: EngineProfile,
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Final
@@ -27,8 +27,10 @@
 from masticwind.serving.crash_detector import CrashDetector
 from masticwind.serving.crash_evidence import fingerprint
 from masticwind.serving.directory import EndpointDirectory, OperatorState
+from masticwind.serving.endpoint_limits import Permit
 from masticwind.serving.health import EndpointHealth
 from masticwind.serving.interfaces import CallerAnswer, EndpointClient
+from masticwind.serving.limit_link import LimitLink
 from masticwind.serving.load_table import LoadTable
 from masticwind.serving.model import Endpoint
 from masticwind.serving.placement import (
@@ -37,6 +39,7 @@
     Placement,
     PlacementQuery,
     Placer,
+    limited_failure,
 )
 from masticwind.serving.prompt_placer import PromptPlacer
 from masticwind.serving.quarantine import Quarantine, RunningPrompt
@@ -47,6 +50,8 @@
 # While shutting down, an answer is assumed to take up to this multiple of its
 # predicted time.
 TOTAL_TIME_FACTOR: Final = 1.5
+# Denied permits of one request, each of which takes a message to another entry.
+MAX_PERMIT_DENIALS: Final = 3
 # Failures that count as a broken connection and exclude an endpoint at once.
 _BROKEN_CONNECTION_KINDS: Final = frozenset(
     (
@@ -70,12 +75,22 @@
     endpoint_client: EndpointClient
     retry_budget: RetryBudget
     cold_limiter: ColdEndpointLimiter
+    limit_link: LimitLink
     quarantine: Quarantine
     telemetry: Telemetry
     call_placer: Placer = field(default_factory=CallPlacer)
     prompt_placer: Placer = field(default_factory=PromptPlacer)
 
 
+@dataclass(frozen=True, slots=True)
+class PermittedPlacement:
+    """A placement that may be used, with the permit that its lead needs."""
+
+    placement: Placement
+    permit: Permit | None = None
+    state: AttemptState = field(default_factory=AttemptState)
+
+
 class Relay:
     """Sends admitted requests to endpoints and relays the answers."""
 
@@ -99,12 +114,16 @@
         deps.retry_budget.record_request(admitted.service.name)
         progress = RequestProgress(last_event_id=admitted.req.resume_after)
         while True:
-            placement = await self._place_with_deferrals(admitted, progress)
-            if isinstance(placement, Failure):
-                return progress.final_failure(placement)
+            permitted = await self._place_with_permit(admitted, progress)
+            if isinstance(permitted, Failure):
+                return progress.final_failure(permitted)
+            placement = permitted.placement
             failure = await self._run_attempt(
-                admitted, placement, progress, answer
+                admitted, permitted, progress, answer
             )
+            if permitted.state.held_back:
+                progress.attempts -= 1
+                continue
             self._record_metrics(admitted, progress, failure)
             if failure is None:
                 deps.health.record_success(placement.lead.identity)
@@ -132,6 +151,67 @@
         size = prompt_size_label(admitted.prompt_tokens)
         telemetry.first_event.labels(size).observe(first_event_ms / MS_PER_S)
 
+    async def _place_with_permit(
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+    ) -> PermittedPlacement | Failure:
+        """Place a request, and get a permit if its endpoint needs one.
+
+        A denied permit or a wait for it leads to another placement, which may
+        choose another endpoint.
+        """
+        limits = self._deps.limit_link.limits
+        while True:
+            placement = await self._place_with_deferrals(admitted, progress)
+            if isinstance(placement, Failure):
+                return placement
+            if limits.find(placement.lead) is None:
+                return PermittedPlacement(placement)
+            permit = await self._deps.limit_link.acquire(
+                placement.lead,
+                self._max_permit_wait_s(admitted, progress, placement),
+                admitted.priority,
+            )
+            outcome = 'denied' if permit is None else 'granted'
+            self._deps.telemetry.permits.labels(outcome).inc()
+            if permit is not None and self._is_still_usable(
+                admitted, progress, placement.lead
+            ):
+                return PermittedPlacement(placement, permit)
+            progress.permit_denials += 1
+
+    def _max_permit_wait_s(
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+        placement: Placement,
+    ) -> float:
+        """Return the wait for a permit with which the first event is in time,
+        or the wait that the placement has accepted if that is longer.
+        """
+        known_ms = self._deps.limit_link.limits.wait_ms(placement.lead)
+        remaining_ms = admitted.remaining_s() * MS_PER_S
+        target_ms = _remaining_target_ms(admitted, progress) or remaining_ms
+        slack_ms = target_ms - max(0.0, placement.first_event_ms - known_ms)
+        return min(remaining_ms, max(known_ms, slack_ms)) / MS_PER_S
+
+    def _is_still_usable(
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+        endpoint: Endpoint,
+    ) -> bool:
+        """Tell whether an endpoint may get a request that has waited."""
+        service = admitted.service
+        return (
+            self._deps.directory.is_usable(endpoint)
+            and self._is_eligible(admitted, progress, endpoint)
+            and self._deps.cold_limiter.allows_last_resort(
+                endpoint.identity, service.cold_per_s
+            )
+        )
+
     async def _place_with_deferrals(
         self,
         admitted: AdmittedRequest,
@@ -198,6 +278,20 @@
         if rejection is not None:
             return rejection
         candidates, helpers = self._find_candidates(admitted, progress)
+        permit_waits_ms = self._permit_waits_ms(admitted)
+        candidates = [
+            endpoint
+            for endpoint in candidates
+            if permit_waits_ms.get(endpoint.identity, 0) <= remaining_ms
+            and _may_need_permit(progress, endpoint, permit_waits_ms)
+        ]
+        if permit_waits_ms and not candidates:
+            return limited_failure(min(permit_waits_ms.values()))
+        helpers = [
+            helper
+            for helper in helpers
+            if helper.identity not in permit_waits_ms
+        ]
         progress.candidate_count = len(candidates)
         query = PlacementQuery(
             request_id=admitted.req.request_id,
@@ -212,11 +306,25 @@
             first_event_target_ms=_remaining_target_ms(admitted, progress),
             event_gap_target_ms=admitted.route.event_gap_target_ms,
             failure_shares=deps.health.failure_shares((*candidates, *helpers)),
+            permit_waits_ms=permit_waits_ms,
         )
         if admitted.service.engine is None or admitted.req.tokens is None:
             return deps.call_placer.place(query)
         return deps.prompt_placer.place(query)
 
+    def _permit_waits_ms(self, admitted: AdmittedRequest) -> dict[str, float]:
+        """Return the waits for permits of the endpoints that need them."""
+        limits = self._deps.limit_link.limits
+        if not limits.count():
+            return {}
+        return {
+            endpoint.identity: limits.wait_ms(endpoint)
+            for endpoint in self._deps.directory.endpoints(
+                admitted.service.name
+            )
+            if limits.find(endpoint) is not None
+        }
+
     def _find_candidates(
         self,
         admitted: AdmittedRequest,
@@ -289,11 +397,12 @@
     async def _run_attempt(
         self,
         admitted: AdmittedRequest,
-        placement: Placement,
+        permitted: PermittedPlacement,
         progress: RequestProgress,
         answer: CallerAnswer,
     ) -> Failure | None:
         deps = self._deps
+        placement = permitted.placement
         may_retry = self._may_retry_elsewhere(admitted, progress)
         limits = attempt_limits(
             admitted, placement, may_retry_elsewhere=may_retry
@@ -302,7 +411,7 @@
         deps.cold_limiter.record_request(placement.lead.identity)
         deps.reach.record_attempt(placement.lead)
         job_ids = deps.load_table.add(placement.jobs)
-        state = AttemptState()
+        state = permitted.state
         running = deps.quarantine.start(
             fingerprint(admitted.req.prompt_parts),
             admitted.req.request_id,
@@ -318,6 +427,11 @@
             on_event=partial(
                 self._record_event, placement.lead, job_ids, running
             ),
+            on_answer=partial(
+                deps.limit_link.observe, placement.lead, permitted.permit
+            ),
+            needs_permit=partial(self._needs_permit, permitted),
+            permit=permitted.permit,
             state=state,
         )
         try:
@@ -335,6 +449,12 @@
             )
         return failure
 
+    def _needs_permit(self, permitted: PermittedPlacement) -> bool:
+        if permitted.permit is not None:
+            return False
+        limits = self._deps.limit_link.limits
+        return limits.find(permitted.placement.lead) is not None
+
     def _record_event(
         self, lead: Endpoint, job_ids: Iterable[int], running: RunningPrompt
     ) -> None:
@@ -393,6 +513,17 @@
         return False
 
 
+def _may_need_permit(
+    progress: RequestProgress,
+    endpoint: Endpoint,
+    permit_waits_ms: Mapping[str, float],
+) -> bool:
+    """Tell whether to try an endpoint, which may need a permit."""
+    if progress.permit_denials < MAX_PERMIT_DENIALS:
+        return True
+    return endpoint.identity not in permit_waits_ms
+
+
 def _remaining_target_ms(
     admitted: AdmittedRequest, progress: RequestProgress
 ) -> float:
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -1,7 +1,6 @@
 """Assembles and runs an entry of direct serving."""
 
 import time
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Final
 
@@ -10,6 +9,7 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.serving.active_config import ActiveConfig
+from masticwind.serving.adapter import PlatformAdapter
 from masticwind.serving.bounds import ColdEndpointLimiter, RetryBudget
 from masticwind.serving.cleanup import Cleanup
 from masticwind.serving.confirmations import Confirmations
@@ -17,12 +17,11 @@
 from masticwind.serving.directory import (
     EndpointDirectory,
     OperatorState,
-    StoreDecoder,
 )
-from masticwind.serving.edge import CallerCodec, EdgeApp, EdgeDependencies
+from masticwind.serving.edge import EdgeApp, EdgeDependencies
 from masticwind.serving.freshness import ConfigFreshness
 from masticwind.serving.health import EndpointHealth
-from masticwind.serving.interfaces import EndpointClient
+from masticwind.serving.limit_link import LimitLink
 from masticwind.serving.load_link import LoadLink
 from masticwind.serving.load_table import LoadTable
 from masticwind.serving.mirror import Mirror, MirrorOptions, Sink
@@ -32,7 +31,6 @@
 from masticwind.serving.reach import ZoneReachability
 from masticwind.serving.relay import Relay, RelayDependencies
 from masticwind.serving.settings import LiveSettings, parse_address
-from masticwind.serving.store import MetadataStore
 from masticwind.serving.supervision import supervise
 from masticwind.serving.suspicions import Suspicions
 from masticwind.serving.telemetry import Telemetry
@@ -71,27 +69,6 @@
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StorePrefixes:
-    """Key prefixes in the store."""
-
-    operations: str
-    registrations: str
-    entries: str
-    crashes: str
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PlatformAdapter:
-    """The platform's implementations of the interfaces of direct serving."""
-
-    store: MetadataStore
-    decoder: StoreDecoder
-    codec: CallerCodec
-    endpoint_client: EndpointClient
-    prefixes: StorePrefixes
-
-
 class DirectEntry:
     """Serves callers by sending their requests to endpoints itself."""
 
@@ -139,12 +116,14 @@
                 batch_interval_s=ENTRIES_BATCH_INTERVAL_S,
             ),
         )
+        self._limit_link: Final = LimitLink(self._peer_socket, self._peers)
         self._cleanup: Final = Cleanup(
             directory=self._directory,
             health=EndpointHealth(
                 Suspicions(self._peer_socket, self._peers, cfg.zone),
             ),
             cold_limiter=ColdEndpointLimiter(settings, self._peers),
+            limits=self._limit_link.limits,
             endpoint_client=adapter.endpoint_client,
         )
         self._quarantine: Final = build_quarantine(
@@ -213,6 +192,7 @@
                 registrar,
                 self._peer_socket,
                 load,
+                self._limit_link,
                 self._quarantine,
                 confirmations,
                 self._cleanup,
@@ -278,6 +258,7 @@
                 endpoint_client=adapter.endpoint_client,
                 retry_budget=RetryBudget(settings, entries),
                 cold_limiter=self._cleanup.cold_limiter,
+                limit_link=self._limit_link,
                 quarantine=self._quarantine,
                 telemetry=self._telemetry,
             )
@@ -317,6 +298,11 @@
             'Entries that are registered',
             self._peers.count,
         )
+        add_gauge(
+            'masticwind_limited_endpoints',
+            'Endpoints that limit their requests',
+            self._limit_link.limits.count,
+        )
         add_gauge(
             'masticwind_held_prompt_parts',
             'Parts whose prompts are rejected, and whole prompts',
--- a/src/masticwind/serving/telemetry.py
+++ b/src/masticwind/serving/telemetry.py
@@ -62,6 +62,12 @@
             'Prompts whose endpoint ended before it wrote an event',
             registry=self._registry,
         )
+        self.permits: Final = Counter(
+            'masticwind_permits',
+            'Permits for endpoints that limit their requests',
+            ('outcome',),
+            registry=self._registry,
+        )
         self.first_event: Final = Histogram(
             'masticwind_first_event_seconds',
             'Time from admission to the first event or the answer',
--- a/tests/test_cleanup.py
+++ b/tests/test_cleanup.py
@@ -8,6 +8,7 @@
 from masticwind.serving.bounds import ColdEndpointLimiter
 from masticwind.serving.cleanup import Cleanup
 from masticwind.serving.directory import EndpointDirectory
+from masticwind.serving.endpoint_limits import EndpointLimits
 from masticwind.serving.health import EndpointHealth
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.settings import LiveSettings
@@ -33,10 +34,13 @@
     cfg = sample_settings()
     directory = EndpointDirectory(PlatformDecoder(), lambda _seconds: False)
     health = EndpointHealth(isolated_suspicions())
+    peers = EntryPeers(cfg)
+    limits = EndpointLimits(cfg.node, 'a', peers)
     cleanup = Cleanup(
         directory=directory,
         health=health,
-        cold_limiter=ColdEndpointLimiter(LiveSettings(cfg), EntryPeers(cfg)),
+        cold_limiter=ColdEndpointLimiter(LiveSettings(cfg), peers),
+        limits=limits,
         endpoint_client=PlatformEndpointClient(),
     )
     for number in range(3):
