--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
-from typing import Final
+from typing import Final, TypeAlias
 
 import xxhash
 
@@ -58,6 +58,9 @@
     joins: int = 0
 
 
+_Event: TypeAlias = tuple[float, int, Callable[[], None]]
+
+
 class _View(PermitAuthorities):
     """The entries that one entry knows."""
 
@@ -109,7 +112,7 @@
         self.arrivals: Final[list[float]] = []
         self.limit: float | None = options.limit_per_s
         self._numbers: Final = itertools.count(1)
-        self._events: Final[list[tuple[float, int, Callable[[], None]]]] = []
+        self._events: Final[list[_Event]] = []
         self._cut_until: Final[dict[frozenset[int], float]] = {}
         self._entries: Final[dict[int, _Entry]] = {}
         for number in range(options.entries):
@@ -283,14 +286,10 @@
         if not limits:
             return
         for number in sender.view.nodes - {sender.number}:
-            self._deliver(
-                sender,
-                number,
-                lambda other: [other.limits.adopt(limit) for limit in limits],
-            )
+            self._deliver(sender, number, partial(_adopt_all, limits))
 
     def _deliver(
-        self, sender: _Entry, number: int, action: Callable[[_Entry], object]
+        self, sender: _Entry, number: int, action: Callable[[_Entry], None]
     ) -> None:
         cut_until = self._cut_until.get(frozenset((sender.number, number)), 0)
         if cut_until > self.clock.now:
@@ -299,9 +298,15 @@
             return
         self._at(
             self.clock.now + self._random.uniform(0.001, MAX_DELAY_S),
-            lambda: (
-                number in self._entries
-                and action(self._entries[number])
-                and None
-            ),
+            partial(self._arrive, number, action),
         )
+
+    def _arrive(self, number: int, action: Callable[[_Entry], None]) -> None:
+        entry = self._entries.get(number)
+        if entry is not None:
+            action(entry)
+
+
+def _adopt_all(limits: list[Limit], entry: _Entry) -> None:
+    for limit in limits:
+        entry.limits.adopt(limit)
