Try each limited endpoint once for a request, and count its slots as used

A load with limited engines, played without a network, found two faults: a request of a low priority asked for a permit of the same engine again, and with 4 of 14 engines limited 81 in 100 of the free requests were on target instead of 99; and engines that take no request now counted as free slots, so that prompts queued on the few others.

--- a/src/masticwind/serving/admission.py
+++ b/src/masticwind/serving/admission.py
@@ -100,14 +100,14 @@
     `excluded_endpoints` those that get no further attempt.
     `candidate_count` is the number of candidates of the last placement.
     `at_fault` is the endpoint that the last refusal names. `last_event_id`
-    is the id of the last event that the caller has received. After
-    `permit_denials`, endpoints that limit their requests are not used.
+    is the id of the last event that the caller has received.
+    `denied_endpoints` did not grant a permit to send it.
     """
 
     attempts: int = 0
-    permit_denials: int = 0
     may_have_run_at: set[str] = field(default_factory=set)
     excluded_endpoints: set[str] = field(default_factory=set)
+    denied_endpoints: set[str] = field(default_factory=set)
     candidate_count: int = 0
     at_fault: Endpoint | None = None
     last_event_id: int | None = None
--- a/src/masticwind/serving/prompt_placer.py
+++ b/src/masticwind/serving/prompt_placer.py
@@ -167,6 +167,8 @@
         return False
     if plan.first_token_ms <= query.first_event_target_ms * USABLE_TARGET_SHARE:
         return False
+    # Engines that take no request now have no slot for it.
+    engines = [engine for engine in engines if not engine.permit_wait_ms]
     slots = profile.slots * len(engines)
     used_slots = sum(
         min(engine.slot_requests, profile.slots) for engine in engines
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -179,7 +179,7 @@
                 admitted, progress, placement.lead
             ):
                 return PermittedPlacement(placement, permit)
-            progress.permit_denials += 1
+            progress.denied_endpoints.add(placement.lead.identity)
 
     def _max_permit_wait_s(
         self,
@@ -519,9 +519,11 @@
     permit_waits_ms: Mapping[str, float],
 ) -> bool:
     """Tell whether to try an endpoint, which may need a permit."""
-    if progress.permit_denials < MAX_PERMIT_DENIALS:
+    if endpoint.identity not in permit_waits_ms:
         return True
-    return endpoint.identity not in permit_waits_ms
+    if len(progress.denied_endpoints) >= MAX_PERMIT_DENIALS:
+        return False
+    return endpoint.identity not in progress.denied_endpoints
 
 
 def _remaining_target_ms(
--- a/src/masticwind_dev/play/simulation.py
+++ b/src/masticwind_dev/play/simulation.py
@@ -16,6 +16,10 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import Failure
+from masticwind.serving.endpoint_limits import (
+    EndpointLimits,
+    PermitAuthorities,
+)
 from masticwind.serving.latency_model import full_prefill
 from masticwind.serving.load_table import Job, LoadTable
 from masticwind.serving.model import (
@@ -75,6 +79,7 @@
     deadline_ms: float
     value: float
     late_value: float
+    priority: int = 0
 
     @property
     def abandon_ms(self) -> float:
@@ -143,7 +148,8 @@
     """The engines, and the factors of the request rates in each phase.
 
     Each entry places its requests on its own. Its load table receives changes
-    to the jobs of the other entries after `update_delay_s`.
+    to the jobs of the other entries after `update_delay_s`. The first engines
+    limit their requests to `limits_per_s`.
     """
 
     engine_count: int = 14
@@ -159,6 +165,7 @@
     )
     entry_count: int = 1
     update_delay_s: float = 0.0
+    limits_per_s: Sequence[float] = ()
 
 
 # The users' largest deployment, scaled down.
@@ -240,6 +247,7 @@
     iterations: int
     started_at: float
     retries_left: int = MAX_CALLER_RETRIES
+    denied_endpoints: set[str] = field(default_factory=set)
 
 
 class _LoadTables:
@@ -298,6 +306,18 @@
                 )
 
 
+class _SinglePermitAuthority(PermitAuthorities):
+    """The only entry, which has run for a long time."""
+
+    def grants_permits(self, identity: str) -> bool:
+        """Grant the permits of each endpoint."""
+        return True
+
+    def changed_at(self) -> float:
+        """Return that there never was another entry."""
+        return -math.inf
+
+
 class _Simulation:
     """One simulation of a workload."""
 
@@ -327,6 +347,13 @@
             )
             for name in self._engines
         ]
+        self._limits: Final = EndpointLimits(
+            'entry', 'a', _SinglePermitAuthority(), lambda: self._clock.now
+        )
+        for endpoint, rate_per_s in zip(
+            self._endpoints, workload.limits_per_s, strict=False
+        ):
+            self._limits.observe(endpoint, rate_per_s, None)
         self._requests = 0
         self.class_results: Final = {
             name: ClassResult() for name in workload.classes
@@ -420,7 +447,11 @@
                     max_connections=400,
                     engine=self._workload.profile,
                 ),
-                candidates=self._endpoints,
+                candidates=[
+                    endpoint
+                    for endpoint in self._endpoints
+                    if endpoint.identity not in request.denied_endpoints
+                ],
                 jobs_by_endpoint=self._load_tables.jobs_by_endpoint(entry),
                 now=now,
                 zone='z',
@@ -430,6 +461,11 @@
                     1.0, request_class.first_event_target_ms - waited_ms
                 ),
                 event_gap_target_ms=request_class.event_gap_target_ms,
+                permit_waits_ms={
+                    endpoint.identity: self._limits.wait_ms(endpoint)
+                    for endpoint in self._endpoints
+                    if self._limits.find(endpoint) is not None
+                },
             )
         )
         if isinstance(placement, Deferral):
@@ -441,7 +477,33 @@
         if isinstance(placement, Failure):
             self._handle_refusal(request, placement)
             return
-        self._start(request, placement, entry)
+        permit_wait_s = self._acquire(request, placement, remaining_ms)
+        if permit_wait_s is None:
+            request.denied_endpoints.add(placement.lead.identity)
+            self._place(request, sent_at, entry)
+            return
+        self._clock.schedule(
+            now + permit_wait_s,
+            lambda: self._start(request, placement, entry),
+        )
+
+    def _acquire(
+        self,
+        request: _CallerRequest,
+        placement: Placement,
+        remaining_ms: float,
+    ) -> float | None:
+        """Return the wait for a permit; None if it is denied."""
+        req = self._limits.build_request(
+            placement.lead,
+            self._requests,
+            remaining_ms / MS_PER_S,
+            request.request_class.priority,
+        )
+        if req is None:
+            return 0.0
+        reply = self._limits.decide(req)
+        return reply.wait_ms / MS_PER_S if reply.granted else None
 
     def _handle_refusal(
         self, request: _CallerRequest, failure: Failure
