Soak: let an endpoint limit its requests, checked at the endpoints

The check is the users' own sum: what entries that were told send in any 4 s, except entries that were killed or paused and links that were disturbed.

--- a/src/masticwind_dev/soak/environment.py
+++ b/src/masticwind_dev/soak/environment.py
@@ -27,6 +27,7 @@
 from masticwind.settings import Address
 from masticwind.web import WebServer
 from masticwind_dev.faults.proxy import TcpProxy
+from masticwind_dev.standins.limit_audit import LimitAudit
 from masticwind_dev.standins.metadata import MetadataStandin
 from masticwind_dev.standins.raw_endpoint import (
     LAST_CHUNK,
@@ -42,11 +43,23 @@
 HOST: Final = 'soak.example'
 PERMANENT_KEY: Final = 'soak-key'
 STREAM_EVENTS: Final = 6
+ENTRIES: Final = 2
 SHUTDOWN_MS: Final = 3000
 # Maximum time for which a removed API key may still be accepted.
 KEY_AGE_MS: Final = 5000
 
 
+def caller_name(number: int) -> str:
+    """Return the name of a caller, with which its request ids begin."""
+    return f'c{number}'
+
+
+def entry_of(request_id: str) -> str:
+    """Return the entry to which the caller of a request connects."""
+    number = int(request_id.partition('-')[0].removeprefix('c'))
+    return f'entry-{number % ENTRIES}'
+
+
 @dataclass(slots=True)
 class ExecutionCounts:
     """Number of executions per request id, over all endpoints."""
@@ -95,16 +108,30 @@
     refusal_share: float = 0
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointRecords:
+    """What all endpoints record of the requests that they receive."""
+
+    executions: ExecutionCounts
+    limits: LimitAudit
+
+
 class StandinEndpoint:
     """An endpoint stand-in that is reached through a proxy."""
 
     def __init__(
-        self, name: str, service: str, executions: ExecutionCounts, seed: int
+        self,
+        name: str,
+        service: str,
+        records: EndpointRecords,
+        seed: int,
     ) -> None:
         self.name: Final = name
         self.service: Final = service
         self.faults = EndpointFaults()
-        self._executions: Final = executions
+        # Requests per second that it takes from all entries, None for any.
+        self.limit_per_s: float | None = None
+        self._records: Final = records
         self._random: Final = random.Random(f'{seed}-{name}')
         self._server: Final = RawEndpoint(self._answer)
         self.proxy: TcpProxy | None = None
@@ -130,16 +157,44 @@
             }
         ).encode()
 
+    def limit(self, limit_per_s: float | None) -> None:
+        """Name a limit from now on, or none any more."""
+        self.limit_per_s = limit_per_s
+        if limit_per_s is None:
+            self._records.limits.record_end(self.name)
+        else:
+            self._records.limits.record_limit(self.name, limit_per_s)
+
     async def _answer(self, req: ReceivedRequest, conn: RawConnection) -> None:
+        request_id = req.headers['x-attempt-id']
+        entry = entry_of(request_id)
+        self._records.limits.record_request(self.name, entry)
+        await self._answer_request(req, conn)
+        self._records.limits.record_answer(self.name, entry)
+
+    def _limit_headers(self) -> tuple[str, ...]:
+        if self.limit_per_s is None:
+            return ()
+        return (f'Server-Limit: {self.limit_per_s}',)
+
+    async def _answer_request(
+        self, req: ReceivedRequest, conn: RawConnection
+    ) -> None:
+        request_id = req.headers['x-attempt-id']
         if self._random.random() < self.faults.refusal_share:
             await conn.write(
                 encode_head(
-                    req, 503, ('X-Not-Executed: 1', 'Content-Length: 0')
+                    req,
+                    503,
+                    (
+                        'X-Not-Executed: 1',
+                        'Content-Length: 0',
+                        *self._limit_headers(),
+                    ),
                 )
             )
             return
-        request_id = req.headers['x-attempt-id']
-        self._executions.by_request_id[request_id] += 1
+        self._records.executions.by_request_id[request_id] += 1
         truncated = self._random.random() < self.faults.truncation_share
         if 'x-token-counts' in req.headers:
             await self._stream(req, conn, truncated=truncated)
@@ -147,10 +202,14 @@
         await anyio.sleep(self._random.uniform(0, 0.03))
         body = f'body of {request_id}'.encode()
         if truncated:
-            await conn.write(encode_head(req, 200, ('Content-Length: 900',)))
+            await conn.write(
+                encode_head(
+                    req, 200, ('Content-Length: 900', *self._limit_headers())
+                )
+            )
             await conn.close()
             return
-        await conn.send_answer(req, body=body)
+        await conn.send_answer(req, body=body, headers=self._limit_headers())
 
     async def _stream(
         self,
@@ -161,7 +220,7 @@
     ) -> None:
         request_id = req.headers['x-attempt-id']
         first_event = int(req.headers.get('last-event-id', '0')) + 1
-        await conn.write(encode_stream_head(req))
+        await conn.write(encode_stream_head(req, self._limit_headers()))
         for number in range(first_event, STREAM_EVENTS + 1):
             if truncated and number > first_event:
                 await conn.close()
@@ -177,8 +236,15 @@
     It reaches the store through a proxy that no other entry uses.
     """
 
-    def __init__(self, name: str, folder: Path, store_proxy: TcpProxy) -> None:
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        store_proxy: TcpProxy,
+        limits: LimitAudit,
+    ) -> None:
         self.name: Final = name
+        self._limits: Final = limits
         self.url = ''
         self.start_count = 0
         self.store_proxy: Final = store_proxy
@@ -202,11 +268,13 @@
 
     def signal(self, signum: int) -> None:
         """Send a signal to the process if it is running."""
+        self._limits.excuse(self.name)
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(signum)
 
     async def _start(self) -> None:
         self.start_count += 1
+        self._limits.excuse(self.name)
         settings = self._folder / f'{self.name}.yaml'
         port = await _free_port()
         settings.write_text(yaml.safe_dump(self._settings(port)))
@@ -263,20 +331,18 @@
     def __init__(self, folder: Path, seed: int) -> None:
         self.seed: Final = seed
         self.executions: Final = ExecutionCounts()
+        self.limits: Final = LimitAudit()
+        records = EndpointRecords(self.executions, self.limits)
         self.store: Final = MetadataStandin()
         self._server: Final = WebServer(self.store.app, Address())
         self.keys: Final = ApiKeys()
         self.endpoints: Final = [
             *(
-                StandinEndpoint(
-                    f'call-{number}', 'calls', self.executions, seed
-                )
+                StandinEndpoint(f'call-{number}', 'calls', records, seed)
                 for number in range(3)
             ),
             *(
-                StandinEndpoint(
-                    f'engine-{number}', 'engines', self.executions, seed
-                )
+                StandinEndpoint(f'engine-{number}', 'engines', records, seed)
                 for number in range(3)
             ),
         ]
@@ -285,8 +351,9 @@
                 f'entry-{number}',
                 folder,
                 TcpProxy('127.0.0.1', self._server.port, seed + number),
+                self.limits,
             )
-            for number in range(2)
+            for number in range(ENTRIES)
         ]
         self.config_version = 1
 
--- a/src/masticwind_dev/soak/faults.py
+++ b/src/masticwind_dev/soak/faults.py
@@ -19,6 +19,9 @@
 
 MAX_FAULT_S: Final = 1.5
 MAX_FAULT_INTERVAL_S: Final = 0.6
+LIMITS_PER_S: Final = (0.2, 1, 3)
+MIN_LIMIT_S: Final = 5.0
+MAX_LIMIT_S: Final = 10.0
 # Longer than the 5 s for which a removed API key may still be accepted.
 ISOLATION_S: Final = 7.0
 ISOLATION_FAULTS: Final = (
@@ -58,6 +61,7 @@
             self._fail_store,
             self._drain_and_restore_endpoint,
             self._write_next_config,
+            self._limit_endpoint,
         )
         while True:
             fault = self._random.choice(faults)
@@ -72,12 +76,25 @@
         environment.store.switches.silent = False
         for endpoint in environment.endpoints:
             endpoint.faults = EndpointFaults()
+            endpoint.limit(None)
             _proxy_of(endpoint).inject(Faults())
             environment.register(endpoint)
         for entry in environment.entries:
             entry.store_proxy.inject(Faults())
             entry.signal(signal.SIGCONT)
 
+    async def _limit_endpoint(self) -> None:
+        """Let an endpoint limit its requests, one at a time."""
+        endpoint = self._random_endpoint()
+        limit_per_s = self._random.choice(LIMITS_PER_S)
+        duration_s = self._random.uniform(MIN_LIMIT_S, MAX_LIMIT_S)
+        endpoints = self._environment.endpoints
+        if any(one.limit_per_s is not None for one in endpoints):
+            return
+        endpoint.limit(limit_per_s)
+        await anyio.sleep(duration_s)
+        endpoint.limit(None)
+
     def _random_duration_s(self) -> float:
         return self._random.uniform(0.05, MAX_FAULT_S)
 
@@ -97,7 +114,10 @@
         entry.signal(signal.SIGCONT)
 
     async def _fault_endpoint_link(self) -> None:
-        await self._inject_link_fault(_proxy_of(self._random_endpoint()))
+        endpoint = self._random_endpoint()
+        await self._inject_link_fault(_proxy_of(endpoint))
+        # Requests that the link has held up arrive together.
+        self._environment.limits.excuse_all(endpoint.name)
 
     async def _fault_store_link(self) -> None:
         entry = self._random.choice(self._environment.entries)
--- a/src/masticwind_dev/soak/main.py
+++ b/src/masticwind_dev/soak/main.py
@@ -21,7 +21,7 @@
 
 from masticwind.logs import configure_logs
 from masticwind_dev.soak.callers import Findings, SequentialCaller
-from masticwind_dev.soak.environment import SoakEnvironment
+from masticwind_dev.soak.environment import SoakEnvironment, caller_name
 from masticwind_dev.soak.faults import FaultInjector
 
 CALLER_COUNT: Final = 8
@@ -83,6 +83,7 @@
         await anyio.sleep(SETTLE_S)
         tasks.cancel_scope.cancel()
     findings.check_executions(environment.executions)
+    findings.violations.extend(environment.limits.violations[:1])
     if findings.violations:
         (folder / 'faults').write_text('\n'.join(injector.started_faults))
         findings.violations.append(f'logs are in {folder}')
@@ -101,7 +102,10 @@
         for number in range(CALLER_COUNT):
             entry = environment.entries[number % len(environment.entries)]
             caller = SequentialCaller(
-                f'c{number}', environment.seed, findings, environment.keys
+                caller_name(number),
+                environment.seed,
+                findings,
+                environment.keys,
             )
             caller_tasks.start_soon(caller.run, entry)
         if not await _wait_until_served(findings, START_TIMEOUT_S):
--- a/src/masticwind_dev/standins/limit_audit.py
+++ b/src/masticwind_dev/standins/limit_audit.py
@@ -68,6 +68,13 @@
         for known in self._engines.values():
             known.informed_at.pop(entry, None)
 
+    def excuse_all(self, engine: str) -> None:
+        """Record that the link to an engine was disturbed."""
+        known = self._engines.get(engine)
+        if known is not None:
+            known.informed_at.clear()
+            known.counted.clear()
+
     def record_request(self, engine: str, entry: str) -> None:
         """Record that a request of an entry arrives at an engine."""
         known = self._engines.get(engine)
--- a/src/masticwind_dev/standins/raw_endpoint.py
+++ b/src/masticwind_dev/standins/raw_endpoint.py
@@ -76,12 +76,18 @@
     return '\r\n'.join((*lines, '', '')).encode()
 
 
-def encode_stream_head(req: ReceivedRequest) -> bytes:
+def encode_stream_head(
+    req: ReceivedRequest, headers: tuple[str, ...] = ()
+) -> bytes:
     """Return the head of a streamed answer."""
     return encode_head(
         req,
         200,
-        ('Content-Type: text/event-stream', 'Transfer-Encoding: chunked'),
+        (
+            'Content-Type: text/event-stream',
+            'Transfer-Encoding: chunked',
+            *headers,
+        ),
     )
 
 
--- a/tests/test_limited_load.py
+++ b/tests/test_limited_load.py
@@ -29,17 +29,17 @@
 SEEDS: Final = range(3)
 
 
-def _served(limited: int, limit_per_s: float) -> Mapping[str, float]:
+def _served(limits_per_s: tuple[float, ...]) -> Mapping[str, float]:
     """Return the share of requests that are served, by class."""
-    workload = replace(LOAD, limits_per_s=(limit_per_s,) * limited)
+    workload = replace(LOAD, limits_per_s=limits_per_s)
     totals = {name: ClassResult() for name in LOAD.classes}
     for seed in SEEDS:
-        for name, result in simulate(PromptPlacer, workload, seed).items():
-            totals[name].requests += result.requests
-            totals[name].unserved += result.unserved
+        for name, played in simulate(PromptPlacer, workload, seed).items():
+            totals[name].requests += played.requests
+            totals[name].unserved += played.unserved
     return {
-        name: 1 - total.unserved / total.requests
-        for name, total in totals.items()
+        class_name: 1 - total.unserved / total.requests
+        for class_name, total in totals.items()
     }
 
 
@@ -47,15 +47,15 @@
     None
 ):
     """Guards against requests that queue for limited engines in vain."""
-    assert min(_served(ENGINES // 3, 1).values()) >= 0.99
+    assert min(_served((1.0,) * (ENGINES // 3)).values()) >= 0.99
 
 
 def test_paying_callers_go_first_if_all_engines_are_limited() -> None:
     """Guards against free work that uses up what limited engines take."""
-    limit_per_s = 0.5
-    served = _served(ENGINES, limit_per_s)
-    equal_share = (
-        ENGINES * limit_per_s / (PAID.requests_per_s + FREE.requests_per_s)
+    limits_per_s = (1 / 2,) * ENGINES
+    served = _served(limits_per_s)
+    equal_share = sum(limits_per_s) / (
+        PAID.requests_per_s + FREE.requests_per_s
     )
     assert served['paid'] >= equal_share
     assert served['free'] <= equal_share / 2
