Ignore limits of a former process of an endpoint

masticwind-ctl limits lists the limits that an entry obeys; the requests of operators to one entry have a module of their own.

--- a/src/masticwind/ctl/held.py
+++ b/src/masticwind/ctl/held.py
@@ -5,8 +5,6 @@
 masticwind-ctl held list --api http://10.1.0.50:8080
 """
 
-import os
-import sys
 from dataclasses import dataclass
 from typing import Annotated, Any, Final, TypeVar
 from urllib.parse import quote
@@ -15,12 +13,13 @@
 import cyclopts
 import msgspec
 
-from masticwind.ctl.api_answer import decode_answer
-from masticwind.ctl.exit_codes import EXIT_DONE, exit_code
+from masticwind.ctl.entry_request import (
+    report_failure,
+    request_json,
+    write_result,
+)
+from masticwind.ctl.exit_codes import EXIT_DONE
 from masticwind.errors import ErrorKind, Failure
-from masticwind.httpclient import HttpClient
-
-TIMEOUT_S: Final = 5.0
 
 _Result = TypeVar('_Result')
 
@@ -96,8 +95,9 @@
 async def _list_held(options: HeldOptions) -> int:
     found = await _request('GET', options, '', _Listing)
     if isinstance(found, Failure):
-        return _report(found, options)
-    _write(found, [_format_held(held) for held in found.held], options)
+        return report_failure(found, as_json=options.json)
+    lines = [_format_held(held) for held in found.held]
+    write_result(found, lines, as_json=options.json)
     return EXIT_DONE
 
 
@@ -105,8 +105,9 @@
     path = f'/release?part={quote(part, safe="")}'
     released = await _request('POST', options, path, _Released)
     if isinstance(released, Failure):
-        return _report(released, options)
-    _write(released, [f'released {released.released}'], options)
+        return report_failure(released, as_json=options.json)
+    line = f'released {released.released}'
+    write_result(released, [line], as_json=options.json)
     return EXIT_DONE
 
 
@@ -116,21 +117,7 @@
     url = options.url()
     if isinstance(url, Failure):
         return url
-    client = HttpClient(url)
-    headers: list[tuple[bytes, bytes]] = []
-    token = os.environ.get('MASTICWIND_TOKEN', '')
-    if token:
-        headers.append((b'authorization', f'Bearer {token}'.encode()))
-    answer = await client.request(
-        method,
-        path,
-        timeout_s=TIMEOUT_S,
-        headers=headers,
-    )
-    await client.close()
-    if isinstance(answer, Failure):
-        return answer
-    return decode_answer(answer, result_type)
+    return await request_json(url, method, path, result_type)
 
 
 def _format_held(held: dict[str, Any]) -> str:
@@ -141,18 +128,3 @@
         f' {held["since_s"]:.0f} s ago; held for {held["left_s"]:.0f} s more;'
         f' endpoints {", ".join(held["endpoints"])}'
     )
-
-
-def _write(found: object, lines: list[str], options: HeldOptions) -> None:
-    text = '\n'.join(lines)
-    if options.json:
-        text = msgspec.json.encode(found).decode()
-    sys.stdout.write(f'{text}\n' if text else '')
-
-
-def _report(failure: Failure, options: HeldOptions) -> int:
-    if options.json:
-        _write({'error': failure}, [], options)
-    else:
-        sys.stderr.write(f'{failure.reason}\n')
-    return exit_code(failure)
--- /dev/null
+++ b/src/masticwind/ctl/limits.py
@@ -0,0 +1,58 @@
+"""The command for endpoints that limit their requests.
+
+masticwind-ctl limits --entry 10.1.0.40:9464
+"""
+
+from typing import Any
+
+import anyio
+import cyclopts
+import msgspec
+
+from masticwind.ctl.entry_request import (
+    report_failure,
+    request_json,
+    write_result,
+)
+from masticwind.ctl.exit_codes import EXIT_DONE
+from masticwind.errors import Failure
+
+limits_app = cyclopts.App(
+    name='limits', help='List the endpoints that limit their requests.'
+)
+
+
+class _Listing(msgspec.Struct, frozen=True):
+    limits: list[dict[str, Any]]
+
+
+@limits_app.default
+def list_limits(*, entry: str, json: bool = False) -> int:
+    """List the limits that an entry of direct serving obeys.
+
+    Parameters
+    ----------
+    entry
+        Host and metrics port of the entry.
+    json
+        Print one JSON object.
+    """
+    return anyio.run(_list_limits, entry, json)
+
+
+async def _list_limits(entry: str, as_json: bool) -> int:
+    found = await request_json(f'http://{entry}', 'GET', '/limits', _Listing)
+    if isinstance(found, Failure):
+        return report_failure(found, as_json=as_json)
+    lines = [_format_limit(limit) for limit in found.limits]
+    write_result(found, lines, as_json=as_json)
+    return EXIT_DONE
+
+
+def _format_limit(limit: dict[str, Any]) -> str:
+    granter = limit['authority'].partition('/')[0] or 'no entry yet'
+    return (
+        f'{limit["endpoint"]}: {limit["limit_per_s"]} requests a second for'
+        f' {limit["age_s"]:.0f} s, known from {limit["source"]}; permits are'
+        f' granted by {granter}'
+    )
--- a/src/masticwind/ctl/main.py
+++ b/src/masticwind/ctl/main.py
@@ -32,6 +32,7 @@
 )
 from masticwind.ctl.explain import explain
 from masticwind.ctl.held import held_app
+from masticwind.ctl.limits import limits_app
 from masticwind.ctl.table import format_status
 from masticwind.errors import ErrorKind, Failure
 from masticwind.settings import PlatformSettings
@@ -51,6 +52,7 @@
     version=__version__,
 )
 cli.command(held_app)
+cli.command(limits_app)
 
 
 @cyclopts.Parameter(name='*')
--- a/src/masticwind/serving/endpoint_limits.py
+++ b/src/masticwind/serving/endpoint_limits.py
@@ -163,7 +163,7 @@
         `permit` is that of the request, if it needed one. Returns what the
         granting entry has to know, None if that is nothing new.
         """
-        if rate_per_s is None:
+        if rate_per_s is None or self._is_former_process(endpoint):
             return None
         known = self.find(endpoint)
         if math.isinf(rate_per_s):
@@ -328,6 +328,13 @@
         self._epoch += 1
         return self._epoch
 
+    def _is_former_process(self, endpoint: Endpoint) -> bool:
+        known = self._known.get(endpoint.identity)
+        return (
+            known is not None
+            and known.limit.started_at_ms > endpoint.started_at_ms
+        )
+
     def _is_granted_here(self, limit: Limit) -> bool:
         granted = self._granted.get(limit.identity)
         return (
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -5,6 +5,7 @@
 
 from masticwind_dev.standins.limit_audit import allowed_requests
 from tests.limited_fleet import LimitedFleet, running_limited_fleet
+from tests.test_ctl import run_ctl
 
 pytestmark = pytest.mark.anyio
 
@@ -118,6 +119,23 @@
         assert not fleet.audit.violations
 
 
+async def test_operators_see_which_engines_are_limited() -> None:
+    """Guards against limits that operators cannot see."""
+    async with running_limited_fleet(entries=2, engines=2) as fleet:
+        limited = next(iter(fleet.engines))
+        fleet.limit(limited, 0.5)
+        await fleet.load(1, interval_s=0.1)
+        entry = ('--entry', fleet.entries[0].operations_address)
+        code, listing, error = await run_ctl('limits', *entry)
+        assert code == 0, error
+        assert listing.startswith(f'{limited}: 0.5 requests a second')
+        code, listing, error = await run_ctl('limits', *entry, '--json')
+        assert f'"endpoint":"{limited}"' in listing
+        code, _, error = await run_ctl('limits', '--entry', '127.0.0.1:1')
+        assert code
+        assert error
+
+
 def _limited_counts(fleet: LimitedFleet) -> list[int]:
     return [
         running.entry._limit_link.limits.count() for running in fleet.entries
