--- a/src/masticwind/ctl/explain.py
+++ b/src/masticwind/ctl/explain.py
@@ -20,7 +20,9 @@
 # What an operator should check next, by the kind of the last failure.
 _ADVICE_BY_KIND: Final = MappingProxyType(
     {
-        ErrorKind.OVERLOADED: 'the load: masticwind_requests{outcome}',
+        ErrorKind.OVERLOADED: (
+            'the load: masticwind_requests{outcome}, and masticwind-ctl limits'
+        ),
         ErrorKind.PLATFORM_DOWN: 'store_lost and store_connected there',
         ErrorKind.NO_CAPACITY: 'endpoint_suspected, endpoint_gone, zones_out',
         ErrorKind.QUARANTINED: 'prompt_part_held, endpoint_crashed',
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -34,6 +34,12 @@
         'deferred_ms',
         'config_version',
         'config_age_s',
+        'source',
+        'limit_per_s',
+        'limit_age_s',
+        'limit_source',
+        'permit_wait_ms',
+        'named_limit_per_s',
     )
 )
 ENDPOINT_STATES = frozenset(('serving', 'cold', 'out', 'down'))
