Log the eras of the metadata store, whole listings and own registrations

Callers saw nothing new: no logic changes. The logs could not tell apart the hypotheses of docs/incidents/restored-store.md: which era an answer belongs to, when a prefix was listed again, and when an entry wrote its registration.

The header Store-Era is decoded from every answer of the store, errors and refusals too. The stand-in of the store names eras and can be restored from an older copy; it then issues revisions and lease ids again.

--- a/src/masticwind/platform/store.py
+++ b/src/masticwind/platform/store.py
@@ -1,10 +1,12 @@
 """HTTP client for the platform's metadata store.
 
 Values are sent as base64 text. The answer 503 means that nothing was done; a
-call without an answer may still take effect.
+call without an answer may still take effect. Each answer names the era of the
+store in a header.
 """
 
 import base64
+import re
 from collections.abc import Iterable
 from http import HTTPStatus
 from typing import Final, TypeVar
@@ -15,7 +17,7 @@
 from masticwind.budget import MS_PER_S
 from masticwind.decoding import parse_json, parse_with
 from masticwind.errors import ErrorKind, Failure
-from masticwind.httpclient import HttpAnswer, HttpClient
+from masticwind.httpclient import Headers, HttpAnswer, HttpClient
 from masticwind.serving.settings import StoreSettings
 from masticwind.serving.store import (
     ANSWER_TIMEOUT_S,
@@ -25,10 +27,14 @@
     Listing,
     MetadataStore,
 )
+from masticwind.serving.store_eras import NO_ERA, StoreEras
 from masticwind.serving.unreadable import UnreadableLog
 
 # Connections to the store that are idle for this long are closed.
 KEEP_ALIVE_S: Final = 10.0
+ERA_HEADER: Final = b'store-era'
+
+_ERA: Final = re.compile(rb'[0-9]{1,18}')
 
 _Document = TypeVar('_Document')
 
@@ -76,6 +82,7 @@
             f'http://{cfg.address}',
             keep_alive_s=KEEP_ALIVE_S,
         )
+        self._eras: Final = StoreEras()
         self._unreadable: Final = UnreadableLog('value_unreadable')
 
     async def list_prefix(self, prefix: str) -> Listing | Failure:
@@ -106,11 +113,7 @@
             f'/-/kv-watch?prefix={quote(prefix, safe="")}'
             f'&after={after}&wait_ms={wait_ms}'
         )
-        answer = await self._client.request(
-            'GET',
-            path,
-            timeout_s=wait_s + answer_timeout_s,
-        )
+        answer = await self._call('GET', path, wait_s + answer_timeout_s)
         if isinstance(answer, HttpAnswer) and answer.status == HTTPStatus.GONE:
             return Compacted()
         events = _decode(answer, _Events)
@@ -144,21 +147,29 @@
         path = f'/-/kv-range?prefix={quote(prefix, safe="")}'
         if after:
             path = f'{path}&after={quote(after, safe="")}'
-        answer = await self._client.request(
-            'GET',
-            path,
-            timeout_s=ANSWER_TIMEOUT_S,
-        )
+        answer = await self._call('GET', path, ANSWER_TIMEOUT_S)
         return _decode(answer, _Range)
 
     async def _post(self, path: str, body: bytes) -> HttpAnswer | Failure:
-        return await self._client.request(
-            'POST',
+        return await self._call('POST', path, ANSWER_TIMEOUT_S, body)
+
+    async def _call(
+        self, method: str, path: str, timeout_s: float, body: bytes = b''
+    ) -> HttpAnswer | Failure:
+        answer = await self._client.request(
+            method,
             path,
-            timeout_s=ANSWER_TIMEOUT_S,
+            timeout_s=timeout_s,
             body=body,
-            headers=((b'content-type', b'application/json'),),
+            headers=((b'content-type', b'application/json'),) if body else (),
         )
+        if isinstance(answer, HttpAnswer):
+            era = decode_era(answer.raw_headers)
+            if isinstance(era, Failure):
+                self._unreadable.report(path, era)
+            else:
+                self._eras.observe(era, path)
+        return answer
 
     def _decode_items(self, encoded_items: Iterable[_Item]) -> list[Item]:
         """Decode items; a value that cannot be decoded is logged and empty.
@@ -178,6 +189,16 @@
         return items
 
 
+def decode_era(headers: Headers) -> int | Failure:
+    """Return the era that an answer names; a store may name none."""
+    eras = [value for name, value in headers if name.lower() == ERA_HEADER]
+    if not eras:
+        return NO_ERA
+    if len(eras) > 1 or not _ERA.fullmatch(eras[0]):
+        return _store_failure(f'unreadable era {eras}')
+    return int(eras[0])
+
+
 def _decode_value(encoded_item: _Item) -> bytes | Failure | None:
     if encoded_item.deleted:
         return None
--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -293,6 +293,11 @@
         )
         self._list_to_sink(listing.items, removed)
         self._revision = listing.revision
+        logger.bind(
+            prefix=self._options.prefix,
+            revision=self._revision,
+            items=len(self._items),
+        ).info('copy_replaced')
 
     def _apply(self, changes: Changes) -> None:
         # A watch that was open while a newer copy was adopted can return
--- a/src/masticwind/serving/peers.py
+++ b/src/masticwind/serving/peers.py
@@ -251,6 +251,7 @@
         failure = await self._store.put(self._key, self._value, lease)
         if failure is None:
             self._lease = lease
+            logger.bind(key=self._key, lease=lease).info('entry_registered')
         return failure
 
 
--- a/src/masticwind_dev/standins/metadata.py
+++ b/src/masticwind_dev/standins/metadata.py
@@ -1,13 +1,13 @@
 """Stand-in for the platform's metadata store.
 
 It keeps a history for watches and counts calls. Its switches cause outages,
-missing and delayed answers, and watches that miss changes.
+missing and delayed answers, and watches that miss changes. It can be restored
+from an older copy, and then issues revisions and lease ids again.
 """
 
 import base64
-import itertools
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Any, Final
 
@@ -18,6 +18,7 @@
 from masticwind_dev.standins.routes import Handler, Router, StandinRequest
 
 MAX_PAGE_ITEMS: Final = 500
+FIRST_LEASE: Final = 77_000
 
 
 @dataclass(slots=True)
@@ -25,13 +26,15 @@
     """Faults that the stand-in causes.
 
     With `silent`, requests get no answer; with `outage`, they get 503. With
-    `deaf`, watches see no changes. `late_s` delays each answer.
+    `deaf`, watches see no changes. `late_s` delays each answer. `era_headers`
+    replaces the header that names the era.
     """
 
     outage: bool = False
     silent: bool = False
     deaf: bool = False
     late_s: float = 0
+    era_headers: tuple[tuple[bytes, bytes], ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,18 +57,31 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """All that the stand-in keeps, as of one moment."""
+
+    rows: dict[str, _Row]
+    history: list[_Row]
+    compacted_revision: int
+    revision: int
+    leases: dict[int, int]
+    next_lease: int
+
+
 class MetadataStandin:
     """State and HTTP interface of the stand-in."""
 
     def __init__(self) -> None:
         self.switches = StoreSwitches()
         self.calls: Final = Counter[str]()
-        self._rows: Final[dict[str, _Row]] = {}
-        self._history: Final[list[_Row]] = []
+        self.era = 1
+        self._rows: dict[str, _Row] = {}
+        self._history: list[_Row] = []
         self._compacted_revision = 0
         self._revision = 1
-        self._leases: Final[dict[int, int]] = {}
-        self._lease_ids: Final = itertools.count(77_000)
+        self._leases: dict[int, int] = {}
+        self._next_lease = FIRST_LEASE
         self._changed = anyio.Event()
         self.app: Final = Router(self._handlers())
 
@@ -78,8 +94,7 @@
         else:
             self._rows[key] = row
         self._history.append(row)
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._notify()
         return self._revision
 
     def read(self, key: str) -> bytes | None:
@@ -99,6 +114,39 @@
         self._history.clear()
         self._compacted_revision = self._revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the stand-in can be restored."""
+        return StoreCopy(
+            dict(self._rows),
+            list(self._history),
+            self._compacted_revision,
+            self._revision,
+            dict(self._leases),
+            self._next_lease,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to an older copy, which starts the next era."""
+        self._rows = dict(copy.rows)
+        self._history = list(copy.history)
+        self._compacted_revision = copy.compacted_revision
+        self._revision = copy.revision
+        self._leases = dict(copy.leases)
+        self._next_lease = copy.next_lease
+        self.era += 1
+        self._notify()
+
+    def grant_lease(self, ttl_ms: int) -> int:
+        """Grant a lease, as to a call of an entry or an endpoint."""
+        lease = self._next_lease
+        self._next_lease += 1
+        self._leases[lease] = ttl_ms
+        return lease
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
     def _handlers(self) -> dict[tuple[str, str], Handler]:
         return {
             ('GET', '/-/kv-range'): partial(self._serve, self._range),
@@ -117,9 +165,17 @@
         await anyio.sleep(self.switches.late_s)
         while self.switches.silent:
             await anyio.sleep(0.01)
-        if self.switches.outage:
-            return json_response(503, {'error': 'outage'})
-        return await handler(req)
+        response: Response | None = json_response(503, {'error': 'outage'})
+        if not self.switches.outage:
+            response = await handler(req)
+        if response is None:
+            return None
+        return replace(response, headers=self._era_headers())
+
+    def _era_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        if self.switches.era_headers is not None:
+            return self.switches.era_headers
+        return ((b'store-era', str(self.era).encode()),)
 
     async def _range(self, req: StandinRequest) -> Response:
         prefix = req.query['prefix']
@@ -137,19 +193,23 @@
             },
         )
 
-    async def _watch(self, req: StandinRequest) -> Response:
+    async def _watch(self, req: StandinRequest) -> Response | None:
         after = req.query_int('after')
         self.calls[f'watch {req.query["prefix"]}'] += 1
-        if after < self._compacted_revision:
+        if not self._compacted_revision <= after <= self._revision:
             return json_response(410, {'error': 'compacted'})
         matches: list[_Row] = []
+        era = self.era
         with anyio.move_on_after(req.query_int('wait_ms') / MS_PER_S):
-            while not matches:
+            while not matches and self.era == era:
                 matches = self._rows_since(req.query['prefix'], after)
-                if not matches:
+                if not matches and self.era == era:
                     await self._changed.wait()
         if self.switches.silent:
             await anyio.sleep_forever()
+        if self.era != era:
+            # A restart of the store ends the connection.
+            return None
         return json_response(
             200,
             {
@@ -176,8 +236,7 @@
         return json_response(200, {'rev': self._revision})
 
     async def _grant(self, req: StandinRequest) -> Response:
-        lease = next(self._lease_ids)
-        self._leases[lease] = req.json()['ttl_ms']
+        lease = self.grant_lease(req.json()['ttl_ms'])
         return json_response(
             200,
             {'lease': lease, 'ttl_ms': self._leases[lease]},
