Compare revisions of the metadata store with their eras

Callers saw 401 for a key of the newest configuration, at all entries and until the next change, after the store had been restored from an older copy.

Cause: a restored store issues revisions again. If the new era passed the revision that an entry knew before it asked again, its watch was valid and hid what the new era had written below that revision. The same comparison without eras let a low revision of the new era confirm a copy that lacked the change, and joined pages of a listing from two eras.

The state machine of confirmations now restores the store at any moment, also during a call; its invariant is unchanged.

Fix: StoreRevision orders era and number. The era is read from every answer; a watch of another era counts as compacted, a listing with pages of two eras as failed, an answer of an earlier era as failed. Confirmations and copies carry the era. A prefix that is being listed again stays loaded, so an entry does not look unready then.

What other entries report is split from the mirror, which had grown too large.

--- a/src/masticwind/platform/store.py
+++ b/src/masticwind/platform/store.py
@@ -8,8 +8,9 @@
 import base64
 import re
 from collections.abc import Iterable
+from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Final, TypeVar
+from typing import Final, Generic, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -17,7 +18,7 @@
 from masticwind.budget import MS_PER_S
 from masticwind.decoding import parse_json, parse_with
 from masticwind.errors import ErrorKind, Failure
-from masticwind.httpclient import Headers, HttpAnswer, HttpClient
+from masticwind.httpclient import Headers, HttpClient
 from masticwind.serving.settings import StoreSettings
 from masticwind.serving.store import (
     ANSWER_TIMEOUT_S,
@@ -27,7 +28,7 @@
     Listing,
     MetadataStore,
 )
-from masticwind.serving.store_eras import NO_ERA, StoreEras
+from masticwind.serving.store_eras import NO_ERA, StoreRevision
 from masticwind.serving.unreadable import UnreadableLog
 
 # Connections to the store that are idle for this long are closed.
@@ -74,36 +75,56 @@
     remove: list[str] = []
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer of the newest era."""
+
+    status: int
+    body: bytes
+    era: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Decoded(Generic[_Document]):
+    """The content of an answer."""
+
+    document: _Document
+    era: int
+
+
 class PlatformStore(MetadataStore):
     """Client of the store; each waiting watch occupies one connection."""
 
     def __init__(self, cfg: StoreSettings) -> None:
+        super().__init__()
         self._client: Final = HttpClient(
             f'http://{cfg.address}',
             keep_alive_s=KEEP_ALIVE_S,
         )
-        self._eras: Final = StoreEras()
         self._unreadable: Final = UnreadableLog('value_unreadable')
 
     async def list_prefix(self, prefix: str) -> Listing | Failure:
         """Read all pages; the revision is that of the first page."""
         items: list[Item] = []
-        revision = 0
+        revision: StoreRevision | None = None
         after = ''
         while True:
             page = await self._read_page(prefix, after)
             if isinstance(page, Failure):
                 return page
-            revision = revision or page.as_of
-            items.extend(self._decode_items(page.items))
-            if not page.has_more or not page.items:
+            content = page.document
+            revision = revision or StoreRevision(page.era, content.as_of)
+            if page.era != revision.era:
+                return _store_failure('restored between two pages')
+            items.extend(self._decode_items(content.items))
+            if not content.has_more or not content.items:
                 return Listing(tuple(items), revision)
-            after = page.items[-1].key
+            after = content.items[-1].key
 
     async def watch_prefix(
         self,
         prefix: str,
-        after: int,
+        after: StoreRevision,
         wait_s: float,
         answer_timeout_s: float = ANSWER_TIMEOUT_S,
     ) -> Changes | Compacted | Failure:
@@ -111,22 +132,26 @@
         wait_ms = int(wait_s * MS_PER_S)
         path = (
             f'/-/kv-watch?prefix={quote(prefix, safe="")}'
-            f'&after={after}&wait_ms={wait_ms}'
+            f'&after={after.number}&wait_ms={wait_ms}'
         )
         answer = await self._call('GET', path, wait_s + answer_timeout_s)
-        if isinstance(answer, HttpAnswer) and answer.status == HTTPStatus.GONE:
-            return Compacted()
+        if isinstance(answer, _Answer):
+            gone = answer.status == HTTPStatus.GONE
+            if gone or answer.era != after.era:
+                return Compacted()
         events = _decode(answer, _Events)
         if isinstance(events, Failure):
             return events
-        return Changes(tuple(self._decode_items(events.events)), events.as_of)
+        return Changes(
+            tuple(self._decode_items(events.document.events)),
+            StoreRevision(events.era, events.document.as_of),
+        )
 
     async def grant_lease(self, ttl_s: float) -> int | Failure:
         """Request a lease and return its id."""
         body = msgspec.json.encode({'ttl_ms': int(ttl_s * MS_PER_S)})
-        answer = await self._post('/-/kv-lease', body)
-        lease = _decode(answer, _Lease)
-        return lease if isinstance(lease, Failure) else lease.lease
+        lease = _decode(await self._post('/-/kv-lease', body), _Lease)
+        return lease if isinstance(lease, Failure) else lease.document.lease
 
     async def renew_lease(self, lease: int) -> Failure | None:
         """Extend a lease."""
@@ -143,19 +168,22 @@
         body = msgspec.json.encode(_Transaction([_Put(key, text, lease)]))
         return _write_failure(await self._post('/-/kv-txn', body))
 
-    async def _read_page(self, prefix: str, after: str) -> _Range | Failure:
+    async def _read_page(
+        self, prefix: str, after: str
+    ) -> _Decoded[_Range] | Failure:
         path = f'/-/kv-range?prefix={quote(prefix, safe="")}'
         if after:
             path = f'{path}&after={quote(after, safe="")}'
         answer = await self._call('GET', path, ANSWER_TIMEOUT_S)
         return _decode(answer, _Range)
 
-    async def _post(self, path: str, body: bytes) -> HttpAnswer | Failure:
+    async def _post(self, path: str, body: bytes) -> _Answer | Failure:
         return await self._call('POST', path, ANSWER_TIMEOUT_S, body)
 
     async def _call(
         self, method: str, path: str, timeout_s: float, body: bytes = b''
-    ) -> HttpAnswer | Failure:
+    ) -> _Answer | Failure:
+        """Call the store; an answer that is not of the newest era fails."""
         answer = await self._client.request(
             method,
             path,
@@ -163,13 +191,15 @@
             body=body,
             headers=((b'content-type', b'application/json'),) if body else (),
         )
-        if isinstance(answer, HttpAnswer):
-            era = decode_era(answer.raw_headers)
-            if isinstance(era, Failure):
-                self._unreadable.report(path, era)
-            else:
-                self._eras.observe(era, path)
-        return answer
+        if isinstance(answer, Failure):
+            return _store_failure(answer.reason)
+        era = decode_era(answer.raw_headers)
+        if isinstance(era, Failure):
+            self._unreadable.report(ERA_HEADER.decode(), era)
+            return era
+        if not self.eras.observe(era, path):
+            return _store_failure(f'answer of era {era}')
+        return _Answer(answer.status, answer.body, era)
 
     def _decode_items(self, encoded_items: Iterable[_Item]) -> list[Item]:
         """Decode items; a value that cannot be decoded is logged and empty.
@@ -212,19 +242,22 @@
 
 
 def _decode(
-    answer: HttpAnswer | Failure,
+    answer: _Answer | Failure,
     document_type: type[_Document],
-) -> _Document | Failure:
+) -> _Decoded[_Document] | Failure:
     if isinstance(answer, Failure):
-        return _store_failure(answer.reason)
+        return answer
     if answer.status != HTTPStatus.OK:
         return _store_failure(f'status {answer.status}')
-    return parse_json(answer.body, document_type, ErrorKind.PLATFORM_DOWN)
+    document = parse_json(answer.body, document_type, ErrorKind.PLATFORM_DOWN)
+    if isinstance(document, Failure):
+        return document
+    return _Decoded(document, answer.era)
 
 
-def _write_failure(answer: HttpAnswer | Failure) -> Failure | None:
+def _write_failure(answer: _Answer | Failure) -> Failure | None:
     if isinstance(answer, Failure):
-        return _store_failure(answer.reason)
+        return answer
     if answer.status == HTTPStatus.NOT_FOUND:
         return Failure(kind=ErrorKind.CONFLICT, reason='the lease has ended')
     if answer.status != HTTPStatus.OK:
--- a/src/masticwind/serving/confirmations.py
+++ b/src/masticwind/serving/confirmations.py
@@ -22,11 +22,13 @@
 from masticwind.serving.mirror import Mirror
 from masticwind.serving.peer_requests import (
     AgeMs,
+    Era,
     PendingRequests,
     rounded_up_age_ms,
 )
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.settings import LiveSettings
+from masticwind.serving.store_eras import NO_ERA, StoreRevision
 
 CONFIRMATION_REQUEST: Final = 'question'
 CONFIRMATION: Final = 'confirmation'
@@ -58,12 +60,14 @@
 class Confirmation(msgspec.Struct, array_like=True):
     """Tells the last change in a copy, and its age on receipt of the request.
 
-    `sent_ms` is copied from the request.
+    `sent_ms` is copied from the request. Entries of earlier releases send no
+    era.
     """
 
     sent_ms: int
     last_change_revision: int
     age_ms: AgeMs
+    era: Era = NO_ERA
 
 
 class _RequestQueue(Receiver[ConfirmationRequest]):
@@ -130,16 +134,20 @@
         """Return the state of this entry's copy, or None before it is read."""
         if not self._mirror.loaded:
             return None
-        age_ms = rounded_up_age_ms(self._mirror.age_s())
+        last_change = self._mirror.last_change_revision
         return Confirmation(
-            request.sent_ms, self._mirror.last_change_revision, age_ms
+            request.sent_ms,
+            last_change.number,
+            rounded_up_age_ms(self._mirror.age_s()),
+            last_change.era,
         )
 
     def apply_reply(self, reply: Confirmation) -> None:
         """Apply another entry's reply to a recent request."""
         as_of = self._pending.as_of(reply.sent_ms, reply.age_ms)
         if as_of is not None:
-            self._mirror.confirm(reply.last_change_revision, as_of)
+            last_change = StoreRevision(reply.era, reply.last_change_revision)
+            self._mirror.confirm(last_change, as_of)
 
     async def _send_requests(self) -> None:
         while True:
--- a/src/masticwind/serving/copies.py
+++ b/src/masticwind/serving/copies.py
@@ -24,11 +24,13 @@
 from masticwind.serving.mirror import Mirror
 from masticwind.serving.peer_requests import (
     AgeMs,
+    Era,
     PendingRequests,
     rounded_up_age_ms,
 )
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.store import Item, Listing
+from masticwind.serving.store_eras import NO_ERA, StoreRevision
 
 COPY_REQUEST: Final = 'copy_request'
 COPY: Final = 'copy'
@@ -44,17 +46,19 @@
 
 
 class CopyRequest(msgspec.Struct, array_like=True):
-    """Requests a copy that has changes after `revision`.
+    """Requests a copy that has changes after `revision` of an era.
 
-    `sent_ms` is on the clock of the entry that asks.
+    `sent_ms` is on the clock of the entry that asks. Entries of earlier
+    releases send no era.
     """
 
     sent_ms: int
     revision: int
+    era: Era = NO_ERA
 
 
 class CopyReply(msgspec.Struct, array_like=True):
-    """A whole copy that is complete up to `revision`.
+    """A whole copy that is complete up to `revision` of an era.
 
     `last_change_revision` is the revision of its last change, `age_ms` its
     age on receipt of the request, and `compressed` holds the items.
@@ -65,6 +69,7 @@
     revision: int
     last_change_revision: int
     compressed: bytes
+    era: Era = NO_ERA
 
 
 class _RequestHandler(Receiver[CopyRequest]):
@@ -83,7 +88,9 @@
     def answer_request(self, request: CopyRequest) -> CopyReply | None:
         """Return this entry's copy if it is newer and not too large."""
         mirror = self._mirror
-        if not mirror.loaded or mirror.last_change_revision <= request.revision:
+        last_change = mirror.last_change_revision
+        known = StoreRevision(request.era or last_change.era, request.revision)
+        if not mirror.loaded or last_change <= known:
             return None
         listing = mirror.listing()
         compressed = _compress(listing.items)
@@ -93,9 +100,10 @@
         return CopyReply(
             sent_ms=request.sent_ms,
             age_ms=rounded_up_age_ms(mirror.age_s()),
-            revision=listing.revision,
-            last_change_revision=mirror.last_change_revision,
+            revision=listing.revision.number,
+            last_change_revision=last_change.number,
             compressed=compressed,
+            era=last_change.era,
         )
 
 
@@ -131,7 +139,10 @@
 
     def new_request(self) -> CopyRequest:
         """Create a request to be sent now."""
-        return CopyRequest(self._pending.open_request(), self._mirror.revision)
+        known = self._mirror.revision
+        return CopyRequest(
+            self._pending.open_request(), known.number, known.era
+        )
 
     def answer_request(self, request: CopyRequest) -> CopyReply | None:
         """Return this entry's reply to a request, if it has a newer copy."""
@@ -145,6 +156,7 @@
         if self.apply_reply(message):
             logger.bind(
                 sender=sender.host,
+                era=message.era,
                 revision=message.revision,
                 age_s=round(self._mirror.age_s(), 3),
             ).info('copy_taken')
@@ -158,9 +170,10 @@
         if isinstance(items, Failure):
             logger.bind(reason=items.reason).warning('copy_unreadable')
             return False
-        listing = Listing(items, reply.revision)
         return self._mirror.adopt_copy(
-            listing, reply.last_change_revision, as_of
+            Listing(items, StoreRevision(reply.era, reply.revision)),
+            StoreRevision(reply.era, reply.last_change_revision),
+            as_of,
         )
 
 
--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -1,10 +1,12 @@
 """Keeps a local copy of one prefix of the metadata store.
 
 One watch is open for each prefix. After a failure the watch resumes from the
-last revision; after a compaction the prefix is listed again. The age of the
-copy counts from the start of the last successful call, or from a later time
-that another entry confirms. It is measured on a clock that also runs while the
-instance is suspended.
+last revision; after a compaction, and in a new era of the store, the prefix is
+listed again.
+
+The age of the copy counts from the start of the last successful call, or from a
+later time that another entry confirms. It is measured on a clock that also runs
+while the instance is suspended.
 
 `last_change_revision` is a revision after which the prefix had not changed
 when the copy was last confirmed.
@@ -20,6 +22,10 @@
 
 from masticwind.budget import boot_time
 from masticwind.errors import Failure
+from masticwind.serving.reported_changes import (
+    NOTHING_SEEN,
+    ReportedChanges,
+)
 from masticwind.serving.store import (
     Changes,
     Compacted,
@@ -27,6 +33,7 @@
     Listing,
     MetadataStore,
 )
+from masticwind.serving.store_eras import StoreRevision
 
 # Exponential backoff after failed calls, with jitter, so that entries do not
 # reconnect to a recovered store at the same moment.
@@ -43,8 +50,6 @@
 # After this time without an answer to a poll, the store is down or the
 # connection is dead.
 POLL_TIMEOUT_S: Final = 0.5
-# Time for the open watch to deliver a change that other entries report.
-CHANGE_GRACE_S: Final = 0.2
 
 
 class Sink(abc.ABC):
@@ -73,6 +78,42 @@
     batch_interval_s: float = 0
 
 
+class _GuardedSink:
+    """Passes contents to a sink, whose errors are logged."""
+
+    def __init__(self, prefix: str, sink: Sink) -> None:
+        self._prefix: Final = prefix
+        self._sink: Final = sink
+
+    def replace_all(
+        self, items: tuple[Item, ...], removed: tuple[Item, ...]
+    ) -> None:
+        """Pass a listing to the sink.
+
+        If the sink raises an error, it gets the differences one by one.
+        """
+        try:
+            self._sink.replace_all(items)
+        except Exception as exc:
+            logger.opt(exception=exc).bind(prefix=self._prefix).error(
+                'listing_failed'
+            )
+            for item in (*removed, *items):
+                self.apply_changes((item,))
+
+    def apply_changes(self, items: tuple[Item, ...]) -> None:
+        """Pass changes to the sink, skipping each one that raises an error."""
+        try:
+            self._sink.apply_changes(items)
+        except Exception as exc:
+            logger.opt(exception=exc).bind(
+                keys=[item.key for item in items],
+            ).error('change_failed')
+            if len(items) > 1:
+                for item in items:
+                    self.apply_changes((item,))
+
+
 class Mirror:
     """Mirrors one prefix into a sink.
 
@@ -88,22 +129,21 @@
         connection_monitor: 'Mirror | None' = None,
     ) -> None:
         self._store: Final = store
-        self._sink: Final = sink
+        self._sink: Final = _GuardedSink(options.prefix, sink)
         self._options: Final = options
         self._connection_monitor: Final = connection_monitor
         self._reconnected = anyio.Event()
         self._items: dict[str, Item] = {}
         self._as_of = float('-inf')
-        self._revision = 0
-        # A revision that other entries reported and up to which this copy has
-        # been verified to be complete.
-        self._verified_revision = 0
+        self._loaded = False
+        self._must_list = False
+        self._revision = NOTHING_SEEN
+        self._reports: Final = ReportedChanges(options.prefix)
         self._connected = False
         self._connected_at = float('-inf')
-        self._reported_revision = 0
-        self._reported_at = float('-inf')
         self._watch: anyio.CancelScope | None = None
-        self.last_change_revision = 0
+        self._watching = False
+        self.last_change_revision = NOTHING_SEEN
 
     @property
     def connected(self) -> bool:
@@ -113,10 +153,10 @@
     @property
     def loaded(self) -> bool:
         """Whether the prefix has been listed at least once."""
-        return self._revision > 0
+        return self._loaded
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> StoreRevision:
         """The revision up to which the copy has every change."""
         return self._revision
 
@@ -134,23 +174,24 @@
             not self._connected or boot_time() - self._connected_at <= seconds
         )
 
-    def confirm(self, last_change_revision: int, as_of: float) -> None:
+    def confirm(
+        self, last_change_revision: StoreRevision, as_of: float
+    ) -> None:
         """Apply another entry's report of the last change before a time.
 
         `as_of` is that time, on the clock of `boot_time`. A copy that holds
         this change is at least as recent as `as_of`.
         """
-        if not self.loaded:
-            return
-        if last_change_revision <= self._complete_revision():
+        if self.loaded and self._reports.report(
+            last_change_revision, self._revision
+        ):
             self._as_of = max(self._as_of, as_of)
-        elif last_change_revision > self._reported_revision:
-            if self._reported_revision <= self._complete_revision():
-                self._reported_at = boot_time()
-            self._reported_revision = last_change_revision
 
     def adopt_copy(
-        self, listing: Listing, last_change_revision: int, as_of: float
+        self,
+        listing: Listing,
+        last_change_revision: StoreRevision,
+        as_of: float,
     ) -> bool:
         """Adopt another entry's copy if it is newer; tell whether it was.
 
@@ -165,15 +206,8 @@
         return True
 
     def has_missed_change(self) -> bool:
-        """Tell whether a change was missed: another entry reported it at least
-        `CHANGE_GRACE_S` ago, and this copy still lacks it.
-        """
-        if (
-            not self.loaded
-            or self._reported_revision <= self._complete_revision()
-        ):
-            return False
-        return boot_time() - self._reported_at >= CHANGE_GRACE_S
+        """Tell whether other entries reported a change that this copy lacks."""
+        return self.loaded and self._reports.is_change_missing(self._revision)
 
     async def poll(self) -> bool:
         """Poll the store for changes while the watch stays open.
@@ -181,7 +215,7 @@
         Returns whether the store answered.
         """
         started = boot_time()
-        reported = self._reported_revision
+        reported = self._reports.newest
         after = self._revision
         changes = await self._store.watch_prefix(
             self._options.prefix,
@@ -198,12 +232,13 @@
             # The watch delivered changes before the poll was answered.
             return True
         if isinstance(changes, Compacted):
+            self._must_list = True
             self._cancel_watch('history compacted')
             return True
         if changes.items:
             self._cancel_watch('change missed')
         self._apply(changes)
-        self._record_verified(reported)
+        self._reports.verify(reported, self._revision)
         self._as_of = max(self._as_of, started)
         return True
 
@@ -214,6 +249,23 @@
 
     async def run(self) -> None:
         """Keep the copy up to date until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cancel_watches_of_earlier_eras)
+            await self._follow()
+
+    async def sync_once(self) -> Failure | None:
+        """List or watch once, and apply the result."""
+        started = boot_time()
+        reported = self._reports.newest
+        failure = await self._list_or_watch()
+        if failure is None:
+            self._reports.verify(reported, self._revision)
+            self._as_of = max(self._as_of, started)
+        else:
+            self._record_disconnected(failure)
+        return failure
+
+    async def _follow(self) -> None:
         backoff_s = INITIAL_BACKOFF_S
         started = boot_time()
         while True:
@@ -232,17 +284,14 @@
             if self._connection_monitor is not None:
                 await self._connection_monitor.wait_until_connected()
 
-    async def sync_once(self) -> Failure | None:
-        """List or watch once, and apply the result."""
-        started = boot_time()
-        reported = self._reported_revision
-        failure = await self._list_or_watch()
-        if failure is None:
-            self._record_verified(reported)
-            self._as_of = max(self._as_of, started)
-        else:
-            self._record_disconnected(failure)
-        return failure
+    async def _cancel_watches_of_earlier_eras(self) -> None:
+        """Cancel an open watch once another call is answered in a new era."""
+        eras = self._store.eras
+        while True:
+            era = eras.newest
+            if self._watching and self._revision.era != era:
+                self._cancel_watch('new era of the store')
+            await eras.wait_for_change(era)
 
     def _batch_interval_s(self, running_s: float) -> float:
         if running_s < STARTUP_S:
@@ -256,74 +305,85 @@
 
     async def _list_or_watch(self) -> Failure | None:
         options = self._options
-        if not self.loaded:
-            listing = await self._store.list_prefix(options.prefix)
-            if isinstance(listing, Failure):
-                return listing
-            self._record_connected()
-            self._replace(listing)
-            self.last_change_revision = listing.revision
-            return None
+        if self._is_listing_due():
+            return await self._list()
         # A call that starts before the store has recovered may never be
         # answered, so calls that probe for the recovery use the shortest wait.
         wait_s = options.wait_s if self._connected else MIN_WATCH_WAIT_S
-        changes = await self._store.watch_prefix(
-            options.prefix,
-            self._revision,
-            wait_s,
-        )
+        self._watching = True
+        try:
+            changes = await self._store.watch_prefix(
+                options.prefix,
+                self._revision,
+                wait_s,
+            )
+        finally:
+            self._watching = False
         if isinstance(changes, Failure):
             return changes
         self._record_connected()
         if isinstance(changes, Compacted):
-            logger.bind(prefix=options.prefix, revision=self._revision).info(
-                'store_history_compacted'
-            )
-            self._revision = 0
-            return await self._list_or_watch()
+            logger.bind(
+                prefix=options.prefix, revision=self._revision.number
+            ).info('store_history_compacted')
+            self._must_list = True
+            return await self._list()
         self._apply(changes)
         return None
 
+    def _is_listing_due(self) -> bool:
+        return (
+            not self._loaded
+            or self._must_list
+            or self._revision.era != self._store.eras.newest
+        )
+
+    async def _list(self) -> Failure | None:
+        listing = await self._store.list_prefix(self._options.prefix)
+        if isinstance(listing, Failure):
+            return listing
+        self._record_connected()
+        self._replace(listing)
+        self.last_change_revision = listing.revision
+        return None
+
     def _replace(self, listing: Listing) -> None:
         known_keys = self._items.keys()
         self._items = {item.key: item for item in listing.items}
         removed = tuple(
-            Item(key, None, listing.revision)
+            Item(key, None, listing.revision.number)
             for key in known_keys - self._items.keys()
         )
-        self._list_to_sink(listing.items, removed)
+        self._sink.replace_all(listing.items, removed)
+        self._loaded = True
+        self._must_list = False
         self._revision = listing.revision
         logger.bind(
             prefix=self._options.prefix,
-            revision=self._revision,
+            era=self._revision.era,
+            revision=self._revision.number,
             items=len(self._items),
         ).info('copy_replaced')
 
     def _apply(self, changes: Changes) -> None:
+        if changes.revision.era != self._revision.era:
+            # A copy of another era was adopted while the watch was open.
+            return
         # A watch that was open while a newer copy was adopted can return
         # changes older than this copy.
         items = tuple(
-            item for item in changes.items if item.revision > self._revision
+            item
+            for item in changes.items
+            if item.revision > self._revision.number
         )
         if items:
             self._store_items(items)
-            self._notify_sink(items)
-            self.last_change_revision = max(item.revision for item in items)
+            self._sink.apply_changes(items)
+            self.last_change_revision = StoreRevision(
+                self._revision.era, max(item.revision for item in items)
+            )
         self._revision = max(self._revision, changes.revision)
 
-    def _record_verified(self, reported: int) -> None:
-        """Record an answered call that began after a revision was reported.
-
-        The store had this revision when the call began, so the copy has every
-        change up to it, even if the answer names only the revision of the last
-        change under the prefix. The watch does not resume from a revision that
-        other entries reported: a wrong one would hide changes.
-        """
-        self._verified_revision = max(self._verified_revision, reported)
-
-    def _complete_revision(self) -> int:
-        return max(self._revision, self._verified_revision)
-
     def _store_items(self, items: tuple[Item, ...]) -> None:
         for item in items:
             if item.value is None:
@@ -331,38 +391,11 @@
                 continue
             self._items[item.key] = item
 
-    def _list_to_sink(
-        self, items: tuple[Item, ...], removed: tuple[Item, ...]
-    ) -> None:
-        """Pass a listing to the sink.
-
-        If the sink raises an error, it gets the differences one by one.
-        """
-        try:
-            self._sink.replace_all(items)
-        except Exception as exc:
-            logger.opt(exception=exc).bind(prefix=self._options.prefix).error(
-                'listing_failed'
-            )
-            for item in (*removed, *items):
-                self._notify_sink((item,))
-
-    def _notify_sink(self, items: tuple[Item, ...]) -> None:
-        """Pass changes to the sink, skipping each one that raises an error."""
-        try:
-            self._sink.apply_changes(items)
-        except Exception as exc:
-            logger.opt(exception=exc).bind(
-                keys=[item.key for item in items],
-            ).error('change_failed')
-            if len(items) > 1:
-                for item in items:
-                    self._notify_sink((item,))
-
     def _cancel_watch(self, reason: str) -> None:
         logger.bind(
             prefix=self._options.prefix,
-            revision=self._revision,
+            era=self._revision.era,
+            revision=self._revision.number,
             reason=reason,
         ).warning('watch_given_up')
         if self._watch is not None:
--- a/src/masticwind/serving/peer_requests.py
+++ b/src/masticwind/serving/peer_requests.py
@@ -19,6 +19,7 @@
 MAX_PENDING_REQUESTS: Final = 8
 
 AgeMs = Annotated[int, msgspec.Meta(ge=0)]
+Era = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class PendingRequests:
--- a/src/masticwind/serving/store.py
+++ b/src/masticwind/serving/store.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from masticwind.errors import Failure
+from masticwind.serving.store_eras import StoreEras, StoreRevision
 
 # Answers usually take a few milliseconds, those of a slow store up to some
 # hundred.
@@ -17,7 +18,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Item:
-    """A key with its value at a revision; None is a removed key."""
+    """A key with its value at a revision; None is a removed key.
+
+    The revision is one of the era of the listing or of the changes.
+    """
 
     key: str
     value: bytes | None
@@ -29,7 +33,7 @@
     """All items under a prefix, and a revision from which to start a watch."""
 
     items: tuple[Item, ...]
-    revision: int
+    revision: StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,20 +44,27 @@
     """
 
     items: tuple[Item, ...]
-    revision: int
+    revision: StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
 class Compacted:
-    """The store no longer keeps the history after the given revision."""
+    """The store does not have the history after the given revision.
+
+    It no longer keeps it, or it was restored from a copy without it.
+    """
 
 
 class MetadataStore(abc.ABC):
     """Reads, watches and writes under leases.
 
-    A `Failure` is of kind `platform_down` unless stated otherwise.
+    A `Failure` is of kind `platform_down` unless stated otherwise; an answer
+    of an earlier era than the newest one is such a failure.
     """
 
+    def __init__(self) -> None:
+        self.eras: Final = StoreEras()
+
     @abc.abstractmethod
     async def list_prefix(self, prefix: str) -> Listing | Failure:
         """Read all items under a prefix, as of the call's start or later."""
@@ -62,7 +73,7 @@
     async def watch_prefix(
         self,
         prefix: str,
-        after: int,
+        after: StoreRevision,
         wait_s: float,
         answer_timeout_s: float = ANSWER_TIMEOUT_S,
     ) -> Changes | Compacted | Failure:
--- a/tests/test_confirmation_machine.py
+++ b/tests/test_confirmation_machine.py
@@ -26,12 +26,12 @@
 from masticwind.serving.copies import MAX_COPY_BYTES, CopyExchange, CopyReply
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.mirror import (
-    CHANGE_GRACE_S,
     Mirror,
     MirrorOptions,
     Sink,
 )
 from masticwind.serving.peers import EntryPeers
+from masticwind.serving.reported_changes import CHANGE_GRACE_S, REFUTED_TTL_S
 from masticwind.serving.settings import LiveSettings
 from masticwind.serving.store import (
     ANSWER_TIMEOUT_S,
@@ -40,6 +40,7 @@
     Item,
     Listing,
 )
+from masticwind.serving.store_eras import NO_ERA, StoreRevision
 from tests.entry_harness import sample_settings
 from tests.manual_clock import ManualClock
 from tests.unwritable_store import DOWN, UnwritableStore
@@ -48,13 +49,15 @@
 
 
 class StoreHistory:
-    """All changes of the store, with their times."""
+    """All changes of the store in its present era, and all former states."""
 
     def __init__(self, clock: ManualClock) -> None:
         self._clock: Final = clock
-        self.items: Final[list[Item]] = []
-        self.times: Final[list[float]] = []
+        self.era = 1
+        self.items: list[Item] = []
         self.compacted = 0
+        # The contents from a time until that of the next row.
+        self._contents: Final = [(float('-inf'), self.items_under(''))]
 
     @property
     def revision(self) -> int:
@@ -64,7 +67,14 @@
     def write(self, key: str, value: bytes | None) -> None:
         """Change a key."""
         self.items.append(Item(key, value, self.revision + 1))
-        self.times.append(self._clock())
+        self._record_contents()
+
+    def restore(self, lost_changes: int) -> None:
+        """Return to the state before the latest changes, in a new era."""
+        kept = max(0, len(self.items) - lost_changes)
+        self.items = self.items[:kept]
+        self.era += 1
+        self._record_contents()
 
     def items_under(self, prefix: str) -> dict[str, Item]:
         """Return the present items under a prefix."""
@@ -77,15 +87,16 @@
 
     def states(self, key: str, since: float) -> list[Item | None]:
         """Return the states of a key since a time; `None` is a missing key."""
-        states: list[Item | None] = [None]
-        for item, at in zip(self.items, self.times, strict=True):
-            if item.key != key:
-                continue
+        states: list[Item | None] = []
+        for at, contents in self._contents:
             if at < since:
                 states.clear()
-            states.append(None if item.value is None else item)
+            states.append(contents.get(key))
         return states
 
+    def _record_contents(self) -> None:
+        self._contents.append((self._clock(), self.items_under('')))
+
 
 class ScriptedStore(UnwritableStore):
     """Answers from a history, with the faults that a test sets.
@@ -98,6 +109,7 @@
     """
 
     def __init__(self, history: StoreHistory, clock: ManualClock) -> None:
+        super().__init__()
         self._history: Final = history
         self._clock: Final = clock
         self.down = False
@@ -110,7 +122,7 @@
         """Read in pages; the store may change between two of them."""
         if self.down:
             return DOWN
-        revision = self._history.revision
+        revision = StoreRevision(self._history.era, self._history.revision)
         items = self._history.items_under(prefix)
         if self.write_while_listing is not None:
             first_page = {KEYS[0]: items[KEYS[0]]} if KEYS[0] in items else {}
@@ -118,34 +130,40 @@
             self._history.write(KEYS[1], self.write_while_listing[1])
             items = {**self._history.items_under(prefix), **first_page}
         self._clock.now += self.delay_s
+        if not self.eras.observe(revision.era, 'list'):
+            return DOWN
         return Listing(tuple(items.values()), revision)
 
     async def watch_prefix(
         self,
         prefix: str,
-        after: int,
+        after: StoreRevision,
         wait_s: float,
         answer_timeout_s: float = ANSWER_TIMEOUT_S,
     ) -> Changes | Compacted | Failure:
         """Return the present changes without waiting for more."""
         if self.down:
             return DOWN
-        if after < self._history.compacted:
-            return Compacted()
+        era = self._history.era
         revision = self._history.revision
+        compacted = not self._history.compacted <= after.number <= revision
         items = tuple(
             item
             for item in self._history.items
-            if item.revision > after and item.key.startswith(prefix)
+            if item.revision > after.number and item.key.startswith(prefix)
         )
         self._clock.now += self.delay_s
         before_answer = self.before_answer
         self.before_answer = None
         if before_answer is not None:
             before_answer()
+        if not self.eras.observe(era, 'watch'):
+            return DOWN
+        if compacted or era != after.era:
+            return Compacted()
         if self.echoes_revision:
-            revision = items[-1].revision if items else after
-        return Changes(items, revision)
+            revision = items[-1].revision if items else after.number
+        return Changes(items, StoreRevision(era, revision))
 
 
 class EntryCopy(Sink):
@@ -200,7 +218,12 @@
         self.replies: list[tuple[int, Confirmation]] = []
         self.copy_replies: list[tuple[int, CopyReply]] = []
         self.patch = pytest.MonkeyPatch()
-        for module in ('mirror', 'peer_requests'):
+        for module in (
+            'mirror',
+            'peer_requests',
+            'reported_changes',
+            'store_eras',
+        ):
             name = f'masticwind.serving.{module}.boot_time'
             self.patch.setattr(name, self.clock)
 
@@ -234,11 +257,13 @@
         polls=st.booleans(),
         receives_copy=st.booleans(),
         echoes_revision=st.booleans(),
+        lost_changes=st.integers(-1, 4),
     )
     def call_store(
         self,
         entry: int,
         delay_s: float,
+        lost_changes: int,
         *,
         down: bool,
         torn_listing: bool,
@@ -248,7 +273,8 @@
     ) -> None:
         """An entry lists, watches or polls once.
 
-        While it waits for the answer, it may receive the other entry's copy.
+        While it waits for the answer, it may receive the other entry's copy,
+        or the store may be restored.
         """
         copy = self.copies[entry]
         copy.store.down = down
@@ -258,6 +284,10 @@
             (KEYS[0], b'torn') if torn_listing else None
         )
         copy.store.before_answer = None
+        if lost_changes >= 0:
+            copy.store.before_answer = partial(
+                self.restore, lost_changes=lost_changes
+            )
         if receives_copy:
             copy.store.before_answer = partial(self.deliver_copy, newest=True)
         _run(copy.mirror.poll() if polls else copy.mirror.sync_once())
@@ -267,6 +297,17 @@
         """The store drops its history."""
         self.history.compacted = self.history.revision
 
+    @rule(lost_changes=st.integers(0, 4))
+    def restore(self, lost_changes: int) -> None:
+        """The store is restored from an older copy."""
+        self.history.restore(lost_changes)
+
+    @rule(entry=st.integers(0, 1))
+    def learn_era(self, entry: int) -> None:
+        """Another call of the entry is answered in the present era."""
+        store = self.copies[entry].store
+        store.eras.observe(self.history.era, 'put')
+
     @rule(entry=st.integers(0, 1), delay_s=st.floats(0, 1))
     def request_confirmation(self, entry: int, delay_s: float) -> None:
         """A confirmation request arrives at the other entry after a delay.
@@ -421,7 +462,9 @@
     copy = machine.copies[0]
     _run(copy.mirror.sync_once())
     request = copy.confirmations.new_request()
-    copy.confirmations.apply_reply(Confirmation(request.sent_ms, 1_000_000, 0))
+    copy.confirmations.apply_reply(
+        Confirmation(request.sent_ms, 1_000_000, 0, machine.history.era)
+    )
     _run(copy.mirror.poll())
     _run(copy.mirror.sync_once())
     machine.write(KEYS[0], b'second')
@@ -452,7 +495,80 @@
     _run(copy.mirror.sync_once())
     machine.advance_clock(5)
     later_ms = int(machine.clock() * MS_PER_S) + 60_000
+    last_change = copy.mirror.last_change_revision
     copy.confirmations.apply_reply(
-        Confirmation(later_ms, copy.mirror.last_change_revision, 0)
+        Confirmation(later_ms, last_change.number, 0, last_change.era)
     )
     assert copy.mirror.age_s() == 5
+
+
+def test_report_of_a_restored_store_does_not_confirm_a_copy_of_before(
+    machine: ConfirmationMachine,
+) -> None:
+    """Guards against a removed key that is accepted, because a low revision of
+    a new era confirms a copy of the era before.
+    """
+    early, late = machine.copies
+    for _ in range(3):
+        machine.write(KEYS[0], b'lost')
+    _run(early.mirror.sync_once())
+    machine.restore(3)
+    machine.write(KEYS[0], b'second')
+    _run(late.mirror.sync_once())
+    early.store.down = True
+    machine.advance_clock(1)
+    _confirm(early, late)
+    assert early.mirror.age_s() == 1
+    machine.advance_clock(CHANGE_GRACE_S)
+    assert early.mirror.has_missed_change()
+    machine.request_copy(0, 0)
+    machine.deliver_copy(newest=True)
+    assert early.items[KEYS[0]].value == b'second'
+    assert early.mirror.age_s() == pytest.approx(1 + CHANGE_GRACE_S)
+
+
+def test_report_of_the_era_before_does_not_confirm_a_copy(
+    machine: ConfirmationMachine,
+) -> None:
+    """Guards against a copy that looks recent, because an entry that still has
+    the era before reports a lower revision.
+    """
+    early, late = machine.copies
+    _run(early.mirror.sync_once())
+    machine.restore(0)
+    _run(late.mirror.sync_once())
+    machine.advance_clock(1)
+    early.mirror.confirm(early.mirror.last_change_revision, machine.clock())
+    _confirm(late, early)
+    assert late.mirror.age_s() == 1
+
+
+@pytest.mark.parametrize('era', [NO_ERA, 2, 10**15])
+def test_wrong_era_of_another_entry_costs_few_polls(
+    machine: ConfirmationMachine, era: int
+) -> None:
+    """Guards against entries that all call the store again and again, because
+    one of them reports an era that the store has not.
+    """
+    copy = machine.copies[0]
+    _run(copy.mirror.sync_once())
+    polls = 0
+    for _ in range(20):
+        request = copy.confirmations.new_request()
+        copy.confirmations.apply_reply(Confirmation(request.sent_ms, 9, 0, era))
+        machine.advance_clock(CHANGE_GRACE_S)
+        if copy.mirror.has_missed_change():
+            polls += 1
+            _run(copy.mirror.poll())
+    assert polls <= 20 * CHANGE_GRACE_S / REFUTED_TTL_S
+    machine.write(KEYS[0], b'second')
+    _run(copy.mirror.sync_once())
+    assert copy.items[KEYS[0]].value == b'second'
+
+
+def _confirm(asking: EntryCopy, other: EntryCopy) -> None:
+    reply = other.confirmations.answer_request(
+        asking.confirmations.new_request()
+    )
+    assert reply is not None
+    asking.confirmations.apply_reply(reply)
--- a/tests/test_crash_archive.py
+++ b/tests/test_crash_archive.py
@@ -19,6 +19,7 @@
     Listing,
     MetadataStore,
 )
+from masticwind.serving.store_eras import NO_ERA, StoreRevision
 from tests.entry_harness import sample_settings
 from tests.odd_values import nested_array
 
@@ -32,6 +33,7 @@
     """Keeps values and the lengths of their leases; it can be down."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.down = False
         self.values: dict[str, bytes] = {}
         self.leases_s: dict[str, float] = {}
@@ -40,12 +42,13 @@
     async def list_prefix(self, prefix: str) -> Listing | Failure:
         """Return all values."""
         items = (Item(key, value, 1) for key, value in self.values.items())
-        return DOWN if self.down else Listing(tuple(items), 1)
+        revision = StoreRevision(NO_ERA, 1)
+        return DOWN if self.down else Listing(tuple(items), revision)
 
     async def watch_prefix(
         self,
         prefix: str,
-        after: int,
+        after: StoreRevision,
         wait_s: float,
         answer_timeout_s: float = 1,
     ) -> Changes | Compacted | Failure:
--- a/tests/test_direct_store.py
+++ b/tests/test_direct_store.py
@@ -10,6 +10,7 @@
 from masticwind.platform.store import PlatformStore
 from masticwind.serving.settings import FleetBounds, StoreSettings
 from masticwind.serving.store import Changes, Item, Listing
+from masticwind.serving.store_eras import NO_ERA, StoreRevision
 from masticwind.settings import Address
 from masticwind.web import (
     Receive,
@@ -256,6 +257,9 @@
             Item('op/good', b'here', 6),
             Item('op/gone', None, 7),
         )
-        assert await store.list_prefix('op/') == Listing(expected, 7)
-        assert await store.watch_prefix('op/', 4, 0) == Changes(expected, 7)
+        as_of = StoreRevision(NO_ERA, 7)
+        after = StoreRevision(NO_ERA, 4)
+        assert await store.list_prefix('op/') == Listing(expected, as_of)
+        changes = await store.watch_prefix('op/', after, 0)
+        assert changes == Changes(expected, as_of)
         tasks.cancel_scope.cancel()
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -10,11 +10,11 @@
 
 from masticwind.errors import Failure
 from masticwind.serving.mirror import (
-    CHANGE_GRACE_S,
     Mirror,
     MirrorOptions,
     Sink,
 )
+from masticwind.serving.reported_changes import CHANGE_GRACE_S
 from masticwind.serving.store import (
     ANSWER_TIMEOUT_S,
     Changes,
@@ -22,6 +22,7 @@
     Item,
     Listing,
 )
+from masticwind.serving.store_eras import NO_ERA, StoreRevision
 from tests.manual_clock import ManualClock
 from tests.unwritable_store import DOWN, UnwritableStore
 
@@ -32,24 +33,26 @@
 # have this limit, the strictest one.
 MAX_CHANGE_DELAY_S: Final = 2.0
 CHANGE: Final = Item('op/config', b'new', 2)
+CHANGED: Final = StoreRevision(NO_ERA, CHANGE.revision)
 
 
 class UnresponsiveStore(UnwritableStore):
     """Never answers watches that start while `unresponsive` is set."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.unresponsive = False
         self.changed = anyio.Event()
         self.calls: Final = Counter[str]()
 
     async def list_prefix(self, prefix: str) -> Listing | Failure:
         """Return an empty listing."""
-        return Listing((), 1)
+        return Listing((), StoreRevision(NO_ERA, 1))
 
     async def watch_prefix(
         self,
         prefix: str,
-        after: int,
+        after: StoreRevision,
         wait_s: float,
         answer_timeout_s: float = ANSWER_TIMEOUT_S,
     ) -> Changes | Compacted | Failure:
@@ -58,12 +61,12 @@
         if self.unresponsive:
             await anyio.sleep(wait_s + answer_timeout_s)
             return DOWN
-        if after >= CHANGE.revision:
+        if after >= CHANGED:
             await anyio.sleep(wait_s)
             return Changes((), after)
         with anyio.move_on_after(wait_s):
             await self.changed.wait()
-            return Changes((CHANGE,), CHANGE.revision)
+            return Changes((CHANGE,), CHANGED)
         return Changes((), after)
 
 
@@ -138,14 +141,15 @@
     of other entries.
     """
     clock = ManualClock()
-    monkeypatch.setattr('masticwind.serving.mirror.boot_time', clock)
+    for module in ('mirror', 'reported_changes'):
+        monkeypatch.setattr(f'masticwind.serving.{module}.boot_time', clock)
     mirror = Mirror(
         UnresponsiveStore(),
         ArrivalSink(),
         MirrorOptions(prefix='op/', wait_s=WATCH_WAIT_S),
     )
     await mirror.sync_once()
-    mirror.confirm(CHANGE.revision, clock())
+    mirror.confirm(CHANGED, clock())
     assert not mirror.has_missed_change()
     clock.now += CHANGE_GRACE_S
     assert mirror.has_missed_change()
--- a/tests/test_odd_entries_fuzz.py
+++ b/tests/test_odd_entries_fuzz.py
@@ -27,6 +27,7 @@
     Item,
     Listing,
 )
+from masticwind.serving.store_eras import NO_ERA, StoreRevision
 from tests.entry_harness import (
     CALL_SERVICE,
     registration_json,
@@ -103,6 +104,7 @@
     """Answers each call at once."""
 
     def __init__(self) -> None:
+        super().__init__()
         self._rows: Final[dict[str, Item]] = {}
         self._history: Final[list[Item]] = []
 
@@ -115,18 +117,23 @@
     async def list_prefix(self, prefix: str) -> Listing:
         """Return all values."""
         items = (item for item in self._rows.values() if item.value is not None)
-        return Listing(tuple(items), len(self._history) + 1)
+        return Listing(tuple(items), self._revision())
 
     async def watch_prefix(
         self,
         prefix: str,
-        after: int,
+        after: StoreRevision,
         wait_s: float,
         answer_timeout_s: float = ANSWER_TIMEOUT_S,
     ) -> Changes | Compacted:
         """Return the changes after a revision."""
-        changes = tuple(item for item in self._history if item.revision > after)
-        return Changes(changes, len(self._history) + 1)
+        changes = tuple(
+            item for item in self._history if item.revision > after.number
+        )
+        return Changes(changes, self._revision())
+
+    def _revision(self) -> StoreRevision:
+        return StoreRevision(NO_ERA, len(self._history) + 1)
 
 
 def _run(call: Coroutine[Any, Any, object]) -> None:
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -10,6 +10,7 @@
 from masticwind.serving.mirror import Mirror, MirrorOptions, Sink
 from masticwind.serving.model import Endpoint
 from masticwind.serving.store import Item, Listing
+from masticwind.serving.store_eras import StoreRevision
 from masticwind.serving.supervision import supervise
 from tests.entry_harness import answer_completely, running_entry
 from tests.test_mirror import UnresponsiveStore
@@ -72,7 +73,7 @@
     mirror = Mirror(
         UnresponsiveStore(), sink, MirrorOptions(prefix='', wait_s=1)
     )
-    mirror._notify_sink(
+    mirror._sink.apply_changes(
         tuple(Item(key, b'', 2) for key in ('a', 'poison', 'b')),
     )
     assert sink.applied[-2:] == ['a', 'b']
@@ -95,12 +96,12 @@
         UnresponsiveStore(), sink, MirrorOptions(prefix='', wait_s=1)
     )
     items = tuple(Item(key, b'', 2) for key in ('a', 'poison', 'b'))
-    mirror._replace(Listing((*items, Item('c', b'', 2)), 2))
+    mirror._replace(Listing((*items, Item('c', b'', 2)), StoreRevision(1, 2)))
     assert sink.applied[-3:] == ['a', 'b', 'c']
     assert mirror.loaded
-    mirror._replace(Listing(items, 3))
+    mirror._replace(Listing(items, StoreRevision(1, 3)))
     assert 'c' in sink.removed
-    assert mirror.listing() == Listing(items, 3)
+    assert mirror.listing() == Listing(items, StoreRevision(1, 3))
 
 
 async def test_entry_serves_after_an_unexpected_exception(
--- a/tests/test_unreadable_answers.py
+++ b/tests/test_unreadable_answers.py
@@ -15,6 +15,7 @@
 from masticwind.httpclient import HttpClient, HttpStream
 from masticwind.platform.store import PlatformStore
 from masticwind.serving.settings import StoreSettings
+from masticwind.serving.store_eras import NO_ERA, StoreRevision
 from masticwind.settings import PlatformSettings
 from masticwind.store.base import UnknownOutcome
 from masticwind.store.http import (
@@ -98,7 +99,7 @@
 
 async def _watch_prefix(address: str) -> object:
     store = PlatformStore(StoreSettings(address=address))
-    return await store.watch_prefix('servers/', 1, 0.01)
+    return await store.watch_prefix('servers/', StoreRevision(NO_ERA, 1), 0.01)
 
 
 async def _grant_lease(address: str) -> object:
