Write the reports of crashes again in each era of the store

Callers would have seen engines end under a prompt that was held before: all entries end, start again, and read an archive of crashes that the store has lost in a restore.

Cause: a report was written once; what has been written was remembered without the era of the store.

Fix: what was written in an earlier era counts as not written. Each entry writes its own reports of holds again, up to one second after it has seen the new era, at a random time.

--- a/src/masticwind/serving/crash_archive.py
+++ b/src/masticwind/serving/crash_archive.py
@@ -4,9 +4,11 @@
 time. So each entry writes the reports that it has made itself to the store,
 once a key is held because of them, under a lease that lasts as long as the
 hold. An entry reads all of them once, when it starts. There are a few writes
-for each hold and none for a request.
+for each hold and none for a request. A store that was restored from an older
+copy may have lost reports, so they are written again in each of its eras.
 """
 
+import random
 from dataclasses import dataclass
 from typing import Final
 
@@ -25,16 +27,19 @@
 # Changes within this time are written together.
 BATCH_INTERVAL_S: Final = 0.1
 RETRY_DELAY_S: Final = 0.5
+# Spreads the writes of all entries after a restore of the store.
+MAX_REWRITE_DELAY_S: Final = 1.0
 # The store grants leases of ten minutes at most.
 MAX_LEASE_S: Final = 600.0
 
 
 @dataclass(frozen=True, slots=True)
 class _WrittenReport:
-    """A report in the store, and the length of its lease."""
+    """A report in an era of the store, and the length of its lease."""
 
     report: CrashReport
     lease_s: float
+    era: int
 
 
 class CrashArchive:
@@ -60,6 +65,18 @@
     async def run(self) -> None:
         """Read all reports, then write changes until cancelled."""
         await self._load()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._notify_of_eras)
+            await self._write_changes()
+
+    async def _notify_of_eras(self) -> None:
+        eras = self._store.eras
+        while True:
+            await eras.wait_for_change(eras.newest)
+            await anyio.sleep(random.uniform(0, MAX_REWRITE_DELAY_S))
+            self.notify()
+
+    async def _write_changes(self) -> None:
         while True:
             await self._changed.wait()
             self._changed = anyio.Event()
@@ -116,6 +133,7 @@
         written = self._written.get(crash_id)
         if (
             written is not None
+            and written.era == self._store.eras.newest
             and written.lease_s >= lease_s
             and written.report.has_same_content(report)
         ):
@@ -127,7 +145,7 @@
             self._key(crash_id), msgspec.json.encode(report), lease
         )
         if failure is None:
-            self._written[crash_id] = _WrittenReport(report, lease_s)
+            self._written[crash_id] = _WrittenReport(report, lease_s, lease.era)
         return failure
 
     def _key(self, crash_id: str) -> str:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -132,8 +132,9 @@
     copy = MetadataStandin().copy()
     async with running_fleet(entries=1, era_headers=era_headers) as fleet:
         key = f'{ENTRIES_PREFIX}entry-1'
+        entry = fleet.entries[0].entry
         with anyio.fail_after(MAX_DELAY_S):
-            while not fleet.entries[0].entry._peers.is_registered:
+            while not entry._peers.is_registered:
                 await anyio.sleep(0.02)
 
         def write_again() -> None:
