--- a/src/masticwind/serving/directory.py
+++ b/src/masticwind/serving/directory.py
@@ -6,7 +6,7 @@
 """
 
 import abc
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -18,6 +18,7 @@
 from masticwind.serving.mirror import Sink
 from masticwind.serving.model import Endpoint, FleetConfig
 from masticwind.serving.store import Item
+from masticwind.serving.store_connection import StoreConnection
 from masticwind.serving.unreadable import UnreadableLog
 
 # Time within which live endpoints register again after a store outage.
@@ -62,10 +63,10 @@
     def __init__(
         self,
         decoder: StoreDecoder,
-        reconnected_within: Callable[[float], bool],
+        connection: StoreConnection,
     ) -> None:
         self._decoder: Final = decoder
-        self._reconnected_within: Final = reconnected_within
+        self._connection: Final = connection
         self._registered: dict[str, _Registered] = {}
         self._removed: Final[dict[str, _Removed]] = {}
         self._unreadable: Final = UnreadableLog('registration_unreadable')
@@ -173,7 +174,7 @@
         registered = self._registered.get(identity)
         if registered is None:
             return
-        if not self._reconnected_within(RENEWAL_GRACE_S):
+        if not self._connection.reconnected_within(RENEWAL_GRACE_S):
             self.remove(identity, 'registration removed')
             return
         if registered.unregistered_at is None:
@@ -181,7 +182,7 @@
             logger.bind(endpoint=identity).info('registration_lapsed')
 
     def _remove_unregistered(self) -> None:
-        if self._reconnected_within(RENEWAL_GRACE_S):
+        if self._connection.reconnected_within(RENEWAL_GRACE_S):
             return
         unregistered = _unregistered(self._registered.items())
         for identity in unregistered:
--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -33,6 +33,7 @@
     Listing,
     MetadataStore,
 )
+from masticwind.serving.store_connection import StoreConnection
 from masticwind.serving.store_eras import StoreRevision
 
 # Exponential backoff after failed calls, with jitter, so that entries do not
@@ -117,8 +118,8 @@
 class Mirror:
     """Mirrors one prefix into a sink.
 
-    While the store is down, a mirror with a `connection_monitor` does not
-    probe the store itself but waits until that mirror has reconnected.
+    While the store is down, a mirror with a `monitor` does not probe the store
+    itself but waits until that connection has recovered.
     """
 
     def __init__(
@@ -126,21 +127,20 @@
         store: MetadataStore,
         sink: Sink,
         options: MirrorOptions,
-        connection_monitor: 'Mirror | None' = None,
+        connection: StoreConnection | None = None,
+        monitor: StoreConnection | None = None,
     ) -> None:
         self._store: Final = store
         self._sink: Final = _GuardedSink(options.prefix, sink)
         self._options: Final = options
-        self._connection_monitor: Final = connection_monitor
-        self._reconnected = anyio.Event()
+        self.connection: Final = connection or StoreConnection(options.prefix)
+        self._monitor: Final = monitor
         self._items: dict[str, Item] = {}
         self._as_of = float('-inf')
         self._loaded = False
         self._must_list = False
         self._revision = NOTHING_SEEN
         self._reports: Final = ReportedChanges(options.prefix)
-        self._connected = False
-        self._connected_at = float('-inf')
         self._watch: anyio.CancelScope | None = None
         self._watching = False
         self.last_change_revision = NOTHING_SEEN
@@ -148,7 +148,7 @@
     @property
     def connected(self) -> bool:
         """Whether the last call to the store was answered."""
-        return self._connected
+        return self.connection.connected
 
     @property
     def loaded(self) -> bool:
@@ -173,12 +173,6 @@
         """Return the greatest possible age of the copy, in seconds."""
         return boot_time() - self._as_of
 
-    def reconnected_within(self, seconds: float) -> bool:
-        """Tell whether the store is down or recovered within `seconds`."""
-        return (
-            not self._connected or boot_time() - self._connected_at <= seconds
-        )
-
     def confirm(
         self, last_change_revision: StoreRevision, as_of: float
     ) -> None:
@@ -230,7 +224,7 @@
         )
         if isinstance(changes, Failure):
             # The connection of the watch may be dead as well.
-            self._record_disconnected(changes)
+            self.connection.record_disconnected(changes, self.age_s())
             self._cancel_watch('poll failed')
             return False
         if self._revision != after:
@@ -247,11 +241,6 @@
         self._as_of = max(self._as_of, started)
         return True
 
-    async def wait_until_connected(self) -> None:
-        """Wait until the store answers, unless it answered the last call."""
-        while not self._connected:
-            await self._reconnected.wait()
-
     async def run(self) -> None:
         """Keep the copy up to date until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -267,7 +256,7 @@
             self._reports.verify(reported, self._revision)
             self._as_of = max(self._as_of, started)
         else:
-            self._record_disconnected(failure)
+            self.connection.record_disconnected(failure, self.age_s())
         return failure
 
     async def _follow(self) -> None:
@@ -286,8 +275,8 @@
                 continue
             await anyio.sleep(backoff_s * random.uniform(0.5, 1))
             backoff_s = min(self._max_backoff_s(), backoff_s * 2)
-            if self._connection_monitor is not None:
-                await self._connection_monitor.wait_until_connected()
+            if self._monitor is not None:
+                await self._monitor.wait_until_connected()
 
     async def _cancel_watches_of_earlier_eras(self) -> None:
         """Cancel an open watch once another call is answered in a new era."""
@@ -314,7 +303,7 @@
             return await self._list()
         # A call that starts before the store has recovered may never be
         # answered, so calls that probe for the recovery use the shortest wait.
-        wait_s = options.wait_s if self._connected else MIN_WATCH_WAIT_S
+        wait_s = options.wait_s if self.connected else MIN_WATCH_WAIT_S
         self._watching = True
         try:
             changes = await self._store.watch_prefix(
@@ -326,7 +315,7 @@
             self._watching = False
         if isinstance(changes, Failure):
             return changes
-        self._record_connected()
+        self.connection.record_connected()
         if isinstance(changes, Compacted):
             logger.bind(
                 prefix=options.prefix, revision=self._revision.number
@@ -347,7 +336,7 @@
         listing = await self._store.list_prefix(self._options.prefix)
         if isinstance(listing, Failure):
             return listing
-        self._record_connected()
+        self.connection.record_connected()
         self._replace(listing)
         self.last_change_revision = listing.revision
         return None
@@ -405,21 +394,3 @@
         ).warning('watch_given_up')
         if self._watch is not None:
             self._watch.cancel()
-
-    def _record_connected(self) -> None:
-        if self._connected:
-            return
-        self._connected = True
-        self._reconnected.set()
-        self._reconnected = anyio.Event()
-        self._connected_at = boot_time()
-        logger.bind(prefix=self._options.prefix).info('store_connected')
-
-    def _record_disconnected(self, failure: Failure) -> None:
-        if self._connected:
-            logger.bind(
-                prefix=self._options.prefix,
-                reason=failure.reason,
-                age_s=round(self.age_s(), 3),
-            ).warning('store_lost')
-        self._connected = False
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -23,13 +23,14 @@
 from masticwind.serving.limit_link import LimitLink
 from masticwind.serving.load_link import LoadLink
 from masticwind.serving.load_table import LoadTable
-from masticwind.serving.mirror import Mirror, MirrorOptions, Sink
+from masticwind.serving.mirror import Mirror, MirrorOptions
 from masticwind.serving.operations import OperationsApp
 from masticwind.serving.peers import EntryPeers, Registrar
 from masticwind.serving.quarantine import build_quarantine
 from masticwind.serving.reach import ZoneReachability
 from masticwind.serving.relay import Relay, RelayDependencies
 from masticwind.serving.settings import LiveSettings, parse_address
+from masticwind.serving.store_connection import StoreConnection
 from masticwind.serving.supervision import supervise
 from masticwind.serving.telemetry import Telemetry
 from masticwind.web import (
@@ -79,9 +80,9 @@
         self._operator_state: Final = OperatorState(
             adapter.decoder, self._active_config
         )
+        registrations = StoreConnection(adapter.prefixes.registrations)
         self._directory: Final = EndpointDirectory(
-            adapter.decoder,
-            self._store_reconnected_within,
+            adapter.decoder, registrations
         )
         self._config_mirror: Final = Mirror(
             adapter.store,
@@ -91,7 +92,8 @@
                 wait_s=CONFIG_WATCH_S,
             ),
         )
-        self._registrations_mirror: Final = self._new_mirror(
+        self._registrations_mirror: Final = Mirror(
+            adapter.store,
             self._directory,
             MirrorOptions(
                 prefix=adapter.prefixes.registrations,
@@ -100,14 +102,18 @@
                 * REGISTRATION_BATCH_SHARE
                 / MS_PER_S,
             ),
+            connection=registrations,
+            monitor=self._config_mirror.connection,
         )
-        self._entries_mirror: Final = self._new_mirror(
+        self._entries_mirror: Final = Mirror(
+            adapter.store,
             self._peers,
             MirrorOptions(
                 prefix=adapter.prefixes.entries,
                 wait_s=ENTRIES_WATCH_S,
                 batch_interval_s=ENTRIES_BATCH_INTERVAL_S,
             ),
+            monitor=self._config_mirror.connection,
         )
         self._limit_link: Final = LimitLink(self._peer_socket, self._peers)
         self._cleanup: Final = build_cleanup(
@@ -341,21 +347,6 @@
             self._quarantine.held_count,
         )
 
-    def _new_mirror(
-        self,
-        sink: Sink,
-        options: MirrorOptions,
-    ) -> Mirror:
-        return Mirror(
-            self._adapter.store,
-            sink,
-            options,
-            connection_monitor=self._config_mirror,
-        )
-
-    def _store_reconnected_within(self, seconds: float) -> bool:
-        return self._registrations_mirror.reconnected_within(seconds)
-
     def _connection_limits(self) -> ConnectionLimits:
         limits = self._active_config.config.limits
         return ConnectionLimits(
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -25,6 +25,7 @@
     StoreSettings,
 )
 from masticwind.serving.store import Item
+from masticwind.serving.store_connection import StoreConnection
 from masticwind.serving.suspicions import Suspicions
 from masticwind.settings import Address
 from masticwind.web import WebServer
@@ -97,6 +98,14 @@
     )
 
 
+def steady_connection() -> StoreConnection:
+    """Return the connection to a store that has been up for a long time."""
+    connection = StoreConnection('servers/')
+    connection.record_connected()
+    connection._connected_at = float('-inf')
+    return connection
+
+
 def isolated_suspicions() -> Suspicions:
     """Return the suspicions of an entry that has no peers."""
     cfg = sample_settings()
--- a/tests/test_cleanup.py
+++ b/tests/test_cleanup.py
@@ -19,6 +19,7 @@
     isolated_suspicions,
     registration_json,
     sample_settings,
+    steady_connection,
 )
 
 pytestmark = pytest.mark.anyio
@@ -34,7 +35,7 @@
     against the loss of the records of an endpoint that is still registered.
     """
     cfg = sample_settings()
-    directory = EndpointDirectory(PlatformDecoder(), lambda _seconds: False)
+    directory = EndpointDirectory(PlatformDecoder(), steady_connection())
     health = EndpointHealth(isolated_suspicions())
     peers = EntryPeers(cfg)
     limits = EndpointLimits(cfg.node, 'a', peers)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -182,7 +182,7 @@
             store,
             ArrivalSink(),
             MirrorOptions(prefix='servers/', wait_s=0.1),
-            connection_monitor=monitor,
+            monitor=monitor.connection,
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(follower.run)
--- a/tests/test_odd_entries_fuzz.py
+++ b/tests/test_odd_entries_fuzz.py
@@ -33,6 +33,7 @@
     registration_json,
     sample_config_document,
     sample_settings,
+    steady_connection,
 )
 from tests.log_records import collected_log_records, count_events
 from tests.odd_values import (
@@ -150,7 +151,7 @@
 
 
 def _new_directory() -> EndpointDirectory:
-    return EndpointDirectory(PlatformDecoder(), lambda _seconds: False)
+    return EndpointDirectory(PlatformDecoder(), steady_connection())
 
 
 def _check_endpoints(directory: EndpointDirectory, sound: set[str]) -> set[str]:
