Take a new era of the store for an outage

Callers got 503 although a sound engine was there: its registration was missing in the copy from which the store had been restored.

Cause: a missing registration is kept for a while only if the entry has seen the store down. Between two watches an entry makes no call for up to 1.4 s, so it can miss a short outage; then it removed the engine at once.

Fix: a listing of a new era counts as the recovery from an outage.

--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -342,6 +342,8 @@
         return None
 
     def _replace(self, listing: Listing) -> None:
+        if self.loaded and listing.revision.era != self._revision.era:
+            self.connection.record_restored()
         known_keys = self._items.keys()
         self._items = {item.key: item for item in listing.items}
         removed = tuple(
--- a/src/masticwind/serving/store_connection.py
+++ b/src/masticwind/serving/store_connection.py
@@ -44,6 +44,10 @@
         self._connected_at = boot_time()
         logger.bind(prefix=self._prefix).info('store_connected')
 
+    def record_restored(self) -> None:
+        """Record a new era: the store was down, even if no call failed."""
+        self._connected_at = boot_time()
+
     def record_disconnected(self, failure: Failure, age_s: float) -> None:
         """Record a failed call, and the age of the copy."""
         if self._connected:
