--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -2,8 +2,10 @@
 
 import base64
 import json
+import secrets
+import socket
 from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, closing
 from dataclasses import dataclass, field, replace
 from types import MappingProxyType
 from typing import Any
@@ -45,6 +47,8 @@
 CALL_SERVICE = 'calls'
 ENGINE_SERVICE = 'engines'
 REQUEST_TIMEOUT_S = 5.0
+# Below the ports that the kernel chooses for sockets without one.
+PORTS = range(12_000, 32_000)
 
 
 def route_document(name: str, **fields: Any) -> dict[str, Any]:
@@ -128,18 +132,24 @@
 
 async def free_udp_port() -> int:
     """Return a UDP port that is not in use."""
-    async with await anyio.create_udp_socket(local_host='127.0.0.1') as udp:
-        port = udp.extra(anyio.abc.SocketAttribute.local_port)
-        assert isinstance(port, int)
-        return port
+    return _free_port(socket.SOCK_DGRAM)
 
 
 async def free_tcp_port() -> int:
     """Return a TCP port that is not in use."""
-    async with await anyio.create_tcp_listener(
-        local_host='127.0.0.1'
-    ) as listener:
-        return int(listener.extra(anyio.abc.SocketAttribute.local_port))
+    return _free_port(socket.SOCK_STREAM)
+
+
+def _free_port(kind: socket.SocketKind) -> int:
+    """Return a port that the kernel gives to no other socket meanwhile."""
+    while True:
+        port = secrets.choice(PORTS)
+        with closing(socket.socket(socket.AF_INET, kind)) as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
 
 
 ENGINE_SETTINGS: Mapping[str, float] = MappingProxyType(
