Ignore restored registrations of endpoints that have left

Callers' requests were sent to engines that had left, or were about to, since a restored store listed them as ready.

Cause: the directory took each listing as it is. A copy some seconds old has registrations of engines that have drained or ended since.

Fix: the directory remembers for a minute which processes of endpoints it has seen leaving. After a restore, their listed registrations are ignored until the endpoint writes one, or until 5 s have passed, in which a registration expires whose endpoint is gone. A restarted endpoint is another process and is used at once.

--- a/src/masticwind/serving/directory.py
+++ b/src/masticwind/serving/directory.py
@@ -3,6 +3,10 @@
 An endpoint whose registration disappears is removed at once, unless the store
 has just recovered from an outage: registrations expire during an outage, and
 live endpoints renew them within `RENEWAL_GRACE_S` of the recovery.
+
+A store that was restored from an older copy lists registrations of endpoints
+that have left since. They expire after a while, unless the endpoint is alive,
+and are ignored until then.
 """
 
 import abc
@@ -23,6 +27,10 @@
 
 # Time within which live endpoints register again after a store outage.
 RENEWAL_GRACE_S: Final = 2.2
+# A store is restored from a copy that is at most this old.
+MAX_COPY_AGE_S: Final = 60.0
+# Registrations that are not renewed expire within this time.
+REGISTRATION_TTL_S: Final = 5.0
 
 
 class StoreDecoder(abc.ABC):
@@ -57,6 +65,35 @@
     removed_at: float
 
 
+class _LeftEndpoints:
+    """Endpoints that drained or were removed, in the last `MAX_COPY_AGE_S`."""
+
+    def __init__(self) -> None:
+        self._left: Final[dict[str, _Removed]] = {}
+
+    def add(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint has begun to leave, or has left."""
+        now = boot_time()
+        self._left.pop(endpoint.identity, None)
+        self._left[endpoint.identity] = _Removed(endpoint, now)
+        for identity, left in list(self._left.items()):
+            if now - left.removed_at <= MAX_COPY_AGE_S:
+                break
+            self._left.pop(identity)
+
+    def discard(self, identity: str) -> None:
+        """Forget an endpoint that has registered again."""
+        self._left.pop(identity, None)
+
+    def has(self, endpoint: Endpoint) -> bool:
+        """Tell whether this process of the endpoint was seen to leave."""
+        left = self._left.get(endpoint.identity)
+        return (
+            left is not None
+            and left.endpoint.started_at_ms == endpoint.started_at_ms
+        )
+
+
 class EndpointDirectory(Sink):
     """The registered endpoints by identity, read from a mirror."""
 
@@ -69,11 +106,16 @@
         self._connection: Final = connection
         self._registered: dict[str, _Registered] = {}
         self._removed: Final[dict[str, _Removed]] = {}
+        self._left: Final = _LeftEndpoints()
+        # Listed registrations of endpoints that had left before a restore.
+        self._outdated: dict[str, Item] = {}
         self._unreadable: Final = UnreadableLog('registration_unreadable')
 
     def endpoints(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that accept new work."""
         self._remove_unregistered()
+        if self._outdated:
+            self._accept_outdated()
         found: list[Endpoint] = []
         for registered in self._registered.values():
             endpoint = registered.endpoint
@@ -106,6 +148,7 @@
         """Remove an endpoint so that it gets no more work."""
         registered = self._registered.pop(identity, None)
         if registered is not None:
+            self._left.add(registered.endpoint)
             self._removed[identity] = _Removed(registered.endpoint, boot_time())
             logger.bind(endpoint=identity, reason=reason).info('endpoint_gone')
 
@@ -129,8 +172,14 @@
     def replace_all(self, items: tuple[Item, ...]) -> None:
         """Replace the contents by a complete listing."""
         listed: set[str] = set()
+        self._outdated.clear()
         for item in items:
-            listed.add(self._decoder.endpoint_identity(item.key))
+            identity = self._decoder.endpoint_identity(item.key)
+            listed.add(identity)
+            if self._is_outdated(item):
+                self._outdated[identity] = item
+                logger.bind(endpoint=identity).info('registration_outdated')
+                continue
             self._register(item)
         for identity in list(self._registered):
             if identity not in listed:
@@ -139,12 +188,33 @@
     def apply_changes(self, items: tuple[Item, ...]) -> None:
         """Apply changed and removed registrations."""
         for item in items:
+            identity = self._decoder.endpoint_identity(item.key)
+            self._outdated.pop(identity, None)
             if item.value is None:
                 self._unreadable.forget(item.key)
-                self._handle_unregistered(
-                    self._decoder.endpoint_identity(item.key)
-                )
+                self._handle_unregistered(identity)
                 continue
+            self._left.discard(identity)
+            self._register(item)
+
+    def _is_outdated(self, item: Item) -> bool:
+        """Tell whether a listed endpoint had left before a restore."""
+        if not self._connection.restored_within(REGISTRATION_TTL_S):
+            return False
+        endpoint = self._decoder.decode_endpoint(item)
+        return (
+            not isinstance(endpoint, Failure)
+            and not endpoint.draining
+            and self._left.has(endpoint)
+        )
+
+    def _accept_outdated(self) -> None:
+        """Register endpoints that are alive, as they have not expired."""
+        if self._connection.restored_within(REGISTRATION_TTL_S):
+            return
+        for identity, item in list(self._outdated.items()):
+            self._outdated.pop(identity)
+            self._left.discard(identity)
             self._register(item)
 
     def _register(self, item: Item) -> None:
@@ -169,6 +239,8 @@
             ).info('endpoint_registered')
         self._registered[identity] = _Registered(endpoint)
         self._removed.pop(identity, None)
+        if endpoint.draining:
+            self._left.add(endpoint)
 
     def _handle_unregistered(self, identity: str) -> None:
         registered = self._registered.get(identity)
--- a/src/masticwind/serving/store_connection.py
+++ b/src/masticwind/serving/store_connection.py
@@ -16,6 +16,7 @@
         self._prefix: Final = prefix
         self._connected = False
         self._connected_at = float('-inf')
+        self._restored_at = float('-inf')
         self._reconnected = anyio.Event()
 
     @property
@@ -29,6 +30,10 @@
             not self._connected or boot_time() - self._connected_at <= seconds
         )
 
+    def restored_within(self, seconds: float) -> bool:
+        """Tell whether a new era of the store was seen within `seconds`."""
+        return boot_time() - self._restored_at <= seconds
+
     async def wait_until_connected(self) -> None:
         """Wait until the store answers, unless it answered the last call."""
         while not self._connected:
@@ -47,6 +52,7 @@
     def record_restored(self) -> None:
         """Record a new era: the store was down, even if no call failed."""
         self._connected_at = boot_time()
+        self._restored_at = boot_time()
 
     def record_disconnected(self, failure: Failure, age_s: float) -> None:
         """Record a failed call, and the age of the copy."""
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -9,11 +9,15 @@
 import pytest
 
 from masticwind.errors import Failure
-from masticwind.platform.documents import ENTRIES_PREFIX
+from masticwind.platform.documents import ENTRIES_PREFIX, PlatformDecoder
 from masticwind.platform.store import PlatformStore
-from masticwind.serving.directory import RENEWAL_GRACE_S
+from masticwind.serving.directory import (
+    REGISTRATION_TTL_S,
+    RENEWAL_GRACE_S,
+    EndpointDirectory,
+)
 from masticwind.serving.settings import StoreSettings
-from masticwind.serving.store import Listing
+from masticwind.serving.store import Item, Listing
 from masticwind.settings import Address
 from masticwind.web import (
     Receive,
@@ -29,9 +33,13 @@
 from tests.direct_fleet import DirectFleet, RunningDirectEntry, running_store
 from tests.entry_harness import (
     API_KEY,
+    CALL_SERVICE,
     answer_with_events,
+    registration_json,
     sample_config_document,
+    steady_connection,
 )
+from tests.manual_clock import ManualClock
 from tests.test_crash_archive import ArchivingEntry
 
 pytestmark = pytest.mark.anyio
@@ -187,6 +195,63 @@
         assert len(fleet.engines['e-1'].received) == received
 
 
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
+    """Replace the clock of the directory and its connection."""
+    clock = ManualClock()
+    for module in ('directory', 'store_connection'):
+        monkeypatch.setattr(f'masticwind.serving.{module}.boot_time', clock)
+    return clock
+
+
+def _usable(directory: EndpointDirectory) -> list[str]:
+    return [one.identity for one in directory.endpoints(CALL_SERVICE)]
+
+
+def _item(state: str, **fields: Any) -> Item:
+    value = registration_json(1, state=state, **fields)
+    return Item('servers/e-1', value, 1)
+
+
+@pytest.mark.parametrize(
+    'leaves', [Item('servers/e-1', None, 2), _item('draining')]
+)
+def test_engine_that_was_leaving_is_used_after_a_restore_once_it_is_alive(
+    clock: ManualClock, leaves: Item
+) -> None:
+    """Guards against a restored registration that is used at once, and against
+    a sound engine that is never used again because of it.
+    """
+    connection = steady_connection()
+    directory = EndpointDirectory(PlatformDecoder(), connection)
+    ready = _item('ready')
+    directory.apply_changes((ready,))
+    directory.apply_changes((leaves,))
+    connection.record_restored()
+    directory.replace_all((ready,))
+    assert not _usable(directory)
+    clock.now += REGISTRATION_TTL_S + 1
+    assert _usable(directory) == ['e-1']
+
+
+@pytest.mark.parametrize('fields', [{'born': 2}, {'seq': 2}])
+def test_engine_that_registers_after_a_restore_is_used_at_once(
+    clock: ManualClock, fields: dict[str, int]
+) -> None:
+    """Guards against an engine that is ignored, because it left before the
+    restore under the same identity, or was removed by mistake.
+    """
+    connection = steady_connection()
+    directory = EndpointDirectory(PlatformDecoder(), connection)
+    ready = _item('ready')
+    directory.apply_changes((ready,))
+    directory.apply_changes((Item('servers/e-1', None, 2),))
+    connection.record_restored()
+    directory.replace_all((ready,))
+    directory.apply_changes((_item('ready', **fields),))
+    assert _usable(directory) == ['e-1']
+
+
 async def test_sound_engine_is_kept_in_a_restore_between_two_calls() -> None:
     """Guards against an engine that is lost, because it is missing in the
     restored copy, and the entry made no call during the outage.
