Compare configuration versions with other entries after a restore

Callers with a removed API key were served by an entry that had started after a restore of the store, until the operator had written the configuration again.

Cause: an entry believed what it listed. The restored copy has an older configuration than the other entries; nothing told the new entry.

Fix: confirmations carry the version in force. While another entry has a newer version, the age is not renewed, and the configuration is requested from that entry as a copy. A version number that the operator uses again after a restore is put in force, as the store has acknowledged it last.

--- a/src/masticwind/serving/active_config.py
+++ b/src/masticwind/serving/active_config.py
@@ -1,6 +1,8 @@
 """The operators' configuration in force, and lookups in it.
 
-Versions only increase: an older one is ignored, whatever its source.
+Versions only increase: an older one is ignored, whatever its source. The same
+version can come with other contents, if the store was restored from a copy
+without it and the operator has used its number again.
 """
 
 from masticwind.errors import ErrorKind, Failure
@@ -21,8 +23,11 @@
         self._routes_by_host: dict[str, list[Route]] = {}
 
     def adopt(self, config: FleetConfig) -> bool:
-        """Put a configuration in force if it is newer; tell whether it was."""
-        if config.version <= self.config.version:
+        """Put a configuration in force unless it is older or the same one.
+
+        Returns whether it was put in force.
+        """
+        if config.version < self.config.version or config == self.config:
             return False
         routes_by_host: dict[str, list[Route]] = {}
         for route in config.routes:
--- a/src/masticwind/serving/confirmations.py
+++ b/src/masticwind/serving/confirmations.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from masticwind.budget import MS_PER_S
+from masticwind.serving.config_versions import ConfigVersions
 from masticwind.serving.copies import CopyExchange
 from masticwind.serving.datagrams import PeerAddress, PeerSocket, Receiver
 from masticwind.serving.mirror import Mirror
@@ -24,6 +25,7 @@
     AgeMs,
     Era,
     PendingRequests,
+    Version,
     rounded_up_age_ms,
 )
 from masticwind.serving.peers import EntryPeers
@@ -33,8 +35,11 @@
 CONFIRMATION_REQUEST: Final = 'question'
 CONFIRMATION: Final = 'confirmation'
 MAX_REQUEST_INTERVAL_S: Final = 0.7
-# Interval of the check whether this entry's copy needs a poll of the store.
+# Interval of the check whether this entry's copy needs a poll of the store, and
+# of requests while versions are compared.
 CHECK_INTERVAL_S: Final = 0.1
+# At its start and in a new era, an entry compares its version with so many.
+MAX_CHECKED: Final = 8
 # Two, so that one of them may fail or be disconnected.
 CONFIRMING_ENTRIES: Final = 2
 # Shares of `key_age_ms`, the time for which a removed key may still be
@@ -60,14 +65,15 @@
 class Confirmation(msgspec.Struct, array_like=True):
     """Tells the last change in a copy, and its age on receipt of the request.
 
-    `sent_ms` is copied from the request. Entries of earlier releases send no
-    era.
+    `sent_ms` is copied from the request. `version` is that of the configuration
+    in force. Entries of earlier releases send neither it nor the era.
     """
 
     sent_ms: int
     last_change_revision: int
     age_ms: AgeMs
     era: Era = NO_ERA
+    version: Version = 0
 
 
 class _RequestQueue(Receiver[ConfirmationRequest]):
@@ -98,14 +104,16 @@
         peer_socket: PeerSocket,
         peers: EntryPeers,
         mirror: Mirror,
+        versions: ConfigVersions,
         settings: LiveSettings,
     ) -> None:
         self._settings: Final = settings
+        self._versions: Final = versions
         self._socket: Final = peer_socket
         self._peers: Final = peers
         self._mirror: Final = mirror
         self._pending: Final = PendingRequests()
-        self._copies: Final = CopyExchange(peer_socket, peers, mirror)
+        self._copies: Final = CopyExchange(peer_socket, peers, mirror, versions)
         self._requests: Final = _RequestQueue()
         peer_socket.register(
             CONFIRMATION_REQUEST, ConfirmationRequest, self._requests
@@ -122,7 +130,7 @@
 
     def receive(self, message: Confirmation, sender: PeerAddress) -> None:
         """Apply a received confirmation."""
-        self.apply_reply(message)
+        self.apply_reply(message, sender)
 
     def new_request(self) -> ConfirmationRequest:
         """Create a request to be sent now."""
@@ -138,25 +146,39 @@
         return Confirmation(
             request.sent_ms,
             last_change.number,
-            rounded_up_age_ms(self._mirror.age_s()),
+            rounded_up_age_ms(self._versions.age_s()),
             last_change.era,
+            self._versions.version,
         )
 
-    def apply_reply(self, reply: Confirmation) -> None:
+    def apply_reply(self, reply: Confirmation, sender: PeerAddress) -> None:
         """Apply another entry's reply to a recent request."""
         as_of = self._pending.as_of(reply.sent_ms, reply.age_ms)
-        if as_of is not None:
-            last_change = StoreRevision(reply.era, reply.last_change_revision)
-            self._mirror.confirm(last_change, as_of)
+        if as_of is None:
+            return
+        last_change = StoreRevision(reply.era, reply.last_change_revision)
+        self._mirror.confirm(last_change, as_of)
+        if sender in self._peers.others():
+            self._versions.report(reply.version, reply.sent_ms, sender)
+            if self._versions.is_checking():
+                self._copies.request_if_lacking()
 
     async def _send_requests(self) -> None:
+        next_request_at = 0.0
         while True:
-            await anyio.sleep(random.uniform(0.5, 1) * MAX_REQUEST_INTERVAL_S)
-            self._socket.send(
-                CONFIRMATION_REQUEST,
-                self.new_request(),
-                self._confirming_peers(),
-            )
+            await anyio.sleep(random.uniform(0.5, 1) * CHECK_INTERVAL_S)
+            now = anyio.current_time()
+            self._versions.update()
+            checking = self._versions.is_checking()
+            if not checking and now < next_request_at:
+                continue
+            interval_s = random.uniform(0.5, 1) * MAX_REQUEST_INTERVAL_S
+            next_request_at = now + interval_s
+            asked = self._confirming_peers()
+            if checking:
+                others = self._peers.others()
+                asked = random.sample(others, min(MAX_CHECKED, len(others)))
+            self._socket.send(CONFIRMATION_REQUEST, self.new_request(), asked)
 
     async def _poll_store_if_stale(self) -> None:
         """Poll the store when the copy is old or has missed a change."""
--- a/src/masticwind/serving/copies.py
+++ b/src/masticwind/serving/copies.py
@@ -4,7 +4,8 @@
 something has changed, but not what. Until it knows, it must not accept any
 API key, since the change may have removed one. So it requests complete copies
 from the other entries, one at a time in random order, until its own copy has
-the change.
+the change. A copy also brings a newer version of the configuration, which a
+restored store may have lost.
 
 For each change, each such entry receives one datagram of the size of
 the compressed configuration; entries without the change do not answer.
@@ -20,12 +21,14 @@
 
 from masticwind.decoding import parse_with
 from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.config_versions import ConfigVersions
 from masticwind.serving.datagrams import PeerAddress, PeerSocket, Receiver
 from masticwind.serving.mirror import Mirror
 from masticwind.serving.peer_requests import (
     AgeMs,
     Era,
     PendingRequests,
+    Version,
     rounded_up_age_ms,
 )
 from masticwind.serving.peers import EntryPeers
@@ -48,13 +51,15 @@
 class CopyRequest(msgspec.Struct, array_like=True):
     """Requests a copy that has changes after `revision` of an era.
 
+    A copy with a version of the configuration after `version` is sent too.
     `sent_ms` is on the clock of the entry that asks. Entries of earlier
-    releases send no era.
+    releases send neither era nor version.
     """
 
     sent_ms: int
     revision: int
     era: Era = NO_ERA
+    version: Version | None = None
 
 
 class CopyReply(msgspec.Struct, array_like=True):
@@ -75,9 +80,15 @@
 class _RequestHandler(Receiver[CopyRequest]):
     """Answers the requests of other entries."""
 
-    def __init__(self, peer_socket: PeerSocket, mirror: Mirror) -> None:
+    def __init__(
+        self,
+        peer_socket: PeerSocket,
+        mirror: Mirror,
+        versions: ConfigVersions,
+    ) -> None:
         self._socket: Final = peer_socket
         self._mirror: Final = mirror
+        self._versions: Final = versions
 
     def receive(self, message: CopyRequest, sender: PeerAddress) -> None:
         """Answer if this entry's copy is newer."""
@@ -90,17 +101,20 @@
         mirror = self._mirror
         last_change = mirror.last_change_revision
         known = StoreRevision(request.era or last_change.era, request.revision)
-        if not mirror.loaded or last_change <= known:
+        lacks_version = (
+            request.version is not None
+            and request.version < self._versions.version
+        )
+        if not mirror.loaded or (last_change <= known and not lacks_version):
             return None
-        listing = mirror.listing()
-        compressed = _compress(listing.items)
+        compressed = _compress(self._versions.items())
         if len(compressed) > MAX_COMPRESSED_BYTES:
             logger.bind(bytes=len(compressed)).warning('copy_too_large')
             return None
         return CopyReply(
             sent_ms=request.sent_ms,
-            age_ms=rounded_up_age_ms(mirror.age_s()),
-            revision=listing.revision.number,
+            age_ms=rounded_up_age_ms(self._versions.age_s()),
+            revision=mirror.revision.number,
             last_change_revision=last_change.number,
             compressed=compressed,
             era=last_change.era,
@@ -115,12 +129,14 @@
         peer_socket: PeerSocket,
         peers: EntryPeers,
         mirror: Mirror,
+        versions: ConfigVersions,
     ) -> None:
         self._socket: Final = peer_socket
         self._peers: Final = peers
         self._mirror: Final = mirror
+        self._versions: Final = versions
         self._pending: Final = PendingRequests()
-        self._handler: Final = _RequestHandler(peer_socket, mirror)
+        self._handler: Final = _RequestHandler(peer_socket, mirror, versions)
         peer_socket.register(COPY_REQUEST, CopyRequest, self._handler)
         peer_socket.register(COPY, CopyReply, self)
 
@@ -128,10 +144,16 @@
         """Request copies while a change is missing and cannot be read."""
         while True:
             await anyio.sleep(REQUEST_INTERVAL_S)
-            others = self._peers.others()
-            if others and self.lacks_change():
-                asked = (random.choice(others),)
-                self._socket.send(COPY_REQUEST, self.new_request(), asked)
+            self.request_if_lacking()
+
+    def request_if_lacking(self) -> None:
+        """Request one copy if a change or a version is missing."""
+        asked = self._versions.lacking_from()
+        others = self._peers.others()
+        if asked is None and others and self.lacks_change():
+            asked = random.choice(others)
+        if asked is not None:
+            self._socket.send(COPY_REQUEST, self.new_request(), (asked,))
 
     def lacks_change(self) -> bool:
         """Tell whether the copy lacks a change while the store is down."""
@@ -141,7 +163,10 @@
         """Create a request to be sent now."""
         known = self._mirror.revision
         return CopyRequest(
-            self._pending.open_request(), known.number, known.era
+            self._pending.open_request(),
+            known.number,
+            known.era,
+            self._versions.version,
         )
 
     def answer_request(self, request: CopyRequest) -> CopyReply | None:
@@ -162,7 +187,10 @@
             ).info('copy_taken')
 
     def apply_reply(self, reply: CopyReply) -> bool:
-        """Apply a reply to a recent request if its copy is newer."""
+        """Apply a reply to a recent request if its copy is newer.
+
+        Returns whether anything in it was newer.
+        """
         as_of = self._pending.as_of(reply.sent_ms, reply.age_ms)
         if as_of is None:
             return False
@@ -170,11 +198,12 @@
         if isinstance(items, Failure):
             logger.bind(reason=items.reason).warning('copy_unreadable')
             return False
-        return self._mirror.adopt_copy(
+        adopted = self._mirror.adopt_copy(
             Listing(items, StoreRevision(reply.era, reply.revision)),
             StoreRevision(reply.era, reply.last_change_revision),
             as_of,
         )
+        return self._versions.take_newer(items) or adopted
 
 
 def _compress(items: tuple[Item, ...]) -> bytes:
--- a/src/masticwind/serving/directory.py
+++ b/src/masticwind/serving/directory.py
@@ -270,8 +270,34 @@
         self._unreadable: Final = UnreadableLog(
             'config_unreadable', level='ERROR'
         )
+        # The item that holds the configuration in force.
+        self._config_item: Item | None = None
         self.evacuated_zones: frozenset[str] = frozenset()
 
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force."""
+        return self._active.config.version
+
+    def with_config_in_force(self, items: tuple[Item, ...]) -> tuple[Item, ...]:
+        """Return items with the configuration in force, if they have another.
+
+        A restored store lists an older one.
+        """
+        held = self._config_item
+        if held is None:
+            return items
+        return (*(item for item in items if item.key != held.key), held)
+
+    def take_newer_config(self, items: tuple[Item, ...]) -> bool:
+        """Adopt the configuration among items if its version is newer."""
+        version = self.version
+        for item in items:
+            config = self._decoder.decode_config(item)
+            if isinstance(config, FleetConfig) and config.version > version:
+                self._apply_config(item)
+        return self.version > version
+
     def replace_all(self, items: tuple[Item, ...]) -> None:
         """Replace the contents by a complete listing."""
         zones: set[str] = set()
@@ -301,6 +327,7 @@
             return
         self._unreadable.forget(item.key)
         if self._active.adopt(config):
+            self._config_item = item
             logger.bind(
                 version=config.version,
                 routes=len(config.routes),
--- a/src/masticwind/serving/peer_requests.py
+++ b/src/masticwind/serving/peer_requests.py
@@ -17,9 +17,12 @@
 # The latest requests whose replies are accepted. Replies to earlier ones
 # hardly help: the ages in them count from the earlier send time.
 MAX_PENDING_REQUESTS: Final = 8
+# Age of a copy that was never confirmed.
+MAX_AGE_S: Final = 1_000_000.0
 
 AgeMs = Annotated[int, msgspec.Meta(ge=0)]
 Era = Annotated[int, msgspec.Meta(ge=0)]
+Version = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class PendingRequests:
@@ -47,4 +50,4 @@
 
 def rounded_up_age_ms(age_s: float) -> int:
     """Return an age in milliseconds, rounded up so no copy looks younger."""
-    return math.ceil(age_s * MS_PER_S)
+    return math.ceil(min(age_s, MAX_AGE_S) * MS_PER_S)
--- a/src/masticwind/serving/peers.py
+++ b/src/masticwind/serving/peers.py
@@ -114,6 +114,11 @@
         """Tell whether this entry ranks first for an endpoint."""
         return self.permit_granter(identity) == self._node
 
+    @property
+    def loaded(self) -> bool:
+        """Whether the registrations have been read."""
+        return self._loaded
+
     @property
     def is_registered(self) -> bool:
         """Whether this entry is among the registered ones."""
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -11,6 +11,7 @@
 from masticwind.serving.adapter import PlatformAdapter
 from masticwind.serving.bounds import RetryBudget
 from masticwind.serving.cleanup import build_cleanup
+from masticwind.serving.config_versions import ConfigVersions
 from masticwind.serving.confirmations import Confirmations
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.directory import (
@@ -130,9 +131,12 @@
             adapter.store,
             adapter.prefixes.crashes,
         )
+        self._versions: Final = ConfigVersions(
+            self._config_mirror, self._operator_state, self._peers
+        )
         self._freshness: Final = ConfigFreshness(
             settings,
-            self._config_mirror.age_s,
+            self._versions.age_s,
         )
         self._telemetry: Final = Telemetry()
         self._lifetime: Final = Lifetime()
@@ -181,6 +185,7 @@
             self._peer_socket,
             self._peers,
             self._config_mirror,
+            self._versions,
             self._settings,
         )
         async with anyio.create_task_group() as tasks:
@@ -257,7 +262,9 @@
     async def _wait_until_loaded(self) -> None:
         """Wait for the mirrors to load; callers wait in the listen backlog."""
         with anyio.move_on_after(MAX_STARTUP_WAIT_S):
-            while not (self._loaded() and self._entries_mirror.loaded):
+            while not (self._loaded() and self._entries_mirror.loaded) or (
+                self._versions.is_checking()
+            ):
                 await anyio.sleep(STARTUP_POLL_INTERVAL_S)
 
     def _loaded(self) -> bool:
@@ -314,7 +321,7 @@
         add_gauge(
             'masticwind_config_age_seconds',
             'Time since the configuration was last confirmed',
-            self._config_mirror.age_s,
+            self._versions.age_s,
         )
         add_gauge(
             'masticwind_endpoints',
--- a/tests/test_confirmation_machine.py
+++ b/tests/test_confirmation_machine.py
@@ -19,12 +19,16 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import Failure
+from masticwind.platform.documents import PlatformDecoder
+from masticwind.serving.active_config import ActiveConfig
+from masticwind.serving.config_versions import ConfigVersions
 from masticwind.serving.confirmations import (
     Confirmation,
     Confirmations,
 )
 from masticwind.serving.copies import MAX_COPY_BYTES, CopyExchange, CopyReply
-from masticwind.serving.datagrams import PeerSocket
+from masticwind.serving.datagrams import PeerAddress, PeerSocket
+from masticwind.serving.directory import OperatorState
 from masticwind.serving.mirror import (
     Mirror,
     MirrorOptions,
@@ -45,6 +49,7 @@
 from tests.manual_clock import ManualClock
 from tests.unwritable_store import DOWN, UnwritableStore
 
+OTHER: Final = PeerAddress('127.0.0.1', 1)
 KEYS: Final = ('op/config', 'op/evacuate/zone-a', 'op/evacuate/zone-b')
 
 
@@ -179,13 +184,22 @@
         )
         cfg = sample_settings()
         peers = EntryPeers(cfg)
+        peers.replace_all(())
+        versions = ConfigVersions(
+            self.mirror,
+            OperatorState(PlatformDecoder(), ActiveConfig()),
+            peers,
+        )
         self.confirmations: Final = Confirmations(
             PeerSocket(cfg),
             peers,
             self.mirror,
+            versions,
             LiveSettings(cfg),
         )
-        self.exchange: Final = CopyExchange(PeerSocket(cfg), peers, self.mirror)
+        self.exchange: Final = CopyExchange(
+            PeerSocket(cfg), peers, self.mirror, versions
+        )
 
     def replace_all(self, items: tuple[Item, ...]) -> None:
         """Replace the contents by a listing."""
@@ -222,6 +236,7 @@
             'mirror',
             'peer_requests',
             'reported_changes',
+            'config_versions',
             'store_eras',
         ):
             name = f'masticwind.serving.{module}.boot_time'
@@ -325,7 +340,7 @@
         """A reply arrives, possibly delayed, out of order or duplicated."""
         if self.replies:
             entry, reply = self.replies[-1 if newest else 0]
-            self.copies[entry].confirmations.apply_reply(reply)
+            self.copies[entry].confirmations.apply_reply(reply, OTHER)
 
     @rule(entry=st.integers(0, 1), delay_s=st.floats(0, 1))
     def request_copy(self, entry: int, delay_s: float) -> None:
@@ -393,7 +408,7 @@
             early.confirmations.new_request()
         )
         assert reply is not None
-        early.confirmations.apply_reply(reply)
+        early.confirmations.apply_reply(reply, OTHER)
         machine.advance_clock(CHANGE_GRACE_S)
         if early.mirror.has_missed_change():
             polls += 1
@@ -463,7 +478,8 @@
     _run(copy.mirror.sync_once())
     request = copy.confirmations.new_request()
     copy.confirmations.apply_reply(
-        Confirmation(request.sent_ms, 1_000_000, 0, machine.history.era)
+        Confirmation(request.sent_ms, 1_000_000, 0, machine.history.era),
+        OTHER,
     )
     _run(copy.mirror.poll())
     _run(copy.mirror.sync_once())
@@ -497,7 +513,8 @@
     later_ms = int(machine.clock() * MS_PER_S) + 60_000
     last_change = copy.mirror.last_change_revision
     copy.confirmations.apply_reply(
-        Confirmation(later_ms, last_change.number, 0, last_change.era)
+        Confirmation(later_ms, last_change.number, 0, last_change.era),
+        OTHER,
     )
     assert copy.mirror.age_s() == 5
 
@@ -555,7 +572,9 @@
     polls = 0
     for _ in range(20):
         request = copy.confirmations.new_request()
-        copy.confirmations.apply_reply(Confirmation(request.sent_ms, 9, 0, era))
+        copy.confirmations.apply_reply(
+            Confirmation(request.sent_ms, 9, 0, era), OTHER
+        )
         machine.advance_clock(CHANGE_GRACE_S)
         if copy.mirror.has_missed_change():
             polls += 1
@@ -571,4 +590,4 @@
         asking.confirmations.new_request()
     )
     assert reply is not None
-    asking.confirmations.apply_reply(reply)
+    asking.confirmations.apply_reply(reply, OTHER)
