--- a/src/masticwind_dev/soak/callers.py
+++ b/src/masticwind_dev/soak/callers.py
@@ -44,8 +44,7 @@
     """Violated guarantees and the number of answers of each kind.
 
     After `fault_free_since` there are no faults and their effects must be
-    over: each request with the permanent API key must be served and run
-    only once.
+    over: each request with a valid API key must be served and run only once.
     """
 
     violations: list[str] = field(default_factory=list)
@@ -113,7 +112,8 @@
         started = time.monotonic()
         is_key_expired = self._keys.is_expired(key, started)
         is_fault_free = (
-            key == PERMANENT_KEY and started > self._findings.fault_free_since
+            key in self._keys.valid_keys
+            and started > self._findings.fault_free_since
         )
         if is_fault_free:
             self._findings.fault_free_ids.add(request_id)
--- a/src/masticwind_dev/soak/environment.py
+++ b/src/masticwind_dev/soak/environment.py
@@ -13,7 +13,7 @@
 import subprocess
 import sys
 import time
-from collections import Counter
+from collections import Counter, deque
 from contextlib import closing
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -24,11 +24,12 @@
 from anyio.abc import TaskGroup
 
 from masticwind.budget import MS_PER_S
+from masticwind.platform.documents import ENTRIES_PREFIX
 from masticwind.settings import Address
 from masticwind.web import WebServer
 from masticwind_dev.faults.proxy import TcpProxy
 from masticwind_dev.standins.limit_audit import LimitAudit
-from masticwind_dev.standins.metadata import MetadataStandin
+from masticwind_dev.standins.metadata import MetadataStandin, StoreCopy
 from masticwind_dev.standins.raw_endpoint import (
     LAST_CHUNK,
     RawConnection,
@@ -47,6 +48,11 @@
 SHUTDOWN_MS: Final = 3000
 # Maximum time for which a removed API key may still be accepted.
 KEY_AGE_MS: Final = 5000
+COPY_INTERVAL_S: Final = 0.2
+# The oldest copy, an outage and the time until all is written again last less
+# than `KEY_AGE_MS` together: all entries may have started again meanwhile, and
+# then none of them knows which key was removed.
+MAX_COPIES: Final = 12
 
 
 def caller_name(number: int) -> str:
@@ -358,10 +364,14 @@
             for number in range(ENTRIES)
         ]
         self.config_version = 1
+        self.store_copies: Final = deque[StoreCopy](maxlen=MAX_COPIES)
+        # The newest value of each key, whatever the store has.
+        self._written: Final[dict[str, bytes]] = {}
 
     async def start(self, tasks: TaskGroup) -> None:
         """Start all parts; the entries become ready some time later."""
         tasks.start_soon(self._server.run)
+        tasks.start_soon(self.copy_store)
         for endpoint in self.endpoints:
             await endpoint.start(tasks)
             self.register(endpoint)
@@ -370,20 +380,42 @@
             tasks.start_soon(entry.store_proxy.run)
             tasks.start_soon(entry.run)
 
+    async def copy_store(self) -> None:
+        """Copy the store at intervals until cancelled."""
+        while True:
+            self.store_copies.append(self.store.copy())
+            await anyio.sleep(COPY_INTERVAL_S)
+
+    def write_again(self) -> None:
+        """Write what a restored store has lost, as its writers do."""
+        for key, value in self._written.items():
+            if self.store.read(key) != value:
+                self.store.write(key, value)
+
+    def unregistered_entries(self) -> list[str]:
+        """Return the entries that the store does not know."""
+        return [
+            entry.name
+            for entry in self.entries
+            if self.store.read(f'{ENTRIES_PREFIX}{entry.name}') is None
+        ]
+
     def register(
         self, endpoint: StandinEndpoint, *, leaving: bool = False
     ) -> None:
         """Write the registration of an endpoint to the store."""
         value = endpoint.registration(leaving=leaving)
-        self.store.write(f'servers/{endpoint.name}', value)
+        self._write(f'servers/{endpoint.name}', value)
 
     def write_next_config(self) -> None:
         """Write the next version of the configuration."""
         self.config_version += 1
         self.keys.rotate(self.config_version)
-        self.store.write(
-            'op/config', json.dumps(self._config_document()).encode()
-        )
+        self._write('op/config', json.dumps(self._config_document()).encode())
+
+    def _write(self, key: str, value: bytes) -> None:
+        self._written[key] = value
+        self.store.write(key, value)
 
     def _config_document(self) -> dict[str, Any]:
         routes = [
--- a/src/masticwind_dev/soak/faults.py
+++ b/src/masticwind_dev/soak/faults.py
@@ -19,6 +19,7 @@
 
 MAX_FAULT_S: Final = 1.5
 MAX_FAULT_INTERVAL_S: Final = 0.6
+MAX_RESTORE_S: Final = 0.8
 LIMITS_PER_S: Final = (0.2, 1, 3)
 MIN_LIMIT_S: Final = 5.0
 MAX_LIMIT_S: Final = 10.0
@@ -62,6 +63,7 @@
             self._drain_and_restore_endpoint,
             self._write_next_config,
             self._limit_endpoint,
+            self._restore_store,
         )
         while True:
             fault = self._random.choice(faults)
@@ -74,6 +76,7 @@
         environment = self._environment
         environment.store.switches.outage = False
         environment.store.switches.silent = False
+        environment.write_again()
         for endpoint in environment.endpoints:
             endpoint.faults = EndpointFaults()
             endpoint.limit(None)
@@ -164,6 +167,24 @@
             await anyio.sleep(self._random_duration_s())
             setattr(store.switches, store_fault, False)
 
+    async def _restore_store(self) -> None:
+        """Restore the store from an older copy, with or without an outage.
+
+        What it has lost is written again some time later.
+        """
+        environment = self._environment
+        switches = environment.store.switches
+        outage_s = self._random.choice((0, MAX_RESTORE_S))
+        switches.outage = switches.outage or bool(outage_s)
+        environment.store.restore(self._random.choice(environment.store_copies))
+        if self._random.random() < 1 / 2:
+            # The new era passes the revisions of the one before.
+            environment.write_again()
+        await anyio.sleep(outage_s)
+        switches.outage = False
+        await anyio.sleep(self._random.uniform(0, MAX_RESTORE_S))
+        environment.write_again()
+
     async def _drain_and_restore_endpoint(self) -> None:
         endpoint = self._random_endpoint()
         self._environment.register(endpoint, leaving=True)
--- a/src/masticwind_dev/soak/main.py
+++ b/src/masticwind_dev/soak/main.py
@@ -153,6 +153,8 @@
         await anyio.sleep(AVOIDANCE_S)
         findings.fault_free_since = time.monotonic()
         await anyio.sleep(FAULT_FREE_S)
+        for name in environment.unregistered_entries():
+            findings.violations.append(f'{name} is not registered')
         caller_tasks.cancel_scope.cancel()
 
 
--- a/src/masticwind_dev/standins/metadata.py
+++ b/src/masticwind_dev/standins/metadata.py
@@ -7,6 +7,7 @@
 
 import base64
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from functools import partial
 from typing import Any, Final
@@ -27,7 +28,8 @@
 
     With `silent`, requests get no answer; with `outage`, they get 503. With
     `deaf`, watches see no changes. `late_s` delays each answer. `era_headers`
-    replaces the header that names the era.
+    replaces the header that names the era. With `hangs_at_restore`, watches
+    that are open during a restore are never answered.
     """
 
     outage: bool = False
@@ -35,6 +37,7 @@
     deaf: bool = False
     late_s: float = 0
     era_headers: tuple[tuple[bytes, bytes], ...] | None = None
+    hangs_at_restore: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,18 +161,16 @@
 
     async def _serve(
         self,
-        handler: Handler,
+        handler: Callable[[StandinRequest], Awaitable[Response]],
         req: StandinRequest,
-    ) -> Response | None:
+    ) -> Response:
         self.calls[handler.__name__.strip('_')] += 1
         await anyio.sleep(self.switches.late_s)
         while self.switches.silent:
             await anyio.sleep(0.01)
-        response: Response | None = json_response(503, {'error': 'outage'})
+        response = json_response(503, {'error': 'outage'})
         if not self.switches.outage:
             response = await handler(req)
-        if response is None:
-            return None
         return replace(response, headers=self._era_headers())
 
     def _era_headers(self) -> tuple[tuple[bytes, bytes], ...]:
@@ -193,7 +194,7 @@
             },
         )
 
-    async def _watch(self, req: StandinRequest) -> Response | None:
+    async def _watch(self, req: StandinRequest) -> Response:
         after = req.query_int('after')
         self.calls[f'watch {req.query["prefix"]}'] += 1
         if not self._compacted_revision <= after <= self._revision:
@@ -208,8 +209,9 @@
         if self.switches.silent:
             await anyio.sleep_forever()
         if self.era != era:
-            # A restart of the store ends the connection.
-            return None
+            if self.switches.hangs_at_restore:
+                await anyio.sleep_forever()
+            return json_response(503, {'error': 'restart'})
         return json_response(
             200,
             {
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -108,13 +108,16 @@
         yield fleet
 
 
-async def test_change_below_a_known_revision_is_in_force_after_a_restore() -> (
-    None
-):
+@pytest.mark.parametrize('watches_hang', [False, True])
+async def test_change_below_a_known_revision_is_in_force_after_a_restore(
+    *,
+    watches_hang: bool,
+) -> None:
     """Guards against a key of the newest configuration that is refused,
     because the new era of the store has passed the revision of the old one.
     """
     async with running_fleet(entries=2) as fleet:
+        fleet.store.switches.hangs_at_restore = watches_hang
         copy = fleet.store.copy()
         for version in range(10, 10 + LOST_WRITES):
             fleet.write_config(version, API_KEY)
