--- a/src/masticwind/entry/attempts.py
+++ b/src/masticwind/entry/attempts.py
@@ -37,7 +37,7 @@
     Revoke,
     Revoked,
 )
-from masticwind.serving.crash_evidence import PromptFingerprint
+from masticwind.serving.fingerprints import RequestFingerprint
 
 OFFER_TIMEOUT_S: Final = 1.0
 REVOKE_TIMEOUT_S: Final = 1.0
@@ -54,7 +54,7 @@
     reason='the agent restarted and lost the request',
 )
 
-NO_FINGERPRINT: Final = PromptFingerprint()
+NO_FINGERPRINT: Final = RequestFingerprint()
 
 Emit = Callable[[Tokens], Awaitable[None]]
 
@@ -78,7 +78,7 @@
     budget: Budget
     trace: str = ''
     earlier_handles: str = ''
-    fingerprint: PromptFingerprint = NO_FINGERPRINT
+    fingerprint: RequestFingerprint = NO_FINGERPRINT
     active: ActiveRequest = field(default_factory=ActiveRequest, compare=False)
 
 
--- a/src/masticwind/entry/crash_gossip.py
+++ b/src/masticwind/entry/crash_gossip.py
@@ -17,13 +17,13 @@
 from masticwind.errors import ErrorKind, Failure
 from masticwind.protocol.messages import MAX_USAGE_CRASHES
 from masticwind.serving.bounds import EntryFleet
-from masticwind.serving.crash_evidence import (
+from masticwind.serving.crash_evidence import CrashEvidence
+from masticwind.serving.evidence_link import CrashReport, EvidenceLink
+from masticwind.serving.fingerprints import (
     MAX_PARTS,
-    CrashEvidence,
-    PromptFingerprint,
+    RequestFingerprint,
     fingerprint,
 )
-from masticwind.serving.evidence_link import CrashReport, EvidenceLink
 
 CLEANUP_INTERVAL_S: Final = 1.0
 
@@ -33,7 +33,7 @@
 
 def prompt_fingerprint(
     prompt: bytes, prefix_hashes: tuple[int, ...]
-) -> PromptFingerprint:
+) -> RequestFingerprint:
     """Return the keys of a prompt: its leading blocks, and all of it."""
     blocks = [f'{block:016x}' for block in prefix_hashes[:MAX_PARTS]]
     return fingerprint((*blocks, xxhash.xxh3_128_hexdigest(prompt)))
--- a/src/masticwind/serving/crash_evidence.py
+++ b/src/masticwind/serving/crash_evidence.py
@@ -25,13 +25,15 @@
 from typing import Annotated, Final
 
 import msgspec
-import xxhash
 
 from masticwind.budget import boot_time
+from masticwind.serving.fingerprints import (
+    MAX_KEY_CHARS,
+    MAX_PARTS,
+    RequestFingerprint,
+    is_whole_request,
+)
 
-# A request with more parts than this is judged by its first ones only.
-MAX_PARTS: Final = 64
-MAX_KEY_CHARS: Final = 64
 MAX_SUSPECTS: Final = 16
 MAX_CLEARED: Final = MAX_SUSPECTS * (MAX_PARTS + 1)
 MAX_CRASHES: Final = 256
@@ -51,7 +53,6 @@
 # Time after the last crash for which a key is held; doubles with each crash.
 INITIAL_HOLD_S: Final = 30.0
 MAX_HOLD_S: Final = 1800.0
-_PROMPT_KEY: Final = 'prompt:'
 
 Key = Annotated[str, msgspec.Meta(max_length=MAX_KEY_CHARS)]
 Score = Annotated[int, msgspec.Meta(ge=0, le=MAX_SCORE)]
@@ -61,34 +62,6 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class PromptFingerprint:
-    """The keys of a prompt; a request without a prompt has none.
-
-    `parts` lacks the last part, which belongs to the request alone.
-    """
-
-    prompt: str = ''
-    parts: tuple[str, ...] = ()
-
-    @property
-    def keys(self) -> tuple[str, ...]:
-        """All keys of the prompt."""
-        return (self.prompt, *self.parts) if self.prompt else ()
-
-
-def fingerprint(prompt_parts: tuple[str, ...]) -> PromptFingerprint:
-    """Return the keys of a prompt with these parts."""
-    if not prompt_parts:
-        return PromptFingerprint()
-    digest = xxhash.xxh3_128_hexdigest('\n'.join(prompt_parts).encode())
-    *shared_parts, _own_part = prompt_parts
-    return PromptFingerprint(
-        f'{_PROMPT_KEY}{digest}',
-        tuple(limit_length(part) for part in shared_parts[:MAX_PARTS]),
-    )
-
-
 class Suspect(msgspec.Struct, array_like=True, frozen=True, order=True):
     """A prompt that had no event yet when its engine crashed.
 
@@ -234,7 +207,7 @@
         """Return the holds by their keys."""
         return dict(self._holds)
 
-    def find_hold(self, prompt: PromptFingerprint) -> Hold | None:
+    def find_hold(self, prompt: RequestFingerprint) -> Hold | None:
         """Return the hold that rejects a prompt, if there is one."""
         if not self._holds:
             return None
@@ -313,7 +286,7 @@
         score = max(_score(crash, suspect, key) for crash, suspect in accusing)
         self._scores[key] = score
         prompts = {suspect.prompt for _, suspect in accusing}
-        min_prompts = 1 if key.startswith(_PROMPT_KEY) else MIN_PROMPTS
+        min_prompts = 1 if is_whole_request(key) else MIN_PROMPTS
         if (
             score < HELD_SCORE
             or len(crashes) < MIN_CRASHES
@@ -366,17 +339,10 @@
     key: str, accusing: list[tuple[Crash, Suspect]]
 ) -> frozenset[str]:
     """Return the parts that all these prompts share with the key."""
-    if key.startswith(_PROMPT_KEY):
+    if is_whole_request(key):
         return frozenset((key,))
     common_parts: set[str] | None = None
     for crash, suspect in accusing:
         parts = set(suspect.parts) - crash.cleared
         common_parts = parts if common_parts is None else common_parts & parts
     return frozenset((key, *(common_parts or ())))
-
-
-def limit_length(name: str) -> str:
-    """Return a name, or a digest of it if it is too long for a report."""
-    if len(name) <= MAX_KEY_CHARS:
-        return name
-    return xxhash.xxh3_128_hexdigest(name.encode())
--- a/src/masticwind/serving/evidence_link.py
+++ b/src/masticwind/serving/evidence_link.py
@@ -14,12 +14,12 @@
 from masticwind.serving.crash_evidence import (
     EVIDENCE_TTL_S,
     MAX_CLEARED,
-    MAX_KEY_CHARS,
     MAX_SUSPECTS,
     CrashEvidence,
     Key,
     Suspect,
 )
+from masticwind.serving.fingerprints import MAX_KEY_CHARS
 
 # The time of a crash in a message is an age, so clocks are never compared.
 MAX_AGE_MS: Final = int(EVIDENCE_TTL_S * MS_PER_S)
--- /dev/null
+++ b/src/masticwind/serving/fingerprints.py
@@ -0,0 +1,87 @@
+"""The keys under which crashes of engines are counted.
+
+A request with a prompt has the keys of its prompt and of the parts that other
+prompts share. Any other request, a call, has one key: two calls are the same
+to an engine if method, host, target, team and body are the same.
+"""
+
+import hashlib
+from dataclasses import dataclass
+from typing import Final
+
+import xxhash
+
+from masticwind.serving.model import CallerRequest
+
+# A request with more parts than this is judged by its first ones only.
+MAX_PARTS: Final = 64
+MAX_KEY_CHARS: Final = 64
+DIGEST_BYTES: Final = 16
+LENGTH_BYTES: Final = 8
+_PROMPT_KEY: Final = 'prompt:'
+_CALL_KEY: Final = 'call:'
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFingerprint:
+    """The keys of a request; `whole` stands for all of it.
+
+    `parts` lacks the last part of the prompt, which belongs to the request
+    alone.
+    """
+
+    whole: str = ''
+    parts: tuple[str, ...] = ()
+
+    @property
+    def keys(self) -> tuple[str, ...]:
+        """All keys of the request."""
+        return (self.whole, *self.parts) if self.whole else ()
+
+
+def fingerprint(prompt_parts: tuple[str, ...]) -> RequestFingerprint:
+    """Return the keys of a prompt with these parts, none without parts."""
+    if not prompt_parts:
+        return RequestFingerprint()
+    digest = xxhash.xxh3_128_hexdigest('\n'.join(prompt_parts).encode())
+    *shared_parts, _own_part = prompt_parts
+    return RequestFingerprint(
+        f'{_PROMPT_KEY}{digest}',
+        tuple(limit_length(part) for part in shared_parts[:MAX_PARTS]),
+    )
+
+
+def call_fingerprint(req: CallerRequest, team: str) -> RequestFingerprint:
+    """Return the key of a call; this reads the whole body.
+
+    The digest is a cryptographic one, so that no team can make a call with the
+    key of another one's.
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for text in (
+        req.method.encode(),
+        req.host.lower().encode(),
+        req.target,
+        team.encode(),
+    ):
+        digest.update(len(text).to_bytes(LENGTH_BYTES, 'big'))
+        digest.update(text)
+    digest.update(req.body)
+    return RequestFingerprint(f'{_CALL_KEY}{digest.hexdigest()}')
+
+
+def is_call(key: str) -> bool:
+    """Tell whether a key is that of a call."""
+    return key.startswith(_CALL_KEY)
+
+
+def is_whole_request(key: str) -> bool:
+    """Tell whether a key stands for one request, which may come again."""
+    return key.startswith((_PROMPT_KEY, _CALL_KEY))
+
+
+def limit_length(name: str) -> str:
+    """Return a name, or a digest of it if it is too long for a report."""
+    if len(name) <= MAX_KEY_CHARS:
+        return name
+    return xxhash.xxh3_128_hexdigest(name.encode())
--- a/src/masticwind/serving/quarantine.py
+++ b/src/masticwind/serving/quarantine.py
@@ -25,16 +25,11 @@
 from masticwind.serving.attempt_context import AttemptState
 from masticwind.serving.bounds import EntryFleet
 from masticwind.serving.crash_archive import CrashArchive
-from masticwind.serving.crash_evidence import (
-    CrashEvidence,
-    Hold,
-    PromptFingerprint,
-    Suspect,
-    limit_length,
-)
+from masticwind.serving.crash_evidence import CrashEvidence, Hold, Suspect
 from masticwind.serving.crash_link import CrashLink
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.evidence_link import EvidenceLink
+from masticwind.serving.fingerprints import RequestFingerprint, limit_length
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.store import MetadataStore
 
@@ -69,7 +64,7 @@
     """
 
     request_id: str
-    prompt: PromptFingerprint
+    prompt: RequestFingerprint
     prior_scores: tuple[int, ...]
     attempt: AttemptState
     proved_sound: bool = False
@@ -170,7 +165,7 @@
         return True
 
     def check(
-        self, prompt: PromptFingerprint, request_id: str
+        self, prompt: RequestFingerprint, request_id: str
     ) -> Failure | None:
         """Return the rejection of a prompt, None if it may be sent."""
         hold = self._evidence.find_hold(prompt)
@@ -184,7 +179,7 @@
         )
 
     def start(
-        self, prompt: PromptFingerprint, request_id: str, attempt: AttemptState
+        self, prompt: RequestFingerprint, request_id: str, attempt: AttemptState
     ) -> RunningPrompt:
         """Track a prompt that is sent to an engine, until `end`."""
         running = RunningPrompt(
@@ -226,7 +221,7 @@
             Suspect(
                 request_id=limit_length(running.request_id),
                 answer_begun=running.attempt.answer_begun,
-                prompt=running.prompt.prompt,
+                prompt=running.prompt.whole,
                 parts=running.prompt.parts,
                 prior_scores=running.prior_scores,
                 answered_parts=self._answered.among(running.prompt.parts),
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -30,10 +30,10 @@
 from masticwind.serving.bounds import ColdEndpointLimiter, RetryBudget
 from masticwind.serving.completion_times import CompletionTimes
 from masticwind.serving.crash_detector import CrashDetector
-from masticwind.serving.crash_evidence import fingerprint
 from masticwind.serving.directory import EndpointDirectory, OperatorState
 from masticwind.serving.endpoint_limits import Permit
 from masticwind.serving.endpoint_notices import EndpointNotices
+from masticwind.serving.fingerprints import fingerprint
 from masticwind.serving.health import EndpointHealth
 from masticwind.serving.interfaces import (
     CallerAnswer,
--- a/tests/scripted_relay.py
+++ b/tests/scripted_relay.py
@@ -25,7 +25,8 @@
     Revoke,
     Revoked,
 )
-from masticwind.serving.crash_evidence import CrashEvidence, fingerprint
+from masticwind.serving.crash_evidence import CrashEvidence
+from masticwind.serving.fingerprints import fingerprint
 from masticwind.serving.quarantine import Quarantine
 from tests.routing_fakes import entry_settings, fake_job, fake_link
 from tests.scenarios import sample_config
--- a/tests/test_chat_poison.py
+++ b/tests/test_chat_poison.py
@@ -135,7 +135,7 @@
     )
     assert one.parts[0] == other.parts[0]
     assert one.parts[1] != other.parts[1]
-    assert one.prompt != other.prompt
+    assert one.whole != other.whole
 
 
 async def test_held_prompt_is_not_offered_to_an_agent() -> None:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -13,14 +13,13 @@
     EVIDENCE_TTL_S,
     INITIAL_HOLD_S,
     MAX_CRASHES,
-    MAX_PARTS,
     CrashEvidence,
     Suspect,
-    fingerprint,
 )
 from masticwind.serving.crash_link import CrashLink
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.evidence_link import CrashReport
+from masticwind.serving.fingerprints import MAX_PARTS, fingerprint
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.quarantine import Quarantine, RunningPrompt
 from tests.entry_harness import peers_of_each_entry, sample_settings
--- a/tests/test_crash_machine.py
+++ b/tests/test_crash_machine.py
@@ -18,14 +18,11 @@
     rule,
 )
 
-from masticwind.serving.crash_evidence import (
-    CrashEvidence,
-    Suspect,
-    fingerprint,
-)
+from masticwind.serving.crash_evidence import CrashEvidence, Suspect
 from masticwind.serving.crash_link import CRASH, CrashLink
 from masticwind.serving.datagrams import PeerAddress, PeerSocket
 from masticwind.serving.evidence_link import CrashReport
+from masticwind.serving.fingerprints import fingerprint
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.store import Item
 from tests.entry_harness import sample_settings
@@ -131,7 +128,7 @@
                 Suspect(
                     request_id=request_id,
                     answer_begun=True,
-                    prompt=prompt.prompt,
+                    prompt=prompt.whole,
                     parts=prompt.parts,
                     prior_scores=tuple(
                         entry.evidence.score(key) for key in prompt.keys
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -15,7 +15,7 @@
 from masticwind.config.current import token_digest
 from masticwind.entry.tier_outcomes import TierOutcomeCounter
 from masticwind.serving.attempt_context import AttemptState
-from masticwind.serving.crash_evidence import PromptFingerprint
+from masticwind.serving.fingerprints import RequestFingerprint
 from masticwind_dev.local.fleet import FleetPlan, running_fleet
 from masticwind_dev.standins.engine import EngineModel
 from tests.scenarios import sample_config
@@ -161,7 +161,7 @@
             attempt = AttemptState()
             attempt.answer_begun = True
             running = entry.quarantine.start(
-                PromptFingerprint(prompt=f'prompt:{number}', parts=('poison',)),
+                RequestFingerprint(whole=f'prompt:{number}', parts=('poison',)),
                 f'r{number}',
                 attempt,
             )
