Hold a call that ends each engine that runs it

Callers got 503 for all reads and orders of a service, as one read that came again had ended its engines one after the other: nine in the record, two or three each time that it came.

Cause: a request without prompt parts had no key, so crashes under it were never checked, counted or held. Behind that: a crash under a request whose answer has no head before its end counts a quarter of what a hold needs, so a hold would have come one crash late, and the trials after a hold had no bound.

Fix: a call has a key of method, host, target, team and body. The digest is made only if a crash speaks against any call, or the call itself ended an engine. A call is held after three crashes, each under an attempt that was sent after the one before was known; a crash is divided among the requests that were present at as many crashes. Any answer clears it, one with status 500 too. After the hold, all entries together try it twice; then it stays held until an operator releases it or the evidence expires, after 24 h rather than one. The same bound holds for whole prompts.

--- a/src/masticwind/serving/crash_detector.py
+++ b/src/masticwind/serving/crash_detector.py
@@ -5,8 +5,10 @@
 ended refuses the next connection.
 """
 
+import math
 from typing import Final
 
+import anyio
 from loguru import logger
 
 from masticwind.errors import ErrorKind, Failure
@@ -16,6 +18,8 @@
 from masticwind.serving.load_table import LoadTable
 from masticwind.serving.telemetry import Telemetry
 
+MAX_CALL_CHECK_S: Final = 0.1
+
 
 class CrashDetector:
     """Checks the endpoints of attempts that broke off before any event."""
@@ -33,19 +37,16 @@
     async def has_crashed(
         self, context: AttemptContext, failure: Failure
     ) -> bool:
-        """Tell whether the endpoint crashed before it wrote an event.
-
-        Attempts without a prompt are not checked.
-        """
-        if not context.admitted.req.prompt_parts:
-            return False
+        """Tell whether the endpoint crashed before it wrote an event."""
         if failure.kind is not ErrorKind.FAILED_AFTER_START:
             return False
         if context.progress.event_count or context.progress.last_event_id:
             # An engine has begun to answer this prompt and did not crash.
             return False
         endpoint = context.placement.lead
-        result = await self._endpoint_client.try_connect(endpoint)
+        result = ConnectResult.SILENT
+        with anyio.move_on_after(_check_timeout_s(context, failure)):
+            result = await self._endpoint_client.try_connect(endpoint)
         if result is not ConnectResult.REFUSED:
             return False
         self._telemetry.crashes.inc()
@@ -54,8 +55,20 @@
             request_id=context.admitted.req.request_id,
             endpoint=endpoint.identity,
             team=context.admitted.team.name,
+            path=context.admitted.req.path,
             parts=context.admitted.req.prompt_parts,
             answer_begun=context.state.answer_begun,
             jobs=len(jobs) + 1,
         ).warning('endpoint_crashed')
         return True
+
+
+def _check_timeout_s(context: AttemptContext, failure: Failure) -> float:
+    """Return how long to wait for the reply to a new connection.
+
+    The caller of a call waits meanwhile, and calls have little time. An
+    endpoint that is silent is not checked for a call: it would not reply.
+    """
+    if context.admitted.req.prompt_parts:
+        return math.inf
+    return 0 if failure.silent else MAX_CALL_CHECK_S
--- a/src/masticwind/serving/crash_evidence.py
+++ b/src/masticwind/serving/crash_evidence.py
@@ -5,7 +5,7 @@
 prompt that lists it is ever answered. For each crash the evidence holds the
 prompts that were about to be answered (suspects), and the keys that have been
 cleared since, because a prompt with the key was answered after the crash was
-known. A key is a part of a prompt or the whole prompt.
+known. A key is a part of a prompt, the whole prompt, or a call.
 
 Crashes that happen together count once. A failed zone ends many engines at the
 same time, and the large parts of the traffic are present at all of them. So
@@ -16,6 +16,10 @@
 All data only grows, so copies of several entries can be merged in any order
 and more than once. A crash is identified by the process that ended, so it
 counts once, however many entries had prompts there.
+
+A call has no parts to compare, and no head of an answer before its end. It is
+held after three crashes that only it explains, each under an attempt that was
+sent after the crash before was known.
 """
 
 import itertools
@@ -31,13 +35,14 @@
     MAX_KEY_CHARS,
     MAX_PARTS,
     RequestFingerprint,
+    is_call,
     is_whole_request,
 )
 
 MAX_SUSPECTS: Final = 16
 MAX_CLEARED: Final = MAX_SUSPECTS * (MAX_PARTS + 1)
 MAX_CRASHES: Final = 256
-EVIDENCE_TTL_S: Final = 3600.0
+EVIDENCE_TTL_S: Final = 86_400.0
 # What a crash adds to the score of a key, divided by the number of prompts that
 # it may have been: more if the answer to a prompt with the key had begun than
 # if the prompt only waited on the engine, and half if another prompt with the
@@ -50,6 +55,16 @@
 # share is held; the prompt itself is held after its second crash.
 MIN_CRASHES: Final = 2
 MIN_PROMPTS: Final = 2
+# What a crash adds to the score of a call, divided by the number of requests
+# that may have caused it.
+CALL_SCORE: Final = 12
+HELD_CALL_SCORE: Final = 3 * CALL_SCORE
+# A request that has crashed so many engines may be tried `MAX_TRIALS` times
+# more, by all entries together; then it is held until an operator releases it
+# or the evidence expires. One less than the three that are allowed, since two
+# entries that don't reach each other may both try it.
+TRIED_CRASHES: Final = 3
+MAX_TRIALS: Final = 2
 # Time after the last crash for which a key is held; doubles with each crash.
 INITIAL_HOLD_S: Final = 30.0
 MAX_HOLD_S: Final = 1800.0
@@ -99,6 +114,13 @@
     first_at: float
     last_at: float
 
+    @property
+    def trials_left(self) -> int | None:
+        """How many trials may follow this last crash; None is no limit."""
+        if not is_whole_request(self.key):
+            return None
+        return max(0, MAX_TRIALS - max(0, self.crashes - TRIED_CRASHES))
+
     @property
     def duration_s(self) -> float:
         """Time after the last crash for which the key is held."""
@@ -142,6 +164,7 @@
         self._crashes_by_key: Final[dict[str, set[str]]] = {}
         self._scores: Final[dict[str, int]] = {}
         self._holds: Final[dict[str, Hold]] = {}
+        self._calls: Final[set[str]] = set()
         self.on_hold_change: HoldListener = _ignore_hold_change
 
     def merge(
@@ -203,6 +226,20 @@
         """Return the score of a key; zero if nothing speaks against it."""
         return self._scores.get(key, 0)
 
+    def prior_score(self, key: str) -> int:
+        """Return what a suspect with this key tells as its prior score.
+
+        For a call, it is the number of crashes that speak against it.
+        """
+        if is_call(key):
+            return min(MAX_SCORE, len(self._crashes_by_key.get(key, ())))
+        return self.score(key)
+
+    @property
+    def has_calls(self) -> bool:
+        """Whether any crash speaks against a call."""
+        return bool(self._calls)
+
     def holds(self) -> dict[str, Hold]:
         """Return the holds by their keys."""
         return dict(self._holds)
@@ -266,8 +303,11 @@
         after: Hold | None = None
         if self._crashes_by_key[key]:
             after = self._evaluate_key(key)
+            if is_call(key):
+                self._calls.add(key)
         else:
             self._crashes_by_key.pop(key)
+            self._calls.discard(key)
         if after is not None:
             self._holds[key] = after
         if before != after:
@@ -283,12 +323,19 @@
             for suspect in crash.culprits()
             if key in (suspect.prompt, *suspect.parts)
         ]
-        score = max(_score(crash, suspect, key) for crash, suspect in accusing)
+        if is_call(key):
+            score = self._score_call(key, accusing)
+            held_score = HELD_CALL_SCORE
+        else:
+            score = max(
+                _score(crash, suspect, key) for crash, suspect in accusing
+            )
+            held_score = HELD_SCORE
         self._scores[key] = score
         prompts = {suspect.prompt for _, suspect in accusing}
         min_prompts = 1 if is_whole_request(key) else MIN_PROMPTS
         if (
-            score < HELD_SCORE
+            score < held_score
             or len(crashes) < MIN_CRASHES
             or len(prompts) < min_prompts
         ):
@@ -301,6 +348,29 @@
             last_at=max(crash.observed_at for crash in crashes),
         )
 
+    def _score_call(
+        self, key: str, accusing: list[tuple[Crash, Suspect]]
+    ) -> int:
+        """Return the score of a call.
+
+        Of the crashes under attempts that were sent when as many crashes were
+        known, one counts: they may have happened together. Each is divided
+        among the requests that were present at no fewer crashes.
+        """
+        crashes = len(self._crashes_by_key[key])
+        scores: dict[int, int] = {}
+        for crash, suspect in accusing:
+            rivals = {
+                culprit.prompt
+                for culprit in crash.culprits()
+                if culprit.prompt not in crash.cleared
+                and len(self._crashes_by_key.get(culprit.prompt, ())) >= crashes
+            }
+            prior = max(suspect.prior_scores, default=0)
+            added = CALL_SCORE // len(rivals | {key})
+            scores[prior] = max(scores.get(prior, 0), added)
+        return min(MAX_SCORE, sum(scores.values()))
+
 
 def _ignore_hold_change(
     _key: str, _before: Hold | None, _after: Hold | None
--- a/src/masticwind/serving/quarantine.py
+++ b/src/masticwind/serving/quarantine.py
@@ -1,14 +1,15 @@
-"""Keeps poison prompts away from the engines.
+"""Keeps poison requests away from the engines.
 
-A prompt that can crash each engine which begins to answer it would otherwise
+A request that can crash each engine which begins to answer it would otherwise
 go from engine to engine: its entry repeats it, and its caller comes back. All
-entries share the evidence of crashes and hold the same parts of prompts.
-Prompts with a held part are rejected at once, and those on an engine that has
-not begun to answer them are recalled.
-
-A hold ends when a prompt with the part is answered. After the time of the
-hold, one entry of the fleet may send one such prompt as a trial. A crash makes
-the hold longer.
+entries share the evidence of crashes and hold the same parts of prompts, and
+the same calls. Requests with a held key are rejected at once, and prompts on an
+engine that has not begun to answer them are recalled.
+
+A hold ends when a request with the key is answered, or when an operator
+releases it. After the time of the hold, one entry of the fleet may send one
+such request as a trial. A crash makes the hold longer. The trials of one
+request are limited.
 """
 
 import math
@@ -25,11 +26,20 @@
 from masticwind.serving.attempt_context import AttemptState
 from masticwind.serving.bounds import EntryFleet
 from masticwind.serving.crash_archive import CrashArchive
-from masticwind.serving.crash_evidence import CrashEvidence, Hold, Suspect
+from masticwind.serving.crash_evidence import (
+    EVIDENCE_TTL_S,
+    CrashEvidence,
+    Hold,
+    Suspect,
+)
 from masticwind.serving.crash_link import CrashLink
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.evidence_link import EvidenceLink
-from masticwind.serving.fingerprints import RequestFingerprint, limit_length
+from masticwind.serving.fingerprints import (
+    RequestFingerprint,
+    is_call,
+    limit_length,
+)
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.store import MetadataStore
 
@@ -131,6 +141,14 @@
             if self._archive is not None:
                 tasks.start_soon(self._archive.run)
 
+    @property
+    def tracks_calls(self) -> bool:
+        """Whether calls are compared with the evidence.
+
+        If not, the fingerprint of a call is not needed before it fails.
+        """
+        return self._evidence.has_calls
+
     def held_count(self) -> int:
         """Return the number of parts and prompts that are held."""
         return len(self._evidence.holds())
@@ -173,7 +191,7 @@
             return None
         return Failure(
             kind=ErrorKind.QUARANTINED,
-            reason=f'{hold.crashes} engines have crashed under prompts with'
+            reason=f'{hold.crashes} engines have crashed under requests with'
             f' {hold.key}',
             retry_after_ms=math.ceil(self._remaining_s(hold) * MS_PER_S),
         )
@@ -186,13 +204,24 @@
             request_id=request_id,
             prompt=prompt,
             prior_scores=tuple(
-                self._evidence.score(key) for key in prompt.keys
+                self._evidence.prior_score(key) for key in prompt.keys
             ),
             attempt=attempt,
         )
         self._running[id(running)] = running
         return running
 
+    def identify(
+        self, running: RunningPrompt, prompt: RequestFingerprint
+    ) -> None:
+        """Give a call its fingerprint, if it was sent without one.
+
+        Nothing spoke against any call then.
+        """
+        if not running.prompt.keys:
+            running.prompt = prompt
+            running.prior_scores = (0,) * len(prompt.keys)
+
     def end(self, running: RunningPrompt) -> None:
         """Stop tracking a request whose attempt has ended."""
         self._running.pop(id(running))
@@ -235,7 +264,7 @@
         callers may reach some entries only.
         """
         period = self._period(hold)
-        if not period:
+        if not period or not self._has_trial(hold, period):
             return False
         trial = self._trials.get(hold.key)
         if (
@@ -251,10 +280,17 @@
         log.info('held_prompt_tried')
         return True
 
+    def _has_trial(self, hold: Hold, period: int) -> bool:
+        """Tell whether a trial is left for a period; each has one."""
+        return hold.trials_left is None or period <= hold.trials_left
+
     def _remaining_s(self, hold: Hold) -> float:
-        """Return the time until the next trial is allowed."""
+        """Return the time until the next trial, or the end of the evidence."""
         age_s = self._evidence.clock() - hold.last_at
-        return (self._period(hold) + 1) * hold.duration_s - age_s
+        period = self._period(hold) + 1
+        if not self._has_trial(hold, period):
+            return max(0.0, EVIDENCE_TTL_S - age_s)
+        return period * hold.duration_s - age_s
 
     def _period(self, hold: Hold) -> int:
         """Return how many times the duration of a hold has passed."""
@@ -284,6 +320,9 @@
     def _recall(self, hold: Hold) -> int:
         """Cancel the held prompts without an event; return their number."""
         recalled = 0
+        if is_call(hold.key):
+            # Whether an engine has begun to run a call is unknown.
+            return recalled
         for running in self._running.values():
             scope = running.attempt.scope
             if scope is None or running.attempt.event_count:
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -33,7 +33,11 @@
 from masticwind.serving.directory import EndpointDirectory, OperatorState
 from masticwind.serving.endpoint_limits import Permit
 from masticwind.serving.endpoint_notices import EndpointNotices
-from masticwind.serving.fingerprints import fingerprint
+from masticwind.serving.fingerprints import (
+    RequestFingerprint,
+    call_fingerprint,
+    fingerprint,
+)
 from masticwind.serving.health import EndpointHealth
 from masticwind.serving.interfaces import (
     CallerAnswer,
@@ -330,7 +334,7 @@
                 reason='the deadline has passed or is too close',
             )
         rejection = deps.quarantine.check(
-            fingerprint(admitted.req.prompt_parts), admitted.req.request_id
+            self._known_fingerprint(admitted), admitted.req.request_id
         )
         if rejection is not None:
             return rejection
@@ -524,7 +528,7 @@
         job_ids = deps.load_table.add(placement.jobs)
         state = permitted.state
         running = deps.quarantine.start(
-            fingerprint(admitted.req.prompt_parts),
+            self._known_fingerprint(admitted),
             admitted.req.request_id,
             state,
         )
@@ -557,18 +561,48 @@
         finally:
             deps.load_table.remove(job_ids)
             deps.quarantine.end(running)
-        if failure is None:
-            deps.quarantine.record_sound(running)
-        elif not deps.notices.is_leaving(
-            placement.lead
-        ) and await self._crash_detector.has_crashed(context, failure):
-            deps.quarantine.record_crash(
-                running,
-                placement.lead.identity,
-                str(placement.lead.started_at_ms),
-            )
+        await self._record_outcome(context, running, failure)
         return failure
 
+    def _known_fingerprint(
+        self, admitted: AdmittedRequest
+    ) -> RequestFingerprint:
+        """Return the fingerprint of a request, none for a call that nothing
+        can speak against.
+
+        The fingerprint of a call takes time that grows with its body.
+        """
+        if admitted.req.prompt_parts or not self._deps.quarantine.tracks_calls:
+            return fingerprint(admitted.req.prompt_parts)
+        return call_fingerprint(admitted.req, admitted.team.name)
+
+    async def _record_outcome(
+        self,
+        context: AttemptContext,
+        running: RunningPrompt,
+        failure: Failure | None,
+    ) -> None:
+        """Record whether the endpoint has answered or crashed."""
+        quarantine = self._deps.quarantine
+        admitted = context.admitted
+        is_call = not admitted.req.prompt_parts
+        lead = context.placement.lead
+        # A status of the endpoint's own is an answer, too.
+        if failure is None or (is_call and failure.kind is ErrorKind.INTERNAL):
+            quarantine.identify(running, self._known_fingerprint(admitted))
+            quarantine.record_sound(running)
+            return
+        if self._deps.notices.is_leaving(lead):
+            return
+        if await self._crash_detector.has_crashed(context, failure):
+            if is_call:
+                quarantine.identify(
+                    running, call_fingerprint(admitted.req, admitted.team.name)
+                )
+            quarantine.record_crash(
+                running, lead.identity, str(lead.started_at_ms)
+            )
+
     def _find_obstacle(
         self, admitted: AdmittedRequest, permitted: PermittedPlacement
     ) -> str:
--- a/tests/deadly_fleet.py
+++ b/tests/deadly_fleet.py
@@ -33,9 +33,10 @@
     """The running components.
 
     A request with a target in `deadly` ends its engine. `received` counts the
-    requests that reached an engine, by target.
+    requests that reached an engine, by target. Engines register for `service`.
     """
 
+    service: str = CALL_SERVICE
     deadly: set[str] = field(default_factory=set)
     received: Counter[str] = field(default_factory=Counter)
 
@@ -55,7 +56,7 @@
     def register_engine(self, identity: str, **fields: Any) -> None:
         """Write the registration of an engine for calls."""
         port = self.engines[identity].port
-        value = registration_json(port, CALL_SERVICE, **fields)
+        value = registration_json(port, self.service, **fields)
         self.store.write(f'servers/{identity}', value)
 
     async def call(
