Keep the reports of a held call in the store as long as they are needed

Callers would have seen engines end again under a held call, after all entries had been started again later than ten minutes after its last crash: the store grants leases of ten minutes at most, and no report was written again.

Cause, found by reading: the length of a hold was taken for the time for which it must be remembered, and a lease that was too short was never replaced.

Evidence: test_reports_of_a_call_outlast_a_lease.

Fix: reports behind the hold of one request are needed until the evidence expires, as its trials are limited over that time; their leases are replaced after half of their time. Nothing is written without a hold.

--- a/src/masticwind/serving/crash_archive.py
+++ b/src/masticwind/serving/crash_archive.py
@@ -2,12 +2,14 @@
 
 The entries repair each other's evidence, but all of them may end at the same
 time. So each entry writes the reports that it has made itself to the store,
-once a key is held because of them, under a lease that lasts as long as the
-hold. An entry reads all of them once, when it starts. There are a few writes
-for each hold and none for a request. A store that was restored from an older
-copy may have lost reports, so they are written again in each of its eras.
+once a key is held because of them, under a lease that lasts as long as they
+must be remembered; a lease that ends sooner is replaced. An entry reads all of
+them once, when it starts. There are a few writes for each hold and none for a
+request. A store that was restored from an older copy may have lost reports, so
+they are written again in each of its eras.
 """
 
+import math
 import random
 from dataclasses import dataclass
 from typing import Final
@@ -31,15 +33,21 @@
 MAX_REWRITE_DELAY_S: Final = 1.0
 # The store grants leases of ten minutes at most.
 MAX_LEASE_S: Final = 600.0
+# Interval of the check whether a lease has to be replaced.
+LEASE_CHECK_INTERVAL_S: Final = 60.0
 
 
 @dataclass(frozen=True, slots=True)
 class _WrittenReport:
-    """A report in an era of the store, and the length of its lease."""
+    """A report in an era of the store, and its lease.
+
+    `replaced_at` is when a longer need requires another lease.
+    """
 
     report: CrashReport
     lease_s: float
     era: int
+    replaced_at: float
 
 
 class CrashArchive:
@@ -78,7 +86,8 @@
 
     async def _write_changes(self) -> None:
         while True:
-            await self._changed.wait()
+            with anyio.move_on_after(LEASE_CHECK_INTERVAL_S):
+                await self._changed.wait()
             self._changed = anyio.Event()
             await anyio.sleep(BATCH_INTERVAL_S)
             for crash_id, lease_s in self._leases_s().items():
@@ -124,20 +133,15 @@
             for crash_id in self._evidence.crash_ids(key):
                 if crash_id in self._link.reported:
                     lease_s = leases_s.get(crash_id, 0)
-                    leases_s[crash_id] = max(lease_s, hold.duration_s)
+                    leases_s[crash_id] = max(lease_s, hold.remembered_s)
         return leases_s
 
-    async def _write(self, crash_id: str, lease_s: float) -> Failure | None:
+    async def _write(self, crash_id: str, needed_s: float) -> Failure | None:
         report = self._link.report_of(crash_id)
-        lease_s = min(lease_s, MAX_LEASE_S)
-        written = self._written.get(crash_id)
-        if (
-            written is not None
-            and written.era == self._store.eras.newest
-            and written.lease_s >= lease_s
-            and written.report.has_same_content(report)
-        ):
+        lease_s = min(needed_s, MAX_LEASE_S)
+        if self._is_written(crash_id, report, lease_s):
             return None
+        now = self._evidence.clock()
         lease = await self._store.grant_lease(lease_s)
         if isinstance(lease, Failure):
             return lease
@@ -145,9 +149,27 @@
             self._key(crash_id), msgspec.json.encode(report), lease
         )
         if failure is None:
-            self._written[crash_id] = _WrittenReport(report, lease_s, lease.era)
+            replaced_at = math.inf
+            if needed_s > MAX_LEASE_S:
+                replaced_at = now + MAX_LEASE_S / 2
+            self._written[crash_id] = _WrittenReport(
+                report, lease_s, lease.era, replaced_at
+            )
         return failure
 
+    def _is_written(
+        self, crash_id: str, report: CrashReport, lease_s: float
+    ) -> bool:
+        """Tell whether the store has a report for as long as needed."""
+        written = self._written.get(crash_id)
+        if written is None or written.era != self._store.eras.newest:
+            return False
+        return (
+            written.lease_s >= lease_s
+            and written.replaced_at > self._evidence.clock()
+            and written.report.has_same_content(report)
+        )
+
     def _key(self, crash_id: str) -> str:
         digest = xxhash.xxh3_64_hexdigest(
             f'{crash_id} {self._link.node}'.encode()
--- a/src/masticwind/serving/crash_evidence.py
+++ b/src/masticwind/serving/crash_evidence.py
@@ -121,6 +121,16 @@
             return None
         return max(0, MAX_TRIALS - max(0, self.crashes - TRIED_CRASHES))
 
+    @property
+    def remembered_s(self) -> float:
+        """Time for which the reports must survive the end of all entries.
+
+        The trials of a request are limited over all of its life.
+        """
+        if self.trials_left is None:
+            return self.duration_s
+        return EVIDENCE_TTL_S
+
     @property
     def duration_s(self) -> float:
         """Time after the last crash for which the key is held."""
--- a/tests/test_crash_archive.py
+++ b/tests/test_crash_archive.py
@@ -6,7 +6,7 @@
 import pytest
 
 from masticwind.errors import ErrorKind, Failure
-from masticwind.serving.crash_archive import CrashArchive
+from masticwind.serving.crash_archive import MAX_LEASE_S, CrashArchive
 from masticwind.serving.crash_evidence import CrashEvidence, Suspect
 from masticwind.serving.crash_link import CrashLink
 from masticwind.serving.datagrams import PeerSocket
@@ -22,6 +22,7 @@
 )
 from masticwind.serving.store_eras import NO_ERA, StoreRevision
 from tests.entry_harness import sample_settings
+from tests.manual_clock import ManualClock
 from tests.odd_values import nested_array
 
 pytestmark = pytest.mark.anyio
@@ -98,6 +99,20 @@
             ),
         )
 
+    def crash_call(self, number: int) -> None:
+        """Crash an engine under a call."""
+        call = 'call:1'
+        self.link.report_crash(
+            f'e-{number}/1',
+            Suspect(
+                request_id=f'r{number}',
+                answer_begun=False,
+                prompt=call,
+                parts=(),
+                prior_scores=(self.evidence.prior_score(call),),
+            ),
+        )
+
 
 async def test_reports_stay_in_the_store_as_long_as_the_hold() -> None:
     """Guards against a hold of which a restart finds only the last crash."""
@@ -181,3 +196,29 @@
         await anyio.sleep(0.3)
         tasks.cancel_scope.cancel()
     assert len(store.values) == 3
+
+
+async def test_reports_of_a_call_outlast_a_lease(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a held call that ends engines again after a restart of
+    all entries, because the lease of the reports has ended before the hold.
+    """
+    monkeypatch.setattr(
+        'masticwind.serving.crash_archive.LEASE_CHECK_INTERVAL_S', 0.05
+    )
+    store = RecordingStore()
+    entry = ArchivingEntry(store)
+    clock = ManualClock()
+    entry.evidence.clock = clock  # type: ignore[misc]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(entry.quarantine.run)
+        for number in range(3):
+            entry.crash_call(number)
+        await anyio.sleep(0.5)
+        granted = len(store._granted_s)
+        assert store.leases_s
+        clock.now += MAX_LEASE_S / 2 + 1
+        await anyio.sleep(0.5)
+        tasks.cancel_scope.cancel()
+    assert len(store._granted_s) == 2 * granted
