Make the digest of a call once for each request

A call that was compared with the evidence was digested at each placement, at its sending and at its answer: up to 1 ms for each megabyte of its body.

--- a/src/masticwind/serving/admission.py
+++ b/src/masticwind/serving/admission.py
@@ -7,6 +7,7 @@
 
 from masticwind.budget import MS_PER_S, boot_time
 from masticwind.errors import ErrorKind, Failure, guarantees_not_run
+from masticwind.serving.fingerprints import RequestFingerprint
 from masticwind.serving.model import (
     CallerRequest,
     Endpoint,
@@ -107,7 +108,7 @@
     `denied_endpoints` did not grant a permit to send it. `passed_over_for` has
     the causes for which endpoints were not used. `predicted_ms` is the
     predicted time of the current attempt, and `is_sent` tells whether an
-    endpoint may have received it.
+    endpoint may have received it. `call_fingerprint` is made when it is needed.
     """
 
     attempts: int = 0
@@ -118,6 +119,7 @@
     candidate_count: int = 0
     predicted_ms: float = 0
     is_sent: bool = False
+    call_fingerprint: RequestFingerprint | None = None
     at_fault: Endpoint | None = None
     last_event_id: int | None = None
     event_count: int = 0
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -334,7 +334,8 @@
                 reason='the deadline has passed or is too close',
             )
         rejection = deps.quarantine.check(
-            self._known_fingerprint(admitted), admitted.req.request_id
+            self._known_fingerprint(admitted, progress),
+            admitted.req.request_id,
         )
         if rejection is not None:
             return rejection
@@ -528,7 +529,7 @@
         job_ids = deps.load_table.add(placement.jobs)
         state = permitted.state
         running = deps.quarantine.start(
-            self._known_fingerprint(admitted),
+            self._known_fingerprint(admitted, progress),
             admitted.req.request_id,
             state,
         )
@@ -565,16 +566,14 @@
         return failure
 
     def _known_fingerprint(
-        self, admitted: AdmittedRequest
+        self, admitted: AdmittedRequest, progress: RequestProgress
     ) -> RequestFingerprint:
-        """Return the fingerprint of a request, none for a call that nothing
-        can speak against.
-
-        The fingerprint of a call takes time that grows with its body.
+        """Return the fingerprint of a request, or an empty one for a call that
+        no crash can speak against.
         """
         if admitted.req.prompt_parts or not self._deps.quarantine.tracks_calls:
             return fingerprint(admitted.req.prompt_parts)
-        return call_fingerprint(admitted.req, admitted.team.name)
+        return _call_fingerprint(admitted, progress)
 
     async def _record_outcome(
         self,
@@ -589,7 +588,8 @@
         lead = context.placement.lead
         # A status of the endpoint's own is an answer, too.
         if failure is None or (is_call and failure.kind is ErrorKind.INTERNAL):
-            quarantine.identify(running, self._known_fingerprint(admitted))
+            known = self._known_fingerprint(admitted, context.progress)
+            quarantine.identify(running, known)
             quarantine.record_sound(running)
             return
         if self._deps.notices.is_leaving(lead):
@@ -597,7 +597,7 @@
         if await self._crash_detector.has_crashed(context, failure):
             if is_call:
                 quarantine.identify(
-                    running, call_fingerprint(admitted.req, admitted.team.name)
+                    running, _call_fingerprint(admitted, context.progress)
                 )
             quarantine.record_crash(
                 running, lead.identity, str(lead.started_at_ms)
@@ -709,6 +709,17 @@
         return False
 
 
+def _call_fingerprint(
+    admitted: AdmittedRequest, progress: RequestProgress
+) -> RequestFingerprint:
+    """Return the fingerprint of a call, whose body is read once only."""
+    if progress.call_fingerprint is None:
+        progress.call_fingerprint = call_fingerprint(
+            admitted.req, admitted.team.name
+        )
+    return progress.call_fingerprint
+
+
 def _may_need_permit(
     progress: RequestProgress,
     endpoint: Endpoint,
