--- a/tests/test_deadly_calls.py
+++ b/tests/test_deadly_calls.py
@@ -54,6 +54,8 @@
 MAX_RECEIVED: Final = 3 + 3
 ROUNDS: Final = 14
 ROUND_S: Final = 0.25
+# Up to half a second until an entry sees a new era, and a second of delay.
+REWRITE_S: Final = 2.5
 
 
 async def _repeat(
@@ -124,6 +126,31 @@
         assert fleet.received[target] == received
 
 
+async def test_held_call_survives_a_restore_and_the_end_of_all_entries() -> (
+    None
+):
+    """Guards against a held call that ends engines again, because the store
+    has lost the reports before all entries are started again.
+    """
+    async with running_deadly_fleet() as fleet:
+        copy = fleet.store.copy()
+        target = f'/read/{DEADLY}'
+        await _repeat(fleet, target, 'GET')
+        fleet.store.restore(copy)
+        for identity in fleet.engines:
+            fleet.register_engine(identity)
+        # The entries see the new era and write their reports again.
+        await anyio.sleep(REWRITE_S)
+        for running in fleet.entries:
+            running.scope.cancel()
+        fleet.entries.clear()
+        for _ in range(2):
+            await fleet.start_entry()
+        await fleet.wait_for_engines(len(fleet.engines))
+        await _repeat(fleet, target, 'GET')
+        assert fleet.received[target] <= MAX_RECEIVED
+
+
 @pytest.mark.parametrize(
     'change',
     [
