Tell an outage of the store from a rejection of one entry

Cause: an entry whose calls the store rejects took the end of the rejection for the end of an outage. Registrations lapse in an outage, so it used the engines whose registrations were missing for 2.2 s more; but the store had been up, and they had left.

Fix: the store was down only if it answered neither this entry nor one that confirms its copy for 2 s; no registration lapses in less. A new era counts as an outage, as before.

--- a/src/masticwind/serving/directory.py
+++ b/src/masticwind/serving/directory.py
@@ -246,7 +246,7 @@
         registered = self._registered.get(identity)
         if registered is None:
             return
-        if not self._connection.reconnected_within(RENEWAL_GRACE_S):
+        if not self._connection.recovered_within(RENEWAL_GRACE_S):
             self.remove(identity, 'registration removed')
             return
         if registered.unregistered_at is None:
@@ -254,7 +254,7 @@
             logger.bind(endpoint=identity).info('registration_lapsed')
 
     def _remove_unregistered(self) -> None:
-        if self._connection.reconnected_within(RENEWAL_GRACE_S):
+        if self._connection.recovered_within(RENEWAL_GRACE_S):
             return
         unregistered = _unregistered(self._registered.items())
         for identity in unregistered:
--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -116,11 +116,7 @@
 
 
 class Mirror:
-    """Mirrors one prefix into a sink.
-
-    While the store is down, a mirror with a `monitor` does not probe the store
-    itself but waits until that connection has recovered.
-    """
+    """Mirrors one prefix into a sink."""
 
     def __init__(
         self,
@@ -128,13 +124,11 @@
         sink: Sink,
         options: MirrorOptions,
         connection: StoreConnection | None = None,
-        monitor: StoreConnection | None = None,
     ) -> None:
         self._store: Final = store
         self._sink: Final = _GuardedSink(options.prefix, sink)
         self._options: Final = options
         self.connection: Final = connection or StoreConnection(options.prefix)
-        self._monitor: Final = monitor
         self._items: dict[str, Item] = {}
         self._as_of = float('-inf')
         self._loaded = False
@@ -184,7 +178,7 @@
         if self.loaded and self._reports.report(
             last_change_revision, self._revision
         ):
-            self._as_of = max(self._as_of, as_of)
+            self._advance(as_of)
 
     def adopt_copy(
         self,
@@ -201,7 +195,7 @@
             return False
         self._replace(listing)
         self.last_change_revision = last_change_revision
-        self._as_of = max(self._as_of, as_of)
+        self._advance(as_of)
         return True
 
     def has_missed_change(self) -> bool:
@@ -238,7 +232,7 @@
             self._cancel_watch('change missed')
         self._apply(changes)
         self._reports.verify(reported, self._revision)
-        self._as_of = max(self._as_of, started)
+        self._advance(started)
         return True
 
     async def run(self) -> None:
@@ -254,7 +248,7 @@
         failure = await self._list_or_watch()
         if failure is None:
             self._reports.verify(reported, self._revision)
-            self._as_of = max(self._as_of, started)
+            self._advance(started)
         else:
             self.connection.record_disconnected(failure, self.age_s())
         return failure
@@ -275,8 +269,7 @@
                 continue
             await anyio.sleep(backoff_s * random.uniform(0.5, 1))
             backoff_s = min(self._max_backoff_s(), backoff_s * 2)
-            if self._monitor is not None:
-                await self._monitor.wait_until_connected()
+            await self.connection.wait_for_monitor()
 
     async def _cancel_watches_of_earlier_eras(self) -> None:
         """Cancel an open watch once another call is answered in a new era."""
@@ -315,7 +308,7 @@
             self._watching = False
         if isinstance(changes, Failure):
             return changes
-        self.connection.record_connected()
+        self.connection.record_connected(self.age_s())
         if isinstance(changes, Compacted):
             logger.bind(
                 prefix=options.prefix, revision=self._revision.number
@@ -325,6 +318,11 @@
         self._apply(changes)
         return None
 
+    def _advance(self, as_of: float) -> None:
+        if as_of > self._as_of:
+            self.connection.record_gap(as_of - self._as_of)
+            self._as_of = as_of
+
     def _is_listing_due(self) -> bool:
         return (
             not self._loaded
@@ -336,7 +334,7 @@
         listing = await self._store.list_prefix(self._options.prefix)
         if isinstance(listing, Failure):
             return listing
-        self.connection.record_connected()
+        self.connection.record_connected(self.age_s())
         self._replace(listing)
         self.last_change_revision = listing.revision
         return None
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -81,7 +81,10 @@
         self._operator_state: Final = OperatorState(
             adapter.decoder, self._active_config
         )
-        registrations = StoreConnection(adapter.prefixes.registrations)
+        store_connection = StoreConnection(adapter.prefixes.operations)
+        registrations = StoreConnection(
+            adapter.prefixes.registrations, store_connection
+        )
         self._directory: Final = EndpointDirectory(
             adapter.decoder, registrations
         )
@@ -92,6 +95,7 @@
                 prefix=adapter.prefixes.operations,
                 wait_s=CONFIG_WATCH_S,
             ),
+            connection=store_connection,
         )
         self._registrations_mirror: Final = Mirror(
             adapter.store,
@@ -104,7 +108,6 @@
                 / MS_PER_S,
             ),
             connection=registrations,
-            monitor=self._config_mirror.connection,
         )
         self._entries_mirror: Final = Mirror(
             adapter.store,
@@ -114,7 +117,9 @@
                 wait_s=ENTRIES_WATCH_S,
                 batch_interval_s=ENTRIES_BATCH_INTERVAL_S,
             ),
-            monitor=self._config_mirror.connection,
+            connection=StoreConnection(
+                adapter.prefixes.entries, store_connection
+            ),
         )
         self._limit_link: Final = LimitLink(self._peer_socket, self._peers)
         self._cleanup: Final = build_cleanup(
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -105,8 +105,7 @@
 def steady_connection() -> StoreConnection:
     """Return the connection to a store that has been up for a long time."""
     connection = StoreConnection('servers/')
-    connection.record_connected()
-    connection._connected_at = float('-inf')
+    connection.record_connected(0)
     return connection
 
 
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -22,6 +22,7 @@
     Item,
     Listing,
 )
+from masticwind.serving.store_connection import StoreConnection
 from masticwind.serving.store_eras import NO_ERA, StoreRevision
 from tests.manual_clock import ManualClock
 from tests.unwritable_store import DOWN, UnwritableStore
@@ -182,7 +183,7 @@
             store,
             ArrivalSink(),
             MirrorOptions(prefix='servers/', wait_s=0.1),
-            monitor=monitor.connection,
+            connection=StoreConnection('servers/', monitor.connection),
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(follower.run)
