Take an outage that no entry denies for one, however short

Callers would have been refused after a short outage in which registrations expired.

Cause: took an outage of less than 2 s for none, also where no entry had told otherwise. The test has one entry and an outage of 1.2 s; it passed on a quiet machine only because the start of the entry was less than 2.2 s ago.

Fix: the store counts as up only if an entry confirmed the copy after the connection was lost, without a gap of 2 s.

--- a/src/masticwind/serving/mirror.py
+++ b/src/masticwind/serving/mirror.py
@@ -320,7 +320,7 @@
 
     def _advance(self, as_of: float) -> None:
         if as_of > self._as_of:
-            self.connection.record_gap(as_of - self._as_of)
+            self.connection.record_confirmation(as_of, as_of - self._as_of)
             self._as_of = as_of
 
     def _is_listing_due(self) -> bool:
--- a/src/masticwind/serving/store_connection.py
+++ b/src/masticwind/serving/store_connection.py
@@ -1,8 +1,8 @@
 """Whether the metadata store answers, and when it recovered last.
 
 A store that rejects the calls of one entry while it serves others is not down.
-What the others confirm tells the two apart: registrations expire in an outage
-only.
+What the others confirm tells the two apart; without a confirmation, the store
+counts as down. Registrations expire in an outage only.
 """
 
 from typing import Final
@@ -32,6 +32,9 @@
         self._monitor: Final = monitor
         self._connected = False
         self._lost_at = float('-inf')
+        # Since the connection was lost: whether an entry that reached the store
+        # confirmed the copy, and whether none did for `MIN_OUTAGE_S`.
+        self._confirmed = False
         self._outage_seen = False
         self._recovered_at = float('-inf')
         self._restored_at = float('-inf')
@@ -64,23 +67,24 @@
         if self._monitor is not None:
             await self._monitor.wait_until_connected()
 
-    def record_gap(self, seconds: float) -> None:
-        """Record a time in which the store answered neither this entry nor one
-        that confirms its copy.
+    def record_confirmation(self, as_of: float, gap_s: float) -> None:
+        """Record that another entry has confirmed the copy.
+
+        It is recent as of `as_of`, `gap_s` later than known before.
         """
-        if not self._connected and seconds >= MIN_OUTAGE_S:
-            self._outage_seen = True
+        if self._connected:
+            return
+        self._confirmed = self._confirmed or as_of >= self._lost_at
+        self._outage_seen = self._outage_seen or gap_s >= MIN_OUTAGE_S
 
     def record_connected(self, age_s: float) -> None:
         """Record an answered call, and the age of the copy before it."""
         if self._connected:
             return
-        self.record_gap(age_s)
         self._connected = True
         self._reconnected.set()
         self._reconnected = anyio.Event()
-        outage = self._was_down()
-        self._outage_seen = False
+        outage = self._was_down(age_s)
         if outage:
             self._recovered_at = boot_time()
         logger.bind(prefix=self._prefix, outage=outage).info('store_connected')
@@ -94,6 +98,8 @@
         """Record a failed call, and the age of the copy."""
         if self._connected:
             self._lost_at = boot_time()
+            self._confirmed = False
+            self._outage_seen = False
             logger.bind(
                 prefix=self._prefix,
                 reason=failure.reason,
@@ -101,8 +107,9 @@
             ).warning('store_lost')
         self._connected = False
 
-    def _was_down(self) -> bool:
+    def _was_down(self, age_s: float) -> bool:
         if self._monitor is None:
-            return self._outage_seen
+            unconfirmed = not self._confirmed or age_s >= MIN_OUTAGE_S
+            return unconfirmed or self._outage_seen
         # A call of this mirror may have been open when the store recovered.
         return self._monitor._recovered_at >= self._lost_at - MIN_OUTAGE_S
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -102,7 +102,8 @@
 def steady_connection() -> StoreConnection:
     """Return the connection to a store that has been up for a long time."""
     connection = StoreConnection('servers/')
-    connection.record_connected(0)
+    connection.record_confirmation(as_of=0, gap_s=0)
+    connection.record_connected(age_s=0)
     return connection
 
 
