--- a/src/masticwind_dev/soak/stop_entries.py
+++ b/src/masticwind_dev/soak/stop_entries.py
@@ -19,7 +19,8 @@
 import yaml
 
 from masticwind.budget import MS_PER_S
-from masticwind_dev.soak.environment import ROOT, free_udp_port
+from masticwind_dev.ports import free_udp_port
+from masticwind_dev.soak.environment import ROOT
 from masticwind_dev.soak.stop_records import Instance, StopRecords
 
 POLL_INTERVAL_S: Final = 0.01
