--- a/src/masticwind/serving/admission.py
+++ b/src/masticwind/serving/admission.py
@@ -109,6 +109,7 @@
     the causes for which endpoints were not used. `predicted_ms` is the
     predicted time of the current attempt, and `is_sent` tells whether an
     endpoint may have received it. `call_fingerprint` is made when it is needed.
+    `config_version` is the version under which the request was admitted.
     """
 
     attempts: int = 0
@@ -119,6 +120,7 @@
     candidate_count: int = 0
     predicted_ms: float = 0
     is_sent: bool = False
+    config_version: int | None = None
     call_fingerprint: RequestFingerprint | None = None
     at_fault: Endpoint | None = None
     last_event_id: int | None = None
@@ -132,6 +134,12 @@
         """Return the milliseconds since the request was admitted."""
         return (time.monotonic() - self.admitted_at) * MS_PER_S
 
+    def silence_ms(self) -> int | None:
+        """Return the milliseconds since the last event, None before one."""
+        if not self.event_count:
+            return None
+        return round((time.monotonic() - self.last_event_at) * MS_PER_S)
+
     def record_events(self, count: int) -> None:
         """Record `count` events that have just arrived."""
         now = time.monotonic()
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -128,6 +128,7 @@
         took_ms=round((time.monotonic() - sent_at) * MS_PER_S),
         events=context.progress.event_count,
         answer_begun=context.state.answer_begun,
+        last_event_ms_ago=context.progress.silence_ms(),
         **_notice_fields(context.state.notice),
     )
     if outcome is None:
@@ -136,9 +137,12 @@
             pause_ms=round(context.progress.max_event_gap_s * MS_PER_S),
         ).info('attempt_done')
         return None
-    log.bind(kind=outcome.kind.value, reason=outcome.reason).info(
-        'attempt_failed'
-    )
+    log.bind(
+        kind=outcome.kind.value,
+        reason=outcome.reason,
+        silent=outcome.silent,
+        config_version=admitted.config_version,
+    ).info('attempt_failed')
     return outcome
 
 
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -225,12 +225,16 @@
         answer = AsgiAnswer(send)
         req = self._deps.codec.decode(scope)
         received_at = time.monotonic()
+        progress = RequestProgress()
         if isinstance(req, Failure):
             failure: Failure | None = req
             request_id = ''
         else:
             request_id = req.request_id
-            failure = await self._serve_until_given_up(req, receive, answer)
+            progress.last_event_id = req.resume_after
+            failure = await self._serve_until_given_up(
+                RequestInProgress(req, progress, answer), receive
+            )
         outcome = 'served' if failure is None else failure.kind.value
         self._deps.telemetry.requests.labels(outcome).inc()
         if failure is None:
@@ -239,7 +243,12 @@
         logger.bind(
             request_id=request_id,
             config_version=self._deps.active_config.config.version,
+            admitted_version=progress.config_version,
             config_age_s=_finite_age_s(self._deps.freshness.age_s()),
+            attempts=progress.attempts,
+            may_have_run_at=sorted(progress.may_have_run_at),
+            events=progress.event_count,
+            last_event_ms_ago=progress.silence_ms(),
             kind=failure.kind.value,
             reason=failure.reason,
             retry_after_ms=failure.retry_after_ms,
@@ -255,29 +264,26 @@
             await send_response(send, self._deps.codec.encode(failure))
 
     async def _serve_until_given_up(
-        self, req: CallerRequest, receive: Receive, answer: AsgiAnswer
+        self, in_progress: RequestInProgress, receive: Receive
     ) -> Failure | None:
-        progress = RequestProgress(last_event_id=req.resume_after)
-        in_progress = RequestInProgress(req, progress, answer)
         self._in_progress.add(in_progress)
         try:
             with in_progress.scope:
-                return await self._serve_request(req, progress, receive, answer)
+                return await self._serve_request(in_progress, receive)
         finally:
             self._in_progress.discard(in_progress)
-        return progress.given_up_failure()
+        return in_progress.progress.given_up_failure()
 
     async def _serve_request(
-        self,
-        req: CallerRequest,
-        progress: RequestProgress,
-        receive: Receive,
-        answer: CallerAnswer,
+        self, in_progress: RequestInProgress, receive: Receive
     ) -> Failure | None:
         deps = self._deps
+        req = in_progress.req
+        progress = in_progress.progress
         admitted = self._admit(req)
         if isinstance(admitted, Failure):
             return admitted
+        progress.config_version = admitted.config_version
         body = await read_body(
             receive,
             deps.active_config.config.limits.max_body_bytes,
@@ -289,7 +295,9 @@
         outcome: list[Failure | None] = []
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
-            outcome.append(await deps.relay.serve(admitted, progress, answer))
+            outcome.append(
+                await deps.relay.serve(admitted, progress, in_progress.answer)
+            )
             tasks.cancel_scope.cancel()
         if outcome:
             return outcome[0]
--- a/src/masticwind/serving/retry_timeout.py
+++ b/src/masticwind/serving/retry_timeout.py
@@ -5,6 +5,7 @@
 from typing import Final, Self
 
 import anyio
+from loguru import logger
 
 from masticwind.serving.attempt_context import AttemptContext
 
@@ -48,5 +49,15 @@
     def _expire(self) -> None:
         context = self._context
         is_over = context.admitted.remaining_s() <= DEADLINE_MARGIN_S
-        if is_over or context.may_retry_elsewhere():
+        may_retry = context.may_retry_elsewhere()
+        logger.bind(
+            request_id=context.admitted.req.request_id,
+            endpoint=context.placement.lead.identity,
+            answer_begun=context.state.answer_begun,
+            events=context.state.event_count,
+            deadline_passed=is_over,
+            may_retry_elsewhere=may_retry,
+            candidates=context.progress.candidate_count,
+        ).info('endpoint_silent')
+        if is_over or may_retry:
             self._scope.cancel()
