--- /dev/null
+++ b/src/masticwind/serving/attempt_runner.py
@@ -0,0 +1,212 @@
+"""Runs single attempts of requests and records what they say of endpoints."""
+
+import math
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import Final
+
+from masticwind.budget import MS_PER_S
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.admission import AdmittedRequest, RequestProgress
+from masticwind.serving.attempt import attempt_limits, run_attempt
+from masticwind.serving.attempt_context import AttemptContext
+from masticwind.serving.completion_times import CompletionTimes
+from masticwind.serving.crash_detector import CrashDetector
+from masticwind.serving.interfaces import CallerAnswer, EndpointNotice
+from masticwind.serving.known_calls import (
+    fingerprint_of_call,
+    known_fingerprint,
+)
+from masticwind.serving.model import Endpoint
+from masticwind.serving.quarantine import RunningPrompt
+from masticwind.serving.relay_dependencies import RelayDependencies
+from masticwind.serving.request_placer import PermittedPlacement, RequestPlacer
+from masticwind.serving.telemetry import prompt_size_label
+
+# Failures that count as a broken connection and exclude an endpoint at once.
+_BROKEN_CONNECTION_KINDS: Final = frozenset(
+    (
+        ErrorKind.NO_CAPACITY,
+        ErrorKind.FAILED_AFTER_START,
+        ErrorKind.OUTCOME_UNKNOWN,
+    )
+)
+
+
+class AttemptRunner:
+    """Runs attempts; learns from them about endpoints and prompts."""
+
+    def __init__(
+        self,
+        deps: RelayDependencies,
+        placer: RequestPlacer,
+        completion_times: CompletionTimes,
+    ) -> None:
+        self._deps: Final = deps
+        self._placer: Final = placer
+        self._completion_times: Final = completion_times
+        self._crash_detector: Final = CrashDetector(
+            deps.endpoint_client, deps.load_table, deps.telemetry
+        )
+
+    async def run(
+        self,
+        admitted: AdmittedRequest,
+        permitted: PermittedPlacement,
+        progress: RequestProgress,
+        answer: CallerAnswer,
+        may_retry: Callable[[], bool],
+    ) -> Failure | None:
+        """Run one attempt; None means that the answer has been sent."""
+        deps = self._deps
+        placement = permitted.placement
+        progress.attempts += 1
+        progress.predicted_ms = placement.total_ms
+        deps.cold_limiter.record_request(placement.lead.identity)
+        deps.notices.record_request(placement.lead)
+        deps.reach.record_attempt(placement.lead)
+        job_ids = deps.load_table.add(placement.jobs)
+        state = permitted.state
+        running = deps.quarantine.start(
+            known_fingerprint(admitted, progress, deps.quarantine),
+            admitted.req.request_id,
+            state,
+        )
+        context = AttemptContext(
+            admitted=admitted,
+            placement=placement,
+            progress=progress,
+            answer=answer,
+            limits=attempt_limits(
+                admitted, placement, may_retry_elsewhere=may_retry()
+            ),
+            may_retry_elsewhere=may_retry,
+            on_event=partial(
+                self._record_event, placement.lead, job_ids, running
+            ),
+            on_answer=partial(
+                self._record_notice, permitted, deps.notices.clock()
+            ),
+            on_order_reply=self._record_order_reply,
+            find_obstacle=partial(
+                self._placer.find_obstacle, admitted, permitted
+            ),
+            permit=permitted.permit,
+            state=state,
+        )
+        try:
+            with self._completion_times.measure(
+                admitted.service.name, placement.total_ms
+            ) as timed:
+                failure = await run_attempt(deps.endpoint_client, context)
+                timed.completed = failure is None
+        finally:
+            deps.load_table.remove(job_ids)
+            deps.quarantine.end(running)
+        await self._record_outcome(context, running, failure)
+        return failure
+
+    async def record_failure(
+        self,
+        permitted: PermittedPlacement,
+        failure: Failure,
+        progress: RequestProgress,
+    ) -> None:
+        """Update the request and the state of the endpoint at fault.
+
+        An answer to another request may come from a sound endpoint, so it
+        does not count as a broken connection. What a leaving endpoint breaks
+        off, and what one refuses that asks for a pause, is no failure.
+        """
+        deps = self._deps
+        state = permitted.state
+        at_fault = progress.record_failure(permitted.placement.lead, failure)
+        if failure.silent:
+            deps.reach.record_silence(at_fault)
+        else:
+            deps.reach.record_answer(at_fault)
+        if failure.kind is ErrorKind.REVOKED:
+            deps.directory.remove(
+                at_fault.identity, 'another endpoint has its address'
+            )
+            await deps.endpoint_client.close_idle(at_fault)
+        elif deps.notices.is_leaving(at_fault):
+            if failure.kind in _BROKEN_CONNECTION_KINDS:
+                deps.notices.record_unreachable(at_fault)
+        elif failure.kind is not ErrorKind.OVERLOADED and not state.asks_pause:
+            deps.health.record_failure(
+                at_fault.identity,
+                failure.reason,
+                connection_failed=failure.kind in _BROKEN_CONNECTION_KINDS
+                and not state.unverified,
+            )
+
+    def record_metrics(
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+        failure: Failure | None,
+    ) -> None:
+        """Count an attempt by its outcome."""
+        telemetry = self._deps.telemetry
+        if failure is not None:
+            telemetry.attempts.labels(failure.kind.value).inc()
+            return
+        telemetry.attempts.labels('served').inc()
+        first_event_ms = progress.first_event_ms or progress.elapsed_ms()
+        size = prompt_size_label(admitted.prompt_tokens)
+        telemetry.first_event.labels(size).observe(first_event_ms / MS_PER_S)
+
+    async def _record_outcome(
+        self,
+        context: AttemptContext,
+        running: RunningPrompt,
+        failure: Failure | None,
+    ) -> None:
+        """Record whether the endpoint has answered or crashed."""
+        quarantine = self._deps.quarantine
+        admitted = context.admitted
+        is_call = not admitted.req.prompt_parts
+        lead = context.placement.lead
+        # A status of the endpoint's own is an answer, too.
+        if failure is None or (is_call and failure.kind is ErrorKind.INTERNAL):
+            known = known_fingerprint(admitted, context.progress, quarantine)
+            quarantine.identify(running, known)
+            quarantine.record_sound(running)
+            return
+        if self._deps.notices.is_leaving(lead):
+            return
+        if await self._crash_detector.has_crashed(context, failure):
+            if is_call:
+                quarantine.identify(
+                    running, fingerprint_of_call(admitted, context.progress)
+                )
+            quarantine.record_crash(
+                running, lead.identity, str(lead.started_at_ms)
+            )
+
+    def _record_notice(
+        self,
+        permitted: PermittedPlacement,
+        sent_at: float,
+        notice: EndpointNotice | None,
+    ) -> None:
+        """Record what the lead has said of itself in its answer."""
+        lead = permitted.placement.lead
+        self._deps.limit_link.observe(lead, permitted.permit, notice)
+        self._deps.notices.observe(lead, notice, sent_at)
+
+    def _record_order_reply(
+        self, endpoint: Endpoint, notice: EndpointNotice | None
+    ) -> None:
+        """Record what an endpoint has said of itself in reply to an order."""
+        notices = self._deps.notices
+        # An order does not try an engine after a pause.
+        notices.observe(endpoint, notice, sent_at=-math.inf)
+
+    def _record_event(
+        self, lead: Endpoint, job_ids: Iterable[int], running: RunningPrompt
+    ) -> None:
+        self._deps.load_table.record_first_token(job_ids)
+        self._deps.reach.record_answer(lead)
+        self._deps.quarantine.record_events(running)
--- /dev/null
+++ b/src/masticwind/serving/relay_dependencies.py
@@ -0,0 +1,40 @@
+"""The collaborators with which requests are placed and sent."""
+
+from dataclasses import dataclass, field
+
+from masticwind.serving.bounds import ColdEndpointLimiter, RetryBudget
+from masticwind.serving.directory import EndpointDirectory, OperatorState
+from masticwind.serving.endpoint_notices import EndpointNotices
+from masticwind.serving.health import EndpointHealth
+from masticwind.serving.interfaces import EndpointClient
+from masticwind.serving.lifetime import Lifetime
+from masticwind.serving.limit_link import LimitLink
+from masticwind.serving.load_table import LoadTable
+from masticwind.serving.placement import CallPlacer, Placer
+from masticwind.serving.prompt_placer import PromptPlacer
+from masticwind.serving.quarantine import Quarantine
+from masticwind.serving.reach import ZoneReachability
+from masticwind.serving.settings import LiveSettings
+from masticwind.serving.telemetry import Telemetry
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayDependencies:
+    """Collaborators of the relay and its parts."""
+
+    settings: LiveSettings
+    directory: EndpointDirectory
+    operator_state: OperatorState
+    health: EndpointHealth
+    reach: ZoneReachability
+    load_table: LoadTable
+    endpoint_client: EndpointClient
+    retry_budget: RetryBudget
+    cold_limiter: ColdEndpointLimiter
+    limit_link: LimitLink
+    notices: EndpointNotices
+    quarantine: Quarantine
+    telemetry: Telemetry
+    lifetime: Lifetime
+    call_placer: Placer = field(default_factory=CallPlacer)
+    prompt_placer: Placer = field(default_factory=PromptPlacer)
--- /dev/null
+++ b/src/masticwind/serving/request_placer.py
@@ -0,0 +1,444 @@
+"""Places a request: chooses the endpoints that may run it, and waits for them.
+
+A placement that is made here may be used at once: its lead has granted a
+permit if it needs one, and does not pause.
+"""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+import anyio
+from loguru import logger
+
+from masticwind.budget import MS_PER_S
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.admission import (
+    AdmittedRequest,
+    RequestProgress,
+    draining_failure,
+)
+from masticwind.serving.attempt import ANSWER_MARGIN_MS
+from masticwind.serving.attempt_context import AttemptState
+from masticwind.serving.completion_times import CompletionTimes
+from masticwind.serving.endpoint_limits import Permit
+from masticwind.serving.known_calls import known_fingerprint
+from masticwind.serving.model import Endpoint
+from masticwind.serving.placement import (
+    Deferral,
+    Placement,
+    PlacementQuery,
+    waiting_failure,
+)
+from masticwind.serving.relay_dependencies import RelayDependencies
+
+# Denied permits of one request, each of which takes a message to another entry.
+MAX_PERMIT_DENIALS: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class PermittedPlacement:
+    """A placement that may be used, with the permit that its lead needs.
+
+    As a `last_resort`, the lead may be leaving.
+    """
+
+    placement: Placement
+    permit: Permit | None = None
+    last_resort: bool = False
+    state: AttemptState = field(default_factory=AttemptState)
+
+
+class RequestPlacer:
+    """Places requests on the endpoints that this entry knows."""
+
+    def __init__(
+        self, deps: RelayDependencies, completion_times: CompletionTimes
+    ) -> None:
+        self._deps: Final = deps
+        self._completion_times: Final = completion_times
+
+    async def place(
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+    ) -> PermittedPlacement | Failure:
+        """Place a request, and get a permit if its endpoint needs one.
+
+        A denied permit, or a wait for it or for the end of a pause, leads to
+        another placement, which may choose another endpoint.
+        """
+        limits = self._deps.limit_link.limits
+        notices = self._deps.notices
+        while True:
+            placement = await self._place_with_deferrals(admitted, progress)
+            if isinstance(placement, Failure):
+                return placement
+            pause_ms = notices.wait_ms(placement.lead, admitted.priority)
+            if pause_ms:
+                await anyio.sleep(pause_ms / MS_PER_S)
+                continue
+            last_resort = notices.is_leaving(placement.lead)
+            if limits.find(placement.lead) is None:
+                return PermittedPlacement(placement, last_resort=last_resort)
+            permit = await self._deps.limit_link.acquire(
+                placement.lead,
+                self._max_permit_wait_s(admitted, progress, placement),
+                admitted.priority,
+            )
+            outcome = 'denied' if permit is None else 'granted'
+            self._deps.telemetry.permits.labels(outcome).inc()
+            if permit is not None and self._is_still_usable(
+                admitted, progress, placement.lead
+            ):
+                return PermittedPlacement(placement, permit, last_resort)
+            progress.denied_endpoints.add(placement.lead.identity)
+
+    def outlasts_process(
+        self, admitted: AdmittedRequest, predicted_ms: float
+    ) -> bool:
+        """Tell whether a request may still run when this process ends.
+
+        One that arrives after the load balancer has stopped sending gets no
+        benefit of the doubt: it reaches another entry as soon as it is refused.
+        """
+        lifetime = self._deps.lifetime
+        remaining_s = lifetime.remaining_s()
+        if math.isinf(remaining_s):
+            return False
+        estimate = self._completion_times.usual_s
+        if lifetime.arrivals_over:
+            estimate = self._completion_times.cautious_s
+        total_s = estimate(admitted.service.name, predicted_ms)
+        outlasts = min(total_s, admitted.remaining_s()) > remaining_s
+        if outlasts:
+            logger.bind(
+                request_id=admitted.req.request_id,
+                stopping_for_ms=lifetime.stopping_for_ms(),
+                left_ms=round(remaining_s * MS_PER_S),
+                predicted_ms=round(predicted_ms),
+                expected_s=round(total_s, 3)
+                if math.isfinite(total_s)
+                else None,
+            ).info('requestoutlasts_process')
+        return outlasts
+
+    def find_obstacle(
+        self, admitted: AdmittedRequest, permitted: PermittedPlacement
+    ) -> str:
+        """Return why a placed request must be placed again, or ''."""
+        if self.outlasts_process(admitted, permitted.placement.total_ms):
+            return 'shutting down'
+        limits = self._deps.limit_link.limits
+        if permitted.permit is None and limits.find(permitted.placement.lead):
+            return 'the endpoint has begun to limit its requests'
+        notices = self._deps.notices
+        obstacle = notices.find_obstacle(
+            permitted.placement.lead, last_resort=permitted.last_resort
+        )
+        for helper in permitted.placement.helpers:
+            obstacle = obstacle or notices.find_obstacle(helper.endpoint)
+        return obstacle
+
+    def _max_permit_wait_s(
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+        placement: Placement,
+    ) -> float:
+        """Return the wait for a permit with which the first event is in time,
+        or the wait that the placement has accepted if that is longer.
+        """
+        known_ms = self._deps.limit_link.limits.wait_ms(placement.lead)
+        remaining_ms = admitted.remaining_s() * MS_PER_S
+        target_ms = _remaining_target_ms(admitted, progress) or remaining_ms
+        slack_ms = target_ms - max(0.0, placement.first_event_ms - known_ms)
+        wait_s = min(remaining_ms, max(known_ms, slack_ms)) / MS_PER_S
+        return min(wait_s, self._deps.lifetime.remaining_s())
+
+    def _is_still_usable(
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+        endpoint: Endpoint,
+    ) -> bool:
+        """Tell whether an endpoint may get a request that has waited."""
+        service = admitted.service
+        notices = self._deps.notices
+        if notices.find_obstacle(endpoint, last_resort=True):
+            return False
+        if notices.wait_ms(endpoint, admitted.priority):
+            return False
+        return (
+            self._deps.directory.is_usable(endpoint)
+            and self._is_eligible(admitted, progress, endpoint)
+            and self._deps.cold_limiter.allows_last_resort(
+                endpoint.identity, service.cold_per_s
+            )
+        )
+
+    async def _place_with_deferrals(
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+    ) -> Placement | Failure:
+        deferred_ms = 0.0
+        while True:
+            placement = self._place_once(admitted, progress)
+            if not isinstance(placement, Deferral):
+                break
+            if placement.wait_ms / MS_PER_S > self._deps.lifetime.remaining_s():
+                placement = draining_failure()
+                break
+            self._log_placement(admitted, placement, deferred_ms)
+            if not deferred_ms:
+                self._deps.telemetry.deferrals.inc()
+            deferred_ms += placement.wait_ms
+            await anyio.sleep(placement.wait_ms / MS_PER_S)
+        self._log_placement(admitted, placement, deferred_ms)
+        if not isinstance(placement, Failure) and self.outlasts_process(
+            admitted, placement.total_ms
+        ):
+            return draining_failure()
+        return placement
+
+    def _log_placement(
+        self,
+        admitted: AdmittedRequest,
+        placement: Placement | Deferral | Failure,
+        deferred_ms: float,
+    ) -> None:
+        """Log a refusal, the first deferral and the end of deferrals."""
+        log = logger.bind(
+            request_id=admitted.req.request_id,
+            prompt=admitted.prompt_tokens,
+            left_ms=round(admitted.remaining_s() * MS_PER_S),
+        )
+        if isinstance(placement, Failure):
+            log.bind(
+                kind=placement.kind.value,
+                reason=placement.reason,
+                deferred_ms=round(deferred_ms),
+            ).info('placement_refused')
+        elif isinstance(placement, Deferral):
+            if not deferred_ms:
+                log.bind(reason=placement.reason).info('placement_deferred')
+        elif deferred_ms:
+            log.bind(deferred_ms=round(deferred_ms)).info('placement_resumed')
+
+    def _place_once(
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+    ) -> Placement | Deferral | Failure:
+        deps = self._deps
+        remaining_ms = admitted.remaining_s() * MS_PER_S
+        if remaining_ms <= ANSWER_MARGIN_MS:
+            return Failure(
+                kind=ErrorKind.OVERLOADED,
+                reason='the deadline has passed or is too close',
+            )
+        rejection = deps.quarantine.check(
+            known_fingerprint(admitted, progress, deps.quarantine),
+            admitted.req.request_id,
+        )
+        if rejection is not None:
+            return rejection
+        candidates, helpers = self._find_candidates(admitted, progress)
+        permit_waits_ms = self._permit_waits_ms(admitted)
+        pause_waits_ms = self._pause_waits_ms(admitted, progress)
+        candidates = [
+            endpoint
+            for endpoint in candidates
+            if permit_waits_ms.get(endpoint.identity, 0) <= remaining_ms
+            and pause_waits_ms.get(endpoint.identity, 0) <= remaining_ms
+            and _may_need_permit(progress, endpoint, permit_waits_ms)
+        ]
+        last_resort = not candidates
+        if last_resort:
+            candidates = self._find_leaving(admitted, progress)
+        progress.candidate_count = len(candidates)
+        query = PlacementQuery(
+            request_id=admitted.req.request_id,
+            service=admitted.service,
+            candidates=candidates,
+            helpers=[
+                helper
+                for helper in helpers
+                if helper.identity not in permit_waits_ms
+                and helper.identity not in pause_waits_ms
+            ],
+            jobs_by_endpoint=deps.load_table.jobs_by_endpoint(),
+            now=deps.load_table.clock(),
+            zone=deps.settings.zone,
+            tokens=admitted.req.tokens,
+            remaining_ms=remaining_ms,
+            first_event_target_ms=_remaining_target_ms(admitted, progress),
+            event_gap_target_ms=admitted.route.event_gap_target_ms,
+            failure_shares=deps.health.failure_shares((*candidates, *helpers)),
+            permit_waits_ms=permit_waits_ms,
+            pause_waits_ms=pause_waits_ms,
+            last_resort=last_resort,
+        )
+        restricted = {*permit_waits_ms, *pause_waits_ms}
+        if restricted and not candidates:
+            return waiting_failure(query, min(restricted, key=query.wait_ms))
+        if admitted.service.engine is None or admitted.req.tokens is None:
+            return deps.call_placer.place(query)
+        return deps.prompt_placer.place(query)
+
+    def _permit_waits_ms(self, admitted: AdmittedRequest) -> dict[str, float]:
+        """Return the waits for permits of the endpoints that need them."""
+        limits = self._deps.limit_link.limits
+        if not limits.count():
+            return {}
+        return {
+            endpoint.identity: limits.wait_ms(endpoint)
+            for endpoint in self._deps.directory.endpoints(
+                admitted.service.name
+            )
+            if limits.find(endpoint) is not None
+            and not self._deps.notices.is_leaving(endpoint)
+        }
+
+    def _pause_waits_ms(
+        self, admitted: AdmittedRequest, progress: RequestProgress
+    ) -> dict[str, float]:
+        """Return the waits for the endpoints that pause or return from it."""
+        notices = self._deps.notices
+        if notices.is_empty():
+            return {}
+        waits_ms = {
+            endpoint.identity: notices.wait_ms(endpoint, admitted.priority)
+            for endpoint in self._deps.directory.endpoints(
+                admitted.service.name
+            )
+            if notices.is_returning(endpoint)
+            and not notices.is_leaving(endpoint)
+        }
+        if any(waits_ms.values()):
+            self._count_passed_over(progress, 'pause')
+        return waits_ms
+
+    def _find_leaving(
+        self, admitted: AdmittedRequest, progress: RequestProgress
+    ) -> list[Endpoint]:
+        """Return leaving endpoints for a request that has no other one.
+
+        They may end under it, so it must be one that may be repeated.
+        """
+        if not admitted.route.repeatable or self._deps.notices.is_empty():
+            return []
+        return [
+            endpoint
+            for endpoint in self._deps.directory.endpoints(
+                admitted.service.name
+            )
+            if self._deps.notices.is_last_resort(endpoint)
+            and self._is_still_usable(admitted, progress, endpoint)
+        ]
+
+    def _count_passed_over(self, progress: RequestProgress, cause: str) -> None:
+        """Count a request once for each cause."""
+        if cause not in progress.passed_over_for:
+            progress.passed_over_for.add(cause)
+            self._deps.telemetry.passed_over.labels(cause).inc()
+
+    def _find_candidates(
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+    ) -> tuple[list[Endpoint], list[Endpoint]]:
+        """Return the endpoints that may run the request, and further ones that
+        may only prefill a part of its prompt.
+
+        Endpoints that fail or cannot be reached are used only if there are no
+        others. Prefilling a part of a prompt does not count as a request, so
+        the rate limit of cold endpoints does not apply to it.
+        """
+        cold_limiter = self._deps.cold_limiter
+        cold_per_s = admitted.service.cold_per_s
+        usable: list[Endpoint] = []
+        healthy: list[Endpoint] = []
+        rate_limited: list[Endpoint] = []
+        for endpoint in self._deps.directory.endpoints(admitted.service.name):
+            if not self._is_eligible(admitted, progress, endpoint):
+                continue
+            if self._deps.notices.is_leaving(endpoint):
+                self._count_passed_over(progress, 'leaving')
+                continue
+            if cold_limiter.allows(endpoint.identity, cold_per_s):
+                usable.append(endpoint)
+                if self._is_healthy(endpoint):
+                    healthy.append(endpoint)
+            else:
+                rate_limited.append(endpoint)
+        if usable:
+            helpers = [
+                helper for helper in rate_limited if self._is_healthy(helper)
+            ]
+            return healthy or usable, helpers
+        last_resort = [
+            candidate
+            for candidate in rate_limited
+            if cold_limiter.allows_last_resort(candidate.identity, cold_per_s)
+        ]
+        return last_resort, []
+
+    def _is_eligible(
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+        endpoint: Endpoint,
+    ) -> bool:
+        deps = self._deps
+        if endpoint.zone in deps.operator_state.evacuated_zones:
+            return False
+        if endpoint.identity in progress.excluded_endpoints:
+            return False
+        return self._in_home_region(admitted, endpoint)
+
+    def _is_healthy(self, endpoint: Endpoint) -> bool:
+        deps = self._deps
+        if deps.reach.is_excluded(endpoint.zone):
+            return False
+        return not deps.health.is_excluded(endpoint.identity)
+
+    def _in_home_region(
+        self, admitted: AdmittedRequest, endpoint: Endpoint
+    ) -> bool:
+        region = self._deps.settings.region_of(endpoint.zone)
+        for home_regions in (
+            admitted.route.home_regions,
+            admitted.team.home_regions,
+        ):
+            if home_regions and region not in home_regions:
+                return False
+        return True
+
+
+def _may_need_permit(
+    progress: RequestProgress,
+    endpoint: Endpoint,
+    permit_waits_ms: Mapping[str, float],
+) -> bool:
+    """Tell whether to try an endpoint, which may need a permit."""
+    if endpoint.identity not in permit_waits_ms:
+        return True
+    if len(progress.denied_endpoints) >= MAX_PERMIT_DENIALS:
+        return False
+    return endpoint.identity not in progress.denied_endpoints
+
+
+def _remaining_target_ms(
+    admitted: AdmittedRequest, progress: RequestProgress
+) -> float:
+    """Return the remaining time to the first event target, zero for none.
+
+    A retry has no target, so that it is placed where it is fastest.
+    """
+    target_ms = admitted.route.first_event_target_ms
+    if not target_ms or progress.attempts:
+        return 0.0
+    return max(1.0, target_ms - progress.elapsed_ms())
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -29,7 +29,8 @@
 from masticwind.serving.peers import EntryPeers, Registrar
 from masticwind.serving.quarantine import build_quarantine
 from masticwind.serving.reach import ZoneReachability
-from masticwind.serving.relay import Relay, RelayDependencies
+from masticwind.serving.relay import Relay
+from masticwind.serving.relay_dependencies import RelayDependencies
 from masticwind.serving.settings import LiveSettings, parse_address
 from masticwind.serving.store_connection import StoreConnection
 from masticwind.serving.supervision import supervise
--- a/tests/test_deadly_calls.py
+++ b/tests/test_deadly_calls.py
@@ -9,7 +9,7 @@
 import pytest
 
 from masticwind.budget import Budget
-from masticwind.serving import relay
+from masticwind.serving import known_calls
 from masticwind.serving.attempt_context import AttemptState
 from masticwind.serving.crash_evidence import (
     EVIDENCE_TTL_S,
@@ -107,7 +107,7 @@
     def fail(req: CallerRequest, team: str) -> RequestFingerprint:
         raise AssertionError(req.path)
 
-    monkeypatch.setattr(relay, 'call_fingerprint', fail)
+    monkeypatch.setattr(known_calls, 'call_fingerprint', fail)
     async with running_deadly_fleet() as fleet:
         for _ in range(5):
             answer = await fleet.call(fleet.entries[0], '/read/a')
