--- a/src/masticwind/serving/admission.py
+++ b/src/masticwind/serving/admission.py
@@ -2,11 +2,13 @@
 
 import random
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
 from masticwind.budget import MS_PER_S, boot_time
 from masticwind.errors import ErrorKind, Failure, guarantees_not_run
+from masticwind.serving.events import Event
 from masticwind.serving.fingerprints import RequestFingerprint
 from masticwind.serving.model import (
     CallerRequest,
@@ -103,8 +105,7 @@
     `may_have_run_at` has the endpoints that may have run it, and
     `excluded_endpoints` those that get no further attempt.
     `candidate_count` is the number of candidates of the last placement.
-    `at_fault` is the endpoint that the last refusal names. `last_event_id`
-    is the id of the last event that the caller has received.
+    `last_event_id` is the id of the last event that the caller has received.
     `denied_endpoints` did not grant a permit to send it. `passed_over_for` has
     the causes for which endpoints were not used. `predicted_ms` is the
     predicted time of the current attempt, and `is_sent` tells whether an
@@ -122,7 +123,6 @@
     is_sent: bool = False
     config_version: int | None = None
     call_fingerprint: RequestFingerprint | None = None
-    at_fault: Endpoint | None = None
     last_event_id: int | None = None
     event_count: int = 0
     first_event_ms: int = 0
@@ -140,27 +140,35 @@
             return None
         return round((time.monotonic() - self.last_event_at) * MS_PER_S)
 
-    def record_events(self, count: int) -> None:
-        """Record `count` events that have just arrived."""
+    def record_events(self, events: Sequence[Event]) -> None:
+        """Record events that have just arrived and go to the caller."""
         now = time.monotonic()
+        for event in events:
+            if event.event_id is not None:
+                self.last_event_id = event.event_id
         if self.event_count:
             gap_s = now - self.last_event_at
             self.max_event_gap_s = max(self.max_event_gap_s, gap_s)
         else:
             self.first_event_ms = round(self.elapsed_ms())
         self.last_event_at = now
-        self.event_count += count
+        self.event_count += len(events)
 
-    def record_failure(self, lead: Endpoint, failure: Failure) -> Endpoint:
-        """Record a failed attempt and return the endpoint at fault."""
-        at_fault = self.at_fault or lead
-        self.at_fault = None
+    def record_failure(
+        self, lead: Endpoint, at_fault: Endpoint, failure: Failure
+    ) -> None:
+        """Record a failed attempt, and the endpoint at fault."""
         self.is_sent = False
         self.excluded_endpoints.add(at_fault.identity)
         if not guarantees_not_run(failure.kind):
-            self.excluded_endpoints.add(lead.identity)
-            self.may_have_run_at.add(lead.identity)
-        return at_fault
+            self.record_possible_run(lead)
+
+    def record_possible_run(self, lead: Endpoint) -> None:
+        """Record that an endpoint may have run the request; it gets no other
+        attempt.
+        """
+        self.excluded_endpoints.add(lead.identity)
+        self.may_have_run_at.add(lead.identity)
 
     def record_recall(self, lead: Endpoint) -> None:
         """Record that an attempt was recalled, which says nothing of `lead`."""
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -13,7 +13,10 @@
 from masticwind.http_limits import join_chunks
 from masticwind.httpclient import BrokenStreamError
 from masticwind.serving.admission import AdmittedRequest
-from masticwind.serving.attempt_context import AttemptContext
+from masticwind.serving.attempt_context import (
+    AttemptContext,
+    superseded_failure,
+)
 from masticwind.serving.endpoint_limits import Permit
 from masticwind.serving.event_relay import relay_events
 from masticwind.serving.interfaces import (
@@ -32,7 +35,7 @@
     ReservationFailure,
     hold_reservations,
 )
-from masticwind.serving.retry_timeout import RetryTimeout
+from masticwind.serving.silence_timer import SilenceTimer
 
 # Connecting within a region takes a few milliseconds.
 CONNECT_TIMEOUT_S: Final = 0.4
@@ -40,14 +43,15 @@
 MAX_ANSWER_BYTES: Final = 4_194_304
 # Time for the answer to reach the caller before the deadline.
 ANSWER_MARGIN_MS: Final = 10
-# Timeout for the first event, as a multiple of its predicted time.
+# Time without a first event after which another endpoint is tried, as a
+# multiple of its predicted time.
 FIRST_EVENT_PREDICTION_FACTOR: Final = 3.0
 MIN_FIRST_EVENT_TIMEOUT_S: Final = 0.8
-# The same timeout is at least this multiple of the first event target: an
+# The same time is at least this multiple of the first event target: an
 # earlier retry of a long prefill would miss the target as well, and callers
 # wait for four times the target.
 FIRST_EVENT_TARGET_FACTOR: Final = 2.0
-# Timeout between events, as a multiple of the event gap target.
+# The same between events, as a multiple of the event gap target.
 EVENT_GAP_TIMEOUT_FACTOR: Final = 4.0
 MIN_EVENT_GAP_TIMEOUT_S: Final = 1.2
 # Range of the priorities that endpoints accept.
@@ -56,25 +60,10 @@
 
 
 def attempt_limits(
-    admitted: AdmittedRequest,
-    placement: Placement,
-    *,
-    may_retry_elsewhere: bool,
+    admitted: AdmittedRequest, placement: Placement
 ) -> AttemptLimits:
-    """Return the time limits of an attempt.
-
-    Missing events end an attempt before the deadline only if another endpoint
-    may run the request.
-    """
+    """Return the time limits of an attempt."""
     remaining_s = admitted.remaining_s()
-    connect_s = min(CONNECT_TIMEOUT_S, remaining_s)
-    if not may_retry_elsewhere:
-        return AttemptLimits(
-            connect_timeout_s=connect_s,
-            head_timeout_s=remaining_s,
-            idle_timeout_s=remaining_s,
-            total_timeout_s=remaining_s,
-        )
     route = admitted.route
     first_event_timeout_s = max(
         MIN_FIRST_EVENT_TIMEOUT_S,
@@ -86,9 +75,9 @@
         route.event_gap_target_ms * EVENT_GAP_TIMEOUT_FACTOR / MS_PER_S,
     )
     return AttemptLimits(
-        connect_timeout_s=connect_s,
-        head_timeout_s=min(remaining_s, first_event_timeout_s),
-        idle_timeout_s=min(remaining_s, event_gap_timeout_s),
+        connect_timeout_s=min(CONNECT_TIMEOUT_S, remaining_s),
+        head_timeout_s=first_event_timeout_s,
+        idle_timeout_s=event_gap_timeout_s,
         total_timeout_s=remaining_s,
     )
 
@@ -104,7 +93,7 @@
     log = logger.bind(
         request_id=admitted.req.request_id,
         endpoint=context.placement.lead.identity,
-        attempt=context.progress.attempts,
+        attempt=context.number,
     )
     sent_at = time.monotonic()
     outcome: Failure | None = Failure(
@@ -123,6 +112,7 @@
         outcome = Failure(
             kind=ErrorKind.TIMED_OUT,
             reason='the endpoint did not finish before the deadline',
+            silent=context.state.silent,
         )
     log = log.bind(
         took_ms=round((time.monotonic() - sent_at) * MS_PER_S),
@@ -160,7 +150,7 @@
             if helpers.held_back:
                 context.state.held_back = True
             else:
-                context.progress.at_fault = helpers.endpoint
+                context.state.at_fault = helpers.endpoint
             return helpers.failure
         obstacle = context.find_obstacle()
         if obstacle:
@@ -169,21 +159,17 @@
         request = _build_attempt(context, helpers)
         _log_sent(context, request)
         context.progress.is_sent = True
-        expires_at = anyio.current_time() + context.limits.head_timeout_s
-        with RetryTimeout(context, expires_at) as timeout:
+        context.state.is_sent = True
+        silent_at = anyio.current_time() + context.limits.head_timeout_s
+        with SilenceTimer(context, silent_at) as timer:
             async with endpoint_client.send(request, context.limits) as reply:
-                timeout.end()
+                timer.end()
                 if isinstance(reply, Failure):
                     return reply
                 context.state.answer_begun = True
                 context.state.notice = reply.notice
                 context.on_answer(reply.notice)
                 return await _receive_or_fail(context, reply)
-    return Failure(
-        kind=ErrorKind.TIMED_OUT,
-        reason=f'no answer for {context.limits.head_timeout_s:.2f} s',
-        silent=True,
-    )
 
 
 def _build_attempt(
@@ -210,7 +196,7 @@
     logger.bind(
         request_id=admitted.req.request_id,
         endpoint=request.endpoint.identity,
-        attempt=context.progress.attempts,
+        attempt=context.number,
         route=admitted.route.name,
         config_version=admitted.config_version,
         config_age_s=round(admitted.config_age_s, 3),
@@ -269,13 +255,13 @@
 async def _receive(context: AttemptContext, reply: Reply) -> Failure | None:
     at_fault = reply.at_fault or context.placement.lead
     if reply.verdict is Verdict.WRONG_ENDPOINT:
-        context.progress.at_fault = at_fault
+        context.state.at_fault = at_fault
         return Failure(
             kind=ErrorKind.REVOKED,
             reason=f'{at_fault.address} is not {at_fault.identity} any more',
         )
     if reply.verdict is Verdict.NOT_RUN:
-        context.progress.at_fault = at_fault
+        context.state.at_fault = at_fault
         return Failure(
             kind=ErrorKind.OVERLOADED,
             reason=f'{at_fault.identity} refused with status {reply.status}',
@@ -311,6 +297,8 @@
             kind=ErrorKind.INTERNAL,
             reason=f'the endpoint failed with status {reply.status}',
         )
+    if not context.claim():
+        return superseded_failure()
     await context.answer.start(reply.status, reply.headers, len(body))
     await context.answer.write(body)
     await context.answer.finish()
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.admission import AdmittedRequest, RequestProgress
 from masticwind.serving.endpoint_limits import Permit
 from masticwind.serving.interfaces import (
@@ -23,13 +24,18 @@
     `answer_begun` says that the head of the answer has arrived. `notice` is
     what it says about the endpoint, as in `Reply`. An attempt that is
     `held_back` has not been sent. An answer that is `unverified` may belong to
-    another request. Cancelling `scope` recalls the attempt.
+    another request. A `silent` endpoint has written nothing for the time after
+    which another one is tried. `at_fault` is the endpoint that a refusal names.
+    Cancelling `scope` recalls the attempt.
     """
 
     answer_begun: bool = False
     notice: EndpointNotice | None = None
     held_back: bool = False
+    is_sent: bool = False
     unverified: bool = False
+    silent: bool = False
+    at_fault: Endpoint | None = None
     event_count: int = 0
     scope: anyio.CancelScope | None = None
 
@@ -43,12 +49,16 @@
 class AttemptContext:
     """The parameters of an attempt, and its state.
 
-    `may_retry_elsewhere` tells whether another endpoint may run the request if
-    this attempt fails now. `on_event` is called for each batch of events before
-    it is sent to the caller, and `on_answer` with what the endpoint says of
-    itself, as in `Reply`; `on_order_reply` likewise for a reservation on a
-    helper. `find_obstacle` is called right before the request is sent. It
-    returns the reason why it must not be sent any more, or ''.
+    `number` counts the attempts of the request from 1. `may_retry_elsewhere`
+    tells whether another endpoint runs the request, or may run it, if this
+    attempt fails now. `claim` asks for the right to write to the caller, which
+    ends the other attempts; it is refused to one that has been ended itself.
+    `on_silence` is called when the endpoint becomes silent. `on_event` is
+    called for each batch of events before it is sent to the caller, and
+    `on_answer` with what the endpoint says of itself, as in `Reply`;
+    `on_order_reply` likewise for a reservation on a helper. `find_obstacle` is
+    called right before the request is sent. It returns the reason why it must
+    not be sent any more, or ''.
     """
 
     admitted: AdmittedRequest
@@ -56,10 +66,20 @@
     progress: RequestProgress
     answer: CallerAnswer
     limits: AttemptLimits
+    number: int
     may_retry_elsewhere: Callable[[], bool]
+    claim: Callable[[], bool]
+    on_silence: Callable[[], None]
     on_event: Callable[[], None]
     on_answer: Callable[[EndpointNotice | None], None]
     on_order_reply: Callable[[Endpoint, EndpointNotice | None], None]
     find_obstacle: Callable[[], str]
     permit: Permit | None = None
     state: AttemptState = field(default_factory=AttemptState)
+
+
+def superseded_failure() -> Failure:
+    """Return the failure of an attempt that may not write to the caller."""
+    return Failure(
+        kind=ErrorKind.CANCELLED, reason='another attempt answers the request'
+    )
--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -2,14 +2,17 @@
 
 import math
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from functools import partial
 from typing import Final
 
+from loguru import logger
+
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.admission import AdmittedRequest, RequestProgress
 from masticwind.serving.attempt import attempt_limits, run_attempt
-from masticwind.serving.attempt_context import AttemptContext
+from masticwind.serving.attempt_context import AttemptContext, AttemptState
 from masticwind.serving.completion_times import CompletionTimes
 from masticwind.serving.crash_detector import CrashDetector
 from masticwind.serving.interfaces import CallerAnswer, EndpointNotice
@@ -33,6 +36,24 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class ServedRequest:
+    """An admitted request, its progress, and the answer to its caller."""
+
+    admitted: AdmittedRequest
+    progress: RequestProgress
+    answer: CallerAnswer
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptDecisions:
+    """What an attempt asks of its request, as in `AttemptContext`."""
+
+    may_retry_elsewhere: Callable[[], bool]
+    claim: Callable[[], bool]
+    on_silence: Callable[[], None]
+
+
 class AttemptRunner:
     """Runs attempts; learns from them about endpoints and prompts."""
 
@@ -51,14 +72,14 @@
 
     async def run(
         self,
-        admitted: AdmittedRequest,
+        served: ServedRequest,
         permitted: PermittedPlacement,
-        progress: RequestProgress,
-        answer: CallerAnswer,
-        may_retry: Callable[[], bool],
+        decisions: AttemptDecisions,
     ) -> Failure | None:
         """Run one attempt; None means that the answer has been sent."""
         deps = self._deps
+        admitted = served.admitted
+        progress = served.progress
         placement = permitted.placement
         progress.attempts += 1
         progress.predicted_ms = placement.total_ms
@@ -76,11 +97,14 @@
             admitted=admitted,
             placement=placement,
             progress=progress,
-            answer=answer,
-            limits=attempt_limits(
-                admitted, placement, may_retry_elsewhere=may_retry()
+            answer=served.answer,
+            limits=attempt_limits(admitted, placement),
+            number=progress.attempts,
+            may_retry_elsewhere=decisions.may_retry_elsewhere,
+            claim=partial(self._claim, state, decisions),
+            on_silence=partial(
+                self._record_silence, served, permitted, decisions
             ),
-            may_retry_elsewhere=may_retry,
             on_event=partial(
                 self._record_event, placement.lead, job_ids, running
             ),
@@ -120,7 +144,12 @@
         """
         deps = self._deps
         state = permitted.state
-        at_fault = progress.record_failure(permitted.placement.lead, failure)
+        lead = permitted.placement.lead
+        at_fault = state.at_fault or lead
+        progress.record_failure(lead, at_fault, failure)
+        if failure.silent and state.silent:
+            # What the silence says of the endpoint has been recorded.
+            return
         if failure.silent:
             deps.reach.record_silence(at_fault)
         else:
@@ -157,6 +186,66 @@
         size = prompt_size_label(admitted.prompt_tokens)
         telemetry.first_event.labels(size).observe(first_event_ms / MS_PER_S)
 
+    def record_success(self, lead: Endpoint) -> None:
+        """Record that an endpoint has served a request."""
+        self._deps.health.record_success(lead.identity)
+        self._deps.reach.record_answer(lead)
+
+    def record_superseded(
+        self, permitted: PermittedPlacement, served: ServedRequest
+    ) -> None:
+        """Record an attempt that another one has ended.
+
+        It says nothing of its endpoint.
+        """
+        lead = permitted.placement.lead
+        if permitted.state.is_sent:
+            served.progress.record_possible_run(lead)
+        self._deps.telemetry.attempts.labels('superseded').inc()
+        logger.bind(
+            request_id=served.admitted.req.request_id,
+            endpoint=lead.identity,
+            sent=permitted.state.is_sent,
+            silent=permitted.state.silent,
+            events=permitted.state.event_count,
+        ).info('attempt_superseded')
+
+    def _claim(self, state: AttemptState, decisions: AttemptDecisions) -> bool:
+        """Let an attempt write to the caller, if no other one has done so."""
+        state.silent = False
+        return decisions.claim()
+
+    def _record_silence(
+        self,
+        served: ServedRequest,
+        permitted: PermittedPlacement,
+        decisions: AttemptDecisions,
+    ) -> None:
+        """Record that an endpoint is silent, which may be slow or have failed.
+
+        It stays with the request until another endpoint answers.
+        """
+        deps = self._deps
+        lead = permitted.placement.lead
+        state = permitted.state
+        if state.silent:
+            return
+        state.silent = True
+        logger.bind(
+            request_id=served.admitted.req.request_id,
+            endpoint=lead.identity,
+            answer_begun=state.answer_begun,
+            events=state.event_count,
+            left_ms=round(served.admitted.remaining_s() * MS_PER_S),
+        ).info('endpoint_silent')
+        served.progress.record_possible_run(lead)
+        deps.reach.record_silence(lead)
+        if not deps.notices.is_leaving(lead):
+            deps.health.record_failure(
+                lead.identity, 'silent', connection_failed=False
+            )
+        decisions.on_silence()
+
     async def _record_outcome(
         self,
         context: AttemptContext,
--- a/src/masticwind/serving/interfaces.py
+++ b/src/masticwind/serving/interfaces.py
@@ -49,9 +49,9 @@
 class AttemptLimits:
     """Time limits of one attempt, in seconds.
 
-    `head_timeout_s` bounds the wait for the head of the answer and
-    `idle_timeout_s` each wait for more events. `total_timeout_s` is the time
-    that is left for the request.
+    An endpoint counts as silent after `head_timeout_s` without a first event,
+    or without the head of another answer, and after `idle_timeout_s` without a
+    further event. `total_timeout_s` is the time that is left for the request.
     """
 
     connect_timeout_s: float
--- /dev/null
+++ b/src/masticwind/serving/request_run.py
@@ -0,0 +1,218 @@
+"""Runs the attempts of one request until it has its final answer.
+
+A request is retried only if it was not sent, if its endpoint states that it
+did not run, or if its route allows it to run more than once. A resumable
+stream continues after its last complete event.
+
+An attempt whose endpoint is silent goes on: the endpoint may only be slow, and
+nothing else may take the request. Meanwhile another line of attempts looks for
+a successor, and the first attempt that has something for the caller ends the
+others.
+"""
+
+from dataclasses import dataclass
+from functools import partial
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from masticwind.budget import MS_PER_S
+from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.attempt import ANSWER_MARGIN_MS
+from masticwind.serving.attempt_race import AttemptLine, AttemptRace
+from masticwind.serving.attempt_runner import (
+    AttemptDecisions,
+    AttemptRunner,
+    ServedRequest,
+)
+from masticwind.serving.relay_dependencies import RelayDependencies
+from masticwind.serving.request_placer import PermittedPlacement, RequestPlacer
+
+# Range of the intervals at which a successor of a silent attempt is looked for.
+MIN_SEARCH_INTERVAL_S: Final = 0.1
+MAX_SEARCH_INTERVAL_S: Final = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunDependencies:
+    """Collaborators of the run of a request."""
+
+    relay: RelayDependencies
+    placer: RequestPlacer
+    attempts: AttemptRunner
+
+
+class RequestRun:
+    """The lines of attempts of one request."""
+
+    def __init__(self, deps: RunDependencies, served: ServedRequest) -> None:
+        self._placer: Final = deps.placer
+        self._attempts: Final = deps.attempts
+        self._relay: Final = deps.relay
+        self._served: Final = served
+        self._race: Final = AttemptRace()
+        self._current: Final[dict[AttemptLine, PermittedPlacement]] = {}
+        self._outcome: Failure | None = None
+
+    async def serve(self) -> Failure | None:
+        """Run attempts; None means that the answer has been sent."""
+        async with anyio.create_task_group() as tasks:
+            scope = anyio.CancelScope()
+            line = self._race.open_line(scope.cancel)
+            await self._run_line(tasks, scope, line, has_retry=True)
+        return self._outcome
+
+    async def _run_line(
+        self,
+        tasks: TaskGroup,
+        scope: anyio.CancelScope,
+        line: AttemptLine,
+        *,
+        has_retry: bool,
+    ) -> None:
+        with scope:
+            outcome = await self._run_attempts(tasks, line, has_retry=has_retry)
+            self._race.close_line(line)
+            # The line that ends last decides; one that is served has ended the
+            # others.
+            self._outcome = outcome
+        permitted = self._current.pop(line, None)
+        if line.superseded and permitted is not None:
+            self._attempts.record_superseded(permitted, self._served)
+
+    async def _run_attempts(
+        self, tasks: TaskGroup, line: AttemptLine, *, has_retry: bool
+    ) -> Failure | None:
+        """Run one attempt after the other.
+
+        `has_retry` tells whether the next one needs no retry of the budget.
+        """
+        progress = self._served.progress
+        while True:
+            permitted = await self._place(line, has_retry=has_retry)
+            if isinstance(permitted, Failure):
+                return progress.final_failure(permitted)
+            has_retry = True
+            self._race.begin_attempt(line)
+            self._current[line] = permitted
+            failure = await self._attempts.run(
+                self._served, permitted, self._decisions(tasks, line)
+            )
+            self._current.pop(line)
+            if permitted.state.held_back:
+                progress.attempts -= 1
+                self._race.hold_back(line)
+                continue
+            self._attempts.record_metrics(
+                self._served.admitted, progress, failure
+            )
+            if failure is None:
+                self._attempts.record_success(permitted.placement.lead)
+                return None
+            if failure.kind is ErrorKind.QUARANTINED:
+                progress.record_recall(permitted.placement.lead)
+                return progress.final_failure(failure)
+            goes_on = self._race.end_attempt(line)
+            await self._attempts.record_failure(permitted, failure, progress)
+            has_retry = not self._race.has_others(line)
+            if not goes_on or (has_retry and not self._try_acquire_retry()):
+                return progress.final_failure(failure)
+
+    async def _place(
+        self, line: AttemptLine, *, has_retry: bool
+    ) -> PermittedPlacement | Failure:
+        """Place the next attempt of a line.
+
+        While an attempt of another line waits for its endpoint, this waits for
+        a placement, and for a retry of the budget if it has none.
+        """
+        interval_s = MIN_SEARCH_INTERVAL_S
+        while True:
+            if not self._race.has_others(line):
+                return await self._placer.place(
+                    self._served.admitted, self._served.progress
+                )
+            permitted = await self._place_successor(has_retry=has_retry)
+            if permitted is not None:
+                return permitted
+            await anyio.sleep(interval_s)
+            interval_s = min(MAX_SEARCH_INTERVAL_S, 2 * interval_s)
+
+    async def _place_successor(
+        self, *, has_retry: bool
+    ) -> PermittedPlacement | None:
+        """Return a placement that may be used beside silent attempts."""
+        if not has_retry and not self._may_acquire_retry():
+            return None
+        permitted = await self._placer.place(
+            self._served.admitted, self._served.progress
+        )
+        if isinstance(permitted, Failure):
+            return None
+        if has_retry or self._try_acquire_retry():
+            return permitted
+        return None
+
+    def _decisions(
+        self, tasks: TaskGroup, line: AttemptLine
+    ) -> AttemptDecisions:
+        return AttemptDecisions(
+            may_retry_elsewhere=partial(self._may_retry_elsewhere, line),
+            claim=partial(self._race.claim, line),
+            on_silence=partial(self._handle_silence, tasks, line),
+        )
+
+    def _handle_silence(self, tasks: TaskGroup, line: AttemptLine) -> None:
+        """Look for a successor of a silent attempt, if there may be one."""
+        needs_successor = self._race.record_silence(line)
+        if not needs_successor or not self._served.admitted.route.repeatable:
+            return
+        scope = anyio.CancelScope()
+        successor = self._race.open_line(scope.cancel)
+        tasks.start_soon(
+            partial(self._run_line, tasks, scope, successor, has_retry=False)
+        )
+
+    def _may_retry_elsewhere(self, line: AttemptLine) -> bool:
+        """Tell whether the request is sent to another endpoint, or may be, if
+        the attempt of a line fails.
+        """
+        if self._race.has_others(line):
+            return True
+        admitted = self._served.admitted
+        progress = self._served.progress
+        if not progress.may_retry_after_current(admitted):
+            return False
+        if self._placer.outlasts_process(admitted, progress.predicted_ms):
+            return False
+        budget = self._relay.retry_budget
+        return budget.remaining(admitted.service.name) >= 1
+
+    def _may_acquire_retry(self) -> bool:
+        admitted = self._served.admitted
+        budget = self._relay.retry_budget
+        return (
+            self._has_retry_left()
+            and budget.remaining(admitted.service.name) >= 1
+        )
+
+    def _has_retry_left(self) -> bool:
+        """Tell whether the request itself may be sent once more."""
+        admitted = self._served.admitted
+        if not self._served.progress.may_retry(admitted):
+            return False
+        return admitted.remaining_s() * MS_PER_S > ANSWER_MARGIN_MS
+
+    def _try_acquire_retry(self) -> bool:
+        admitted = self._served.admitted
+        if not self._has_retry_left():
+            return False
+        if self._relay.retry_budget.try_acquire(admitted.service.name):
+            return True
+        logger.bind(
+            request_id=admitted.req.request_id,
+            service=admitted.service.name,
+        ).info('repeat_budget_spent')
+        return False
--- /dev/null
+++ b/src/masticwind/serving/silence_timer.py
@@ -0,0 +1,36 @@
+"""Timers after which an endpoint that writes nothing counts as silent."""
+
+import asyncio
+from types import TracebackType
+from typing import Final, Self
+
+from masticwind.serving.attempt_context import AttemptContext
+
+
+class SilenceTimer:
+    """Reports the silence of an endpoint at a time on the event loop's clock.
+
+    The wait for the endpoint goes on: it may only be slow.
+    """
+
+    def __init__(self, context: AttemptContext, expires_at: float) -> None:
+        self._timer: Final = asyncio.get_running_loop().call_at(
+            expires_at, context.on_silence
+        )
+
+    def __enter__(self) -> Self:
+        """Start the wait."""
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """End the wait."""
+        self.end()
+
+    def end(self) -> None:
+        """Stop the timer, as the endpoint has written something."""
+        self._timer.cancel()
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -34,6 +34,7 @@
 # Longer than the timeouts after which another endpoint is tried.
 SILENCE_S: Final = 1.7
 TIMEOUT_MS: Final = 8000
+MAX_ATTEMPTS: Final = 3
 
 
 async def _refuse(req: ReceivedRequest, conn: RawConnection) -> None:
@@ -96,11 +97,10 @@
     endpoints: SilentEndpoints, service: str, count: int = 2
 ) -> AsyncIterator[EntryHarness]:
     document = sample_config_document()
-    document['routes'] = [
-        {**route, 'timeout_ms': TIMEOUT_MS, 'max_attempts': 3}
-        for route in document['routes']
-        if route['name'] != 'order'
-    ]
+    for route in document['routes']:
+        route['timeout_ms'] = TIMEOUT_MS
+        if route['name'] != 'order':
+            route['max_attempts'] = MAX_ATTEMPTS
     async with running_entry(document) as harness:
         for number in range(1, count + 1):
             await harness.start_endpoint(
@@ -181,3 +181,74 @@
     async with _fleet(endpoints, CALL_SERVICE) as harness:
         answer = await harness.request('/read/a', timeout_ms=TIMEOUT_MS)
         assert (answer.status, answer.body) == (200, b'done')
+
+
+async def _finish_stream(req: ReceivedRequest, conn: RawConnection) -> None:
+    first = int(req.headers.get('last-event-id', '0')) + 1
+    await conn.write(encode_stream_head(req))
+    for number in range(first, EVENTS + 1):
+        await conn.write(encode_event_chunk(number))
+    await conn.write(LAST_CHUNK)
+
+
+@pytest.mark.parametrize('events_before', [None, 0, 2])
+async def test_silent_engine_is_replaced_by_one_that_answers(
+    events_before: int | None,
+) -> None:
+    """Guards against a wait for an engine that may be gone for good, and
+    against one that is left at work after another has answered.
+    """
+    endpoints = SilentEndpoints(_finish_stream, events_before)
+    async with _fleet(endpoints, ENGINE_SERVICE) as harness:
+        started = anyio.current_time()
+        assert await _stream(harness) == (200, _whole_stream(), True)
+        assert anyio.current_time() - started < SILENCE_S
+        with anyio.fail_after(SILENCE_S):
+            while not _abandoned(harness):
+                await anyio.sleep(0.02)
+    assert endpoints.count == 2
+
+
+async def test_engine_that_goes_on_ends_its_successor() -> None:
+    """Guards against pieces of two runs in one stream, and against an engine
+    that is left at work for nothing.
+    """
+    begun = anyio.Event()
+
+    async def begin_late(req: ReceivedRequest, conn: RawConnection) -> None:
+        begun.set()
+        await conn.write(encode_stream_head(req))
+        with anyio.CancelScope(shield=True):
+            await anyio.sleep(SILENCE_S)
+        for number in range(100):
+            await anyio.sleep(0.02)
+            await conn.write(encode_event_chunk(number + 3, 'other'))
+
+    endpoints = SilentEndpoints(begin_late, 2)
+    async with _fleet(endpoints, ENGINE_SERVICE) as harness:
+        assert await _stream(harness) == (200, _whole_stream(), True)
+        assert begun.is_set()
+        with anyio.fail_after(2 * SILENCE_S):
+            while not _abandoned(harness):
+                await anyio.sleep(0.02)
+
+
+async def test_silence_takes_no_more_engines_than_the_route_allows() -> None:
+    """Guards against a search for engines that never ends."""
+    endpoints = SilentEndpoints(_stay_silent, 2)
+    async with _fleet(endpoints, ENGINE_SERVICE, count=6) as harness:
+        assert await _stream(harness) == (200, _whole_stream(), True)
+    assert endpoints.count <= MAX_ATTEMPTS
+
+
+async def test_order_waits_for_its_silent_endpoint() -> None:
+    """Guards against a call that may run once and is sent twice."""
+    endpoints = SilentEndpoints(_refuse, None)
+    async with _fleet(endpoints, CALL_SERVICE) as harness:
+        answer = await harness.request('/order/a', timeout_ms=TIMEOUT_MS)
+        assert (answer.status, answer.body) == (200, b'done')
+    assert endpoints.count == 1
+
+
+def _abandoned(harness: EntryHarness) -> int:
+    return sum(one.abandoned_requests for one in harness.endpoints.values())
