--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -218,7 +218,7 @@
         """Close keep-alive connections that have no request in progress."""
         for conn in self._connections():
             if conn.is_idle:
-                conn.transport.close()
+                conn.close_unused()
 
     async def stop_and_wait(self, timeout_s: float) -> None:
         """Stop, and wait until the last response is written.
@@ -247,7 +247,7 @@
         """
         for conn in self._connections():
             if not conn.has_request:
-                conn.transport.close()
+                conn.close_unused()
 
     def _connections(self) -> list[LimitedProtocol]:
         return [
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -13,6 +13,8 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from masticwind.web_transport import CallerTransport
+
 # Where the scope of a request has its `LimitedProtocol`.
 EXTENSION: Final = 'masticwind'
 CONNECTION_KEY: Final = 'connection'
@@ -57,6 +59,7 @@
         self._in_head = True
         self._head_timer: asyncio.TimerHandle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
+        self._conn: CallerTransport
 
     @property
     def has_pipelined_request(self) -> bool:
@@ -80,7 +83,8 @@
         transport: asyncio.Transport,
     ) -> None:
         """Start the idle timeout of the new connection."""
-        super().connection_made(transport)
+        self._conn = CallerTransport(transport, self.loop)
+        super().connection_made(self._conn)
         self._reset_head()
         self._start_head_timer(self._limits.idle_timeout_s)
 
@@ -91,18 +95,17 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Parse data; abort the connection if a request head is too large."""
+        """Parse data; close the connection if a request head is too large."""
+        if self._conn.is_closing():
+            self._conn.discard(len(data))
+            return
         super().data_received(data)
         if not self._in_head:
             return
         self._head_bytes += len(data)
-        if (
-            self._head_bytes
-            > self._limits.max_header_bytes + MAX_REQUEST_LINE_BYTES
-        ):
-            if not self.transport.is_closing():
-                self.send_400_response('Request head is too large.')
-            self.transport.abort()
+        max_bytes = self._limits.max_header_bytes + MAX_REQUEST_LINE_BYTES
+        if self._head_bytes > max_bytes and not self._conn.is_closing():
+            self.send_400_response('Request head is too large.')
 
     def on_message_begin(self) -> None:
         """Start the limits of the next request head."""
@@ -129,6 +132,30 @@
         self._stop_head_timer()
         super().on_headers_complete()
 
+    def close_unused(self) -> None:
+        """Close a connection that has no request in progress.
+
+        What its caller sends from now on is left unread, unless the reset that
+        follows could discard the last answer.
+        """
+        if self._conn.is_closing():
+            return
+        if self._conn.is_delivered and not self._awaits_body:
+            self._conn.close_unread()
+        else:
+            self._conn.close()
+
+    def shutdown(self) -> None:
+        """Close the connection after the request in progress."""
+        if self.has_request:
+            super().shutdown()
+        else:
+            self.close_unused()
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Close the connection, which has been idle for too long."""
+        self.close_unused()
+
     def pause_writing(self) -> None:
         """Start the write timeout: the caller does not read its response."""
         super().pause_writing()
@@ -143,6 +170,10 @@
         self._stop_write_timer()
         super().resume_writing()
 
+    @property
+    def _awaits_body(self) -> bool:
+        return self.cycle is not None and bool(self.cycle.more_body)
+
     def _reset_head(self) -> None:
         self._head_bytes = 0
         self._in_head = True
@@ -152,7 +183,7 @@
 
     def _start_head_timer(self, timeout_s: float) -> None:
         self._stop_head_timer()
-        self._head_timer = self.loop.call_later(timeout_s, self.transport.close)
+        self._head_timer = self.loop.call_later(timeout_s, self.close_unused)
 
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
