--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -266,7 +266,7 @@
         if (
             self.close_after_response
             and message['type'] == 'http.response.start'
-            and not conn.has_pipelined_request
+            and not conn.has_next_request
         ):
             message['headers'] = [*message['headers'], CLOSE_HEADER]
         await send(message)
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -23,6 +23,7 @@
 MAX_REQUEST_LINE_BYTES: Final = 8192
 # The connection of a caller that reads nothing for this long is aborted.
 WRITE_STALL_TIMEOUT_S: Final = 30.0
+UNREAD_RECHECK_S: Final = 0.05
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -62,9 +63,11 @@
         self._conn: CallerTransport
 
     @property
-    def has_pipelined_request(self) -> bool:
-        """Whether a request has been read that waits for its turn."""
-        return bool(self.pipeline)
+    def has_next_request(self) -> bool:
+        """Whether bytes of another request than the current one are here."""
+        if self.pipeline or self._head_bytes:
+            return True
+        return not self._awaits_body and self._conn.has_unread_bytes
 
     @property
     def has_request(self) -> bool:
@@ -135,12 +138,17 @@
     def close_unused(self) -> None:
         """Close a connection that has no request in progress.
 
-        What its caller sends from now on is left unread, unless the reset that
+        Bytes that have arrived are read first, since they may be a request.
+        What its caller sends later is left unread, unless the reset that
         follows could discard the last answer.
         """
         if self._conn.is_closing():
             return
-        if self._conn.is_delivered and not self._awaits_body:
+        if self._awaits_body:
+            self._conn.close()
+        elif self._conn.has_unread_bytes:
+            self._start_head_timer(UNREAD_RECHECK_S)
+        elif self._conn.is_delivered:
             self._conn.close_unread()
         else:
             self._conn.close()
--- a/src/masticwind/web_transport.py
+++ b/src/masticwind/web_transport.py
@@ -44,12 +44,17 @@
         self._delivered_at: float | None = None
         self._discarded_bytes = 0
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether the kernel has bytes of the caller that were not read."""
+        return bool(self._count(termios.FIONREAD))
+
     @property
     def is_delivered(self) -> bool:
         """Whether the caller's host has received everything written."""
         if self._transport.get_write_buffer_size():
             return False
-        return not self._unacknowledged_bytes()
+        return not self._count(termios.TIOCOUTQ)
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         """Return information about the connection."""
@@ -143,8 +148,11 @@
             return
         self._loop.call_later(LINGER_POLL_INTERVAL_S, self._wait_for_caller)
 
-    def _unacknowledged_bytes(self) -> int:
+    def _count(self, queue: int) -> int:
+        # The descriptor may belong to another socket after the close.
+        if self._transport.is_closing():
+            return 0
         sock = self._transport.get_extra_info('socket')
         count = bytes(struct.calcsize(COUNT_FORMAT))
-        count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+        count = fcntl.ioctl(sock.fileno(), queue, count)
         return int(struct.unpack(COUNT_FORMAT, count)[0])
--- a/tests/test_web_close.py
+++ b/tests/test_web_close.py
@@ -1,5 +1,7 @@
 """Closes of callers' connections: written answers are not discarded."""
 
+import os
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -28,6 +30,9 @@
 TOO_LARGE_BODY = 400_000
 CLOSE_FIELD = (b'connection', b'close')
 
+# Called before the answers on the path "/hooked".
+before_answers: list[Callable[[], None]] = []
+
 
 def head(path: str = '/', fields: str = '', length: int = 0) -> bytes:
     """Return the head of a request."""
@@ -45,8 +50,11 @@
     elif scope['path'] == '/kept':
         await read_body(receive, BODY_LIMIT, BODY_TIMEOUT_S)
         await send_response(send, json_response(413, {}))
-    elif scope['path'] == '/slow':
-        await anyio.sleep(1)
+    elif scope['path'] == '/late':
+        await anyio.sleep(0.3)
+        await send_response(send, json_response(200, {}))
+    elif scope['path'] == '/hooked':
+        before_answers.pop()()
         await send_response(send, json_response(200, {}))
     elif scope['path'] == '/large':
         await send_response(send, json_response(200, 'x' * LARGE_ANSWER))
@@ -66,6 +74,11 @@
         tasks.cancel_scope.cancel()
 
 
+def pause_process(seconds: float) -> None:
+    """Let nothing run in this process."""
+    time.sleep(seconds)
+
+
 async def read_slowly(conn: SocketStream) -> CallerAnswer:
     """Read an answer in small parts with pauses between them."""
     answer = CallerAnswer()
@@ -152,6 +165,92 @@
     assert answer.is_complete
 
 
+async def test_request_that_is_unread_at_an_idle_close_is_answered() -> None:
+    """Guards against a reset of a request that has arrived but has not been
+    read when idle connections are closed.
+    """
+    async with running_server() as server:
+        async with await connect(server.port) as conn:
+            raw_socket = conn.extra(anyio.abc.SocketAttribute.raw_socket)
+            await conn.send(head())
+            assert (await read_answer(conn)).status == 200
+            os.write(raw_socket.fileno(), head())
+            server.close_idle_connections()
+            assert (await read_answer(conn)).status == 200
+
+
+async def test_request_sent_while_the_process_was_paused_is_answered() -> None:
+    """Guards against idle timeouts that end while a process is paused, and
+    close connections on which a request has arrived in time.
+    """
+    limits = ConnectionLimits(idle_timeout_s=1)
+    async with running_server(lambda: limits) as server:
+        async with await connect(server.port) as conn:
+            raw_socket = conn.extra(anyio.abc.SocketAttribute.raw_socket)
+            await conn.send(head())
+            assert (await read_answer(conn)).status == 200
+            pause_process(0.6)
+            os.write(raw_socket.fileno(), head())
+            pause_process(0.6)
+            assert (await read_answer(conn)).status == 200
+
+
+async def test_request_that_is_unread_at_the_end_of_a_server_is_answered() -> (
+    None
+):
+    """Guards against a reset of a request that has arrived but has not been
+    read when the server ends.
+    """
+    async with running_server() as server:
+        async with await connect(server.port) as conn:
+            raw_socket = conn.extra(anyio.abc.SocketAttribute.raw_socket)
+            await conn.send(head())
+            assert (await read_answer(conn)).status == 200
+            for protocol in server._connections():
+                os.write(raw_socket.fileno(), head())
+                protocol.shutdown()
+            assert (await read_answer(conn)).status == 200
+
+
+@pytest.mark.parametrize('next_bytes', [head(), head()[:20]])
+async def test_close_is_not_announced_before_a_request_that_has_arrived(
+    next_bytes: bytes,
+) -> None:
+    """Guards against a request that has arrived before the answer to the one
+    before it, and is discarded because that answer announces a close.
+    """
+    async with running_server() as server:
+        server.close_after_response = True
+        async with await connect(server.port) as conn:
+            raw_socket = conn.extra(anyio.abc.SocketAttribute.raw_socket)
+
+            def send_next() -> None:
+                os.write(raw_socket.fileno(), next_bytes)
+
+            before_answers.append(send_next)
+            await conn.send(head('/hooked'))
+            answer = await read_answer(conn)
+            assert b'connection: close' not in answer.content
+            await conn.send(head()[len(next_bytes) :])
+            answer = await read_answer(conn)
+            assert answer.status == 200
+            assert b'connection: close' in answer.content
+
+
+async def test_answer_to_a_caller_that_is_gone_raises_no_error(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against errors of a request whose socket is closed."""
+    async with running_server() as server:
+        server.close_after_response = True
+        async with await connect(server.port) as conn:
+            await conn.send(head('/late'))
+            await anyio.sleep(0.1)
+        await anyio.sleep(0.5)
+        assert not server._connections()
+    assert not [rec for rec in caplog.records if rec.levelname == 'ERROR']
+
+
 async def test_caller_that_sends_without_end_is_cut() -> None:
     """Guards against a closed connection that reads for ever."""
     async with running_server() as server:
