--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -247,7 +247,7 @@
         """
         for conn in self._connections():
             if not conn.has_request:
-                conn.close_unused()
+                conn.close_finally()
 
     def _connections(self) -> list[LimitedProtocol]:
         return [
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -153,6 +153,17 @@
         else:
             self._conn.close()
 
+    def close_finally(self) -> None:
+        """Close a connection that has no request, as the server ends.
+
+        Only undelivered answers and unread bytes are waited for.
+        """
+        self.close_unused()
+        if self._awaits_body or self._conn.has_unread_bytes:
+            return
+        if self._conn.is_delivered:
+            self._conn.close_unread()
+
     def shutdown(self) -> None:
         """Close the connection after the request in progress."""
         if self.has_request:
--- a/tests/test_web_close.py
+++ b/tests/test_web_close.py
@@ -318,13 +318,25 @@
     assert answer.is_complete, len(answer.content)
 
 
-async def test_stop_ends_in_time_beside_a_caller_that_does_not_close() -> None:
-    """Guards against a process that a lingering connection keeps from its
-    end.
+async def test_stop_ends_soon_beside_a_caller_that_does_not_close() -> None:
+    """Guards against a process that a connection whose answer has arrived
+    keeps from its end.
     """
     async with running_server() as server:
         async with await connect(server.port) as conn:
             await conn.send(head('/', 'connection: close\r\n'))
             assert (await read_answer(conn)).status == 200
+            with anyio.fail_after(1):
+                await server.stop_and_wait(5)
+
+
+async def test_stop_ends_in_time_beside_a_body_that_does_not_end() -> None:
+    """Guards against a process that a lingering connection keeps from its
+    end.
+    """
+    async with running_server() as server:
+        async with await connect(server.port) as conn:
+            await conn.send(head('/refused', length=BODY_LIMIT))
+            assert (await read_answer(conn)).status == 413
             with anyio.fail_after(1):
                 await server.stop_and_wait(0.5)
