--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -17,6 +17,7 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ERROR_RESPONSES, ErrorKind, Failure
+from masticwind.request_exceptions import exception_failure
 from masticwind.serving.active_config import ActiveConfig
 from masticwind.serving.admission import (
     AdmittedRequest,
@@ -223,18 +224,22 @@
         send: Send,
     ) -> None:
         answer = AsgiAnswer(send)
-        req = self._deps.codec.decode(scope)
         received_at = time.monotonic()
         progress = RequestProgress()
-        if isinstance(req, Failure):
-            failure: Failure | None = req
-            request_id = ''
-        else:
-            request_id = req.request_id
-            progress.last_event_id = req.resume_after
-            failure = await self._serve_until_given_up(
-                RequestInProgress(req, progress, answer), receive
-            )
+        request_id = ''
+        failure: Failure | None
+        try:
+            req = self._deps.codec.decode(scope)
+            if isinstance(req, Failure):
+                failure = req
+            else:
+                request_id = req.request_id
+                progress.last_event_id = req.resume_after
+                failure = await self._serve_until_given_up(
+                    RequestInProgress(req, progress, answer), receive
+                )
+        except Exception as exc:
+            failure = exception_failure(exc, request_id)
         outcome = 'served' if failure is None else failure.kind.value
         self._deps.telemetry.requests.labels(outcome).inc()
         if failure is None:
