Answer and log a request that ends with an exception at the product's own interface

A caller of the chat route or of a service got uvicorn's bare 500 without a request id, or a stream that was cut off; GET /v1/requests/{id} said `running` for good, and no outcome was counted.

EntryApp._serve turns an exception or a group of them into a failure of kind `internal` and ends the answer as for a request that a stop cuts: 500 with the project's body, or an error event where a stream has begun. A response that is no stream and has begun is left unfinished, so that its connection is closed.

--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -1,8 +1,9 @@
 """The entry's HTTP application: routes, authentication, error responses."""
 
 from dataclasses import dataclass, field, replace
+from functools import partial
 from http import HTTPStatus
-from typing import Final
+from typing import Any, Final
 
 from masticwind.budget import MS_PER_S, Budget, boot_time
 from masticwind.config.current import CurrentConfig
@@ -32,6 +33,7 @@
 from masticwind.entry.tier_outcomes import TierOutcomeCounter
 from masticwind.errors import ErrorKind, Failure
 from masticwind.metrics import Metric, Metrics
+from masticwind.request_exceptions import exception_failure
 from masticwind.settings import EntrySettings
 from masticwind.tracing import Tracer
 from masticwind.web import (
@@ -102,7 +104,9 @@
         metrics.gauge(Metric.REQUESTS_ACTIVE, len(self.stop))
         try:
             with metrics.timed(Metric.REQUEST_TIME):
-                await self._serve(scope, receive, send, active)
+                await self._serve(
+                    scope, receive, partial(_send_message, send, active), active
+                )
         finally:
             self.stop.end_request(active)
             metrics.gauge(Metric.REQUESTS_ACTIVE, len(self.stop))
@@ -114,23 +118,42 @@
         send: Send,
         active: ActiveRequest,
     ) -> None:
-        failure = None
+        failure: Failure | None = None
+        interruption: Failure | None = None
         with active.scope:
-            failure = await self._route(scope, receive, send, active)
+            try:
+                failure = await self._route(scope, receive, send, active)
+            except Exception as exc:
+                interruption = self._record_exception(exc, active)
         active.answering = True
         if active.scope.cancelled_caught:
             self.stop.log_cut(active)
-            failure = active.cut_failure()
-            if active.writer is not None:
-                failure = await active.writer.finish(failure)
+            interruption = active.cut_failure()
+        if interruption is not None:
+            failure = await _end_answer(active, interruption)
         if failure is None:
             return
         self._deps.metrics.count(Metric.FAILURES)
+        # The server closes the connection of an unfinished answer.
+        if active.response_started:
+            return
         response = failure_response(failure)
         if active.request_id:
             response = _with_request_id(response, active.request_id)
         await send_response(send, response)
 
+    def _record_exception(
+        self, exc: Exception, active: ActiveRequest
+    ) -> Failure:
+        """Log an exception that ends a request, and record its outcome."""
+        failure = exception_failure(exc, active.request_id)
+        if active.tier:
+            self._count_outcome(active.tier, failure)
+        outcome = self._outcomes.find(active.team, active.request_id)
+        if outcome is not None and outcome.state == 'running':
+            self._outcomes.record_end(active.team, active.request_id, failure)
+        return failure
+
     async def _route(
         self,
         scope: Scope,
@@ -152,7 +175,7 @@
         if path.startswith(SERVICES_PREFIX):
             return await self._serve_call(scope, receive, send, active)
         if path.startswith(REQUESTS_PREFIX):
-            return await self._serve_outcome(scope, send)
+            return await self._serve_outcome(scope, send, active)
         return Failure(kind=ErrorKind.NOT_FOUND, reason=f'no route {path}')
 
     def _health_response(self) -> Response:
@@ -196,7 +219,7 @@
                 kind=ErrorKind.METHOD_NOT_ALLOWED,
                 reason='use POST',
             )
-        caller = self._authenticate(scope)
+        caller = self._authenticate(scope, active)
         if isinstance(caller, Failure):
             return caller
         requests = await self._read_chat(scope, receive, caller, active)
@@ -277,7 +300,7 @@
         send: Send,
         active: ActiveRequest,
     ) -> Failure | None:
-        caller = self._authenticate(scope)
+        caller = self._authenticate(scope, active)
         if isinstance(caller, Failure):
             return caller
         parent = request_header(scope, b'traceparent')
@@ -300,13 +323,15 @@
         await send_response(send, response)
         return None
 
-    async def _serve_outcome(self, scope: Scope, send: Send) -> Failure | None:
+    async def _serve_outcome(
+        self, scope: Scope, send: Send, active: ActiveRequest
+    ) -> Failure | None:
         if scope['method'] != 'GET':
             return Failure(
                 kind=ErrorKind.METHOD_NOT_ALLOWED,
                 reason='use GET',
             )
-        caller = self._authenticate(scope)
+        caller = self._authenticate(scope, active)
         if isinstance(caller, Failure):
             return caller
         response = await outcome_response(
@@ -324,7 +349,9 @@
         kind = outcome.kind.value if isinstance(outcome, Failure) else 'served'
         self._deps.tier_counter.count(tier, kind)
 
-    def _authenticate(self, scope: Scope) -> Caller | Failure:
+    def _authenticate(
+        self, scope: Scope, active: ActiveRequest
+    ) -> Caller | Failure:
         text = request_header(scope, b'authorization')
         config = self._deps.config
         name_and_team = None
@@ -338,6 +365,8 @@
                 reason='unknown bearer token',
             )
         name, team = name_and_team
+        active.team = name
+        active.tier = team.tier
         return Caller(
             team_name=name,
             team=team,
@@ -345,6 +374,22 @@
         )
 
 
+async def _send_message(
+    send: Send, active: ActiveRequest, message: dict[str, Any]
+) -> None:
+    await send(message)
+    active.response_started = True
+
+
+async def _end_answer(
+    active: ActiveRequest, failure: Failure
+) -> Failure | None:
+    """End an answer that may have begun; return a failure still to be sent."""
+    if active.writer is None:
+        return failure
+    return await active.writer.finish(failure)
+
+
 def _with_request_id(response: Response, request_id: str) -> Response:
     request_id_header = (b'x-request-id', request_id.encode())
     return replace(response, headers=(*response.headers, request_id_header))
--- a/src/masticwind/entry/stop.py
+++ b/src/masticwind/entry/stop.py
@@ -42,11 +42,15 @@
     `cut_at_s`, on the clock of `boot_time`, is when a stop ends it, and
     infinite before a stop. `may_have_run` is true while an agent may run it
     or has run it. `answering` is set once the outcome is known, so that only
-    the answer is left to be written.
+    the answer is left to be written. `response_started` is set once the status
+    has been sent. `team` and `tier` are those of the caller, once it is known.
     """
 
     cut_at_s: float = math.inf
     request_id: str = ''
+    team: str = ''
+    tier: str = ''
+    response_started: bool = False
     may_have_run: bool = False
     answering: bool = False
     writer: AnswerWriter | None = None
