--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -70,6 +70,12 @@
         self._send: Final = send
         self._started = False
         self._given_up = False
+        self._finished = False
+
+    @property
+    def finished(self) -> bool:
+        """Whether the whole answer has been written."""
+        return self._finished
 
     @property
     def started(self) -> bool:
@@ -119,6 +125,7 @@
 
     async def finish(self) -> None:
         """End the body as complete."""
+        self._finished = not self._given_up
         await self._send_unless_given_up(
             {'type': 'http.response.body', 'body': b''}
         )
@@ -299,7 +306,12 @@
         admitted = replace(admitted, req=replace(req, body=body))
         outcome: list[Failure | None] = []
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
+            tasks.start_soon(
+                _cancel_on_disconnect,
+                receive,
+                in_progress.answer,
+                tasks.cancel_scope,
+            )
             outcome.append(
                 await deps.relay.serve(admitted, progress, in_progress.answer)
             )
@@ -351,10 +363,15 @@
 
 
 async def _cancel_on_disconnect(
-    receive: Receive, scope: anyio.CancelScope
+    receive: Receive, answer: AsgiAnswer, scope: anyio.CancelScope
 ) -> None:
+    """Cancel a request whose caller leaves before it has its answer.
+
+    The end of the answer is reported as a disconnection, too.
+    """
     while True:
         event = await receive()
         if event['type'] == 'http.disconnect':
-            scope.cancel()
+            if not answer.finished:
+                scope.cancel()
             return
