--- a/src/masticwind_dev/soak/stop_callers.py
+++ b/src/masticwind_dev/soak/stop_callers.py
@@ -184,7 +184,12 @@
         return Work(kind, duration_ms)
 
 
-def new_exchange(request_id: str, instance: Instance, work: Work) -> Exchange:
+def new_exchange(
+    request_id: str,
+    instance: Instance,
+    work: Work,
+    prompt_tokens: int = PROMPT_TOKENS,
+) -> Exchange:
     """Return a request that is about to be sent, with its encoded bytes."""
     now = time.monotonic()
     req = SentRequest(
@@ -195,7 +200,8 @@
         deadline_at=now + TIME_BUDGET_MS / MS_PER_S,
     )
     parser = h11.Connection(h11.CLIENT)
-    return Exchange(req, work, _encode(req, work, parser), parser)
+    content = _encode(req, work, prompt_tokens, parser)
+    return Exchange(req, work, content, parser)
 
 
 async def read_answers(
@@ -280,7 +286,9 @@
         exchange.body += event.data
 
 
-def _encode(req: SentRequest, work: Work, parser: h11.Connection) -> bytes:
+def _encode(
+    req: SentRequest, work: Work, prompt_tokens: int, parser: h11.Connection
+) -> bytes:
     body = b'stop' * 8
     headers = [
         ('Host', HOST),
@@ -290,7 +298,7 @@
         ('Content-Length', str(len(body))),
     ]
     if work.kind == 'chat':
-        counts = f'{PROMPT_TOKENS},{work.duration_ms}'
+        counts = f'{prompt_tokens},{work.duration_ms}'
         headers.append(('X-Token-Counts', counts))
     head = parser.send(
         h11.Request(method='POST', target=work.path, headers=headers)
--- a/src/masticwind_dev/soak/stop_engines.py
+++ b/src/masticwind_dev/soak/stop_engines.py
@@ -69,7 +69,7 @@
     return Work(kind, int(duration_ms), int(body_bytes))
 
 
-def _is_for(identity: str, req: ReceivedRequest) -> bool:
+def is_for(identity: str, req: ReceivedRequest) -> bool:
     """Tell whether a request is for an endpoint of this run.
 
     An entry of another run may still know the port, and the same identity.
@@ -164,7 +164,7 @@
 
     async def _answer(self, req: ReceivedRequest, conn: RawConnection) -> None:
         identity = self.identity
-        if not _is_for(identity, req):
+        if not is_for(identity, req):
             head = ('X-Not-Executed: 1', 'Content-Length: 0')
             await conn.write(encode_head(req, 421, head))
             return
--- a/src/masticwind_dev/soak/stop_records.py
+++ b/src/masticwind_dev/soak/stop_records.py
@@ -34,7 +34,7 @@
 
 
 class Ending(StrEnum):
-    """How a caller saw its request end."""
+    """How a caller saw its request end; `LEFT`: it has left before the end."""
 
     OPEN = 'open'
     ANSWERED = 'answered'
@@ -42,6 +42,7 @@
     RESET = 'reset'
     TIMED_OUT = 'timed_out'
     MALFORMED = 'malformed'
+    LEFT = 'left'
 
 
 class Violation(StrEnum):
