--- a/src/masticwind_dev/soak/main.py
+++ b/src/masticwind_dev/soak/main.py
@@ -2,10 +2,13 @@
 
     python -m masticwind_dev.soak.main --seed 7 --seconds 20
     python -m masticwind_dev.soak.main --stops --seed 7 --seconds 60
+    python -m masticwind_dev.soak.main --silent --seed 7 --seconds 20
 
 Runs two entry processes with stand-ins under random faults for some seconds.
 After that, service must recover, and finally every request must be served.
 With `--stops`, entries are stopped as planned, again and again, without other
+faults. With `--silent`, endpoints write nothing for a while and go on; each
+seed has a run with versions of the configuration only, and one with other
 faults.
 Exit code 1 means that a guarantee was violated: the violations are printed
 and the folder with the logs is kept.
@@ -27,6 +30,13 @@
 from masticwind_dev.soak.callers import Findings, SequentialCaller
 from masticwind_dev.soak.environment import SoakEnvironment, caller_name
 from masticwind_dev.soak.faults import FaultInjector
+from masticwind_dev.soak.silent import (
+    draw_options as draw_silence_options,
+)
+from masticwind_dev.soak.silent import (
+    format_result as format_silence_result,
+)
+from masticwind_dev.soak.silent import run_silences
 from masticwind_dev.soak.stops import draw_options, format_result, run_stops
 
 CALLER_COUNT: Final = 8
@@ -62,17 +72,21 @@
     count: int = 1,
     stops: bool = False,
     engines_leave: bool = False,
+    silent: bool = False,
 ) -> None:
     """Run COUNT soaks of SECONDS each, with consecutive seeds from SEED.
 
     With `--stops`, run soaks of planned stops; with `--engines-leave` too,
-    endpoints leave and ask for pauses during them.
+    endpoints leave and ask for pauses during them. With `--silent`, run soaks
+    of endpoints that fall silent and go on, two of SECONDS for each seed.
     """
     configure_logs('error', to_stderr=True)
     options = SoakOptions(
         seed=seed, seconds=seconds, count=count, engines_leave=engines_leave
     )
     run = _run_all_stops if stops else _run_all
+    if silent:
+        run = _run_all_silences
     sys.exit(anyio.run(run, options, backend_options={'use_uvloop': True}))
 
 
@@ -89,6 +103,20 @@
     return 1 if violations else 0
 
 
+async def _run_all_silences(options: SoakOptions) -> int:
+    requests = 0
+    violations: Counter[str] = Counter()
+    for seed in range(options.seed, options.seed + options.count):
+        for other_faults in (False, True):
+            drawn = draw_silence_options(seed, other_faults=other_faults)
+            result = await run_silences(drawn, options.seconds)
+            print(format_silence_result(result), flush=True)
+            requests += len(result.records.exchanges)
+            violations.update(result.violations)
+    print(f'{requests} requests, violations {dict(violations)}', flush=True)
+    return 1 if violations else 0
+
+
 async def _run_all(options: SoakOptions) -> int:
     failed = 0
     for seed in range(options.seed, options.seed + options.count):
