--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -58,6 +58,7 @@
         self._limits = limits()
         self._head_bytes = 0
         self._in_head = True
+        self._awaits_body = False
         self._head_timer: asyncio.TimerHandle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
         self._conn: CallerTransport
@@ -131,6 +132,7 @@
     def on_headers_complete(self) -> None:
         """End the limits of the request head."""
         self._in_head = False
+        self._awaits_body = True
         self._head_bytes = 0
         self._stop_head_timer()
         super().on_headers_complete()
@@ -175,6 +177,11 @@
         """Close the connection, which has been idle for too long."""
         self.close_unused()
 
+    def on_message_complete(self) -> None:
+        """Note the end of the body, also of one that has been refused."""
+        self._awaits_body = False
+        super().on_message_complete()
+
     def pause_writing(self) -> None:
         """Start the write timeout: the caller does not read its response."""
         super().pause_writing()
@@ -189,10 +196,6 @@
         self._stop_write_timer()
         super().resume_writing()
 
-    @property
-    def _awaits_body(self) -> bool:
-        return self.cycle is not None and bool(self.cycle.more_body)
-
     def _reset_head(self) -> None:
         self._head_bytes = 0
         self._in_head = True
--- a/tests/test_web_close.py
+++ b/tests/test_web_close.py
@@ -43,23 +43,18 @@
 
 
 async def _app(scope: Any, receive: Any, send: Any) -> None:
-    if scope['path'] == '/refused':
+    path = scope['path']
+    if path in {'/refused', '/kept'}:
         await read_body(receive, BODY_LIMIT, BODY_TIMEOUT_S)
-        fields = (CLOSE_FIELD,)
+        fields = (CLOSE_FIELD,) if path == '/refused' else ()
         await send_response(send, json_response(413, {}, headers=fields))
-    elif scope['path'] == '/kept':
-        await read_body(receive, BODY_LIMIT, BODY_TIMEOUT_S)
-        await send_response(send, json_response(413, {}))
-    elif scope['path'] == '/late':
-        await anyio.sleep(0.3)
-        await send_response(send, json_response(200, {}))
-    elif scope['path'] == '/hooked':
+        return
+    if path == '/hooked':
         before_answers.pop()()
-        await send_response(send, json_response(200, {}))
-    elif scope['path'] == '/large':
-        await send_response(send, json_response(200, 'x' * LARGE_ANSWER))
-    else:
-        await send_response(send, json_response(200, {}))
+    if path == '/late':
+        await anyio.sleep(0.3)
+    content = 'x' * LARGE_ANSWER if path == '/large' else ''
+    await send_response(send, json_response(200, content))
 
 
 @asynccontextmanager
@@ -165,15 +160,30 @@
     assert answer.is_complete
 
 
-async def test_request_that_is_unread_at_an_idle_close_is_answered() -> None:
+@pytest.mark.parametrize(
+    ('first', 'rest', 'status'),
+    [
+        (head(), b'', 200),
+        (
+            head('/kept', length=BODY_LIMIT + 2) + b'x' * (BODY_LIMIT + 1),
+            b'x',
+            413,
+        ),
+    ],
+)
+async def test_request_that_is_unread_at_an_idle_close_is_answered(
+    first: bytes, rest: bytes, status: int
+) -> None:
     """Guards against a reset of a request that has arrived but has not been
     read when idle connections are closed.
     """
     async with running_server() as server:
         async with await connect(server.port) as conn:
             raw_socket = conn.extra(anyio.abc.SocketAttribute.raw_socket)
-            await conn.send(head())
-            assert (await read_answer(conn)).status == 200
+            await conn.send(first)
+            assert (await read_answer(conn)).status == status
+            await conn.send(rest)
+            await anyio.sleep(0.1)
             os.write(raw_socket.fileno(), head())
             server.close_idle_connections()
             assert (await read_answer(conn)).status == 200
@@ -248,7 +258,7 @@
             await anyio.sleep(0.1)
         await anyio.sleep(0.5)
         assert not server._connections()
-    assert not [rec for rec in caplog.records if rec.levelname == 'ERROR']
+    assert 'ERROR' not in {record.levelname for record in caplog.records}
 
 
 async def test_caller_that_sends_without_end_is_cut() -> None:
