Let a late head not cut the request before it on its connection

Cause: the timer of the head closed the connection whatever else was in progress. It now waits for the earlier requests.

test_late_head_behind_a_request_does_not_cut_its_answer failed before: the connection ended without an answer.

--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -205,7 +205,14 @@
 
     def _start_head_timer(self, timeout_s: float) -> None:
         self._stop_head_timer()
-        self._head_timer = self.loop.call_later(timeout_s, self.close_unused)
+        self._head_timer = self.loop.call_later(timeout_s, self._end_head)
+
+    def _end_head(self) -> None:
+        """Close the connection, unless an earlier request is in progress."""
+        if self.has_request:
+            self._start_head_timer(self._limits.header_timeout_s)
+        else:
+            self.close_unused()
 
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
--- /dev/null
+++ b/tests/test_web_limit_changes.py
@@ -0,0 +1,67 @@
+"""Limits that end, or change, while a caller's connection is in use."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import pytest
+
+from masticwind.settings import Address
+from masticwind.web import WebServer, json_response, read_body, send_response
+from masticwind.web_protocol import ConnectionLimits
+from tests.stopping_entry import connect, read_answer, receive_or_end
+
+pytestmark = pytest.mark.anyio
+
+BODY_LIMIT = 100_000
+LONG_FIELD = 'x-long: {}\r\n'.format('x' * 500)
+
+
+def head(path: str = '/', fields: str = '', length: int = 0) -> bytes:
+    """Return the head of a request."""
+    return (
+        f'POST {path} HTTP/1.1\r\nhost: x\r\n{fields}'
+        f'content-length: {length}\r\n\r\n'
+    ).encode()
+
+
+async def _app(scope: Any, receive: Any, send: Any) -> None:
+    await read_body(receive, BODY_LIMIT, 10)
+    if scope['path'] == '/slow':
+        await anyio.sleep(0.8)
+    await send_response(send, json_response(200, {}))
+
+
+class ChangingServer:
+    """A server whose limits can be replaced."""
+
+    def __init__(self, limits: ConnectionLimits) -> None:
+        self.limits = limits
+        self.server = WebServer(_app, Address(), lambda: self.limits)
+        self.port = self.server.port
+
+
+@asynccontextmanager
+async def changing_server(
+    limits: ConnectionLimits,
+) -> AsyncIterator[ChangingServer]:
+    """Run a server that begins with `limits`."""
+    async with anyio.create_task_group() as tasks:
+        changing = ChangingServer(limits)
+        tasks.start_soon(changing.server.run)
+        yield changing
+        tasks.cancel_scope.cancel()
+
+
+async def test_late_head_behind_a_request_does_not_cut_its_answer() -> None:
+    """Guards against a request without an answer because the head of the next
+    one on its connection is late.
+    """
+    limits = ConnectionLimits(header_timeout_s=0.2)
+    async with changing_server(limits) as server:
+        async with await connect(server.port) as conn:
+            await conn.send(head('/slow') + head()[:20])
+            assert (await read_answer(conn)).status == 200
+            with anyio.fail_after(2):
+                assert not await receive_or_end(conn)
