--- a/src/masticwind/serving/request_run.py
+++ b/src/masticwind/serving/request_run.py
@@ -87,7 +87,8 @@
     ) -> Failure | None:
         """Run one attempt after the other.
 
-        `has_retry` tells whether the next one needs no retry of the budget.
+        `has_retry` tells whether the next one may be sent without another
+        retry of the budget.
         """
         progress = self._served.progress
         while True:
@@ -116,9 +117,10 @@
                 return progress.final_failure(failure)
             goes_on = self._race.end_attempt(line)
             await self._attempts.record_failure(permitted, failure, progress)
-            has_retry = not self._race.has_others(line)
-            if not goes_on or (has_retry and not self._try_acquire_retry()):
+            is_alone = not self._race.has_others(line)
+            if not goes_on or (is_alone and not self._try_acquire_retry()):
                 return progress.final_failure(failure)
+            has_retry = is_alone
 
     async def _place(
         self, line: AttemptLine, *, has_retry: bool
