--- a/src/masticwind/platform/headers.py
+++ b/src/masticwind/platform/headers.py
@@ -34,6 +34,10 @@
 _REFUSAL_STATUSES: Final = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 )
+_FINAL_STATUS_CLASSES: Final = frozenset('2345')
+# Values with control characters, other than tabs, cannot be passed on.
+_CONTROLS: Final = bytes({*range(ord(' ')), ord('\x7f')} - {ord('\t')})
+_CONTROLS_TO_SPACES: Final = bytes.maketrans(_CONTROLS, b' ' * len(_CONTROLS))
 # Time limit of a request without the header for the remaining time.
 DEFAULT_TIMEOUT_MS: Final = 60_000
 # Larger counts would overflow when the time of a prompt is predicted.
@@ -154,6 +158,8 @@
         SEAL_HEADER not in headers or 'content-encoding' in headers
     ):
         return Verdict.UNVERIFIED
+    if str(status)[:1] not in _FINAL_STATUS_CLASSES:
+        return Verdict.UNVERIFIED
     if status in _REFUSAL_STATUSES:
         # Without `NOT_RUN_HEADER`, such a status does not prove that the
         # request did not run.
@@ -171,7 +177,7 @@
     forwarded: list[tuple[bytes, bytes]] = []
     for name, text in raw:
         if name.lower() not in _HOP_BY_HOP_HEADERS:
-            forwarded.append((name, text))
+            forwarded.append((name, text.translate(_CONTROLS_TO_SPACES)))
     return tuple(forwarded)
 
 
