--- a/src/masticwind/protocol/channel.py
+++ b/src/masticwind/protocol/channel.py
@@ -152,6 +152,16 @@
             now - self.last_received_at, self._heartbeats.oldest_unechoed_s(now)
         )
 
+    def exclude_pause(self, paused_s: float) -> None:
+        """Do not count a pause of this process as silence of the peer.
+
+        What the peer sent during the pause may not have been read yet.
+        """
+        self.last_received_at = min(
+            time.monotonic(), self.last_received_at + paused_s
+        )
+        self._heartbeats.exclude_pause(paused_s)
+
     def send_heartbeat(self, generation: int, load: Load | None) -> bool:
         """Queue a heartbeat; false if the channel is closed."""
         return self.send(self._heartbeats.next_heartbeat(generation, load))
--- a/src/masticwind/protocol/heartbeats.py
+++ b/src/masticwind/protocol/heartbeats.py
@@ -67,6 +67,12 @@
             return 0
         return now - self._unechoed[0][1]
 
+    def exclude_pause(self, paused_s: float) -> None:
+        """Exclude a pause of this process from the age of heartbeats."""
+        now = time.monotonic()
+        for index, (sequence, sent_at) in enumerate(self._unechoed):
+            self._unechoed[index] = sequence, min(now, sent_at + paused_s)
+
     def _load_if_due(self, load: Load | None) -> Load | None:
         heartbeats_since_load = (
             self.last_sent_sequence - self._load_sent_sequence
--- a/src/masticwind/protocol/listener.py
+++ b/src/masticwind/protocol/listener.py
@@ -20,6 +20,8 @@
 
 # Frames in flight on a silent connection are read for this long.
 READ_AFTER_SILENCE_S: Final = 0.5
+# A timer that is later than this shows that this process was paused.
+MIN_PAUSE_S: Final = 0.1
 # Each handshake ends within the connect timeout.
 MAX_CONCURRENT_HANDSHAKES: Final = 1024
 
@@ -72,7 +74,11 @@
             ).warning('connection_silent')
             channel.stop_sending()
             break
-        await anyio.sleep(min(remaining_s, next_heartbeat_at - now))
+        delay_s = min(remaining_s, next_heartbeat_at - now)
+        await anyio.sleep(delay_s)
+        paused_s = time.monotonic() - now - delay_s
+        if paused_s > MIN_PAUSE_S:
+            channel.exclude_pause(paused_s)
     handler.connection_lost(channel)
     await anyio.sleep(READ_AFTER_SILENCE_S)
     channel.abort()
--- a/src/masticwind_dev/faults/proxy.py
+++ b/src/masticwind_dev/faults/proxy.py
@@ -25,6 +25,7 @@
 
 CHUNK_BYTES: Final = 65_536
 CLOSE_POLL_INTERVAL_S: Final = 0.01
+HOLD_POLL_INTERVAL_S: Final = 0.01
 DIRECTION_COUNT: Final = 2
 # SO_LINGER value with which closing a socket sends a TCP reset.
 RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
@@ -43,7 +44,8 @@
     so that a request takes effect but its response is lost. `refuse` closes
     new connections at once. `jitter_ms` is the maximum of a random delay that
     is drawn once per connection, so that messages on different connections
-    are reordered.
+    are reordered. `hold` keeps all bytes back until it is reset, as a target
+    does that is paused and goes on.
     """
 
     delay_ms: int = 0
@@ -54,6 +56,7 @@
     silent_old: bool = False
     drop_down: bool = False
     refuse: bool = False
+    hold: bool = False
 
 
 class _ProxiedConnection:
@@ -178,6 +181,8 @@
         delay_ms = faults.delay_ms + faults.jitter_ms * conn.jitter_fraction
         if delay_ms:
             await anyio.sleep(delay_ms / MS_PER_S)
+        while self.faults.hold:
+            await anyio.sleep(HOLD_POLL_INTERVAL_S)
         if self._is_silent(conn, direction):
             # TCP never loses bytes within a stream, so nothing is forwarded in
             # this direction after a discarded chunk.
