--- a/src/masticwind/entry/agent_pool.py
+++ b/src/masticwind/entry/agent_pool.py
@@ -104,6 +104,8 @@
         self._leaving_incarnation = ''
         self._leaving = False
         self._channel: Channel | None = None
+        # The attempts know that the connection is silent or lost.
+        self._loss_notified = False
         self._inboxes: Final[dict[AttemptKey, Inbox]] = {}
 
     @property
@@ -111,6 +113,11 @@
         """Whether messages can be sent now."""
         return self._channel is not None and not self._channel.closed
 
+    @property
+    def silent(self) -> bool:
+        """Whether the connection is open but silent; its agent may go on."""
+        return self.connected and self._loss_notified
+
     @property
     def leaving(self) -> bool:
         """Whether the agent must get no new requests.
@@ -177,14 +184,26 @@
             self._leaving = False
         self.incarnation = channel.peer.incarnation
         self.endpoint = channel.peer.endpoint
+        self._loss_notified = False
         self._notify_attempts(LinkEvent.RESTORED)
 
+    def connection_silent(self, channel: Channel) -> None:
+        """Notify the attempts, and use the connection until it is replaced."""
+        if self._channel is channel:
+            self._notify_loss()
+
+    def connection_resumed(self, channel: Channel) -> None:
+        """Notify the attempts that the connection works again."""
+        if self._channel is channel:
+            self._loss_notified = False
+            self._notify_attempts(LinkEvent.RESTORED)
+
     def connection_lost(self, channel: Channel) -> None:
         """Notify the attempts that the connection is lost."""
         if self._channel is channel:
             self._channel = None
             self.disconnected_at = time.monotonic()
-            self._notify_attempts(LinkEvent.LOST)
+            self._notify_loss()
 
     async def handle_message(
         self, channel: Channel, message: AnyMessage
@@ -212,6 +231,11 @@
         self._affinity.remove(node, message.removed)
         self._affinity.add(node, message.added)
 
+    def _notify_loss(self) -> None:
+        if not self._loss_notified:
+            self._loss_notified = True
+            self._notify_attempts(LinkEvent.LOST)
+
     def _notify_attempts(self, event: LinkEvent) -> None:
         for inbox in self._inboxes.values():
             inbox.put(event)
--- a/src/masticwind/entry/calls.py
+++ b/src/masticwind/entry/calls.py
@@ -375,7 +375,7 @@
     ) -> AgentLink | None:
         """Return the agent with the fewest calls; prefer the same zone."""
         best: AgentLink | None = None
-        best_rank = (0, False, 0.0)
+        best_rank = (False, 0, False, 0.0)
         for link in self._deps.pool.links:
             if link in tried or not self._can_serve(service, link):
                 continue
@@ -383,6 +383,7 @@
                 0 if link.reported_load is None else link.reported_load.running
             )
             rank = (
+                link.silent,
                 # The load report is delayed; calls of this entry are not.
                 max(running, link.outstanding_requests),
                 link.instance.zone != self._deps.cfg.zone,
--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -325,9 +325,10 @@
             for link in self._serving_links(job)
             if link not in tried and _fits_memory(job, link.reported_load)
         ]
+        heard = [link for link in fitting if not link.silent] or fitting
         # A cold endpoint without a free slot is the last choice: its agent runs
         # no more than its cold capacity, so the request would be queued.
-        return [link for link in fitting if self._has_slot(link)] or fitting
+        return [link for link in heard if self._has_slot(link)] or heard
 
     def _has_slot(self, link: AgentLink) -> bool:
         load = link.reported_load
--- a/src/masticwind/protocol/channel.py
+++ b/src/masticwind/protocol/channel.py
@@ -67,7 +67,8 @@
         # Later connections of this process have larger numbers.
         self.number: Final = next(_channel_numbers)
         self.last_received_at = time.monotonic()
-        self.closed_event: Final = anyio.Event()
+        # Set when the connection is silent or closed.
+        self.silent_event: Final = anyio.Event()
         self.bytes_in = 0
         self.bytes_out = 0
         self._conn: Final = conn
@@ -223,7 +224,7 @@
 
     def _mark_closed(self) -> None:
         self._closed = True
-        self.closed_event.set()
+        self.silent_event.set()
         self._message_queued.set()
         self._bulk_space_freed.set()
 
--- a/src/masticwind/protocol/dialer.py
+++ b/src/masticwind/protocol/dialer.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 import anyio
+from anyio.lowlevel import checkpoint
 from websockets.asyncio.client import connect
 from websockets.exceptions import WebSocketException
 
@@ -22,6 +23,8 @@
 # A connection that lasts longer than this shows that its peer is healthy and
 # resets the retry delay.
 STABLE_CONNECTION_S: Final = 5.0
+# A silent connection that is not replaced is lost after this many limits.
+SILENT_LIMITS: Final = 2
 
 
 class DialRateLimiter:
@@ -77,20 +80,33 @@
 ) -> None:
     """Keep one connection to a peer open until cancelled.
 
-    A silent connection is replaced while frames in flight on it are still
-    read. Retries back off exponentially with full jitter, so that peers that
-    lost the same instance do not all reconnect at once. Only a connection
+    A silent connection is used until it is replaced or lost, since its peer
+    may go on. Retries back off exponentially with full jitter, so that peers
+    that lost the same instance do not all reconnect at once. Only a connection
     that lasts longer than `STABLE_CONNECTION_S` resets the backoff.
     """
     delay_s = INITIAL_RETRY_DELAY_S
+    silent_channel: Channel | None = None
     async with anyio.create_task_group() as tasks:
         while True:
             await _dial_limiter.acquire(cfg.dials_per_s)
             channel = await dial(address, node, cfg, config)
             if not isinstance(channel, Failure):
                 opened_at = time.monotonic()
-                tasks.start_soon(serve_channel, channel, cfg, config, handler)
-                await channel.closed_event.wait()
+                tasks.start_soon(
+                    serve_channel,
+                    channel,
+                    cfg,
+                    config,
+                    handler,
+                    SILENT_LIMITS,
+                )
+                # The handler switches to the new connection first.
+                await checkpoint()
+                if silent_channel is not None:
+                    silent_channel.stop_sending()
+                await channel.silent_event.wait()
+                silent_channel = channel
                 if time.monotonic() - opened_at > STABLE_CONNECTION_S:
                     delay_s = INITIAL_RETRY_DELAY_S
             await anyio.sleep(random.uniform(0, delay_s))
--- a/src/masticwind/protocol/listener.py
+++ b/src/masticwind/protocol/listener.py
@@ -18,8 +18,8 @@
 from masticwind.settings import Address, PeerSettings
 from masticwind.sockets import listen_tcp
 
-# Frames in flight on a silent connection are read for this long.
-READ_AFTER_SILENCE_S: Final = 0.5
+# Frames in flight on a lost connection are read for this long.
+READ_AFTER_SILENCE_S: Final = 1.5
 # A timer that is later than this shows that this process was paused.
 MIN_PAUSE_S: Final = 0.1
 # Each handshake ends within the connect timeout.
@@ -47,31 +47,38 @@
     def connection_lost(self, channel: Channel) -> None:
         """Record the loss of a connection; can be called twice for one."""
 
+    def connection_silent(self, channel: Channel) -> None:
+        """Record that a connection is silent, whose peer may go on."""
+        self.connection_lost(channel)
+
+    def connection_resumed(self, channel: Channel) -> None:
+        """Record that a silent connection works again."""
+        self.connection_opened(channel)
+
 
 async def run_heartbeats(
     channel: Channel,
     cfg: PeerSettings,
     config: CurrentConfig,
     handler: PeerHandler,
+    silent_limits: int = 1,
 ) -> None:
-    """Send heartbeats until the connection closes or goes silent.
+    """Send heartbeats until the connection closes or is lost.
 
-    Nothing more is sent on a silent connection. Frames in flight on it are
-    read for `READ_AFTER_SILENCE_S` before it is aborted.
+    A connection is silent after the limit of the settings, and lost after
+    `silent_limits` times as long. Nothing more is sent on a lost connection.
+    Frames in flight on it are read for `READ_AFTER_SILENCE_S` before it is
+    aborted.
     """
-    silence_limit_s = cfg.silence_ms / MS_PER_S
+    silence = _Silence(channel, handler, cfg.silence_ms / MS_PER_S)
     next_heartbeat_at = 0.0
     while not channel.closed:
         now = time.monotonic()
         if now >= next_heartbeat_at:
             channel.send_heartbeat(config.number, handler.load_report())
             next_heartbeat_at = now + cfg.heartbeat_ms / MS_PER_S
-        remaining_s = silence_limit_s - channel.silent_s()
+        remaining_s = silence.remaining_s(silent_limits)
         if remaining_s <= 0:
-            logger.bind(
-                peer=channel.peer.node,
-                silent_ms=int(channel.silent_s() * MS_PER_S),
-            ).warning('connection_silent')
             channel.stop_sending()
             break
         delay_s = min(remaining_s, next_heartbeat_at - now)
@@ -84,11 +91,42 @@
     channel.abort()
 
 
+class _Silence:
+    """Tells a handler when a connection falls silent and when it goes on."""
+
+    def __init__(
+        self, channel: Channel, handler: PeerHandler, limit_s: float
+    ) -> None:
+        self._channel: Final = channel
+        self._handler: Final = handler
+        self._limit_s: Final = limit_s
+        self._reported = False
+
+    def remaining_s(self, limits: int) -> float:
+        """Return the seconds until the connection is silent or lost."""
+        silent_s = self._channel.silent_s()
+        if silent_s < self._limit_s:
+            if self._reported:
+                self._reported = False
+                self._handler.connection_resumed(self._channel)
+            return self._limit_s - silent_s
+        if not self._reported:
+            self._reported = True
+            logger.bind(
+                peer=self._channel.peer.node,
+                silent_ms=int(silent_s * MS_PER_S),
+            ).warning('connection_silent')
+            self._channel.silent_event.set()
+            self._handler.connection_silent(self._channel)
+        return limits * self._limit_s - silent_s
+
+
 async def serve_channel(
     channel: Channel,
     cfg: PeerSettings,
     config: CurrentConfig,
     handler: PeerHandler,
+    silent_limits: int = 1,
 ) -> None:
     """Run an open connection until it ends.
 
@@ -99,7 +137,9 @@
     try:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(channel.write_loop)
-            tasks.start_soon(run_heartbeats, channel, cfg, config, handler)
+            tasks.start_soon(
+                run_heartbeats, channel, cfg, config, handler, silent_limits
+            )
             async for message in channel:
                 await handler.handle_message(channel, message)
             tasks.cancel_scope.cancel()
--- a/tests/test_silent_agents.py
+++ b/tests/test_silent_agents.py
@@ -110,6 +110,28 @@
     await fleet.fall_silent()
 
 
+@pytest.mark.parametrize('method', ['POST'])
+@pytest.mark.parametrize('start_s', [-0.2, 0.05, 1.0, 1.7])
+async def test_call_is_answered_though_its_agent_is_silent_for_a_while(
+    method: str, start_s: float
+) -> None:
+    """Guards against a failure of a call whose agent goes on."""
+    path = '/cases/7' if method == 'GET' else '/orders'
+    async with silent_fleet('o1') as fleet:
+        service = fleet.service
+        service.switches.delay_ms = 600
+        async with anyio.create_task_group() as tasks:
+            if start_s < 0:
+                tasks.start_soon(_fall_silent_later, fleet, -start_s)
+            else:
+                tasks.start_soon(fleet.fall_silent)
+                await anyio.sleep(start_s)
+            answer = await fleet.call(method, path)
+        assert isinstance(answer, HttpAnswer)
+        assert answer.status == 200, answer.body
+        assert len(service.executions) == 1
+
+
 async def test_requests_are_served_after_a_pause_of_the_entry() -> None:
     """Guards against requests that end or are refused since the entry's own
     pause looks like the silence of its agents.
