--- a/src/masticwind/agent/calls.py
+++ b/src/masticwind/agent/calls.py
@@ -65,6 +65,9 @@
         self.channel.send(result)
 
     def attach(self, channel: Channel) -> None:
+        # The entry no longer reads from an older connection.
+        if channel.number < self.channel.number:
+            return
         self.channel = channel
         self.detached_at = None
         if self.result is not None:
--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -199,7 +199,7 @@
     ) -> Failure | None:
         assert self._deps.admin is not None
         # A change of the configuration may take effect at any moment.
-        active.may_have_run = scope['method'] != 'GET'
+        active.uncertain_attempts += int(scope['method'] != 'GET')
         response = await self._deps.admin.serve(scope, receive)
         if isinstance(response, Failure):
             return response
--- a/src/masticwind/entry/attempts.py
+++ b/src/masticwind/entry/attempts.py
@@ -2,9 +2,12 @@
 
 An attempt sends the offer and the body, revokes the offer if needed, and
 receives the stream. Expected failures are returned, not raised. When an attempt
-ends, the agent has finished or refused the request or has been sent a `Cancel`.
+ends, the agent has finished or refused the request or has been sent a `Cancel`
+or `Revoke`. An agent that is silent does not end the attempt before the
+request's deadline while its connection may be replaced.
 """
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -19,6 +22,7 @@
     Inbox,
     LinkEvent,
 )
+from masticwind.entry.handover import OnlyTurn, Turn
 from masticwind.entry.predict import Job, Predictor, SendRecord
 from masticwind.entry.stop import ActiveRequest
 from masticwind.errors import ErrorKind, Failure, guarantees_not_run
@@ -39,13 +43,14 @@
 )
 from masticwind.serving.fingerprints import RequestFingerprint
 
+# After these times another agent may take the request, if there is no output:
+# without an answer to the offer, and without a connection to the agent. A
+# silent connection is replaced in about the latter time.
 OFFER_TIMEOUT_S: Final = 1.0
-REVOKE_TIMEOUT_S: Final = 1.0
-RESUME_TIMEOUT_S: Final = 5.0
-# Replaces `RESUME_TIMEOUT_S` while no output has arrived, since another agent
-# can then repeat the request. A silent connection is replaced in about this
-# time.
 RESTART_TIMEOUT_S: Final = 2.0
+# An agent stops a request whose connection is lost in about this time.
+RESUME_TIMEOUT_S: Final = 5.0
+REVOKE_TIMEOUT_S: Final = 1.0
 # The agent ends a request at its deadline; its answer arrives a little later.
 DEADLINE_GRACE_S: Final = 0.25
 _KINDS: Final = frozenset(ErrorKind)
@@ -53,6 +58,14 @@
     kind=ErrorKind.FAILED_AFTER_START,
     reason='the agent restarted and lost the request',
 )
+_UNREACHABLE: Final = Failure(
+    kind=ErrorKind.OUTCOME_UNKNOWN,
+    reason='the agent is unreachable',
+)
+_TIMED_OUT: Final = Failure(
+    kind=ErrorKind.TIMED_OUT,
+    reason='time budget is used up',
+)
 
 NO_FINGERPRINT: Final = RequestFingerprint()
 
@@ -84,14 +97,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class Attempt:
-    """State of one attempt.
+    """State of one attempt, which counts as outstanding at its agent.
 
     `received_tokens` counts the tokens passed to the caller. `may_be_held`
     is true while the agent may have the request, so that it must be
-    cancelled. `cache_handle` names the cache that the share of a prompt has
-    left at its agent. `crashed_engine` is the boot id of an engine that has
-    crashed under the request, and `answer_begun` tells whether it had begun
-    to answer.
+    cancelled, and `answered` once it has answered the offer. `ends_at`,
+    `silence_due` and `lost_at` are times of the event loop's clock: the
+    deadline, when the silence of the agent is reported next, and when its
+    connection was lost. `cache_handle` names the cache that the share of a
+    prompt has left at its agent. `crashed_engine` is the boot id of an engine
+    that has crashed under the request, and `answer_begun` tells whether it had
+    begun to answer.
     """
 
     req: ModelRequest
@@ -101,30 +117,51 @@
     predictor: Predictor
     send_record: SendRecord
     received_tokens: int = 0
+    turn: Turn = field(default_factory=OnlyTurn)
     may_be_held: bool = False
-    connection_lost: bool = False
+    answered: bool = False
+    ends_at: float = math.inf
+    silence_due: float = math.inf
+    lost_at: float = math.inf
     incarnation: str = ''
     cache_handle: str = ''
     crashed_engine: str = ''
     answer_begun: bool = False
 
+    def __post_init__(self) -> None:
+        # Other requests are placed before the attempt is sent.
+        self.link.outstanding_requests += 1
+        self.link.outstanding_tokens += self.req.job.prompt_tokens
+
     @property
     def key(self) -> tuple[str, int]:
         """The request id and attempt number, as in messages."""
         return self.req.request_id, self.number
 
-    def wait_s(self, deadline: float) -> float:
-        """Return for how many seconds to wait for the agent.
-
-        `deadline` is the end of the time budget on the event loop's clock.
-        """
-        remaining_s = deadline - anyio.current_time()
-        if not self.connection_lost:
-            return remaining_s
-        reconnect_timeout_s = (
-            RESUME_TIMEOUT_S if self.received_tokens else RESTART_TIMEOUT_S
-        )
-        return min(remaining_s, reconnect_timeout_s)
+    def record_link_event(self, event: LinkEvent) -> None:
+        """Record that the connection to the agent is lost or restored."""
+        if event is LinkEvent.LOST:
+            self.lost_at = anyio.current_time()
+            self.silence_due = self.lost_at + RESTART_TIMEOUT_S
+            return
+        self.record_sign_of_life()
+
+    def record_sign_of_life(self) -> None:
+        """Record that the agent is not silent."""
+        self.lost_at = math.inf
+        self.silence_due = math.inf
+        self.turn.report_sign_of_life()
+
+    async def next_item(self) -> AttemptMessage | LinkEvent | None:
+        """Wait for the agent and report its silence; none if time is over."""
+        while True:
+            ends_at = min(self.ends_at, self.lost_at + RESUME_TIMEOUT_S)
+            with anyio.CancelScope(deadline=min(ends_at, self.silence_due)):
+                return await self.inbox.get()
+            if anyio.current_time() >= ends_at:
+                return None
+            self.turn.report_silence()
+            self.silence_due += OFFER_TIMEOUT_S
 
 
 async def run_attempt(
@@ -139,22 +176,26 @@
     """
     link, job = attempt.link, attempt.req.job
     active = attempt.req.active
-    has_run_before = active.may_have_run
-    active.may_have_run = True
+    active.uncertain_attempts += 1
     attempt.incarnation = link.incarnation
-    link.outstanding_requests += 1
-    link.outstanding_tokens += job.prompt_tokens
+    attempt.ends_at = (
+        anyio.current_time()
+        + attempt.req.budget.remaining_s()
+        + DEADLINE_GRACE_S
+    )
     try:
         outcome = await _offer_and_receive(attempt, generation, emit)
     finally:
         link.outstanding_requests -= 1
         link.outstanding_tokens -= job.prompt_tokens
         attempt.predictor.record_end(link, attempt.send_record)
-        link.unregister_attempt(attempt.key)
         if attempt.may_be_held:
-            link.send(Cancel(*attempt.key))
+            # A revoked offer is refused also if it arrives later.
+            end = Cancel if attempt.answered else Revoke
+            link.send(end(*attempt.key))
+        link.unregister_attempt(attempt.key)
     if isinstance(outcome, Failure) and guarantees_not_run(outcome.kind):
-        active.may_have_run = has_run_before
+        active.uncertain_attempts -= 1
     return outcome
 
 
@@ -177,12 +218,7 @@
     attempt.may_be_held = attempt.link.send(offer)
     if not attempt.may_be_held:
         return Failure(kind=ErrorKind.NO_CAPACITY, reason='not connected')
-    answer = None
-    with anyio.move_on_after(OFFER_TIMEOUT_S):
-        answer = await attempt.inbox.get()
-        while isinstance(answer, Reserved):
-            # The answer to a renewed reservation may arrive at any time.
-            answer = await attempt.inbox.get()
+    answer = await _await_offer_answer(attempt, generation)
     if isinstance(answer, Refused):
         attempt.may_be_held = False
         return Failure(
@@ -192,11 +228,37 @@
         )
     if not isinstance(answer, Accepted):
         return await _revoke(attempt)
+    attempt.answered = True
+    attempt.record_sign_of_life()
     if offer.body_bytes > len(offer.body):
         await _send_body(attempt, 0)
     return None
 
 
+async def _await_offer_answer(
+    attempt: Attempt, generation: int
+) -> AttemptMessage | None:
+    """Wait for the answer to an offer; none if it can no longer come.
+
+    The offer is repeated on a new connection, as it may be lost on the last
+    one. The agent runs it only once.
+    """
+    attempt.silence_due = anyio.current_time() + OFFER_TIMEOUT_S
+    if attempt.link.silent:
+        attempt.lost_at = anyio.current_time()
+    while True:
+        item = await attempt.next_item()
+        if item is LinkEvent.RESTORED:
+            if attempt.link.incarnation != attempt.incarnation:
+                return None
+            attempt.link.send(_offer_message(attempt, generation))
+        if isinstance(item, LinkEvent):
+            attempt.record_link_event(item)
+        # The answer to a renewed reservation may arrive at any time.
+        elif not isinstance(item, Reserved):
+            return item
+
+
 def _offer_message(attempt: Attempt, generation: int) -> Offer:
     req = attempt.req
     budget = req.active.limit_budget(req.budget)
@@ -240,8 +302,9 @@
 
 
 async def _revoke(attempt: Attempt) -> Failure:
-    """Revoke an offer whose answer did not arrive in time."""
-    with anyio.move_on_after(REVOKE_TIMEOUT_S):
+    """Revoke an offer that was not answered, or by another agent process."""
+    ends_at = min(attempt.ends_at, anyio.current_time() + REVOKE_TIMEOUT_S)
+    with anyio.CancelScope(deadline=ends_at):
         attempt.link.send(Revoke(*attempt.key))
         while True:
             answer = await attempt.inbox.get()
@@ -265,27 +328,23 @@
 
 
 async def _receive(attempt: Attempt, emit: Emit) -> Done | Failure:
-    timeout_s = attempt.req.budget.remaining_s() + DEADLINE_GRACE_S
-    deadline = anyio.current_time() + timeout_s
     while True:
-        item = None
-        with anyio.move_on_after(attempt.wait_s(deadline)):
-            item = await attempt.inbox.get()
+        item = await attempt.next_item()
         if item is None:
-            return _timeout_failure(connection_lost=attempt.connection_lost)
+            return _TIMED_OUT if math.isinf(attempt.lost_at) else _UNREACHABLE
         if isinstance(item, End):
             return _end_outcome(attempt, item)
         if isinstance(item, LinkEvent):
             _handle_link_event(attempt, item)
         elif isinstance(item, Accepted):
             await _send_body(attempt, item.body_received)
-        elif not await _emit_before(attempt, item, emit, deadline):
-            return _timeout_failure(connection_lost=False)
+        elif not await _emit_before(attempt, item, emit):
+            return _TIMED_OUT
 
 
 def _handle_link_event(attempt: Attempt, event: LinkEvent) -> None:
     """Record a lost connection, or resume the stream on a new one."""
-    attempt.connection_lost = event is LinkEvent.LOST
+    attempt.record_link_event(event)
     if event is LinkEvent.RESTORED:
         attempt.link.send(
             Resume(
@@ -300,12 +359,11 @@
     attempt: Attempt,
     item: AttemptMessage,
     emit: Emit,
-    deadline: float,
 ) -> bool:
     """Emit new tokens; false if the caller does not read them in time."""
     if not isinstance(item, Output):
         return True
-    with anyio.move_on_after(deadline - anyio.current_time()):
+    with anyio.CancelScope(deadline=attempt.ends_at):
         await _emit_new_tokens(attempt, item, emit)
         return True
     return False
@@ -318,21 +376,13 @@
     if not new_tokens:
         return
     if not attempt.received_tokens:
+        await attempt.turn.take_over()
         attempt.predictor.record_first_token(attempt.link, attempt.send_record)
     tokens = Tokens(attempt.received_tokens, new_tokens)
     attempt.received_tokens += len(new_tokens)
     await emit(tokens)
 
 
-def _timeout_failure(*, connection_lost: bool) -> Failure:
-    if connection_lost:
-        return Failure(
-            kind=ErrorKind.OUTCOME_UNKNOWN,
-            reason='the agent is unreachable',
-        )
-    return Failure(kind=ErrorKind.TIMED_OUT, reason='time budget is used up')
-
-
 def _end_outcome(attempt: Attempt, end: End) -> Done | Failure:
     attempt.crashed_engine = end.crashed_engine
     attempt.answer_begun = end.answer_begun
--- a/src/masticwind/entry/call_attempt.py
+++ b/src/masticwind/entry/call_attempt.py
@@ -1,16 +1,25 @@
 """Sends one attempt of a service call to an agent and awaits the result."""
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
 import anyio
 
 from masticwind.budget import Budget
-from masticwind.entry.agent_pool import AgentLink, Inbox, LinkEvent
+from masticwind.entry.agent_pool import (
+    AgentLink,
+    AttemptMessage,
+    Inbox,
+    LinkEvent,
+)
+from masticwind.entry.handover import Turn
 from masticwind.entry.stop import ActiveRequest
 from masticwind.errors import ErrorKind, Failure, guarantees_not_run
 from masticwind.protocol.messages import Call, CallResult, Resume
 
+# A connection that is lost for longer is not replaced in time.
+RECONNECT_TIMEOUT_S: Final = 5.0
 # Time for the agent's result to arrive: the agent ends a call at its deadline.
 DEADLINE_GRACE_S: Final = 0.25
 
@@ -51,28 +60,27 @@
 async def send_attempt(
     link: AgentLink,
     attempt: CallAttempt,
+    turn: Turn,
 ) -> CallResult | Failure:
     """Send an attempt once and wait for its result within the time budget.
 
-    A `Failure` is of a not-run kind if nothing was sent or the agent refused
-    the call; otherwise the call may have run.
+    A repeatable call is sent again on a new connection. The agent makes it
+    only once. A `Failure` is of a not-run kind if nothing was sent or the
+    agent refused the call; otherwise the call may have run.
     """
     active = attempt.call.active
-    has_run_before = active.may_have_run
     inbox = link.register_attempt(attempt.key)
-    link.outstanding_requests += 1
     try:
         if not link.send(_call_message(attempt)):
             return Failure(
                 kind=ErrorKind.NO_CAPACITY, reason='the agent is not connected'
             )
-        active.may_have_run = True
-        outcome = await _await_result(link, inbox, attempt)
+        active.uncertain_attempts += 1
+        outcome = await _await_result(link, inbox, attempt, turn)
     finally:
-        link.outstanding_requests -= 1
         link.unregister_attempt(attempt.key)
     if isinstance(outcome, Failure) and guarantees_not_run(outcome.kind):
-        active.may_have_run = has_run_before
+        active.uncertain_attempts -= 1
     return outcome
 
 
@@ -98,21 +106,42 @@
     link: AgentLink,
     inbox: Inbox,
     attempt: CallAttempt,
+    turn: Turn,
 ) -> CallResult | Failure:
-    link_lost = False
-    timeout_s = attempt.call.budget.remaining_s() + DEADLINE_GRACE_S
-    with anyio.move_on_after(timeout_s):
-        while True:
+    budget_ends_at = (
+        anyio.current_time()
+        + attempt.call.budget.remaining_s()
+        + DEADLINE_GRACE_S
+    )
+    lost_at = anyio.current_time() if link.silent else math.inf
+    while True:
+        event: AttemptMessage | LinkEvent | None = None
+        ends_at = budget_ends_at
+        if not attempt.claim_token:
+            ends_at = min(ends_at, lost_at + RECONNECT_TIMEOUT_S)
+        with anyio.CancelScope(deadline=ends_at):
             event = await inbox.get()
-            if event is LinkEvent.LOST:
-                link_lost = True
-                if not attempt.claim_token:
-                    break
-            elif event is LinkEvent.RESTORED:
-                link_lost = False
-                link.send(Resume(*attempt.key, 0))
-            elif isinstance(event, CallResult):
-                return _result_or_failure(event)
+        if event is None:
+            return _timeout_failure(link_lost=not math.isinf(lost_at))
+        if isinstance(event, CallResult):
+            return _result_or_failure(event)
+        if event is LinkEvent.LOST:
+            lost_at = anyio.current_time()
+            turn.report_silence()
+        elif event is LinkEvent.RESTORED:
+            lost_at = math.inf
+            turn.report_sign_of_life()
+            _send_again(link, attempt)
+
+
+def _send_again(link: AgentLink, attempt: CallAttempt) -> None:
+    if attempt.claim_token:
+        link.send(Resume(*attempt.key, 0))
+    else:
+        link.send(_call_message(attempt))
+
+
+def _timeout_failure(*, link_lost: bool) -> Failure:
     if link_lost:
         return Failure(
             kind=ErrorKind.OUTCOME_UNKNOWN,
--- a/src/masticwind/entry/calls.py
+++ b/src/masticwind/entry/calls.py
@@ -35,6 +35,13 @@
     claim_key,
 )
 from masticwind.entry.claims import Claims
+from masticwind.entry.handover import (
+    AttemptSource,
+    Handover,
+    OnlyTurn,
+    PlannedAttempt,
+    Turn,
+)
 from masticwind.entry.outcomes import (
     RecentOutcomes,
     RequestOutcome,
@@ -140,6 +147,28 @@
             call, request_header(scope, b'idempotency-key')
         )
 
+    def choose_other_agent(
+        self, call: ServiceCall, tried: set[AgentLink]
+    ) -> AgentLink | None:
+        """Choose the agent of another attempt, within the retry budget."""
+        link = self._choose_agent(call.service, tried)
+        if link is None or call.budget.is_expired():
+            return None
+        if tried and not self._take_retry():
+            return None
+        return link
+
+    async def try_agent(
+        self,
+        link: AgentLink,
+        call: ServiceCall,
+        number: int,
+        turn: Turn,
+    ) -> CallResult | Failure:
+        """Make one attempt of a repeatable call."""
+        attempt = self._new_attempt(call, number)
+        return await self._send_attempt(link, attempt, turn)
+
     def _find_rule(
         self,
         service: str,
@@ -184,25 +213,14 @@
         return CallResponse(service_response(outcome), call.request_id)
 
     async def _try_agents(self, call: ServiceCall) -> CallResult | Failure:
-        tried: set[AgentLink] = set()
-        failure = no_agent_failure()
-        may_have_run = False
         self._retries.record_first_attempt()
-        for number in range(MAX_ATTEMPTS):
-            link = self._choose_agent(call.service, tried)
-            if link is None or call.budget.is_expired():
-                break
-            if number and not self._take_retry():
-                break
-            tried.add(link)
-            outcome = await self._try_agent(link, call, number)
-            if isinstance(outcome, CallResult):
-                return outcome
-            failure = outcome
-            if failure.kind is ErrorKind.BAD_REQUEST:
-                break
-            may_have_run = may_have_run or not guarantees_not_run(failure.kind)
-        return failure_of_attempts(failure, may_have_run=may_have_run)
+        source = _CallAttempts(self, call)
+        outcome = await Handover(source).run()
+        if outcome is not None:
+            return outcome
+        return failure_of_attempts(
+            source.failure, may_have_run=source.may_have_run
+        )
 
     def _take_retry(self) -> bool:
         taken = self._retries.acquire_retry()
@@ -306,7 +324,11 @@
                 kind=ErrorKind.OVERLOADED,
                 reason='the time budget was used up before the call was sent',
             )
-        return await self._send_attempt(link, attempt)
+        link.outstanding_requests += 1
+        try:
+            return await self._send_attempt(link, attempt, OnlyTurn())
+        finally:
+            link.outstanding_requests -= 1
 
     async def _claim_call(
         self,
@@ -334,6 +356,7 @@
         self,
         link: AgentLink,
         attempt: CallAttempt,
+        turn: Turn,
     ) -> CallResult | Failure:
         metrics = self._deps.metrics
         metrics.count(Metric.CALL_ATTEMPTS)
@@ -343,15 +366,7 @@
             metrics.timed(Metric.CALL_TIME),
         ):
             call = replace(attempt.call, trace=span.traceparent)
-            return await send_attempt(link, replace(attempt, call=call))
-
-    async def _try_agent(
-        self,
-        link: AgentLink,
-        call: ServiceCall,
-        number: int,
-    ) -> CallResult | Failure:
-        return await self._send_attempt(link, self._new_attempt(call, number))
+            return await send_attempt(link, replace(attempt, call=call), turn)
 
     def _new_attempt(
         self,
@@ -407,6 +422,55 @@
         ) and config.is_endpoint_in_service(link.endpoint)
 
 
+class _CallAttempts(AttemptSource[CallResult]):
+    """Chooses the agents of one repeatable call's attempts."""
+
+    def __init__(self, calls: ServiceCalls, call: ServiceCall) -> None:
+        self.calls: Final = calls
+        self.call: Final = call
+        self.failure = no_agent_failure()
+        self.may_have_run = False
+        self._tried: Final[set[AgentLink]] = set()
+
+    def plan_next(self) -> PlannedAttempt[CallResult] | None:
+        number = len(self._tried)
+        if number >= MAX_ATTEMPTS:
+            return None
+        link = self.calls.choose_other_agent(self.call, self._tried)
+        if link is None:
+            return None
+        self._tried.add(link)
+        return _RepeatableAttempt(self, number, link)
+
+    def record_failure(
+        self, attempt: PlannedAttempt[CallResult], failure: Failure
+    ) -> bool:
+        self.failure = failure
+        if not guarantees_not_run(failure.kind):
+            self.may_have_run = True
+        return failure.kind is not ErrorKind.BAD_REQUEST
+
+
+class _RepeatableAttempt(PlannedAttempt[CallResult]):
+    def __init__(
+        self, attempts: _CallAttempts, number: int, link: AgentLink
+    ) -> None:
+        self._attempts: Final = attempts
+        self._number: Final = number
+        self._link: Final = link
+        # Other calls are placed before this one is sent.
+        link.outstanding_requests += 1
+
+    async def run(self, turn: Turn) -> CallResult | Failure:
+        attempts = self._attempts
+        try:
+            return await attempts.calls.try_agent(
+                self._link, attempts.call, self._number, turn
+            )
+        finally:
+            self._link.outstanding_requests -= 1
+
+
 def _service_and_target(scope: Scope) -> tuple[str, str]:
     raw_path = scope['raw_path'].decode('latin-1').removeprefix(PATH_PREFIX)
     service, _, path = raw_path.partition('/')
--- a/src/masticwind/entry/relay.py
+++ b/src/masticwind/entry/relay.py
@@ -17,6 +17,12 @@
     run_attempt,
 )
 from masticwind.entry.groups import GroupRunner
+from masticwind.entry.handover import (
+    AttemptSource,
+    Handover,
+    PlannedAttempt,
+    Turn,
+)
 from masticwind.entry.limits import (
     DemandShares,
     TeamLimits,
@@ -112,6 +118,63 @@
             self._count_failure(outcome.kind)
         return outcome
 
+    def choose_other_link(
+        self,
+        req: ModelRequest,
+        tried: set[AgentLink],
+        revoked: set[AgentLink],
+    ) -> AgentLink | None:
+        """Choose the agent of another attempt, within the retry budget."""
+        if self._quarantine.check(req.fingerprint, req.request_id) is not None:
+            return None
+        chosen = self._choose_link(req, tried)
+        if revoked and isinstance(chosen, Failure):
+            # An agent whose connection was silent has confirmed the revocation
+            # on a new one and can be offered another attempt.
+            chosen = self._choose_link(req, tried - revoked)
+        if isinstance(chosen, Failure) or not self._retries.acquire_retry():
+            return None
+        return chosen
+
+    async def run_attempt(
+        self, attempt: Attempt, turn: Turn, emit: Emit
+    ) -> Done | Failure:
+        """Run one attempt that `open_attempt` has returned."""
+        self._metrics.count(Metric.MODEL_ATTEMPTS)
+        self._metrics.count(Metric.MODEL_RETRIES, min(attempt.number, 1))
+        with self._tracer.span(
+            'entry.attempt',
+            attempt.req.trace,
+            {
+                'attempt': attempt.number,
+                'agent': attempt.link.instance.node,
+            },
+        ) as span:
+            attempt.req = replace(attempt.req, trace=span.traceparent)
+            attempt.turn = turn
+            return await self._run_tracked(attempt, emit)
+
+    def open_attempt(
+        self, req: ModelRequest, number: int, link: AgentLink
+    ) -> Attempt:
+        """Open an attempt; it is outstanding at its agent until it has run."""
+        job = req.job
+        cached_blocks = self.view.cached_block_counts(job).get(
+            link.instance.node, 0
+        )
+        return Attempt(
+            req=req,
+            number=number,
+            link=link,
+            inbox=link.register_attempt((req.request_id, number)),
+            predictor=self.view.predictor,
+            send_record=self.view.predictor.record_send(
+                link,
+                uncached_prompt_tokens(job, cached_blocks),
+                paid=job.paid,
+            ),
+        )
+
     def _count_failure(self, kind: ErrorKind) -> None:
         if guarantees_not_run(kind):
             self._metrics.count(Metric.MODEL_REFUSALS, label=kind)
@@ -177,50 +240,9 @@
         first_link: AgentLink,
         emit: Emit,
     ) -> Done | Failure:
-        failures = AttemptFailures()
-        tried: set[AgentLink] = set()
-        revoked: set[AgentLink] = set()
-        link = first_link
-        for number in range(MAX_ATTEMPTS):
-            tried.add(link)
-            self._metrics.count(Metric.MODEL_ATTEMPTS)
-            self._metrics.count(Metric.MODEL_RETRIES, min(number, 1))
-            with self._tracer.span(
-                'entry.attempt',
-                req.trace,
-                {'attempt': number, 'agent': link.instance.node},
-            ) as span:
-                traced_req = replace(req, trace=span.traceparent)
-                attempt = self._open_attempt(traced_req, number, link)
-                outcome = await self._run_tracked(attempt, emit)
-            if isinstance(outcome, Done):
-                return outcome
-            failures.add(outcome)
-            if not may_try_another_agent(outcome, attempt.received_tokens):
-                break
-            if outcome.kind is ErrorKind.REVOKED:
-                revoked.add(link)
-            chosen = self._choose_other_link(req, tried, revoked)
-            if isinstance(chosen, Failure) or not self._retries.acquire_retry():
-                break
-            link = chosen
-        return failures.combined(_NO_CAPACITY)
-
-    def _choose_other_link(
-        self,
-        req: ModelRequest,
-        tried: set[AgentLink],
-        revoked: set[AgentLink],
-    ) -> AgentLink | Failure:
-        rejection = self._quarantine.check(req.fingerprint, req.request_id)
-        if rejection is not None:
-            return rejection
-        chosen = self._choose_link(req, tried)
-        if revoked and isinstance(chosen, Failure):
-            # An agent whose connection was silent has confirmed the revocation
-            # on a new one and can be offered another attempt.
-            return self._choose_link(req, tried - revoked)
-        return chosen
+        source = _ModelAttempts(self, req, first_link, emit)
+        outcome = await Handover(source).run()
+        return outcome or source.failures.combined(_NO_CAPACITY)
 
     async def _run_tracked(
         self, attempt: Attempt, emit: Emit
@@ -264,26 +286,6 @@
             )
         return outcome
 
-    def _open_attempt(
-        self, req: ModelRequest, number: int, link: AgentLink
-    ) -> Attempt:
-        job = req.job
-        cached_blocks = self.view.cached_block_counts(job).get(
-            link.instance.node, 0
-        )
-        return Attempt(
-            req=req,
-            number=number,
-            link=link,
-            inbox=link.register_attempt((req.request_id, number)),
-            predictor=self.view.predictor,
-            send_record=self.view.predictor.record_send(
-                link,
-                uncached_prompt_tokens(job, cached_blocks),
-                paid=job.paid,
-            ),
-        )
-
     def _choose_link(
         self,
         req: ModelRequest,
@@ -347,6 +349,64 @@
         ) and self._config.is_endpoint_in_service(link.endpoint)
 
 
+class _ModelAttempts(AttemptSource[Done]):
+    """Chooses the agents of one request's attempts."""
+
+    def __init__(
+        self,
+        relay: Relay,
+        req: ModelRequest,
+        first_link: AgentLink,
+        emit: Emit,
+    ) -> None:
+        self.relay: Final = relay
+        self.req: Final = req
+        self.emit: Final = emit
+        self.failures: Final = AttemptFailures()
+        self._first_link: Final = first_link
+        self._tried: Final[set[AgentLink]] = set()
+        self._revoked: Final[set[AgentLink]] = set()
+        self._count = 0
+
+    def plan_next(self) -> PlannedAttempt[Done] | None:
+        link: AgentLink | None = self._first_link
+        if self._count >= MAX_ATTEMPTS:
+            return None
+        if self._count:
+            link = self.relay.choose_other_link(
+                self.req, self._tried, self._revoked
+            )
+        if link is None:
+            return None
+        self._tried.add(link)
+        self._count += 1
+        return _ModelAttempt(
+            self,
+            self.relay.open_attempt(self.req, self._count - 1, link),
+        )
+
+    def record_failure(
+        self, attempt: PlannedAttempt[Done], failure: Failure
+    ) -> bool:
+        assert isinstance(attempt, _ModelAttempt)
+        self.failures.add(failure)
+        if failure.kind is ErrorKind.REVOKED:
+            self._revoked.add(attempt.attempt.link)
+        return may_try_another_agent(failure, attempt.attempt.received_tokens)
+
+
+class _ModelAttempt(PlannedAttempt[Done]):
+    def __init__(self, attempts: _ModelAttempts, attempt: Attempt) -> None:
+        self.attempt: Final = attempt
+        self._attempts: Final = attempts
+
+    async def run(self, turn: Turn) -> Done | Failure:
+        attempts = self._attempts
+        return await attempts.relay.run_attempt(
+            self.attempt, turn, attempts.emit
+        )
+
+
 def _fits_memory(job: Job, load: Load | None) -> bool:
     if load is None:
         return False
--- a/src/masticwind/entry/stop.py
+++ b/src/masticwind/entry/stop.py
@@ -40,10 +40,11 @@
     """A request in progress.
 
     `cut_at_s`, on the clock of `boot_time`, is when a stop ends it, and
-    infinite before a stop. `may_have_run` is true while an agent may run it
-    or has run it. `answering` is set once the outcome is known, so that only
-    the answer is left to be written. `response_started` is set once the status
-    has been sent. `team` and `tier` are those of the caller, once it is known.
+    infinite before a stop. `uncertain_attempts` counts the attempts that may
+    run or have run, several of which can be in progress. `answering` is set
+    once the outcome is known, so that only the answer is left to be written.
+    `response_started` is set once the status has been sent. `team` and `tier`
+    are those of the caller, once it is known.
     """
 
     cut_at_s: float = math.inf
@@ -51,12 +52,17 @@
     team: str = ''
     tier: str = ''
     response_started: bool = False
-    may_have_run: bool = False
+    uncertain_attempts: int = 0
     answering: bool = False
     writer: AnswerWriter | None = None
     started_s: float = field(default_factory=boot_time)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the request may run or have run."""
+        return self.uncertain_attempts > 0
+
     def limit_budget(self, budget: Budget) -> Budget:
         """Return a budget that ends no later than this process."""
         return Budget(min(budget.deadline, self.cut_at_s))
--- a/tests/test_agent_calls.py
+++ b/tests/test_agent_calls.py
@@ -43,6 +43,7 @@
     """A stand-in for a channel that records the messages sent."""
 
     def __init__(self) -> None:
+        self.number = 0
         self.messages: list[Any] = []
 
     def send(self, message: Any) -> bool:
--- a/tests/test_silent_agents.py
+++ b/tests/test_silent_agents.py
@@ -17,7 +17,9 @@
 from masticwind_dev.standins.service import ServiceStandin
 from tests.scenarios import (
     PAID_TOKEN,
+    answer_text,
     chat_body,
+    expected_chat_answer,
     sample_config,
     send_chat,
 )
@@ -110,7 +112,31 @@
     await fleet.fall_silent()
 
 
-@pytest.mark.parametrize('method', ['POST'])
+@pytest.mark.parametrize('start_s', [-0.2, 0.05, 0.5, 1.0, 1.7])
+@pytest.mark.parametrize('count', [1, 2])
+async def test_request_is_served_though_its_agents_are_silent_for_a_while(
+    start_s: float, count: int
+) -> None:
+    """Guards against a failure or refusal because of agents that go on."""
+    names = [f'e{number}' for number in range(count)]
+    async with silent_fleet(*names, decode_ms=20) as fleet:
+        answer = await _run_in_silence(fleet, 'lime', 30, start_s)
+    assert answer_text(answer) == expected_chat_answer('lime', 30)
+
+
+@pytest.mark.parametrize('count', [1, 2])
+async def test_prefill_goes_on_though_its_agent_is_silent_for_a_while(
+    count: int,
+) -> None:
+    """Guards against a failure of a request without output."""
+    names = [f'e{number}' for number in range(count)]
+    text = 'x' * 40_000
+    async with silent_fleet(*names, prefill_tokens_per_s=4000) as fleet:
+        answer = await _run_in_silence(fleet, text, 4, -0.5)
+    assert answer_text(answer) == expected_chat_answer(text, 4)
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
 @pytest.mark.parametrize('start_s', [-0.2, 0.05, 1.0, 1.7])
 async def test_call_is_answered_though_its_agent_is_silent_for_a_while(
     method: str, start_s: float
