--- a/src/masticwind/entry/groups.py
+++ b/src/masticwind/entry/groups.py
@@ -7,15 +7,16 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 import anyio
 
 from masticwind.budget import MS_PER_S
 from masticwind.engines.base import Done
-from masticwind.entry.agent_pool import AgentLink, Inbox
+from masticwind.entry.agent_pool import AgentLink, Inbox, LinkEvent
 from masticwind.entry.attempts import (
+    RESUME_TIMEOUT_S,
     Attempt,
     Emit,
     ModelRequest,
@@ -28,6 +29,7 @@
 from masticwind.tracing import Tracer
 
 LEASE_MS: Final = 3000
+# Applies while another availability zone can be tried.
 RESERVE_TIMEOUT_S: Final = 1.0
 # A lease survives the loss of two renewals.
 RENEW_INTERVAL_S: Final = LEASE_MS / MS_PER_S / 3
@@ -48,6 +50,7 @@
     number: int
     generation: int
     members: list[_Member]
+    reserved: list[_Member] = field(default_factory=list)
 
     @property
     def key(self) -> tuple[str, int]:
@@ -89,35 +92,36 @@
             retry_after_ms=MIN_RETRY_AFTER_MS,
         )
         plans = [
-            plan_group(req, members)
+            plan
             for members in _group_by_zone(links)
-            if members
+            if (plan := plan_group(req, members))
         ]
         for number, plan in enumerate(plans):
-            if not plan:
-                continue
             too_late = self._check_deadline(req, plan)
             if too_late is not None:
                 refusal = too_late
                 continue
+            timeout_s = RESERVE_TIMEOUT_S
+            if number == len(plans) - 1:
+                timeout_s = min(RESUME_TIMEOUT_S, req.budget.remaining_s())
             group = _open_group(req, number, generation, plan)
             try:
-                refused = await _reserve(group)
-                if refused is None:
-                    return await self._run_group(group, emit)
+                outcome = await self._run_group(group, timeout_s, emit)
             finally:
                 _release(group)
-            refusal = refused
+            if len(group.reserved) == len(plan):
+                return outcome
+            assert isinstance(outcome, Failure)
+            refusal = outcome
         return refusal
 
-    async def _run_group(self, group: _Group, emit: Emit) -> Done | Failure:
-        outcome: Done | Failure = Failure(
-            kind=ErrorKind.INTERNAL,
-            reason='empty group',
-        )
+    async def _run_group(
+        self, group: _Group, timeout_s: float, emit: Emit
+    ) -> Done | Failure:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_renew, group)
-            outcome = await self._run_shares(group, emit)
+            refusal = await _reserve(group, timeout_s)
+            outcome = refusal or await self._run_shares(group, emit)
             tasks.cancel_scope.cancel()
         return outcome
 
@@ -252,25 +256,39 @@
     )
 
 
-async def _reserve(group: _Group) -> Failure | None:
-    """Reserve the shares in order; stop at the first that is refused."""
+async def _reserve(group: _Group, timeout_s: float) -> Failure | None:
+    """Reserve the shares in order; stop at the first that is refused.
+
+    The time is for each share. Those that are reserved are renewed meanwhile.
+    """
     for member in group.members:
         if not member.link.send(_reserve_message(group, member)):
             return _reservation_failure('not connected')
-        with anyio.move_on_after(RESERVE_TIMEOUT_S):
-            answer = await member.inbox.get()
-            if isinstance(answer, Reserved):
-                if answer.kind:
-                    return _reservation_failure(answer.reason)
-                continue
-        return _reservation_failure('an agent does not answer')
+        answer: Reserved | None = None
+        with anyio.move_on_after(timeout_s):
+            answer = await _await_reservation(group, member)
+        if answer is None:
+            return _reservation_failure('an agent does not answer')
+        if answer.kind:
+            return _reservation_failure(answer.reason)
+        group.reserved.append(member)
     return None
 
 
+async def _await_reservation(group: _Group, member: _Member) -> Reserved:
+    while True:
+        item = await member.inbox.get()
+        if isinstance(item, Reserved):
+            return item
+        if item is LinkEvent.RESTORED:
+            # The last message may be lost; a second one renews the lease.
+            member.link.send(_reserve_message(group, member))
+
+
 async def _renew(group: _Group) -> None:
     while True:
         await anyio.sleep(RENEW_INTERVAL_S)
-        for member in group.members:
+        for member in group.reserved:
             member.link.send(_reserve_message(group, member))
 
 
--- a/tests/test_silent_agents.py
+++ b/tests/test_silent_agents.py
@@ -187,3 +187,20 @@
         for name, answer in answers.items()
     }
     assert statuses == dict.fromkeys(statuses, 200)
+
+
+@pytest.mark.parametrize('start_s', [-1.0, 0.1])
+async def test_group_is_served_though_its_agents_are_silent_for_a_while(
+    start_s: float,
+) -> None:
+    """Guards against leases and reservations that are lost in a silence."""
+    text = 'kalkkä ' * (300_000 // 7)
+    async with silent_fleet(
+        'e1',
+        'e2',
+        models={'standard': Model(bytes_per_token=4)},
+        memory_tokens=60_000,
+        prefill_tokens_per_s=10_000,
+    ) as fleet:
+        answer = await _run_in_silence(fleet, text, 8, start_s)
+    assert answer_text(answer) == expected_chat_answer(text)
