--- a/src/masticwind/agent/requests.py
+++ b/src/masticwind/agent/requests.py
@@ -128,6 +128,12 @@
         self.output.extend(tokens)
         self.channel.send(Output(*self.key, offset, tuple(tokens)))
 
+    def report_silence(self) -> None:
+        """Tell the entry that the engine has been silent for a while."""
+        self.channel.send(
+            Output(*self.key, self.generated_tokens, (), silent=True)
+        )
+
     def finish(self, end: End) -> None:
         """Record the end and send it to the entry."""
         self.end = end
--- a/src/masticwind/agent/runner.py
+++ b/src/masticwind/agent/runner.py
@@ -121,13 +121,15 @@
         req.prefill_started_at = self.rates.begin_prefill()
         failure = await self._read_events(req)
         for _ in range(MAX_RESUMES):
-            if failure is None or failure.kind is not ErrorKind.OUTCOME_UNKNOWN:
+            if failure is None or not _is_broken(failure):
                 return failure
             # The engine may have crashed: until that is known, the cold
             # capacity applies.
             self.ramp.record_failure()
             if not req.generated_tokens:
-                return failure
+                if not failure.silent:
+                    return failure
+                req.report_silence()
             await anyio.sleep(RESUME_DELAY_S)
             failure = await self._read_events(req)
         return failure
@@ -250,6 +252,11 @@
             await self.engine.cancel(req.engine_id)
 
 
+def _is_broken(failure: Failure) -> bool:
+    """Tell whether the engine may still run a request after a failure."""
+    return failure.silent or failure.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
 def end_with_error(req: AgentRequest, kind: ErrorKind, reason: str) -> None:
     """End a request with an error unless it has already ended."""
     if req.end is None:
--- a/src/masticwind/agent/steps.py
+++ b/src/masticwind/agent/steps.py
@@ -22,6 +22,8 @@
 TURN_POLL_INTERVAL_S: Final = 0.05
 # Each step sends its whole prefix again, so the number of steps is limited.
 MAX_STEPS: Final = 128
+# After more silences of the engine in one step the request fails.
+MAX_SILENCES: Final = 3
 # After this many evictions the rest is computed without steps.
 MAX_EVICTIONS: Final = 2
 STEP_PRIORITY: Final = 2
@@ -116,7 +118,9 @@
         computed_tokens = 0
         started_at = self.rates.begin_prefill()
         try:
-            outcome = await self._compute(req, prefix_bytes, prefix_tokens)
+            outcome = await self._compute_despite_silence(
+                req, prefix_bytes, prefix_tokens
+            )
             if isinstance(outcome, Done):
                 computed_tokens = max(0, prefix_tokens - outcome.cached_tokens)
         finally:
@@ -144,6 +148,21 @@
             req.evicted_tokens += evicted_tokens
             req.evictions += 1
 
+    async def _compute_despite_silence(
+        self,
+        req: AgentRequest,
+        prefix_bytes: int,
+        prefix_tokens: int,
+    ) -> Done | Failure:
+        """Compute a step; read on if the engine falls silent and goes on."""
+        outcome = await self._compute(req, prefix_bytes, prefix_tokens)
+        for _ in range(MAX_SILENCES):
+            if isinstance(outcome, Done) or not outcome.silent:
+                break
+            req.report_silence()
+            outcome = await self._compute(req, prefix_bytes, prefix_tokens)
+        return outcome
+
     async def _compute(
         self,
         req: AgentRequest,
--- a/src/masticwind/engines/http.py
+++ b/src/masticwind/engines/http.py
@@ -303,7 +303,11 @@
                 if isinstance(event, Failure):
                     return
     except BrokenStreamError as exc:
-        yield Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason=str(exc))
+        yield Failure(
+            kind=ErrorKind.OUTCOME_UNKNOWN,
+            reason=str(exc),
+            silent=exc.silent,
+        )
         return
     yield Failure(
         kind=ErrorKind.OUTCOME_UNKNOWN,
--- a/src/masticwind/entry/attempts.py
+++ b/src/masticwind/entry/attempts.py
@@ -363,6 +363,9 @@
     """Emit new tokens; false if the caller does not read them in time."""
     if not isinstance(item, Output):
         return True
+    if item.silent:
+        attempt.turn.report_silence()
+        return True
     with anyio.CancelScope(deadline=attempt.ends_at):
         await _emit_new_tokens(attempt, item, emit)
         return True
--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -333,7 +333,14 @@
 
 
 class BrokenStreamError(Exception):
-    """The connection failed before the end of a streamed response."""
+    """The connection failed before the end of a streamed response.
+
+    `silent` means that nothing was received before the timeout.
+    """
+
+    def __init__(self, reason: str, *, silent: bool = False) -> None:
+        super().__init__(reason)
+        self.silent: Final = silent
 
 
 async def _chunks(response: httpcore.Response) -> AsyncIterator[bytes]:
@@ -341,7 +348,10 @@
         async for chunk in response.aiter_stream():
             yield chunk
     except _CONNECTION_ERRORS as exc:
-        raise BrokenStreamError(type(exc).__name__) from exc
+        raise BrokenStreamError(
+            type(exc).__name__,
+            silent=isinstance(exc, httpcore.TimeoutException),
+        ) from exc
 
 
 async def _read_body_end(chunks: AsyncIterator[bytes]) -> None:
--- a/src/masticwind/protocol/messages.py
+++ b/src/masticwind/protocol/messages.py
@@ -157,12 +157,16 @@
 
 
 class Output(Message, frozen=True, tag='output'):
-    """Generated tokens; `offset` is the number of tokens before them."""
+    """Generated tokens; `offset` is the number of tokens before them.
+
+    With `silent` there are none: the engine has written nothing for a while.
+    """
 
     request_id: Id
     attempt: NonNegative
     offset: NonNegative
     tokens: tuple[str, ...]
+    silent: bool = False
 
 
 class End(Message, frozen=True, tag='end'):
--- a/tests/executor_harness.py
+++ b/tests/executor_harness.py
@@ -29,6 +29,7 @@
 )
 from masticwind.settings import Address, AgentSettings, PeerSettings
 from masticwind.web import WebServer
+from masticwind_dev.faults.proxy import TcpProxy
 from masticwind_dev.standins.engine import EngineModel, EngineStandin
 from tests.scenarios import sample_config
 
@@ -176,6 +177,7 @@
     tasks: TaskGroup
     client: FaultyEngine
     executor: Executor
+    proxy: TcpProxy
     channel: RecordingChannel = field(default_factory=RecordingChannel)
 
     def offer(self, request_id: str, tokens: int = 100, **more: Any) -> None:
@@ -220,7 +222,10 @@
     skip_ramp: bool = True,
     **changes: Any,
 ) -> AsyncIterator[ExecutorHarness]:
-    """Run an executor with an engine stand-in while the context is open."""
+    """Run an executor with an engine stand-in while the context is open.
+
+    The executor reaches the engine through the proxy of the harness.
+    """
     config = CurrentConfig()
     config.adopt(Generation(number=1, config=sample_config()))
     async with anyio.create_task_group() as tasks:
@@ -229,11 +234,13 @@
         tasks.start_soon(server.run)
         tasks.start_soon(engine.run)
         url = f'http://127.0.0.1:{server.port}'
+        proxy = TcpProxy('127.0.0.1', server.port)
+        tasks.start_soon(proxy.run)
         cfg = agent_settings(endpoint_url=url, **changes)
-        client = FaultyEngine(url)
+        client = FaultyEngine(f'http://127.0.0.1:{proxy.port}')
         executor = Executor(ExecutorDependencies(cfg, config, client), tasks)
         harness = ExecutorHarness(
-            engine, url, cfg, config, tasks, client, executor
+            engine, url, cfg, config, tasks, client, executor, proxy
         )
         tasks.start_soon(executor.run)
         await harness.wait_until(
--- a/tests/test_silent_agents.py
+++ b/tests/test_silent_agents.py
@@ -9,12 +9,14 @@
 import pytest
 
 from masticwind.config.model import CallRule, Model, PlainService
+from masticwind.engines.http import STREAM_READ_TIMEOUT_S
 from masticwind.errors import Failure
 from masticwind.httpclient import HttpAnswer, HttpClient
 from masticwind_dev.faults.proxy import Faults
 from masticwind_dev.local.fleet import FleetPlan
 from masticwind_dev.standins.engine import EngineModel
 from masticwind_dev.standins.service import ServiceStandin
+from tests.executor_harness import running_executor
 from tests.scenarios import (
     PAID_TOKEN,
     answer_text,
@@ -204,3 +206,38 @@
     ) as fleet:
         answer = await _run_in_silence(fleet, text, 8, start_s)
     assert answer_text(answer) == expected_chat_answer(text)
+
+
+@pytest.mark.parametrize('tokens', [4000, 20_000])
+@pytest.mark.parametrize('silent_from_s', [0.1, 0.95, 1.95])
+async def test_request_goes_on_though_its_engine_is_silent_for_a_while(
+    silent_from_s: float, tokens: int
+) -> None:
+    """Guards against a failure because the last line before the silence of
+    an engine without output was some time ago.
+    """
+    # The longer prompt is computed in steps.
+    model = EngineModel(prefill_tokens_per_s=tokens / 4)
+    async with running_executor(model) as harness:
+        harness.offer('r', tokens)
+        await anyio.sleep(silent_from_s)
+        harness.proxy.inject(Faults(hold=True))
+        await anyio.sleep(SILENCE_S)
+        harness.proxy.inject(Faults())
+        assert await harness.wait_for_outcomes('r') == ['done']
+
+
+async def test_request_leaves_a_dark_engine_as_soon_as_its_silence_shows() -> (
+    None
+):
+    """Guards against waiting for an engine that does not go on."""
+    async with silent_fleet('e1', 'e2') as fleet:
+        model = fleet.fleet.engines['e1'].model
+        model.mute = True
+        for number in range(4):
+            started = anyio.current_time()
+            text = f'lime {number}'
+            answer = await send_chat(fleet.client, chat_body(text))
+            assert answer_text(answer) == expected_chat_answer(text)
+            elapsed_s = anyio.current_time() - started
+            assert elapsed_s < STREAM_READ_TIMEOUT_S + 1
