--- a/src/masticwind/serving/request_placer.py
+++ b/src/masticwind/serving/request_placer.py
@@ -121,7 +121,7 @@
                 expected_s=round(total_s, 3)
                 if math.isfinite(total_s)
                 else None,
-            ).info('requestoutlasts_process')
+            ).info('request_outlasts_process')
         return outlasts
 
     def find_obstacle(
