--- a/src/masticwind/serving/admission.py
+++ b/src/masticwind/serving/admission.py
@@ -160,7 +160,10 @@
         """Record a failed attempt, and the endpoint at fault."""
         self.is_sent = False
         self.excluded_endpoints.add(at_fault.identity)
-        if not guarantees_not_run(failure.kind):
+        if guarantees_not_run(failure.kind):
+            # It may have been silent before it refused.
+            self.may_have_run_at.discard(lead.identity)
+        else:
             self.record_possible_run(lead)
 
     def record_possible_run(self, lead: Endpoint) -> None:
