--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -238,9 +238,13 @@
             events=state.event_count,
             left_ms=round(served.admitted.remaining_s() * MS_PER_S),
         ).info('endpoint_silent')
+        # Calls of some services take longer, so that only a request which could
+        # be served elsewhere speaks against its endpoint.
+        is_evidence = decisions.may_retry_elsewhere()
         served.progress.record_possible_run(lead)
-        deps.reach.record_silence(lead)
-        if not deps.notices.is_leaving(lead):
+        if is_evidence:
+            deps.reach.record_silence(lead)
+        if is_evidence and not deps.notices.is_leaving(lead):
             deps.health.record_failure(
                 lead.identity, 'silent', connection_failed=False
             )
