--- a/src/masticwind/serving/request_run.py
+++ b/src/masticwind/serving/request_run.py
@@ -15,6 +15,7 @@
 from typing import Final
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import TaskGroup
 from loguru import logger
 
@@ -96,6 +97,8 @@
             if isinstance(permitted, Failure):
                 return progress.final_failure(permitted)
             has_retry = True
+            # The line may have been superseded meanwhile.
+            await anyio.lowlevel.checkpoint_if_cancelled()
             self._race.begin_attempt(line)
             self._current[line] = permitted
             failure = await self._attempts.run(
@@ -132,6 +135,7 @@
         """
         interval_s = MIN_SEARCH_INTERVAL_S
         while True:
+            await anyio.lowlevel.checkpoint_if_cancelled()
             if not self._race.has_others(line):
                 return await self._placer.place(
                     self._served.admitted, self._served.progress
