--- a/src/masticwind/serving/admission.py
+++ b/src/masticwind/serving/admission.py
@@ -178,14 +178,17 @@
         self.is_sent = False
         self.may_have_run_at.add(lead.identity)
 
-    def may_retry_after_current(self, admitted: AdmittedRequest) -> bool:
+    def may_retry_after(
+        self, lead: Endpoint, admitted: AdmittedRequest
+    ) -> bool:
         """Tell whether another endpoint could still run the request if the
-        current attempt fails.
+        attempt at `lead` fails.
         """
+        may_have_run_at = self.may_have_run_at | {lead.identity}
         return (
             admitted.route.repeatable
             and self.candidate_count > 1
-            and len(self.may_have_run_at) + 1 < admitted.route.max_endpoints
+            and len(may_have_run_at) < admitted.route.max_endpoints
             and self.attempts < MAX_ATTEMPTS
         )
 
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -50,8 +50,8 @@
     """The parameters of an attempt, and its state.
 
     `number` counts the attempts of the request from 1. `may_retry_elsewhere`
-    tells whether another endpoint runs the request, or may run it, if this
-    attempt fails now. `claim` asks for the right to write to the caller, which
+    tells whether another endpoint may run the request if this attempt fails
+    now. `claim` asks for the right to write to the caller, which
     ends the other attempts; it is refused to one that has been ended itself.
     `on_silence` is called when the endpoint becomes silent. `on_event` is
     called for each batch of events before it is sent to the caller, and
--- a/src/masticwind/serving/request_run.py
+++ b/src/masticwind/serving/request_run.py
@@ -28,6 +28,7 @@
     AttemptRunner,
     ServedRequest,
 )
+from masticwind.serving.model import Endpoint
 from masticwind.serving.relay_dependencies import RelayDependencies
 from masticwind.serving.request_placer import PermittedPlacement, RequestPlacer
 
@@ -102,7 +103,9 @@
             self._race.begin_attempt(line)
             self._current[line] = permitted
             failure = await self._attempts.run(
-                self._served, permitted, self._decisions(tasks, line)
+                self._served,
+                permitted,
+                self._decisions(tasks, line, permitted.placement.lead),
             )
             self._current.pop(line)
             if permitted.state.held_back:
@@ -162,10 +165,10 @@
         return None
 
     def _decisions(
-        self, tasks: TaskGroup, line: AttemptLine
+        self, tasks: TaskGroup, line: AttemptLine, lead: Endpoint
     ) -> AttemptDecisions:
         return AttemptDecisions(
-            may_retry_elsewhere=partial(self._may_retry_elsewhere, line),
+            may_retry_elsewhere=partial(self._may_retry_elsewhere, lead),
             claim=partial(self._race.claim, line),
             on_silence=partial(self._handle_silence, tasks, line),
         )
@@ -181,15 +184,13 @@
             partial(self._run_line, tasks, scope, successor, has_retry=False)
         )
 
-    def _may_retry_elsewhere(self, line: AttemptLine) -> bool:
-        """Tell whether the request is sent to another endpoint, or may be, if
-        the attempt of a line fails.
+    def _may_retry_elsewhere(self, lead: Endpoint) -> bool:
+        """Tell whether the request may be sent to another endpoint if the
+        attempt at `lead` fails.
         """
-        if self._race.has_others(line):
-            return True
         admitted = self._served.admitted
         progress = self._served.progress
-        if not progress.may_retry_after_current(admitted):
+        if not progress.may_retry_after(lead, admitted):
             return False
         if self._placer.outlasts_process(admitted, progress.predicted_ms):
             return False
