--- a/src/masticwind/serving/request_run.py
+++ b/src/masticwind/serving/request_run.py
@@ -15,12 +15,13 @@
 from typing import Final
 
 import anyio
-import anyio.lowlevel
 from anyio.abc import TaskGroup
+from anyio.lowlevel import checkpoint_if_cancelled
 from loguru import logger
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
+from masticwind.request_exceptions import exception_failure
 from masticwind.serving.attempt import ANSWER_MARGIN_MS
 from masticwind.serving.attempt_race import AttemptLine, AttemptRace
 from masticwind.serving.attempt_runner import (
@@ -75,7 +76,14 @@
         has_retry: bool,
     ) -> None:
         with scope:
-            outcome = await self._run_attempts(tasks, line, has_retry=has_retry)
+            try:
+                outcome = await self._run_attempts(
+                    tasks, line, has_retry=has_retry
+                )
+            except Exception as exc:
+                # It must not end the attempts of other lines.
+                request_id = self._served.admitted.req.request_id
+                outcome = exception_failure(exc, request_id)
             self._race.close_line(line)
             # The line that ends last decides; one that is served has ended the
             # others.
@@ -99,7 +107,7 @@
                 return progress.final_failure(permitted)
             has_retry = True
             # The line may have been superseded meanwhile.
-            await anyio.lowlevel.checkpoint_if_cancelled()
+            await checkpoint_if_cancelled()
             self._race.begin_attempt(line)
             self._current[line] = permitted
             failure = await self._attempts.run(
@@ -138,7 +146,7 @@
         """
         interval_s = MIN_SEARCH_INTERVAL_S
         while True:
-            await anyio.lowlevel.checkpoint_if_cancelled()
+            await checkpoint_if_cancelled()
             if not self._race.has_others(line):
                 return await self._placer.place(
                     self._served.admitted, self._served.progress
