--- a/src/masticwind/serving/admission.py
+++ b/src/masticwind/serving/admission.py
@@ -110,7 +110,8 @@
     the causes for which endpoints were not used. `predicted_ms` is the
     predicted time of the current attempt, and `is_sent` tells whether an
     endpoint may have received it. `call_fingerprint` is made when it is needed.
-    `config_version` is the version under which the request was admitted.
+    `config_version` is the version under which the request was admitted, and
+    `last_refusal` the kind of the last placement that was refused.
     """
 
     attempts: int = 0
@@ -122,6 +123,7 @@
     predicted_ms: float = 0
     is_sent: bool = False
     config_version: int | None = None
+    last_refusal: ErrorKind | None = None
     call_fingerprint: RequestFingerprint | None = None
     last_event_id: int | None = None
     event_count: int = 0
--- a/src/masticwind/serving/attempt_race.py
+++ b/src/masticwind/serving/attempt_race.py
@@ -101,7 +101,7 @@
         if line in self._lines:
             self._lines.remove(line)
 
-    def has_others(self, line: AttemptLine) -> bool:
+    def has_running_others(self, line: AttemptLine) -> bool:
         """Tell whether an attempt of another line is running."""
         return any(
             other is not line and other.state is not LineState.PLACING
--- a/src/masticwind/serving/reach.py
+++ b/src/masticwind/serving/reach.py
@@ -25,9 +25,8 @@
 SILENCE_WINDOW_S: Final = 2.0
 INITIAL_EXCLUSION_S: Final = 0.5
 MAX_EXCLUSION_S: Final = 4.0
-# Longest time for which a trial keeps other requests from the zone. An attempt
-# without a reply is usually abandoned earlier if another endpoint can take the
-# request.
+# Longest time for which a trial keeps other requests from the zone. The silence
+# of its endpoint is usually recorded earlier.
 TRIAL_TIMEOUT_S: Final = 1.3
 
 
--- a/src/masticwind/serving/request_placer.py
+++ b/src/masticwind/serving/request_placer.py
@@ -191,12 +191,12 @@
             if placement.wait_ms / MS_PER_S > self._deps.lifetime.remaining_s():
                 placement = draining_failure()
                 break
-            self._log_placement(admitted, placement, deferred_ms)
+            self._log_placement(admitted, progress, placement, deferred_ms)
             if not deferred_ms:
                 self._deps.telemetry.deferrals.inc()
             deferred_ms += placement.wait_ms
             await anyio.sleep(placement.wait_ms / MS_PER_S)
-        self._log_placement(admitted, placement, deferred_ms)
+        self._log_placement(admitted, progress, placement, deferred_ms)
         if not isinstance(placement, Failure) and self.outlasts_process(
             admitted, placement.total_ms
         ):
@@ -206,16 +206,21 @@
     def _log_placement(
         self,
         admitted: AdmittedRequest,
+        progress: RequestProgress,
         placement: Placement | Deferral | Failure,
         deferred_ms: float,
     ) -> None:
-        """Log a refusal, the first deferral and the end of deferrals."""
+        """Log a new kind of refusal, and the first and the last deferral."""
         log = logger.bind(
             request_id=admitted.req.request_id,
             prompt=admitted.prompt_tokens,
             left_ms=round(admitted.remaining_s() * MS_PER_S),
         )
         if isinstance(placement, Failure):
+            if placement.kind is progress.last_refusal:
+                # The search for a successor of a silent attempt goes on.
+                return
+            progress.last_refusal = placement.kind
             log.bind(
                 kind=placement.kind.value,
                 reason=placement.reason,
--- a/src/masticwind/serving/request_run.py
+++ b/src/masticwind/serving/request_run.py
@@ -57,6 +57,7 @@
         self._served: Final = served
         self._race: Final = AttemptRace()
         self._current: Final[dict[AttemptLine, PermittedPlacement]] = {}
+        # Of the line that has ended last.
         self._outcome: Failure | None = None
 
     async def serve(self) -> Failure | None:
@@ -85,8 +86,7 @@
                 request_id = self._served.admitted.req.request_id
                 outcome = exception_failure(exc, request_id)
             self._race.close_line(line)
-            # The line that ends last decides; one that is served has ended the
-            # others.
+            # A line that is served has ended the others.
             self._outcome = outcome
         permitted = self._current.pop(line, None)
         if line.superseded and permitted is not None:
@@ -131,7 +131,7 @@
                 return progress.final_failure(failure)
             goes_on = self._race.end_attempt(line)
             await self._attempts.record_failure(permitted, failure, progress)
-            is_alone = not self._race.has_others(line)
+            is_alone = not self._race.has_running_others(line)
             if not goes_on or (is_alone and not self._try_acquire_retry()):
                 return progress.final_failure(failure)
             has_retry = is_alone
@@ -147,7 +147,7 @@
         interval_s = MIN_SEARCH_INTERVAL_S
         while True:
             await checkpoint_if_cancelled()
-            if not self._race.has_others(line):
+            if not self._race.has_running_others(line):
                 return await self._placer.place(
                     self._served.admitted, self._served.progress
                 )
--- a/tests/test_attempt_race.py
+++ b/tests/test_attempt_race.py
@@ -114,7 +114,7 @@
         """Guards against a line that ends the request beside another one."""
         for line in self.live(LineState.PLACING):
             others = [one for one in self.live(*RUNNING) if one is not line]
-            assert self.race.has_others(line) == bool(others)
+            assert self.race.has_running_others(line) == bool(others)
 
 
 TestRace = RaceMachine.TestCase
