--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -114,6 +114,12 @@
             reason='the endpoint did not finish before the deadline',
             silent=context.state.silent,
         )
+    if context.state.expired:
+        outcome = Failure(
+            kind=ErrorKind.TIMED_OUT,
+            reason='silent for too long to hold memory of other endpoints',
+            silent=True,
+        )
     log = log.bind(
         took_ms=round((time.monotonic() - sent_at) * MS_PER_S),
         events=context.progress.event_count,
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -25,8 +25,9 @@
     what it says about the endpoint, as in `Reply`. An attempt that is
     `held_back` has not been sent. An answer that is `unverified` may belong to
     another request. A `silent` endpoint has written nothing for the time after
-    which another one is tried. `at_fault` is the endpoint that a refusal names.
-    Cancelling `scope` recalls the attempt.
+    which another one is tried. An attempt has `expired` if its endpoint was
+    silent for longer than it may hold memory of others. `at_fault` is the
+    endpoint that a refusal names. Cancelling `scope` recalls the attempt.
     """
 
     answer_begun: bool = False
@@ -35,10 +36,17 @@
     is_sent: bool = False
     unverified: bool = False
     silent: bool = False
+    expired: bool = False
     at_fault: Endpoint | None = None
     event_count: int = 0
     scope: anyio.CancelScope | None = None
 
+    def expire(self) -> None:
+        """End the attempt if its endpoint is still silent."""
+        if self.silent and not self.event_count and self.scope is not None:
+            self.expired = True
+            self.scope.cancel()
+
     @property
     def asks_pause(self) -> bool:
         """Whether the answer asks for a pause."""
--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -1,5 +1,6 @@
 """Runs single attempts of requests and records what they say of endpoints."""
 
+import asyncio
 import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -26,6 +27,9 @@
 from masticwind.serving.request_placer import PermittedPlacement, RequestPlacer
 from masticwind.serving.telemetry import prompt_size_label
 
+# Time for which an endpoint may be silent, without an event, while memory of
+# other endpoints is reserved for it. Unused memory must be released in time.
+MAX_SILENCE_WITH_MEMORY_S: Final = 2.0
 # Failures that count as a broken connection and exclude an endpoint at once.
 _BROKEN_CONNECTION_KINDS: Final = frozenset(
     (
@@ -248,6 +252,12 @@
             deps.health.record_failure(
                 lead.identity, 'silent', connection_failed=False
             )
+        if any(
+            helper.reserved_tokens for helper in permitted.placement.helpers
+        ):
+            asyncio.get_running_loop().call_later(
+                MAX_SILENCE_WITH_MEMORY_S, state.expire
+            )
         decisions.on_silence()
 
     async def _record_outcome(
