Answer a request before refusing the next one on its connection

A caller whose proper request was at an engine got status 400 as its answer, and the connection closed, if the head that followed it on the connection was too large or invalid (rules MIXED and LOST).

Cause: the parser's errors are answered at once by uvicorn, also while an earlier request is in progress. The refusal now waits for its turn.

test_too_large_head_behind_a_request_does_not_answer_it failed before: the first answer was 400.

--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -59,6 +59,7 @@
         self._head_bytes = 0
         self._in_head = True
         self._awaits_body = False
+        self._refusal: str | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
         self._conn: CallerTransport
@@ -66,7 +67,7 @@
     @property
     def has_next_request(self) -> bool:
         """Whether bytes of another request than the current one are here."""
-        if self.pipeline or self._head_bytes:
+        if self.pipeline or self._head_bytes or self._refusal is not None:
             return True
         return not self._awaits_body and self._conn.has_unread_bytes
 
@@ -103,12 +104,14 @@
         if self._conn.is_closing():
             self._conn.discard(len(data))
             return
+        if self._refusal is not None:
+            return
         super().data_received(data)
         if not self._in_head:
             return
         self._head_bytes += len(data)
         max_bytes = self._limits.max_header_bytes + MAX_REQUEST_LINE_BYTES
-        if self._head_bytes > max_bytes and not self._conn.is_closing():
+        if self._head_bytes > max_bytes and not self._is_refused:
             self.send_400_response('Request head is too large.')
 
     def on_message_begin(self) -> None:
@@ -137,6 +140,22 @@
         self._stop_head_timer()
         super().on_headers_complete()
 
+    def send_400_response(self, msg: str) -> None:
+        """Refuse a request once those before it have been answered."""
+        if self.has_request and not self._awaits_body:
+            self._refusal = msg
+            self._stop_head_timer()
+        else:
+            super().send_400_response(msg)
+
+    def on_response_complete(self) -> None:
+        """Send a refusal that has waited for this response."""
+        super().on_response_complete()
+        if self._refusal is None or self.has_request:
+            return
+        if not self._conn.is_closing():
+            self.send_400_response(self._refusal)
+
     def close_unused(self) -> None:
         """Close a connection that has no request in progress.
 
@@ -196,6 +215,10 @@
         self._stop_write_timer()
         super().resume_writing()
 
+    @property
+    def _is_refused(self) -> bool:
+        return self._refusal is not None or self._conn.is_closing()
+
     def _reset_head(self) -> None:
         self._head_bytes = 0
         self._in_head = True
