Do not count the body of a request as the head of the next one

A caller that sent a request behind one with a body of over 40 KB could get status 400, since everything that was read at once counted as a part of the second head. Only data behind the one in which the head begins is counted now.

test_head_behind_a_large_body_is_not_too_large failed before.

--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -58,6 +58,7 @@
         self._limits = limits()
         self._head_bytes = 0
         self._in_head = True
+        self._has_head_begun = False
         self._awaits_body = False
         self._refusal: str | None = None
         self._head_timer: asyncio.TimerHandle | None = None
@@ -106,10 +107,12 @@
             return
         if self._refusal is not None:
             return
+        self._has_head_begun = False
         super().data_received(data)
         if not self._in_head:
             return
-        self._head_bytes += len(data)
+        # Of data in which the head begins, only its first byte is certain.
+        self._head_bytes += 1 if self._has_head_begun else len(data)
         max_bytes = self._limits.max_header_bytes + MAX_REQUEST_LINE_BYTES
         if self._head_bytes > max_bytes and not self._is_refused:
             self.send_400_response('Request head is too large.')
@@ -119,6 +122,7 @@
         super().on_message_begin()
         self.scope['extensions'] = {EXTENSION: {CONNECTION_KEY: self}}
         self._reset_head()
+        self._has_head_begun = True
         self._start_head_timer(self._limits.header_timeout_s)
 
     def on_header(self, name: bytes, value: bytes) -> None:
--- a/tests/test_web_limit_changes.py
+++ b/tests/test_web_limit_changes.py
@@ -83,3 +83,17 @@
                 part.split(b' ')[0] for part in content.split(b'HTTP/1.1 ')[1:]
             ]
             assert statuses == [b'200', b'400']
+
+
+async def test_head_behind_a_large_body_is_not_too_large() -> None:
+    """Guards against a refusal of a request because the body before it counts
+    as a part of its head.
+    """
+    async with changing_server(ConnectionLimits()) as server:
+        async with await connect(server.port) as conn:
+            body = b'x' * (BODY_LIMIT - 1)
+            first = head('/slow', length=len(body)) + body
+            await conn.send(first + head()[:20])
+            assert (await read_answer(conn)).status == 200
+            await conn.send(head()[20:])
+            assert (await read_answer(conn)).status == 200
