Use one timer for the idle time and the head of callers' connections

Callers that kept to the limits could find their connection closed: uvicorn's own timer for idle connections ran beside the timer of heads. It ended a head that had begun behind another request, and used the limit from before that request. Any byte cancelled it, so an empty line kept a connection for ever.

One timer now belongs to the head that is being read, or else to the idle time. The idle limit is the one in force when the connection goes idle, or a longer one that has come since. It also bounds the rest of a refused body.

Failed before: test_begun_head_has_its_own_limit, test_empty_lines_do_not_keep_a_connection, test_idle_limit_of_the_moment_at_which_a_request_ends_applies. The tests of a half-read body and of a smaller limit for heads passed before.

--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Final
@@ -61,7 +60,10 @@
         self._has_head_begun = False
         self._awaits_body = False
         self._refusal: str | None = None
-        self._head_timer: asyncio.TimerHandle | None = None
+        # Ends the head that is being read, or else the idle time.
+        self._timer: asyncio.TimerHandle | None = None
+        self._idle_since = 0.0
+        self._idle_timeout_s = 0.0
         self._write_timer: asyncio.TimerHandle | None = None
         self._conn: CallerTransport
 
@@ -92,11 +94,11 @@
         self._conn = CallerTransport(transport, self.loop)
         super().connection_made(self._conn)
         self._reset_head()
-        self._start_head_timer(self._limits.idle_timeout_s)
+        self._start_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timers."""
-        self._stop_head_timer()
+        self._stop_timer()
         self._stop_write_timer()
         super().connection_lost(exc)
 
@@ -141,24 +143,28 @@
         self._in_head = False
         self._awaits_body = True
         self._head_bytes = 0
-        self._stop_head_timer()
+        self._stop_timer()
         super().on_headers_complete()
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a request once those before it have been answered."""
         if self.has_request and not self._awaits_body:
             self._refusal = msg
-            self._stop_head_timer()
+            self._stop_timer()
         else:
             super().send_400_response(msg)
 
     def on_response_complete(self) -> None:
-        """Send a refusal that has waited for this response."""
+        """Start the idle timeout, or send a refusal that has waited."""
         super().on_response_complete()
-        if self._refusal is None or self.has_request:
+        # The timer of this class also knows heads and new limits.
+        self._unset_keepalive_if_required()
+        if self.has_request or self._conn.is_closing():
             return
-        if not self._conn.is_closing():
+        if self._refusal is not None:
             self.send_400_response(self._refusal)
+        elif self.is_idle:
+            self._start_idle_timer()
 
     def close_unused(self) -> None:
         """Close a connection that has no request in progress.
@@ -196,13 +202,11 @@
         else:
             self.close_unused()
 
-    def timeout_keep_alive_handler(self) -> None:
-        """Close the connection, which has been idle for too long."""
-        self.close_unused()
-
     def on_message_complete(self) -> None:
         """Note the end of the body, also of one that has been refused."""
         self._awaits_body = False
+        if self.is_idle:
+            self._start_idle_timer()
         super().on_message_complete()
 
     def pause_writing(self) -> None:
@@ -227,12 +231,31 @@
         self._head_bytes = 0
         self._in_head = True
         self._limits = self._current_limits()
-        # uvicorn closes a keep-alive connection after this time.
-        self.timeout_keep_alive = math.ceil(self._limits.idle_timeout_s)
+
+    def _start_idle_timer(self) -> None:
+        self._idle_since = self.loop.time()
+        self._idle_timeout_s = self._current_limits().idle_timeout_s
+        self._start_timer(self._idle_timeout_s, self._end_idle)
+
+    def _end_idle(self) -> None:
+        """Close the connection, unless a new limit leaves it more time."""
+        timeout_s = max(
+            self._idle_timeout_s, self._current_limits().idle_timeout_s
+        )
+        left_s = self._idle_since + timeout_s - self.loop.time()
+        if left_s > 0:
+            self._start_timer(left_s, self._end_idle)
+        else:
+            self.close_unused()
 
     def _start_head_timer(self, timeout_s: float) -> None:
-        self._stop_head_timer()
-        self._head_timer = self.loop.call_later(timeout_s, self._end_head)
+        self._start_timer(timeout_s, self._end_head)
+
+    def _start_timer(
+        self, timeout_s: float, callback: Callable[[], None]
+    ) -> None:
+        self._stop_timer()
+        self._timer = self.loop.call_later(timeout_s, callback)
 
     def _end_head(self) -> None:
         """Close the connection, unless an earlier request is in progress."""
@@ -241,10 +264,10 @@
         else:
             self.close_unused()
 
-    def _stop_head_timer(self) -> None:
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
 
     def _stop_write_timer(self) -> None:
         if self._write_timer is not None:
--- a/tests/test_web_limit_changes.py
+++ b/tests/test_web_limit_changes.py
@@ -97,3 +97,97 @@
             assert (await read_answer(conn)).status == 200
             await conn.send(head()[20:])
             assert (await read_answer(conn)).status == 200
+
+
+@pytest.mark.parametrize(
+    ('first_s', 'next_s'), [(2.0, 1.0), (1.0, 2.0), (1.0, 1.0)]
+)
+async def test_idle_connection_may_use_the_longer_limit(
+    first_s: float, next_s: float
+) -> None:
+    """Guards against a connection that is closed although its caller has kept
+    to a limit that has been in force since it went idle.
+    """
+    limits = ConnectionLimits(idle_timeout_s=first_s)
+    async with changing_server(limits) as server:
+        async with await connect(server.port) as conn:
+            await conn.send(head())
+            assert (await read_answer(conn)).status == 200
+            server.limits = ConnectionLimits(idle_timeout_s=next_s)
+            await anyio.sleep(0.8 * max(first_s, next_s))
+            await conn.send(head())
+            assert (await read_answer(conn)).status == 200
+
+
+async def test_idle_limit_of_the_moment_at_which_a_request_ends_applies() -> (
+    None
+):
+    """Guards against an idle time that is cut to the limit from before the
+    last request.
+    """
+    limits = ConnectionLimits(idle_timeout_s=0.3)
+    async with changing_server(limits) as server:
+        async with await connect(server.port) as conn:
+            await conn.send(head('/slow'))
+            await anyio.sleep(0.1)
+            server.limits = ConnectionLimits(idle_timeout_s=2.5)
+            assert (await read_answer(conn)).status == 200
+            server.limits = ConnectionLimits(idle_timeout_s=0.3)
+            await anyio.sleep(2)
+            await conn.send(head())
+            assert (await read_answer(conn)).status == 200
+
+
+async def test_begun_head_has_its_own_limit() -> None:
+    """Guards against a head that the idle limit ends before its own limit."""
+    limits = ConnectionLimits(idle_timeout_s=0.2, header_timeout_s=3)
+    async with changing_server(limits) as server:
+        async with await connect(server.port) as conn:
+            await conn.send(head('/slow') + head()[:20])
+            assert (await read_answer(conn)).status == 200
+            await anyio.sleep(1.5)
+            await conn.send(head()[20:])
+            assert (await read_answer(conn)).status == 200
+
+
+async def test_empty_lines_do_not_keep_a_connection() -> None:
+    """Guards against idle connections that empty lines keep open for ever."""
+    limits = ConnectionLimits(idle_timeout_s=0.3)
+    async with changing_server(limits) as server:
+        async with await connect(server.port) as conn:
+            await conn.send(head())
+            assert (await read_answer(conn)).status == 200
+            await conn.send(b'\r\n')
+            with anyio.fail_after(5):
+                assert not await receive_or_end(conn)
+
+
+async def test_smaller_head_limit_does_not_end_a_half_read_head() -> None:
+    """Guards against a refusal of a head by a limit that came after its first
+    byte.
+    """
+    async with changing_server(ConnectionLimits()) as server:
+        async with await connect(server.port) as conn:
+            whole = head(fields=LONG_FIELD)
+            await conn.send(whole[:20])
+            await anyio.sleep(0.1)
+            server.limits = ConnectionLimits(max_header_bytes=100)
+            await conn.send(whole[20:])
+            assert (await read_answer(conn)).status == 200
+
+
+async def test_half_read_body_outlasts_all_limits_of_heads() -> None:
+    """Guards against a request whose body is being read and that a change of
+    the limits of heads and idle connections ends.
+    """
+    async with changing_server(ConnectionLimits()) as server:
+        async with await connect(server.port) as conn:
+            await conn.send(head(length=4))
+            await conn.send(b'xx')
+            await anyio.sleep(0.1)
+            server.limits = ConnectionLimits(
+                max_header_bytes=10, header_timeout_s=0.1, idle_timeout_s=0.1
+            )
+            await anyio.sleep(0.5)
+            await conn.send(b'xx')
+            assert (await read_answer(conn)).status == 200
