Let a half-read head use the longer of the limits since it began

A caller whose head had begun before a version raised the time or the size for heads was cut or refused by the old limits, although the version in force allowed its head.

Failed before: test_half_read_head_may_use_the_longer_limit[True], test_larger_head_limit_applies_to_a_half_read_head.

--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -62,6 +62,7 @@
         self._refusal: str | None = None
         # Ends the head that is being read, or else the idle time.
         self._timer: asyncio.TimerHandle | None = None
+        self._head_since = 0.0
         self._idle_since = 0.0
         self._idle_timeout_s = 0.0
         self._write_timer: asyncio.TimerHandle | None = None
@@ -115,7 +116,7 @@
             return
         # Of data in which the head begins, only its first byte is certain.
         self._head_bytes += 1 if self._has_head_begun else len(data)
-        max_bytes = self._limits.max_header_bytes + MAX_REQUEST_LINE_BYTES
+        max_bytes = self._max_header_bytes() + MAX_REQUEST_LINE_BYTES
         if self._head_bytes > max_bytes and not self._is_refused:
             self.send_400_response('Request head is too large.')
 
@@ -125,16 +126,14 @@
         self.scope['extensions'] = {EXTENSION: {CONNECTION_KEY: self}}
         self._reset_head()
         self._has_head_begun = True
-        self._start_head_timer(self._limits.header_timeout_s)
+        self._head_since = self.loop.time()
+        self._start_timer(self._limits.header_timeout_s, self._end_head)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Reject too many or too large headers, also within one chunk."""
         super().on_header(name, value)
         size = sum(len(key) + len(text) for key, text in self.headers)
-        if (
-            len(self.headers) > MAX_HEADERS
-            or size > self._limits.max_header_bytes
-        ):
+        if len(self.headers) > MAX_HEADERS or size > self._max_header_bytes():
             # The parser turns this into a response with status 400.
             raise ValueError('request head is too large')
 
@@ -178,7 +177,7 @@
         if self._awaits_body:
             self._conn.close()
         elif self._conn.has_unread_bytes:
-            self._start_head_timer(UNREAD_RECHECK_S)
+            self._start_timer(UNREAD_RECHECK_S, self.close_unused)
         elif self._conn.is_delivered:
             self._conn.close_unread()
         else:
@@ -248,9 +247,6 @@
         else:
             self.close_unused()
 
-    def _start_head_timer(self, timeout_s: float) -> None:
-        self._start_timer(timeout_s, self._end_head)
-
     def _start_timer(
         self, timeout_s: float, callback: Callable[[], None]
     ) -> None:
@@ -258,12 +254,29 @@
         self._timer = self.loop.call_later(timeout_s, callback)
 
     def _end_head(self) -> None:
-        """Close the connection, unless an earlier request is in progress."""
+        """Close the connection, unless an earlier request is in progress or a
+        new limit leaves the head more time.
+        """
+        timeout_s = max(
+            self._limits.header_timeout_s,
+            self._current_limits().header_timeout_s,
+        )
         if self.has_request:
-            self._start_head_timer(self._limits.header_timeout_s)
+            self._start_timer(timeout_s, self._end_head)
+            return
+        left_s = self._head_since + timeout_s - self.loop.time()
+        if left_s > 0:
+            self._start_timer(left_s, self._end_head)
         else:
             self.close_unused()
 
+    def _max_header_bytes(self) -> int:
+        """Return the larger of the limits since the head began."""
+        return max(
+            self._limits.max_header_bytes,
+            self._current_limits().max_header_bytes,
+        )
+
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/tests/test_web_limit_changes.py
+++ b/tests/test_web_limit_changes.py
@@ -162,6 +162,29 @@
                 assert not await receive_or_end(conn)
 
 
+@pytest.mark.parametrize('is_longer', [True, False])
+async def test_half_read_head_may_use_the_longer_limit(
+    is_longer: bool,
+) -> None:
+    """Guards against a head that is cut by a limit that has been replaced or
+    came after its begin.
+    """
+    limits = [
+        ConnectionLimits(header_timeout_s=0.3, max_header_bytes=2000),
+        ConnectionLimits(header_timeout_s=3, max_header_bytes=2000),
+    ]
+    if not is_longer:
+        limits.reverse()
+    async with changing_server(limits[0]) as server:
+        async with await connect(server.port) as conn:
+            await conn.send(head()[:20])
+            await anyio.sleep(0.1)
+            server.limits = limits[1]
+            await anyio.sleep(1)
+            await conn.send(head()[20:])
+            assert (await read_answer(conn)).status == 200
+
+
 async def test_smaller_head_limit_does_not_end_a_half_read_head() -> None:
     """Guards against a refusal of a head by a limit that came after its first
     byte.
@@ -176,6 +199,19 @@
             assert (await read_answer(conn)).status == 200
 
 
+async def test_larger_head_limit_applies_to_a_half_read_head() -> None:
+    """Guards against a refusal of a head that the limits in force allow."""
+    limits = ConnectionLimits(max_header_bytes=100)
+    async with changing_server(limits) as server:
+        async with await connect(server.port) as conn:
+            whole = head(fields=LONG_FIELD)
+            await conn.send(whole[:20])
+            await anyio.sleep(0.1)
+            server.limits = ConnectionLimits()
+            await conn.send(whole[20:])
+            assert (await read_answer(conn)).status == 200
+
+
 async def test_half_read_body_outlasts_all_limits_of_heads() -> None:
     """Guards against a request whose body is being read and that a change of
     the limits of heads and idle connections ends.
