--- a/src/masticwind/web_transport.py
+++ b/src/masticwind/web_transport.py
@@ -152,9 +152,6 @@
         # The descriptor may belong to another socket after the close.
         if self._transport.is_closing():
             return 0
-        if self._transport.is_closing():
-            # Its descriptor may belong to another connection.
-            return 0
         sock = self._transport.get_extra_info('socket')
         count = bytes(struct.calcsize(COUNT_FORMAT))
         count = fcntl.ioctl(sock.fileno(), queue, count)
