--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,11 @@
 """Fixtures, and the skipping of known failures in KNOWN-RED.txt."""
 
+from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
+from loguru import logger
 
 KNOWN_RED_FILE = Path(__file__).parent.parent / 'KNOWN-RED.txt'
 
@@ -13,6 +16,17 @@
     return 'asyncio', {'use_uvloop': True}
 
 
+@pytest.fixture
+def errors() -> Iterator[list[Any]]:
+    """Collect the log records of errors."""
+    records: list[Any] = []
+    handler_id = logger.add(
+        lambda message: records.append(message.record), level='ERROR'
+    )
+    yield records
+    logger.remove(handler_id)
+
+
 def _known_red_tests() -> set[str]:
     if not KNOWN_RED_FILE.exists():
         return set()
--- a/tests/endpoint_scripts.py
+++ b/tests/endpoint_scripts.py
@@ -1,5 +1,7 @@
 """Scripts with which a raw endpoint sends faulty answers."""
 
+import anyio
+
 from masticwind_dev.standins.raw_endpoint import (
     RawConnection,
     ReceivedRequest,
@@ -45,3 +47,15 @@
     """Send bytes that are not HTTP."""
     await conn.write(b'\x15\x03\x01 nothing known\r\n\r\n')
     await conn.close()
+
+
+async def refuse(req: ReceivedRequest, conn: RawConnection) -> None:
+    """Refuse a request, which has not run."""
+    await conn.write(
+        encode_head(req, 503, ('X-Not-Executed: 1', 'Content-Length: 0'))
+    )
+
+
+async def stay_silent(_req: ReceivedRequest, _conn: RawConnection) -> None:
+    """Write nothing and keep the connection."""
+    await anyio.sleep_forever()
--- a/tests/test_entry_exceptions.py
+++ b/tests/test_entry_exceptions.py
@@ -1,7 +1,7 @@
 """Answers of the product's own interface to requests that end with a bug."""
 
 import json
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any, Final, cast
@@ -9,7 +9,6 @@
 import anyio
 import pytest
 from anyio.lowlevel import checkpoint
-from loguru import logger
 
 from masticwind.config.current import CurrentConfig
 from masticwind.config.model import Generation
@@ -100,17 +99,6 @@
         return self.app._deps.tier_counter.last_minute()['paid']
 
 
-@pytest.fixture
-def errors() -> Iterator[list[Any]]:
-    """Collect the log records of errors."""
-    records: list[Any] = []
-    handler_id = logger.add(
-        lambda message: records.append(message.record), level='ERROR'
-    )
-    yield records
-    logger.remove(handler_id)
-
-
 def _check_log(records: list[Any], *exceptions: Exception) -> None:
     assert [record['message'] for record in records] == [
         'request_exception' for _ in exceptions
--- a/tests/test_request_exceptions.py
+++ b/tests/test_request_exceptions.py
@@ -1,14 +1,13 @@
 """Answers and log lines of requests that end with an exception."""
 
 import json
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any, Final
 
 import anyio
 import pytest
 from anyio.lowlevel import checkpoint
-from loguru import logger
 
 from masticwind.errors import Failure
 from masticwind.httpclient import BrokenStreamError, HttpAnswer, HttpStream
@@ -66,17 +65,6 @@
         raise ValueError('raised by the client')
 
 
-@pytest.fixture
-def errors() -> Iterator[list[Any]]:
-    """Collect the log records of errors."""
-    records: list[Any] = []
-    handler_id = logger.add(
-        lambda message: records.append(message.record), level='ERROR'
-    )
-    yield records
-    logger.remove(handler_id)
-
-
 def _check_log(records: list[Any], *exceptions: Exception) -> None:
     """Check that each exception is logged with its id and traceback."""
     logged = [
--- a/tests/test_silence_review.py
+++ b/tests/test_silent_attempts.py
@@ -24,6 +24,7 @@
     encode_head,
     encode_stream_head,
 )
+from tests.endpoint_scripts import refuse, stay_silent
 from tests.entry_harness import (
     API_KEY,
     CALL_SERVICE,
@@ -56,21 +57,11 @@
     assert os.write(sock.fileno(), answer) == len(answer)
 
 
-async def _refuse(req: ReceivedRequest, conn: RawConnection) -> None:
-    await conn.write(
-        encode_head(req, 503, ('X-Not-Executed: 1', 'Content-Length: 0'))
-    )
-
-
 async def _answer_late(req: ReceivedRequest, conn: RawConnection) -> None:
     await anyio.sleep(SILENCE_S)
     await conn.send_answer(req)
 
 
-async def _stay_silent(_req: ReceivedRequest, _conn: RawConnection) -> None:
-    await anyio.sleep_forever()
-
-
 class InTurn:
     """Answers each request by the next script; the last one is repeated."""
 
@@ -106,7 +97,7 @@
 
 async def _refuse_late(req: ReceivedRequest, conn: RawConnection) -> None:
     await anyio.sleep(SILENCE_S)
-    await _refuse(req, conn)
+    await refuse(req, conn)
 
 
 @pytest.mark.parametrize('path', ['/order/a', '/read/a'])
@@ -125,7 +116,7 @@
     path: str,
 ) -> None:
     """Guards against 502 for a call that no endpoint has run."""
-    endpoints = InTurn(_refuse_late, _refuse)
+    endpoints = InTurn(_refuse_late, refuse)
     async with _fleet(endpoints.answer) as harness:
         answer = await harness.request(path, timeout_ms=TIMEOUT_MS)
         assert answer.status == 503
@@ -162,7 +153,7 @@
     async def fail(req: ReceivedRequest, conn: RawConnection) -> None:
         await conn.send_answer(req, 500, b'failed')
 
-    endpoints = InTurn(_stay_silent, fail)
+    endpoints = InTurn(stay_silent, fail)
     async with _fleet(endpoints.answer) as harness:
         answer = await harness.request('/read/a', timeout_ms=TIMEOUT_MS)
         assert (answer.status, answer.body) == (500, b'failed')
@@ -183,7 +174,7 @@
         silent.set()
         await _answer_late(req, conn)
 
-    endpoints = InTurn(answer_late, _refuse)
+    endpoints = InTurn(answer_late, refuse)
     async with _fleet(endpoints.answer) as harness:
 
         async def remove() -> None:
@@ -321,7 +312,7 @@
     """Guards against a call without an answer, or with a promise that it has
     not run, if the process ends while two endpoints work on it.
     """
-    endpoints = InTurn(_stay_silent)
+    endpoints = InTurn(stay_silent)
     async with (
         _fleet(endpoints.answer) as harness,
         anyio.create_task_group() as tasks,
@@ -392,7 +383,7 @@
             return
         attempts.append(req)
         if len(attempts) > 1:
-            await _refuse(req, conn)
+            await refuse(req, conn)
             return
         await anyio.sleep_forever()
 
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -14,9 +14,9 @@
     ReceivedRequest,
     Script,
     encode_event_chunk,
-    encode_head,
     encode_stream_head,
 )
+from tests.endpoint_scripts import refuse, stay_silent
 from tests.entry_harness import (
     API_KEY,
     CALL_SERVICE,
@@ -37,16 +37,6 @@
 MAX_ATTEMPTS: Final = 3
 
 
-async def _refuse(req: ReceivedRequest, conn: RawConnection) -> None:
-    await conn.write(
-        encode_head(req, 503, ('X-Not-Executed: 1', 'Content-Length: 0'))
-    )
-
-
-async def _stay_silent(_req: ReceivedRequest, _conn: RawConnection) -> None:
-    await anyio.sleep_forever()
-
-
 def _whole_stream(first: int = 1) -> bytes:
     return b''.join(
         f'id: {number}\ndata: x\n\n'.encode()
@@ -141,7 +131,7 @@
     """Guards against an answer that ends since its engine was silent for a
     while and the next one has refused.
     """
-    endpoints = SilentEndpoints(_refuse, events_before)
+    endpoints = SilentEndpoints(refuse, events_before)
     async with _fleet(endpoints, ENGINE_SERVICE) as harness:
         assert await _stream(harness) == (200, _whole_stream(), True)
 
@@ -153,7 +143,7 @@
     """Guards against an answer that ends since its engine was silent for a
     while and no placement is found any more.
     """
-    endpoints = SilentEndpoints(_refuse, events_before)
+    endpoints = SilentEndpoints(refuse, events_before)
     async with _fleet(endpoints, ENGINE_SERVICE) as harness:
 
         async def evacuate() -> None:
@@ -170,14 +160,14 @@
     events_before: int | None,
 ) -> None:
     """Guards against an engine that is given up for one that is no better."""
-    endpoints = SilentEndpoints(_stay_silent, events_before)
+    endpoints = SilentEndpoints(stay_silent, events_before)
     async with _fleet(endpoints, ENGINE_SERVICE) as harness:
         assert await _stream(harness) == (200, _whole_stream(), True)
 
 
 async def test_call_is_answered_though_no_other_endpoint_takes_it() -> None:
     """Guards against a failure for a call that its endpoint goes on with."""
-    endpoints = SilentEndpoints(_refuse, None)
+    endpoints = SilentEndpoints(refuse, None)
     async with _fleet(endpoints, CALL_SERVICE) as harness:
         answer = await harness.request('/read/a', timeout_ms=TIMEOUT_MS)
         assert (answer.status, answer.body) == (200, b'done')
@@ -235,7 +225,7 @@
 
 async def test_silence_takes_no_more_engines_than_the_route_allows() -> None:
     """Guards against a search for engines that never ends."""
-    endpoints = SilentEndpoints(_stay_silent, 2)
+    endpoints = SilentEndpoints(stay_silent, 2)
     async with _fleet(endpoints, ENGINE_SERVICE, count=6) as harness:
         assert await _stream(harness) == (200, _whole_stream(), True)
     assert endpoints.count <= MAX_ATTEMPTS
@@ -243,7 +233,7 @@
 
 async def test_order_waits_for_its_silent_endpoint() -> None:
     """Guards against a call that may run once and is sent twice."""
-    endpoints = SilentEndpoints(_refuse, None)
+    endpoints = SilentEndpoints(refuse, None)
     async with _fleet(endpoints, CALL_SERVICE) as harness:
         answer = await harness.request('/order/a', timeout_ms=TIMEOUT_MS)
         assert (answer.status, answer.body) == (200, b'done')
--- a/tests/test_versions_between_steps.py
+++ b/tests/test_versions_between_steps.py
@@ -5,7 +5,7 @@
 
 import copy
 import json
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import Any, Final
@@ -13,7 +13,6 @@
 import anyio
 import h11
 import pytest
-from loguru import logger
 
 from masticwind.serving import endpoint_limits
 from masticwind.serving.placement import Deferral, PlacementQuery
@@ -447,17 +446,6 @@
 )
 
 
-@pytest.fixture
-def errors() -> Iterator[list[Any]]:
-    """Collect the log records of errors."""
-    records: list[Any] = []
-    handler_id = logger.add(
-        lambda message: records.append(message.record), level='ERROR'
-    )
-    yield records
-    logger.remove(handler_id)
-
-
 def _document(step: Step) -> Document:
     document = sample_config_document(ADMITTED_VERSION)
     document['services'][1]['engine']['kv_capacity'] = step.kv_capacity
