--- a/tests/test_versions_between_steps.py
+++ b/tests/test_versions_between_steps.py
@@ -314,7 +314,7 @@
         self, req: ReceivedRequest, conn: RawConnection
     ) -> None:
         """Name a limit."""
-        await conn.write(encode_stream_head(req, ('Server-Limit: 3',)))
+        await conn.write(encode_stream_head(req, ('Server-Limit: 1',)))
         for number in range(1, 5):
             await conn.write(encode_event_chunk(number))
         await conn.write(LAST_CHUNK)
@@ -349,7 +349,7 @@
             encode_head(
                 req,
                 503,
-                ('X-Not-Executed: 1', 'Retry-After: 0.4', 'Content-Length: 0'),
+                ('X-Not-Executed: 1', 'Retry-After: 1', 'Content-Length: 0'),
             )
         )
 
