--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -166,10 +166,10 @@
         _log_sent(context, request)
         context.progress.is_sent = True
         context.state.is_sent = True
-        silent_at = anyio.current_time() + context.limits.head_timeout_s
-        with SilenceTimer(context, silent_at) as timer:
+        with SilenceTimer(context) as timer:
+            timer.start(context.limits.head_timeout_s)
             async with endpoint_client.send(request, context.limits) as reply:
-                timer.end()
+                timer.stop()
                 if isinstance(reply, Failure):
                     return reply
                 context.state.answer_begun = True
--- a/src/masticwind/serving/event_relay.py
+++ b/src/masticwind/serving/event_relay.py
@@ -1,7 +1,5 @@
 """Relays the events of a streamed answer, also of a resumed one."""
 
-import anyio
-
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.admission import RequestProgress
 from masticwind.serving.attempt_context import (
@@ -26,29 +24,27 @@
     resumed = context.answer.started
     if resumed and not reply.is_event_stream:
         return _no_continuation('it is no event stream')
-    # Only a complete event resets the timer, so that an endpoint that sends
-    # single bytes counts as silent, too.
-    silent_at = anyio.current_time() + context.limits.head_timeout_s
-    chunks = aiter(reply.chunks)
-    while True:
-        with SilenceTimer(context, silent_at):
-            chunk = await anext(chunks, b'')
-        if not chunk:
-            break
-        received = splitter.feed(chunk)
-        if resumed and not all(event.is_resumable for event in received):
-            return _no_continuation('an event has no id')
-        events = _new_events(context.progress, received)
-        if events:
-            if not context.claim():
-                return superseded_failure()
-            await _write_events(context, reply, events)
-            silent_at = anyio.current_time() + context.limits.idle_timeout_s
-        if splitter.is_oversized:
-            return Failure(
-                kind=ErrorKind.FAILED_AFTER_START,
-                reason=f'an event is over {MAX_EVENT_BYTES} bytes',
-            )
+    with SilenceTimer(context) as timer:
+        # Only a complete event restarts the timer, so that an endpoint that
+        # sends single bytes counts as silent, too.
+        timer.start(context.limits.head_timeout_s)
+        async for chunk in reply.chunks:
+            received = splitter.feed(chunk)
+            if resumed and not all(event.is_resumable for event in received):
+                return _no_continuation('an event has no id')
+            events = _new_events(context.progress, received)
+            if events:
+                # The caller may be slow to read them.
+                timer.stop()
+                if not context.claim():
+                    return superseded_failure()
+                await _write_events(context, reply, events)
+                timer.start(context.limits.idle_timeout_s)
+            if splitter.is_oversized:
+                return Failure(
+                    kind=ErrorKind.FAILED_AFTER_START,
+                    reason=f'an event is over {MAX_EVENT_BYTES} bytes',
+                )
     failure = _premature_end(context, reply, splitter, resumed=resumed)
     return failure or await _finish(context)
 
--- a/src/masticwind/serving/silence_timer.py
+++ b/src/masticwind/serving/silence_timer.py
@@ -11,18 +11,18 @@
 
 
 class SilenceTimer:
-    """Reports the silence of an endpoint at a time on the event loop's clock.
+    """Reports the silence of an endpoint, for which the wait goes on.
 
-    The wait for the endpoint goes on: it may only be slow.
+    It runs from `start` until `stop` or the end of its block.
     """
 
-    def __init__(self, context: AttemptContext, expires_at: float) -> None:
+    def __init__(self, context: AttemptContext) -> None:
         self._loop: Final = asyncio.get_running_loop()
         self._on_silence: Final = context.on_silence
-        self._timer = self._loop.call_at(expires_at, self._read_first)
+        self._timer: asyncio.TimerHandle | None = None
 
     def __enter__(self) -> Self:
-        """Start the wait."""
+        """Return the timer, which is not started."""
         return self
 
     def __exit__(
@@ -31,12 +31,18 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        """End the wait."""
-        self.end()
-
-    def end(self) -> None:
-        """Stop the timer, as the endpoint has written something."""
-        self._timer.cancel()
+        """Stop the timer."""
+        self.stop()
+
+    def start(self, timeout_s: float) -> None:
+        """Report a silence that lasts `timeout_s` seconds from now."""
+        self.stop()
+        self._timer = self._loop.call_later(timeout_s, self._read_first)
+
+    def stop(self) -> None:
+        """Report nothing until the next `start`."""
+        if self._timer is not None:
+            self._timer.cancel()
 
     def _read_first(self) -> None:
         self._timer = self._loop.call_later(READ_TIME_S, self._on_silence)
--- a/tests/test_silent_attempts.py
+++ b/tests/test_silent_attempts.py
@@ -30,6 +30,7 @@
     CALL_SERVICE,
     ENGINE_SERVICE,
     EntryHarness,
+    answer_with_events,
     caller_headers,
     prompt_headers,
     running_entry,
@@ -445,3 +446,27 @@
         '/order/a', request_id=request_id, timeout_ms=500
     )
     assert answer.status == 504
+
+
+async def test_engine_that_writes_single_bytes_is_replaced() -> None:
+    """Guards against an engine that keeps a stream by bytes of no event."""
+
+    async def write_single_bytes(
+        req: ReceivedRequest, conn: RawConnection
+    ) -> None:
+        await conn.write(encode_stream_head(req))
+        while True:
+            await conn.write(b'1\r\n:\r\n')
+            await anyio.sleep(0.002)
+
+    endpoints = InTurn(write_single_bytes, answer_with_events)
+    async with _fleet(endpoints.answer, ENGINE_SERVICE) as harness:
+        started = anyio.current_time()
+        answer = await harness.request(
+            '/chat/a',
+            method='POST',
+            timeout_ms=TIMEOUT_MS,
+            headers=prompt_headers(),
+        )
+        assert answer.status == 200
+        assert anyio.current_time() - started < TIMEOUT_MS / 2000
