--- a/src/masticwind/serving/bounds.py
+++ b/src/masticwind/serving/bounds.py
@@ -103,9 +103,13 @@
         )
         return allowed_retries - self._retries.counter(service).count()
 
+    def has_retry(self, service: str) -> bool:
+        """Tell whether a retry of the budget is left."""
+        return self.remaining(service) >= 1
+
     def try_acquire(self, service: str) -> bool:
         """Use one retry of the budget; false if none is left."""
-        if self.remaining(service) < 1:
+        if not self.has_retry(service):
             return False
         self._retries.counter(service).record()
         return True
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -18,9 +18,8 @@
     def __init__(self, deps: RelayDependencies) -> None:
         completion_times = CompletionTimes()
         placer = RequestPlacer(deps, completion_times)
-        self._retry_budget: Final = deps.retry_budget
         self._run_deps: Final = RunDependencies(
-            relay=deps,
+            retry_budget=deps.retry_budget,
             placer=placer,
             attempts=AttemptRunner(deps, placer, completion_times),
         )
@@ -36,6 +35,6 @@
         The caller of this method sends the answer for a `Failure`. If the
         answer has started, it must be aborted instead.
         """
-        self._retry_budget.record_request(admitted.service.name)
+        self._run_deps.retry_budget.record_request(admitted.service.name)
         served = ServedRequest(admitted, progress, answer)
         return await RequestRun(self._run_deps, served).serve()
--- a/src/masticwind/serving/request_run.py
+++ b/src/masticwind/serving/request_run.py
@@ -29,8 +29,8 @@
     AttemptRunner,
     ServedRequest,
 )
+from masticwind.serving.bounds import RetryBudget
 from masticwind.serving.model import Endpoint
-from masticwind.serving.relay_dependencies import RelayDependencies
 from masticwind.serving.request_placer import PermittedPlacement, RequestPlacer
 
 # Range of the intervals at which a successor of a silent attempt is looked for.
@@ -42,7 +42,7 @@
 class RunDependencies:
     """Collaborators of the run of a request."""
 
-    relay: RelayDependencies
+    retry_budget: RetryBudget
     placer: RequestPlacer
     attempts: AttemptRunner
 
@@ -53,7 +53,7 @@
     def __init__(self, deps: RunDependencies, served: ServedRequest) -> None:
         self._placer: Final = deps.placer
         self._attempts: Final = deps.attempts
-        self._relay: Final = deps.relay
+        self._retry_budget: Final = deps.retry_budget
         self._served: Final = served
         self._race: Final = AttemptRace()
         self._current: Final[dict[AttemptLine, PermittedPlacement]] = {}
@@ -202,32 +202,28 @@
             return False
         if self._placer.outlasts_process(admitted, progress.predicted_ms):
             return False
-        budget = self._relay.retry_budget
-        return budget.remaining(admitted.service.name) >= 1
+        return self._retry_budget.has_retry(admitted.service.name)
 
     def _may_acquire_retry(self) -> bool:
-        admitted = self._served.admitted
-        budget = self._relay.retry_budget
-        return (
-            self._has_retry_left()
-            and budget.remaining(admitted.service.name) >= 1
+        return self._has_attempt_left() and self._retry_budget.has_retry(
+            self._served.admitted.service.name
         )
 
-    def _has_retry_left(self) -> bool:
-        """Tell whether the request itself may be sent once more."""
-        admitted = self._served.admitted
-        if not self._served.progress.may_retry(admitted):
-            return False
-        return admitted.remaining_s() * MS_PER_S > ANSWER_MARGIN_MS
-
     def _try_acquire_retry(self) -> bool:
-        admitted = self._served.admitted
-        if not self._has_retry_left():
+        if not self._has_attempt_left():
             return False
-        if self._relay.retry_budget.try_acquire(admitted.service.name):
+        admitted = self._served.admitted
+        if self._retry_budget.try_acquire(admitted.service.name):
             return True
         logger.bind(
             request_id=admitted.req.request_id,
             service=admitted.service.name,
         ).info('repeat_budget_spent')
         return False
+
+    def _has_attempt_left(self) -> bool:
+        """Tell whether the request itself may be sent once more."""
+        admitted = self._served.admitted
+        if not self._served.progress.may_retry(admitted):
+            return False
+        return admitted.remaining_s() * MS_PER_S > ANSWER_MARGIN_MS
