--- a/src/masticwind/serving/request_run.py
+++ b/src/masticwind/serving/request_run.py
@@ -126,10 +126,10 @@
             if failure is None:
                 self._attempts.record_success(permitted.placement.lead)
                 return None
+            goes_on = self._race.end_attempt(line)
             if failure.kind is ErrorKind.QUARANTINED:
                 progress.record_recall(permitted.placement.lead)
                 return progress.final_failure(failure)
-            goes_on = self._race.end_attempt(line)
             await self._attempts.record_failure(permitted, failure, progress)
             is_alone = not self._race.has_running_others(line)
             if not goes_on or (is_alone and not self._try_acquire_retry()):
