--- a/tests/test_silent_attempts.py
+++ b/tests/test_silent_attempts.py
@@ -4,7 +4,7 @@
 import os
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Final
 
 import anyio
@@ -37,6 +37,7 @@
     sample_config_document,
 )
 from tests.log_records import collected_log_records, count_events
+from tests.silent_fleet import SilentFleetOptions, running_silent_fleet
 
 pytestmark = pytest.mark.anyio
 
@@ -77,23 +78,15 @@
         await script(req, conn)
 
 
-@asynccontextmanager
-async def _fleet(
-    script: Script,
-    service: str = CALL_SERVICE,
-    count: int = 2,
-    max_attempts: int = 3,
-) -> AsyncIterator[EntryHarness]:
-    document = sample_config_document()
-    for route in document['routes']:
-        route['timeout_ms'] = TIMEOUT_MS
-        if route['name'] != 'order':
-            route['max_attempts'] = max_attempts
-    async with running_entry(document) as harness:
-        for number in range(1, count + 1):
-            await harness.start_endpoint(f'e-{number}', script, service)
-        await harness.wait_until_endpoints_known()
-        yield harness
+def _fleet(
+    script: Script, service: str = CALL_SERVICE, max_attempts: int = 3
+) -> AbstractAsyncContextManager[EntryHarness]:
+    return running_silent_fleet(
+        script,
+        SilentFleetOptions(
+            timeout_ms=TIMEOUT_MS, service=service, max_attempts=max_attempts
+        ),
+    )
 
 
 async def _refuse_late(req: ReceivedRequest, conn: RawConnection) -> None:
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -1,7 +1,6 @@
 """Answers of endpoints that fall silent for a while and go on."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager
 from typing import Final
 
 import anyio
@@ -24,9 +23,8 @@
     EntryHarness,
     caller_headers,
     prompt_headers,
-    running_entry,
-    sample_config_document,
 )
+from tests.silent_fleet import SilentFleetOptions, running_silent_fleet
 
 pytestmark = pytest.mark.anyio
 
@@ -82,22 +80,18 @@
         await conn.write(LAST_CHUNK)
 
 
-@asynccontextmanager
-async def _fleet(
+def _fleet(
     endpoints: SilentEndpoints, service: str, count: int = 2
-) -> AsyncIterator[EntryHarness]:
-    document = sample_config_document()
-    for route in document['routes']:
-        route['timeout_ms'] = TIMEOUT_MS
-        if route['name'] != 'order':
-            route['max_attempts'] = MAX_ATTEMPTS
-    async with running_entry(document) as harness:
-        for number in range(1, count + 1):
-            await harness.start_endpoint(
-                f'e-{number}', endpoints.answer, service
-            )
-        await harness.wait_until_endpoints_known()
-        yield harness
+) -> AbstractAsyncContextManager[EntryHarness]:
+    return running_silent_fleet(
+        endpoints.answer,
+        SilentFleetOptions(
+            timeout_ms=TIMEOUT_MS,
+            service=service,
+            count=count,
+            max_attempts=MAX_ATTEMPTS,
+        ),
+    )
 
 
 async def _stream(harness: EntryHarness) -> tuple[int, bytes, bool]:
--- a/tests/test_versions_between_steps.py
+++ b/tests/test_versions_between_steps.py
@@ -291,7 +291,18 @@
         monkeypatch.setattr(PromptPlacer, 'place', defer)
 
 
-class BeforePermit(Step):
+class HeldBack(Step):
+    """The entry waits before it sends the request to the only engine."""
+
+    async def send(self, stream: anyio.abc.SocketStream) -> None:
+        """Send the request; the version arrives before the wait ends."""
+        await super().send(stream)
+        await anyio.sleep(0.03)
+        assert not self.attempts
+        self.reached.set()
+
+
+class BeforePermit(HeldBack):
     """The only engine limits its requests, so that a permit takes a while."""
 
     def prepare(self, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -303,13 +314,6 @@
         for _ in range(2):
             await harness.wait_until_served('/chat/a', request_id='warm')
 
-    async def send(self, stream: anyio.abc.SocketStream) -> None:
-        """Send the request; the version arrives before its permit."""
-        await super().send(stream)
-        await anyio.sleep(0.03)
-        assert not self.attempts
-        self.reached.set()
-
     async def answer_other(
         self, req: ReceivedRequest, conn: RawConnection
     ) -> None:
@@ -320,7 +324,7 @@
         await conn.write(LAST_CHUNK)
 
 
-class Paused(Step):
+class Paused(HeldBack):
     """The only engine has asked for a pause."""
 
     async def warm_up(self, harness: EntryHarness) -> None:
@@ -331,13 +335,6 @@
         )
         assert answer.status == 503
 
-    async def send(self, stream: anyio.abc.SocketStream) -> None:
-        """Send the request; the version arrives before the pause ends."""
-        await super().send(stream)
-        await anyio.sleep(0.03)
-        assert not self.attempts
-        self.reached.set()
-
     async def answer_other(
         self, req: ReceivedRequest, conn: RawConnection
     ) -> None:
