--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -17,6 +17,7 @@
 from masticwind.platform.endpoint_notices import decode_notice
 from masticwind.platform.headers import (
     AT_FAULT_HEADER,
+    SEAL_HEADER,
     classify_answer,
     encode_attempt,
     end_to_end_headers,
@@ -185,6 +186,8 @@
         notice=(
             decode_notice(answer.status, answer.raw_headers) if proven else None
         ),
+        seal=answer.headers.get(SEAL_HEADER, ''),
+        fresh=answer.fresh,
     )
 
 
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -125,7 +125,7 @@
         events=context.progress.event_count,
         answer_begun=context.state.answer_begun,
         last_event_ms_ago=context.progress.silence_ms(),
-        **_notice_fields(context.state.notice),
+        **_reply_fields(context.state.reply),
     )
     if outcome is None:
         log.bind(
@@ -173,7 +173,7 @@
                 if isinstance(reply, Failure):
                     return reply
                 context.state.answer_begun = True
-                context.state.notice = reply.notice
+                context.state.reply = reply
                 context.on_answer(reply.notice)
                 return await _receive_or_fail(context, reply)
 
@@ -230,6 +230,18 @@
     }
 
 
+def _reply_fields(reply: Reply | None) -> dict[str, object]:
+    """Return which answer has been received, for the logs."""
+    if reply is None:
+        return {}
+    return {
+        'status': reply.status,
+        'seal': reply.seal,
+        'fresh_connection': reply.fresh,
+        **_notice_fields(reply.notice),
+    }
+
+
 def _notice_fields(notice: EndpointNotice | None) -> dict[str, object]:
     """Return what an answer said about its endpoint, for the logs."""
     if notice is None:
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -12,6 +12,7 @@
     AttemptLimits,
     CallerAnswer,
     EndpointNotice,
+    Reply,
 )
 from masticwind.serving.model import Endpoint
 from masticwind.serving.placement import Placement
@@ -21,8 +22,8 @@
 class AttemptState:
     """What the entry has received from the endpoint of an attempt.
 
-    `answer_begun` says that the head of the answer has arrived. `notice` is
-    what it says about the endpoint, as in `Reply`. An attempt that is
+    `answer_begun` says that the head of the answer has arrived; `reply` is
+    that head if the entry received it itself. An attempt that is
     `held_back` has not been sent. An answer that is `unverified` may belong to
     another request. A `silent` endpoint has written nothing for the time after
     which another one is tried; `silence_counted` tells whether that has been
@@ -32,7 +33,7 @@
     """
 
     answer_begun: bool = False
-    notice: EndpointNotice | None = None
+    reply: Reply | None = None
     held_back: bool = False
     is_sent: bool = False
     unverified: bool = False
@@ -49,6 +50,11 @@
             self.expired = True
             self.scope.cancel()
 
+    @property
+    def notice(self) -> EndpointNotice | None:
+        """What the answer says about the endpoint, as in `Reply`."""
+        return None if self.reply is None else self.reply.notice
+
     @property
     def has_silent_endpoint(self) -> bool:
         """Whether nothing has come in answer, or nothing for a while."""
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -221,6 +221,7 @@
             sent=progress.is_sent,
             answer_begun=given_up.answer.started,
             events=progress.event_count,
+            last_event_ms_ago=progress.silence_ms(),
             kind=failure.kind.value,
         ).warning('request_cut')
 
--- a/src/masticwind/serving/interfaces.py
+++ b/src/masticwind/serving/interfaces.py
@@ -97,7 +97,8 @@
     than the end of the connection. `at_fault` is the endpoint that caused a
     refusal, if the answer names it: the lead endpoint or a helper. `notice` is
     what the endpoint says of itself, and None if the answer may come from
-    another process.
+    another process. `seal` is the endpoint's signature, '' without one. No
+    earlier answer was received on a `fresh` connection.
     """
 
     status: int
@@ -108,6 +109,8 @@
     framed: bool = False
     at_fault: Endpoint | None = None
     notice: EndpointNotice | None = None
+    seal: str = ''
+    fresh: bool = False
 
     @property
     def success(self) -> bool:
