--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -49,6 +49,10 @@
         'predicted_ms',
         'sent',
         'stopping_for_ms',
+        'last_event_ms_ago',
+        'status',
+        'seal',
+        'fresh_connection',
     )
 )
 ENDPOINT_STATES = frozenset(('serving', 'cold', 'out', 'down'))
