--- a/tests/test_stale_answers.py
+++ b/tests/test_stale_answers.py
@@ -92,7 +92,7 @@
         assert script.ran
 
 
-async def _send(
+async def send_attempt(
     client: PlatformEndpointClient, endpoint: Endpoint, request_id: str
 ) -> Reply:
     req = CallerRequest(
@@ -137,9 +137,9 @@
             slots=8,
         )
         client = PlatformEndpointClient()
-        first = await _send(client, endpoint, 'first')
+        first = await send_attempt(client, endpoint, 'first')
         assert first.status == status
-        later = await _send(client, endpoint, next_id)
+        later = await send_attempt(client, endpoint, next_id)
         assert later.verdict in {Verdict.RAN, Verdict.UNVERIFIED}
         assert script.ran == [next_id]
         await client.close_idle(endpoint)
