--- a/tests/test_joined_answers.py
+++ b/tests/test_joined_answers.py
@@ -46,6 +46,7 @@
     cut off, with the headers and the body of the failure that follows it.
     """
     first = encode_answer('200 OK', headers, 'first', 'done')
+    length = len(first)
     cut = 0
 
     async def answer(req: ReceivedRequest, conn: RawConnection) -> None:
@@ -67,7 +68,7 @@
             zone='zone-a',
             slots=8,
         )
-        for cut in range(len(first)):
+        for cut in range(length):
             client = PlatformEndpointClient()
             await send_attempt(client, endpoint, 'first')
             try:
