--- a/src/masticwind/engines/http.py
+++ b/src/masticwind/engines/http.py
@@ -36,6 +36,7 @@
     HttpClient,
     HttpStream,
 )
+from masticwind.send_gate import SendOptions
 
 _Content = TypeVar('_Content')
 
@@ -106,7 +107,7 @@
             '/v1/generate',
             timeout_s=STREAM_READ_TIMEOUT_S,
             body=msgspec.json.encode(_generate_body(req)),
-            fresh=True,
+            options=SendOptions(fresh=True),
         ) as stream:
             if isinstance(stream, HttpStream):
                 stream.reusable = False
--- a/src/masticwind/http_limits.py
+++ b/src/masticwind/http_limits.py
@@ -6,11 +6,13 @@
 """
 
 import ssl
-from collections.abc import AsyncIterable
+from collections.abc import AsyncIterable, Iterable
 from typing import Any, Final
 
 import httpcore
 
+from masticwind.send_gate import SendGate
+
 # The parser rejects an incomplete head of more than 100 KiB by itself.
 MAX_HEAD_BYTES: Final = 262_144
 
@@ -18,11 +20,15 @@
 class HeadLimitedStream(httpcore.AsyncNetworkStream):
     """A connection on which a response head has a limited size.
 
-    The limit applies from the last write until `head_complete` is set.
+    The limit applies from the last write until `head_complete` is set. `gate`
+    is asked before each write.
     """
 
-    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+    def __init__(
+        self, stream: httpcore.AsyncNetworkStream, gate: SendGate
+    ) -> None:
         self._stream: Final = stream
+        self._gate: Final = gate
         self._head_bytes = 0
         self.head_complete = False
 
@@ -39,6 +45,7 @@
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write a part of a request, whose response has a new head."""
+        self._gate.check()
         self._head_bytes = 0
         self.head_complete = False
         await self._stream.write(buffer, timeout)
@@ -55,7 +62,8 @@
     ) -> httpcore.AsyncNetworkStream:
         """Encrypt the connection."""
         return HeadLimitedStream(
-            await self._stream.start_tls(ssl_context, server_hostname, timeout)
+            await self._stream.start_tls(ssl_context, server_hostname, timeout),
+            self._gate,
         )
 
     def get_extra_info(self, info: str) -> Any:
@@ -70,6 +78,10 @@
     httpcore finds no socket and raises an `AttributeError`.
     """
 
+    def __init__(self, gate: SendGate) -> None:
+        super().__init__()
+        self._gate: Final = gate
+
     async def connect_tcp(
         self,
         *args: Any,
@@ -82,7 +94,23 @@
             raise httpcore.ConnectError(
                 'connection reset while connecting'
             ) from exc
-        return HeadLimitedStream(stream)
+        return HeadLimitedStream(stream, self._gate)
+
+
+class LimitedConnection(httpcore.AsyncHTTPConnection):
+    """A connection with limited heads, and the gate of its requests."""
+
+    def __init__(
+        self,
+        origin: httpcore.Origin,
+        socket_options: Iterable[httpcore.SOCKET_OPTION],
+    ) -> None:
+        self.gate: Final = SendGate()
+        super().__init__(
+            origin=origin,
+            socket_options=socket_options,
+            network_backend=NetworkBackend(self.gate),
+        )
 
 
 def end_head_limit(response: httpcore.Response) -> None:
--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -19,10 +19,17 @@
 
 from masticwind.errors import ErrorKind, Failure
 from masticwind.http_limits import (
-    NetworkBackend,
+    LimitedConnection,
     end_head_limit,
     join_chunks,
 )
+from masticwind.send_gate import (
+    DEFAULT_OPTIONS,
+    HeldBackError,
+    ObstacleWatch,
+    SendCheck,
+    SendOptions,
+)
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -118,7 +125,7 @@
 
 @dataclass(slots=True)
 class _IdleConnection:
-    conn: httpcore.AsyncHTTPConnection
+    conn: LimitedConnection
     expires_at: float
 
 
@@ -141,13 +148,11 @@
         self._keep_alive_s: Final = keep_alive_s
         self._connection_slots: Final = anyio.Semaphore(max_connections)
         self._idle: Final[list[_IdleConnection]] = []
-        self._busy: Final[set[httpcore.AsyncHTTPConnection]] = set()
+        self._busy: Final[set[LimitedConnection]] = set()
         # Those connections in use that carried an earlier request.
-        self._reused: Final[set[httpcore.AsyncHTTPConnection]] = set()
+        self._reused: Final[set[LimitedConnection]] = set()
         # Idle time limits of connections in use, from the servers' headers.
-        self._idle_limits_s: Final[
-            dict[httpcore.AsyncHTTPConnection, float]
-        ] = {}
+        self._idle_limits_s: Final[dict[LimitedConnection, float]] = {}
 
     async def request(
         self,
@@ -170,7 +175,7 @@
         """
         try:
             async with (
-                self._connection(fresh=single_use) as conn,
+                self._connection(SendOptions(fresh=single_use)) as conn,
                 conn.stream(
                     method,
                     self._url(path.encode('ascii')),
@@ -196,12 +201,13 @@
         timeout_s: float | RequestTimeouts,
         body: bytes = b'',
         headers: Headers = (),
-        fresh: bool = False,
+        options: SendOptions = DEFAULT_OPTIONS,
     ) -> AsyncIterator[HttpStream | Failure]:
         """Make one request and iterate over the body as it arrives.
 
         If the connection fails, the iteration raises `BrokenStreamError`.
-        With `fresh`, a new connection is opened.
+        If the check of the `options` finds an obstacle, nothing is sent, and a
+        `Failure` of kind `overloaded` is returned.
         """
         response_started = False
         url = self._url(
@@ -209,7 +215,7 @@
         )
         try:
             async with (
-                self._connection(fresh=fresh) as conn,
+                self._connection(options) as conn,
                 conn.stream(
                     method,
                     url,
@@ -227,6 +233,8 @@
                     self._idle_limits_s[conn] = _idle_limit_s(
                         stream.headers, self._keep_alive_s
                     )
+        except HeldBackError as exc:
+            yield Failure(kind=ErrorKind.OVERLOADED, reason=str(exc))
         except _NOT_SENT_ERRORS as exc:
             if response_started:
                 raise
@@ -262,16 +270,16 @@
     @asynccontextmanager
     async def _connection(
         self,
-        *,
-        fresh: bool = False,
-    ) -> AsyncIterator[httpcore.AsyncHTTPConnection]:
-        async with self._connection_slots:
-            conn = None if fresh else await self._pop_idle_connection()
+        options: SendOptions = DEFAULT_OPTIONS,
+    ) -> AsyncIterator[LimitedConnection]:
+        async with self._connection_slot(options.check):
+            conn = None if options.fresh else await self._pop_idle_connection()
             if conn is None:
-                conn = self._new_connection()
+                conn = LimitedConnection(self._origin, SOCKET_OPTIONS)
             else:
                 self._reused.add(conn)
             self._busy.add(conn)
+            conn.gate.send_check = options.check
             try:
                 yield conn
             finally:
@@ -279,9 +287,24 @@
                 self._reused.discard(conn)
                 await self._release_connection(conn)
 
-    async def _release_connection(
-        self, conn: httpcore.AsyncHTTPConnection
-    ) -> None:
+    @asynccontextmanager
+    async def _connection_slot(
+        self, send_check: SendCheck | None
+    ) -> AsyncIterator[None]:
+        """Wait for one of the connections, as long as there is no obstacle."""
+        try:
+            self._connection_slots.acquire_nowait()
+        except anyio.WouldBlock:
+            watch = ObstacleWatch(send_check)
+            with watch:
+                await self._connection_slots.acquire()
+            watch.raise_obstacle()
+        try:
+            yield
+        finally:
+            self._connection_slots.release()
+
+    async def _release_connection(self, conn: LimitedConnection) -> None:
         idle_limit_s = self._idle_limits_s.pop(conn, self._keep_alive_s)
         if conn.is_idle() and idle_limit_s > 0:
             self._idle.append(
@@ -291,7 +314,7 @@
         with anyio.CancelScope(shield=True):
             await conn.aclose()
 
-    async def _pop_idle_connection(self) -> httpcore.AsyncHTTPConnection | None:
+    async def _pop_idle_connection(self) -> LimitedConnection | None:
         while self._idle:
             idle = self._idle.pop()
             expired = idle.expires_at < time.monotonic()
@@ -300,13 +323,6 @@
             await idle.conn.aclose()
         return None
 
-    def _new_connection(self) -> httpcore.AsyncHTTPConnection:
-        return httpcore.AsyncHTTPConnection(
-            origin=self._origin,
-            socket_options=SOCKET_OPTIONS,
-            network_backend=NetworkBackend(),
-        )
-
     def _url(self, path: bytes) -> httpcore.URL:
         return httpcore.URL(
             scheme=self._origin.scheme,
--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -23,6 +23,7 @@
     end_to_end_headers,
     names_request,
 )
+from masticwind.send_gate import SendOptions
 from masticwind.serving.interfaces import (
     Attempt,
     AttemptLimits,
@@ -74,7 +75,9 @@
             ),
             body=req.body,
             headers=encode_attempt(attempt),
-            fresh=attempt.at_most_once,
+            options=SendOptions(
+                fresh=attempt.at_most_once, check=attempt.send_check
+            ),
         ) as answer:
             if isinstance(answer, Failure):
                 yield answer
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -2,6 +2,7 @@
 
 import math
 import time
+from functools import partial
 from http import HTTPStatus
 from typing import Final
 
@@ -12,6 +13,7 @@
 from masticwind.errors import ErrorKind, Failure
 from masticwind.http_limits import join_chunks
 from masticwind.httpclient import BrokenStreamError
+from masticwind.send_gate import SendCheck
 from masticwind.serving.admission import AdmittedRequest
 from masticwind.serving.attempt_context import (
     AttemptContext,
@@ -158,14 +160,7 @@
             else:
                 context.state.at_fault = helpers.endpoint
             return helpers.failure
-        obstacle = context.find_obstacle()
-        if obstacle:
-            context.state.held_back = True
-            return Failure(kind=ErrorKind.OVERLOADED, reason=obstacle)
         request = _build_attempt(context, helpers)
-        _log_sent(context, request)
-        context.progress.is_sent = True
-        context.state.is_sent = True
         with SilenceTimer(context) as timer:
             timer.start(context.limits.head_timeout_s)
             async with endpoint_client.send(request, context.limits) as reply:
@@ -194,14 +189,28 @@
         at_most_once=not admitted.route.repeatable,
         resume_after=context.progress.last_event_id,
         helpers=helpers,
+        send_check=SendCheck(
+            partial(_find_obstacle, context),
+            partial(_record_sent, context, helpers),
+        ),
     )
 
 
-def _log_sent(context: AttemptContext, request: Attempt) -> None:
+def _find_obstacle(context: AttemptContext) -> str:
+    obstacle = context.find_obstacle()
+    context.state.held_back = bool(obstacle)
+    return obstacle
+
+
+def _record_sent(
+    context: AttemptContext, helpers: tuple[PrefillHelper, ...]
+) -> None:
+    context.progress.is_sent = True
+    context.state.is_sent = True
     admitted = context.admitted
     logger.bind(
         request_id=admitted.req.request_id,
-        endpoint=request.endpoint.identity,
+        endpoint=context.placement.lead.identity,
         attempt=context.number,
         route=admitted.route.name,
         config_version=admitted.config_version,
@@ -209,11 +218,11 @@
         team=admitted.team.name,
         prompt=admitted.prompt_tokens,
         parts=admitted.req.prompt_parts,
-        helpers=[helper.endpoint.identity for helper in request.helpers],
+        helpers=[helper.endpoint.identity for helper in helpers],
         predicted_ms=round(context.placement.first_event_ms),
         whole_ms=round(context.placement.total_ms),
-        left_ms=request.time_limit_ms,
-        resume_after=request.resume_after,
+        left_ms=round(admitted.remaining_s() * MS_PER_S),
+        resume_after=context.progress.last_event_id,
         **_permit_fields(context.permit),
     ).info('attempt_sent')
 
--- a/src/masticwind/serving/directory.py
+++ b/src/masticwind/serving/directory.py
@@ -131,6 +131,18 @@
             for one in self.endpoints(endpoint.service)
         )
 
+    def accepts_work(self, endpoint: Endpoint) -> bool:
+        """Tell whether the process of an endpoint is registered as ready.
+
+        Other than `is_usable`, this takes a constant time.
+        """
+        known = self.find(endpoint.identity)
+        return (
+            known is not None
+            and known.started_at_ms == endpoint.started_at_ms
+            and not known.draining
+        )
+
     def find(self, identity: str) -> Endpoint | None:
         """Return the registered process of an endpoint, if there is one."""
         registered = self._registered.get(identity)
--- a/src/masticwind/serving/interfaces.py
+++ b/src/masticwind/serving/interfaces.py
@@ -10,6 +10,7 @@
 
 from masticwind.errors import Failure
 from masticwind.httpclient import ConnectResult
+from masticwind.send_gate import SendCheck
 from masticwind.serving.model import CallerRequest, Endpoint, Headers
 
 
@@ -32,7 +33,8 @@
     `time_limit_ms` is how long the endpoint may work on it; None sets no
     limit. `priority` ranges from 0, the most urgent, to 9. An `at_most_once`
     attempt uses a new connection: if the endpoint closes a reused one at that
-    moment, it is unknown whether the request was read.
+    moment, it is unknown whether the request was read. `send_check` is asked
+    while the request waits for a connection and right before it is sent.
     """
 
     req: CallerRequest
@@ -43,6 +45,7 @@
     at_most_once: bool
     resume_after: int | None
     helpers: tuple[PrefillHelper, ...] = ()
+    send_check: SendCheck | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/masticwind/serving/request_placer.py
+++ b/src/masticwind/serving/request_placer.py
@@ -133,14 +133,28 @@
         limits = self._deps.limit_link.limits
         if permitted.permit is None and limits.find(permitted.placement.lead):
             return 'the endpoint has begun to limit its requests'
-        notices = self._deps.notices
-        obstacle = notices.find_obstacle(
-            permitted.placement.lead, last_resort=permitted.last_resort
+        lead = permitted.placement.lead
+        obstacle = self._deps.notices.find_obstacle(
+            lead, last_resort=permitted.last_resort
         )
+        obstacle = obstacle or self._find_registered_obstacle(lead)
         for helper in permitted.placement.helpers:
-            obstacle = obstacle or notices.find_obstacle(helper.endpoint)
+            obstacle = (
+                obstacle
+                or self._deps.notices.find_obstacle(helper.endpoint)
+                or self._find_registered_obstacle(helper.endpoint)
+            )
         return obstacle
 
+    def _find_registered_obstacle(self, endpoint: Endpoint) -> str:
+        """Return why an endpoint must not be used by the store's data."""
+        deps = self._deps
+        if not deps.directory.accepts_work(endpoint):
+            return f'{endpoint.identity} accepts no new work'
+        if endpoint.zone in deps.operator_state.evacuated_zones:
+            return f'zone {endpoint.zone} is evacuated'
+        return ''
+
     def _max_permit_wait_s(
         self,
         admitted: AdmittedRequest,
--- a/tests/test_waiting_requests.py
+++ b/tests/test_waiting_requests.py
@@ -58,6 +58,10 @@
     harness.store.write('op/evacuate/zone-a', b'1')
 
 
+async def _keep(_harness: EntryHarness) -> None:
+    """Change nothing."""
+
+
 async def _serve_with_waiting_requests(
     held: HeldEndpoint, change: Change
 ) -> list[int]:
@@ -85,6 +89,7 @@
             await harness.start_endpoint(
                 'i-2', answer_completely, zone='zone-b', slots=64
             )
+            await harness.wait_until_endpoints_known()
             await change(harness)
             await anyio.sleep(KNOWN_AFTER_S)
             held.released.set()
@@ -111,9 +116,6 @@
     held = HeldEndpoint()
     held.headers = (LEAVING,)
 
-    async def change(harness: EntryHarness) -> None:
-        await harness.wait_until_endpoints_known()
-
-    statuses = await _serve_with_waiting_requests(held, change)
+    statuses = await _serve_with_waiting_requests(held, _keep)
     assert Counter(statuses) == {200: CONNECTIONS + WAITING}
     assert len(held.arrivals) == CONNECTIONS
