--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Any, Final
 
 import anyio
@@ -178,6 +179,41 @@
         await fleet.wait_for_status(started, NEW_KEY, 200)
 
 
+async def test_entry_that_starts_beside_a_restore_refuses_a_removed_key() -> (
+    None
+):
+    """Guards against a removed key that works at entries which start as the
+    store returns without the registrations of the running ones.
+    """
+    async with running_fleet(entries=2) as fleet:
+        copy = fleet.store.copy()
+        lapsed = replace(
+            copy,
+            rows={
+                key: row
+                for key, row in copy.rows.items()
+                if not key.startswith(ENTRIES_PREFIX)
+            },
+        )
+        fleet.write_config(10, NEW_KEY)
+        for entry in fleet.entries:
+            await fleet.wait_for_status(entry, API_KEY, 401)
+        fleet.store.switches.outage = True
+        fleet.store.restore(lapsed)
+        started = [await fleet.start_entry() for _ in range(2)]
+        await anyio.sleep(OUTAGE_S)
+        fleet.store.switches.outage = False
+        statuses: set[int] = set()
+        with anyio.move_on_after(2 * MAX_DELAY_S):
+            while True:
+                for entry in started:
+                    statuses.add(await fleet.status(entry, API_KEY))
+                await anyio.sleep(0.02)
+        assert statuses <= {401, 503}
+        for entry in started:
+            await fleet.wait_for_status(entry, NEW_KEY, 200)
+
+
 async def test_engine_that_left_before_a_restore_is_not_used_again() -> None:
     """Guards against requests to an engine that has left, because the restored
     copy of the store still has its registration.
