--- a/src/masticwind/serving/config_versions.py
+++ b/src/masticwind/serving/config_versions.py
@@ -6,6 +6,13 @@
 keys that have been removed, so it asks the others first: at its start, and in
 each new era of the store. Until then, and while it lacks a version that another
 entry has, its configuration does not count as confirmed.
+
+The entries that a restored store lists are as old as the copy, and the leases
+of running entries may have ended in it. So after a restore, neither an empty
+list nor the reply of an entry that is still checking itself ends the check of
+an entry that has started. Only a reply of an entry whose configuration has been
+confirmed does, or the time within which running entries register again. Without
+such a reply, the check is repeated when other entries appear.
 """
 
 from typing import Final
@@ -19,9 +26,13 @@
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.reported_changes import CHANGE_GRACE_S
 from masticwind.serving.store import Item
+from masticwind.serving.store_eras import FIRST_ERA
 
 # A reply takes a few milliseconds; the others may all be dead.
 MAX_CHECK_S: Final = 0.3
+# Running entries register again, and are asked, within this time after the
+# return of the store.
+MAX_UNPROVED_CHECK_S: Final = 3.0
 # A reported version that no entry sends within this time is ignored.
 MAX_WAIT_S: Final = 1.0
 # Reports are ignored for this time after one that proved wrong.
@@ -47,6 +58,10 @@
         self._checking_era: int | None = None
         self._check_started_at = float('-inf')
         self._reply_received = False
+        # Whether a check has ended with proof that the version is current.
+        self._proved = False
+        # The entries that were known when the last check ended.
+        self._checked_beside: frozenset[PeerAddress] = frozenset()
         self._reported_version = 0
         self._reported_at = float('-inf')
         self._reported_by: PeerAddress | None = None
@@ -70,12 +85,20 @@
             return
         now = boot_time()
         era = self._mirror.revision.era
+        if era == self._checked_era and self._is_unproved_beside_others():
+            logger.bind(era=era).info('versions_checked_again')
+            self._checked_era = None
+            self._as_of = float('-inf')
         if era not in {self._checked_era, self._checking_era}:
             self._checking_era = era
             self._check_started_at = now
             self._reply_received = False
         if self.is_checking() and self._is_check_over():
             self._checked_era = era
+            self._checking_era = None
+            self._checked_beside = frozenset(self._peers.others())
+            if self._reply_received or not self._may_be_restored():
+                self._proved = True
         if not self.is_checking() and self.lacking_from() is None:
             self._as_of = max(self._as_of, now - self._mirror.age_s())
 
@@ -84,12 +107,25 @@
         self.update()
         return boot_time() - self._as_of
 
-    def report(self, version: int, sent_ms: int, sender: PeerAddress) -> None:
+    def report(
+        self,
+        version: int,
+        sent_ms: int,
+        sender: PeerAddress,
+        *,
+        confirmed: bool = True,
+    ) -> None:
         """Record another entry's version, in a reply to a request.
 
-        `sent_ms` is the time of the request. Version 0 is an unknown one.
+        `sent_ms` is the time of the request. Version 0 is an unknown one. The
+        configuration of the other entry has been `confirmed` to it before.
         """
-        if version and sent_ms / MS_PER_S >= self._check_started_at:
+        is_proof = confirmed or not self._may_be_restored()
+        if (
+            is_proof
+            and version
+            and sent_ms / MS_PER_S >= self._check_started_at
+        ):
             self._reply_received = True
         now = boot_time()
         if version <= max(self.version, self._reported_version):
@@ -127,12 +163,25 @@
             now - self._reported_at <= MAX_WAIT_S
         ):
             return False
-        return (
-            self._reply_received
-            or now - self._check_started_at >= MAX_CHECK_S
-            or (self._peers.loaded and not self._peers.others())
+        if self._reply_received:
+            return True
+        elapsed_s = now - self._check_started_at
+        if self._may_be_restored() and not self._proved:
+            return elapsed_s >= MAX_UNPROVED_CHECK_S
+        return elapsed_s >= MAX_CHECK_S or (
+            self._peers.loaded and not self._peers.others()
         )
 
+    def _may_be_restored(self) -> bool:
+        """Tell whether the store may have returned from an older copy."""
+        return self._mirror.revision.era > FIRST_ERA
+
+    def _is_unproved_beside_others(self) -> bool:
+        """Tell whether entries have appeared after a check without proof."""
+        if self._proved:
+            return False
+        return not self._checked_beside.issuperset(self._peers.others())
+
     def _ignore_reports(self) -> None:
         logger.bind(
             version=self.version, reported=self._reported_version
--- a/src/masticwind/serving/confirmations.py
+++ b/src/masticwind/serving/confirmations.py
@@ -22,6 +22,7 @@
 from masticwind.serving.datagrams import PeerAddress, PeerSocket, Receiver
 from masticwind.serving.mirror import Mirror
 from masticwind.serving.peer_requests import (
+    MAX_AGE_S,
     AgeMs,
     Era,
     PendingRequests,
@@ -159,7 +160,12 @@
         last_change = StoreRevision(reply.era, reply.last_change_revision)
         self._mirror.confirm(last_change, as_of)
         if sender in self._peers.others():
-            self._versions.report(reply.version, reply.sent_ms, sender)
+            self._versions.report(
+                reply.version,
+                reply.sent_ms,
+                sender,
+                confirmed=reply.age_ms < MAX_AGE_S * MS_PER_S,
+            )
             if self._versions.is_checking():
                 self._copies.request_if_lacking()
 
--- a/src/masticwind/serving/store_eras.py
+++ b/src/masticwind/serving/store_eras.py
@@ -15,6 +15,8 @@
 
 # The era of a store that names none.
 NO_ERA: Final = 0
+# The era of a store that has never been restored.
+FIRST_ERA: Final = 1
 # Longer than any call waits for its answer. If all answers name an earlier era
 # for this time, the newest one was named by mistake, or the store was replaced.
 MAX_ANSWER_DELAY_S: Final = 15.0
--- a/tests/test_config_versions.py
+++ b/tests/test_config_versions.py
@@ -1,6 +1,7 @@
 """Comparison of the version of the configuration with other entries."""
 
 import json
+import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -11,13 +12,14 @@
 from masticwind.serving.active_config import ActiveConfig
 from masticwind.serving.config_versions import (
     MAX_CHECK_S,
+    MAX_UNPROVED_CHECK_S,
     MAX_WAIT_S,
     ConfigVersions,
 )
 from masticwind.serving.datagrams import PeerAddress
 from masticwind.serving.directory import OperatorState
 from masticwind.serving.mirror import Mirror, MirrorOptions
-from masticwind.serving.peers import EntryPeers
+from masticwind.serving.peers import UNREGISTERED_TTL_S, EntryPeers
 from masticwind.serving.store import Item, Listing
 from masticwind.serving.store_eras import StoreRevision
 from tests.entry_harness import sample_config_document, sample_settings
@@ -41,6 +43,7 @@
     active: ActiveConfig
     mirror: Mirror
     versions: ConfigVersions
+    peers: EntryPeers
 
     def list_copy(self, era: int, version: int) -> None:
         """List the configuration from the store; a timer checks it then."""
@@ -49,10 +52,10 @@
         self.mirror._as_of = self.clock()
         self.versions.update()
 
-    def report(self, version: int) -> None:
+    def report(self, version: int, *, confirmed: bool = True) -> None:
         """Receive the other entry's reply to a request of this moment."""
         sent_ms = int(self.clock() * MS_PER_S)
-        self.versions.report(version, sent_ms, OTHER)
+        self.versions.report(version, sent_ms, OTHER, confirmed=confirmed)
         self.versions.update()
 
 
@@ -67,7 +70,8 @@
     mirror = Mirror(DownStore(), state, MirrorOptions(prefix='op/', wait_s=1))
     peers = EntryPeers(sample_settings())
     peers.replace_all((OTHER_ITEM,))
-    return Entry(clock, active, mirror, ConfigVersions(mirror, state, peers))
+    versions = ConfigVersions(mirror, state, peers)
+    return Entry(clock, active, mirror, versions, peers)
 
 
 def test_configuration_is_confirmed_once_another_entry_has_replied(
@@ -161,3 +165,79 @@
     # A lost configuration does not come back from another entry.
     assert not entry.versions.take_newer((_config_item(5),))
     assert not entry.active.config.teams_by_key
+
+
+def _forget_others(entry: Entry) -> None:
+    entry.peers.replace_all(())
+    entry.clock.now += 2 * UNREGISTERED_TTL_S
+    assert not entry.peers.others()
+
+
+def test_empty_list_of_a_restored_store_does_not_confirm_the_configuration(
+    entry: Entry,
+) -> None:
+    """Guards against a removed key that works, because a restored store lists
+    no entries although some are running.
+    """
+    _forget_others(entry)
+    entry.list_copy(2, 3)
+    entry.clock.now += 2 * MAX_CHECK_S
+    assert math.isinf(entry.versions.age_s())
+    entry.peers.replace_all((OTHER_ITEM,))
+    entry.report(5)
+    assert math.isinf(entry.versions.age_s())
+    assert entry.versions.take_newer((_config_item(5),))
+    assert math.isfinite(entry.versions.age_s())
+
+
+def test_entry_that_is_checking_itself_does_not_confirm_the_configuration(
+    entry: Entry,
+) -> None:
+    """Guards against two entries that have both started after a restore and
+    take each other's version for the newest.
+    """
+    entry.list_copy(2, 3)
+    entry.report(3, confirmed=False)
+    assert math.isinf(entry.versions.age_s())
+    entry.report(3)
+    assert entry.versions.age_s() == 0
+
+
+def test_only_entry_of_a_restored_store_serves_after_a_while(
+    entry: Entry,
+) -> None:
+    """Guards against an entry that serves nobody since it is the only one."""
+    _forget_others(entry)
+    entry.list_copy(2, 3)
+    entry.clock.now += MAX_UNPROVED_CHECK_S
+    assert math.isfinite(entry.versions.age_s())
+
+
+def test_check_without_proof_is_repeated_when_an_entry_appears(
+    entry: Entry,
+) -> None:
+    """Guards against a removed key that works at an entry which has waited in
+    vain for the others.
+    """
+    _forget_others(entry)
+    entry.list_copy(2, 3)
+    entry.clock.now += MAX_UNPROVED_CHECK_S
+    assert math.isfinite(entry.versions.age_s())
+    entry.peers.replace_all((OTHER_ITEM,))
+    assert math.isinf(entry.versions.age_s())
+    entry.report(3)
+    assert math.isfinite(entry.versions.age_s())
+
+
+def test_silent_entries_of_a_restored_store_delay_a_start_only_once(
+    entry: Entry,
+) -> None:
+    """Guards against an entry that checks again and again beside entries that
+    have ended.
+    """
+    entry.list_copy(2, 3)
+    for _ in range(4):
+        entry.clock.now += MAX_UNPROVED_CHECK_S
+        entry.peers.replace_all((OTHER_ITEM,))
+        entry.versions.update()
+    assert math.isfinite(entry.versions.age_s())
