--- a/tests/test_crash_archive.py
+++ b/tests/test_crash_archive.py
@@ -101,7 +101,13 @@
 
     def crash_call(self, number: int) -> None:
         """Crash an engine under a call."""
-        call = 'call:1'
+        self._crash_call(number, 'call:1')
+
+    def crash_other_call(self, number: int) -> None:
+        """Crash an engine under a call that has crashed no other one."""
+        self._crash_call(number, f'call:other-{number}')
+
+    def _crash_call(self, number: int, call: str) -> None:
         self.link.report_crash(
             f'e-{number}/1',
             Suspect(
@@ -174,6 +180,38 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_first_crash_of_a_call_is_known_after_a_restart() -> None:
+    """Guards against a call that ends more engines whenever all entries are
+    killed after its first crashes.
+    """
+    store = RecordingStore()
+    entry = ArchivingEntry(store)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(entry.quarantine.run)
+        entry.crash_call(0)
+        await anyio.sleep(0.3)
+        tasks.cancel_scope.cancel()
+    restarted = ArchivingEntry(store)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(restarted.quarantine.run)
+        await anyio.sleep(0.1)
+        tasks.cancel_scope.cancel()
+    assert restarted.evidence.prior_score('call:1') == 1
+
+
+async def test_crashes_without_a_hold_are_written_at_a_limited_rate() -> None:
+    """Guards against a store that is overloaded by many crashes at once."""
+    store = RecordingStore()
+    entry = ArchivingEntry(store)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(entry.quarantine.run)
+        for number in range(40):
+            entry.crash_other_call(number)
+        await anyio.sleep(1.5)
+        tasks.cancel_scope.cancel()
+    assert 1 <= len(store.values) <= 2
+
+
 @pytest.mark.parametrize(
     'value',
     [
