--- a/src/masticwind/serving/crash_archive.py
+++ b/src/masticwind/serving/crash_archive.py
@@ -2,11 +2,12 @@
 
 The entries repair each other's evidence, but all of them may end at the same
 time. So each entry writes the reports that it has made itself to the store,
-once a key is held because of them, under a lease that lasts as long as they
-must be remembered; a lease that ends sooner is replaced. An entry reads all of
-them once, when it starts. There are a few writes for each hold and none for a
-request. A store that was restored from an older copy may have lost reports, so
-they are written again in each of its eras.
+from the first crash on, under a lease that lasts as long as they must be
+remembered; a lease that ends sooner is replaced. An entry reads all of them
+once, when it starts. There are a few writes for each hold, at most one report a
+second for crashes without a hold, and none for a request. A store that was
+restored from an older copy may have lost reports, so they are written again in
+each of its eras.
 """
 
 import math
@@ -33,6 +34,9 @@
 MAX_REWRITE_DELAY_S: Final = 1.0
 # The store grants leases of ten minutes at most.
 MAX_LEASE_S: Final = 600.0
+# Interval of the writes of reports that no hold needs. Each takes two of the
+# writes that the store allows to all entries together.
+UNHELD_WRITE_INTERVAL_S: Final = 1.0
 # Interval of the check whether a lease has to be replaced.
 LEASE_CHECK_INTERVAL_S: Final = 60.0
 
@@ -41,13 +45,15 @@
 class _WrittenReport:
     """A report in an era of the store, and its lease.
 
-    `replaced_at` is when a longer need requires another lease.
+    `replaced_at` is when a longer need requires another lease. It was written
+    for a hold if it is `held`.
     """
 
     report: CrashReport
     lease_s: float
     era: int
     replaced_at: float
+    held: bool
 
 
 class CrashArchive:
@@ -65,6 +71,8 @@
         self._evidence: Final = link.evidence
         self._changed = anyio.Event()
         self._written: Final[dict[str, _WrittenReport]] = {}
+        self._unheld_written_at = -math.inf
+        link.on_report = self.notify
 
     def notify(self) -> None:
         """Write what has changed soon."""
@@ -90,12 +98,37 @@
                 await self._changed.wait()
             self._changed = anyio.Event()
             await anyio.sleep(BATCH_INTERVAL_S)
-            for crash_id, lease_s in self._leases_s().items():
-                failure = await self._write(crash_id, lease_s)
-                if failure is not None:
-                    self.notify()
-                    await anyio.sleep(RETRY_DELAY_S)
-                    break
+            failure = await self._write_held()
+            if failure is None:
+                failure = await self._write_next_unheld()
+            if failure is not None:
+                self.notify()
+                await anyio.sleep(RETRY_DELAY_S)
+
+    async def _write_held(self) -> Failure | None:
+        """Write the reports behind holds, and what has changed since."""
+        for crash_id, lease_s in self._leases_s().items():
+            failure = await self._write(crash_id, lease_s)
+            if failure is not None:
+                return failure
+        return None
+
+    async def _write_next_unheld(self) -> Failure | None:
+        """Write one report that no hold needs; the next one follows later."""
+        unheld = [
+            crash_id
+            for crash_id in self._evidence.crashes()
+            if crash_id in self._link.reported
+            and not self._is_in_store(crash_id)
+        ]
+        if not unheld:
+            return None
+        self.notify()
+        elapsed_s = anyio.current_time() - self._unheld_written_at
+        if elapsed_s < UNHELD_WRITE_INTERVAL_S:
+            return None
+        self._unheld_written_at = anyio.current_time()
+        return await self._write(unheld[-1], MAX_LEASE_S, held=False)
 
     async def _load(self) -> None:
         while True:
@@ -121,13 +154,16 @@
     def _leases_s(self) -> dict[str, float]:
         """Return how long to keep each of this entry's reports of holds.
 
-        Reports that were written for a hold which has ended are among them:
-        they are written once more with the keys that have been cleared.
+        Reports that were written for a hold which has ended are among them,
+        and those of which all keys have been cleared: they are written once
+        more with the keys that have been cleared.
         """
+        accusing = self._evidence.crashes()
         leases_s = {
             crash_id: INITIAL_HOLD_S
-            for crash_id in self._written
+            for crash_id, written in self._written.items()
             if self._evidence.is_known(crash_id)
+            and (written.held or crash_id not in accusing)
         }
         for key, hold in self._evidence.holds().items():
             for crash_id in self._evidence.crash_ids(key):
@@ -136,7 +172,9 @@
                     leases_s[crash_id] = max(lease_s, hold.remembered_s)
         return leases_s
 
-    async def _write(self, crash_id: str, needed_s: float) -> Failure | None:
+    async def _write(
+        self, crash_id: str, needed_s: float, *, held: bool = True
+    ) -> Failure | None:
         report = self._link.report_of(crash_id)
         lease_s = min(needed_s, MAX_LEASE_S)
         if self._is_written(crash_id, report, lease_s):
@@ -153,17 +191,22 @@
             if needed_s > MAX_LEASE_S:
                 replaced_at = now + MAX_LEASE_S / 2
             self._written[crash_id] = _WrittenReport(
-                report, lease_s, lease.era, replaced_at
+                report, lease_s, lease.era, replaced_at, held
             )
         return failure
 
+    def _is_in_store(self, crash_id: str) -> bool:
+        """Tell whether the store has any report of a crash in this era."""
+        written = self._written.get(crash_id)
+        return written is not None and written.era == self._store.eras.newest
+
     def _is_written(
         self, crash_id: str, report: CrashReport, lease_s: float
     ) -> bool:
         """Tell whether the store has a report for as long as needed."""
-        written = self._written.get(crash_id)
-        if written is None or written.era != self._store.eras.newest:
+        if not self._is_in_store(crash_id):
             return False
+        written = self._written[crash_id]
         return (
             written.lease_s >= lease_s
             and written.replaced_at > self._evidence.clock()
--- a/src/masticwind/serving/evidence_link.py
+++ b/src/masticwind/serving/evidence_link.py
@@ -5,7 +5,7 @@
 
 import abc
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Annotated, Final
 
 import msgspec
@@ -46,6 +46,7 @@
         self.evidence: Final = evidence
         # Crashes at which this entry had a prompt.
         self.reported: Final[set[str]] = set()
+        self.on_report: Callable[[], None] = _ignore_report
 
     @abc.abstractmethod
     async def run(self) -> None:
@@ -60,6 +61,7 @@
         self.reported.add(crash_id)
         self.evidence.merge(crash_id, self.evidence.clock(), (suspect,))
         self.broadcast(self._to_report(crash_id, (suspect,), ()))
+        self.on_report()
 
     def clear(self, keys: Iterable[str]) -> None:
         """Clear keys of which a prompt was answered, here and elsewhere."""
@@ -116,3 +118,7 @@
             cleared=list(cleared),
             complete=complete,
         )
+
+
+def _ignore_report() -> None:
+    """Do nothing; the listener until another one is set."""
