--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -14,6 +14,7 @@
 import anyio
 import msgspec
 import uvicorn
+from loguru import logger
 
 from masticwind.budget import MS_PER_S
 from masticwind.decoding import parse_json
@@ -207,6 +208,8 @@
         finally:
             # uvicorn would answer cancelled requests with status 500.
             for conn in self._connections():
+                if conn.has_request:
+                    logger.warning('connection_aborted')
                 conn.transport.abort()
         self._stopped.set()
 
