--- a/tests/stopping_entry.py
+++ b/tests/stopping_entry.py
@@ -1,5 +1,6 @@
 """A real entry process that is stopped while stand-in engines serve it."""
 
+import math
 import os
 import signal
 import socket
@@ -74,7 +75,10 @@
 class StoppingEntry:
     """The entry process, its store and its engines.
 
-    Engines stream for `stream_s` and answer calls after `call_s`.
+    Engines stream for `stream_s` and answer calls after `call_s`. Streams write
+    nothing from `silent_from` until `silent_until`, on the monotonic clock; the
+    silence is not part of `stream_s`. Those that began before `broken_at` are
+    broken off then.
     """
 
     store: MetadataStandin
@@ -87,6 +91,9 @@
     popen: 'subprocess.Popen[bytes] | None' = None
     stream_s: float = 0.3
     call_s: float = 0.0
+    silent_from: float = 0.0
+    silent_until: float = 0.0
+    broken_at: float = math.inf
     call_body: bytes = b'done'
     received: list[str] = field(default_factory=list)
 
@@ -180,15 +187,28 @@
             await anyio.sleep(self.call_s)
             await conn.send_answer(req, body=self.call_body)
             return
-        ends_at = time.monotonic() + self.stream_s
+        began_at = time.monotonic()
+        ends_at = began_at + self.stream_s
         number = int(req.headers.get('last-event-id', '0'))
         await conn.write(encode_stream_head(req))
         while time.monotonic() < ends_at:
+            if began_at < self.broken_at <= time.monotonic():
+                await conn.close()
+                return
+            silence_s = self._silence_left_s()
+            ends_at += silence_s
+            await anyio.sleep(silence_s)
             number += 1
             await conn.write(encode_event_chunk(number))
             await anyio.sleep(EVENT_INTERVAL_S)
         await conn.write(LAST_CHUNK)
 
+    def _silence_left_s(self) -> float:
+        now = time.monotonic()
+        if now < self.silent_from:
+            return 0
+        return max(0.0, self.silent_until - now)
+
 
 def _head(
     method: str, path: str, request_id: str, fields: tuple[str, ...]
--- /dev/null
+++ b/tests/test_late_silences.py
@@ -0,0 +1,170 @@
+"""Silences of sound engines, and the last moments, late in a planned stop."""
+
+import time
+from contextlib import suppress
+
+import anyio
+import pytest
+from anyio.abc import TaskGroup
+
+from tests.stopping_entry import (
+    CallerAnswer,
+    StoppingEntry,
+    call_head,
+    read_answer,
+    running_stopping_entry,
+    stream_head,
+)
+
+pytestmark = pytest.mark.anyio
+
+SHUTDOWN_S = 8.0
+SILENCE_S = 1.6
+SEND_INTERVAL_S = 0.1
+LAST_SENT_S = 6.4
+SHORT_STOP_S = 0.6
+REFUSED = 503
+GAVE_UP = 504
+
+
+class StreamCaller:
+    """Sends streams, each on a connection of its own."""
+
+    def __init__(self, entry: StoppingEntry, tasks: TaskGroup) -> None:
+        self.answers: dict[str, CallerAnswer] = {}
+        self._entry = entry
+        self._tasks = tasks
+
+    def send(self, request_id: str) -> None:
+        """Send a stream in the background."""
+        self._tasks.start_soon(self._send, request_id)
+
+    async def _send(self, request_id: str) -> None:
+        # The entry may accept no connection any more.
+        with suppress(OSError):
+            answer = await self._entry.request(stream_head(request_id))
+            self.answers[request_id] = answer
+
+
+async def _serve_short_streams(entry: StoppingEntry) -> None:
+    """Let the entry learn how long the streams take."""
+    for number in range(12):
+        answer = await entry.request(stream_head(f'short-{number}'))
+        assert answer.status == 200
+
+
+@pytest.mark.parametrize('silent_from_s', [4.2, 5.0, 5.8])
+async def test_late_stream_is_not_cut_for_a_silence_of_its_engine(
+    silent_from_s: float,
+) -> None:
+    """Guards against streams that are sent late in a stop, as they should end
+    in time, and are cut since their engines are silent for a moment.
+    """
+    async with running_stopping_entry(int(SHUTDOWN_S * 1000)) as entry:
+        await _serve_short_streams(entry)
+        entry.signal()
+        started = time.monotonic()
+        entry.silent_from = started + silent_from_s
+        entry.silent_until = entry.silent_from + SILENCE_S
+        async with anyio.create_task_group() as tasks:
+            caller = StreamCaller(entry, tasks)
+            number = 0
+            while time.monotonic() - started < LAST_SENT_S:
+                caller.send(f'late-{number}')
+                number += 1
+                await anyio.sleep(SEND_INTERVAL_S)
+        assert await entry.wait_for_exit() == 0
+        lifetime_s = time.monotonic() - started
+        for request_id, answer in caller.answers.items():
+            if answer.content or request_id in entry.received:
+                assert answer.is_complete, (request_id, answer.content[-99:])
+                assert answer.status in {200, REFUSED}
+            if answer.status == REFUSED:
+                assert request_id not in entry.received
+                assert b'connection: close' in answer.content.lower()
+    assert lifetime_s < SHUTDOWN_S
+
+
+async def test_running_stream_gets_the_last_moments_of_a_stop() -> None:
+    """Guards against streams that are cut while the stopping entry only keeps
+    time to write errors, which a stream that has begun can not get.
+    """
+    async with running_stopping_entry(5000) as entry:
+        entry.stream_s = 4.6
+        entry.call_s = 9.0
+        async with (
+            await entry.connect() as stream,
+            await entry.connect() as call,
+        ):
+            await stream.send(stream_head('stream'))
+            await call.send(call_head('call'))
+            with anyio.fail_after(5):
+                while not {'stream', 'call'} <= set(entry.received):
+                    await anyio.sleep(0.001)
+            entry.signal()
+            started = time.monotonic()
+            call_answer = await read_answer(call)
+            stream_answer = await read_answer(stream)
+        assert await entry.wait_for_exit() == 0
+        assert time.monotonic() - started < 5
+        assert not entry.log_lines('request_cut')[1:]
+    assert call_answer.is_complete
+    assert call_answer.status == GAVE_UP
+    assert stream_answer.is_complete
+
+
+async def test_stream_that_breaks_late_is_resumed_by_a_stopping_entry() -> None:
+    """Guards against streams that are given up with time left, since late
+    requests that can go elsewhere must leave room for a silence.
+    """
+    async with running_stopping_entry(int(SHUTDOWN_S * 1000)) as entry:
+        await _serve_short_streams(entry)
+        entry.stream_s = 9.0
+        async with await entry.connect() as stream:
+            await stream.send(stream_head('broken'))
+            await anyio.sleep(0.3)
+            entry.signal()
+            await anyio.sleep(5.2)
+            entry.stream_s = 0.3
+            entry.broken_at = time.monotonic()
+            answer = await read_answer(stream)
+        assert await entry.wait_for_exit() == 0
+    assert entry.received.count('broken') == 2
+    assert answer.is_complete
+
+
+async def test_endless_stream_does_not_delay_the_exit() -> None:
+    """Guards against an entry that waits for a stream until SIGKILL comes."""
+    async with running_stopping_entry(4000) as entry:
+        entry.stream_s = 9.0
+        async with await entry.connect() as stream:
+            await stream.send(stream_head('endless'))
+            await anyio.sleep(0.3)
+            entry.signal()
+            started = time.monotonic()
+            answer = await read_answer(stream)
+        assert await entry.wait_for_exit() == 0
+        assert time.monotonic() - started < 4
+        cuts = entry.log_lines('request_cut')
+    assert answer.status == 200
+    assert not answer.is_complete
+    assert [cut['answer_begun'] for cut in cuts] == [True]
+
+
+@pytest.mark.parametrize('shutdown_ms', [100, 300, 700])
+async def test_stop_shorter_than_its_margins_ends_in_good_order(
+    shutdown_ms: int,
+) -> None:
+    """Guards against an entry that waits for a stream although it has less
+    time than the margins of a stop.
+    """
+    async with running_stopping_entry(shutdown_ms) as entry:
+        entry.stream_s = 9.0
+        async with await entry.connect() as stream:
+            await stream.send(stream_head('endless'))
+            await anyio.sleep(0.3)
+            entry.signal()
+            started = time.monotonic()
+            await read_answer(stream)
+        assert await entry.wait_for_exit() == 0
+        assert time.monotonic() - started < SHORT_STOP_S
