--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -9,6 +9,7 @@
 import math
 import random
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from typing import Any, Final
 
@@ -181,18 +182,35 @@
         finally:
             self.running_requests -= 1
 
+    async def refuse_unanswered(self) -> None:
+        """End the requests whose answer has not begun, with an error.
+
+        Those that have been sent to an endpoint get 504. The others get 503,
+        not run. They are answered at once, since the cleanup of a cancelled
+        request may take longer than the process has.
+        """
+        await self._give_up_all(
+            [
+                in_progress
+                for in_progress in self._in_progress
+                if not in_progress.answer.started
+            ]
+        )
+
     async def give_up_requests(self) -> None:
-        """End the requests in progress, as the process is about to end.
+        """End all requests in progress, as the process is about to end.
 
-        Those that have been sent to an endpoint get 504, or a broken
-        connection if their answer has begun. The others get 503, not run.
-        They are answered at once, since the cleanup of a cancelled request may
-        take longer than the process has.
+        The connection of an answer that has begun is broken.
         """
+        await self._give_up_all(tuple(self._in_progress))
+
+    async def _give_up_all(self, requests: Iterable[RequestInProgress]) -> None:
         async with anyio.create_task_group() as tasks:
-            for given_up in tuple(self._in_progress):
-                self._log_cut(given_up)
-                tasks.start_soon(self._give_up, given_up)
+            for in_progress in requests:
+                if in_progress.answer.given_up:
+                    continue
+                self._log_cut(in_progress)
+                tasks.start_soon(self._give_up, in_progress)
 
     async def _give_up(self, given_up: RequestInProgress) -> None:
         # It may have ended since it was listed.
--- a/src/masticwind/serving/lifetime.py
+++ b/src/masticwind/serving/lifetime.py
@@ -17,10 +17,11 @@
 # After the signal, new requests still arrive for this time: the load balancer
 # stops sending after two failed readiness checks, one second apart.
 ARRIVALS_END_S: Final = 3.0
-# Time before SIGKILL at which requests in progress are ended. An order that
-# releases memory may take 0.4 s before their answers are written.
+# Time before SIGKILL at which requests without an answer get an error. An order
+# that releases memory may take 0.4 s before it is written.
 CLOSE_TIME_S: Final = 0.6
-# Time before SIGKILL that is reserved for the exit of the process.
+# Time before SIGKILL that is reserved for the exit of the process. Answers that
+# have begun are ended then, since nothing can be written in their place.
 EXIT_TIME_S: Final = 0.2
 # Time for writing answers even if SIGKILL is due, for example since the process
 # was suspended.
@@ -75,8 +76,11 @@
 
     def closing_time_s(self) -> float:
         """Return the time until the last connection must be closed."""
-        closing_s = self._killed_at - EXIT_TIME_S - time.monotonic()
-        return max(MIN_CLOSING_TIME_S, closing_s)
+        return max(MIN_CLOSING_TIME_S, self.answering_time_s())
+
+    def answering_time_s(self) -> float:
+        """Return the time for which answers that have begun may go on."""
+        return max(0.0, self._killed_at - EXIT_TIME_S - time.monotonic())
 
     def stopping_for_ms(self) -> int | None:
         """Return the time since the signal; None before it."""
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -218,7 +218,9 @@
     async def drain(self) -> None:
         """Complete running requests, and new ones that can end in time.
 
-        New requests still arrive while the load balancer sends them here.
+        New requests still arrive while the load balancer sends them here. At
+        the end, requests without an answer get an error; answers that have
+        begun go on for as long as the process can wait.
         """
         self._draining = True
         self._server.close_after_response = True
@@ -232,6 +234,9 @@
             left_ms=round(self._lifetime.closing_time_s() * MS_PER_S),
         ).info('drained')
         closes_at = anyio.current_time() + self._lifetime.closing_time_s()
+        with anyio.CancelScope(deadline=closes_at):
+            await self._app.refuse_unanswered()
+        await self._server.stop_and_wait(self._lifetime.answering_time_s())
         with anyio.CancelScope(deadline=closes_at):
             await self._app.give_up_requests()
         await self._server.stop_and_wait(
