--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -117,7 +117,7 @@
             ),
             on_order_reply=self._record_order_reply,
             find_obstacle=partial(
-                self._placer.find_obstacle, admitted, permitted
+                self._placer.find_obstacle, admitted, progress, permitted
             ),
             permit=permitted.permit,
             state=state,
--- a/src/masticwind/serving/request_placer.py
+++ b/src/masticwind/serving/request_placer.py
@@ -96,21 +96,28 @@
             progress.denied_endpoints.add(placement.lead.identity)
 
     def outlasts_process(
-        self, admitted: AdmittedRequest, predicted_ms: float
+        self,
+        admitted: AdmittedRequest,
+        predicted_ms: float,
+        *,
+        may_have_run: bool = False,
     ) -> bool:
         """Tell whether a request may still run when this process ends.
 
         One that arrives after the load balancer has stopped sending gets no
         benefit of the doubt: it reaches another entry as soon as it is refused.
+        One that may have run can't be taken by another entry any more, so that
+        a refusal is no better for its caller than an attempt that may be cut.
         """
         lifetime = self._deps.lifetime
         remaining_s = lifetime.remaining_s()
         if math.isinf(remaining_s):
             return False
-        estimate = self._completion_times.usual_s
-        if lifetime.arrivals_over:
-            estimate = self._completion_times.cautious_s
-        total_s = estimate(admitted.service.name, predicted_ms)
+        service = admitted.service.name
+        if lifetime.arrivals_over and not may_have_run:
+            total_s = self._completion_times.cautious_s(service, predicted_ms)
+        else:
+            total_s = self._completion_times.usual_s(service, predicted_ms)
         outlasts = min(total_s, admitted.remaining_s()) > remaining_s
         if outlasts:
             logger.bind(
@@ -125,10 +132,17 @@
         return outlasts
 
     def find_obstacle(
-        self, admitted: AdmittedRequest, permitted: PermittedPlacement
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+        permitted: PermittedPlacement,
     ) -> str:
         """Return why a placed request must be placed again, or ''."""
-        if self.outlasts_process(admitted, permitted.placement.total_ms):
+        if self.outlasts_process(
+            admitted,
+            permitted.placement.total_ms,
+            may_have_run=bool(progress.may_have_run_at),
+        ):
             return 'shutting down'
         limits = self._deps.limit_link.limits
         if permitted.permit is None and limits.find(permitted.placement.lead):
@@ -198,7 +212,9 @@
             await anyio.sleep(placement.wait_ms / MS_PER_S)
         self._log_placement(admitted, progress, placement, deferred_ms)
         if not isinstance(placement, Failure) and self.outlasts_process(
-            admitted, placement.total_ms
+            admitted,
+            placement.total_ms,
+            may_have_run=bool(progress.may_have_run_at),
         ):
             return draining_failure()
         return placement
