--- a/src/masticwind/serving/request_placer.py
+++ b/src/masticwind/serving/request_placer.py
@@ -35,6 +35,8 @@
 
 # Denied permits of one request, each of which takes a message to another entry.
 MAX_PERMIT_DENIALS: Final = 3
+# A sound endpoint may fall silent for this time and go on.
+SOUND_SILENCE_S: Final = 1.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +107,8 @@
         """Tell whether a request may still run when this process ends.
 
         One that arrives after the load balancer has stopped sending gets no
-        benefit of the doubt: it reaches another entry as soon as it is refused.
+        benefit of the doubt, and must leave room for a silence of its endpoint:
+        it reaches another entry as soon as it is refused.
         One that may have run can't be taken by another entry any more, so that
         a refusal is no better for its caller than an attempt that may be cut.
         """
@@ -116,6 +119,7 @@
         service = admitted.service.name
         if lifetime.arrivals_over and not may_have_run:
             total_s = self._completion_times.cautious_s(service, predicted_ms)
+            total_s += SOUND_SILENCE_S
         else:
             total_s = self._completion_times.usual_s(service, predicted_ms)
         outlasts = min(total_s, admitted.remaining_s()) > remaining_s
