--- a/src/masticwind_dev/soak/stop_engines.py
+++ b/src/masticwind_dev/soak/stop_engines.py
@@ -82,12 +82,14 @@
 class EngineBehaviour:
     """How slow an endpoint is, and the share of answers that it breaks off.
 
-    It is silent for `silence_s` before the last event of a stream.
+    It is silent for `silence_s` before the last event of some streams, a share
+    of `silence_share`.
     """
 
     slowness: float = 1
     break_share: float = 0
     silence_s: float = 0
+    silence_share: float = 1
 
 
 class EngineObserver:
@@ -220,14 +222,23 @@
         request_id = req.headers['x-attempt-id']
         first_event = int(req.headers.get('last-event-id', '0')) + 1
         interval_s = self._duration_s(work) / work.event_count
+        silence_s = self._draw_silence_s()
         for number in range(first_event, work.event_count + 1):
             if breaks_off and number > first_event:
                 return
             if number == work.event_count:
-                await anyio.sleep(self._behaviour.silence_s)
+                await anyio.sleep(silence_s)
             await conn.write(encode_event_chunk(number, request_id))
             await anyio.sleep(interval_s)
         await conn.write(LAST_CHUNK)
 
+    def _draw_silence_s(self) -> float:
+        behaviour = self._behaviour
+        if not behaviour.silence_s:
+            return 0
+        if self._random.random() >= behaviour.silence_share:
+            return 0
+        return behaviour.silence_s
+
     def _duration_s(self, work: Work) -> float:
         return work.duration_ms * self._behaviour.slowness / MS_PER_S
--- a/src/masticwind_dev/soak/stops.py
+++ b/src/masticwind_dev/soak/stops.py
@@ -10,7 +10,7 @@
 import tempfile
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Final
 
@@ -47,6 +47,9 @@
 # Grace periods of a run, the usual one and shorter ones.
 GRACES_S: Final = ((8.0,), (8.0,), (4.0, 5.0, 6.0))
 SLOWNESSES: Final = (1, 1, 1.5, 3)
+# Silences of sound engines, and the share of streams that have one.
+SILENCES_S: Final = (0, 0, 0.8, 1.6)
+SILENCE_SHARE: Final = 0.1
 LOADS: Final = (
     LoadShape(),
     LoadShape(callers=16, max_pause_s=0.3),
@@ -75,6 +78,12 @@
         EngineBehaviour(rng.choice(SLOWNESSES), break_share)
         for _ in range(ENGINES)
     )
+    # Drawn apart, so that the other options of a seed stay as they were.
+    silence_s = random.Random(f'silences-{seed}').choice(SILENCES_S)
+    behaviours = tuple(
+        replace(behaviour, silence_s=silence_s, silence_share=SILENCE_SHARE)
+        for behaviour in behaviours
+    )
     return StopOptions(
         seed=seed,
         load=LOADS[seed % len(LOADS)],
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -230,6 +230,11 @@
         for option in options
         for behaviour in option.behaviours
     )
+    assert {
+        behaviour.silence_s
+        for option in options
+        for behaviour in option.behaviours
+    } >= {0, 1.6}
     assert EngineBehaviour() == EngineBehaviour(1, 0)
 
 
