--- a/src/masticwind/http_limits.py
+++ b/src/masticwind/http_limits.py
@@ -13,6 +13,9 @@
 
 # The parser rejects an incomplete head of more than 100 KiB by itself.
 MAX_HEAD_BYTES: Final = 262_144
+# The event loop reads at most this much at once. If less were taken, bytes
+# behind a response could stay in its buffer, where they are not noticed.
+READ_BYTES: Final = 262_144
 
 
 class HeadLimitedStream(httpcore.AsyncNetworkStream):
@@ -28,7 +31,7 @@
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read; raise `RemoteProtocolError` if the head is too large."""
-        content = await self._stream.read(max_bytes, timeout)
+        content = await self._stream.read(max(max_bytes, READ_BYTES), timeout)
         if not self.head_complete:
             self._head_bytes += len(content)
             if self._head_bytes > MAX_HEAD_BYTES:
--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -23,6 +23,7 @@
     end_head_limit,
     join_chunks,
 )
+from masticwind.joined_answers import has_extra_bytes, has_joined_head
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -84,8 +85,8 @@
 
     Header names are in lower case in `headers` and as received in
     `raw_headers`. No other request was sent on the connection before this one
-    if it is `fresh`. The connection is not reused if the reader sets
-    `reusable` to false.
+    if it is `fresh`. The head of a `joined` response contains parts of another
+    one. The connection is not reused if the reader sets `reusable` to false.
     """
 
     status: int
@@ -93,6 +94,7 @@
     headers: dict[str, str]
     raw_headers: Headers
     fresh: bool
+    joined: bool = False
     reusable: bool = True
 
 
@@ -283,7 +285,8 @@
         self, conn: httpcore.AsyncHTTPConnection
     ) -> None:
         idle_limit_s = self._idle_limits_s.pop(conn, self._keep_alive_s)
-        if conn.is_idle() and idle_limit_s > 0:
+        reusable = conn.is_idle() and idle_limit_s > 0
+        if reusable and not has_extra_bytes(conn):
             self._idle.append(
                 _IdleConnection(conn, time.monotonic() + idle_limit_s)
             )
@@ -318,6 +321,11 @@
 
 async def _read_answer(response: httpcore.Response) -> HttpAnswer | Failure:
     end_head_limit(response)
+    if has_joined_head(response):
+        return Failure(
+            kind=ErrorKind.OUTCOME_UNKNOWN,
+            reason='the head contains parts of another response',
+        )
     body = await join_chunks(response.aiter_stream(), MAX_BODY_BYTES)
     if body is None:
         return Failure(
@@ -399,6 +407,7 @@
         _header_map(response.headers),
         tuple(response.headers),
         fresh,
+        joined=has_joined_head(response),
     )
 
 
--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -21,6 +21,7 @@
     classify_answer,
     encode_attempt,
     end_to_end_headers,
+    has_one_identity,
     names_request,
 )
 from masticwind.serving.interfaces import (
@@ -74,7 +75,7 @@
             ),
             body=req.body,
             headers=encode_attempt(attempt),
-            fresh=attempt.at_most_once,
+            fresh=attempt.at_most_once or attempt.repeated,
         ) as answer:
             if isinstance(answer, Failure):
                 yield answer
@@ -161,15 +162,18 @@
 
 
 def _to_reply(attempt: Attempt, answer: HttpStream) -> Reply:
-    verdict = classify_answer(
-        attempt.req,
-        answer.status,
-        answer.headers,
-        fresh_connection=answer.fresh,
-    )
+    one_head = not answer.joined and has_one_identity(answer.raw_headers)
+    verdict = Verdict.UNVERIFIED
+    if one_head:
+        verdict = classify_answer(
+            attempt.req,
+            answer.status,
+            answer.headers,
+            fresh_connection=answer.fresh,
+        )
     # Only the endpoint itself may speak for itself. It may refuse a request
     # without the proof that it has not run.
-    proven = names_request(attempt.req, answer.headers) and (
+    proven = (one_head and names_request(attempt.req, answer.headers)) and (
         verdict in {Verdict.RAN, Verdict.NOT_RUN}
         or answer.status == HTTPStatus.SERVICE_UNAVAILABLE
     )
--- a/src/masticwind/platform/headers.py
+++ b/src/masticwind/platform/headers.py
@@ -172,6 +172,15 @@
     return headers.get(REQUEST_ID_HEADER.decode()) == req.request_id
 
 
+def has_one_identity(raw: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Tell whether no id of a request and no seal is repeated."""
+    names = [name.lower() for name, _ in raw]
+    return (
+        names.count(REQUEST_ID_HEADER) <= 1
+        and names.count(SEAL_HEADER.encode()) <= 1
+    )
+
+
 def end_to_end_headers(raw: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return the headers of an answer that are passed on to the caller."""
     forwarded: list[tuple[bytes, bytes]] = []
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -194,6 +194,7 @@
         at_most_once=not admitted.route.repeatable,
         resume_after=context.progress.last_event_id,
         helpers=helpers,
+        repeated=context.number > 1,
     )
 
 
--- a/src/masticwind/serving/interfaces.py
+++ b/src/masticwind/serving/interfaces.py
@@ -32,7 +32,9 @@
     `time_limit_ms` is how long the endpoint may work on it; None sets no
     limit. `priority` ranges from 0, the most urgent, to 9. An `at_most_once`
     attempt uses a new connection: if the endpoint closes a reused one at that
-    moment, it is unknown whether the request was read.
+    moment, it is unknown whether the request was read. So does a `repeated`
+    one: on a reused connection, the answer to an earlier attempt, which has
+    the same id, could be received once more.
     """
 
     req: CallerRequest
@@ -43,6 +45,7 @@
     at_most_once: bool
     resume_after: int | None
     helpers: tuple[PrefillHelper, ...] = ()
+    repeated: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_stale_answers.py
+++ b/tests/test_stale_answers.py
@@ -93,8 +93,13 @@
 
 
 async def send_attempt(
-    client: PlatformEndpointClient, endpoint: Endpoint, request_id: str
+    client: PlatformEndpointClient,
+    endpoint: Endpoint,
+    request_id: str,
+    *,
+    repeated: bool = False,
 ) -> Reply:
+    """Send an attempt and read its whole answer."""
     req = CallerRequest(
         request_id=request_id,
         method='POST',
@@ -112,6 +117,7 @@
         priority=0,
         at_most_once=False,
         resume_after=None,
+        repeated=repeated,
     )
     async with client.send(attempt, LIMITS) as reply:
         assert isinstance(reply, Reply)
