--- a/src/masticwind/errors.py
+++ b/src/masticwind/errors.py
@@ -62,13 +62,15 @@
 
     The caller should wait `retry_after_ms` before it retries; zero means that
     the time is unknown. `silent` means that nothing at all was received from
-    the other side before the timeout.
+    the other side before the timeout. `unasked` means that what was received
+    on a reused connection belongs to an earlier request.
     """
 
     kind: ErrorKind
     reason: str
     retry_after_ms: int = 0
     silent: bool = False
+    unasked: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -17,13 +17,19 @@
 import anyio
 import httpcore
 
+from masticwind.connection_reuse import ConnectionReuse
 from masticwind.errors import ErrorKind, Failure
 from masticwind.http_limits import (
     NetworkBackend,
     end_head_limit,
     join_chunks,
 )
-from masticwind.joined_answers import has_extra_bytes, has_joined_head
+from masticwind.joined_answers import (
+    UnaskedBytesError,
+    has_extra_bytes,
+    has_joined_head,
+    unasked_bytes,
+)
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -141,6 +147,7 @@
         self._origin: Final = url.origin
         self._prefix: Final = url.target.rstrip(b'/')
         self._keep_alive_s: Final = keep_alive_s
+        self._reuse: Final = ConnectionReuse(base_url)
         self._connection_slots: Final = anyio.Semaphore(max_connections)
         self._idle: Final[list[_IdleConnection]] = []
         self._busy: Final[set[httpcore.AsyncHTTPConnection]] = set()
@@ -212,6 +219,7 @@
         try:
             async with (
                 self._connection(fresh=fresh) as conn,
+                unasked_bytes(reused=conn in self._reused),
                 conn.stream(
                     method,
                     url,
@@ -254,13 +262,21 @@
         await conn.aclose()
         return ConnectResult.ACCEPTED
 
+    async def pause_reuse(self) -> None:
+        """Close the idle connections and use new ones for a while."""
+        self._reuse.pause()
+        await self._close_idle()
+
     async def close(self) -> None:
         """Close all connections; requests in progress fail."""
-        while self._idle:
-            await self._idle.pop().conn.aclose()
+        await self._close_idle()
         for conn in tuple(self._busy):
             await conn.aclose()
 
+    async def _close_idle(self) -> None:
+        while self._idle:
+            await self._idle.pop().conn.aclose()
+
     @asynccontextmanager
     async def _connection(
         self,
@@ -286,7 +302,7 @@
     ) -> None:
         idle_limit_s = self._idle_limits_s.pop(conn, self._keep_alive_s)
         reusable = conn.is_idle() and idle_limit_s > 0
-        if reusable and not has_extra_bytes(conn):
+        if reusable and not (self._reuse.is_paused() or has_extra_bytes(conn)):
             self._idle.append(
                 _IdleConnection(conn, time.monotonic() + idle_limit_s)
             )
@@ -379,6 +395,7 @@
         kind=kind,
         reason=f'{type(exc).__name__}: {exc}',
         silent=isinstance(exc, httpcore.TimeoutException),
+        unasked=isinstance(exc, UnaskedBytesError),
     )
 
 
--- a/src/masticwind/joined_answers.py
+++ b/src/masticwind/joined_answers.py
@@ -10,9 +10,12 @@
 """
 
 import re
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from operator import attrgetter
 from typing import Final
 
+import h11
 import httpcore
 
 _STATUS_LINE: Final = re.compile(rb'HTTP/[0-9]\.[0-9] [0-9]{3}')
@@ -47,3 +50,22 @@
         return False
     extra, _ = _EXTRA_BYTES(protocol)
     return bool(extra)
+
+
+class UnaskedBytesError(httpcore.RemoteProtocolError):
+    """Bytes on a reused connection are no response."""
+
+
+@asynccontextmanager
+async def unasked_bytes(*, reused: bool) -> AsyncIterator[None]:
+    """Raise `UnaskedBytesError` for bytes that cannot be parsed.
+
+    On a reused connection, they may belong to an earlier response.
+    """
+    try:
+        yield
+    except httpcore.RemoteProtocolError as exc:
+        # An early end of the connection has no cause.
+        if reused and isinstance(exc.__cause__, h11.RemoteProtocolError):
+            raise UnaskedBytesError(str(exc)) from exc
+        raise
--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -66,7 +66,8 @@
     ) -> AsyncIterator[Reply | Failure]:
         """Send an attempt and yield the head of the answer."""
         req = attempt.req
-        async with self._client_for(attempt.endpoint).stream(
+        client = self._client_for(attempt.endpoint)
+        async with client.stream(
             req.method,
             req.target,
             timeout_s=RequestTimeouts(
@@ -78,9 +79,13 @@
             fresh=attempt.at_most_once or attempt.repeated,
         ) as answer:
             if isinstance(answer, Failure):
+                if answer.unasked:
+                    await client.pause_reuse()
                 yield answer
                 return
             reply = _to_reply(attempt, answer)
+            if reply.unasked:
+                await client.pause_reuse()
             # A second copy of a refusal could arrive as the answer to a
             # repetition of the request, which has the same id.
             answer.reusable = reply.verdict is Verdict.RAN
@@ -171,9 +176,10 @@
             answer.headers,
             fresh_connection=answer.fresh,
         )
+    has_id = one_head and names_request(attempt.req, answer.headers)
     # Only the endpoint itself may speak for itself. It may refuse a request
     # without the proof that it has not run.
-    proven = (one_head and names_request(attempt.req, answer.headers)) and (
+    proven = has_id and (
         verdict in {Verdict.RAN, Verdict.NOT_RUN}
         or answer.status == HTTPStatus.SERVICE_UNAVAILABLE
     )
@@ -192,6 +198,7 @@
         ),
         seal=answer.headers.get(SEAL_HEADER, ''),
         fresh=answer.fresh,
+        unasked=not (has_id or answer.fresh),
     )
 
 
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -2,6 +2,7 @@
 
 import math
 import time
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Final
 
@@ -163,19 +164,32 @@
             context.state.held_back = True
             return Failure(kind=ErrorKind.OVERLOADED, reason=obstacle)
         request = _build_attempt(context, helpers)
-        _log_sent(context, request)
-        context.progress.is_sent = True
-        context.state.is_sent = True
-        with SilenceTimer(context) as timer:
-            timer.start(context.limits.head_timeout_s)
-            async with endpoint_client.send(request, context.limits) as reply:
-                timer.stop()
-                if isinstance(reply, Failure):
-                    return reply
-                context.state.answer_begun = True
-                context.state.reply = reply
-                context.on_answer(reply.notice)
-                return await _receive_or_fail(context, reply)
+        outcome = await _exchange(endpoint_client, context, request)
+        if context.state.unasked and context.acquire_resend():
+            context.state.forget_answer()
+            request = replace(_build_attempt(context, helpers), repeated=True)
+            outcome = await _exchange(endpoint_client, context, request)
+        return outcome
+
+
+async def _exchange(
+    endpoint_client: EndpointClient, context: AttemptContext, request: Attempt
+) -> Failure | None:
+    """Send a request and relay its answer."""
+    _log_sent(context, request)
+    context.progress.is_sent = True
+    context.state.is_sent = True
+    with SilenceTimer(context) as timer:
+        timer.start(context.limits.head_timeout_s)
+        async with endpoint_client.send(request, context.limits) as reply:
+            timer.stop()
+            context.state.unasked = reply.unasked
+            if isinstance(reply, Failure):
+                return reply
+            context.state.answer_begun = True
+            context.state.reply = reply
+            context.on_answer(reply.notice)
+            return await _receive_or_fail(context, reply)
 
 
 def _build_attempt(
@@ -214,6 +228,7 @@
         predicted_ms=round(context.placement.first_event_ms),
         whole_ms=round(context.placement.total_ms),
         left_ms=request.time_limit_ms,
+        repeated=request.repeated,
         resume_after=request.resume_after,
         **_permit_fields(context.permit),
     ).info('attempt_sent')
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -25,7 +25,8 @@
     `answer_begun` says that the head of the answer has arrived; `reply` is
     that head if the entry received it itself. An attempt that is
     `held_back` has not been sent. An answer that is `unverified` may belong to
-    another request. A `silent` endpoint has written nothing for the time after
+    another request; an `unasked` one does, and was received on a reused
+    connection. A `silent` endpoint has written nothing for the time after
     which another one is tried; `silence_counted` tells whether that has been
     held against it. An attempt has `expired` if its endpoint was
     silent for longer than it may hold memory of others. `at_fault` is the
@@ -37,6 +38,7 @@
     held_back: bool = False
     is_sent: bool = False
     unverified: bool = False
+    unasked: bool = False
     silent: bool = False
     silence_counted: bool = False
     expired: bool = False
@@ -44,6 +46,13 @@
     event_count: int = 0
     scope: anyio.CancelScope | None = None
 
+    def forget_answer(self) -> None:
+        """Prepare for the answer to the request that is sent once more."""
+        self.answer_begun = False
+        self.reply = None
+        self.unverified = False
+        self.unasked = False
+
     def expire(self) -> None:
         """End the attempt if its endpoint is still silent."""
         if self.silent and not self.event_count and self.scope is not None:
@@ -72,7 +81,8 @@
 
     `number` counts the attempts of the request from 1. `may_retry_elsewhere`
     tells whether another endpoint may run the request if this attempt fails
-    now. `claim` asks for the right to write to the caller, which
+    now. `acquire_resend` asks for sending this attempt to its endpoint once
+    more. `claim` asks for the right to write to the caller, which
     ends the other attempts; it is refused to one that has been ended itself.
     `on_silence` is called when the endpoint becomes silent. `on_event` is
     called for each batch of events before it is sent to the caller, and
@@ -89,6 +99,7 @@
     limits: AttemptLimits
     number: int
     may_retry_elsewhere: Callable[[], bool]
+    acquire_resend: Callable[[], bool]
     claim: Callable[[], bool]
     on_silence: Callable[[], None]
     on_event: Callable[[], None]
--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -54,6 +54,7 @@
     """What an attempt asks of its request, as in `AttemptContext`."""
 
     may_retry_elsewhere: Callable[[], bool]
+    acquire_resend: Callable[[], bool]
     claim: Callable[[], bool]
     on_silence: Callable[[], None]
 
@@ -105,6 +106,9 @@
             limits=attempt_limits(admitted, placement),
             number=progress.attempts,
             may_retry_elsewhere=decisions.may_retry_elsewhere,
+            acquire_resend=partial(
+                self._acquire_resend, served, permitted, decisions
+            ),
             claim=partial(self._claim, state, decisions),
             on_silence=partial(
                 self._record_silence, served, permitted, decisions
@@ -143,8 +147,9 @@
         """Update the request and the state of the endpoint at fault.
 
         An answer to another request may come from a sound endpoint, so it
-        does not count as a broken connection. What a leaving endpoint breaks
-        off, and what one refuses that asks for a pause, is no failure.
+        does not count as a broken connection. It is no failure on a reused
+        connection: the endpoint gets new ones then. Nor is what a leaving
+        endpoint breaks off, or what one refuses that asks for a pause.
         """
         deps = self._deps
         state = permitted.state
@@ -165,7 +170,11 @@
         elif deps.notices.is_leaving(at_fault):
             if failure.kind in _BROKEN_CONNECTION_KINDS:
                 deps.notices.record_unreachable(at_fault)
-        elif failure.kind is not ErrorKind.OVERLOADED and not state.asks_pause:
+        elif (
+            failure.kind is not ErrorKind.OVERLOADED
+            and not state.asks_pause
+            and not state.unasked
+        ):
             deps.health.record_failure(
                 at_fault.identity,
                 failure.reason,
@@ -219,6 +228,33 @@
         state.silence_counted = False
         return decisions.claim()
 
+    def _acquire_resend(
+        self,
+        served: ServedRequest,
+        permitted: PermittedPlacement,
+        decisions: AttemptDecisions,
+    ) -> bool:
+        """Let an attempt be sent to its endpoint once more."""
+        deps = self._deps
+        admitted = served.admitted
+        lead = permitted.placement.lead
+        if permitted.permit is not None:
+            # It was for one request.
+            return False
+        if self._placer.find_obstacle(admitted, permitted):
+            return False
+        if not deps.cold_limiter.allows_last_resort(
+            lead.identity, admitted.service.cold_per_s
+        ):
+            return False
+        if not decisions.acquire_resend():
+            return False
+        served.progress.attempts += 1
+        deps.cold_limiter.record_request(lead.identity)
+        deps.notices.record_request(lead)
+        deps.reach.record_attempt(lead)
+        return True
+
     def _record_silence(
         self,
         served: ServedRequest,
--- a/src/masticwind/serving/interfaces.py
+++ b/src/masticwind/serving/interfaces.py
@@ -101,7 +101,8 @@
     refusal, if the answer names it: the lead endpoint or a helper. `notice` is
     what the endpoint says of itself, and None if the answer may come from
     another process. `seal` is the endpoint's signature, '' without one. No
-    earlier answer was received on a `fresh` connection.
+    earlier answer was received on a `fresh` connection. An `unasked` answer,
+    on a reused one, belongs to an earlier request.
     """
 
     status: int
@@ -114,6 +115,7 @@
     notice: EndpointNotice | None = None
     seal: str = ''
     fresh: bool = False
+    unasked: bool = False
 
     @property
     def success(self) -> bool:
--- a/src/masticwind/serving/request_run.py
+++ b/src/masticwind/serving/request_run.py
@@ -177,6 +177,7 @@
     ) -> AttemptDecisions:
         return AttemptDecisions(
             may_retry_elsewhere=partial(self._may_retry_elsewhere, lead),
+            acquire_resend=partial(self._acquire_resend, line),
             claim=partial(self._race.claim, line),
             on_silence=partial(self._handle_silence, tasks, line),
         )
@@ -204,6 +205,16 @@
             return False
         return self._retry_budget.has_retry(admitted.service.name)
 
+    def _acquire_resend(self, line: AttemptLine) -> bool:
+        """Let the attempt of a line be sent to its endpoint once more, which
+        takes a retry of the budget.
+        """
+        if not self._served.admitted.route.repeatable:
+            return False
+        if self._race.has_running_others(line):
+            return False
+        return self._try_acquire_retry()
+
     def _may_acquire_retry(self) -> bool:
         return self._has_attempt_left() and self._retry_budget.has_retry(
             self._served.admitted.service.name
--- a/tests/test_foreign_answer.py
+++ b/tests/test_foreign_answer.py
@@ -26,10 +26,13 @@
 
 
 class _Engines:
-    """One answer is to another request, all others are complete."""
+    """The next answers of `faulty` are to another request, all others are
+    complete.
+    """
 
     def __init__(self) -> None:
         self.faulty = ''
+        self.faulty_answers = 1
         self.received = Counter[str]()
 
     async def answer(self, req: ReceivedRequest, conn: RawConnection) -> None:
@@ -37,7 +40,9 @@
         engine = req.headers['x-expect-instance']
         self.received[engine] += 1
         if engine == self.faulty:
-            self.faulty = ''
+            self.faulty_answers -= 1
+            if not self.faulty_answers:
+                self.faulty = ''
             await answer_other_request(req, conn)
             return
         await anyio.sleep(CALL_S)
@@ -77,14 +82,48 @@
         assert engines.received['e-1'] >= usual / 2
 
 
+async def test_foreign_answer_on_a_reused_connection_costs_no_read() -> None:
+    """Guards against 502 for a read whose engine would answer it on a new
+    connection, and against counting the answer as a failure of the engine.
+    """
+    engines = _Engines()
+    async with running_entry() as harness:
+        raw = await harness.start_endpoint('e-0', engines.answer, CALL_SERVICE)
+        await harness.wait_until_served('/read/a')
+        engines.faulty = 'e-0'
+        assert (await harness.request('/read/a')).status == 200
+        assert raw.connection_count == 2
+        cleanup = harness.entry._cleanup
+        assert not cleanup.health.is_excluded('e-0')
+        known = cleanup.directory.endpoints(CALL_SERVICE)
+        assert not cleanup.health.failure_shares(known)
+
+
 async def test_foreign_answer_is_no_failure_of_the_connection() -> None:
     """Guards against a sound engine that is excluded at once, and reported to
-    the other entries, after an answer to another request.
+    the other entries, after an answer to another request on a new connection.
     """
     engines = _Engines()
     async with running_entry() as harness:
         await harness.start_endpoint('e-0', engines.answer, CALL_SERVICE)
         await harness.wait_until_served('/read/a')
         engines.faulty = 'e-0'
+        engines.faulty_answers = 2
         assert (await harness.request('/read/a')).status == 502
+        assert not engines.faulty
         assert not harness.entry._cleanup.health.is_excluded('e-0')
+
+
+async def test_foreign_answer_costs_no_second_run_of_an_order() -> None:
+    """Guards against an order that is sent once more after an answer to
+    another request.
+    """
+    engines = _Engines()
+    async with running_entry() as harness:
+        await harness.start_endpoint('e-0', engines.answer, CALL_SERVICE)
+        await harness.wait_until_served('/read/a')
+        engines.received.clear()
+        engines.faulty = 'e-0'
+        answer = await harness.request('/order/a', method='POST')
+        assert answer.status == 502
+        assert engines.received['e-0'] == 1
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -17,6 +17,7 @@
 
 CALLERS: Final = 8
 READS: Final = 600
+CUT_SHARE: Final = 0.5
 RUN_S: Final = 0.005
 PAUSE_S: Final = 0.02
 MAX_LOST_SHARE: Final = 0.05
@@ -25,7 +26,8 @@
 class CopyingEngines:
     """Engines that fail often, and write many answers once more.
 
-    The copy is written where the next answer on the connection is expected.
+    The copy is written where the next answer on the connection is expected,
+    which cuts off some of them.
     """
 
     def __init__(
@@ -47,9 +49,15 @@
         self.runs.add((status, body))
         head = encode_head(req, status, (f'Content-Length: {len(body)}',))
         if self._random.random() < self._copy_share:
-            self._copies[place] = head + body
+            self._copies[place] = self._cut(head + body)
         await conn.write(head + body)
 
+    def _cut(self, content: bytes) -> bytes:
+        """Return a copy, of which every other one ends anywhere."""
+        if self._random.random() < CUT_SHARE:
+            return content[: self._random.randrange(1, len(content))]
+        return content
+
 
 async def _count_lost(harness: EntryHarness, engines: CopyingEngines) -> int:
     """Send the reads; return how many got no answer of an engine."""
