--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -153,6 +153,8 @@
         self._busy: Final[set[httpcore.AsyncHTTPConnection]] = set()
         # Those connections in use that carried an earlier request.
         self._reused: Final[set[httpcore.AsyncHTTPConnection]] = set()
+        # Those connections in use that are closed after their request.
+        self._closing: Final[set[httpcore.AsyncHTTPConnection]] = set()
         # Idle time limits of connections in use, from the servers' headers.
         self._idle_limits_s: Final[
             dict[httpcore.AsyncHTTPConnection, float]
@@ -265,18 +267,24 @@
     async def pause_reuse(self) -> None:
         """Close the idle connections and use new ones for a while."""
         self._reuse.pause()
-        await self._close_idle()
+        await self.close_idle()
+
+    async def close_idle(self) -> bool:
+        """Close all connections, those in use after their requests.
+
+        Returns whether all have been closed.
+        """
+        self._closing.update(self._busy)
+        while self._idle:
+            await self._idle.pop().conn.aclose()
+        return not self._busy
 
     async def close(self) -> None:
         """Close all connections; requests in progress fail."""
-        await self._close_idle()
+        await self.close_idle()
         for conn in tuple(self._busy):
             await conn.aclose()
 
-    async def _close_idle(self) -> None:
-        while self._idle:
-            await self._idle.pop().conn.aclose()
-
     @asynccontextmanager
     async def _connection(
         self,
@@ -302,7 +310,10 @@
     ) -> None:
         idle_limit_s = self._idle_limits_s.pop(conn, self._keep_alive_s)
         reusable = conn.is_idle() and idle_limit_s > 0
-        if reusable and not (self._reuse.is_paused() or has_extra_bytes(conn)):
+        if conn in self._closing or self._reuse.is_paused():
+            reusable = False
+        self._closing.discard(conn)
+        if reusable and not has_extra_bytes(conn):
             self._idle.append(
                 _IdleConnection(conn, time.monotonic() + idle_limit_s)
             )
--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -117,10 +117,14 @@
         return await self._client_for(endpoint).try_connect(ORDER_TIMEOUT_S)
 
     async def close_idle(self, endpoint: Endpoint) -> None:
-        """Close the connections to an endpoint and drop its client."""
-        client = self._clients.pop(endpoint.address, None)
-        if client is not None:
-            await client.close()
+        """Close the connections to an endpoint and drop its client.
+
+        Another endpoint may have its address now, so requests in progress go
+        on. Their client stays, so that its limit on connections holds.
+        """
+        client = self._clients.get(endpoint.address)
+        if client is not None and await client.close_idle():
+            self._clients.pop(endpoint.address, None)
 
     async def _send_order(
         self, endpoint: Endpoint, order: _Order
--- a/src/masticwind/serving/interfaces.py
+++ b/src/masticwind/serving/interfaces.py
@@ -179,7 +179,10 @@
 
     @abc.abstractmethod
     async def close_idle(self, endpoint: Endpoint) -> None:
-        """Close the idle connections to an endpoint that was removed."""
+        """Close the connections to an endpoint that was removed.
+
+        Those in use are closed after their requests.
+        """
 
 
 class CallerAnswer(abc.ABC):
