--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -17,12 +17,19 @@
 import anyio
 import httpcore
 
+from masticwind.connection_reuse import ConnectionReuse
 from masticwind.errors import ErrorKind, Failure
 from masticwind.http_limits import (
     LimitedConnection,
     end_head_limit,
     join_chunks,
 )
+from masticwind.joined_answers import (
+    UnaskedBytesError,
+    has_extra_bytes,
+    has_joined_head,
+    unasked_bytes,
+)
 from masticwind.send_gate import (
     DEFAULT_OPTIONS,
     HeldBackError,
@@ -91,8 +98,8 @@
 
     Header names are in lower case in `headers` and as received in
     `raw_headers`. No other request was sent on the connection before this one
-    if it is `fresh`. The connection is not reused if the reader sets
-    `reusable` to false.
+    if it is `fresh`. The head of a `joined` response contains parts of another
+    one. The connection is not reused if the reader sets `reusable` to false.
     """
 
     status: int
@@ -100,6 +107,7 @@
     headers: dict[str, str]
     raw_headers: Headers
     fresh: bool
+    joined: bool = False
     reusable: bool = True
 
 
@@ -146,11 +154,14 @@
         self._origin: Final = url.origin
         self._prefix: Final = url.target.rstrip(b'/')
         self._keep_alive_s: Final = keep_alive_s
+        self._reuse: Final = ConnectionReuse(base_url)
         self._connection_slots: Final = anyio.Semaphore(max_connections)
         self._idle: Final[list[_IdleConnection]] = []
         self._busy: Final[set[LimitedConnection]] = set()
         # Those connections in use that carried an earlier request.
         self._reused: Final[set[LimitedConnection]] = set()
+        # Those connections in use that are closed after their request.
+        self._closing: Final[set[LimitedConnection]] = set()
         # Idle time limits of connections in use, from the servers' headers.
         self._idle_limits_s: Final[dict[LimitedConnection, float]] = {}
 
@@ -216,6 +227,7 @@
         try:
             async with (
                 self._connection(options) as conn,
+                unasked_bytes(reused=conn in self._reused),
                 conn.stream(
                     method,
                     url,
@@ -260,10 +272,24 @@
         await conn.aclose()
         return ConnectResult.ACCEPTED
 
-    async def close(self) -> None:
-        """Close all connections; requests in progress fail."""
+    async def pause_reuse(self) -> None:
+        """Close the idle connections and use new ones for a while."""
+        self._reuse.pause()
+        await self.close_idle()
+
+    async def close_idle(self) -> bool:
+        """Close all connections, those in use after their requests.
+
+        Returns whether all have been closed.
+        """
+        self._closing.update(self._busy)
         while self._idle:
             await self._idle.pop().conn.aclose()
+        return not self._busy
+
+    async def close(self) -> None:
+        """Close all connections; requests in progress fail."""
+        await self.close_idle()
         for conn in tuple(self._busy):
             await conn.aclose()
 
@@ -306,7 +332,11 @@
 
     async def _release_connection(self, conn: LimitedConnection) -> None:
         idle_limit_s = self._idle_limits_s.pop(conn, self._keep_alive_s)
-        if conn.is_idle() and idle_limit_s > 0:
+        reusable = conn.is_idle() and idle_limit_s > 0
+        if conn in self._closing or self._reuse.is_paused():
+            reusable = False
+        self._closing.discard(conn)
+        if reusable and not has_extra_bytes(conn):
             self._idle.append(
                 _IdleConnection(conn, time.monotonic() + idle_limit_s)
             )
@@ -334,6 +364,11 @@
 
 async def _read_answer(response: httpcore.Response) -> HttpAnswer | Failure:
     end_head_limit(response)
+    if has_joined_head(response):
+        return Failure(
+            kind=ErrorKind.OUTCOME_UNKNOWN,
+            reason='the head contains parts of another response',
+        )
     body = await join_chunks(response.aiter_stream(), MAX_BODY_BYTES)
     if body is None:
         return Failure(
@@ -387,6 +422,7 @@
         kind=kind,
         reason=f'{type(exc).__name__}: {exc}',
         silent=isinstance(exc, httpcore.TimeoutException),
+        unasked=isinstance(exc, UnaskedBytesError),
     )
 
 
@@ -415,6 +451,7 @@
         _header_map(response.headers),
         tuple(response.headers),
         fresh,
+        joined=has_joined_head(response),
     )
 
 
--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -21,6 +21,7 @@
     classify_answer,
     encode_attempt,
     end_to_end_headers,
+    has_one_identity,
     names_request,
 )
 from masticwind.send_gate import SendOptions
@@ -66,7 +67,8 @@
     ) -> AsyncIterator[Reply | Failure]:
         """Send an attempt and yield the head of the answer."""
         req = attempt.req
-        async with self._client_for(attempt.endpoint).stream(
+        client = self._client_for(attempt.endpoint)
+        async with client.stream(
             req.method,
             req.target,
             timeout_s=RequestTimeouts(
@@ -76,13 +78,18 @@
             body=req.body,
             headers=encode_attempt(attempt),
             options=SendOptions(
-                fresh=attempt.at_most_once, check=attempt.send_check
+                fresh=attempt.at_most_once or attempt.repeated,
+                check=attempt.send_check,
             ),
         ) as answer:
             if isinstance(answer, Failure):
+                if answer.unasked:
+                    await client.pause_reuse()
                 yield answer
                 return
             reply = _to_reply(attempt, answer)
+            if reply.unasked:
+                await client.pause_reuse()
             # A second copy of a refusal could arrive as the answer to a
             # repetition of the request, which has the same id.
             answer.reusable = reply.verdict is Verdict.RAN
@@ -114,10 +121,14 @@
         return await self._client_for(endpoint).try_connect(ORDER_TIMEOUT_S)
 
     async def close_idle(self, endpoint: Endpoint) -> None:
-        """Close the connections to an endpoint and drop its client."""
-        client = self._clients.pop(endpoint.address, None)
-        if client is not None:
-            await client.close()
+        """Close the connections to an endpoint and drop its client.
+
+        Another endpoint may have its address now, so requests in progress go
+        on. Their client stays, so that its limit on connections holds.
+        """
+        client = self._clients.get(endpoint.address)
+        if client is not None and await client.close_idle():
+            self._clients.pop(endpoint.address, None)
 
     async def _send_order(
         self, endpoint: Endpoint, order: _Order
@@ -164,15 +175,19 @@
 
 
 def _to_reply(attempt: Attempt, answer: HttpStream) -> Reply:
-    verdict = classify_answer(
-        attempt.req,
-        answer.status,
-        answer.headers,
-        fresh_connection=answer.fresh,
-    )
+    one_head = not answer.joined and has_one_identity(answer.raw_headers)
+    verdict = Verdict.UNVERIFIED
+    if one_head:
+        verdict = classify_answer(
+            attempt.req,
+            answer.status,
+            answer.headers,
+            fresh_connection=answer.fresh,
+        )
+    has_id = one_head and names_request(attempt.req, answer.headers)
     # Only the endpoint itself may speak for itself. It may refuse a request
     # without the proof that it has not run.
-    proven = names_request(attempt.req, answer.headers) and (
+    proven = has_id and (
         verdict in {Verdict.RAN, Verdict.NOT_RUN}
         or answer.status == HTTPStatus.SERVICE_UNAVAILABLE
     )
@@ -191,6 +206,7 @@
         ),
         seal=answer.headers.get(SEAL_HEADER, ''),
         fresh=answer.fresh,
+        unasked=not (has_id or answer.fresh),
     )
 
 
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -2,6 +2,7 @@
 
 import math
 import time
+from dataclasses import replace
 from functools import partial
 from http import HTTPStatus
 from typing import Final
@@ -10,7 +11,7 @@
 from loguru import logger
 
 from masticwind.budget import MS_PER_S
-from masticwind.errors import ErrorKind, Failure
+from masticwind.errors import ErrorKind, Failure, guarantees_not_run
 from masticwind.http_limits import join_chunks
 from masticwind.httpclient import BrokenStreamError
 from masticwind.send_gate import SendCheck
@@ -161,16 +162,33 @@
                 context.state.at_fault = helpers.endpoint
             return helpers.failure
         request = _build_attempt(context, helpers)
-        with SilenceTimer(context) as timer:
-            timer.start(context.limits.head_timeout_s)
-            async with endpoint_client.send(request, context.limits) as reply:
-                timer.stop()
-                if isinstance(reply, Failure):
-                    return reply
-                context.state.answer_begun = True
-                context.state.reply = reply
-                context.on_answer(reply.notice)
-                return await _receive_or_fail(context, reply)
+        outcome = await _exchange(endpoint_client, context, request)
+        if context.state.unasked and context.acquire_resend():
+            context.state.forget_answer()
+            request = replace(_build_attempt(context, helpers), repeated=True)
+            repeated = await _exchange(endpoint_client, context, request)
+            # The first transmission may have run, whatever became of the
+            # second one.
+            if repeated is None or not guarantees_not_run(repeated.kind):
+                outcome = repeated
+        return outcome
+
+
+async def _exchange(
+    endpoint_client: EndpointClient, context: AttemptContext, request: Attempt
+) -> Failure | None:
+    """Send a request and relay its answer."""
+    with SilenceTimer(context) as timer:
+        timer.start(context.limits.head_timeout_s)
+        async with endpoint_client.send(request, context.limits) as reply:
+            timer.stop()
+            context.state.unasked = reply.unasked
+            if isinstance(reply, Failure):
+                return reply
+            context.state.answer_begun = True
+            context.state.reply = reply
+            context.on_answer(reply.notice)
+            return await _receive_or_fail(context, reply)
 
 
 def _build_attempt(
@@ -189,6 +207,7 @@
         at_most_once=not admitted.route.repeatable,
         resume_after=context.progress.last_event_id,
         helpers=helpers,
+        repeated=context.number > 1,
         send_check=SendCheck(
             partial(_find_obstacle, context),
             partial(_record_sent, context, helpers),
@@ -198,13 +217,14 @@
 
 def _find_obstacle(context: AttemptContext) -> str:
     obstacle = context.find_obstacle()
-    context.state.held_back = bool(obstacle)
+    context.state.held_back = bool(obstacle) and not context.state.is_sent
     return obstacle
 
 
 def _record_sent(
     context: AttemptContext, helpers: tuple[PrefillHelper, ...]
 ) -> None:
+    repeated = context.state.is_sent or context.number > 1
     context.progress.is_sent = True
     context.state.is_sent = True
     admitted = context.admitted
@@ -222,6 +242,7 @@
         predicted_ms=round(context.placement.first_event_ms),
         whole_ms=round(context.placement.total_ms),
         left_ms=round(admitted.remaining_s() * MS_PER_S),
+        repeated=repeated,
         resume_after=context.progress.last_event_id,
         **_permit_fields(context.permit),
     ).info('attempt_sent')
