--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -1,4 +1,4 @@
-"""Size and time limits of callers' connections.
+"""Framing of requests, and size and time limits of callers' connections.
 
 uvicorn's HTTP parser does not limit the size of a request head, and uvicorn
 limits neither the time until the head is complete nor the time for which a
@@ -12,6 +12,7 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from masticwind.web_parser import RequestParser
 from masticwind.web_transport import CallerTransport
 
 # Where the scope of a request has its `LimitedProtocol`.
@@ -53,6 +54,10 @@
         **kwargs: Any,
     ) -> None:
         super().__init__(*args, **kwargs)
+        self.parser = RequestParser(self)  # type: ignore[assignment]
+        # None if the body is sent in chunks.
+        self._declared_body_bytes: int | None = 0
+        self._body_bytes = 0
         self._current_limits: Final = limits
         self._limits = limits()
         self._head_bytes = 0
@@ -142,6 +147,8 @@
         self._in_head = False
         self._awaits_body = True
         self._head_bytes = 0
+        self._body_bytes = 0
+        self._declared_body_bytes = _find_declared_length(self.headers)
         self._stop_timer()
         super().on_headers_complete()
 
@@ -201,8 +208,20 @@
         else:
             self.close_unused()
 
+    def on_body(self, body: bytes) -> None:
+        """Count the bytes of the body."""
+        self._body_bytes += len(body)
+        super().on_body(body)
+
     def on_message_complete(self) -> None:
-        """Note the end of the body, also of one that has been refused."""
+        """Note the end of the body, also of one that has been refused.
+
+        The application does not get the end of a body that is shorter or
+        longer than declared, so that it cannot forward the request.
+        """
+        if self._declared_body_bytes not in {None, self._body_bytes}:
+            # The parser turns this into a response with status 400.
+            raise ValueError('the body has another length than declared')
         self._awaits_body = False
         if self.is_idle:
             self._start_idle_timer()
@@ -286,3 +305,14 @@
         if self._write_timer is not None:
             self._write_timer.cancel()
             self._write_timer = None
+
+
+def _find_declared_length(headers: list[tuple[bytes, bytes]]) -> int | None:
+    """Return the declared length of a body; None if it is sent in chunks."""
+    length = 0
+    for name, value in headers:
+        if name == b'transfer-encoding':
+            return None
+        if name == b'content-length':
+            length = int(value)
+    return length
--- a/tests/test_offered_protocols.py
+++ b/tests/test_offered_protocols.py
@@ -2,7 +2,9 @@
 
 import anyio
 import pytest
+from httptools import HttpRequestParser
 
+from masticwind import web_protocol
 from tests.entry_harness import (
     API_KEY,
     EntryHarness,
@@ -122,3 +124,18 @@
     assert not _find_runs(harness)
     assert answers.startswith(b'HTTP/1.1 400 ')
     assert answers.count(b'HTTP/1.1 ') == 1
+
+
+async def test_body_of_another_length_than_declared_is_not_forwarded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a parser that ends a body early."""
+    # This parser takes an offer to end the request after its head.
+    monkeypatch.setattr(web_protocol, 'RequestParser', HttpRequestParser)
+    order = _encode_request('POST', '/order/a', 'first', H2C, SMUGGLED)
+    async with running_entry() as harness:
+        await harness.start_endpoint('e1', answer_completely)
+        answers = await _exchange(harness, order, SMUGGLED)
+    assert not _find_runs(harness)
+    assert answers.startswith(b'HTTP/1.1 400 ')
+    assert answers.count(b'HTTP/1.1 ') == 1
