--- a/tests/test_direct_bounds.py
+++ b/tests/test_direct_bounds.py
@@ -17,6 +17,7 @@
 from masticwind.serving.datagrams import PeerAddress
 from masticwind.serving.health import (
     INITIAL_EXCLUSION_S,
+    MAX_EXCLUSION_S,
     SOFT_FAILURE_LIMIT,
     EndpointHealth,
 )
@@ -48,6 +49,7 @@
 )
 LARGE_COLD_PER_S: Final = 15
 LARGE_COLD_BOUND: Final = 27.5
+MANY_FAILURES: Final = 1100
 
 
 @settings(deadline=None)
@@ -273,6 +275,25 @@
     assert health.is_excluded('i-1')
 
 
+@pytest.mark.parametrize('connection_failed', [True, False])
+def test_endless_failures_do_not_overflow_the_exclusion_time(
+    *, connection_failed: bool
+) -> None:
+    """Guards against status 500 for each request to an endpoint that has
+    failed a thousand times in a row.
+    """
+    clock = ManualClock()
+    health = EndpointHealth(isolated_suspicions(), clock)
+    for _ in range(MANY_FAILURES):
+        health.record_failure(
+            'i-1', 'reset', connection_failed=connection_failed
+        )
+        clock.now += MAX_EXCLUSION_S
+    assert not health.is_excluded('i-1')
+    health.record_failure('i-1', 'reset', connection_failed=connection_failed)
+    assert health.is_excluded('i-1')
+
+
 def test_failure_share_of_an_unused_endpoint_decreases() -> None:
     """Guards against a sound endpoint that is avoided after a single failure,
     as only requests that it serves make up for it.
