--- a/src/masticwind/serving/health.py
+++ b/src/masticwind/serving/health.py
@@ -14,6 +14,7 @@
 they report as unreachable counts as failing.
 """
 
+import math
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -26,6 +27,10 @@
 
 INITIAL_EXCLUSION_S: Final = 0.5
 MAX_EXCLUSION_S: Final = 4.0
+# Doublings after which the time is at its maximum.
+MAX_DOUBLINGS: Final = math.ceil(
+    math.log2(MAX_EXCLUSION_S / INITIAL_EXCLUSION_S)
+)
 # Weight of the latest result in the moving average of failures.
 LATEST_RESULT_WEIGHT: Final = 0.25
 # Time in which the share of failures halves after one failure.
@@ -108,7 +113,8 @@
         else:
             counted -= SOFT_FAILURE_LIMIT - 1
         if counted > 0:
-            exclusion_s = INITIAL_EXCLUSION_S * 2 ** (counted - 1)
+            doublings = min(counted - 1, MAX_DOUBLINGS)
+            exclusion_s = INITIAL_EXCLUSION_S * 2**doublings
             record.excluded_until = self._clock() + min(
                 MAX_EXCLUSION_S, exclusion_s
             )
