--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -135,7 +135,13 @@
         self._start_timer(self._limits.header_timeout_s, self._end_head)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Reject too many or too large headers, also within one chunk."""
+        """Reject too many or too large headers, also within one chunk.
+
+        Trailers are dropped, as HTTP/1.1 allows: they must not replace what
+        the head says, and the head may have been read before they arrive.
+        """
+        if not self._in_head:
+            return
         super().on_header(name, value)
         size = sum(len(key) + len(text) for key, text in self.headers)
         if len(self.headers) > MAX_HEADERS or size > self._max_header_bytes():
