--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -72,6 +72,8 @@
         self._idle_timeout_s = 0.0
         self._write_timer: asyncio.TimerHandle | None = None
         self._conn: CallerTransport
+        # The request before the current one.
+        self._earlier_cycle: Any = None
 
     @property
     def has_next_request(self) -> bool:
@@ -156,10 +158,16 @@
         self._body_bytes = 0
         self._declared_body_bytes = _find_declared_length(self.headers)
         self._stop_timer()
+        self._earlier_cycle = self.cycle
         super().on_headers_complete()
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a request once those before it have been answered."""
+        if self._awaits_body and self.pipeline:
+            # Its head has been read, but those before it are not answered.
+            self.pipeline.popleft()
+            self.cycle = self._earlier_cycle
+            self._awaits_body = False
         if self.has_request and not self._awaits_body:
             self._refusal = msg
             self._stop_timer()
