--- /dev/null
+++ b/src/masticwind/web_framing.py
@@ -0,0 +1,30 @@
+"""Rules for heads of callers' requests that the HTTP parser does not check."""
+
+from typing import Final
+
+Headers = list[tuple[bytes, bytes]]
+
+CHUNKED: Final = b'chunked'
+
+
+def find_declared_length(headers: Headers) -> int | None:
+    """Return the declared length of a body; None if it is sent in chunks."""
+    length = 0
+    for name, text in headers:
+        if name == b'transfer-encoding':
+            return None
+        if name == b'content-length':
+            length = int(text)
+    return length
+
+
+def check_head(headers: Headers) -> None:
+    """Raise `ValueError` for a head that is ambiguous or not supported."""
+    _check_transfer_encoding(headers)
+
+
+def _check_transfer_encoding(headers: Headers) -> None:
+    """Refuse transfer codings, which are not removed from the body."""
+    for name, text in headers:
+        if name == b'transfer-encoding' and text.lower() != CHUNKED:
+            raise ValueError('only chunks are supported as transfer coding')
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -12,6 +12,7 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from masticwind.web_framing import check_head, find_declared_length
 from masticwind.web_parser import RequestParser
 from masticwind.web_transport import CallerTransport
 
@@ -151,12 +152,16 @@
             raise ValueError('request head is too large')
 
     def on_headers_complete(self) -> None:
-        """End the limits of the request head."""
+        """End the limits of the request head, and check the head.
+
+        The parser turns a `ValueError` into a response with status 400.
+        """
+        check_head(self.headers)
         self._in_head = False
         self._awaits_body = True
         self._head_bytes = 0
         self._body_bytes = 0
-        self._declared_body_bytes = _find_declared_length(self.headers)
+        self._declared_body_bytes = find_declared_length(self.headers)
         self._stop_timer()
         self._earlier_cycle = self.cycle
         super().on_headers_complete()
@@ -319,14 +324,3 @@
         if self._write_timer is not None:
             self._write_timer.cancel()
             self._write_timer = None
-
-
-def _find_declared_length(headers: list[tuple[bytes, bytes]]) -> int | None:
-    """Return the declared length of a body; None if it is sent in chunks."""
-    length = 0
-    for name, value in headers:
-        if name == b'transfer-encoding':
-            return None
-        if name == b'content-length':
-            length = int(value)
-    return length
