--- a/src/masticwind/web_framing.py
+++ b/src/masticwind/web_framing.py
@@ -21,6 +21,7 @@
 def check_head(headers: Headers) -> None:
     """Raise `ValueError` for a head that is ambiguous or not supported."""
     _check_transfer_encoding(headers)
+    _check_hosts(headers)
 
 
 def _check_transfer_encoding(headers: Headers) -> None:
@@ -28,3 +29,10 @@
     for name, text in headers:
         if name == b'transfer-encoding' and text.lower() != CHUNKED:
             raise ValueError('only chunks are supported as transfer coding')
+
+
+def _check_hosts(headers: Headers) -> None:
+    """Refuse several hosts, as an engine may choose another one."""
+    names = [name for name, _ in headers]
+    if names.count(b'host') > 1:
+        raise ValueError('more than one host')
