--- a/src/masticwind/web_framing.py
+++ b/src/masticwind/web_framing.py
@@ -18,10 +18,11 @@
     return length
 
 
-def check_head(headers: Headers) -> None:
+def check_head(target: bytes, headers: Headers) -> None:
     """Raise `ValueError` for a head that is ambiguous or not supported."""
     _check_transfer_encoding(headers)
     _check_hosts(headers)
+    _check_target(target)
 
 
 def _check_transfer_encoding(headers: Headers) -> None:
@@ -36,3 +37,9 @@
     names = [name for name, _ in headers]
     if names.count(b'host') > 1:
         raise ValueError('more than one host')
+
+
+def _check_target(target: bytes) -> None:
+    """Refuse a fragment, which is no part of a request target."""
+    if b'#' in target:
+        raise ValueError('the target has a fragment')
