--- a/src/masticwind/web_framing.py
+++ b/src/masticwind/web_framing.py
@@ -22,7 +22,7 @@
     """Raise `ValueError` for a head that is ambiguous or not supported."""
     _check_transfer_encoding(headers)
     _check_hosts(headers)
-    _check_target(target)
+    _check_target(target, headers)
 
 
 def _check_transfer_encoding(headers: Headers) -> None:
@@ -39,7 +39,22 @@
         raise ValueError('more than one host')
 
 
-def _check_target(target: bytes) -> None:
-    """Refuse a fragment, which is no part of a request target."""
+def _check_target(target: bytes, headers: Headers) -> None:
+    """Refuse a fragment, which is no part of a request target, and an
+    absolute target that does not name the host of the headers.
+    """
     if b'#' in target:
         raise ValueError('the target has a fragment')
+    _, separator, rest = target.partition(b'://')
+    if target.startswith(b'/') or not separator:
+        return
+    host = dict(headers).get(b'host', b'')
+    authority = rest.partition(b'?')[0].partition(b'/')[0]
+    if _without_port(authority) != _without_port(host):
+        raise ValueError('the target and the headers name different hosts')
+
+
+def _without_port(authority: bytes) -> bytes:
+    """Return a host in lower case, without the port if there is one."""
+    host, _, port = authority.lower().rpartition(b':')
+    return host if port.isdigit() else authority.lower()
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -126,6 +126,17 @@
     assert [status for status, _ in answers] == [400]
 
 
+@pytest.mark.parametrize(
+    'host', ['fleet.example:80', 'FLEET.example'], ids=['port', 'case']
+)
+async def test_absolute_target_with_the_same_host_is_served(host: str) -> None:
+    """Guards against the refusal of a host that is only spelled otherwise."""
+    start_line = f'POST http://{host}/order/a HTTP/1.1'
+    runs, answers = await _serve(_encode('r1', start_line=start_line))
+    assert runs == [('r1', '/order/a', b'')]
+    assert answers == [(200, b'r1'), (200, b'last')]
+
+
 async def test_absolute_target_with_another_host_is_refused() -> None:
     """Guards against a request that is routed by one of two hosts."""
     start_line = 'POST http://other.example/order/a HTTP/1.1'
