--- a/src/masticwind/web_framing.py
+++ b/src/masticwind/web_framing.py
@@ -4,6 +4,7 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+VERSIONS: Final = frozenset(('1.0', '1.1'))
 CHUNKED: Final = b'chunked'
 
 
@@ -18,8 +19,10 @@
     return length
 
 
-def check_head(target: bytes, headers: Headers) -> None:
+def check_head(version: str, target: bytes, headers: Headers) -> None:
     """Raise `ValueError` for a head that is ambiguous or not supported."""
+    if version not in VERSIONS:
+        raise ValueError('the version is not served')
     _check_transfer_encoding(headers)
     _check_hosts(headers)
     _check_target(target, headers)
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -156,7 +156,7 @@
 
         The parser turns a `ValueError` into a response with status 400.
         """
-        check_head(self.url, self.headers)
+        check_head(self.parser.get_http_version(), self.url, self.headers)
         self._in_head = False
         self._awaits_body = True
         self._head_bytes = 0
