--- a/src/masticwind/web_framing.py
+++ b/src/masticwind/web_framing.py
@@ -4,7 +4,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
-VERSIONS: Final = frozenset(('1.0', '1.1'))
+VERSION_WITHOUT_CHUNKS: Final = '1.0'
+VERSIONS: Final = frozenset((VERSION_WITHOUT_CHUNKS, '1.1'))
 CHUNKED: Final = b'chunked'
 
 
@@ -23,16 +24,20 @@
     """Raise `ValueError` for a head that is ambiguous or not supported."""
     if version not in VERSIONS:
         raise ValueError('the version is not served')
-    _check_transfer_encoding(headers)
+    _check_transfer_encoding(version, headers)
     _check_hosts(headers)
     _check_target(target, headers)
 
 
-def _check_transfer_encoding(headers: Headers) -> None:
-    """Refuse transfer codings, which are not removed from the body."""
+def _check_transfer_encoding(version: str, headers: Headers) -> None:
+    """Refuse transfer codings, which are not removed from the body, and
+    chunks in a version that does not have them.
+    """
     for name, text in headers:
-        if name == b'transfer-encoding' and text.lower() != CHUNKED:
-            raise ValueError('only chunks are supported as transfer coding')
+        if name != b'transfer-encoding':
+            continue
+        if text.lower() != CHUNKED or version == VERSION_WITHOUT_CHUNKS:
+            raise ValueError('the transfer coding is not supported')
 
 
 def _check_hosts(headers: Headers) -> None:
