--- a/src/masticwind/entry/calls.py
+++ b/src/masticwind/entry/calls.py
@@ -61,6 +61,7 @@
     Scope,
     read_body,
     request_header,
+    request_target,
 )
 
 PATH_PREFIX: Final = '/v1/services/'
@@ -474,11 +475,8 @@
 def _service_and_target(scope: Scope) -> tuple[str, str]:
     raw_path = scope['raw_path'].decode('latin-1').removeprefix(PATH_PREFIX)
     service, _, path = raw_path.partition('/')
-    target = f'/{path}'
-    if scope['query_string']:
-        query = scope['query_string'].decode('latin-1')
-        target = f'{target}?{query}'
-    return service, target
+    _, mark, query = request_target(scope).decode('latin-1').partition('?')
+    return service, f'/{path}{mark}{query}'
 
 
 def _forwarded_headers(scope: Scope) -> tuple[tuple[str, str], ...]:
--- a/src/masticwind/platform/headers.py
+++ b/src/masticwind/platform/headers.py
@@ -13,7 +13,7 @@
 from masticwind.serving.edge import CallerCodec
 from masticwind.serving.interfaces import Attempt, Verdict
 from masticwind.serving.model import CallerRequest, Headers, TokenCounts
-from masticwind.web import Response, Scope, json_response
+from masticwind.web import Response, Scope, json_response, request_target
 
 REQUEST_ID_HEADER: Final = b'x-attempt-id'
 # The remaining time in milliseconds, not a point in time.
@@ -184,9 +184,6 @@
 def _decode_request(scope: Scope, headers: dict[bytes, bytes]) -> CallerRequest:
     time_left = headers.get(TIME_LEFT_MS_HEADER)
     last_event_id = headers.get(LAST_EVENT_ID_HEADER, b'').strip()
-    target: bytes = scope['raw_path']
-    if scope['query_string']:
-        target = b'%b?%b' % (target, scope['query_string'])
     # A fractional or negative time is accepted.
     timeout_ms = float(time_left) if time_left else DEFAULT_TIMEOUT_MS
     if not math.isfinite(timeout_ms):
@@ -194,7 +191,7 @@
     return CallerRequest(
         request_id=headers.get(REQUEST_ID_HEADER, b'').decode('latin-1'),
         method=scope['method'],
-        target=target,
+        target=request_target(scope),
         host=headers.get(b'host', b'').decode('latin-1').partition(':')[0],
         path=scope['path'],
         forwarded_headers=_forwarded_headers(scope['headers']),
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -23,6 +23,7 @@
 from masticwind.web_protocol import (
     CONNECTION_KEY,
     EXTENSION,
+    QUERY_KEY,
     ConnectionLimits,
     LimitedProtocol,
 )
@@ -110,6 +111,19 @@
     return ''
 
 
+def request_target(scope: Scope) -> bytes:
+    """Return the path and query of a request as the caller sent them.
+
+    Example: `/a?` has an empty query, and is another target than `/a`.
+    """
+    path: bytes = scope['raw_path']
+    query: bytes = scope['query_string']
+    extensions = scope.get('extensions', {}).get(EXTENSION, {})
+    if query or extensions.get(QUERY_KEY, False):
+        return b'%b?%b' % (path, query)
+    return path
+
+
 def query_parameters(scope: Scope) -> Mapping[str, str]:
     """Return the query parameters; of a repeated one, the last value."""
     return dict(parse_qsl(scope['query_string'].decode('latin-1')))
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -19,6 +19,8 @@
 # Where the scope of a request has its `LimitedProtocol`.
 EXTENSION: Final = 'masticwind'
 CONNECTION_KEY: Final = 'connection'
+# Whether the target has a query; it may be empty, which ASGI cannot say.
+QUERY_KEY: Final = 'has_query'
 MAX_HEADERS: Final = 128
 # Includes the separators between headers.
 MAX_REQUEST_LINE_BYTES: Final = 8192
@@ -157,6 +159,7 @@
         The parser turns a `ValueError` into a response with status 400.
         """
         check_head(self.parser.get_http_version(), self.url, self.headers)
+        self.scope['extensions'][EXTENSION][QUERY_KEY] = b'?' in self.url
         self._in_head = False
         self._awaits_body = True
         self._head_bytes = 0
