--- a/tests/raw_requests.py
+++ b/tests/raw_requests.py
@@ -12,6 +12,7 @@
 CHANGE_SHARE: Final = 0.3
 TARGETS: Final = (
     '/read/a',
+    '/read/a?',
     '/read/a?b=c',
     '/read/a?b=%20&b=/?',
     '/read/a??',
@@ -77,6 +78,7 @@
     'CONNECT {target} HTTP/1.1',
     'CONNECT fleet.example:80 HTTP/1.1',
     '{method} {target}',
+    '{method} {target} HTTP/2.0',
     '{method}\n{target} HTTP/1.1',
 )
 BAD_CHUNKS: Final = (
