--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -7,6 +7,7 @@
 from tests.entry_harness import (
     API_KEY,
     EntryHarness,
+    answer_completely,
     caller_headers,
     running_entry,
 )
@@ -18,6 +19,8 @@
 CHUNKED = ('Transfer-Encoding: chunked',)
 ONE_CHUNK = b'3\r\nabc\r\n0\r\n\r\n'
 ENGINE_TIME_S = 0.2
+PART = b'a' * 65_536
+MAX_SENT_BYTES = 4_000_000
 Run = tuple[str, str, bytes]
 
 
@@ -187,3 +190,63 @@
     runs, answers = await _serve(req)
     assert not runs
     assert [status for status, _ in answers] == [400]
+
+
+async def test_answered_request_gets_no_second_answer() -> None:
+    """Guards against a refusal that is taken for the answer to the next
+    request, as the body of an answered one is broken later on.
+    """
+    lines = ('Authorization: Bearer unknown', *CHUNKED)
+    async with running_entry() as harness:
+        await harness.wait_until_served('/read/ready', status=503)
+        stream = await anyio.connect_tcp('127.0.0.1', harness.entry.port)
+        async with stream:
+            await stream.send(_encode('r1', lines, b'3\r\nabc\r\n'))
+            with anyio.fail_after(5):
+                assert b' 401 ' in await stream.receive()
+                await stream.send(BAD_CHUNKS[0])
+                with pytest.raises(anyio.EndOfStream):
+                    await stream.receive()
+
+
+@pytest.mark.parametrize(
+    'start', [b'0\r\nX-Other: ', b'3;a='], ids=['trailer', 'extension']
+)
+async def test_endless_part_of_a_chunked_body_is_refused(start: bytes) -> None:
+    """Guards against memory and time that endless trailers or extensions
+    take, which no limit of heads or bodies counts.
+    """
+    async with running_entry() as harness:
+        await harness.start_endpoint('e1', _echo_late)
+        await harness.wait_until_served('/read/ready')
+        stream = await anyio.connect_tcp('127.0.0.1', harness.entry.port)
+        sent_bytes = 0
+        async with stream:
+            await stream.send(_encode('r1', CHUNKED, start))
+            with pytest.raises(anyio.BrokenResourceError), anyio.fail_after(5):
+                while sent_bytes < MAX_SENT_BYTES:
+                    await stream.send(PART)
+                    await anyio.sleep(0.005)
+                    sent_bytes += len(PART)
+        assert not _find_runs(harness)
+
+
+async def test_connection_options_do_not_drop_headers_of_the_request() -> None:
+    """Guards against a request that an engine runs without its id, host or
+    model, as a caller has named these as headers of its connection.
+    """
+    lines = (
+        'Connection: X-Attempt-Id, Host, X-Model, X-Hop',
+        'X-Hop: a',
+        'X-Model: m',
+    )
+    async with running_entry() as harness:
+        await harness.start_endpoint('e1', answer_completely)
+        await harness.wait_until_served('/read/ready')
+        requests = (_encode('r1', lines), closing_request('last').encode())
+        await exchange(harness.entry.port, [b''.join(requests)])
+        headers = harness.received[-2].headers
+    assert headers['x-attempt-id'] == 'r1'
+    assert headers['host'] == 'fleet.example'
+    assert headers['x-model'] == 'm'
+    assert 'x-hop' not in headers
