--- a/src/masticwind/platform/headers.py
+++ b/src/masticwind/platform/headers.py
@@ -57,6 +57,17 @@
         b'expect',
     )
 )
+# Headers that belong to a request whatever the connection options name.
+_END_TO_END_HEADERS: Final = frozenset(
+    (
+        b'host',
+        b'x-model',
+        REQUEST_ID_HEADER,
+        TOKEN_COUNTS_HEADER,
+        PROMPT_PARTS_HEADER,
+        LENGTH_HINT_HEADER,
+    )
+)
 # Headers that the entry sets itself; those of the caller are dropped.
 _OVERWRITTEN_HEADERS: Final = frozenset(
     (
@@ -212,6 +223,7 @@
             connection_options.update(
                 part.strip().lower() for part in text.split(b',')
             )
+    connection_options -= _END_TO_END_HEADERS
     forwarded: list[tuple[bytes, bytes]] = []
     for name, text in headers:
         if (
