--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -250,3 +250,19 @@
     assert headers['host'] == 'fleet.example'
     assert headers['x-model'] == 'm'
     assert 'x-hop' not in headers
+
+
+@pytest.mark.parametrize('query', ['', '?b'], ids=['none', 'query'])
+async def test_refused_target_does_not_precede_earlier_answers(
+    query: str,
+) -> None:
+    """Guards against a refusal that takes the place of the answers to
+    earlier requests, one of which has run.
+    """
+    start_line = f'POST http://fleet.example{query} HTTP/1.1'
+    runs, answers = await _serve(
+        _encode('r1'), _encode('r2'), _encode('r3', start_line=start_line)
+    )
+    assert runs == [('r1', '/order/a', b''), ('r2', '/order/a', b'')]
+    assert answers[:2] == [(200, b'r1'), (200, b'r2')]
+    assert [status for status, _ in answers[2:]] == [400]
