--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -161,13 +161,15 @@
         check_head(self.parser.get_http_version(), self.url, self.headers)
         self.scope['extensions'][EXTENSION][QUERY_KEY] = b'?' in self.url
         self._in_head = False
-        self._awaits_body = True
         self._head_bytes = 0
         self._body_bytes = 0
         self._declared_body_bytes = find_declared_length(self.headers)
         self._stop_timer()
-        self._earlier_cycle = self.cycle
+        earlier_cycle = self.cycle
+        # This fails for a target without a path.
         super().on_headers_complete()
+        self._earlier_cycle = earlier_cycle
+        self._awaits_body = True
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a request once those before it have been answered."""
--- a/tests/raw_requests.py
+++ b/tests/raw_requests.py
@@ -75,6 +75,8 @@
     '{method} {target} b HTTP/1.1',
     '{method} http://other.example{target} HTTP/1.1',
     '{method}  {target}\x01 HTTP/1.1',
+    '{method} http://fleet.example HTTP/1.1',
+    '{method} http://fleet.example?b HTTP/1.1',
     'CONNECT {target} HTTP/1.1',
     'CONNECT fleet.example:80 HTTP/1.1',
     '{method} {target}',
