--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -178,6 +178,10 @@
             self.pipeline.popleft()
             self.cycle = self._earlier_cycle
             self._awaits_body = False
+        elif self._awaits_body and self.cycle.response_started:
+            # Its caller would take a refusal for the next answer.
+            self.transport.close()
+            return
         if self.has_request and not self._awaits_body:
             self._refusal = msg
             self._stop_timer()
