--- a/src/masticwind/web_framing.py
+++ b/src/masticwind/web_framing.py
@@ -9,6 +9,40 @@
 CHUNKED: Final = b'chunked'
 
 
+class BodySize:
+    """Counts the content of a body, and what is sent beside it in chunks.
+
+    `declared` is None if the body is sent in chunks. `overhead` counts the
+    bytes of the latest reads that had no content. These are parts of a long
+    chunk extension, or trailers.
+    """
+
+    def __init__(self, declared: int | None) -> None:
+        self.overhead = 0
+        self._declared: Final = declared
+        self._content_bytes = 0
+        # The read that has the end of the head is no overhead.
+        self._is_read_counted = True
+
+    def add_content(self, size: int) -> None:
+        """Count content."""
+        self._content_bytes += size
+        self._is_read_counted = True
+
+    def end_read(self, size: int) -> None:
+        """Count a read of `size` bytes as overhead if it had no content."""
+        if self._is_read_counted:
+            self.overhead = 0
+        else:
+            self.overhead += size
+        self._is_read_counted = False
+
+    def check_end(self) -> None:
+        """Raise `ValueError` if the body has another length than declared."""
+        if self._declared not in {None, self._content_bytes}:
+            raise ValueError('the body has another length than declared')
+
+
 def find_declared_length(headers: Headers) -> int | None:
     """Return the declared length of a body; None if it is sent in chunks."""
     length = 0
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -12,7 +12,11 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from masticwind.web_framing import check_head, find_declared_length
+from masticwind.web_framing import (
+    BodySize,
+    check_head,
+    find_declared_length,
+)
 from masticwind.web_parser import RequestParser
 from masticwind.web_transport import CallerTransport
 
@@ -58,9 +62,7 @@
     ) -> None:
         super().__init__(*args, **kwargs)
         self.parser = RequestParser(self)  # type: ignore[assignment]
-        # None if the body is sent in chunks.
-        self._declared_body_bytes: int | None = 0
-        self._body_bytes = 0
+        self._body_size = BodySize(declared=0)
         self._current_limits: Final = limits
         self._limits = limits()
         self._head_bytes = 0
@@ -123,6 +125,14 @@
         self._has_head_begun = False
         super().data_received(data)
         if not self._in_head:
+            self._body_size.end_read(len(data))
+            max_bytes = self._max_header_bytes()
+            if (
+                self._awaits_body
+                and self._body_size.overhead > max_bytes
+                and not self._is_refused
+            ):
+                self.send_400_response('Chunk framing is too large.')
             return
         # Of data in which the head begins, only its first byte is certain.
         self._head_bytes += 1 if self._has_head_begun else len(data)
@@ -162,8 +172,7 @@
         self.scope['extensions'][EXTENSION][QUERY_KEY] = b'?' in self.url
         self._in_head = False
         self._head_bytes = 0
-        self._body_bytes = 0
-        self._declared_body_bytes = find_declared_length(self.headers)
+        self._body_size = BodySize(find_declared_length(self.headers))
         self._stop_timer()
         earlier_cycle = self.cycle
         # This fails for a target without a path.
@@ -238,7 +247,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Count the bytes of the body."""
-        self._body_bytes += len(body)
+        self._body_size.add_content(len(body))
         super().on_body(body)
 
     def on_message_complete(self) -> None:
@@ -247,9 +256,8 @@
         The application does not get the end of a body that is shorter or
         longer than declared, so that it cannot forward the request.
         """
-        if self._declared_body_bytes not in {None, self._body_bytes}:
-            # The parser turns this into a response with status 400.
-            raise ValueError('the body has another length than declared')
+        # The parser turns a `ValueError` into a response with status 400.
+        self._body_size.check_end()
         self._awaits_body = False
         if self.is_idle:
             self._start_idle_timer()
