--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -1,4 +1,4 @@
-"""Size and time limits of callers' connections.
+"""Framing of requests, and size and time limits of callers' connections.
 
 uvicorn's HTTP parser does not limit the size of a request head, and uvicorn
 limits neither the time until the head is complete nor the time for which a
@@ -12,11 +12,19 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from masticwind.web_framing import (
+    BodySize,
+    check_head,
+    find_declared_length,
+)
+from masticwind.web_parser import RequestParser
 from masticwind.web_transport import CallerTransport
 
 # Where the scope of a request has its `LimitedProtocol`.
 EXTENSION: Final = 'masticwind'
 CONNECTION_KEY: Final = 'connection'
+# Whether the target has a query; it may be empty, which ASGI cannot say.
+QUERY_KEY: Final = 'has_query'
 MAX_HEADERS: Final = 128
 # Includes the separators between headers.
 MAX_REQUEST_LINE_BYTES: Final = 8192
@@ -53,6 +61,8 @@
         **kwargs: Any,
     ) -> None:
         super().__init__(*args, **kwargs)
+        self.parser = RequestParser(self)  # type: ignore[assignment]
+        self._body_size = BodySize(declared=0)
         self._current_limits: Final = limits
         self._limits = limits()
         self._head_bytes = 0
@@ -67,6 +77,8 @@
         self._idle_timeout_s = 0.0
         self._write_timer: asyncio.TimerHandle | None = None
         self._conn: CallerTransport
+        # The request before the current one.
+        self._earlier_cycle: Any = None
 
     @property
     def has_next_request(self) -> bool:
@@ -113,6 +125,14 @@
         self._has_head_begun = False
         super().data_received(data)
         if not self._in_head:
+            self._body_size.end_read(len(data))
+            max_bytes = self._max_header_bytes()
+            if (
+                self._awaits_body
+                and self._body_size.overhead > max_bytes
+                and not self._is_refused
+            ):
+                self.send_400_response('Chunk framing is too large.')
             return
         # Of data in which the head begins, only its first byte is certain.
         self._head_bytes += 1 if self._has_head_begun else len(data)
@@ -130,7 +150,13 @@
         self._start_timer(self._limits.header_timeout_s, self._end_head)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Reject too many or too large headers, also within one chunk."""
+        """Reject too many or too large headers, also within one chunk.
+
+        Trailers are dropped, as HTTP/1.1 allows: they must not replace what
+        the head says, and the head may have been read before they arrive.
+        """
+        if not self._in_head:
+            return
         super().on_header(name, value)
         size = sum(len(key) + len(text) for key, text in self.headers)
         if len(self.headers) > MAX_HEADERS or size > self._max_header_bytes():
@@ -138,15 +164,33 @@
             raise ValueError('request head is too large')
 
     def on_headers_complete(self) -> None:
-        """End the limits of the request head."""
+        """End the limits of the request head, and check the head.
+
+        The parser turns a `ValueError` into a response with status 400.
+        """
+        check_head(self.parser.get_http_version(), self.url, self.headers)
+        self.scope['extensions'][EXTENSION][QUERY_KEY] = b'?' in self.url
         self._in_head = False
-        self._awaits_body = True
         self._head_bytes = 0
+        self._body_size = BodySize(find_declared_length(self.headers))
         self._stop_timer()
+        earlier_cycle = self.cycle
+        # This fails for a target without a path.
         super().on_headers_complete()
+        self._earlier_cycle = earlier_cycle
+        self._awaits_body = True
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a request once those before it have been answered."""
+        if self._awaits_body and self.pipeline:
+            # Its head has been read, but those before it are not answered.
+            self.pipeline.popleft()
+            self.cycle = self._earlier_cycle
+            self._awaits_body = False
+        elif self._awaits_body and self.cycle.response_started:
+            # Its caller would take a refusal for the next answer.
+            self.transport.close()
+            return
         if self.has_request and not self._awaits_body:
             self._refusal = msg
             self._stop_timer()
@@ -201,8 +245,19 @@
         else:
             self.close_unused()
 
+    def on_body(self, body: bytes) -> None:
+        """Count the bytes of the body."""
+        self._body_size.add_content(len(body))
+        super().on_body(body)
+
     def on_message_complete(self) -> None:
-        """Note the end of the body, also of one that has been refused."""
+        """Note the end of the body, also of one that has been refused.
+
+        The application does not get the end of a body that is shorter or
+        longer than declared, so that it cannot forward the request.
+        """
+        # The parser turns a `ValueError` into a response with status 400.
+        self._body_size.check_end()
         self._awaits_body = False
         if self.is_idle:
             self._start_idle_timer()
