--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -125,6 +125,7 @@
         events=context.progress.event_count,
         answer_begun=context.state.answer_begun,
         last_event_ms_ago=context.progress.silence_ms(),
+        buffered_bytes=context.byte_budget.used_bytes,
         **_reply_fields(context.state.reply),
     )
     if outcome is None:
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -7,6 +7,7 @@
 
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.admission import AdmittedRequest, RequestProgress
+from masticwind.serving.byte_budget import ByteBudget
 from masticwind.serving.endpoint_limits import Permit
 from masticwind.serving.interfaces import (
     AttemptLimits,
@@ -79,7 +80,8 @@
     `on_answer` with what the endpoint says of itself, as in `Reply`;
     `on_order_reply` likewise for a reservation on a helper. `find_obstacle` is
     called right before the request is sent. It returns the reason why it must
-    not be sent any more, or ''.
+    not be sent any more, or ''. What is kept of the answer counts in
+    `byte_budget`.
     """
 
     admitted: AdmittedRequest
@@ -95,6 +97,7 @@
     on_answer: Callable[[EndpointNotice | None], None]
     on_order_reply: Callable[[Endpoint, EndpointNotice | None], None]
     find_obstacle: Callable[[], str]
+    byte_budget: ByteBudget
     permit: Permit | None = None
     state: AttemptState = field(default_factory=AttemptState)
 
--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -119,6 +119,7 @@
             find_obstacle=partial(
                 self._placer.find_obstacle, admitted, permitted
             ),
+            byte_budget=deps.byte_budget,
             permit=permitted.permit,
             state=state,
         )
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -24,6 +24,7 @@
     RequestProgress,
     admit,
 )
+from masticwind.serving.byte_budget import ByteBudget
 from masticwind.serving.freshness import ConfigFreshness
 from masticwind.serving.interfaces import CallerAnswer
 from masticwind.serving.lifetime import Lifetime
@@ -145,6 +146,7 @@
     relay: Relay
     telemetry: Telemetry
     lifetime: Lifetime
+    byte_budget: ByteBudget
 
 
 @dataclass(frozen=True, slots=True, eq=False)
--- a/src/masticwind/serving/relay_dependencies.py
+++ b/src/masticwind/serving/relay_dependencies.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from masticwind.serving.bounds import ColdEndpointLimiter, RetryBudget
+from masticwind.serving.byte_budget import ByteBudget
 from masticwind.serving.directory import EndpointDirectory, OperatorState
 from masticwind.serving.endpoint_notices import EndpointNotices
 from masticwind.serving.health import EndpointHealth
@@ -26,7 +27,6 @@
     directory: EndpointDirectory
     operator_state: OperatorState
     health: EndpointHealth
-    reach: ZoneReachability
     load_table: LoadTable
     endpoint_client: EndpointClient
     retry_budget: RetryBudget
@@ -36,5 +36,7 @@
     quarantine: Quarantine
     telemetry: Telemetry
     lifetime: Lifetime
+    byte_budget: ByteBudget
+    reach: ZoneReachability = field(default_factory=ZoneReachability)
     call_placer: Placer = field(default_factory=CallPlacer)
     prompt_placer: Placer = field(default_factory=PromptPlacer)
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -10,6 +10,7 @@
 from masticwind.serving.active_config import ActiveConfig
 from masticwind.serving.adapter import PlatformAdapter
 from masticwind.serving.bounds import RetryBudget
+from masticwind.serving.byte_budget import ByteBudget
 from masticwind.serving.cleanup import build_cleanup
 from masticwind.serving.config_versions import ConfigVersions
 from masticwind.serving.confirmations import Confirmations
@@ -28,7 +29,6 @@
 from masticwind.serving.operations import OperationsApp
 from masticwind.serving.peers import EntryPeers, Registrar
 from masticwind.serving.quarantine import build_quarantine
-from masticwind.serving.reach import ZoneReachability
 from masticwind.serving.relay import Relay
 from masticwind.serving.relay_dependencies import RelayDependencies
 from masticwind.serving.settings import LiveSettings, parse_address
@@ -146,6 +146,7 @@
         )
         self._telemetry: Final = Telemetry()
         self._lifetime: Final = Lifetime()
+        self._byte_budget: Final = ByteBudget(cfg.memory_mb)
         self._app: Final = EdgeApp(self._edge_dependencies())
         self._add_gauges()
         self._server: Final = WebServer(
@@ -286,7 +287,6 @@
                 directory=self._directory,
                 operator_state=self._operator_state,
                 health=self._cleanup.health,
-                reach=ZoneReachability(),
                 load_table=self._load_table,
                 endpoint_client=adapter.endpoint_client,
                 retry_budget=RetryBudget(settings, entries),
@@ -296,6 +296,7 @@
                 quarantine=self._quarantine,
                 telemetry=self._telemetry,
                 lifetime=self._lifetime,
+                byte_budget=self._byte_budget,
             )
         )
         return EdgeDependencies(
@@ -305,6 +306,7 @@
             relay=relay,
             telemetry=self._telemetry,
             lifetime=self._lifetime,
+            byte_budget=self._byte_budget,
         )
 
     def _add_gauges(self) -> None:
@@ -314,6 +316,11 @@
             'Requests in progress',
             lambda: self._app.running_requests,
         )
+        add_gauge(
+            'masticwind_buffered_bytes',
+            'Bytes that are kept until they can be passed on',
+            lambda: self._byte_budget.used_bytes,
+        )
         add_gauge(
             'masticwind_stopping_seconds',
             'Time since the signal to stop, zero before it',
--- a/src/masticwind/serving/settings.py
+++ b/src/masticwind/serving/settings.py
@@ -10,9 +10,12 @@
 # Highest accepted slack. No deployment has this many requests per second, so a
 # larger value is a mistake that would in effect disable the limit.
 MAX_SLACK_REQUESTS: Final = 1_000_000
+# One terabyte.
+MAX_MEMORY_MB: Final = 1_048_576
 
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=100)]
 SlackRequests = Annotated[float, msgspec.Meta(ge=0, le=MAX_SLACK_REQUESTS)]
+MemoryMb = Annotated[float, msgspec.Meta(ge=1, le=MAX_MEMORY_MB)]
 HostPort = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
 
 
@@ -54,7 +57,8 @@
     `zones` maps each availability zone to its region. `peer_port` is the UDP
     port for messages between entries, such as their load. A `metrics_port` of
     zero disables the metrics server. Without an `operator_token`, no held
-    part of a prompt can be released.
+    part of a prompt can be released. `memory_mb` is the memory of the machine,
+    from which the limit of buffered bytes follows.
     """
 
     node: Name
@@ -68,6 +72,7 @@
     bounds: FleetBounds = field(default_factory=FleetBounds)
     log_level: LogLevel = 'info'
     operator_token: str = ''
+    memory_mb: MemoryMb = 256.0
 
 
 def parse_address(text: HostPort) -> Address:
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -53,6 +53,7 @@
         'status',
         'seal',
         'fresh_connection',
+        'buffered_bytes',
     )
 )
 ENDPOINT_STATES = frozenset(('serving', 'cold', 'out', 'down'))
