--- a/tests/stopping_entry.py
+++ b/tests/stopping_entry.py
@@ -26,6 +26,7 @@
     RawConnection,
     RawEndpoint,
     ReceivedRequest,
+    Script,
     encode_event_chunk,
     encode_stream_head,
 )
@@ -74,7 +75,8 @@
 class StoppingEntry:
     """The entry process, its store and its engines.
 
-    Engines stream for `stream_s` and answer calls after `call_s`.
+    Engines stream for `stream_s` and answer calls after `call_s`. Requests
+    whose id begins with `faulty` are answered by `fault`.
     """
 
     store: MetadataStandin
@@ -89,6 +91,7 @@
     call_s: float = 0.0
     call_body: bytes = b'done'
     received: list[str] = field(default_factory=list)
+    fault: Script | None = None
 
     @property
     def process(self) -> 'subprocess.Popen[bytes]':
@@ -175,7 +178,11 @@
 
     async def answer(self, req: ReceivedRequest, conn: RawConnection) -> None:
         """Answer a request as an engine."""
-        self.received.append(req.headers['x-attempt-id'])
+        request_id = req.headers['x-attempt-id']
+        self.received.append(request_id)
+        if self.fault is not None and request_id.startswith('faulty'):
+            await self.fault(req, conn)
+            return
         if 'x-token-counts' not in req.headers:
             await anyio.sleep(self.call_s)
             await conn.send_answer(req, body=self.call_body)
@@ -274,6 +281,7 @@
 @asynccontextmanager
 async def running_stopping_entry(
     shutdown_ms: int = 8000,
+    slots: int = 8,
 ) -> AsyncIterator[StoppingEntry]:
     """Run an entry process that serves, and end it at the end of the test."""
     store = MetadataStandin()
@@ -285,8 +293,9 @@
     with TemporaryDirectory(prefix='masticwind-stop-') as folder:
         async with anyio.create_task_group() as tasks:
             entry = await _prepare_entry(
-                store, tasks, Path(folder), server.port, shutdown_ms
+                store, Path(folder), server.port, shutdown_ms
             )
+            await _start_engines(entry, tasks, slots)
             tasks.start_soon(server.run)
             entry.start()
             try:
@@ -303,7 +312,6 @@
 
 async def _prepare_entry(
     store: MetadataStandin,
-    tasks: TaskGroup,
     folder: Path,
     store_port: int,
     shutdown_ms: int,
@@ -322,10 +330,17 @@
         reserved_port,
     )
     entry.write_settings(shutdown_ms)
+    return entry
+
+
+async def _start_engines(
+    entry: StoppingEntry, tasks: TaskGroup, slots: int
+) -> None:
+    """Start two engines of each service."""
     for number, service in enumerate((CALL_SERVICE, ENGINE_SERVICE) * 2):
         engine = RawEndpoint(entry.answer)
         await tasks.start(engine.run)
-        store.write(
-            f'servers/e-{number}', registration_json(engine.port, service)
+        entry.store.write(
+            f'servers/e-{number}',
+            registration_json(engine.port, service, slots=slots),
         )
-    return entry
