--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -299,14 +299,25 @@
         if isinstance(admitted, Failure):
             return admitted
         progress.config_version = admitted.config_version
-        body = await read_body(
-            receive,
-            deps.active_config.config.limits.max_body_bytes,
-            min(BODY_TIMEOUT_S, admitted.remaining_s()),
-        )
-        if isinstance(body, Failure):
-            return body
-        admitted = replace(admitted, req=replace(req, body=body))
+        with deps.byte_budget.open_buffer() as buffer:
+            body = await read_body(
+                receive,
+                deps.active_config.config.limits.max_body_bytes,
+                min(BODY_TIMEOUT_S, admitted.remaining_s()),
+                buffer.try_grow,
+            )
+            if isinstance(body, Failure):
+                return body
+            admitted = replace(admitted, req=replace(req, body=body))
+            return await self._relay(admitted, in_progress, receive)
+
+    async def _relay(
+        self,
+        admitted: AdmittedRequest,
+        in_progress: RequestInProgress,
+        receive: Receive,
+    ) -> Failure | None:
+        """Serve an admitted request until its caller leaves."""
         outcome: list[Failure | None] = []
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
@@ -316,7 +327,9 @@
                 tasks.cancel_scope,
             )
             outcome.append(
-                await deps.relay.serve(admitted, progress, in_progress.answer)
+                await self._deps.relay.serve(
+                    admitted, in_progress.progress, in_progress.answer
+                )
             )
             tasks.cancel_scope.cancel()
         if outcome:
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -115,14 +115,21 @@
     return dict(parse_qsl(scope['query_string'].decode('latin-1')))
 
 
+def _always(_size_bytes: int) -> bool:
+    return True
+
+
 async def read_body(
     receive: Receive,
     limit_bytes: int,
     timeout_s: float,
+    try_buffer: Callable[[int], bool] = _always,
 ) -> bytes | Failure:
     """Read a request body.
 
-    Returns a `Failure` of kind `too_large`, `body_timeout` or `cancelled`.
+    `try_buffer` tells whether the process may keep so many more bytes. Returns
+    a `Failure` of kind `too_large`, `body_timeout`, `overloaded` or
+    `cancelled`.
     """
     chunks: list[bytes] = []
     size = 0
@@ -141,6 +148,11 @@
                     kind=ErrorKind.TOO_LARGE,
                     reason=f'the body is over {limit_bytes} bytes',
                 )
+            if not try_buffer(len(chunk)):
+                return Failure(
+                    kind=ErrorKind.OVERLOADED,
+                    reason='the process has no memory for the body',
+                )
             chunks.append(chunk)
             if not event.get('more_body'):
                 return b''.join(chunks)
