--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -188,9 +188,17 @@
         ),
         seal=answer.headers.get(SEAL_HEADER, ''),
         fresh=answer.fresh,
+        length=_body_length(answer.headers),
     )
 
 
+def _body_length(headers: dict[str, str]) -> int | None:
+    """Return the length of a body, which the HTTP parser has checked."""
+    if 'transfer-encoding' in headers or 'content-length' not in headers:
+        return None
+    return int(headers['content-length'])
+
+
 def _is_event_stream(answer: HttpStream) -> bool:
     media_type = answer.headers.get('content-type', '').partition(';')[0]
     return media_type.strip().lower() == EVENT_STREAM_TYPE
--- a/src/masticwind/serving/admission.py
+++ b/src/masticwind/serving/admission.py
@@ -106,6 +106,8 @@
     `excluded_endpoints` those that get no further attempt.
     `candidate_count` is the number of candidates of the last placement.
     `last_event_id` is the id of the last event that the caller has received.
+    The answer is not `is_resumable` once a part of it has been passed on that
+    another attempt could not continue.
     `denied_endpoints` did not grant a permit to send it. `passed_over_for` has
     the causes for which endpoints were not used. `predicted_ms` is the
     predicted time of the current attempt, and `is_sent` tells whether an
@@ -126,6 +128,7 @@
     last_refusal: ErrorKind | None = None
     call_fingerprint: RequestFingerprint | None = None
     last_event_id: int | None = None
+    is_resumable: bool = True
     event_count: int = 0
     first_event_ms: int = 0
     last_event_at: float = 0
@@ -186,6 +189,8 @@
         """Tell whether another endpoint could still run the request if the
         attempt at `lead` fails.
         """
+        if not self.is_resumable:
+            return False
         may_have_run_at = self.may_have_run_at | {lead.identity}
         return (
             admitted.route.repeatable
@@ -196,7 +201,7 @@
 
     def may_retry(self, admitted: AdmittedRequest) -> bool:
         """Tell whether the request may be sent again."""
-        if self.attempts >= MAX_ATTEMPTS:
+        if self.attempts >= MAX_ATTEMPTS or not self.is_resumable:
             return False
         if self.may_have_run_at and not admitted.route.repeatable:
             return False
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -2,7 +2,6 @@
 
 import math
 import time
-from http import HTTPStatus
 from typing import Final
 
 import anyio
@@ -10,12 +9,11 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
-from masticwind.http_limits import join_chunks
 from masticwind.httpclient import BrokenStreamError
 from masticwind.serving.admission import AdmittedRequest
+from masticwind.serving.answer_relay import relay_answer
 from masticwind.serving.attempt_context import (
     AttemptContext,
-    superseded_failure,
 )
 from masticwind.serving.endpoint_limits import Permit
 from masticwind.serving.event_relay import relay_events
@@ -39,8 +37,6 @@
 
 # Connecting within a region takes a few milliseconds.
 CONNECT_TIMEOUT_S: Final = 0.4
-# An answer that is not a stream is complete before it is passed on.
-MAX_ANSWER_BYTES: Final = 4_194_304
 # Time for the answer to reach the caller before the deadline.
 ANSWER_MARGIN_MS: Final = 10
 # Time without a first event after which another endpoint is tried, as a
@@ -293,32 +289,4 @@
         )
     if context.admitted.route.kind is RouteKind.STREAM and reply.success:
         return await relay_events(context, reply)
-    return await _relay_whole_answer(context, reply)
-
-
-async def _relay_whole_answer(
-    context: AttemptContext, reply: Reply
-) -> Failure | None:
-    body = await join_chunks(reply.chunks, MAX_ANSWER_BYTES)
-    if body is None:
-        return Failure(
-            kind=ErrorKind.FAILED_AFTER_START,
-            reason=f'the answer is over {MAX_ANSWER_BYTES} bytes',
-        )
-    if context.answer.started:
-        return Failure(
-            kind=ErrorKind.FAILED_AFTER_START,
-            reason=f'the resumption was answered with status {reply.status}',
-        )
-    failed = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-    if failed and context.may_retry_elsewhere():
-        return Failure(
-            kind=ErrorKind.INTERNAL,
-            reason=f'the endpoint failed with status {reply.status}',
-        )
-    if not context.claim():
-        return superseded_failure()
-    await context.answer.start(reply.status, reply.headers, len(body))
-    await context.answer.write(body)
-    await context.answer.finish()
-    return None
+    return await relay_answer(context, reply)
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -78,7 +78,8 @@
     `on_silence` is called when the endpoint becomes silent. `on_event` is
     called for each batch of events before it is sent to the caller, and
     `on_answer` with what the endpoint says of itself, as in `Reply`;
-    `on_order_reply` likewise for a reservation on a helper. `find_obstacle` is
+    `on_order_reply` likewise for a reservation on a helper. `on_endless` is
+    called if the caller has left during a very long answer. `find_obstacle` is
     called right before the request is sent. It returns the reason why it must
     not be sent any more, or ''. What is kept of the answer counts in
     `byte_budget`.
@@ -96,6 +97,7 @@
     on_event: Callable[[], None]
     on_answer: Callable[[EndpointNotice | None], None]
     on_order_reply: Callable[[Endpoint, EndpointNotice | None], None]
+    on_endless: Callable[[], None]
     find_obstacle: Callable[[], str]
     byte_budget: ByteBudget
     permit: Permit | None = None
--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -116,6 +116,7 @@
                 self._record_notice, permitted, deps.notices.clock()
             ),
             on_order_reply=self._record_order_reply,
+            on_endless=partial(self._record_endless, placement.lead),
             find_obstacle=partial(
                 self._placer.find_obstacle, admitted, permitted
             ),
@@ -300,6 +301,12 @@
         self._deps.limit_link.observe(lead, permitted.permit, notice)
         self._deps.notices.observe(lead, notice, sent_at)
 
+    def _record_endless(self, lead: Endpoint) -> None:
+        """Record a very long answer, during which the caller has left."""
+        self._deps.health.record_failure(
+            lead.identity, 'an answer without end', connection_failed=False
+        )
+
     def _record_order_reply(
         self, endpoint: Endpoint, notice: EndpointNotice | None
     ) -> None:
--- a/src/masticwind/serving/interfaces.py
+++ b/src/masticwind/serving/interfaces.py
@@ -98,7 +98,8 @@
     refusal, if the answer names it: the lead endpoint or a helper. `notice` is
     what the endpoint says of itself, and None if the answer may come from
     another process. `seal` is the endpoint's signature, '' without one. No
-    earlier answer was received on a `fresh` connection.
+    earlier answer was received on a `fresh` connection. `length` is that of
+    the body, None if the head does not tell it.
     """
 
     status: int
@@ -111,6 +112,7 @@
     notice: EndpointNotice | None = None
     seal: str = ''
     fresh: bool = False
+    length: int | None = None
 
     @property
     def success(self) -> bool:
