--- a/src/masticwind/http_limits.py
+++ b/src/masticwind/http_limits.py
@@ -2,17 +2,64 @@
 
 The HTTP parser limits one incomplete head, but a server can send complete
 informational responses without end before the final one, and a body without
-end after it.
+end after it. It parses whatever has been read without a pause for other tasks.
 """
 
+import re
+import socket
 import ssl
 from collections.abc import AsyncIterable
+from contextlib import suppress
 from typing import Any, Final
 
 import httpcore
 
-# The parser rejects an incomplete head of more than 100 KiB by itself.
-MAX_HEAD_BYTES: Final = 262_144
+# Includes the informational responses before it.
+MAX_HEAD_BYTES: Final = 32_768
+MAX_INFORMATIONAL_RESPONSES: Final = 16
+# What is parsed at once. A larger read of the smallest chunks or events would
+# delay other requests.
+MAX_READ_BYTES: Final = 8192
+# What the kernel keeps of a response that is not read yet. The event loop
+# reads all of it before it can be paused.
+RECEIVE_BUFFER_BYTES: Final = 131_072
+
+_STATUS_BYTES: Final = len(b'HTTP/1.1 1')
+_INFORMATIONAL: Final = re.compile(b'HTTP/[0-9][.][0-9] 1')
+_HEAD_END: Final = re.compile(b'\n\r?\n')
+
+
+class InformationalCounter:
+    """Counts the informational responses before a response.
+
+    The parser would parse thousands of them at once.
+    """
+
+    def __init__(self) -> None:
+        self._pending = b''
+        self._counting = True
+        self._count = 0
+
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether there are more than `MAX_INFORMATIONAL_RESPONSES`."""
+        return self._count > MAX_INFORMATIONAL_RESPONSES
+
+    def feed(self, content: bytes) -> None:
+        """Count the responses that end in `content`."""
+        if not self._counting:
+            return
+        self._pending += content
+        while len(self._pending) >= _STATUS_BYTES and not self.is_exceeded:
+            if not _INFORMATIONAL.match(self._pending):
+                self._counting = False
+                self._pending = b''
+                return
+            end = _HEAD_END.search(self._pending)
+            if end is None:
+                return
+            self._count += 1
+            self._pending = self._pending[end.end() :]
 
 
 class HeadLimitedStream(httpcore.AsyncNetworkStream):
@@ -24,22 +71,22 @@
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream: Final = stream
         self._head_bytes = 0
+        self._informational = InformationalCounter()
         self.head_complete = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read; raise `RemoteProtocolError` if the head is too large."""
-        content = await self._stream.read(max_bytes, timeout)
+        content = await self._stream.read(
+            min(max_bytes, MAX_READ_BYTES), timeout
+        )
         if not self.head_complete:
-            self._head_bytes += len(content)
-            if self._head_bytes > MAX_HEAD_BYTES:
-                raise httpcore.RemoteProtocolError(
-                    f'the response head is over {MAX_HEAD_BYTES} bytes'
-                )
+            self._check_head(content)
         return content
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write a part of a request, whose response has a new head."""
         self._head_bytes = 0
+        self._informational = InformationalCounter()
         self.head_complete = False
         await self._stream.write(buffer, timeout)
 
@@ -62,6 +109,18 @@
         """Return a property of the connection."""
         return self._stream.get_extra_info(info)
 
+    def _check_head(self, content: bytes) -> None:
+        self._head_bytes += len(content)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise httpcore.RemoteProtocolError(
+                f'the response head is over {MAX_HEAD_BYTES} bytes'
+            )
+        self._informational.feed(content)
+        if self._informational.is_exceeded:
+            raise httpcore.RemoteProtocolError(
+                f'over {MAX_INFORMATIONAL_RESPONSES} informational responses'
+            )
+
 
 class NetworkBackend(httpcore.AnyIOBackend):
     """Opens connections.
@@ -82,6 +141,11 @@
             raise httpcore.ConnectError(
                 'connection reset while connecting'
             ) from exc
+        # Where the system refuses, its own limit holds.
+        with suppress(OSError):
+            stream.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
         return HeadLimitedStream(stream)
 
 
--- a/src/masticwind/serving/events.py
+++ b/src/masticwind/serving/events.py
@@ -28,13 +28,18 @@
     """Buffers bytes until they form complete events."""
 
     def __init__(self) -> None:
-        self._buffer = b''
+        self._buffer = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
         """Whether the buffer holds the start of an incomplete event."""
         return bool(self._buffer)
 
+    @property
+    def partial_bytes(self) -> int:
+        """The size of the incomplete event."""
+        return len(self._buffer)
+
     @property
     def is_oversized(self) -> bool:
         """Whether the incomplete event is over `MAX_EVENT_BYTES`."""
@@ -42,8 +47,12 @@
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Add a chunk and return the events that it completes."""
-        texts = (self._buffer + chunk).split(b'\n\n')
-        self._buffer = texts.pop()
+        searched_bytes = max(0, len(self._buffer) - 1)
+        self._buffer += chunk
+        if self._buffer.find(b'\n\n', searched_bytes) < 0:
+            return []
+        texts = bytes(self._buffer).split(b'\n\n')
+        self._buffer = bytearray(texts.pop())
         return [Event(_event_id(text), b'%b\n\n' % text) for text in texts]
 
 
