--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -28,6 +28,8 @@
 
 KEEP_ALIVE_S: Final = 30
 BODY_END_TIMEOUT_S: Final = 0.02
+# A connection with more unread bytes is not reused.
+MAX_BODY_END_BYTES: Final = 65_536
 # Larger than any document of the store and any report of an engine.
 MAX_BODY_BYTES: Final = 16_777_216
 # Share of the server's keep-alive timeout in which a connection is reused. A
@@ -358,12 +360,15 @@
     """Read the end of a response body, so that the connection is reusable.
 
     The end of the body can arrive shortly after the last line of a stream, at
-    which its reader stops.
+    which its reader stops. What is not read to its end is not reused.
     """
     with suppress(BrokenStreamError), anyio.move_on_after(BODY_END_TIMEOUT_S):
-        chunk = await anext(chunks, b'')
-        while chunk:
+        received_bytes = 0
+        while received_bytes <= MAX_BODY_END_BYTES:
             chunk = await anext(chunks, b'')
+            if not chunk:
+                return
+            received_bytes += len(chunk)
 
 
 def _failure(kind: ErrorKind, exc: Exception) -> Failure:
--- a/src/masticwind/serving/answer_relay.py
+++ b/src/masticwind/serving/answer_relay.py
@@ -19,6 +19,7 @@
 )
 from masticwind.serving.byte_budget import Buffer
 from masticwind.serving.interfaces import Reply
+from masticwind.serving.turns import TurnTaker
 
 MAX_KEPT_BYTES: Final = 65_536
 # A body of unknown length that is longer speaks against its endpoint if the
@@ -36,8 +37,9 @@
 
 async def relay_answer(context: AttemptContext, reply: Reply) -> Failure | None:
     """Relay an answer; None means that it has been sent to its end."""
+    turn_taker = TurnTaker(context.turns)
     with context.byte_budget.open_buffer() as buffer:
-        start = await _read_start(reply.chunks, buffer)
+        start = await _read_start(reply.chunks, buffer, turn_taker)
         if context.answer.started:
             return Failure(
                 kind=ErrorKind.FAILED_AFTER_START,
@@ -58,27 +60,33 @@
         await context.answer.start(reply.status, reply.headers, length)
         await context.answer.write(start.content)
     if not start.is_whole:
-        await _pass_on(context, reply)
+        await _pass_on(context, reply, turn_taker)
     await context.answer.finish()
     return None
 
 
-async def _read_start(chunks: AsyncIterator[bytes], buffer: Buffer) -> _Start:
+async def _read_start(
+    chunks: AsyncIterator[bytes], buffer: Buffer, turn_taker: TurnTaker
+) -> _Start:
     content = bytearray()
     async for chunk in chunks:
         content += chunk
         if len(content) > MAX_KEPT_BYTES or not buffer.try_grow(len(chunk)):
             return _Start(bytes(content), is_whole=False)
+        await turn_taker.record_chunk(len(chunk))
     return _Start(bytes(content), is_whole=True)
 
 
-async def _pass_on(context: AttemptContext, reply: Reply) -> None:
+async def _pass_on(
+    context: AttemptContext, reply: Reply, turn_taker: TurnTaker
+) -> None:
     passed_bytes = 0
     cancelled_type = anyio.get_cancelled_exc_class()
     try:
         async for chunk in reply.chunks:
             passed_bytes += len(chunk)
             await context.answer.write(chunk)
+            await turn_taker.record_chunk(len(chunk))
     except cancelled_type:
         if reply.length is None and passed_bytes > LONG_ANSWER_BYTES:
             context.on_endless()
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -17,6 +17,7 @@
 )
 from masticwind.serving.model import Endpoint
 from masticwind.serving.placement import Placement
+from masticwind.serving.turns import TurnQueue
 
 
 @dataclass(slots=True)
@@ -82,7 +83,7 @@
     called if the caller has left during a very long answer. `find_obstacle` is
     called right before the request is sent. It returns the reason why it must
     not be sent any more, or ''. What is kept of the answer counts in
-    `byte_budget`.
+    `byte_budget`, and a long one waits for its `turns`.
     """
 
     admitted: AdmittedRequest
@@ -100,6 +101,7 @@
     on_endless: Callable[[], None]
     find_obstacle: Callable[[], str]
     byte_budget: ByteBudget
+    turns: TurnQueue
     permit: Permit | None = None
     state: AttemptState = field(default_factory=AttemptState)
 
--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -121,6 +121,7 @@
                 self._placer.find_obstacle, admitted, permitted
             ),
             byte_budget=deps.byte_budget,
+            turns=deps.turns,
             permit=permitted.permit,
             state=state,
         )
--- a/src/masticwind/serving/byte_budget.py
+++ b/src/masticwind/serving/byte_budget.py
@@ -34,6 +34,14 @@
         self._size_bytes += size_bytes
         return True
 
+    def try_hold(self, size_bytes: int) -> bool:
+        """Hold exactly so many bytes, unless they would exceed the budget."""
+        if size_bytes > self._size_bytes:
+            return self.try_grow(size_bytes - self._size_bytes)
+        self._budget.give_back(self._size_bytes - size_bytes)
+        self._size_bytes = size_bytes
+        return True
+
     def release(self) -> None:
         """Return all bytes that have been taken."""
         self._budget.give_back(self._size_bytes)
--- a/src/masticwind/serving/event_relay.py
+++ b/src/masticwind/serving/event_relay.py
@@ -1,11 +1,14 @@
 """Relays the events of a streamed answer, also of a resumed one."""
 
+from typing import Final
+
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.admission import RequestProgress
 from masticwind.serving.attempt_context import (
     AttemptContext,
     superseded_failure,
 )
+from masticwind.serving.byte_budget import Buffer
 from masticwind.serving.events import (
     MAX_EVENT_BYTES,
     Event,
@@ -13,6 +16,12 @@
 )
 from masticwind.serving.interfaces import Reply
 from masticwind.serving.silence_timer import SilenceTimer
+from masticwind.serving.turns import TurnTaker
+
+# A smaller part of an event does not count in the budget of buffered bytes.
+MIN_COUNTED_BYTES: Final = 4096
+# More events in one chunk come from a backlog, or from a faulty endpoint.
+MAX_EVENTS_PER_TURN: Final = 64
 
 
 async def relay_events(context: AttemptContext, reply: Reply) -> Failure | None:
@@ -24,7 +33,11 @@
     resumed = context.answer.started
     if resumed and not reply.is_event_stream:
         return _no_continuation('it is no event stream')
-    with SilenceTimer(context) as timer:
+    turn_taker = TurnTaker(context.turns)
+    with (
+        context.byte_budget.open_buffer() as buffer,
+        SilenceTimer(context) as timer,
+    ):
         # Only a complete event restarts the timer, so that an endpoint that
         # sends single bytes counts as silent, too.
         timer.start(context.limits.head_timeout_s)
@@ -40,15 +53,37 @@
                     return superseded_failure()
                 await _write_events(context, reply, events)
                 timer.start(context.limits.idle_timeout_s)
-            if splitter.is_oversized:
-                return Failure(
-                    kind=ErrorKind.FAILED_AFTER_START,
-                    reason=f'an event is over {MAX_EVENT_BYTES} bytes',
-                )
+            oversized = _oversized_failure(splitter, buffer)
+            if oversized is not None:
+                return oversized
+            if not received:
+                await turn_taker.record_chunk(len(chunk))
+            elif len(received) > MAX_EVENTS_PER_TURN:
+                await context.turns.wait()
     failure = _premature_end(context, reply, splitter, resumed=resumed)
     return failure or await _finish(context)
 
 
+def _oversized_failure(
+    splitter: EventSplitter, buffer: Buffer
+) -> Failure | None:
+    """Return a failure if the incomplete event is too large to be kept."""
+    if splitter.is_oversized:
+        return Failure(
+            kind=ErrorKind.FAILED_AFTER_START,
+            reason=f'an event is over {MAX_EVENT_BYTES} bytes',
+        )
+    counted_bytes = splitter.partial_bytes
+    if counted_bytes < MIN_COUNTED_BYTES:
+        counted_bytes = 0
+    if buffer.try_hold(counted_bytes):
+        return None
+    return Failure(
+        kind=ErrorKind.FAILED_AFTER_START,
+        reason='the process has no memory for a large event',
+    )
+
+
 async def _finish(context: AttemptContext) -> Failure | None:
     if not context.claim():
         return superseded_failure()
--- a/src/masticwind/serving/relay_dependencies.py
+++ b/src/masticwind/serving/relay_dependencies.py
@@ -17,6 +17,7 @@
 from masticwind.serving.reach import ZoneReachability
 from masticwind.serving.settings import LiveSettings
 from masticwind.serving.telemetry import Telemetry
+from masticwind.serving.turns import TurnQueue
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -38,5 +39,6 @@
     lifetime: Lifetime
     byte_budget: ByteBudget
     reach: ZoneReachability = field(default_factory=ZoneReachability)
+    turns: TurnQueue = field(default_factory=TurnQueue)
     call_placer: Placer = field(default_factory=CallPlacer)
     prompt_placer: Placer = field(default_factory=PromptPlacer)
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -46,6 +46,17 @@
         if fits:
             self.sizes[index] += size_bytes
 
+    @precondition(_has_buffers)
+    @rule(data=st.data(), size_bytes=st.integers(0, 200_000))
+    def hold(self, data: st.DataObject, size_bytes: int) -> None:
+        """Hold exactly so many bytes, if the budget has them."""
+        index = data.draw(st.integers(0, len(self.buffers) - 1))
+        others = sum(self.sizes) - self.sizes[index]
+        fits = others + size_bytes <= self.budget.total_bytes
+        assert self.buffers[index].try_hold(size_bytes) == fits
+        if fits:
+            self.sizes[index] = size_bytes
+
     @precondition(_has_buffers)
     @rule(data=st.data())
     def release(self, data: st.DataObject) -> None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,5 +1,6 @@
 """Engines that send without end to a real entry process, and many callers."""
 
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -129,17 +130,23 @@
         entry.fault = answer
         entry.stream_s = 0.1
         idle_mb = _peak_mb(entry)
+        slowest_s = 0.0
         async with _held_callers(entry, streams=streams):
             await anyio.sleep(0.1)
             for number in range(8):
+                sent_at = time.monotonic()
                 with anyio.fail_after(SOUND_ANSWER_S):
                     sound = await entry.request(sound_head(f'sound-{number}'))
                 assert sound.status == 200
                 assert sound.is_complete
+                slowest_s = max(slowest_s, time.monotonic() - sent_at)
         growth_mb = _peak_mb(entry) - idle_mb
         with anyio.fail_after(3):
             while answer.open_connections:
                 await anyio.sleep(0.02)
-    print(f'{form}: {idle_mb:.0f} MB and {growth_mb:.0f} MB more')
+    print(
+        f'{form}: {idle_mb:.0f} MB and {growth_mb:.0f} MB more, '
+        f'sound answers within {slowest_s:.2f} s'
+    )
     assert answer.connections
     assert growth_mb <= MAX_GROWTH_MB
