--- a/src/masticwind/http_limits.py
+++ b/src/masticwind/http_limits.py
@@ -8,7 +8,7 @@
 import re
 import socket
 import ssl
-from collections.abc import AsyncIterable
+from collections.abc import AsyncIterable, AsyncIterator
 from contextlib import suppress
 from typing import Any, Final
 
@@ -17,9 +17,10 @@
 # Includes the informational responses before it.
 MAX_HEAD_BYTES: Final = 32_768
 MAX_INFORMATIONAL_RESPONSES: Final = 16
-# What is parsed at once. A larger read of the smallest chunks or events would
-# delay other requests.
-MAX_READ_BYTES: Final = 8192
+# What is parsed at once. A large read of the smallest chunks or events would
+# delay other requests, so that reads only grow while chunks fill them.
+MIN_READ_BYTES: Final = 8192
+MAX_READ_BYTES: Final = 65_536
 # What the kernel keeps of a response that is not read yet. The event loop
 # reads all of it before it can be paused.
 RECEIVE_BUFFER_BYTES: Final = 131_072
@@ -70,6 +71,7 @@
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream: Final = stream
+        self._read_bytes = MIN_READ_BYTES
         self._head_bytes = 0
         self._informational = InformationalCounter()
         self.head_complete = False
@@ -77,7 +79,7 @@
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read; raise `RemoteProtocolError` if the head is too large."""
         content = await self._stream.read(
-            min(max_bytes, MAX_READ_BYTES), timeout
+            min(max_bytes, self._read_bytes), timeout
         )
         if not self.head_complete:
             self._check_head(content)
@@ -85,11 +87,19 @@
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write a part of a request, whose response has a new head."""
+        self._read_bytes = MIN_READ_BYTES
         self._head_bytes = 0
         self._informational = InformationalCounter()
         self.head_complete = False
         await self._stream.write(buffer, timeout)
 
+    def record_chunk(self, size_bytes: int) -> None:
+        """Adapt the size of reads to a chunk of the body."""
+        if 2 * size_bytes < self._read_bytes:
+            self._read_bytes = MIN_READ_BYTES
+        else:
+            self._read_bytes = min(MAX_READ_BYTES, 2 * self._read_bytes)
+
     async def aclose(self) -> None:
         """Close the connection."""
         await self._stream.aclose()
@@ -156,6 +166,15 @@
         stream.head_complete = True
 
 
+async def iterate_body(response: httpcore.Response) -> AsyncIterator[bytes]:
+    """Return the chunks of a body, and adapt the size of reads to them."""
+    stream = response.extensions['network_stream']
+    async for chunk in response.aiter_stream():
+        if isinstance(stream, HeadLimitedStream):
+            stream.record_chunk(len(chunk))
+        yield chunk
+
+
 async def join_chunks(
     chunks: AsyncIterable[bytes], max_bytes: int
 ) -> bytes | None:
--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -21,6 +21,7 @@
 from masticwind.http_limits import (
     NetworkBackend,
     end_head_limit,
+    iterate_body,
     join_chunks,
 )
 
@@ -347,7 +348,7 @@
 
 async def _chunks(response: httpcore.Response) -> AsyncIterator[bytes]:
     try:
-        async for chunk in response.aiter_stream():
+        async for chunk in iterate_body(response):
             yield chunk
     except _CONNECTION_ERRORS as exc:
         raise BrokenStreamError(
--- a/src/masticwind/serving/turns.py
+++ b/src/masticwind/serving/turns.py
@@ -10,9 +10,9 @@
 from anyio.lowlevel import checkpoint
 
 # What an answer may cost until it waits for its next turn.
-TURN_BYTES: Final = 16_384
+TURN_BYTES: Final = 65_536
 # What a chunk costs beside its content.
-CHUNK_COST_BYTES: Final = 256
+CHUNK_COST_BYTES: Final = 1024
 
 
 class TurnQueue:
