--- a/src/masticwind/serving/byte_budget.py
+++ b/src/masticwind/serving/byte_budget.py
@@ -17,7 +17,7 @@
 BYTES_PER_MB: Final = 1_048_576
 # Share of a machine's memory. A buffered byte is present up to three times:
 # as received, joined, and in the buffer of the other connection.
-BUFFER_SHARE: Final = 0.125
+BUFFER_SHARE: Final = 0.1
 
 
 class Buffer:
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -174,6 +174,11 @@
         """Number of endpoints in this entry's copy of the registrations."""
         return self._directory.count()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes that are kept until they can be passed on."""
+        return self._byte_budget.used_bytes
+
     async def run(self) -> None:
         """Serve until cancelled."""
         cfg = self._settings.cfg
@@ -319,7 +324,7 @@
         add_gauge(
             'masticwind_buffered_bytes',
             'Bytes that are kept until they can be passed on',
-            lambda: self._byte_budget.used_bytes,
+            lambda: self.buffered_bytes,
         )
         add_gauge(
             'masticwind_stopping_seconds',
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import socket
 from collections.abc import Awaitable, Callable, Iterator, Mapping
 from dataclasses import dataclass
 from functools import partial
@@ -38,6 +39,9 @@
 CLOSE_HEADER: Final = (b'connection', b'close')
 # Decoding a larger body on the event loop would delay other requests.
 INLINE_DECODE_BYTES: Final = 262_144
+# What the kernel keeps of a body that is not read yet, for each connection. The
+# event loop reads all of it before it can be paused.
+RECEIVE_BUFFER_BYTES: Final = 131_072
 CLOSE_POLL_INTERVAL_S: Final = 0.02
 
 
@@ -192,6 +196,11 @@
         self._app: Final = app
         self._stopped: Final = anyio.Event()
         self._socket: Final = listen_tcp(address)
+        # Where the system refuses, its own limit holds.
+        with contextlib.suppress(OSError):
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
         self.port: Final = int(self._socket.getsockname()[1])
         protocol: Any = partial(LimitedProtocol, limits=limits)
         self._server: Final = _Server(
--- a/tests/stopping_entry.py
+++ b/tests/stopping_entry.py
@@ -118,6 +118,7 @@
             'listen': f'127.0.0.1:{self.port}',
             'ready': '127.0.0.1:0',
             'peer_port': self.peer_port,
+            'memory_mb': 232,
             'store': {'address': f'127.0.0.1:{self.store_port}'},
             'bounds': {'shutdown_ms': shutdown_ms},
         }
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -1,9 +1,21 @@
 """Bodies of callers while the process has no memory left for them."""
 
+import anyio
 import pytest
 
 from masticwind.serving.byte_budget import ByteBudget
-from tests.entry_harness import answer_completely, running_entry
+from masticwind_dev.standins.raw_endpoint import (
+    RawConnection,
+    ReceivedRequest,
+    encode_head,
+)
+from tests.entry_harness import (
+    API_KEY,
+    EntryHarness,
+    answer_completely,
+    caller_headers,
+    running_entry,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -33,3 +45,43 @@
     assert served.status == 200
     orders = [req for req in endpoint.received if req.target == '/order/a']
     assert [req.body for req in orders] == [b'', b'x']
+
+
+async def _begin_answer(req: ReceivedRequest, conn: RawConnection) -> None:
+    """Begin an answer that does not end, except to `warm`."""
+    if req.headers['x-attempt-id'] == 'warm':
+        await answer_completely(req, conn)
+        return
+    await conn.write(encode_head(req, 200, ('Content-Length: 9000',)))
+    await conn.write(b'x' * 5000)
+    await anyio.sleep_forever()
+
+
+async def _call(harness: EntryHarness) -> None:
+    await harness.client.request(
+        'POST',
+        '/order/a',
+        timeout_s=5,
+        body=b'x' * 20_000,
+        headers=caller_headers(API_KEY, 'r1', 700),
+    )
+
+
+@pytest.mark.parametrize('leaves', [False, True])
+async def test_buffered_bytes_are_returned(*, leaves: bool) -> None:
+    """Guards against a budget that shrinks with callers that leave, or with
+    requests whose deadline passes.
+    """
+    async with running_entry() as harness:
+        await harness.start_endpoint('i-1', _begin_answer)
+        await harness.wait_until_served('/read/a', request_id='warm')
+        async with anyio.create_task_group() as callers:
+            callers.start_soon(_call, harness)
+            with anyio.fail_after(2):
+                while harness.entry.buffered_bytes != 25_000:
+                    await anyio.sleep(0.005)
+            if leaves:
+                callers.cancel_scope.cancel()
+        with anyio.fail_after(2):
+            while harness.entry.buffered_bytes:
+                await anyio.sleep(0.005)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,8 +1,8 @@
-"""Engines that send without end to a real entry process, and many callers."""
+"""Engines and callers that send without end to a real entry process."""
 
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from pathlib import Path
 from types import MappingProxyType
@@ -12,6 +12,7 @@
 import pytest
 from anyio.abc import TaskGroup
 
+from masticwind.serving.byte_budget import BUFFER_SHARE
 from masticwind_dev.standins.raw_endpoint import (
     RawConnection,
     ReceivedRequest,
@@ -39,6 +40,8 @@
 # Of a request whose own engine is sound.
 SOUND_ANSWER_S: Final = 2.0
 RECEIVE_BUFFER: Final = 4096
+# The longest body that is allowed.
+BODY_BYTES: Final = 4_194_304
 
 
 @dataclass(slots=True)
@@ -150,3 +153,43 @@
     )
     assert answer.connections
     assert growth_mb <= MAX_GROWTH_MB
+
+
+async def _send_body(entry: StoppingEntry, request_id: str) -> None:
+    """Send all but the end of a long body, as far as it is read."""
+    head = call_head(request_id).replace(
+        b'Content-Length: 0', b'Content-Length: %d' % BODY_BYTES
+    )
+    async with await entry.connect() as conn:
+        with anyio.move_on_after(HELD_S), suppress(anyio.BrokenResourceError):
+            await conn.send(head)
+            for _ in range(BODY_BYTES // PIECE_BYTES - 1):
+                await conn.send(b'x' * PIECE_BYTES)
+            await anyio.sleep(HELD_S)
+
+
+async def test_memory_is_bounded_while_callers_send_long_bodies() -> None:
+    """Guards against callers that fill the memory with bodies, each of which
+    is allowed.
+    """
+    async with running_stopping_entry(slots=SLOTS) as entry:
+        idle_mb = _peak_mb(entry)
+        async with anyio.create_task_group() as callers:
+            for number in range(CALLERS):
+                callers.start_soon(_send_body, entry, f'body-{number}')
+            await anyio.sleep(0.5)
+            with anyio.fail_after(SOUND_ANSWER_S):
+                sound = await entry.request(call_head('sound'))
+            assert sound.status == 200
+        growth_mb = _peak_mb(entry) - idle_mb
+        refused = [
+            line
+            for line in entry.log_lines('request_failed')
+            if line['kind'] == 'overloaded'
+        ]
+        after = await entry.request(call_head('after'))
+    print(f'bodies: {growth_mb:.0f} MB more, {len(refused)} refused')
+    assert len(refused) > CALLERS / 2
+    assert after.status == 200
+    assert not any(one.startswith('body') for one in entry.received)
+    assert growth_mb <= MAX_GROWTH_MB + MACHINE_MB * BUFFER_SHARE
