--- a/src/masticwind/joined_answers.py
+++ b/src/masticwind/joined_answers.py
@@ -18,6 +18,8 @@
 import h11
 import httpcore
 
+from masticwind.http_limits import LimitedConnection
+
 _STATUS_LINE: Final = re.compile(rb'HTTP/[0-9]\.[0-9] [0-9]{3}')
 _CONTENT_LENGTH: Final = b'content-length'
 _TRANSFER_ENCODING: Final = b'transfer-encoding'
@@ -39,7 +41,7 @@
     return lengths > 1
 
 
-def has_extra_bytes(conn: httpcore.AsyncHTTPConnection) -> bool:
+def has_extra_bytes(conn: LimitedConnection) -> bool:
     """Tell whether more than the response was read from an idle connection.
 
     They would be taken for the start of the next response.
@@ -49,7 +51,7 @@
         # Connecting has failed.
         return False
     extra, _ = _EXTRA_BYTES(protocol)
-    return bool(extra)
+    return bool(extra) or conn.has_unread
 
 
 class UnaskedBytesError(httpcore.RemoteProtocolError):
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -7,6 +7,7 @@
 
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.admission import AdmittedRequest, RequestProgress
+from masticwind.serving.byte_budget import ByteBudget
 from masticwind.serving.endpoint_limits import Permit
 from masticwind.serving.interfaces import (
     AttemptLimits,
@@ -16,6 +17,7 @@
 )
 from masticwind.serving.model import Endpoint
 from masticwind.serving.placement import Placement
+from masticwind.serving.turns import TurnQueue
 
 
 @dataclass(slots=True)
@@ -87,9 +89,11 @@
     `on_silence` is called when the endpoint becomes silent. `on_event` is
     called for each batch of events before it is sent to the caller, and
     `on_answer` with what the endpoint says of itself, as in `Reply`;
-    `on_order_reply` likewise for a reservation on a helper. `find_obstacle` is
+    `on_order_reply` likewise for a reservation on a helper. `on_endless` is
+    called if the caller has left during a very long answer. `find_obstacle` is
     called right before the request is sent. It returns the reason why it must
-    not be sent any more, or ''.
+    not be sent any more, or ''. What is kept of the answer counts in
+    `byte_budget`, and a long one waits for its `turns`.
     """
 
     admitted: AdmittedRequest
@@ -105,7 +109,10 @@
     on_event: Callable[[], None]
     on_answer: Callable[[EndpointNotice | None], None]
     on_order_reply: Callable[[Endpoint, EndpointNotice | None], None]
+    on_endless: Callable[[], None]
     find_obstacle: Callable[[], str]
+    byte_budget: ByteBudget
+    turns: TurnQueue
     permit: Permit | None = None
     state: AttemptState = field(default_factory=AttemptState)
 
--- a/src/masticwind/serving/interfaces.py
+++ b/src/masticwind/serving/interfaces.py
@@ -105,7 +105,8 @@
     what the endpoint says of itself, and None if the answer may come from
     another process. `seal` is the endpoint's signature, '' without one. No
     earlier answer was received on a `fresh` connection. An `unasked` answer,
-    on a reused one, belongs to an earlier request.
+    on a reused one, belongs to an earlier request. `length` is
+    that of the body, None if the head does not tell it.
     """
 
     status: int
@@ -119,6 +120,7 @@
     seal: str = ''
     fresh: bool = False
     unasked: bool = False
+    length: int | None = None
 
     @property
     def success(self) -> bool:
--- a/src/masticwind/serving/relay_dependencies.py
+++ b/src/masticwind/serving/relay_dependencies.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from masticwind.serving.bounds import ColdEndpointLimiter, RetryBudget
+from masticwind.serving.byte_budget import ByteBudget
 from masticwind.serving.directory import EndpointDirectory, OperatorState
 from masticwind.serving.endpoint_notices import EndpointNotices
 from masticwind.serving.health import EndpointHealth
@@ -16,6 +17,7 @@
 from masticwind.serving.reach import ZoneReachability
 from masticwind.serving.settings import LiveSettings
 from masticwind.serving.telemetry import Telemetry
+from masticwind.serving.turns import TurnQueue
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -26,7 +28,6 @@
     directory: EndpointDirectory
     operator_state: OperatorState
     health: EndpointHealth
-    reach: ZoneReachability
     load_table: LoadTable
     endpoint_client: EndpointClient
     retry_budget: RetryBudget
@@ -36,5 +37,8 @@
     quarantine: Quarantine
     telemetry: Telemetry
     lifetime: Lifetime
+    byte_budget: ByteBudget
+    reach: ZoneReachability = field(default_factory=ZoneReachability)
+    turns: TurnQueue = field(default_factory=TurnQueue)
     call_placer: Placer = field(default_factory=CallPlacer)
     prompt_placer: Placer = field(default_factory=PromptPlacer)
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -54,6 +54,7 @@
         'seal',
         'fresh_connection',
         'repeated',
+        'buffered_bytes',
     )
 )
 ENDPOINT_STATES = frozenset(('serving', 'cold', 'out', 'down'))
