--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -42,6 +42,8 @@
 
 KV_CACHE_TOKENS: Final = 450_000
 BLOCK_TOKENS: Final = 16
+# In which a prompt ends whose deadline is 0.1 s away.
+MAX_END_S: Final = 0.4
 
 
 def _endpoint(name: str) -> Endpoint:
@@ -64,6 +66,8 @@
     calls: list[str] = field(default_factory=list)
     unanswered_releases: int = 0
     silent_endpoints: set[str] = field(default_factory=set)
+    # Endpoints whose answers to orders do not end.
+    endless_endpoints: set[str] = field(default_factory=set)
 
     def send(
         self,
@@ -82,6 +86,7 @@
     ) -> OrderReply:
         """Record the reservation, unless the endpoint refuses it."""
         self.calls.append(f'reserve {endpoint.identity}')
+        await self._answer(endpoint)
         if endpoint.identity in self.refusing_endpoints:
             return OrderReply(
                 failure=Failure(kind=ErrorKind.CONFLICT, reason='not free')
@@ -96,6 +101,7 @@
     ) -> OrderReply:
         """Remove the reservation, or fail for the first few calls."""
         self.calls.append(f'release {endpoint.identity}')
+        await self._answer(endpoint)
         if self.unanswered_releases:
             self.unanswered_releases -= 1
             return OrderReply(
@@ -116,6 +122,21 @@
     async def close_idle(self, endpoint: Endpoint) -> None:
         """Do nothing: this client has no connections."""
 
+    async def _answer(self, endpoint: Endpoint) -> None:
+        if endpoint.identity in self.endless_endpoints:
+            await anyio.sleep_forever()
+
+
+@dataclass
+class SlowClient(RecordingClient):
+    """Answers orders late while `slow` is set."""
+
+    slow: bool = False
+
+    async def _answer(self, endpoint: Endpoint) -> None:
+        if self.slow:
+            await anyio.sleep(0.4)
+
 
 @dataclass
 class _Watch:
@@ -238,6 +259,58 @@
     assert not client.held_reservations
 
 
+async def test_renewals_of_other_engines_go_on_beside_an_endless_one() -> None:
+    """Guards against reservations that expire because another engine does not
+    complete its answer to a renewal.
+    """
+    client = RecordingClient()
+    async with hold_reservations(
+        client, _placement('e1', 'e2', 'e3'), 'r1', _Watch().watch()
+    ):
+        client.endless_endpoints.add('e2')
+        await anyio.sleep(RENEW_INTERVAL_S * 3.4)
+        client.endless_endpoints.clear()
+        assert client.calls.count('reserve e1') == 4
+        assert client.calls.count('reserve e3') == 4
+        # An engine gets no second renewal before it has answered the first.
+        assert client.calls.count('reserve e2') == 2
+
+
+async def test_failed_prompt_does_not_wait_for_an_endless_release() -> None:
+    """Guards against a prompt that gets no answer at its deadline because an
+    engine does not complete its answer to the release.
+    """
+    client = RecordingClient()
+    started_at = anyio.current_time()
+    with anyio.move_on_after(5), anyio.move_on_after(0.1):
+        async with hold_reservations(
+            client, _placement('e1', 'e2'), 'r1', _Watch().watch()
+        ):
+            client.endless_endpoints.add('e2')
+            await anyio.sleep(5)
+    took_s = anyio.current_time() - started_at
+    assert took_s < MAX_END_S
+    # The memory of the other engine has been released.
+    assert set(client.held_reservations) == {'e2'}
+
+
+async def test_release_that_outlasts_its_request_is_completed() -> None:
+    """Guards against memory that stays reserved because the release of an
+    engine takes longer than its request waits for it.
+    """
+    client = SlowClient()
+    with anyio.move_on_after(0.1):
+        async with hold_reservations(
+            client, _placement('e1', 'e2'), 'r1', _Watch().watch()
+        ):
+            client.slow = True
+            await anyio.sleep(5)
+    assert client.held_reservations
+    with anyio.fail_after(2):
+        while client.held_reservations:
+            await anyio.sleep(0.02)
+
+
 @settings(deadline=None, max_examples=60)
 @given(
     prompt=st.integers(min_value=1, max_value=1_000_000),
