--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -18,6 +18,7 @@
 import httpcore
 
 from masticwind.errors import ErrorKind, Failure
+from masticwind.http_calls import CallLimits, CallProgress
 from masticwind.http_limits import (
     NetworkBackend,
     end_head_limit,
@@ -28,8 +29,6 @@
 
 KEEP_ALIVE_S: Final = 30
 BODY_END_TIMEOUT_S: Final = 0.02
-# Larger than any document of the store and any report of an engine.
-MAX_BODY_BYTES: Final = 16_777_216
 # Share of the server's keep-alive timeout in which a connection is reused. A
 # request that is sent later could arrive after the server has closed it.
 USABLE_KEEP_ALIVE_SHARE: Final = 0.7
@@ -154,34 +153,49 @@
         method: str,
         path: str,
         *,
-        timeout_s: float,
+        timeout_s: float | CallLimits,
         body: bytes = b'',
         headers: Headers = (),
         single_use: bool = False,
     ) -> HttpAnswer | Failure:
         """Make one request and read the complete response.
 
-        With `single_use`, a new connection is opened and closed again, so that
-        no response to another request can arrive on it.
+        `timeout_s` limits the whole call, from the wait for a connection to
+        the end of the body; `CallLimits` also limit the size of the body. With
+        `single_use`, a new connection is opened and closed again, so that no
+        response to another request can arrive on it.
 
         Returns a `Failure` of kind `no_capacity` if nothing was sent and of
         kind `outcome_unknown` if the request may have had an effect, also if
-        the body is over `MAX_BODY_BYTES`.
+        the body is too large. The failure is `silent` if the time ended before
+        the complete head of a response arrived.
         """
+        limits = (
+            timeout_s
+            if isinstance(timeout_s, CallLimits)
+            else CallLimits(timeout_s)
+        )
+        progress = CallProgress(limits)
         try:
             async with (
+                progress.limit_time(),
                 self._connection(fresh=single_use) as conn,
                 conn.stream(
                     method,
                     self._url(path.encode('ascii')),
                     headers=_with_content_length(headers, body),
                     content=body,
-                    extensions={'timeout': _timeouts(timeout_s)},
+                    extensions={
+                        'timeout': _timeouts(limits.timeout_s),
+                        'trace': progress.record,
+                    },
                 ) as response,
             ):
                 if single_use:
                     self._idle_limits_s[conn] = 0
-                return await _read_answer(response)
+                return await _read_answer(response, limits.max_body_bytes)
+        except TimeoutError:
+            return progress.timeout_failure()
         except _NOT_SENT_ERRORS as exc:
             return _failure(ErrorKind.NO_CAPACITY, exc)
         except _CONNECTION_ERRORS as exc:
@@ -316,13 +330,15 @@
         )
 
 
-async def _read_answer(response: httpcore.Response) -> HttpAnswer | Failure:
+async def _read_answer(
+    response: httpcore.Response, max_body_bytes: int
+) -> HttpAnswer | Failure:
     end_head_limit(response)
-    body = await join_chunks(response.aiter_stream(), MAX_BODY_BYTES)
+    body = await join_chunks(response.aiter_stream(), max_body_bytes)
     if body is None:
         return Failure(
             kind=ErrorKind.OUTCOME_UNKNOWN,
-            reason=f'the body is over {MAX_BODY_BYTES} bytes',
+            reason=f'the body is over {max_body_bytes} bytes',
         )
     return HttpAnswer(
         response.status,
--- a/tests/test_silent_attempts.py
+++ b/tests/test_silent_attempts.py
@@ -12,8 +12,9 @@
 from anyio import abc as anyio_abc
 
 from masticwind.errors import Failure
+from masticwind.http_calls import MAX_BODY_BYTES
 from masticwind.http_limits import join_chunks
-from masticwind.httpclient import MAX_BODY_BYTES, HttpStream
+from masticwind.httpclient import HttpStream
 from masticwind.platform.endpoints import PlatformEndpointClient
 from masticwind.serving.interfaces import Attempt, AttemptLimits, Reply
 from masticwind_dev.standins.raw_endpoint import (
