--- a/src/masticwind/serving/reservations.py
+++ b/src/masticwind/serving/reservations.py
@@ -15,6 +15,7 @@
 that, the requests would be cut off, or the memory would stay reserved in vain.
 """
 
+import asyncio
 import secrets
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -22,8 +23,10 @@
 from typing import Final
 
 import anyio
+from anyio.abc import TaskGroup
 from loguru import logger
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
 from masticwind.httpclient import ConnectResult
 from masticwind.serving.interfaces import (
@@ -41,6 +44,12 @@
 # A reservation survives three failed checks in a row.
 SILENT_LEAD_RETRY_S: Final = 0.2
 MAX_RELEASE_ATTEMPTS: Final = 3
+# A request waits this long for the release of its reservations, which goes on
+# after it.
+RELEASE_WAIT_S: Final = 0.05
+
+# Asyncio keeps no strong reference to a running task.
+_running_releases: Final[set['asyncio.Task[None]']] = set()
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +120,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
                 _keep_renewed,
+                tasks,
                 endpoint_client,
                 placement.lead,
                 reserving_helpers,
@@ -120,10 +130,16 @@
             yield helpers
             tasks.cancel_scope.cancel()
     finally:
+        # Asyncio's task, as the releases may outlast their request.
+        releases = asyncio.create_task(
+            _release_all(endpoint_client, reserving_helpers, reservation_ids)
+        )
+        _running_releases.add(releases)
+        releases.add_done_callback(_running_releases.discard)
+        # The next placement should find the memory free, but the answer to
+        # the caller must not wait for an engine in trouble.
         with anyio.CancelScope(shield=True):
-            await _release_all(
-                endpoint_client, reserving_helpers, reservation_ids
-            )
+            await asyncio.wait((releases,), timeout=RELEASE_WAIT_S)
 
 
 def _new_reservation_ids(
@@ -178,6 +194,7 @@
 
 
 async def _keep_renewed(
+    tasks: TaskGroup,
     endpoint_client: EndpointClient,
     lead: Endpoint,
     reserving_helpers: list[HelperPlacement],
@@ -185,6 +202,7 @@
     watch: OrderWatch,
 ) -> None:
     interval_s = RENEW_INTERVAL_S
+    renewing: set[str] = set()
     while True:
         await anyio.sleep(interval_s)
         if await endpoint_client.try_connect(lead) is ConnectResult.SILENT:
@@ -194,11 +212,17 @@
         interval_s = RENEW_INTERVAL_S
         # Renewals run concurrently, so that a slow one does not let the others
         # expire. They need no order: the memory is held already.
-        async with anyio.create_task_group() as tasks:
-            for helper in reserving_helpers:
-                tasks.start_soon(
-                    _renew, endpoint_client, helper, reservation_ids, watch
-                )
+        for helper in reserving_helpers:
+            if helper.endpoint.identity in renewing:
+                continue
+            tasks.start_soon(
+                _renew,
+                endpoint_client,
+                helper,
+                reservation_ids,
+                watch,
+                renewing,
+            )
 
 
 async def _renew(
@@ -206,8 +230,11 @@
     helper: HelperPlacement,
     reservation_ids: dict[str, str],
     watch: OrderWatch,
+    renewing: set[str],
 ) -> None:
+    renewing.add(helper.endpoint.identity)
     failure = await _reserve(endpoint_client, helper, reservation_ids, watch)
+    renewing.discard(helper.endpoint.identity)
     if failure is not None:
         logger.bind(
             endpoint=helper.endpoint.identity,
@@ -236,14 +263,16 @@
     reserving_helpers: list[HelperPlacement],
     reservation_ids: dict[str, str],
 ) -> None:
-    async with anyio.create_task_group() as tasks:
-        for helper in reserving_helpers:
-            tasks.start_soon(
-                _release,
-                endpoint_client,
-                helper,
-                reservation_ids[helper.endpoint.identity],
-            )
+    """Release reservations until their leases have expired at the latest."""
+    with anyio.move_on_after(LEASE_MS / MS_PER_S):
+        async with anyio.create_task_group() as tasks:
+            for helper in reserving_helpers:
+                tasks.start_soon(
+                    _release,
+                    endpoint_client,
+                    helper,
+                    reservation_ids[helper.endpoint.identity],
+                )
 
 
 async def _release(
