--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from masticwind.errors import ErrorKind, Failure
+from masticwind.http_calls import CallLimits
 from masticwind.httpclient import (
     ConnectResult,
     HttpClient,
@@ -37,6 +38,8 @@
 # less than a second.
 KEEP_ALIVE_S: Final = 0.5
 ORDER_TIMEOUT_S: Final = 0.4
+# An answer to an order has a few numbers.
+MAX_ORDER_ANSWER_BYTES: Final = 16_384
 # For each endpoint. The slots of an endpoint, not its connections, limit how
 # many requests run.
 MAX_CONNECTIONS: Final = 48
@@ -122,7 +125,7 @@
         answer = await self._client_for(endpoint).request(
             'POST',
             '/-/order',
-            timeout_s=ORDER_TIMEOUT_S,
+            timeout_s=CallLimits(ORDER_TIMEOUT_S, MAX_ORDER_ANSWER_BYTES),
             body=msgspec.json.encode(order),
             headers=(
                 (b'content-type', b'application/json'),
--- a/src/masticwind/platform/store.py
+++ b/src/masticwind/platform/store.py
@@ -18,6 +18,7 @@
 from masticwind.budget import MS_PER_S
 from masticwind.decoding import parse_json, parse_with
 from masticwind.errors import ErrorKind, Failure
+from masticwind.http_calls import MAX_BODY_BYTES, CallLimits
 from masticwind.httpclient import Headers, HttpClient
 from masticwind.serving.settings import StoreSettings
 from masticwind.serving.store import (
@@ -34,6 +35,10 @@
 
 # Connections to the store that are idle for this long are closed.
 KEEP_ALIVE_S: Final = 10.0
+# A page has about 1 MB, or one value of up to 1 MiB as base64 text.
+MAX_PAGE_BYTES: Final = 4_194_304
+# The answer to a write has a few numbers.
+MAX_WRITE_ANSWER_BYTES: Final = 16_384
 ERA_HEADER: Final = b'store-era'
 
 _ERA: Final = re.compile(rb'[0-9]{1,18}')
@@ -180,20 +185,34 @@
         path = f'/-/kv-range?prefix={quote(prefix, safe="")}'
         if after:
             path = f'{path}&after={quote(after, safe="")}'
-        answer = await self._call('GET', path, ANSWER_TIMEOUT_S)
+        answer = await self._call(
+            'GET', path, ANSWER_TIMEOUT_S, max_body_bytes=MAX_PAGE_BYTES
+        )
         return _decode(answer, _Range)
 
     async def _post(self, path: str, body: bytes) -> _Answer | Failure:
-        return await self._call('POST', path, ANSWER_TIMEOUT_S, body)
+        return await self._call(
+            'POST',
+            path,
+            ANSWER_TIMEOUT_S,
+            body,
+            max_body_bytes=MAX_WRITE_ANSWER_BYTES,
+        )
 
     async def _call(
-        self, method: str, path: str, timeout_s: float, body: bytes = b''
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: bytes = b'',
+        *,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> _Answer | Failure:
         """Call the store; an answer that is not of the newest era fails."""
         answer = await self._client.request(
             method,
             path,
-            timeout_s=timeout_s,
+            timeout_s=CallLimits(timeout_s, max_body_bytes),
             body=body,
             headers=((b'content-type', b'application/json'),) if body else (),
         )
--- a/src/masticwind/store/http.py
+++ b/src/masticwind/store/http.py
@@ -11,6 +11,7 @@
 from masticwind.budget import MS_PER_S
 from masticwind.decoding import parse_json, parse_with
 from masticwind.errors import ErrorKind, Failure
+from masticwind.http_calls import MAX_BODY_BYTES, CallLimits
 from masticwind.httpclient import HttpAnswer, HttpClient
 from masticwind.settings import PlatformSettings
 from masticwind.store.base import (
@@ -84,7 +85,9 @@
 
     async def list_keys(self, prefix: str) -> tuple[str, ...] | Failure:
         response = await self._request(
-            'GET', f'/v1/keys?prefix={quote(prefix, safe="")}'
+            'GET',
+            f'/v1/keys?prefix={quote(prefix, safe="")}',
+            max_body_bytes=MAX_BODY_BYTES,
         )
         if isinstance(response, Failure):
             return _platform_down(response.reason)
@@ -108,7 +111,7 @@
         response = await self._client.request(
             'GET',
             path,
-            timeout_s=wait_s + self._timeout_s,
+            timeout_s=CallLimits(wait_s + self._timeout_s, MAX_VALUE_BYTES),
         )
         return _to_versioned_value(response)
 
@@ -146,11 +149,12 @@
         method: str,
         path: str,
         body: bytes = b'',
+        max_body_bytes: int = MAX_VALUE_BYTES,
     ) -> HttpAnswer | Failure:
         return await self._client.request(
             method,
             path,
-            timeout_s=self._timeout_s,
+            timeout_s=CallLimits(self._timeout_s, max_body_bytes),
             body=body,
         )
 
