--- a/src/masticwind/engines/http.py
+++ b/src/masticwind/engines/http.py
@@ -12,6 +12,7 @@
 from http import HTTPStatus
 from typing import Final, TypeVar
 
+import anyio
 import msgspec
 
 from masticwind.decoding import parse_json
@@ -30,6 +31,7 @@
     Tokens,
 )
 from masticwind.errors import ErrorKind, Failure
+from masticwind.http_calls import MAX_BODY_BYTES, CallLimits
 from masticwind.httpclient import (
     BrokenStreamError,
     HttpAnswer,
@@ -42,10 +44,17 @@
 CONTROL_TIMEOUT_S: Final = 2.0
 # A healthy engine writes a line, possibly an empty one, within this time.
 STREAM_READ_TIMEOUT_S: Final = 2.5
+# A line that arrives in parts is complete within this time. It is longer than
+# the time of a read, so that an engine that is silent is told apart.
+LINE_TIMEOUT_S: Final = 5.0
 # The response to a hold request arrives after its whole prefill.
 HOLD_TIMEOUT_S: Final = 600.0
 MAX_REASON_CHARS: Final = 200
 MAX_LINE_BYTES: Final = 1_048_576
+# A report names the models that the engine has loaded; an acknowledgement has
+# a status and perhaps a reason.
+MAX_REPORT_BYTES: Final = 262_144
+MAX_ACKNOWLEDGEMENT_BYTES: Final = 16_384
 _NO_CAPACITY_STATUSES: Final = (
     HTTPStatus.TOO_MANY_REQUESTS,
     HTTPStatus.SERVICE_UNAVAILABLE,
@@ -119,7 +128,7 @@
         return await self._get('/v1/running', list[RunningRequest])
 
     async def read_report(self) -> EngineReport | Failure:
-        return await self._get('/v1/report', EngineReport)
+        return await self._get('/v1/report', EngineReport, MAX_REPORT_BYTES)
 
     async def read_cache_events(self, after: int) -> CacheEvents | Failure:
         return await self._get(f'/v1/cache/events?after={after}', CacheEvents)
@@ -135,7 +144,7 @@
         response = await self._client.request(
             'POST',
             '/v1/cache/hold',
-            timeout_s=HOLD_TIMEOUT_S,
+            timeout_s=CallLimits(HOLD_TIMEOUT_S, MAX_ACKNOWLEDGEMENT_BYTES),
             body=msgspec.json.encode(
                 _HoldBody(
                     request_id,
@@ -170,18 +179,21 @@
         response = await self._client.request(
             'POST',
             path,
-            timeout_s=CONTROL_TIMEOUT_S,
+            timeout_s=CallLimits(CONTROL_TIMEOUT_S, MAX_ACKNOWLEDGEMENT_BYTES),
             body=msgspec.json.encode(content),
         )
         return _status_failure(response)
 
     async def _get(
-        self, path: str, result_type: type[_Content]
+        self,
+        path: str,
+        result_type: type[_Content],
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> _Content | Failure:
         response = await self._client.request(
             'GET',
             path,
-            timeout_s=CONTROL_TIMEOUT_S,
+            timeout_s=CallLimits(CONTROL_TIMEOUT_S, max_body_bytes),
         )
         failure = _status_failure(response)
         if failure is not None:
@@ -220,7 +232,7 @@
         response = await self._client.request(
             'GET',
             '/health',
-            timeout_s=CONTROL_TIMEOUT_S,
+            timeout_s=CallLimits(CONTROL_TIMEOUT_S, MAX_ACKNOWLEDGEMENT_BYTES),
         )
         return (
             isinstance(response, HttpAnswer)
@@ -284,24 +296,15 @@
             reason=f'status {stream.status}',
         )
         return
-    partial_line = b''
     try:
-        async for chunk in stream.chunks:
-            *lines, partial_line = (partial_line + chunk).split(b'\n')
-            if len(partial_line) > MAX_LINE_BYTES:
-                yield Failure(
-                    kind=ErrorKind.OUTCOME_UNKNOWN,
-                    reason=f'a line is over {MAX_LINE_BYTES} bytes',
-                )
+        async for line in _read_lines(stream.chunks):
+            # Empty lines are keep-alives.
+            if not line:
+                continue
+            event = _parse_event(line)
+            yield event
+            if isinstance(event, Failure):
                 return
-            for line in lines:
-                # Empty lines are keep-alives.
-                if not line:
-                    continue
-                event = _parse_event(line)
-                yield event
-                if isinstance(event, Failure):
-                    return
     except BrokenStreamError as exc:
         yield Failure(
             kind=ErrorKind.OUTCOME_UNKNOWN,
@@ -315,6 +318,30 @@
     )
 
 
+async def _read_lines(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Split a stream into lines, without a part that has no line end.
+
+    Raises `BrokenStreamError` if a line is too long or takes too long.
+    """
+    partial_line = b''
+    line_due_at = anyio.current_time() + LINE_TIMEOUT_S
+    while True:
+        chunk: bytes | None = None
+        with anyio.CancelScope(deadline=line_due_at):
+            chunk = await anext(chunks, b'')
+        if chunk is None:
+            raise BrokenStreamError(f'no line ended within {LINE_TIMEOUT_S} s')
+        if not chunk:
+            return
+        *lines, partial_line = (partial_line + chunk).split(b'\n')
+        if len(partial_line) > MAX_LINE_BYTES:
+            raise BrokenStreamError(f'a line is over {MAX_LINE_BYTES} bytes')
+        for line in lines:
+            yield line
+        if lines:
+            line_due_at = anyio.current_time() + LINE_TIMEOUT_S
+
+
 def _parse_event(raw_line: bytes) -> EngineEvent:
     line = parse_json(raw_line, _Line, ErrorKind.OUTCOME_UNKNOWN)
     if isinstance(line, Failure):
