--- a/src/masticwind/platform/store.py
+++ b/src/masticwind/platform/store.py
@@ -37,6 +37,9 @@
 KEEP_ALIVE_S: Final = 10.0
 # A page has about 1 MB, or one value of up to 1 MiB as base64 text.
 MAX_PAGE_BYTES: Final = 4_194_304
+# A listing of a whole prefix ends here though the store has more.
+MAX_PAGES: Final = 256
+MAX_LISTING_BYTES: Final = 67_108_864
 # The answer to a write has a few numbers.
 MAX_WRITE_ANSWER_BYTES: Final = 16_384
 ERA_HEADER: Final = b'store-era'
@@ -110,11 +113,15 @@
         self._unreadable: Final = UnreadableLog('value_unreadable')
 
     async def list_prefix(self, prefix: str) -> Listing | Failure:
-        """Read all pages; the revision is that of the first page."""
+        """Read all pages; the revision is that of the first page.
+
+        Fails if the pages do not end.
+        """
         items: list[Item] = []
         revision: StoreRevision | None = None
         after = ''
-        while True:
+        size = 0
+        for _ in range(MAX_PAGES):
             page = await self._read_page(prefix, after)
             if isinstance(page, Failure):
                 return page
@@ -123,9 +130,13 @@
             if page.era != revision.era:
                 return _store_failure('restored between two pages')
             items.extend(self._decode_items(content.items))
+            size += sum(len(item.value) for item in content.items)
+            if size > MAX_LISTING_BYTES:
+                break
             if not content.has_more or not content.items:
                 return Listing(tuple(items), revision)
             after = content.items[-1].key
+        return _store_failure(f'the listing of {prefix} does not end')
 
     async def watch_prefix(
         self,
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,5 +1,6 @@
 """Peers whose answers to calls of the project itself do not end."""
 
+import json
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
@@ -40,6 +41,8 @@
 pytestmark = pytest.mark.anyio
 
 DRIP_INTERVAL_S: Final = 0.05
+LISTING_END_S: Final = 10.0
+MAX_LISTED_CHARS: Final = 80_000_000
 CALL_TIMEOUT_S: Final = 0.3
 # More than any time limit of the calls below, with a margin for a busy machine.
 END_TIMEOUT_S: Final = 3.5
@@ -275,6 +278,30 @@
     assert limits[0] <= max_bytes
 
 
+@pytest.mark.parametrize('value_chars', [4, 1_000_000])
+async def test_listing_fails_though_the_store_always_has_more(
+    value_chars: int,
+) -> None:
+    """Guards against a listing that reads pages without end, and holds all."""
+    pages: list[str] = []
+
+    async def answer(req: ReceivedRequest, conn: RawConnection) -> None:
+        pages.append(req.target)
+        item = {
+            'key': f'servers/{len(pages):09}',
+            'rev': 1,
+            'value': 'A' * value_chars,
+        }
+        page = {'items': [item], 'has_more': True, 'as_of': 1}
+        await conn.send_answer(req, body=json.dumps(page).encode())
+
+    async with _running(answer) as endpoint:
+        with anyio.fail_after(LISTING_END_S):
+            outcome = await _list_store(endpoint.port)
+    assert isinstance(outcome, Failure)
+    assert len(pages) * value_chars < MAX_LISTED_CHARS
+
+
 @pytest.mark.parametrize('part', [b' ', b'{'])
 async def test_generation_fails_if_a_line_of_its_engine_never_ends(
     part: bytes,
