--- a/tests/test_stale_answers.py
+++ b/tests/test_stale_answers.py
@@ -5,8 +5,8 @@
 import pytest
 
 from masticwind.budget import Budget
+from masticwind.http_calls import MAX_BODY_BYTES
 from masticwind.http_limits import join_chunks
-from masticwind.httpclient import MAX_BODY_BYTES
 from masticwind.platform.endpoints import PlatformEndpointClient
 from masticwind.serving.interfaces import (
     Attempt,
