--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -24,6 +24,7 @@
     has_one_identity,
     names_request,
 )
+from masticwind.platform.unframed_bodies import stop_at_copy
 from masticwind.serving.interfaces import (
     Attempt,
     AttemptLimits,
@@ -187,13 +188,17 @@
         verdict in {Verdict.RAN, Verdict.NOT_RUN}
         or answer.status == HTTPStatus.SERVICE_UNAVAILABLE
     )
+    framed = not _FRAMING_HEADERS.isdisjoint(answer.headers)
+    chunks = answer.chunks
+    if not framed:
+        chunks = stop_at_copy(chunks, answer.status, attempt.req.request_id)
     return Reply(
         status=answer.status,
         verdict=verdict,
         headers=end_to_end_headers(answer.raw_headers),
-        chunks=answer.chunks,
+        chunks=chunks,
         is_event_stream=_is_event_stream(answer),
-        framed=not _FRAMING_HEADERS.isdisjoint(answer.headers),
+        framed=framed,
         at_fault=_find_at_fault(
             attempt, answer.headers.get(AT_FAULT_HEADER, '')
         ),
