--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -31,7 +31,11 @@
 from masticwind.serving.quarantine import build_quarantine
 from masticwind.serving.relay import Relay
 from masticwind.serving.relay_dependencies import RelayDependencies
-from masticwind.serving.settings import LiveSettings, parse_address
+from masticwind.serving.settings import (
+    DEFAULT_MEMORY_MB,
+    LiveSettings,
+    parse_address,
+)
 from masticwind.serving.store_connection import StoreConnection
 from masticwind.serving.supervision import supervise
 from masticwind.serving.telemetry import Telemetry
@@ -146,7 +150,9 @@
         )
         self._telemetry: Final = Telemetry()
         self._lifetime: Final = Lifetime()
-        self._byte_budget: Final = ByteBudget(cfg.memory_mb)
+        self._byte_budget: Final = ByteBudget(
+            cfg.memory_mb or DEFAULT_MEMORY_MB
+        )
         self._app: Final = EdgeApp(self._edge_dependencies())
         self._add_gauges()
         self._server: Final = WebServer(
--- a/src/masticwind/serving/settings.py
+++ b/src/masticwind/serving/settings.py
@@ -12,10 +12,11 @@
 MAX_SLACK_REQUESTS: Final = 1_000_000
 # One terabyte.
 MAX_MEMORY_MB: Final = 1_048_576
+DEFAULT_MEMORY_MB: Final = 256.0
 
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=100)]
 SlackRequests = Annotated[float, msgspec.Meta(ge=0, le=MAX_SLACK_REQUESTS)]
-MemoryMb = Annotated[float, msgspec.Meta(ge=1, le=MAX_MEMORY_MB)]
+MemoryMb = Annotated[float, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)]
 HostPort = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
 
 
@@ -58,7 +59,7 @@
     port for messages between entries, such as their load. A `metrics_port` of
     zero disables the metrics server. Without an `operator_token`, no held
     part of a prompt can be released. `memory_mb` is the memory of the machine,
-    from which the limit of buffered bytes follows.
+    from which the limit of buffered bytes follows; zero stands for the default.
     """
 
     node: Name
@@ -72,7 +73,7 @@
     bounds: FleetBounds = field(default_factory=FleetBounds)
     log_level: LogLevel = 'info'
     operator_token: str = ''
-    memory_mb: MemoryMb = 256.0
+    memory_mb: MemoryMb = DEFAULT_MEMORY_MB
 
 
 def parse_address(text: HostPort) -> Address:
