--- a/src/masticwind_dev/soak/main.py
+++ b/src/masticwind_dev/soak/main.py
@@ -3,13 +3,15 @@
     python -m masticwind_dev.soak.main --seed 7 --seconds 20
     python -m masticwind_dev.soak.main --stops --seed 7 --seconds 60
     python -m masticwind_dev.soak.main --silent --seed 7 --seconds 20
+    python -m masticwind_dev.soak.main --faulty-answers --seed 7 --seconds 20
 
 Runs two entry processes with stand-ins under random faults for some seconds.
 After that, service must recover, and finally every request must be served.
 With `--stops`, entries are stopped as planned, again and again, without other
 faults. With `--silent`, endpoints write nothing for a while and go on; each
 seed has a run with versions of the configuration only, and one with other
-faults.
+faults. With `--faulty-answers`, endpoints write bytes without end or earlier
+answers once more, or fall silent, beside planned stops.
 Exit code 1 means that a guarantee was violated: the violations are printed
 and the folder with the logs is kept.
 """
@@ -25,11 +27,19 @@
 
 import anyio
 import cyclopts
+from cyclopts import Parameter
 
 from masticwind.logs import configure_logs
 from masticwind_dev.soak.callers import Findings, SequentialCaller
 from masticwind_dev.soak.environment import SoakEnvironment, caller_name
 from masticwind_dev.soak.faults import FaultInjector
+from masticwind_dev.soak.faulty import (
+    draw_options as draw_faulty_options,
+)
+from masticwind_dev.soak.faulty import (
+    format_result as format_faulty_result,
+)
+from masticwind_dev.soak.faulty import run_faulty_answers
 from masticwind_dev.soak.silent import (
     draw_options as draw_silence_options,
 )
@@ -54,39 +64,38 @@
 )
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@Parameter(name='*')
+@dataclass(frozen=True, kw_only=True)
 class SoakOptions:
-    """First seed, duration and number of soaks; seeds are consecutive."""
+    """First seed, duration, number and kind of soaks; seeds are consecutive."""
 
     seed: int = 1
     seconds: float = 12
     count: int = 1
+    stops: bool = False
     engines_leave: bool = False
+    silent: bool = False
+    faulty_answers: bool = False
+
+
+DEFAULTS: Final = SoakOptions()
 
 
 @cli.default
-def main(
-    *,
-    seed: int = 1,
-    seconds: float = 12,
-    count: int = 1,
-    stops: bool = False,
-    engines_leave: bool = False,
-    silent: bool = False,
-) -> None:
+def main(*, options: SoakOptions = DEFAULTS) -> None:
     """Run COUNT soaks of SECONDS each, with consecutive seeds from SEED.
 
     With `--stops`, run soaks of planned stops; with `--engines-leave` too,
     endpoints leave and ask for pauses during them. With `--silent`, run soaks
-    of endpoints that fall silent and go on, two of SECONDS for each seed.
+    of endpoints that fall silent and go on, two of SECONDS for each seed. With
+    `--faulty-answers`, run soaks of bytes without end and late copies.
     """
     configure_logs('error', to_stderr=True)
-    options = SoakOptions(
-        seed=seed, seconds=seconds, count=count, engines_leave=engines_leave
-    )
-    run = _run_all_stops if stops else _run_all
-    if silent:
+    run = _run_all_stops if options.stops else _run_all
+    if options.silent:
         run = _run_all_silences
+    if options.faulty_answers:
+        run = _run_all_faulty_answers
     sys.exit(anyio.run(run, options, backend_options={'use_uvloop': True}))
 
 
@@ -117,6 +126,19 @@
     return 1 if violations else 0
 
 
+async def _run_all_faulty_answers(options: SoakOptions) -> int:
+    requests = 0
+    violations: Counter[str] = Counter()
+    for seed in range(options.seed, options.seed + options.count):
+        drawn = draw_faulty_options(seed)
+        result = await run_faulty_answers(drawn, options.seconds)
+        print(format_faulty_result(result), flush=True)
+        requests += len(result.records.requests)
+        violations.update(result.violations)
+    print(f'{requests} requests, violations {dict(violations)}', flush=True)
+    return 1 if violations else 0
+
+
 async def _run_all(options: SoakOptions) -> int:
     failed = 0
     for seed in range(options.seed, options.seed + options.count):
--- a/src/masticwind_dev/soak/stop_entries.py
+++ b/src/masticwind_dev/soak/stop_entries.py
@@ -142,6 +142,8 @@
     store_port: int
     empty_store_port: int
     graces_s: Sequence[float] = (LONG_GRACE_S,)
+    max_uptime_s: float = MAX_UPTIME_S
+    memory_mb: int | None = None
 
 
 class StoppedEntry:
@@ -163,6 +165,12 @@
         self._peer_port: Final = free_udp_port()
         self._settings_path: Final = options.folder / f'{name}.yaml'
         self._count = 0
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def signal(self, signum: int) -> None:
+        """Send a signal to the process if it is running."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(signum)
 
     async def run(self, ends_at: float) -> None:
         """Start and stop processes until `ends_at`."""
@@ -175,8 +183,11 @@
         self._count += 1
         instance = Instance(self.name, self._count, grace_s, plan=plan.name)
         instance.port = _free_fixed_port()
+        instance.ready_port = _free_fixed_port()
         self._write_settings(instance, plan, grace_s)
         process = self._spawn()
+        instance.pid = process.pid
+        self._process = process
         try:
             await self._wait_for_uptime(instance, plan, process)
             await self._stop(instance, plan, process)
@@ -203,7 +214,7 @@
                 assert process.poll() is None, 'the entry has not started'
                 await anyio.sleep(POLL_INTERVAL_S)
         self.instance = instance
-        await anyio.sleep(self._random.uniform(0.5, MAX_UPTIME_S))
+        await anyio.sleep(self._random.uniform(0.5, self._options.max_uptime_s))
 
     async def _stop(
         self,
@@ -212,12 +223,13 @@
         process: subprocess.Popen[bytes],
     ) -> None:
         """Take the steps of the plan, and kill the process at the end."""
+        instance.ended_by_itself = process.poll() is not None
         instance.was_listening = await _accepts_connections(instance.port)
         if plan.hangup_before_s and instance.was_listening:
             process.send_signal(signal.SIGHUP)
             await anyio.sleep(plan.hangup_before_s)
         self._records.instances.append(instance)
-        waited_before_s = _read_processor_wait_s(process.pid)
+        waited_before_s = read_processor_wait_s(process.pid)
         instance.stopped_at = time.monotonic()
         process.send_signal(signal.SIGTERM)
         steps = list(plan.steps)
@@ -231,7 +243,7 @@
                 break
             instance.processor_wait_s = max(
                 instance.processor_wait_s,
-                _read_processor_wait_s(process.pid) - waited_before_s,
+                read_processor_wait_s(process.pid) - waited_before_s,
             )
             while steps and steps[0].delay_s <= passed_s:
                 self._take(steps.pop(0), instance, plan, process)
@@ -280,11 +292,13 @@
             'node': self.name,
             'zone': 'zone-a',
             'listen': f'127.0.0.1:{instance.port}',
-            'ready': '127.0.0.1:0',
+            'ready': f'127.0.0.1:{instance.ready_port}',
             'peer_port': self._peer_port,
             'store': {'address': f'127.0.0.1:{store_port}'},
             'bounds': {'shutdown_ms': int(shutdown_s * MS_PER_S)},
         }
+        if options.memory_mb is not None:
+            document['memory_mb'] = options.memory_mb
         new_path = self._settings_path.with_suffix('.new')
         new_path.write_text(yaml.safe_dump(document))
         new_path.replace(self._settings_path)
@@ -309,7 +323,7 @@
         return port
 
 
-def _read_processor_wait_s(pid: int) -> float:
+def read_processor_wait_s(pid: int) -> float:
     """Return how long a process has been ready to run without running.
 
     Zero if the system does not tell, or the process has ended.
--- a/src/masticwind_dev/soak/stop_records.py
+++ b/src/masticwind_dev/soak/stop_records.py
@@ -63,6 +63,7 @@
     WRONG_ANSWER = 'wrong_answer'
     EXIT_CODE = 'exit_code'
     LATE_EXIT = 'late_exit'
+    ENDED_BY_ITSELF = 'ended_by_itself'
     SENT_TO_LEAVING = 'sent_to_leaving'
     SENT_IN_PAUSE = 'sent_in_pause'
 
@@ -89,12 +90,15 @@
     number: int
     grace_s: float
     port: int = 0
+    ready_port: int = 0
+    pid: int = 0
     plan: str = ''
     stopped_at: float = math.inf
     was_listening: bool = True
     exit_code: int | None = None
     lifetime_s: float = math.inf
     killed: bool = False
+    ended_by_itself: bool = False
     processor_wait_s: float = 0
 
     @property
@@ -272,6 +276,9 @@
 
 def _check_exit(instance: Instance) -> Iterable[Finding]:
     name = f'{instance.name} ({instance.plan})'
+    if instance.ended_by_itself:
+        yield Finding(Violation.ENDED_BY_ITSELF, f'{name} ended before SIGTERM')
+        return
     if instance.killed:
         if instance.processor_wait_s > EXIT_TIME_S:
             return
