--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -17,12 +17,21 @@
 import anyio
 import httpcore
 
+from masticwind.connection_reuse import ConnectionReuse
 from masticwind.errors import ErrorKind, Failure
+from masticwind.http_calls import CallLimits, CallProgress
 from masticwind.http_limits import (
     LimitedConnection,
     end_head_limit,
+    iterate_body,
     join_chunks,
 )
+from masticwind.joined_answers import (
+    UnaskedBytesError,
+    has_extra_bytes,
+    has_joined_head,
+    unasked_bytes,
+)
 from masticwind.send_gate import (
     DEFAULT_OPTIONS,
     HeldBackError,
@@ -35,8 +44,8 @@
 
 KEEP_ALIVE_S: Final = 30
 BODY_END_TIMEOUT_S: Final = 0.02
-# Larger than any document of the store and any report of an engine.
-MAX_BODY_BYTES: Final = 16_777_216
+# A connection with more unread bytes is not reused.
+MAX_BODY_END_BYTES: Final = 65_536
 # Share of the server's keep-alive timeout in which a connection is reused. A
 # request that is sent later could arrive after the server has closed it.
 USABLE_KEEP_ALIVE_SHARE: Final = 0.7
@@ -91,8 +100,8 @@
 
     Header names are in lower case in `headers` and as received in
     `raw_headers`. No other request was sent on the connection before this one
-    if it is `fresh`. The connection is not reused if the reader sets
-    `reusable` to false.
+    if it is `fresh`. The head of a `joined` response contains parts of another
+    one. The connection is not reused if the reader sets `reusable` to false.
     """
 
     status: int
@@ -100,6 +109,7 @@
     headers: dict[str, str]
     raw_headers: Headers
     fresh: bool
+    joined: bool = False
     reusable: bool = True
 
 
@@ -146,11 +156,14 @@
         self._origin: Final = url.origin
         self._prefix: Final = url.target.rstrip(b'/')
         self._keep_alive_s: Final = keep_alive_s
+        self._reuse: Final = ConnectionReuse(base_url)
         self._connection_slots: Final = anyio.Semaphore(max_connections)
         self._idle: Final[list[_IdleConnection]] = []
         self._busy: Final[set[LimitedConnection]] = set()
         # Those connections in use that carried an earlier request.
         self._reused: Final[set[LimitedConnection]] = set()
+        # Those connections in use that are closed after their request.
+        self._closing: Final[set[LimitedConnection]] = set()
         # Idle time limits of connections in use, from the servers' headers.
         self._idle_limits_s: Final[dict[LimitedConnection, float]] = {}
 
@@ -159,34 +172,49 @@
         method: str,
         path: str,
         *,
-        timeout_s: float,
+        timeout_s: float | CallLimits,
         body: bytes = b'',
         headers: Headers = (),
         single_use: bool = False,
     ) -> HttpAnswer | Failure:
         """Make one request and read the complete response.
 
-        With `single_use`, a new connection is opened and closed again, so that
-        no response to another request can arrive on it.
+        `timeout_s` limits the whole call, from the wait for a connection to
+        the end of the body; `CallLimits` also limit the size of the body. With
+        `single_use`, a new connection is opened and closed again, so that no
+        response to another request can arrive on it.
 
         Returns a `Failure` of kind `no_capacity` if nothing was sent and of
         kind `outcome_unknown` if the request may have had an effect, also if
-        the body is over `MAX_BODY_BYTES`.
+        the body is too large. The failure is `silent` if the time ended before
+        the complete head of a response arrived.
         """
+        limits = (
+            timeout_s
+            if isinstance(timeout_s, CallLimits)
+            else CallLimits(timeout_s)
+        )
+        progress = CallProgress(limits)
         try:
             async with (
+                progress.limit_time(),
                 self._connection(SendOptions(fresh=single_use)) as conn,
                 conn.stream(
                     method,
                     self._url(path.encode('ascii')),
                     headers=_with_content_length(headers, body),
                     content=body,
-                    extensions={'timeout': _timeouts(timeout_s)},
+                    extensions={
+                        'timeout': _timeouts(limits.timeout_s),
+                        'trace': progress.record,
+                    },
                 ) as response,
             ):
                 if single_use:
                     self._idle_limits_s[conn] = 0
-                return await _read_answer(response)
+                return await _read_answer(response, limits.max_body_bytes)
+        except TimeoutError:
+            return progress.timeout_failure()
         except _NOT_SENT_ERRORS as exc:
             return _failure(ErrorKind.NO_CAPACITY, exc)
         except _CONNECTION_ERRORS as exc:
@@ -216,6 +244,7 @@
         try:
             async with (
                 self._connection(options) as conn,
+                unasked_bytes(reused=conn in self._reused),
                 conn.stream(
                     method,
                     url,
@@ -260,10 +289,24 @@
         await conn.aclose()
         return ConnectResult.ACCEPTED
 
-    async def close(self) -> None:
-        """Close all connections; requests in progress fail."""
+    async def pause_reuse(self) -> None:
+        """Close the idle connections and use new ones for a while."""
+        self._reuse.pause()
+        await self.close_idle()
+
+    async def close_idle(self) -> bool:
+        """Close all connections, those in use after their requests.
+
+        Returns whether all have been closed.
+        """
+        self._closing.update(self._busy)
         while self._idle:
             await self._idle.pop().conn.aclose()
+        return not self._busy
+
+    async def close(self) -> None:
+        """Close all connections; requests in progress fail."""
+        await self.close_idle()
         for conn in tuple(self._busy):
             await conn.aclose()
 
@@ -306,7 +349,11 @@
 
     async def _release_connection(self, conn: LimitedConnection) -> None:
         idle_limit_s = self._idle_limits_s.pop(conn, self._keep_alive_s)
-        if conn.is_idle() and idle_limit_s > 0:
+        reusable = conn.is_idle() and idle_limit_s > 0
+        if conn in self._closing or self._reuse.is_paused():
+            reusable = False
+        self._closing.discard(conn)
+        if reusable and not has_extra_bytes(conn):
             self._idle.append(
                 _IdleConnection(conn, time.monotonic() + idle_limit_s)
             )
@@ -332,13 +379,20 @@
         )
 
 
-async def _read_answer(response: httpcore.Response) -> HttpAnswer | Failure:
+async def _read_answer(
+    response: httpcore.Response, max_body_bytes: int
+) -> HttpAnswer | Failure:
     end_head_limit(response)
-    body = await join_chunks(response.aiter_stream(), MAX_BODY_BYTES)
+    if has_joined_head(response):
+        return Failure(
+            kind=ErrorKind.OUTCOME_UNKNOWN,
+            reason='the head contains parts of another response',
+        )
+    body = await join_chunks(response.aiter_stream(), max_body_bytes)
     if body is None:
         return Failure(
             kind=ErrorKind.OUTCOME_UNKNOWN,
-            reason=f'the body is over {MAX_BODY_BYTES} bytes',
+            reason=f'the body is over {max_body_bytes} bytes',
         )
     return HttpAnswer(
         response.status,
@@ -361,7 +415,7 @@
 
 async def _chunks(response: httpcore.Response) -> AsyncIterator[bytes]:
     try:
-        async for chunk in response.aiter_stream():
+        async for chunk in iterate_body(response):
             yield chunk
     except _CONNECTION_ERRORS as exc:
         raise BrokenStreamError(
@@ -374,12 +428,15 @@
     """Read the end of a response body, so that the connection is reusable.
 
     The end of the body can arrive shortly after the last line of a stream, at
-    which its reader stops.
+    which its reader stops. What is not read to its end is not reused.
     """
     with suppress(BrokenStreamError), anyio.move_on_after(BODY_END_TIMEOUT_S):
-        chunk = await anext(chunks, b'')
-        while chunk:
+        received_bytes = 0
+        while received_bytes <= MAX_BODY_END_BYTES:
             chunk = await anext(chunks, b'')
+            if not chunk:
+                return
+            received_bytes += len(chunk)
 
 
 def _failure(kind: ErrorKind, exc: Exception) -> Failure:
@@ -387,6 +444,7 @@
         kind=kind,
         reason=f'{type(exc).__name__}: {exc}',
         silent=isinstance(exc, httpcore.TimeoutException),
+        unasked=isinstance(exc, UnaskedBytesError),
     )
 
 
@@ -415,6 +473,7 @@
         _header_map(response.headers),
         tuple(response.headers),
         fresh,
+        joined=has_joined_head(response),
     )
 
 
--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from masticwind.errors import ErrorKind, Failure
+from masticwind.http_calls import CallLimits
 from masticwind.httpclient import (
     ConnectResult,
     HttpClient,
@@ -21,8 +22,10 @@
     classify_answer,
     encode_attempt,
     end_to_end_headers,
+    has_one_identity,
     names_request,
 )
+from masticwind.platform.unframed_bodies import stop_at_copy
 from masticwind.send_gate import SendOptions
 from masticwind.serving.interfaces import (
     Attempt,
@@ -38,6 +41,8 @@
 # less than a second.
 KEEP_ALIVE_S: Final = 0.5
 ORDER_TIMEOUT_S: Final = 0.4
+# An answer to an order has a few numbers.
+MAX_ORDER_ANSWER_BYTES: Final = 16_384
 # For each endpoint. The slots of an endpoint, not its connections, limit how
 # many requests run.
 MAX_CONNECTIONS: Final = 48
@@ -66,7 +71,8 @@
     ) -> AsyncIterator[Reply | Failure]:
         """Send an attempt and yield the head of the answer."""
         req = attempt.req
-        async with self._client_for(attempt.endpoint).stream(
+        client = self._client_for(attempt.endpoint)
+        async with client.stream(
             req.method,
             req.target,
             timeout_s=RequestTimeouts(
@@ -76,13 +82,18 @@
             body=req.body,
             headers=encode_attempt(attempt),
             options=SendOptions(
-                fresh=attempt.at_most_once, check=attempt.send_check
+                fresh=attempt.at_most_once or attempt.repeated,
+                check=attempt.send_check,
             ),
         ) as answer:
             if isinstance(answer, Failure):
+                if answer.unasked:
+                    await client.pause_reuse()
                 yield answer
                 return
             reply = _to_reply(attempt, answer)
+            if reply.unasked:
+                await client.pause_reuse()
             # A second copy of a refusal could arrive as the answer to a
             # repetition of the request, which has the same id.
             answer.reusable = reply.verdict is Verdict.RAN
@@ -114,10 +125,14 @@
         return await self._client_for(endpoint).try_connect(ORDER_TIMEOUT_S)
 
     async def close_idle(self, endpoint: Endpoint) -> None:
-        """Close the connections to an endpoint and drop its client."""
-        client = self._clients.pop(endpoint.address, None)
-        if client is not None:
-            await client.close()
+        """Close the connections to an endpoint and drop its client.
+
+        Another endpoint may have its address now, so requests in progress go
+        on. Their client stays, so that its limit on connections holds.
+        """
+        client = self._clients.get(endpoint.address)
+        if client is not None and await client.close_idle():
+            self._clients.pop(endpoint.address, None)
 
     async def _send_order(
         self, endpoint: Endpoint, order: _Order
@@ -125,7 +140,7 @@
         answer = await self._client_for(endpoint).request(
             'POST',
             '/-/order',
-            timeout_s=ORDER_TIMEOUT_S,
+            timeout_s=CallLimits(ORDER_TIMEOUT_S, MAX_ORDER_ANSWER_BYTES),
             body=msgspec.json.encode(order),
             headers=(
                 (b'content-type', b'application/json'),
@@ -164,25 +179,33 @@
 
 
 def _to_reply(attempt: Attempt, answer: HttpStream) -> Reply:
-    verdict = classify_answer(
-        attempt.req,
-        answer.status,
-        answer.headers,
-        fresh_connection=answer.fresh,
-    )
+    one_head = not answer.joined and has_one_identity(answer.raw_headers)
+    verdict = Verdict.UNVERIFIED
+    if one_head:
+        verdict = classify_answer(
+            attempt.req,
+            answer.status,
+            answer.headers,
+            fresh_connection=answer.fresh,
+        )
+    has_id = one_head and names_request(attempt.req, answer.headers)
     # Only the endpoint itself may speak for itself. It may refuse a request
     # without the proof that it has not run.
-    proven = names_request(attempt.req, answer.headers) and (
+    proven = has_id and (
         verdict in {Verdict.RAN, Verdict.NOT_RUN}
         or answer.status == HTTPStatus.SERVICE_UNAVAILABLE
     )
+    framed = not _FRAMING_HEADERS.isdisjoint(answer.headers)
+    chunks = answer.chunks
+    if not framed:
+        chunks = stop_at_copy(chunks, answer.status, attempt.req.request_id)
     return Reply(
         status=answer.status,
         verdict=verdict,
         headers=end_to_end_headers(answer.raw_headers),
-        chunks=answer.chunks,
+        chunks=chunks,
         is_event_stream=_is_event_stream(answer),
-        framed=not _FRAMING_HEADERS.isdisjoint(answer.headers),
+        framed=framed,
         at_fault=_find_at_fault(
             attempt, answer.headers.get(AT_FAULT_HEADER, '')
         ),
@@ -191,9 +214,18 @@
         ),
         seal=answer.headers.get(SEAL_HEADER, ''),
         fresh=answer.fresh,
+        unasked=not (has_id or answer.fresh),
+        length=_body_length(answer.headers),
     )
 
 
+def _body_length(headers: dict[str, str]) -> int | None:
+    """Return the length of a body, which the HTTP parser has checked."""
+    if 'transfer-encoding' in headers or 'content-length' not in headers:
+        return None
+    return int(headers['content-length'])
+
+
 def _is_event_stream(answer: HttpStream) -> bool:
     media_type = answer.headers.get('content-type', '').partition(';')[0]
     return media_type.strip().lower() == EVENT_STREAM_TYPE
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -2,22 +2,21 @@
 
 import math
 import time
+from dataclasses import replace
 from functools import partial
-from http import HTTPStatus
 from typing import Final
 
 import anyio
 from loguru import logger
 
 from masticwind.budget import MS_PER_S
-from masticwind.errors import ErrorKind, Failure
-from masticwind.http_limits import join_chunks
+from masticwind.errors import ErrorKind, Failure, guarantees_not_run
 from masticwind.httpclient import BrokenStreamError
 from masticwind.send_gate import SendCheck
 from masticwind.serving.admission import AdmittedRequest
+from masticwind.serving.answer_relay import relay_answer
 from masticwind.serving.attempt_context import (
     AttemptContext,
-    superseded_failure,
 )
 from masticwind.serving.endpoint_limits import Permit
 from masticwind.serving.event_relay import relay_events
@@ -41,8 +40,6 @@
 
 # Connecting within a region takes a few milliseconds.
 CONNECT_TIMEOUT_S: Final = 0.4
-# An answer that is not a stream is complete before it is passed on.
-MAX_ANSWER_BYTES: Final = 4_194_304
 # Time for the answer to reach the caller before the deadline.
 ANSWER_MARGIN_MS: Final = 10
 # Time without a first event after which another endpoint is tried, as a
@@ -127,6 +124,7 @@
         events=context.progress.event_count,
         answer_begun=context.state.answer_begun,
         last_event_ms_ago=context.progress.silence_ms(),
+        buffered_bytes=context.byte_budget.used_bytes,
         **_reply_fields(context.state.reply),
     )
     if outcome is None:
@@ -161,16 +159,33 @@
                 context.state.at_fault = helpers.endpoint
             return helpers.failure
         request = _build_attempt(context, helpers)
-        with SilenceTimer(context) as timer:
-            timer.start(context.limits.head_timeout_s)
-            async with endpoint_client.send(request, context.limits) as reply:
-                timer.stop()
-                if isinstance(reply, Failure):
-                    return reply
-                context.state.answer_begun = True
-                context.state.reply = reply
-                context.on_answer(reply.notice)
-                return await _receive_or_fail(context, reply)
+        outcome = await _exchange(endpoint_client, context, request)
+        if context.state.unasked and context.acquire_resend():
+            context.state.forget_answer()
+            request = replace(_build_attempt(context, helpers), repeated=True)
+            repeated = await _exchange(endpoint_client, context, request)
+            # The first transmission may have run, whatever became of the
+            # second one.
+            if repeated is None or not guarantees_not_run(repeated.kind):
+                outcome = repeated
+        return outcome
+
+
+async def _exchange(
+    endpoint_client: EndpointClient, context: AttemptContext, request: Attempt
+) -> Failure | None:
+    """Send a request and relay its answer."""
+    with SilenceTimer(context) as timer:
+        timer.start(context.limits.head_timeout_s)
+        async with endpoint_client.send(request, context.limits) as reply:
+            timer.stop()
+            context.state.unasked = reply.unasked
+            if isinstance(reply, Failure):
+                return reply
+            context.state.answer_begun = True
+            context.state.reply = reply
+            context.on_answer(reply.notice)
+            return await _receive_or_fail(context, reply)
 
 
 def _build_attempt(
@@ -189,6 +204,7 @@
         at_most_once=not admitted.route.repeatable,
         resume_after=context.progress.last_event_id,
         helpers=helpers,
+        repeated=context.number > 1,
         send_check=SendCheck(
             partial(_find_obstacle, context),
             partial(_record_sent, context, helpers),
@@ -198,13 +214,14 @@
 
 def _find_obstacle(context: AttemptContext) -> str:
     obstacle = context.find_obstacle()
-    context.state.held_back = bool(obstacle)
+    context.state.held_back = bool(obstacle) and not context.state.is_sent
     return obstacle
 
 
 def _record_sent(
     context: AttemptContext, helpers: tuple[PrefillHelper, ...]
 ) -> None:
+    repeated = context.state.is_sent or context.number > 1
     context.progress.is_sent = True
     context.state.is_sent = True
     admitted = context.admitted
@@ -222,6 +239,7 @@
         predicted_ms=round(context.placement.first_event_ms),
         whole_ms=round(context.placement.total_ms),
         left_ms=round(admitted.remaining_s() * MS_PER_S),
+        repeated=repeated,
         resume_after=context.progress.last_event_id,
         **_permit_fields(context.permit),
     ).info('attempt_sent')
@@ -301,32 +319,4 @@
         )
     if context.admitted.route.kind is RouteKind.STREAM and reply.success:
         return await relay_events(context, reply)
-    return await _relay_whole_answer(context, reply)
-
-
-async def _relay_whole_answer(
-    context: AttemptContext, reply: Reply
-) -> Failure | None:
-    body = await join_chunks(reply.chunks, MAX_ANSWER_BYTES)
-    if body is None:
-        return Failure(
-            kind=ErrorKind.FAILED_AFTER_START,
-            reason=f'the answer is over {MAX_ANSWER_BYTES} bytes',
-        )
-    if context.answer.started:
-        return Failure(
-            kind=ErrorKind.FAILED_AFTER_START,
-            reason=f'the resumption was answered with status {reply.status}',
-        )
-    failed = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-    if failed and context.may_retry_elsewhere():
-        return Failure(
-            kind=ErrorKind.INTERNAL,
-            reason=f'the endpoint failed with status {reply.status}',
-        )
-    if not context.claim():
-        return superseded_failure()
-    await context.answer.start(reply.status, reply.headers, len(body))
-    await context.answer.write(body)
-    await context.answer.finish()
-    return None
+    return await relay_answer(context, reply)
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -7,6 +7,7 @@
 
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.admission import AdmittedRequest, RequestProgress
+from masticwind.serving.byte_budget import ByteBudget
 from masticwind.serving.endpoint_limits import Permit
 from masticwind.serving.interfaces import (
     AttemptLimits,
@@ -16,6 +17,7 @@
 )
 from masticwind.serving.model import Endpoint
 from masticwind.serving.placement import Placement
+from masticwind.serving.turns import TurnQueue
 
 
 @dataclass(slots=True)
@@ -25,7 +27,8 @@
     `answer_begun` says that the head of the answer has arrived; `reply` is
     that head if the entry received it itself. An attempt that is
     `held_back` has not been sent. An answer that is `unverified` may belong to
-    another request. A `silent` endpoint has written nothing for the time after
+    another request; an `unasked` one does, and was received on a reused
+    connection. A `silent` endpoint has written nothing for the time after
     which another one is tried; `silence_counted` tells whether that has been
     held against it. An attempt has `expired` if its endpoint was
     silent for longer than it may hold memory of others. `at_fault` is the
@@ -37,6 +40,7 @@
     held_back: bool = False
     is_sent: bool = False
     unverified: bool = False
+    unasked: bool = False
     silent: bool = False
     silence_counted: bool = False
     expired: bool = False
@@ -44,6 +48,13 @@
     event_count: int = 0
     scope: anyio.CancelScope | None = None
 
+    def forget_answer(self) -> None:
+        """Prepare for the answer to the request that is sent once more."""
+        self.answer_begun = False
+        self.reply = None
+        self.unverified = False
+        self.unasked = False
+
     def expire(self) -> None:
         """End the attempt if its endpoint is still silent."""
         if self.silent and not self.event_count and self.scope is not None:
@@ -72,14 +83,17 @@
 
     `number` counts the attempts of the request from 1. `may_retry_elsewhere`
     tells whether another endpoint may run the request if this attempt fails
-    now. `claim` asks for the right to write to the caller, which
+    now. `acquire_resend` asks for sending this attempt to its endpoint once
+    more. `claim` asks for the right to write to the caller, which
     ends the other attempts; it is refused to one that has been ended itself.
     `on_silence` is called when the endpoint becomes silent. `on_event` is
     called for each batch of events before it is sent to the caller, and
     `on_answer` with what the endpoint says of itself, as in `Reply`;
-    `on_order_reply` likewise for a reservation on a helper. `find_obstacle` is
+    `on_order_reply` likewise for a reservation on a helper. `on_endless` is
+    called if the caller has left during a very long answer. `find_obstacle` is
     called right before the request is sent. It returns the reason why it must
-    not be sent any more, or ''.
+    not be sent any more, or ''. What is kept of the answer counts in
+    `byte_budget`, and a long one waits for its `turns`.
     """
 
     admitted: AdmittedRequest
@@ -89,12 +103,16 @@
     limits: AttemptLimits
     number: int
     may_retry_elsewhere: Callable[[], bool]
+    acquire_resend: Callable[[], bool]
     claim: Callable[[], bool]
     on_silence: Callable[[], None]
     on_event: Callable[[], None]
     on_answer: Callable[[EndpointNotice | None], None]
     on_order_reply: Callable[[Endpoint, EndpointNotice | None], None]
+    on_endless: Callable[[], None]
     find_obstacle: Callable[[], str]
+    byte_budget: ByteBudget
+    turns: TurnQueue
     permit: Permit | None = None
     state: AttemptState = field(default_factory=AttemptState)
 
--- a/src/masticwind/serving/interfaces.py
+++ b/src/masticwind/serving/interfaces.py
@@ -33,7 +33,9 @@
     `time_limit_ms` is how long the endpoint may work on it; None sets no
     limit. `priority` ranges from 0, the most urgent, to 9. An `at_most_once`
     attempt uses a new connection: if the endpoint closes a reused one at that
-    moment, it is unknown whether the request was read. `send_check` is asked
+    moment, it is unknown whether the request was read. So does a `repeated`
+    one: on a reused connection, the answer to an earlier attempt, which has
+    the same id, could be received once more. `send_check` is asked
     while the request waits for a connection and right before it is sent.
     """
 
@@ -45,6 +47,7 @@
     at_most_once: bool
     resume_after: int | None
     helpers: tuple[PrefillHelper, ...] = ()
+    repeated: bool = False
     send_check: SendCheck | None = None
 
 
@@ -101,7 +104,9 @@
     refusal, if the answer names it: the lead endpoint or a helper. `notice` is
     what the endpoint says of itself, and None if the answer may come from
     another process. `seal` is the endpoint's signature, '' without one. No
-    earlier answer was received on a `fresh` connection.
+    earlier answer was received on a `fresh` connection. An `unasked` answer,
+    on a reused one, belongs to an earlier request. `length` is
+    that of the body, None if the head does not tell it.
     """
 
     status: int
@@ -114,6 +119,8 @@
     notice: EndpointNotice | None = None
     seal: str = ''
     fresh: bool = False
+    unasked: bool = False
+    length: int | None = None
 
     @property
     def success(self) -> bool:
@@ -177,7 +184,10 @@
 
     @abc.abstractmethod
     async def close_idle(self, endpoint: Endpoint) -> None:
-        """Close the idle connections to an endpoint that was removed."""
+        """Close the connections to an endpoint that was removed.
+
+        Those in use are closed after their requests.
+        """
 
 
 class CallerAnswer(abc.ABC):
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import socket
 from collections.abc import Awaitable, Callable, Iterator, Mapping
 from dataclasses import dataclass
 from functools import partial
@@ -24,6 +25,7 @@
 from masticwind.web_protocol import (
     CONNECTION_KEY,
     EXTENSION,
+    QUERY_KEY,
     ConnectionLimits,
     LimitedProtocol,
 )
@@ -39,6 +41,9 @@
 CLOSE_HEADER: Final = (b'connection', b'close')
 # Decoding a larger body on the event loop would delay other requests.
 INLINE_DECODE_BYTES: Final = 262_144
+# What the kernel keeps of a body that is not read yet, for each connection. The
+# event loop reads all of it before it can be paused.
+RECEIVE_BUFFER_BYTES: Final = 131_072
 CLOSE_POLL_INTERVAL_S: Final = 0.02
 
 
@@ -111,19 +116,39 @@
     return ''
 
 
+def request_target(scope: Scope) -> bytes:
+    """Return the path and query of a request as the caller sent them.
+
+    Example: `/a?` has an empty query, and is another target than `/a`.
+    """
+    path: bytes = scope['raw_path']
+    query: bytes = scope['query_string']
+    extensions = scope.get('extensions', {}).get(EXTENSION, {})
+    if query or extensions.get(QUERY_KEY, False):
+        return b'%b?%b' % (path, query)
+    return path
+
+
 def query_parameters(scope: Scope) -> Mapping[str, str]:
     """Return the query parameters; of a repeated one, the last value."""
     return dict(parse_qsl(scope['query_string'].decode('latin-1')))
 
 
+def _always(_size_bytes: int) -> bool:
+    return True
+
+
 async def read_body(
     receive: Receive,
     limit_bytes: int,
     timeout_s: float,
+    try_buffer: Callable[[int], bool] = _always,
 ) -> bytes | Failure:
     """Read a request body.
 
-    Returns a `Failure` of kind `too_large`, `body_timeout` or `cancelled`.
+    `try_buffer` tells whether the process may keep so many more bytes. Returns
+    a `Failure` of kind `too_large`, `body_timeout`, `overloaded` or
+    `cancelled`.
     """
     chunks: list[bytes] = []
     size = 0
@@ -142,6 +167,11 @@
                     kind=ErrorKind.TOO_LARGE,
                     reason=f'the body is over {limit_bytes} bytes',
                 )
+            if not try_buffer(len(chunk)):
+                return Failure(
+                    kind=ErrorKind.OVERLOADED,
+                    reason='the process has no memory for the body',
+                )
             chunks.append(chunk)
             if not event.get('more_body'):
                 return b''.join(chunks)
@@ -181,6 +211,11 @@
         self._app: Final = app
         self._stopped: Final = anyio.Event()
         self._socket: Final = listen_tcp(address)
+        # Where the system refuses, its own limit holds.
+        with contextlib.suppress(OSError):
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
         self.port: Final = int(self._socket.getsockname()[1])
         protocol: Any = partial(LimitedProtocol, limits=limits)
         self._server: Final = _Server(
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -53,6 +53,8 @@
         'status',
         'seal',
         'fresh_connection',
+        'repeated',
+        'buffered_bytes',
     )
 )
 ENDPOINT_STATES = frozenset(('serving', 'cold', 'out', 'down'))
--- a/tests/test_stale_answers.py
+++ b/tests/test_stale_answers.py
@@ -5,9 +5,9 @@
 import pytest
 
 from masticwind.budget import Budget
+from masticwind.http_calls import MAX_BODY_BYTES
 from masticwind.http_limits import join_chunks
 from masticwind.platform.endpoints import PlatformEndpointClient
-from masticwind.serving.attempt import MAX_ANSWER_BYTES
 from masticwind.serving.interfaces import (
     Attempt,
     AttemptLimits,
@@ -93,8 +93,13 @@
 
 
 async def send_attempt(
-    client: PlatformEndpointClient, endpoint: Endpoint, request_id: str
+    client: PlatformEndpointClient,
+    endpoint: Endpoint,
+    request_id: str,
+    *,
+    repeated: bool = False,
 ) -> Reply:
+    """Send an attempt and read its whole answer."""
     req = CallerRequest(
         request_id=request_id,
         method='POST',
@@ -112,10 +117,11 @@
         priority=0,
         at_most_once=False,
         resume_after=None,
+        repeated=repeated,
     )
     async with client.send(attempt, LIMITS) as reply:
         assert isinstance(reply, Reply)
-        await join_chunks(reply.chunks, MAX_ANSWER_BYTES)
+        await join_chunks(reply.chunks, MAX_BODY_BYTES)
         return reply
 
 
