--- a/src/masticwind/http_limits.py
+++ b/src/masticwind/http_limits.py
@@ -83,7 +83,6 @@
         self._gate: Final = gate
         self._read_bytes = MIN_READ_BYTES
         self._unread = b''
-        self._offset = 0
         self._head_bytes = 0
         self._informational = InformationalCounter()
         self.head_complete = False
@@ -91,7 +90,7 @@
     @property
     def has_unread(self) -> bool:
         """Whether bytes have arrived that have not been read."""
-        return self._offset < len(self._unread)
+        return bool(self._unread)
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read; raise `RemoteProtocolError` if the head is too large."""
@@ -101,10 +100,9 @@
             self._unread = await self._stream.read(
                 max(max_bytes, BUFFER_BYTES), timeout
             )
-            self._offset = 0
-        end = self._offset + min(max_bytes, self._read_bytes)
-        content = self._unread[self._offset : end]
-        self._offset = end
+        size_bytes = min(max_bytes, self._read_bytes)
+        content = self._unread[:size_bytes]
+        self._unread = self._unread[size_bytes:]
         if not self.head_complete:
             self._check_head(content)
         return content
