--- a/src/masticwind/engines/http.py
+++ b/src/masticwind/engines/http.py
@@ -3,9 +3,8 @@
 The engine API is JSON over HTTP. Generated output is streamed as JSON lines;
 the last line has the total number of tokens.
 
-Answers have no id, so each generation, call and command gets a connection of
-its own: on a kept one, a late copy of an earlier answer could arrive. Reports
-are read on kept ones, as the next report replaces an outdated one.
+Answers have no id, so each generation and each call gets a connection of its
+own: on a kept one, a late copy of an earlier answer could arrive.
 """
 
 from collections.abc import AsyncIterator, Sequence
@@ -183,7 +182,6 @@
             path,
             timeout_s=CallLimits(CONTROL_TIMEOUT_S, MAX_ACKNOWLEDGEMENT_BYTES),
             body=msgspec.json.encode(content),
-            single_use=True,
         )
         return _status_failure(response)
 
