--- a/src/masticwind/serving/attempt_race.py
+++ b/src/masticwind/serving/attempt_race.py
@@ -49,9 +49,12 @@
         """Record that the attempt of a line is being sent."""
         line.state = LineState.RUNNING
 
-    def hold_back(self, line: AttemptLine) -> None:
-        """Record that the attempt of a line is placed again, not sent."""
-        line.state = LineState.PLACING
+    def hold_back(self, line: AttemptLine) -> bool:
+        """End an attempt that was not sent; tell whether its line is to go on.
+
+        It may have been silent, so that a successor is being placed.
+        """
+        return self.end_attempt(line)
 
     def record_silence(self, line: AttemptLine) -> bool:
         """Record that the endpoint of a line is silent.
--- a/src/masticwind/serving/request_run.py
+++ b/src/masticwind/serving/request_run.py
@@ -116,25 +116,40 @@
                 self._decisions(tasks, line, permitted.placement.lead),
             )
             self._current.pop(line)
-            if permitted.state.held_back:
-                progress.attempts -= 1
-                self._race.hold_back(line)
-                continue
-            self._attempts.record_metrics(
-                self._served.admitted, progress, failure
-            )
+            if not permitted.state.held_back:
+                self._attempts.record_metrics(
+                    self._served.admitted, progress, failure
+                )
             if failure is None:
                 self._attempts.record_success(permitted.placement.lead)
                 return None
-            goes_on = self._race.end_attempt(line)
-            if failure.kind is ErrorKind.QUARANTINED:
-                progress.record_recall(permitted.placement.lead)
-                return progress.final_failure(failure)
-            await self._attempts.record_failure(permitted, failure, progress)
-            is_alone = not self._race.has_running_others(line)
-            if not goes_on or (is_alone and not self._try_acquire_retry()):
+            goes_on, has_retry = await self._end_attempt(
+                line, permitted, failure
+            )
+            if not goes_on:
                 return progress.final_failure(failure)
-            has_retry = is_alone
+
+    async def _end_attempt(
+        self, line: AttemptLine, permitted: PermittedPlacement, failure: Failure
+    ) -> tuple[bool, bool]:
+        """End a failed attempt, or one that was not sent.
+
+        Returns whether its line is to go on, and whether that needs no other
+        retry of the budget.
+        """
+        progress = self._served.progress
+        if permitted.state.held_back:
+            progress.attempts -= 1
+            return self._race.hold_back(line), True
+        goes_on = self._race.end_attempt(line)
+        if failure.kind is ErrorKind.QUARANTINED:
+            progress.record_recall(permitted.placement.lead)
+            return False, False
+        await self._attempts.record_failure(permitted, failure, progress)
+        is_alone = not self._race.has_running_others(line)
+        if goes_on and is_alone:
+            goes_on = self._try_acquire_retry()
+        return goes_on, is_alone
 
     async def _place(
         self, line: AttemptLine, *, has_retry: bool
