--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -224,6 +224,9 @@
     repeated = context.state.is_sent or context.number > 1
     context.progress.is_sent = True
     context.state.is_sent = True
+    if context.state.silent:
+        # It has waited so long that a successor may be running.
+        context.progress.record_possible_run(context.placement.lead)
     admitted = context.admitted
     logger.bind(
         request_id=admitted.req.request_id,
--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -277,14 +277,21 @@
         logger.bind(
             request_id=served.admitted.req.request_id,
             endpoint=lead.identity,
+            sent=state.is_sent,
             answer_begun=state.answer_begun,
             events=state.event_count,
             left_ms=round(served.admitted.remaining_s() * MS_PER_S),
         ).info('endpoint_silent')
         # Calls of some services take longer, so that before its deadline only a
         # request which could be served elsewhere speaks against its endpoint.
-        state.silence_counted = decisions.may_retry_elsewhere()
-        served.progress.record_possible_run(lead)
+        state.silence_counted = (
+            state.is_sent and decisions.may_retry_elsewhere()
+        )
+        if state.is_sent:
+            served.progress.record_possible_run(lead)
+        else:
+            # It waits for a connection. Its successor goes elsewhere.
+            served.progress.excluded_endpoints.add(lead.identity)
         if state.silence_counted:
             deps.reach.record_silence(lead)
         if state.silence_counted and not deps.notices.is_leaving(lead):
