--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import socket
+import struct
 from collections.abc import Awaitable, Callable, Iterator, Mapping
 from dataclasses import dataclass
 from functools import partial
@@ -22,6 +23,7 @@
 from masticwind.errors import ERROR_RESPONSES, ErrorKind, Failure
 from masticwind.settings import Address
 from masticwind.sockets import listen_tcp
+from masticwind.web_framing import VERSION_WITHOUT_CHUNKS
 from masticwind.web_protocol import (
     CONNECTION_KEY,
     EXTENSION,
@@ -44,6 +46,7 @@
 # What the kernel keeps of a body that is not read yet, for each connection. The
 # event loop reads all of it before it can be paused.
 RECEIVE_BUFFER_BYTES: Final = 131_072
+NO_LINGER: Final = struct.pack('ii', 1, 0)
 CLOSE_POLL_INTERVAL_S: Final = 0.02
 
 
@@ -190,6 +193,44 @@
     )
 
 
+class UnchunkedSend:
+    """Sends a response to a caller that does not know chunks.
+
+    Without a length, it ends with its connection, and is reset if incomplete.
+    """
+
+    def __init__(self, conn: LimitedProtocol, send: Send) -> None:
+        self._conn: Final = conn
+        self._send: Final = send
+        self._cycle: Final[Any] = conn.cycle
+        self._is_open = False
+
+    async def __call__(self, message: dict[str, Any]) -> None:
+        """Send a part of the response."""
+        if message['type'] == 'http.response.start':
+            names = {name.lower() for name, _ in message['headers']}
+            self._is_open = b'content-length' not in names
+            if self._is_open:
+                self._cycle.chunked_encoding = False
+                self._cycle.keep_alive = False
+        elif self._is_open:
+            # uvicorn compares each part with what is left of the length.
+            self._cycle.expected_content_length = len(message['body'])
+            self._is_open = message.get('more_body', False)
+        await self._send(message)
+
+    def end(self) -> None:
+        """Reset the connection of an incomplete response."""
+        if not self._is_open:
+            return
+        sock = self._conn.transport.get_extra_info('socket')
+        if sock is not None:
+            # Without a time to linger, closing the socket resets it.
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self._conn.transport.abort()
+
+
 class _Server(uvicorn.Server):
     """A server that installs no signal handlers."""
 
@@ -296,7 +337,15 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         conn = scope['extensions'][EXTENSION][CONNECTION_KEY]
-        await self._app(scope, receive, partial(self._send_message, conn, send))
+        if scope['http_version'] == VERSION_WITHOUT_CHUNKS:
+            send = UnchunkedSend(conn, send)
+        try:
+            await self._app(
+                scope, receive, partial(self._send_message, conn, send)
+            )
+        finally:
+            if isinstance(send, UnchunkedSend):
+                send.end()
 
     async def _send_message(
         self, conn: LimitedProtocol, send: Send, message: dict[str, Any]
