--- a/tests/test_attempt_race.py
+++ b/tests/test_attempt_race.py
@@ -66,11 +66,17 @@
             self.lines.append(self.race.open_line(_do_nothing))
         assert line.state is LineState.SILENT
 
-    @precondition(_has(LineState.RUNNING))
+    @precondition(_has(*RUNNING))
     @rule(data=st.data())
     def hold_back(self, data: st.DataObject) -> None:
-        """Place an attempt again that has not been sent."""
-        self.race.hold_back(self.draw(data, LineState.RUNNING))
+        """Place an attempt again that has not been sent.
+
+        It may have waited for a connection for longer than a silence lasts.
+        """
+        line = self.draw(data, *RUNNING)
+        if not self.race.hold_back(line):
+            self.race.close_line(line)
+            assert self.live(), 'nothing is left for the request'
 
     @precondition(_has(*RUNNING))
     @rule(data=st.data())
