--- a/src/masticwind_dev/soak/faulty.py
+++ b/src/masticwind_dev/soak/faulty.py
@@ -11,7 +11,7 @@
 import tempfile
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Final
 
@@ -26,7 +26,7 @@
     route_document,
 )
 from masticwind_dev.soak.faulty_callers import FaultyCaller
-from masticwind_dev.soak.faulty_engines import FaultyEndpoint
+from masticwind_dev.soak.faulty_engines import FaultPlan, FaultyEndpoint, Mode
 from masticwind_dev.soak.faulty_records import (
     FAILURES,
     MEMORY_MB,
@@ -40,14 +40,32 @@
     watch_readiness,
 )
 from masticwind_dev.soak.stop_entries import EntryOptions, StoppedEntry
+from masticwind_dev.standins.endless import EndlessForm
 from masticwind_dev.standins.metadata import MetadataStandin
 
 ENTRIES: Final = 3
 ENGINES: Final = 3
-CALLERS: Final = (6, 12)
-MAX_UPTIMES_S: Final = (4.0, 8.0)
+CALLERS: Final = (8, 16)
+# Callers of each entry where all answers without end have the same form.
+STORM_CALLERS: Final = 40
+UPTIMES_S: Final = ((2.0, 6.0), (5.0, 12.0))
 GRACES_S: Final = ((8.0,), (4.0, 5.0, 6.0))
 ENGINE_MEMORY_TOKENS: Final = 20_000
+STORM_MODES: Final = (Mode.ENDLESS,)
+# What endpoints do, one of these in each span of time.
+MODES: Final = (
+    (
+        Mode.SOUND,
+        Mode.ENDLESS,
+        Mode.ENDLESS,
+        Mode.COPIES,
+        Mode.COPIES,
+        Mode.SILENT,
+    ),
+    STORM_MODES,
+    (Mode.SOUND, Mode.COPIES, Mode.COPIES, Mode.COPIES, Mode.SILENT),
+    (Mode.ENDLESS, Mode.ENDLESS, Mode.SILENT),
+)
 SETTLE_S: Final = 0.5
 SHOWN_FINDINGS: Final = 10
 
@@ -59,18 +77,26 @@
     seed: int
     callers: int
     graces_s: tuple[float, ...]
-    max_uptime_s: float
+    uptimes_s: tuple[float, float]
+    modes: tuple[Mode, ...]
+    forms: tuple[EndlessForm, ...] = tuple(EndlessForm)
 
 
 def draw_options(seed: int) -> FaultyOptions:
     """Draw the options of a run."""
     rng = random.Random(f'faulty-{seed}')
-    return FaultyOptions(
+    options = FaultyOptions(
         seed=seed,
         callers=rng.choice(CALLERS),
         graces_s=rng.choice(GRACES_S),
-        max_uptime_s=rng.choice(MAX_UPTIMES_S),
+        uptimes_s=rng.choice(UPTIMES_S),
+        modes=MODES[seed % len(MODES)],
     )
+    if options.modes != STORM_MODES:
+        return options
+    forms = tuple(EndlessForm)
+    form = forms[seed // len(MODES) % len(forms)]
+    return replace(options, callers=STORM_CALLERS, forms=(form,))
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +131,7 @@
                 f'{service}-{number}',
                 service,
                 records,
-                options.seed,
+                FaultPlan(options.seed, options.modes, options.forms),
                 always_ends=not number,
             )
             for service in ('calls', 'engines')
@@ -116,7 +142,7 @@
             self._servers[0].port,
             self._servers[1].port,
             options.graces_s,
-            max_uptime_s=options.max_uptime_s,
+            uptimes_s=options.uptimes_s,
             memory_mb=MEMORY_MB,
         )
         self.entries: Final = [
--- a/src/masticwind_dev/soak/faulty_callers.py
+++ b/src/masticwind_dev/soak/faulty_callers.py
@@ -8,7 +8,8 @@
 import anyio
 from anyio.abc import SocketStream
 
-from masticwind_dev.soak.faulty_records import FaultyRecords
+from masticwind_dev.soak.callers import NOT_RUN_STATUSES
+from masticwind_dev.soak.faulty_records import ROUTE_TIMEOUT_S, FaultyRecords
 from masticwind_dev.soak.stop_callers import (
     RECONNECT_INTERVAL_S,
     Exchange,
@@ -22,6 +23,7 @@
 KINDS: Final = ('chat', 'read', 'read', 'order')
 DURATION_MS: Final = (20, 400)
 MAX_PAUSE_S: Final = 0.1
+REFUSED_PAUSE_S: Final = 0.3
 SHORT_PROMPT_TOKENS: Final = 900
 # Needs memory that is reserved on another engine.
 LONG_PROMPT_TOKENS: Final = 30_000
@@ -74,6 +76,8 @@
         if is_kept and exchange.parser.trailing_data[0]:
             self._records.extra_bytes.append(req.request_id)
         exchange.body = exchange.body[:MAX_KEPT_BYTES]
+        if req.status in NOT_RUN_STATUSES:
+            await anyio.sleep(self._random.uniform(0, REFUSED_PAUSE_S))
         return is_kept
 
     def _new_exchange(self, instance: Instance) -> Exchange:
@@ -84,4 +88,6 @@
         tokens = SHORT_PROMPT_TOKENS
         if self._random.random() < LONG_PROMPT_SHARE:
             tokens = LONG_PROMPT_TOKENS
-        return new_exchange(request_id, instance, work, tokens)
+        exchange = new_exchange(request_id, instance, work, tokens)
+        exchange.req.deadline_at = exchange.req.begun_at + ROUTE_TIMEOUT_S
+        return exchange
--- a/src/masticwind_dev/soak/faulty_engines.py
+++ b/src/masticwind_dev/soak/faulty_engines.py
@@ -56,16 +56,6 @@
     SILENT = 'silent'
 
 
-MODES: Final = (
-    Mode.SOUND,
-    Mode.ENDLESS,
-    Mode.ENDLESS,
-    Mode.COPIES,
-    Mode.COPIES,
-    Mode.SILENT,
-)
-
-
 @dataclass(frozen=True, slots=True)
 class Behaviour:
     """The faults of one span of time."""
@@ -76,14 +66,25 @@
     failure_share: float = 0
 
 
-def draw_behaviour(rng: random.Random, *, always_sound: bool) -> Behaviour:
+@dataclass(frozen=True, slots=True)
+class FaultPlan:
+    """The seed of a run, and what its endpoints do, one mode in each span."""
+
+    seed: int
+    modes: tuple[Mode, ...]
+    forms: tuple[EndlessForm, ...] = tuple(EndlessForm)
+
+
+def draw_behaviour(
+    rng: random.Random, plan: FaultPlan, *, always_ends: bool
+) -> Behaviour:
     """Draw the faults of a span of time."""
-    mode = rng.choice(MODES)
-    if always_sound and mode is Mode.ENDLESS:
+    mode = rng.choice(plan.modes)
+    if always_ends and mode is Mode.ENDLESS:
         mode = Mode.SOUND
     return Behaviour(
         mode,
-        rng.choice(list(EndlessForm)),
+        rng.choice(plan.forms),
         rng.choice((FAST, FAST, DRIPPING)),
         rng.uniform(*FAILURE_SHARES),
     )
@@ -101,7 +102,7 @@
         name: str,
         service: str,
         records: FaultyRecords,
-        seed: int,
+        plan: FaultPlan,
         *,
         always_ends: bool,
     ) -> None:
@@ -109,8 +110,9 @@
         self._service: Final = service
         self._records: Final = records
         self._always_ends: Final = always_ends
-        self._random: Final = random.Random(f'{seed}-{name}')
-        self._span_random: Final = random.Random(f'{seed}-spans-{name}')
+        self._plan: Final = plan
+        self._random: Final = random.Random(f'{plan.seed}-{name}')
+        self._span_random: Final = random.Random(f'{plan.seed}-spans-{name}')
         self._server: Final = RawEndpoint(self._answer)
         self._behaviour = Behaviour()
         self._silent_until = 0.0
@@ -139,7 +141,9 @@
         """Change the faults again and again until cancelled."""
         while True:
             behaviour = draw_behaviour(
-                self._span_random, always_sound=self._always_ends
+                self._span_random,
+                self._plan,
+                always_ends=self._always_ends,
             )
             span_s = self._span_random.uniform(*SPAN_S)
             if behaviour.mode is Mode.SILENT:
--- a/src/masticwind_dev/soak/faulty_records.py
+++ b/src/masticwind_dev/soak/faulty_records.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from masticwind.budget import MS_PER_S
+from masticwind_dev.soak.silent_records import DEADLINE_SLACK_S
 from masticwind_dev.soak.spans import SpanLog
 from masticwind_dev.soak.stop_callers import Exchange
 from masticwind_dev.soak.stop_records import (
@@ -21,7 +22,9 @@
     SentRequest,
     StopRecords,
     Violation,
+    check_exit,
     check_request,
+    is_cut_by_grace,
 )
 
 ROUTE_TIMEOUT_MS: Final = 5000
@@ -44,7 +47,8 @@
     """Kinds of violations, besides those of planned stops.
 
     `MIXED`: an answer is not one whole run of its request at an endpoint.
-    `FAILED`: a request whose runs were sound got 502 or 504. `UNANSWERED`: it
+    `FAILED`: a request whose runs were sound got 502 or 504, well before its
+    deadline and the end of a grace period. `UNANSWERED`: it
     has no answer at its route's timeout. `NOT_CLOSED`: an entry went on reading
     bytes without end after that.
     """
@@ -139,8 +143,9 @@
         """Check all requests, processes, probes and endless answers."""
         findings = [
             FaultyFinding(finding.kind, finding.text)
-            for finding in StopRecords.find_violations(self)
-            if finding.text.split(' ', 1)[0] not in self.out_of_memory
+            for instance in self.instances
+            if instance.name not in self.out_of_memory
+            for finding in check_exit(instance)
         ]
         for exchange in self.exchanges:
             text = self.describe(exchange)
@@ -276,7 +281,11 @@
 def _is_failed_without_fault(req: SentRequest, runs: Sequence[Run]) -> bool:
     if req.ending is not Ending.ANSWERED or req.status not in FAILURES:
         return False
-    return bool(runs) and all(run.is_sound for run in runs)
+    if not runs or not all(run.is_sound for run in runs):
+        return False
+    if req.ended_at >= req.deadline_at - DEADLINE_SLACK_S:
+        return False
+    return not is_cut_by_grace(req, runs)
 
 
 def _is_late(req: SentRequest, stalls: SpanLog) -> bool:
--- a/src/masticwind_dev/soak/main.py
+++ b/src/masticwind_dev/soak/main.py
@@ -27,7 +27,6 @@
 
 import anyio
 import cyclopts
-from cyclopts import Parameter
 
 from masticwind.logs import configure_logs
 from masticwind_dev.soak.callers import Findings, SequentialCaller
@@ -64,7 +63,7 @@
 )
 
 
-@Parameter(name='*')
+@cyclopts.Parameter(name='*')
 @dataclass(frozen=True, kw_only=True)
 class SoakOptions:
     """First seed, duration, number and kind of soaks; seeds are consecutive."""
--- a/src/masticwind_dev/soak/stop_callers.py
+++ b/src/masticwind_dev/soak/stop_callers.py
@@ -35,6 +35,8 @@
 MAX_READ_BYTES: Final = 65_536
 SLOW_RECEIVE_BUFFER_BYTES: Final = 65_536
 SLOW_BODY_BYTES: Final = 600_000
+# More than any whole answer has; the rest is read and dropped.
+MAX_BODY_BYTES: Final = 2_000_000
 MAX_READ_DELAY_S: Final = 1.0
 MIN_DURATION_MS: Final = 50
 PROMPT_TOKENS: Final = 900
@@ -282,7 +284,7 @@
 def _record_part(exchange: Exchange, event: object) -> None:
     if isinstance(event, h11.Response):
         exchange.head = event
-    elif isinstance(event, h11.Data):
+    elif isinstance(event, h11.Data) and len(exchange.body) < MAX_BODY_BYTES:
         exchange.body += event.data
 
 
--- a/src/masticwind_dev/soak/stop_entries.py
+++ b/src/masticwind_dev/soak/stop_entries.py
@@ -25,7 +25,8 @@
 
 POLL_INTERVAL_S: Final = 0.01
 START_TIMEOUT_S: Final = 20.0
-MAX_UPTIME_S: Final = 2.5
+# Time for which a process accepts connections before SIGTERM.
+UPTIMES_S: Final = (0.5, 2.5)
 # Longest time between the start of a process and an early SIGTERM.
 MAX_EARLY_UPTIME_S: Final = 1.2
 SHORT_GRACE_S: Final = 4.0
@@ -142,7 +143,7 @@
     store_port: int
     empty_store_port: int
     graces_s: Sequence[float] = (LONG_GRACE_S,)
-    max_uptime_s: float = MAX_UPTIME_S
+    uptimes_s: tuple[float, float] = UPTIMES_S
     memory_mb: int | None = None
 
 
@@ -214,7 +215,7 @@
                 assert process.poll() is None, 'the entry has not started'
                 await anyio.sleep(POLL_INTERVAL_S)
         self.instance = instance
-        await anyio.sleep(self._random.uniform(0.5, self._options.max_uptime_s))
+        await anyio.sleep(self._random.uniform(*self._options.uptimes_s))
 
     async def _stop(
         self,
--- a/src/masticwind_dev/soak/stop_records.py
+++ b/src/masticwind_dev/soak/stop_records.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Final
@@ -169,7 +169,7 @@
         """Check all requests and processes."""
         findings = list(self.audit_findings)
         for instance in self.instances:
-            findings.extend(_check_exit(instance))
+            findings.extend(check_exit(instance))
         for req in self.requests:
             executions = self.executions.get(req.request_id, [])
             findings.extend(
@@ -256,6 +256,7 @@
 
 
 def _may_be_cut(req: SentRequest, executions: list[Execution]) -> bool:
+    """Whether the endpoint, or the end of a grace period, ends a request."""
     # The caller may see the end earlier than the endpoint's task goes on.
     broken_off_at = [
         execution.ended_at - CROSSING_S
@@ -264,6 +265,11 @@
     ]
     if broken_off_at and req.ended_at > min(broken_off_at):
         return True
+    return is_cut_by_grace(req, executions)
+
+
+def is_cut_by_grace(req: SentRequest, executions: Sequence[Execution]) -> bool:
+    """Whether a request was still at work in the last share of the grace."""
     instance = req.instance
     ended_at = max(execution.ended_at for execution in executions)
     return (
@@ -274,7 +280,8 @@
     )
 
 
-def _check_exit(instance: Instance) -> Iterable[Finding]:
+def check_exit(instance: Instance) -> Iterable[Finding]:
+    """Find a process that has not ended as a planned stop asks."""
     name = f'{instance.name} ({instance.plan})'
     if instance.ended_by_itself:
         yield Finding(Violation.ENDED_BY_ITSELF, f'{name} ended before SIGTERM')
