--- a/src/masticwind/platform/endpoints.py
+++ b/src/masticwind/platform/endpoints.py
@@ -137,7 +137,9 @@
     async def _send_order(
         self, endpoint: Endpoint, order: _Order
     ) -> OrderReply:
-        answer = await self._client_for(endpoint).request(
+        # Requests may use all connections of the endpoint's client.
+        client = HttpClient(f'http://{endpoint.address}', max_connections=1)
+        answer = await client.request(
             'POST',
             '/-/order',
             timeout_s=CallLimits(ORDER_TIMEOUT_S, MAX_ORDER_ANSWER_BYTES),
