--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -166,7 +166,9 @@
             repeated = await _exchange(endpoint_client, context, request)
             # The first transmission may have run, whatever became of the
             # second one.
-            if repeated is None or not guarantees_not_run(repeated.kind):
+            if repeated is not None and guarantees_not_run(repeated.kind):
+                context.state.unverified = True
+            else:
                 outcome = repeated
         return outcome
 
--- a/tests/test_foreign_answer.py
+++ b/tests/test_foreign_answer.py
@@ -7,7 +7,7 @@
 import pytest
 
 from masticwind_dev.standins.raw_endpoint import RawConnection, ReceivedRequest
-from tests.endpoint_scripts import answer_other_request
+from tests.endpoint_scripts import answer_other_request, refuse
 from tests.entry_harness import (
     CALL_SERVICE,
     EntryHarness,
@@ -127,3 +127,24 @@
         answer = await harness.request('/order/a', method='POST')
         assert answer.status == 502
         assert engines.received['e-0'] == 1
+
+
+async def test_refused_transmission_after_a_foreign_answer_is_no_failure() -> (
+    None
+):
+    """Guards against a sound engine that is excluded at once, because it
+    refuses the second transmission of a request.
+    """
+    answers = iter((answer_other_request, refuse))
+    warm = True
+
+    async def answer(req: ReceivedRequest, conn: RawConnection) -> None:
+        script = answer_completely if warm else next(answers)
+        await script(req, conn)
+
+    async with running_entry() as harness:
+        await harness.start_endpoint('e-0', answer, CALL_SERVICE)
+        await harness.wait_until_served('/read/a')
+        warm = False
+        assert (await harness.request('/read/a')).status == 502
+        assert not harness.entry._cleanup.health.is_excluded('e-0')
