--- a/src/masticwind/serving/crash_archive.py
+++ b/src/masticwind/serving/crash_archive.py
@@ -80,11 +80,29 @@
 
     async def run(self) -> None:
         """Read all reports, then write changes until cancelled."""
-        await self._load()
+        await self.load()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._notify_of_eras)
             await self._write_changes()
 
+    async def load(self) -> None:
+        """Read the reports of all entries."""
+        while True:
+            listing = await self._store.list_prefix(self._prefix)
+            if not isinstance(listing, Failure):
+                break
+            await anyio.sleep(RETRY_DELAY_S)
+        for item in listing.items:
+            self._load_report(item)
+
+    async def write_held(self) -> Failure | None:
+        """Write the reports behind holds, and what has changed since."""
+        for crash_id, lease_s in self._leases_s().items():
+            failure = await self._write(crash_id, lease_s)
+            if failure is not None:
+                return failure
+        return None
+
     async def _notify_of_eras(self) -> None:
         eras = self._store.eras
         while True:
@@ -98,21 +116,13 @@
                 await self._changed.wait()
             self._changed = anyio.Event()
             await anyio.sleep(BATCH_INTERVAL_S)
-            failure = await self._write_held()
+            failure = await self.write_held()
             if failure is None:
                 failure = await self._write_next_unheld()
             if failure is not None:
                 self.notify()
                 await anyio.sleep(RETRY_DELAY_S)
 
-    async def _write_held(self) -> Failure | None:
-        """Write the reports behind holds, and what has changed since."""
-        for crash_id, lease_s in self._leases_s().items():
-            failure = await self._write(crash_id, lease_s)
-            if failure is not None:
-                return failure
-        return None
-
     async def _write_next_unheld(self) -> Failure | None:
         """Write one report that no hold needs; the next one follows later."""
         unheld = [
@@ -130,15 +140,6 @@
         self._unheld_written_at = anyio.current_time()
         return await self._write(unheld[-1], MAX_LEASE_S, held=False)
 
-    async def _load(self) -> None:
-        while True:
-            listing = await self._store.list_prefix(self._prefix)
-            if not isinstance(listing, Failure):
-                break
-            await anyio.sleep(RETRY_DELAY_S)
-        for item in listing.items:
-            self._load_report(item)
-
     def _load_report(self, item: Item) -> None:
         report = parse_json(
             item.value or b'', CrashReport, ErrorKind.BAD_REQUEST
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -34,12 +34,16 @@
 class QuarantineHarness:
     """An entry's quarantine, of which a test makes the crashes."""
 
-    def __init__(self, peers: EntryPeers | None = None) -> None:
+    def __init__(
+        self, peers: EntryPeers | None = None, link: CrashLink | None = None
+    ) -> None:
         cfg = sample_settings()
         self.clock = ManualClock()
-        self.evidence = CrashEvidence(self.clock)
         peers = peers or EntryPeers(cfg)
-        self.link = CrashLink(PeerSocket(cfg), peers, self.evidence)
+        self.link = link or CrashLink(
+            PeerSocket(cfg), peers, CrashEvidence(self.clock)
+        )
+        self.evidence = self.link.evidence
         self.quarantine = Quarantine(self.link, peers)
         self._engines = 0
         self._requests = 0
--- a/tests/test_crash_machine.py
+++ b/tests/test_crash_machine.py
@@ -83,6 +83,11 @@
             for key, hold in self.evidence.holds().items()
         }
 
+    def receive(self, content: bytes, sender: int) -> None:
+        """Merge a report of another entry."""
+        report = msgspec.msgpack.decode(content, type=CrashReport)
+        self.link.receive(report, PeerAddress(f'10.0.0.{sender}', 7))
+
     def take_sent(self) -> list[tuple[int, bytes]]:
         """Return the datagrams that were sent since the last call."""
         sent = [
@@ -223,10 +228,7 @@
     def _deliver(self, sender: int, receiver: int, content: bytes) -> None:
         if sender in self.cut or receiver in self.cut:
             return
-        report = msgspec.msgpack.decode(content, type=CrashReport)
-        self.entries[receiver].link.receive(
-            report, PeerAddress(f'10.0.0.{sender}', 7)
-        )
+        self.entries[receiver].receive(content, sender)
 
 
 TestCrashMachine = CrashMachine.TestCase
