Compare prompts of any number of parts that fit into the header

Cause: only the first 64 parts of a prompt were compared. The culprit was not among them, so the evidence spoke against the parts that sound prompts share.

Fix: all parts that fit into 16,384 characters are compared, each once. Of a longer prompt no part is accused, only the whole prompt. The keys of one crash (12,288) and of all crashes (32,768) are limited; the oldest crashes are dropped first. Keys with the same suspects are compared once, and a change of alike holds is reported and logged once. A report that exceeds a datagram is sent in several, which merge in any order; so is a set of cleared keys. A value of the store that would exceed its limit is cut to a first report. The chat interface compares each second block of more than 512, or fourth and so on, as a block's hash covers those before it. Reports of the earlier release are read; entries of that release do not read those with more than 64 parts.

That each datagram fits and is read by other entries is tested in tests/test_long_prompts.py with full prompts, ASCII and not.

--- a/src/masticwind/entry/crash_gossip.py
+++ b/src/masticwind/entry/crash_gossip.py
@@ -15,17 +15,20 @@
 from masticwind.config.distribute import rank_by_rendezvous_hash
 from masticwind.decoding import parse_msgpack
 from masticwind.errors import ErrorKind, Failure
-from masticwind.protocol.messages import MAX_USAGE_CRASHES
+from masticwind.protocol.messages import MAX_CRASH_BYTES, MAX_USAGE_CRASHES
 from masticwind.serving.bounds import EntryFleet
 from masticwind.serving.crash_evidence import CrashEvidence
 from masticwind.serving.evidence_link import CrashReport, EvidenceLink
 from masticwind.serving.fingerprints import (
-    MAX_PARTS,
     RequestFingerprint,
     fingerprint,
 )
 
 CLEANUP_INTERVAL_S: Final = 1.0
+# Blocks of a prompt that are compared. The rest of the bytes of a report are
+# for the name of its crash.
+MAX_BLOCKS: Final = 512
+MAX_REPORT_BYTES: Final = MAX_CRASH_BYTES - 1024
 
 # Sends encoded reports to the connected entries.
 Sender = Callable[[Sequence[bytes]], None]
@@ -34,8 +37,16 @@
 def prompt_fingerprint(
     prompt: bytes, prefix_hashes: tuple[int, ...]
 ) -> RequestFingerprint:
-    """Return the keys of a prompt: its leading blocks, and all of it."""
-    blocks = [f'{block:016x}' for block in prefix_hashes[:MAX_PARTS]]
+    """Return the keys of a prompt: its leading blocks, and all of it.
+
+    The hash of a block covers the blocks before it. So of many blocks, each
+    second one, or fourth and so on, is enough to tell prompts apart, and longer
+    prompts still share keys with shorter ones.
+    """
+    step = 1
+    while len(prefix_hashes) > step * MAX_BLOCKS:
+        step *= 2
+    blocks = [f'{block:016x}' for block in prefix_hashes[step - 1 :: step]]
     return fingerprint((*blocks, xxhash.xxh3_128_hexdigest(prompt)))
 
 
@@ -62,7 +73,7 @@
     """Sends this entry's evidence to its neighbours and merges theirs."""
 
     def __init__(self, evidence: CrashEvidence) -> None:
-        super().__init__(evidence)
+        super().__init__(evidence, MAX_REPORT_BYTES)
         self.send_to_neighbours: Sender = _drop
 
     async def run(self) -> None:
--- a/src/masticwind/serving/crash_archive.py
+++ b/src/masticwind/serving/crash_archive.py
@@ -24,7 +24,7 @@
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.crash_evidence import INITIAL_HOLD_S
 from masticwind.serving.crash_link import CrashLink
-from masticwind.serving.evidence_link import CrashReport
+from masticwind.serving.evidence_link import CrashReport, split_report
 from masticwind.serving.store import Item, MetadataStore
 
 # Changes within this time are written together.
@@ -39,6 +39,10 @@
 UNHELD_WRITE_INTERVAL_S: Final = 1.0
 # Interval of the check whether a lease has to be replaced.
 LEASE_CHECK_INTERVAL_S: Final = 60.0
+# The largest value of the store. JSON takes less than four times the bytes of
+# MessagePack.
+MAX_VALUE_BYTES: Final = 1_000_000
+JSON_RATIO: Final = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,7 +189,7 @@
         if isinstance(lease, Failure):
             return lease
         failure = await self._store.put(
-            self._key(crash_id), msgspec.json.encode(report), lease
+            self._key(crash_id), _encode(report), lease
         )
         if failure is None:
             replaced_at = math.inf
@@ -219,3 +223,12 @@
             f'{crash_id} {self._link.node}'.encode()
         )
         return f'{self._prefix}{digest}'
+
+
+def _encode(report: CrashReport) -> bytes:
+    """Return a report as a value; what exceeds the largest one is left out."""
+    content = msgspec.json.encode(report)
+    if len(content) <= MAX_VALUE_BYTES:
+        return content
+    reports = split_report(report, MAX_VALUE_BYTES // JSON_RATIO)
+    return msgspec.json.encode(reports[0])
--- a/src/masticwind/serving/crash_evidence.py
+++ b/src/masticwind/serving/crash_evidence.py
@@ -40,8 +40,12 @@
 )
 
 MAX_SUSPECTS: Final = 16
-MAX_CLEARED: Final = MAX_SUSPECTS * (MAX_PARTS + 1)
+# Keys of the suspects of one crash.
+MAX_CRASH_KEYS: Final = 12_288
+MAX_CLEARED: Final = MAX_CRASH_KEYS
 MAX_CRASHES: Final = 256
+# Keys of all crashes together.
+MAX_EVIDENCE_KEYS: Final = 32_768
 EVIDENCE_TTL_S: Final = 86_400.0
 # What a crash adds to the score of a key, divided by the number of prompts that
 # it may have been: more if the answer to a prompt with the key had begun than
@@ -81,8 +85,9 @@
     """A prompt that had no event yet when its engine crashed.
 
     `prior_scores` are the scores that its keys, the prompt first, had when it
-    was sent. `answer_begun` says that the head of its answer had arrived, and
-    `answered_parts` are those of its parts that had been answered recently.
+    was sent; without any, all were zero. `answer_begun` says that the head of
+    its answer had arrived, and `answered_parts` are those of its parts that had
+    been answered recently.
     """
 
     request_id: Key
@@ -92,10 +97,15 @@
     prior_scores: _PriorScores
     answered_parts: _PartKeys = ()
 
+    @property
+    def keys(self) -> tuple[str, ...]:
+        """All keys of the prompt, the prompt first."""
+        return (self.prompt, *self.parts)
+
     def scores(self) -> Iterator[tuple[str, int]]:
         """Yield each key with its prior score."""
-        keys = (self.prompt, *self.parts)
-        yield from zip(keys, self.prior_scores, strict=False)
+        scores = itertools.chain(self.prior_scores, itertools.repeat(0))
+        yield from zip(self.keys, scores, strict=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -140,8 +150,9 @@
         )
 
 
-# Called with a key, and its hold before and after a change.
-HoldListener = Callable[[str, Hold | None, Hold | None], None]
+# Called with keys whose holds are alike, and the hold of the first of them
+# before and after a change.
+HoldListener = Callable[[list[str], Hold | None, Hold | None], None]
 
 
 @dataclass(slots=True)
@@ -161,9 +172,116 @@
         """Return the keys that this crash speaks against."""
         keys: set[str] = set()
         for suspect in self.culprits():
-            keys.update((suspect.prompt, *suspect.parts))
+            keys.update(suspect.keys)
         return keys - self.cleared
 
+    def accuses_any(self) -> bool:
+        """Tell whether this crash speaks against any key."""
+        return any(
+            not self.cleared.issuperset(suspect.keys)
+            for suspect in self.culprits()
+        )
+
+    def key_count(self) -> int:
+        """Return the number of keys of the suspects."""
+        return sum(_count_keys(one) for one in self.suspects.values())
+
+
+@dataclass(slots=True)
+class _Case:
+    """What speaks against one key; `accusing` are positions of a list."""
+
+    score: int = 0
+    accusing: list[int] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class _Common:
+    """What the prompts at the crashes of some keys have in common."""
+
+    prompts: int
+    crashes: int
+    common_parts: frozenset[str]
+    first_at: float
+    last_at: float
+
+
+class _Comparison:
+    """The cases of some keys.
+
+    Keys with the same suspects are compared once, and equal sets of parts are
+    kept once, as prompts may have thousands of parts.
+    """
+
+    def __init__(self) -> None:
+        self.cases: Final[dict[str, _Case]] = {}
+        self._accusing: Final[list[tuple[Crash, Suspect]]] = []
+        self._common: Final[dict[tuple[int, ...], _Common]] = {}
+        self._sets: Final[dict[frozenset[str], frozenset[str]]] = {}
+
+    def keep_sets(self, holds: Iterable[Hold]) -> None:
+        """Use the sets of earlier holds where they are equal."""
+        for hold in holds:
+            self._sets.setdefault(hold.common_parts, hold.common_parts)
+
+    def add(self, crash: Crash, keys: set[str]) -> None:
+        """Add what a crash says against each of `keys`."""
+        culprits = crash.culprits()
+        prompts = len({culprit.prompt for culprit in culprits})
+        for suspect in culprits:
+            scores = _new_scores(keys, crash, suspect, prompts)
+            for key, score in scores.items():
+                self._add_score(key, score)
+            self._accusing.append((crash, suspect))
+
+    def accusing_of(self, case: _Case) -> list[tuple[Crash, Suspect]]:
+        """Return the suspects of a case, each with its crash."""
+        return [self._accusing[position] for position in case.accusing]
+
+    def create_hold(self, key: str, case: _Case) -> Hold | None:
+        """Return the hold of a key, if there are enough crashes and prompts."""
+        group = tuple(case.accusing)
+        common = self._common.get(group)
+        if common is None:
+            common = self._compare(case)
+            self._common[group] = common
+        is_whole = is_whole_request(key)
+        min_prompts = 1 if is_whole else MIN_PROMPTS
+        if common.crashes < MIN_CRASHES or common.prompts < min_prompts:
+            return None
+        return Hold(
+            key=key,
+            common_parts=frozenset((key,)) if is_whole else common.common_parts,
+            crashes=common.crashes,
+            first_at=common.first_at,
+            last_at=common.last_at,
+        )
+
+    def _add_score(self, key: str, score: int) -> None:
+        case = self.cases.get(key)
+        if case is None:
+            case = _Case()
+            self.cases[key] = case
+        case.accusing.append(len(self._accusing))
+        case.score = max(case.score, score)
+
+    def _compare(self, case: _Case) -> _Common:
+        accusing = self.accusing_of(case)
+        common_parts = frozenset(
+            set.intersection(
+                *(set(one.parts) - crash.cleared for crash, one in accusing)
+            )
+        )
+        crashes = {id(crash): crash for crash, _ in accusing}
+        times = [crash.observed_at for crash in crashes.values()]
+        return _Common(
+            prompts=len({suspect.prompt for _, suspect in accusing}),
+            crashes=len(crashes),
+            common_parts=self._sets.setdefault(common_parts, common_parts),
+            first_at=min(times),
+            last_at=max(times),
+        )
+
 
 class CrashEvidence:
     """The crashes that are known to this entry, and the keys that it holds."""
@@ -174,6 +292,7 @@
         self._crashes_by_key: Final[dict[str, set[str]]] = {}
         self._scores: Final[dict[str, int]] = {}
         self._holds: Final[dict[str, Hold]] = {}
+        self._key_count = 0
         self._calls: Final[set[str]] = set()
         self.on_hold_change: HoldListener = _ignore_hold_change
 
@@ -190,30 +309,45 @@
         crash = self._crashes.get(crash_id)
         is_new = crash is None
         if crash is None:
-            self._make_room()
             crash = Crash(observed_at)
             self._crashes[crash_id] = crash
         crash.observed_at = min(crash.observed_at, observed_at)
         before = (dict(crash.suspects), len(crash.cleared))
+        self._key_count -= crash.key_count()
         for suspect in suspects:
             _add_suspect(crash, suspect)
         room = max(0, MAX_CLEARED - len(crash.cleared))
         crash.cleared.update(itertools.islice(cleared, room))
+        self._key_count += crash.key_count()
         if not is_new and before == (crash.suspects, len(crash.cleared)):
             return False
-        self._update_keys(crash_id, crash)
+        dropped = before[0].keys() - crash.suspects.keys()
+        keys = self._index(crash_id, crash, [before[0][one] for one in dropped])
+        self._update_holds(keys | self._make_room(crash_id))
         return True
 
+    def clear(self, cleared_keys: dict[str, list[str]]) -> None:
+        """Clear keys at crashes that are known."""
+        keys: set[str] = set()
+        for crash_id, cleared in cleared_keys.items():
+            crash = self._crashes[crash_id]
+            room = max(0, MAX_CLEARED - len(crash.cleared))
+            crash.cleared.update(itertools.islice(cleared, room))
+            keys |= self._index(crash_id, crash)
+        self._update_holds(keys)
+
     def crashes(self) -> dict[str, Crash]:
         """Return the crashes that speak against any key, by their id."""
         return {
             crash_id: crash
             for crash_id, crash in self._crashes.items()
-            if crash.accused_keys()
+            if crash.accuses_any()
         }
 
     def accusations(self, keys: Iterable[str]) -> list[tuple[str, str]]:
         """Return the crash and the key of each accusation against `keys`."""
+        if not self._crashes_by_key:
+            return []
         return [
             (crash_id, key)
             for key in keys
@@ -245,6 +379,12 @@
             return min(MAX_SCORE, len(self._crashes_by_key.get(key, ())))
         return self.score(key)
 
+    def prior_scores(self, keys: tuple[str, ...]) -> tuple[int, ...]:
+        """Return the prior scores of keys, none if nothing is known."""
+        if not self._crashes_by_key:
+            return ()
+        return tuple(map(self.prior_score, keys))
+
     @property
     def has_calls(self) -> bool:
         """Whether any crash speaks against a call."""
@@ -258,10 +398,15 @@
         """Return the hold that rejects a prompt, if there is one."""
         if not self._holds:
             return None
+        keys = frozenset(prompt.keys)
+        lacking: set[frozenset[str]] = set()
         for key in prompt.keys:
             hold = self._holds.get(key)
-            if hold is not None and hold.common_parts.issubset(prompt.keys):
+            if hold is None or hold.common_parts in lacking:
+                continue
+            if hold.common_parts <= keys:
                 return hold
+            lacking.add(hold.common_parts)
         return None
 
     def remove_expired(self) -> None:
@@ -269,94 +414,108 @@
         oldest = self.clock() - EVIDENCE_TTL_S
         for crash_id, crash in list(self._crashes.items()):
             if crash.observed_at < oldest:
-                self._remove(crash_id)
+                self._update_holds(self._remove(crash_id))
 
-    def _make_room(self) -> None:
-        """Drop the oldest crash, of those without a held key if there are any.
+    def _make_room(self, newest_id: str) -> set[str]:
+        """Drop the oldest crashes, first those without a held key.
 
-        So a held key cannot be released by causing other crashes.
+        So a held key cannot be released by causing other crashes. Returns the
+        keys of what was dropped.
         """
-        if len(self._crashes) < MAX_CRASHES:
-            return
+        keys: set[str] = set()
+        while self._is_full() and len(self._crashes) > 1:
+            keys |= self._drop_oldest(newest_id)
+        return keys
+
+    def _is_full(self) -> bool:
+        return (
+            len(self._crashes) > MAX_CRASHES
+            or self._key_count > MAX_EVIDENCE_KEYS
+        )
+
+    def _drop_oldest(self, newest_id: str) -> set[str]:
         by_age = sorted(
-            self._crashes, key=lambda one: self._crashes[one].observed_at
+            self._crashes.keys() - {newest_id},
+            key=lambda one: (self._crashes[one].observed_at, one),
         )
         for crash_id in by_age:
-            if not self._holds.keys() & self._crashes[crash_id].accused_keys():
-                self._remove(crash_id)
-                return
-        self._remove(by_age[0])
-
-    def _remove(self, crash_id: str) -> None:
-        self._update_keys(crash_id, self._crashes.pop(crash_id))
-
-    def _update_keys(self, crash_id: str, crash: Crash) -> None:
-        """Update the index and the holds for all keys of a crash."""
+            if self._crashes[crash_id].accused_keys().isdisjoint(self._holds):
+                return self._remove(crash_id)
+        return self._remove(by_age[0])
+
+    def _remove(self, crash_id: str) -> set[str]:
+        crash = self._crashes.pop(crash_id)
+        self._key_count -= crash.key_count()
+        return self._index(crash_id, crash)
+
+    def _index(
+        self, crash_id: str, crash: Crash, dropped: Iterable[Suspect] = ()
+    ) -> set[str]:
+        """Update the index for all keys of a crash; return them."""
         accused: set[str] = set()
         if crash_id in self._crashes:
             accused = crash.accused_keys()
         keys = set(crash.cleared)
-        for suspect in crash.suspects.values():
-            keys.update((suspect.prompt, *suspect.parts))
+        for suspect in itertools.chain(crash.suspects.values(), dropped):
+            keys.update(suspect.keys)
         for key in keys:
             crash_ids = self._crashes_by_key.setdefault(key, set())
             if key in accused:
                 crash_ids.add(crash_id)
             else:
                 crash_ids.discard(crash_id)
+        return keys
+
+    def _update_holds(self, keys: set[str]) -> None:
+        """Update the scores and holds of keys, and tell of changed holds."""
+        before = {
+            key: self._holds.pop(key) for key in keys & self._holds.keys()
+        }
+        comparison = self._compare_crashes(keys)
+        comparison.keep_sets(before.values())
         for key in keys:
-            self._update_hold(key)
-
-    def _update_hold(self, key: str) -> None:
-        before = self._holds.pop(key, None)
-        self._scores.pop(key, None)
-        after: Hold | None = None
-        if self._crashes_by_key[key]:
-            after = self._evaluate_key(key)
+            self._scores.pop(key, None)
+            case = comparison.cases.get(key)
+            if case is None:
+                self._crashes_by_key.pop(key, None)
+                self._calls.discard(key)
+                continue
+            held_score = HELD_SCORE
             if is_call(key):
                 self._calls.add(key)
-        else:
-            self._crashes_by_key.pop(key)
-            self._calls.discard(key)
-        if after is not None:
-            self._holds[key] = after
-        if before != after:
-            self.on_hold_change(key, before, after)
-
-    def _evaluate_key(self, key: str) -> Hold | None:
-        """Update the score of a key; return a hold if the evidence suffices."""
-        crash_ids = self._crashes_by_key[key]
-        crashes = [self._crashes[crash_id] for crash_id in crash_ids]
-        accusing = [
-            (crash, suspect)
-            for crash in crashes
-            for suspect in crash.culprits()
-            if key in (suspect.prompt, *suspect.parts)
-        ]
-        if is_call(key):
-            score = self._score_call(key, accusing)
-            held_score = HELD_CALL_SCORE
-        else:
-            score = max(
-                _score(crash, suspect, key) for crash, suspect in accusing
+                case.score = self._score_call(key, comparison.accusing_of(case))
+                held_score = HELD_CALL_SCORE
+            self._scores[key] = case.score
+            if case.score < held_score:
+                continue
+            hold = comparison.create_hold(key, case)
+            if hold is not None:
+                self._holds[key] = hold
+        self._report_changes(keys, before)
+
+    def _compare_crashes(self, keys: set[str]) -> _Comparison:
+        """Return what speaks against each key, in one pass over the crashes."""
+        crash_ids: set[str] = set()
+        for key in keys:
+            crash_ids.update(self._crashes_by_key[key])
+        comparison = _Comparison()
+        for crash_id in sorted(crash_ids):
+            comparison.add(self._crashes[crash_id], keys)
+        return comparison
+
+    def _report_changes(self, keys: set[str], before: dict[str, Hold]) -> None:
+        """Tell of changed holds, once for all keys whose holds are alike."""
+        changed: dict[tuple[object, ...], list[str]] = {}
+        for key in sorted(keys & (before.keys() | self._holds.keys())):
+            former, hold = before.get(key), self._holds.get(key)
+            if former != hold:
+                group = (_group_of(former), _group_of(hold))
+                changed.setdefault(group, []).append(key)
+        for alike in changed.values():
+            first = alike[0]
+            self.on_hold_change(
+                alike, before.get(first), self._holds.get(first)
             )
-            held_score = HELD_SCORE
-        self._scores[key] = score
-        prompts = {suspect.prompt for _, suspect in accusing}
-        min_prompts = 1 if is_whole_request(key) else MIN_PROMPTS
-        if (
-            score < held_score
-            or len(crashes) < MIN_CRASHES
-            or len(prompts) < min_prompts
-        ):
-            return None
-        return Hold(
-            key=key,
-            common_parts=_find_common_parts(key, accusing),
-            crashes=len(crashes),
-            first_at=min(crash.observed_at for crash in crashes),
-            last_at=max(crash.observed_at for crash in crashes),
-        )
 
     def _score_call(
         self, key: str, accusing: list[tuple[Crash, Suspect]]
@@ -383,46 +542,57 @@
 
 
 def _ignore_hold_change(
-    _key: str, _before: Hold | None, _after: Hold | None
+    _keys: list[str], _before: Hold | None, _after: Hold | None
 ) -> None:
     """Do nothing; the listener until another one is set."""
 
 
+def _group_of(hold: Hold | None) -> tuple[object, ...]:
+    """Return what is alike in holds that differ by their key only."""
+    if hold is None:
+        return ()
+    return (hold.common_parts, hold.crashes, hold.first_at, hold.last_at)
+
+
+def _count_keys(suspect: Suspect) -> int:
+    return len(suspect.parts) + 1
+
+
 def _add_suspect(crash: Crash, suspect: Suspect) -> None:
     """Add a suspect; of two under one id, the greater one counts.
 
-    With too many suspects, those stay whose answers had begun.
+    With too many suspects or keys, those stay whose answers had begun.
     """
     known = crash.suspects.get(suspect.request_id, suspect)
     crash.suspects[suspect.request_id] = max(known, suspect)
-    if len(crash.suspects) <= MAX_SUSPECTS:
-        return
-    least = min(
+    by_weight = sorted(
         crash.suspects.values(),
         key=lambda one: (one.answer_begun, one.request_id),
+        reverse=True,
     )
-    crash.suspects.pop(least.request_id)
+    key_count = 0
+    for rank, one in enumerate(by_weight):
+        key_count += _count_keys(one)
+        if rank and (rank >= MAX_SUSPECTS or key_count > MAX_CRASH_KEYS):
+            crash.suspects.pop(one.request_id)
+
 
+def _new_scores(
+    keys: set[str], crash: Crash, suspect: Suspect, prompts: int
+) -> dict[str, int]:
+    """Return the scores of those of `keys` that a suspect speaks against.
 
-def _score(crash: Crash, suspect: Suspect, key: str) -> int:
-    """Return the score of a key after a crash that speaks against it."""
+    A crash under several prompts divides its score among them.
+    """
     added = BEGUN_SCORE if suspect.answer_begun else WAITING_SCORE
-    if key in suspect.answered_parts:
-        added //= 2
-    prompts = {culprit.prompt for culprit in crash.culprits()}
-    prior_scores = (score for one, score in suspect.scores() if one == key)
-    score = max(1, added // len(prompts)) + max(prior_scores, default=0)
-    return min(MAX_SCORE, score)
-
-
-def _find_common_parts(
-    key: str, accusing: list[tuple[Crash, Suspect]]
-) -> frozenset[str]:
-    """Return the parts that all these prompts share with the key."""
-    if is_whole_request(key):
-        return frozenset((key,))
-    common_parts: set[str] | None = None
-    for crash, suspect in accusing:
-        parts = set(suspect.parts) - crash.cleared
-        common_parts = parts if common_parts is None else common_parts & parts
-    return frozenset((key, *(common_parts or ())))
+    answered = frozenset(suspect.answered_parts)
+    score = max(1, added // prompts)
+    answered_score = max(1, added // 2 // prompts)
+    scores: dict[str, int] = {}
+    for key, prior_score in suspect.scores():
+        if key not in keys or key in crash.cleared:
+            continue
+        new_score = answered_score if key in answered else score
+        new_score = min(MAX_SCORE, prior_score + new_score)
+        scores[key] = max(scores.get(key, 0), new_score)
+    return scores
--- a/src/masticwind/serving/crash_link.py
+++ b/src/masticwind/serving/crash_link.py
@@ -25,6 +25,8 @@
 CRASH_REQUEST: Final = 'crash_request'
 SHARE_INTERVAL_S: Final = 1.0
 MAX_SHARED_CRASHES: Final = 32
+# Reports of long prompts beyond this are left to a later share.
+MAX_SHARED_BYTES: Final = 131_072
 # After a start, this many entries are asked at each of this many times.
 REQUESTED_PEERS: Final = 3
 START_REQUESTS: Final = 3
@@ -94,7 +96,7 @@
             return
         known = self.report_of(message.crash_id)
         if not known.has_same_content(message):
-            self.send([known], sender)
+            self.send(self.reports_of(message.crash_id), sender)
 
     def broadcast(self, report: CrashReport) -> None:
         """Send a report to all other entries."""
@@ -107,7 +109,16 @@
 
     def _sample_reports(self) -> list[CrashReport]:
         reports = self.reports()
-        return random.sample(reports, min(MAX_SHARED_CRASHES, len(reports)))
+        sample: list[CrashReport] = []
+        size = 0
+        for report in random.sample(
+            reports, min(MAX_SHARED_CRASHES, len(reports))
+        ):
+            size += len(msgspec.msgpack.encode(report))
+            if size > MAX_SHARED_BYTES:
+                break
+            sample.append(report)
+        return sample
 
     def _random_peers(self, count: int) -> list[PeerAddress]:
         others = self._peers.others()
--- a/src/masticwind/serving/evidence_link.py
+++ b/src/masticwind/serving/evidence_link.py
@@ -6,7 +6,7 @@
 import abc
 import math
 from collections.abc import Callable, Iterable
-from typing import Annotated, Final
+from typing import Annotated, Final, TypeVar
 
 import msgspec
 
@@ -21,9 +21,14 @@
 )
 from masticwind.serving.fingerprints import MAX_KEY_CHARS
 
+# The largest report, without the name of its crash. Of the bytes of a UDP
+# datagram (65,507), the name and the envelope take fewer than the rest.
+MAX_REPORT_BYTES: Final = 64_000
 # The time of a crash in a message is an age, so clocks are never compared.
 MAX_AGE_MS: Final = int(EVIDENCE_TTL_S * MS_PER_S)
 
+_Content = TypeVar('_Content')
+
 
 class CrashReport(msgspec.Struct, array_like=True):
     """What an entry knows of one crash; with `complete`, all of it."""
@@ -39,11 +44,49 @@
         return (self.suspects, self.cleared) == (other.suspects, other.cleared)
 
 
+def split_report(report: CrashReport, max_bytes: int) -> list[CrashReport]:
+    """Return reports of limited size that together say what one says.
+
+    None of several reports is complete by itself.
+    """
+    if len(msgspec.msgpack.encode(report)) <= max_bytes:
+        return [report]
+    replace = msgspec.structs.replace
+    partial = replace(report, suspects=[], cleared=[], complete=False)
+    return [
+        *(
+            replace(partial, suspects=some)
+            for some in _pack(report.suspects, max_bytes)
+        ),
+        *(
+            replace(partial, cleared=some)
+            for some in _pack(report.cleared, max_bytes)
+        ),
+    ]
+
+
+def _pack(contents: list[_Content], max_bytes: int) -> list[list[_Content]]:
+    """Return lists of limited size; one that is larger is by itself."""
+    lists: list[list[_Content]] = []
+    size = max_bytes
+    for one in contents:
+        added = len(msgspec.msgpack.encode(one))
+        size += added
+        if size > max_bytes:
+            lists.append([])
+            size = added
+        lists[-1].append(one)
+    return lists
+
+
 class EvidenceLink(abc.ABC):
     """Records what happens at this entry, and tells the other entries."""
 
-    def __init__(self, evidence: CrashEvidence) -> None:
+    def __init__(
+        self, evidence: CrashEvidence, max_report_bytes: int = MAX_REPORT_BYTES
+    ) -> None:
         self.evidence: Final = evidence
+        self._max_report_bytes: Final = max_report_bytes
         # Crashes at which this entry had a prompt.
         self.reported: Final[set[str]] = set()
         self.on_report: Callable[[], None] = _ignore_report
@@ -68,10 +111,11 @@
         cleared_keys: dict[str, list[str]] = {}
         for crash_id, key in self.evidence.accusations(keys):
             cleared_keys.setdefault(crash_id, []).append(key)
+        self.evidence.clear(cleared_keys)
         for crash_id, cleared in cleared_keys.items():
-            crash = self.evidence.crash(crash_id)
-            self.evidence.merge(crash_id, crash.observed_at, (), cleared)
-            self.broadcast(self._to_report(crash_id, (), cleared))
+            report = self._to_report(crash_id, (), cleared)
+            for one in split_report(report, self._max_report_bytes):
+                self.broadcast(one)
 
     def apply(self, report: CrashReport) -> bool:
         """Merge a report; tell whether anything in it was new."""
@@ -84,7 +128,15 @@
 
     def reports(self) -> list[CrashReport]:
         """Return the crashes that speak against a key, as they are sent."""
-        return [self.report_of(one) for one in self.evidence.crashes()]
+        return [
+            report
+            for crash_id in self.evidence.crashes()
+            for report in self.reports_of(crash_id)
+        ]
+
+    def reports_of(self, crash_id: str) -> list[CrashReport]:
+        """Return all that is known of a crash, as it is sent."""
+        return split_report(self.report_of(crash_id), self._max_report_bytes)
 
     def report_of(self, crash_id: str) -> CrashReport:
         """Return all that is known of a crash."""
--- a/src/masticwind/serving/fingerprints.py
+++ b/src/masticwind/serving/fingerprints.py
@@ -13,8 +13,10 @@
 
 from masticwind.serving.model import CallerRequest
 
-# A request with more parts than this is judged by its first ones only.
-MAX_PARTS: Final = 64
+# Of a prompt whose parts, joined by a separator, are longer than this, no part
+# is compared: evidence against some of its parts could miss the culprit.
+MAX_PARTS_CHARS: Final = 16_384
+MAX_PARTS: Final = MAX_PARTS_CHARS // 2
 MAX_KEY_CHARS: Final = 64
 DIGEST_BYTES: Final = 16
 LENGTH_BYTES: Final = 8
@@ -27,7 +29,7 @@
     """The keys of a request; `whole` stands for all of it.
 
     `parts` lacks the last part of the prompt, which belongs to the request
-    alone.
+    alone, and has each other part once.
     """
 
     whole: str = ''
@@ -43,12 +45,14 @@
     """Return the keys of a prompt with these parts, none without parts."""
     if not prompt_parts:
         return RequestFingerprint()
-    digest = xxhash.xxh3_128_hexdigest('\n'.join(prompt_parts).encode())
-    *shared_parts, _own_part = prompt_parts
-    return RequestFingerprint(
-        f'{_PROMPT_KEY}{digest}',
-        tuple(limit_length(part) for part in shared_parts[:MAX_PARTS]),
-    )
+    text = '\n'.join(prompt_parts)
+    whole = f'{_PROMPT_KEY}{xxhash.xxh3_128_hexdigest(text.encode())}'
+    if len(text) > MAX_PARTS_CHARS:
+        return RequestFingerprint(whole)
+    shared_parts = dict.fromkeys(prompt_parts[:-1])
+    if max(map(len, shared_parts), default=0) > MAX_KEY_CHARS:
+        shared_parts = dict.fromkeys(map(limit_length, shared_parts))
+    return RequestFingerprint(whole, tuple(shared_parts))
 
 
 def call_fingerprint(req: CallerRequest, team: str) -> RequestFingerprint:
--- a/src/masticwind/serving/quarantine.py
+++ b/src/masticwind/serving/quarantine.py
@@ -13,7 +13,6 @@
 """
 
 import math
-from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final
@@ -43,9 +42,14 @@
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.store import MetadataStore
 
-# Parts that are remembered as answered, and for how long.
-MAX_ANSWERED_PARTS: Final = 4096
+# Parts that are remembered as answered at least, and for how long.
+MAX_ANSWERED_PARTS: Final = 8192
 ANSWERED_TTL_S: Final = 60.0
+# Of the answered parts of a prompt, a report names as many. All that is said
+# of one prompt must fit into a datagram.
+MAX_ANSWERED_BYTES: Final = 17_408
+# Parts beside a held one that operators see, and that are logged.
+MAX_SHOWN_PARTS: Final = 64
 # An engine that writes a second event has not crashed under the first one.
 SOUND_EVENTS: Final = 2
 
@@ -55,7 +59,8 @@
     """A held part of prompts, or a whole prompt, as shown to operators.
 
     `since_s` is the time since the first crash, and `left_s` the time until
-    one prompt with it may be tried. `endpoints` are those that crashed.
+    one prompt with it may be tried. `endpoints` are those that crashed. Of many
+    `common_parts`, the first are shown.
     """
 
     part: str
@@ -81,29 +86,37 @@
 
 
 class _AnsweredParts:
-    """Parts of which a prompt was answered recently, the latest last."""
+    """Parts of which a prompt was answered recently.
+
+    When there are many, the older ones are dropped together.
+    """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock: Final = clock
-        self._answered_at: Final = OrderedDict[str, float]()
+        self._latest: dict[str, float] = {}
+        self._older: dict[str, float] = {}
 
     def record(self, parts: Iterable[str]) -> None:
         """Record parts of a prompt that has been answered."""
-        now = self._clock()
-        for part in parts:
-            self._answered_at[part] = now
-            self._answered_at.move_to_end(part)
-        while len(self._answered_at) > MAX_ANSWERED_PARTS:
-            self._answered_at.popitem(last=False)
+        if len(self._latest) >= MAX_ANSWERED_PARTS:
+            self._older = self._latest
+            self._latest = {}
+        self._latest.update(dict.fromkeys(parts, self._clock()))
 
     def among(self, parts: Iterable[str]) -> tuple[str, ...]:
         """Return those of `parts` that have been answered recently."""
         oldest = self._clock() - ANSWERED_TTL_S
-        return tuple(
-            part
-            for part in parts
-            if self._answered_at.get(part, -math.inf) >= oldest
-        )
+        answered: list[str] = []
+        size = 0
+        for part in parts:
+            answered_at = self._latest.get(part, self._older.get(part))
+            if answered_at is None or answered_at < oldest:
+                continue
+            size += len(part.encode()) + 1
+            if size > MAX_ANSWERED_BYTES:
+                break
+            answered.append(part)
+        return tuple(answered)
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,10 +172,12 @@
         holds = sorted(
             self._evidence.holds().values(), key=lambda one: one.first_at
         )
+        distinct = {hold.common_parts for hold in holds}
+        shown = {one: _first_parts(one) for one in distinct}
         return [
             HeldPart(
                 part=hold.key,
-                common_parts=sorted(hold.common_parts),
+                common_parts=shown[hold.common_parts],
                 crashes=hold.crashes,
                 since_s=now - hold.first_at,
                 left_s=self._remaining_s(hold),
@@ -203,9 +218,7 @@
         running = RunningPrompt(
             request_id=request_id,
             prompt=prompt,
-            prior_scores=tuple(
-                self._evidence.prior_score(key) for key in prompt.keys
-            ),
+            prior_scores=self._evidence.prior_scores(prompt.keys),
             attempt=attempt,
         )
         self._running[id(running)] = running
@@ -298,21 +311,22 @@
         return max(0, int(age_s / hold.duration_s))
 
     def _handle_hold_change(
-        self, key: str, before: Hold | None, hold: Hold | None
+        self, keys: list[str], before: Hold | None, hold: Hold | None
     ) -> None:
         """Log a change, and recall the prompts that are held now."""
         if self._archive is not None:
             self._archive.notify()
-        log = logger.bind(part=key)
+        log = logger.bind(part=keys[0], parts=len(keys))
         if hold is None:
-            self._trials.pop(key, None)
+            for key in keys:
+                self._trials.pop(key, None)
             log.info('prompt_part_released')
             return
         recalled = self._recall(hold)
         if before is None or before.crashes != hold.crashes or recalled:
             log.bind(
-                common_parts=sorted(hold.common_parts),
-                crashes=self._evidence.crash_ids(key),
+                common_parts=_first_parts(hold.common_parts),
+                crashes=self._evidence.crash_ids(hold.key),
                 hold_s=hold.duration_s,
                 recalled=recalled,
             ).warning('prompt_part_held')
@@ -333,6 +347,10 @@
         return recalled
 
 
+def _first_parts(parts: frozenset[str]) -> list[str]:
+    return sorted(parts)[:MAX_SHOWN_PARTS]
+
+
 def build_quarantine(
     peer_socket: PeerSocket,
     peers: EntryPeers,
--- a/tests/test_long_prompts.py
+++ b/tests/test_long_prompts.py
@@ -7,15 +7,21 @@
 import msgspec
 import pytest
 
+from masticwind.entry.crash_gossip import prompt_fingerprint
+from masticwind.protocol.messages import MAX_CRASH_BYTES
+from masticwind.serving.attempt_context import AttemptState
 from masticwind.serving.crash_archive import CrashArchive
+from masticwind.serving.crash_link import CRASH
 from masticwind.serving.datagrams import PeerAddress
 from masticwind.serving.fingerprints import fingerprint
+from masticwind.serving.quarantine import RunningPrompt
 from tests.manual_clock import ManualClock
 from tests.test_crash_archive import RecordingStore
 from tests.test_crash_evidence import POISON, QuarantineHarness
-from tests.test_crash_machine import CRASH, ModelEntry
+from tests.test_crash_machine import ModelEntry
 
 HEADER_BYTES: Final = 16_384
+RANGE: Final = range(500)
 MAX_DATAGRAM_BYTES: Final = 65_507
 MAX_VALUE_BYTES: Final = 1_048_576
 ASCII: Final = string.ascii_letters + string.digits
@@ -125,3 +131,34 @@
     """Guards against a report that repeats a part."""
     prompt = fingerprint(('x',) * 4000)
     assert prompt.parts == ('x',)
+
+
+def test_long_chat_prompts_are_compared_beyond_their_first_blocks() -> None:
+    """Guards against chats that are held for blocks before the culprit."""
+    prompts = [
+        prompt_fingerprint(own, (*range(1500), *(base + one for one in RANGE)))
+        for own, base in ((b'a', 5000), (b'b', 5000), (b'c', 9000))
+    ]
+    harness = QuarantineHarness()
+    crashed: list[RunningPrompt] = []
+    for prompt in (*prompts[:2], prompts[0]):
+        running = harness.quarantine.start(
+            prompt, prompt.whole, AttemptState(answer_begun=True)
+        )
+        crashed.append(running)
+        harness.quarantine.end(running)
+        harness.quarantine.record_crash(running, 'e', str(len(crashed)))
+    for prompt in prompts:
+        content = msgspec.msgpack.encode(prompt.parts)
+        assert len(content) < MAX_CRASH_BYTES // 2
+    assert harness.quarantine.check(prompts[1], 'r') is not None
+    assert harness.quarantine.check(prompts[2], 'r') is None
+
+
+def test_report_of_the_earlier_release_is_read() -> None:
+    """Guards against evidence that an upgrade of the entries loses."""
+    suspect = ['r', True, 'prompt:x', ['a', 'a'], [0, 6, 6]]
+    content = msgspec.msgpack.encode(['e/1', 5, [suspect], ['b'], True])
+    entry = ModelEntry(0, ManualClock())
+    entry.receive(content, 1)
+    assert entry.evidence.score('a') == 12
