--- a/src/masticwind/serving/crash_archive.py
+++ b/src/masticwind/serving/crash_archive.py
@@ -24,7 +24,7 @@
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.crash_evidence import INITIAL_HOLD_S
 from masticwind.serving.crash_link import CrashLink
-from masticwind.serving.evidence_link import CrashReport
+from masticwind.serving.evidence_link import CrashReport, split_report
 from masticwind.serving.store import Item, MetadataStore
 
 # Changes within this time are written together.
@@ -39,6 +39,10 @@
 UNHELD_WRITE_INTERVAL_S: Final = 1.0
 # Interval of the check whether a lease has to be replaced.
 LEASE_CHECK_INTERVAL_S: Final = 60.0
+# The largest value of the store. JSON takes less than four times the bytes of
+# MessagePack.
+MAX_VALUE_BYTES: Final = 1_000_000
+JSON_RATIO: Final = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,11 +84,29 @@
 
     async def run(self) -> None:
         """Read all reports, then write changes until cancelled."""
-        await self._load()
+        await self.load()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._notify_of_eras)
             await self._write_changes()
 
+    async def load(self) -> None:
+        """Read the reports of all entries."""
+        while True:
+            listing = await self._store.list_prefix(self._prefix)
+            if not isinstance(listing, Failure):
+                break
+            await anyio.sleep(RETRY_DELAY_S)
+        for item in listing.items:
+            self._load_report(item)
+
+    async def write_held(self) -> Failure | None:
+        """Write the reports behind holds, and what has changed since."""
+        for crash_id, lease_s in self._leases_s().items():
+            failure = await self._write(crash_id, lease_s)
+            if failure is not None:
+                return failure
+        return None
+
     async def _notify_of_eras(self) -> None:
         eras = self._store.eras
         while True:
@@ -98,21 +120,13 @@
                 await self._changed.wait()
             self._changed = anyio.Event()
             await anyio.sleep(BATCH_INTERVAL_S)
-            failure = await self._write_held()
+            failure = await self.write_held()
             if failure is None:
                 failure = await self._write_next_unheld()
             if failure is not None:
                 self.notify()
                 await anyio.sleep(RETRY_DELAY_S)
 
-    async def _write_held(self) -> Failure | None:
-        """Write the reports behind holds, and what has changed since."""
-        for crash_id, lease_s in self._leases_s().items():
-            failure = await self._write(crash_id, lease_s)
-            if failure is not None:
-                return failure
-        return None
-
     async def _write_next_unheld(self) -> Failure | None:
         """Write one report that no hold needs; the next one follows later."""
         unheld = [
@@ -130,15 +144,6 @@
         self._unheld_written_at = anyio.current_time()
         return await self._write(unheld[-1], MAX_LEASE_S, held=False)
 
-    async def _load(self) -> None:
-        while True:
-            listing = await self._store.list_prefix(self._prefix)
-            if not isinstance(listing, Failure):
-                break
-            await anyio.sleep(RETRY_DELAY_S)
-        for item in listing.items:
-            self._load_report(item)
-
     def _load_report(self, item: Item) -> None:
         report = parse_json(
             item.value or b'', CrashReport, ErrorKind.BAD_REQUEST
@@ -184,7 +189,7 @@
         if isinstance(lease, Failure):
             return lease
         failure = await self._store.put(
-            self._key(crash_id), msgspec.json.encode(report), lease
+            self._key(crash_id), _encode(report), lease
         )
         if failure is None:
             replaced_at = math.inf
@@ -218,3 +223,12 @@
             f'{crash_id} {self._link.node}'.encode()
         )
         return f'{self._prefix}{digest}'
+
+
+def _encode(report: CrashReport) -> bytes:
+    """Return a report as a value; what exceeds the largest one is left out."""
+    content = msgspec.json.encode(report)
+    if len(content) <= MAX_VALUE_BYTES:
+        return content
+    reports = split_report(report, MAX_VALUE_BYTES // JSON_RATIO)
+    return msgspec.json.encode(reports[0])
