--- a/src/masticwind_dev/soak/faulty.py
+++ b/src/masticwind_dev/soak/faulty.py
@@ -47,7 +47,7 @@
 ENGINES: Final = 3
 CALLERS: Final = (8, 16)
 # Callers of each entry where all answers without end have the same form.
-STORM_CALLERS: Final = 40
+STORM_CALLERS: Final = 100
 UPTIMES_S: Final = ((2.0, 6.0), (5.0, 12.0))
 GRACES_S: Final = ((8.0,), (4.0, 5.0, 6.0))
 ENGINE_MEMORY_TOKENS: Final = 20_000
--- a/src/masticwind_dev/soak/faulty_callers.py
+++ b/src/masticwind_dev/soak/faulty_callers.py
@@ -72,7 +72,9 @@
             req.ending = Ending.RESET
             return False
         req.sent_at = time.monotonic()
+        # It waits longer than the route's timeout, so that late answers show.
         is_kept = await read_answers(stream, [exchange])
+        req.deadline_at = req.begun_at + ROUTE_TIMEOUT_S
         if is_kept and exchange.parser.trailing_data[0]:
             self._records.extra_bytes.append(req.request_id)
         exchange.body = exchange.body[:MAX_KEPT_BYTES]
@@ -88,6 +90,4 @@
         tokens = SHORT_PROMPT_TOKENS
         if self._random.random() < LONG_PROMPT_SHARE:
             tokens = LONG_PROMPT_TOKENS
-        exchange = new_exchange(request_id, instance, work, tokens)
-        exchange.req.deadline_at = exchange.req.begun_at + ROUTE_TIMEOUT_S
-        return exchange
+        return new_exchange(request_id, instance, work, tokens)
--- a/tests/test_soak_faulty.py
+++ b/tests/test_soak_faulty.py
@@ -257,7 +257,7 @@
     options = [draw_options(seed) for seed in range(20)]
     modes = {mode for option in options for mode in option.modes}
     assert modes == set(Mode)
-    assert {option.callers for option in options} == {8, 16, 40}
+    assert {option.callers for option in options} == {8, 16, 100}
     forms = {form for seed in range(40) for form in draw_options(seed).forms}
     assert forms == set(EndlessForm)
     assert len({option.graces_s for option in options}) == 2
