--- a/src/masticwind_dev/standins/raw_endpoint.py
+++ b/src/masticwind_dev/standins/raw_endpoint.py
@@ -91,9 +91,14 @@
     )
 
 
+def encode_event(number: int, text: str = 'x') -> bytes:
+    """Return one event of a streamed answer."""
+    return f'id: {number}\ndata: {text}\n\n'.encode()
+
+
 def encode_event_chunk(number: int, text: str = 'x') -> bytes:
     """Return one event as a chunk of a streamed answer."""
-    content = f'id: {number}\ndata: {text}\n\n'.encode()
+    content = encode_event(number, text)
     return b'%x\r\n%b\r\n' % (len(content), content)
 
 
--- a/tests/stopping_entry.py
+++ b/tests/stopping_entry.py
@@ -28,7 +28,9 @@
     RawEndpoint,
     ReceivedRequest,
     Script,
+    encode_event,
     encode_event_chunk,
+    encode_head,
     encode_stream_head,
 )
 from tests.entry_harness import (
@@ -76,10 +78,11 @@
 class StoppingEntry:
     """The entry process, its store and its engines.
 
-    Engines stream for `stream_s` and answer calls after `call_s`. Streams write
-    nothing from `silent_from` until `silent_until`, on the monotonic clock; the
-    silence is not part of `stream_s`. Those that began before `broken_at` are
-    broken off then.
+    Engines stream for `stream_s` and answer calls after `call_s`, both without
+    the time of `silences`, during which they write nothing: each has its begin
+    and its end on the monotonic clock. Streams that began before `broken_at`
+    are broken off then. `stream_fields` are further header fields of streams,
+    which end with their connection if they are not `framed`.
     Requests whose id begins with `faulty` are answered by `fault`.
     """
 
@@ -93,10 +96,11 @@
     popen: 'subprocess.Popen[bytes] | None' = None
     stream_s: float = 0.3
     call_s: float = 0.0
-    silent_from: float = 0.0
-    silent_until: float = 0.0
+    silences: list[tuple[float, float]] = field(default_factory=list)
     broken_at: float = math.inf
     call_body: bytes = b'done'
+    stream_fields: tuple[str, ...] = ()
+    framed: bool = True
     received: list[str] = field(default_factory=list)
     fault: Script | None = None
 
@@ -193,12 +197,13 @@
             return
         if 'x-token-counts' not in req.headers:
             await anyio.sleep(self.call_s)
+            await anyio.sleep(self._silence_left_s())
             await conn.send_answer(req, body=self.call_body)
             return
         began_at = time.monotonic()
         ends_at = began_at + self.stream_s
         number = int(req.headers.get('last-event-id', '0'))
-        await conn.write(encode_stream_head(req))
+        await conn.write(self._stream_head(req))
         while time.monotonic() < ends_at:
             if began_at < self.broken_at <= time.monotonic():
                 await conn.close()
@@ -207,15 +212,31 @@
             ends_at += silence_s
             await anyio.sleep(silence_s)
             number += 1
-            await conn.write(encode_event_chunk(number))
+            await conn.write(self._event(number))
             await anyio.sleep(EVENT_INTERVAL_S)
-        await conn.write(LAST_CHUNK)
+        if self.framed:
+            await conn.write(LAST_CHUNK)
+        else:
+            await conn.close()
+
+    def _stream_head(self, req: ReceivedRequest) -> bytes:
+        if self.framed:
+            return encode_stream_head(req, self.stream_fields)
+        fields = ('Content-Type: text/event-stream', *self.stream_fields)
+        return encode_head(req, 200, fields)
+
+    def _event(self, number: int) -> bytes:
+        if self.framed:
+            return encode_event_chunk(number)
+        return encode_event(number)
 
     def _silence_left_s(self) -> float:
         now = time.monotonic()
-        if now < self.silent_from:
-            return 0
-        return max(0.0, self.silent_until - now)
+        left_s = 0.0
+        for begins_at, ends_at in self.silences:
+            if now >= begins_at:
+                left_s = max(left_s, ends_at - now)
+        return left_s
 
 
 def _head(
--- a/tests/test_late_silences.py
+++ b/tests/test_late_silences.py
@@ -1,6 +1,7 @@
 """Silences of sound engines, and the last moments, late in a planned stop."""
 
 import time
+from collections.abc import Callable
 from contextlib import suppress
 
 import anyio
@@ -27,62 +28,151 @@
 GAVE_UP = 504
 
 
-class StreamCaller:
-    """Sends streams, each on a connection of its own."""
+class Caller:
+    """Sends requests, each on a connection of its own."""
 
-    def __init__(self, entry: StoppingEntry, tasks: TaskGroup) -> None:
+    def __init__(
+        self,
+        entry: StoppingEntry,
+        tasks: TaskGroup,
+        make_head: Callable[[str], bytes],
+    ) -> None:
         self.answers: dict[str, CallerAnswer] = {}
         self._entry = entry
         self._tasks = tasks
+        self._make_head = make_head
+        self._sent = 0
 
-    def send(self, request_id: str) -> None:
-        """Send a stream in the background."""
-        self._tasks.start_soon(self._send, request_id)
+    def send_next(self) -> None:
+        """Send a request in the background."""
+        self._tasks.start_soon(self._send, f'late-{self._sent}')
+        self._sent += 1
 
     async def _send(self, request_id: str) -> None:
         # The entry may accept no connection any more.
         with suppress(OSError):
-            answer = await self._entry.request(stream_head(request_id))
+            answer = await self._entry.request(self._make_head(request_id))
             self.answers[request_id] = answer
 
 
 async def _serve_short_streams(entry: StoppingEntry) -> None:
     """Let the entry learn how long the streams take."""
-    for number in range(12):
-        answer = await entry.request(stream_head(f'short-{number}'))
+
+    async def serve(request_id: str) -> None:
+        answer = await entry.request(stream_head(request_id))
         assert answer.status == 200
 
+    for number in range(6):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(serve, f'short-{2 * number}')
+            tasks.start_soon(serve, f'short-{2 * number + 1}')
+
+
+async def _stop_under_streams(
+    entry: StoppingEntry, *silences: tuple[float, float]
+) -> None:
+    """Stop the entry under a series of streams, none of which may be cut.
+
+    Each silence has its begin, in seconds after the signal, and its length.
+    """
+    entry.signal()
+    started = time.monotonic()
+    for silent_from_s, silence_s in silences:
+        begins_at = started + silent_from_s
+        entry.silences.append((begins_at, begins_at + silence_s))
+    async with anyio.create_task_group() as tasks:
+        caller = Caller(entry, tasks, stream_head)
+        while time.monotonic() - started < LAST_SENT_S:
+            caller.send_next()
+            await anyio.sleep(SEND_INTERVAL_S)
+    assert await entry.wait_for_exit() == 0
+    lifetime_s = time.monotonic() - started
+    for request_id, answer in caller.answers.items():
+        if answer.content or request_id in entry.received:
+            assert answer.is_complete, (request_id, answer.content[-99:])
+            assert answer.status in {200, REFUSED}
+        if answer.status == REFUSED:
+            assert request_id not in entry.received
+            assert b'connection: close' in answer.content.lower()
+    assert lifetime_s < SHUTDOWN_S
+
 
-@pytest.mark.parametrize('silent_from_s', [4.2, 5.0, 5.8])
+@pytest.mark.parametrize('stream_s', [0.3, 0.8])
+@pytest.mark.parametrize('silent_from_s', [4.2, 5.0, 5.8, 6.1])
 async def test_late_stream_is_not_cut_for_a_silence_of_its_engine(
-    silent_from_s: float,
+    silent_from_s: float, stream_s: float
 ) -> None:
     """Guards against streams that are sent late in a stop, as they should end
     in time, and are cut since their engines are silent for a moment.
     """
     async with running_stopping_entry(int(SHUTDOWN_S * 1000)) as entry:
+        entry.stream_s = stream_s
         await _serve_short_streams(entry)
+        await _stop_under_streams(entry, (silent_from_s, SILENCE_S))
+
+
+@pytest.mark.parametrize('silent_from_s', [3.6, 4.4])
+async def test_late_stream_is_not_cut_for_two_silences(
+    silent_from_s: float,
+) -> None:
+    """Guards against streams that are cut since the room for one silence is
+    taken for the room for all of them.
+    """
+    async with running_stopping_entry(int(SHUTDOWN_S * 1000)) as entry:
+        await _serve_short_streams(entry)
+        await _stop_under_streams(
+            entry, (silent_from_s, 1.5), (silent_from_s + 1.6, 1.5)
+        )
+
+
+async def test_late_stream_without_a_length_is_not_cut_for_a_silence() -> None:
+    """Guards against cuts of late streams that end with their connection."""
+    async with running_stopping_entry(int(SHUTDOWN_S * 1000)) as entry:
+        entry.framed = False
+        entry.stream_s = 0.8
+        await _serve_short_streams(entry)
+        await _stop_under_streams(entry, (5.8, SILENCE_S))
+
+
+@pytest.mark.parametrize('silent_from_s', [4.2, 5.8])
+async def test_late_stream_that_waits_for_a_permit_is_not_cut(
+    silent_from_s: float,
+) -> None:
+    """Guards against a room for silences that is used up by the wait for a
+    limited engine.
+    """
+    async with running_stopping_entry(int(SHUTDOWN_S * 1000)) as entry:
+        await _serve_short_streams(entry)
+        entry.stream_fields = ('Server-Limit: 4',)
+        await _stop_under_streams(entry, (silent_from_s, SILENCE_S))
+
+
+@pytest.mark.parametrize('silent_from_s', [5.8, 6.1])
+async def test_late_call_that_runs_once_is_not_given_up_for_a_silence(
+    silent_from_s: float,
+) -> None:
+    """Guards against calls with an unknown outcome where a refusal would have
+    led their callers to another entry.
+    """
+    async with running_stopping_entry(int(SHUTDOWN_S * 1000)) as entry:
+        entry.call_s = 0.05
+        for number in range(12):
+            await entry.request(call_head(f'short-{number}'))
         entry.signal()
         started = time.monotonic()
-        entry.silent_from = started + silent_from_s
-        entry.silent_until = entry.silent_from + SILENCE_S
+        begins_at = started + silent_from_s
+        entry.silences.append((begins_at, begins_at + SILENCE_S))
         async with anyio.create_task_group() as tasks:
-            caller = StreamCaller(entry, tasks)
-            number = 0
+            caller = Caller(entry, tasks, call_head)
             while time.monotonic() - started < LAST_SENT_S:
-                caller.send(f'late-{number}')
-                number += 1
+                caller.send_next()
                 await anyio.sleep(SEND_INTERVAL_S)
         assert await entry.wait_for_exit() == 0
-        lifetime_s = time.monotonic() - started
         for request_id, answer in caller.answers.items():
-            if answer.content or request_id in entry.received:
-                assert answer.is_complete, (request_id, answer.content[-99:])
+            if answer.content:
                 assert answer.status in {200, REFUSED}
-            if answer.status == REFUSED:
-                assert request_id not in entry.received
-                assert b'connection: close' in answer.content.lower()
-    assert lifetime_s < SHUTDOWN_S
+            if request_id in entry.received:
+                assert answer.status == 200
 
 
 async def test_running_stream_gets_the_last_moments_of_a_stop() -> None:
