--- a/src/masticwind/serving/lifetime.py
+++ b/src/masticwind/serving/lifetime.py
@@ -37,18 +37,22 @@
     def __init__(self) -> None:
         self._stopping_since = math.inf
         self._killed_at = math.inf
+        # Not changed by a shorter time between the signals.
+        self._answers_end_at = math.inf
         self._closed = False
 
     def stop(self, grace_s: float) -> None:
         """Record the signal to stop; SIGKILL follows after `grace_s`."""
         self._stopping_since = time.monotonic()
         self._killed_at = self._stopping_since + grace_s
+        self._answers_end_at = self._killed_at - EXIT_TIME_S
 
     def shorten(self, grace_s: float) -> None:
         """Apply a changed time between the signals, if it is shorter.
 
         A longer one is not trusted: whoever sends SIGKILL may have read the
-        former one.
+        former one. For the same reason answers that have begun keep the former
+        time: if SIGKILL comes sooner, they are lost in either case.
         """
         killed_at = self._stopping_since + grace_s
         if killed_at < self._killed_at:
@@ -80,7 +84,7 @@
 
     def answering_time_s(self) -> float:
         """Return the time for which answers that have begun may go on."""
-        return max(0.0, self._killed_at - EXIT_TIME_S - time.monotonic())
+        return max(0.0, self._answers_end_at - time.monotonic())
 
     def stopping_for_ms(self) -> int | None:
         """Return the time since the signal; None before it."""
--- a/tests/test_late_silences.py
+++ b/tests/test_late_silences.py
@@ -1,5 +1,6 @@
 """Silences of sound engines, and the last moments, late in a planned stop."""
 
+import signal
 import time
 from collections.abc import Callable
 from contextlib import suppress
@@ -175,6 +176,25 @@
                 assert answer.status == 200
 
 
+async def test_shortened_grace_does_not_cut_a_stream_in_progress() -> None:
+    """Guards against streams that are cut by a changed setting, though the
+    process may run until the end of the grace under which they were admitted.
+    """
+    async with running_stopping_entry(int(SHUTDOWN_S * 1000)) as entry:
+        await _serve_short_streams(entry)
+        entry.stream_s = 5.5
+        async with await entry.connect() as stream:
+            await stream.send(stream_head('long'))
+            await anyio.sleep(0.3)
+            entry.signal()
+            await anyio.sleep(1)
+            entry.write_settings(shutdown_ms=4000)
+            entry.signal(signal.SIGHUP)
+            answer = await read_answer(stream)
+        assert await entry.wait_for_exit() == 0
+    assert answer.is_complete
+
+
 async def test_running_stream_gets_the_last_moments_of_a_stop() -> None:
     """Guards against streams that are cut while the stopping entry only keeps
     time to write errors, which a stream that has begun can not get.
