--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -57,6 +57,32 @@
         assert await _send_poison_and_sound_prompts(fleet, rounds=16) == 16
 
 
+@pytest.mark.parametrize('first_sound', [0, 8])
+@pytest.mark.parametrize('position', [63, 66, 300])
+async def test_sound_prompts_are_served_beside_a_part_behind_many_others(
+    position: int, first_sound: int
+) -> None:
+    """Guards against sound prompts that are held, and engines that crash on,
+    since a poison part far back in a long prompt is not compared.
+    """
+    shared = [f'{number:08x}' for number in range(position + 4)]
+    poison = shared.copy()
+    poison[position] = POISON
+    statuses: list[int] = []
+    async with running_fleet(entries=3, part_tokens=1) as fleet:
+        fleet.poison_parts.add(POISON)
+        for number in range(24):
+            running = fleet.entries[number % 3]
+            await fleet.send_prompt(running, *poison, f'bad-{number}')
+            for other in fleet.entries[: 3 * (number >= first_sound)]:
+                own = f'own-{len(statuses)}'
+                answer = await fleet.send_prompt(other, *shared, own)
+                statuses.append(answer.status)
+            await anyio.sleep(0.1)
+        assert fleet.count_received(POISON) <= MAX_REQUESTS
+    assert set(statuses) == {200}
+
+
 async def _crash_until_held(fleet: PoisonFleet) -> None:
     """Send poison prompts to the first entry until they are rejected."""
     fleet.poison_parts.add(POISON)
