--- a/src/masticwind/serving/quarantine.py
+++ b/src/masticwind/serving/quarantine.py
@@ -18,6 +18,7 @@
 from typing import Final
 
 import anyio
+import msgspec
 from loguru import logger
 
 from masticwind.budget import MS_PER_S
@@ -45,7 +46,7 @@
 # Parts that are remembered as answered at least, and for how long.
 MAX_ANSWERED_PARTS: Final = 8192
 ANSWERED_TTL_S: Final = 60.0
-# Of the answered parts of a prompt, a report names as many. All that is said
+# Bytes of the answered parts of a prompt that a report names. All that is said
 # of one prompt must fit into a datagram.
 MAX_ANSWERED_BYTES: Final = 17_408
 # Parts beside a held one that operators see, and that are logged.
@@ -103,20 +104,15 @@
             self._latest = {}
         self._latest.update(dict.fromkeys(parts, self._clock()))
 
-    def among(self, parts: Iterable[str]) -> tuple[str, ...]:
+    def among(self, parts: Iterable[str]) -> list[str]:
         """Return those of `parts` that have been answered recently."""
         oldest = self._clock() - ANSWERED_TTL_S
         answered: list[str] = []
-        size = 0
         for part in parts:
             answered_at = self._latest.get(part, self._older.get(part))
-            if answered_at is None or answered_at < oldest:
-                continue
-            size += len(part.encode()) + 1
-            if size > MAX_ANSWERED_BYTES:
-                break
-            answered.append(part)
-        return tuple(answered)
+            if answered_at is not None and answered_at >= oldest:
+                answered.append(part)
+        return answered
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,14 +256,36 @@
         """
         self._link.report_crash(
             f'{limit_length(endpoint)}/{limit_length(process)}',
-            Suspect(
-                request_id=limit_length(running.request_id),
-                answer_begun=running.attempt.answer_begun,
-                prompt=running.prompt.whole,
-                parts=running.prompt.parts,
-                prior_scores=running.prior_scores,
-                answered_parts=self._answered.among(running.prompt.parts),
-            ),
+            self._to_suspect(running),
+        )
+
+    def _to_suspect(self, running: RunningPrompt) -> Suspect:
+        """Return a prompt as it is reported.
+
+        Answered parts that cannot be named as such are not accused.
+        """
+        answered = self._answered.among(running.prompt.parts)
+        named = _take_bytes(answered, MAX_ANSWERED_BYTES)
+        suspect = Suspect(
+            request_id=limit_length(running.request_id),
+            answer_begun=running.attempt.answer_begun,
+            prompt=running.prompt.whole,
+            parts=running.prompt.parts,
+            prior_scores=running.prior_scores,
+            answered_parts=named,
+        )
+        if len(named) == len(answered):
+            return suspect
+        unnamed = frozenset(answered).difference(named)
+        scores = [
+            (key, score)
+            for key, score in suspect.scores()
+            if key not in unnamed
+        ]
+        return msgspec.structs.replace(
+            suspect,
+            parts=tuple(key for key, _ in scores[1:]),
+            prior_scores=tuple(score for _, score in scores),
         )
 
     def _is_trial(self, hold: Hold, request_id: str) -> bool:
@@ -347,6 +365,18 @@
         return recalled
 
 
+def _take_bytes(parts: Iterable[str], max_bytes: int) -> tuple[str, ...]:
+    """Return the first parts that fit into so many bytes."""
+    taken: list[str] = []
+    size = 0
+    for part in parts:
+        size += len(part.encode()) + 1
+        if size > max_bytes:
+            break
+        taken.append(part)
+    return tuple(taken)
+
+
 def _first_parts(parts: frozenset[str]) -> list[str]:
     return sorted(parts)[:MAX_SHOWN_PARTS]
 
--- a/tests/test_long_prompts.py
+++ b/tests/test_long_prompts.py
@@ -127,6 +127,21 @@
     assert held <= restarted.held_keys().keys()
 
 
+def test_answered_parts_that_do_not_fit_into_a_report_are_not_accused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against sound parts that are accused in full, since the list of
+    answered ones was cut.
+    """
+    monkeypatch.setattr('masticwind.serving.quarantine.MAX_ANSWERED_BYTES', 9)
+    harness = QuarantineHarness()
+    parts = [f'part-{number}' for number in range(5)]
+    harness.answer(*parts, 'a')
+    harness.crash(begun=[(*parts, POISON, 'b')])
+    scores = [harness.evidence.score(part) for part in (*parts, POISON)]
+    assert scores == [3, 0, 0, 0, 0, 6]
+
+
 def test_prompt_of_equal_parts_has_each_once() -> None:
     """Guards against a report that repeats a part."""
     prompt = fingerprint(('x',) * 4000)
