--- a/src/masticwind/serving/crash_archive.py
+++ b/src/masticwind/serving/crash_archive.py
@@ -226,9 +226,12 @@
 
 
 def _encode(report: CrashReport) -> bytes:
-    """Return a report as a value; what exceeds the largest one is left out."""
+    """Return a report as a value.
+
+    If it exceeds the largest one, parts of prompts are left out.
+    """
     content = msgspec.json.encode(report)
     if len(content) <= MAX_VALUE_BYTES:
         return content
     reports = split_report(report, MAX_VALUE_BYTES // JSON_RATIO)
-    return msgspec.json.encode(reports[0])
+    return msgspec.json.encode(next(one for one in reports if one.suspects))
--- a/src/masticwind/serving/crash_evidence.py
+++ b/src/masticwind/serving/crash_evidence.py
@@ -102,6 +102,15 @@
         """All keys of the prompt, the prompt first."""
         return (self.prompt, *self.parts)
 
+    def without_parts(self) -> 'Suspect':
+        """Return a suspect that speaks against the whole prompt only."""
+        return msgspec.structs.replace(
+            self,
+            parts=(),
+            prior_scores=self.prior_scores[:1],
+            answered_parts=(),
+        )
+
     def scores(self) -> Iterator[tuple[str, int]]:
         """Yield each key with its prior score."""
         scores = itertools.chain(self.prior_scores, itertools.repeat(0))
--- a/src/masticwind/serving/evidence_link.py
+++ b/src/masticwind/serving/evidence_link.py
@@ -6,7 +6,7 @@
 import abc
 import math
 from collections.abc import Callable, Iterable
-from typing import Annotated, Final, TypeVar
+from typing import Annotated, Final
 
 import msgspec
 
@@ -27,8 +27,6 @@
 # The time of a crash in a message is an age, so clocks are never compared.
 MAX_AGE_MS: Final = int(EVIDENCE_TTL_S * MS_PER_S)
 
-_Content = TypeVar('_Content')
-
 
 class CrashReport(msgspec.Struct, array_like=True):
     """What an entry knows of one crash; with `complete`, all of it."""
@@ -47,35 +45,72 @@
 def split_report(report: CrashReport, max_bytes: int) -> list[CrashReport]:
     """Return reports of limited size that together say what one says.
 
-    None of several reports is complete by itself.
+    None of several reports is complete by itself. As the others may not
+    arrive, each names all suspects, though some without the parts of their
+    prompts, and says which of its keys have been cleared. Only cleared keys for
+    which it has no room are in reports before it.
     """
-    if len(msgspec.msgpack.encode(report)) <= max_bytes:
+    if _size_of(report) <= max_bytes:
         return [report]
-    replace = msgspec.structs.replace
-    partial = replace(report, suspects=[], cleared=[], complete=False)
+    reports: list[CrashReport] = []
+    begin = 0
+    while begin < len(report.suspects):
+        end = begin + 1
+        partial = _partial_report(report, begin, end)
+        while end < len(report.suspects):
+            larger = _partial_report(report, begin, end + 1)
+            if _size_of(larger) > max_bytes:
+                break
+            partial = larger
+            end += 1
+        reports.append(partial)
+        begin = end
+    untold = set(report.cleared)
+    for one in reports:
+        if _size_of(one) > max_bytes:
+            one.cleared = []
+        untold.difference_update(one.cleared)
+    base = msgspec.structs.replace(report, suspects=[], complete=False)
+    cleared_lists = _pack(sorted(untold), max_bytes)
     return [
         *(
-            replace(partial, suspects=some)
-            for some in _pack(report.suspects, max_bytes)
-        ),
-        *(
-            replace(partial, cleared=some)
-            for some in _pack(report.cleared, max_bytes)
+            msgspec.structs.replace(base, cleared=some)
+            for some in cleared_lists
         ),
+        *reports,
+    ]
+
+
+def _partial_report(report: CrashReport, begin: int, end: int) -> CrashReport:
+    """Return a report with the parts of some suspects only."""
+    suspects = [
+        one if begin <= number < end else one.without_parts()
+        for number, one in enumerate(report.suspects)
     ]
+    keys = {key for one in suspects for key in one.keys}
+    return msgspec.structs.replace(
+        report,
+        suspects=suspects,
+        cleared=sorted(keys.intersection(report.cleared)),
+        complete=False,
+    )
+
+
+def _size_of(report: CrashReport) -> int:
+    return len(msgspec.msgpack.encode(report))
 
 
-def _pack(contents: list[_Content], max_bytes: int) -> list[list[_Content]]:
-    """Return lists of limited size; one that is larger is by itself."""
-    lists: list[list[_Content]] = []
+def _pack(keys: list[str], max_bytes: int) -> list[list[str]]:
+    """Return lists of limited size."""
+    lists: list[list[str]] = []
     size = max_bytes
-    for one in contents:
-        added = len(msgspec.msgpack.encode(one))
+    for key in keys:
+        added = len(msgspec.msgpack.encode(key))
         size += added
         if size > max_bytes:
             lists.append([])
             size = added
-        lists[-1].append(one)
+        lists[-1].append(key)
     return lists
 
 
