--- a/src/masticwind/serving/crash_evidence.py
+++ b/src/masticwind/serving/crash_evidence.py
@@ -24,7 +24,7 @@
 
 import itertools
 import math
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Annotated, Final
 
@@ -317,21 +317,27 @@
             return False
         crash = self._crashes.get(crash_id)
         is_new = crash is None
+        added = tuple(suspects)
         if crash is None:
+            if self._would_be_dropped(observed_at, added):
+                return False
             crash = Crash(observed_at)
             self._crashes[crash_id] = crash
         crash.observed_at = min(crash.observed_at, observed_at)
-        before = (dict(crash.suspects), len(crash.cleared))
+        before = dict(crash.suspects)
         self._key_count -= crash.key_count()
-        for suspect in suspects:
+        for suspect in added:
             _add_suspect(crash, suspect)
-        room = max(0, MAX_CLEARED - len(crash.cleared))
-        crash.cleared.update(itertools.islice(cleared, room))
+        has_cleared = _add_cleared(crash, cleared)
         self._key_count += crash.key_count()
-        if not is_new and before == (crash.suspects, len(crash.cleared)):
+        if not is_new and before == crash.suspects and not has_cleared:
             return False
-        dropped = before[0].keys() - crash.suspects.keys()
-        keys = self._index(crash_id, crash, [before[0][one] for one in dropped])
+        dropped = [
+            one
+            for one in before.values()
+            if crash.suspects.get(one.request_id) != one
+        ]
+        keys = self._index(crash_id, crash, dropped)
         self._update_holds(keys | self._make_room(crash_id))
         return True
 
@@ -340,8 +346,7 @@
         keys: set[str] = set()
         for crash_id, cleared in cleared_keys.items():
             crash = self._crashes[crash_id]
-            room = max(0, MAX_CLEARED - len(crash.cleared))
-            crash.cleared.update(itertools.islice(cleared, room))
+            _add_cleared(crash, cleared)
             keys |= self._index(crash_id, crash)
         self._update_holds(keys)
 
@@ -436,10 +441,29 @@
             keys |= self._drop_oldest(newest_id)
         return keys
 
-    def _is_full(self) -> bool:
+    def _would_be_dropped(
+        self, observed_at: float, suspects: Sequence[Suspect]
+    ) -> bool:
+        """Tell whether a crash that is not known would be dropped again.
+
+        Otherwise entries that have dropped different crashes would replace
+        them with each other's for ever.
+        """
+        key_count = sum(map(_count_keys, suspects))
+        if not self._is_full(crashes=1, keys=key_count):
+            return False
+        held = self._holds.keys()
+        if not all(held.isdisjoint(one.keys) for one in suspects):
+            return False
+        crashes = self._crashes.values()
+        unheld = [one for one in crashes if held.isdisjoint(one.accused_keys())]
+        return all(observed_at < one.observed_at for one in unheld or crashes)
+
+    def _is_full(self, crashes: int = 0, keys: int = 0) -> bool:
+        """Tell whether a limit is exceeded with so many more."""
         return (
-            len(self._crashes) > MAX_CRASHES
-            or self._key_count > MAX_EVIDENCE_KEYS
+            len(self._crashes) + crashes > MAX_CRASHES
+            or self._key_count + keys > MAX_EVIDENCE_KEYS
         )
 
     def _drop_oldest(self, newest_id: str) -> set[str]:
@@ -570,20 +594,38 @@
 def _add_suspect(crash: Crash, suspect: Suspect) -> None:
     """Add a suspect; of two under one id, the greater one counts.
 
-    With too many suspects or keys, those stay whose answers had begun.
+    Once the answer of one had begun, those whose answers had not are dropped.
+    With too many keys, suspects keep their whole prompt only, so that the
+    others are not accused more than with all of them.
     """
     known = crash.suspects.get(suspect.request_id, suspect)
     crash.suspects[suspect.request_id] = max(known, suspect)
     by_weight = sorted(
-        crash.suspects.values(),
-        key=lambda one: (one.answer_begun, one.request_id),
-        reverse=True,
+        crash.culprits(), key=lambda one: one.request_id, reverse=True
     )
+    crash.suspects.clear()
     key_count = 0
-    for rank, one in enumerate(by_weight):
-        key_count += _count_keys(one)
-        if rank and (rank >= MAX_SUSPECTS or key_count > MAX_CRASH_KEYS):
-            crash.suspects.pop(one.request_id)
+    for one in by_weight[:MAX_SUSPECTS]:
+        kept = one
+        if key_count and key_count + _count_keys(one) > MAX_CRASH_KEYS:
+            kept = one.without_parts()
+        key_count += _count_keys(kept)
+        crash.suspects[kept.request_id] = kept
+
+
+def _add_cleared(crash: Crash, cleared: Iterable[str]) -> bool:
+    """Add cleared keys; tell whether any is new.
+
+    With too many, those of the suspects stay.
+    """
+    added = set(cleared) - crash.cleared
+    crash.cleared |= added
+    if len(crash.cleared) > MAX_CLEARED:
+        keys = {key for one in crash.suspects.values() for key in one.keys}
+        others = sorted(crash.cleared - keys)
+        crash.cleared &= keys
+        crash.cleared.update(others[: MAX_CLEARED - len(crash.cleared)])
+    return not added.isdisjoint(crash.cleared)
 
 
 def _new_scores(
