--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -25,6 +25,7 @@
 from masticwind.serving.limit_link import LimitLink
 from masticwind.serving.load_link import LoadLink
 from masticwind.serving.load_table import LoadTable
+from masticwind.serving.loop_delays import log_loop_delays
 from masticwind.serving.mirror import Mirror, MirrorOptions
 from masticwind.serving.operations import OperationsApp
 from masticwind.serving.peers import EntryPeers, Registrar
@@ -234,6 +235,12 @@
         the end, requests without an answer get an error; answers that have
         begun go on for as long as the process can wait.
         """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(log_loop_delays, self._lifetime)
+            await self._drain()
+            tasks.cancel_scope.cancel()
+
+    async def _drain(self) -> None:
         self._draining = True
         self._server.close_after_response = True
         self._lifetime.stop(self._grace_s())
