--- a/src/masticwind/platform/main.py
+++ b/src/masticwind/platform/main.py
@@ -24,6 +24,7 @@
     EXIT_USAGE,
     SettingsFile,
     StoppableProgram,
+    StopSignal,
     load_settings_or_exit,
     read_settings_file,
     watch_settings,
@@ -79,7 +80,10 @@
         await tasks.start(
             watch_settings, settings, partial(_apply_settings, live)
         )
-        await tasks.start(StoppableProgram(entry.run, entry.drain).run)
+        stop_signal = StopSignal()
+        drain = partial(entry.drain, stop_signal.age_s)
+        program = StoppableProgram(entry.run, drain, stop_signal)
+        await tasks.start(program.run)
         logger.bind(
             zone=cfg.zone,
             listen=cfg.listen,
--- a/src/masticwind/program.py
+++ b/src/masticwind/program.py
@@ -1,22 +1,27 @@
 """Settings, signals and shutdown of the serving programs."""
 
+import math
 import os
 import signal
 import sys
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
+from types import FrameType
 from typing import Final, Generic, NoReturn, TypeVar
 
 import anyio
 from anyio.abc import TaskStatus
 from loguru import logger
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import Failure
 from masticwind.logs import configure_logs
 from masticwind.settings import read_settings
 
 EXIT_USAGE: Final = 2
+STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 # The file is also polled because it can change without a SIGHUP.
 RELOAD_POLL_INTERVAL_S: Final = 1.0
 
@@ -110,9 +115,36 @@
     logger.info('settings_reloaded')
 
 
+class StopSignal:
+    """When the first signal to stop arrived.
+
+    The event loop handles a signal in its next step, which may be late. The
+    handler of the interpreter runs as soon as the process does.
+    """
+
+    def __init__(self) -> None:
+        self._received_at = math.inf
+
+    def install(self) -> None:
+        """Replace the handlers that an event loop has installed.
+
+        It handles its signals without them.
+        """
+        for signum in STOP_SIGNALS:
+            signal.signal(signum, self._record)
+
+    def age_s(self) -> float:
+        """Return the time since the signal; zero before it."""
+        return max(0.0, time.monotonic() - self._received_at)
+
+    def _record(self, _signum: int, _frame: FrameType | None) -> None:
+        self._received_at = min(self._received_at, time.monotonic())
+
+
 async def stop_on_signals(
     drain: Callable[[], Awaitable[None]],
     scope: anyio.CancelScope,
+    stop_signal: StopSignal,
     *,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -121,7 +153,8 @@
     A further one repeats the same request, and is logged. SIGKILL ends the
     process at once.
     """
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
+        stop_signal.install()
         task_status.started()
         async with anyio.create_task_group() as tasks:
             signal_count = 0
@@ -131,7 +164,8 @@
                 if signal_count > 1:
                     log.bind(count=signal_count).warning('shutdown_repeated')
                     continue
-                log.info('shutdown_started')
+                age_ms = round(stop_signal.age_s() * MS_PER_S)
+                log.bind(handled_after_ms=age_ms).info('shutdown_started')
                 tasks.start_soon(_drain, drain, scope)
 
 
@@ -146,9 +180,11 @@
         self,
         run: Callable[[], Awaitable[None]],
         drain: Callable[[], Awaitable[None]],
+        stop_signal: StopSignal | None = None,
     ) -> None:
         self._run: Final = run
         self._drain: Final = drain
+        self._stop_signal: Final = stop_signal or StopSignal()
         self._run_scope: Final = anyio.CancelScope()
         self._ended: Final = anyio.Event()
 
@@ -158,7 +194,10 @@
         """Run; report that it has started once signals are handled."""
         async with anyio.create_task_group() as tasks:
             await tasks.start(
-                stop_on_signals, self._drain_and_exit, tasks.cancel_scope
+                stop_on_signals,
+                self._drain_and_exit,
+                tasks.cancel_scope,
+                self._stop_signal,
             )
             task_status.started()
             try:
--- a/src/masticwind/serving/lifetime.py
+++ b/src/masticwind/serving/lifetime.py
@@ -8,8 +8,10 @@
 
 import math
 import time
+from collections.abc import Callable
 from typing import Final
 
+import anyio
 from loguru import logger
 
 from masticwind.budget import MS_PER_S
@@ -26,6 +28,19 @@
 # Time for writing answers even if SIGKILL is due, for example since the process
 # was suspended.
 MIN_CLOSING_TIME_S: Final = 0.4
+# Delays of the event loop are measured at this interval; shorter ones than the
+# least are not logged.
+DELAY_CHECK_INTERVAL_S: Final = 0.05
+MIN_DELAY_S: Final = 0.1
+
+
+# Returns the seconds since the signal to stop.
+SignalAge = Callable[[], float]
+
+
+def no_signal_age() -> float:
+    """Return the age of a signal that has just arrived."""
+    return 0.0
 
 
 class Lifetime:
@@ -41,9 +56,12 @@
         self._answers_end_at = math.inf
         self._closed = False
 
-    def stop(self, grace_s: float) -> None:
-        """Record the signal to stop; SIGKILL follows after `grace_s`."""
-        self._stopping_since = time.monotonic()
+    def stop(self, grace_s: float, signal_age_s: float = 0) -> None:
+        """Record the signal to stop; SIGKILL follows `grace_s` after it.
+
+        The signal arrived `signal_age_s` ago.
+        """
+        self._stopping_since = time.monotonic() - signal_age_s
         self._killed_at = self._stopping_since + grace_s
         self._answers_end_at = self._killed_at - EXIT_TIME_S
 
@@ -86,6 +104,26 @@
         """Return the time for which answers that have begun may go on."""
         return max(0.0, self._answers_end_at - time.monotonic())
 
+    async def log_loop_delays(self) -> None:
+        """Log delays of the event loop until cancelled.
+
+        The processor time tells whether the process has waited for a processor,
+        or one step of the event loop has taken long.
+        """
+        while True:
+            began_at = time.monotonic()
+            used_s = time.process_time()
+            await anyio.sleep(DELAY_CHECK_INTERVAL_S)
+            delay_s = time.monotonic() - began_at - DELAY_CHECK_INTERVAL_S
+            if delay_s < MIN_DELAY_S:
+                continue
+            used_s = time.process_time() - used_s
+            logger.bind(
+                delay_ms=round(delay_s * MS_PER_S),
+                processor_ms=round(used_s * MS_PER_S),
+                stopping_for_ms=self.stopping_for_ms(),
+            ).warning('event_loop_delayed')
+
     def stopping_for_ms(self) -> int | None:
         """Return the time since the signal; None before it."""
         if math.isinf(self._stopping_since):
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -21,11 +21,14 @@
 )
 from masticwind.serving.edge import EdgeApp, EdgeDependencies
 from masticwind.serving.freshness import ConfigFreshness
-from masticwind.serving.lifetime import Lifetime
+from masticwind.serving.lifetime import (
+    Lifetime,
+    SignalAge,
+    no_signal_age,
+)
 from masticwind.serving.limit_link import LimitLink
 from masticwind.serving.load_link import LoadLink
 from masticwind.serving.load_table import LoadTable
-from masticwind.serving.loop_delays import log_loop_delays
 from masticwind.serving.mirror import Mirror, MirrorOptions
 from masticwind.serving.operations import OperationsApp
 from masticwind.serving.peers import EntryPeers, Registrar
@@ -228,7 +231,7 @@
             await self._server.run()
             tasks.cancel_scope.cancel()
 
-    async def drain(self) -> None:
+    async def drain(self, signal_age: SignalAge = no_signal_age) -> None:
         """Complete running requests, and new ones that can end in time.
 
         New requests still arrive while the load balancer sends them here. At
@@ -236,14 +239,14 @@
         begun go on for as long as the process can wait.
         """
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(log_loop_delays, self._lifetime)
-            await self._drain()
+            tasks.start_soon(self._lifetime.log_loop_delays)
+            await self._drain(signal_age())
             tasks.cancel_scope.cancel()
 
-    async def _drain(self) -> None:
+    async def _drain(self, signal_age_s: float) -> None:
         self._draining = True
         self._server.close_after_response = True
-        self._lifetime.stop(self._grace_s())
+        self._lifetime.stop(self._grace_s(), signal_age_s)
         await self._wait_until_idle()
         # Without a pause after the check, so that no request comes between.
         self._lifetime.close()
--- a/src/masticwind_dev/local/main.py
+++ b/src/masticwind_dev/local/main.py
@@ -10,7 +10,7 @@
 
 from masticwind import __version__
 from masticwind.logs import configure_logs
-from masticwind.program import stop_on_signals
+from masticwind.program import StopSignal, stop_on_signals
 from masticwind_dev.local.check import CheckResult, run_checks
 from masticwind_dev.local.fleet import Fleet, running_fleet
 from masticwind_dev.local.sample import (
@@ -72,7 +72,7 @@
             return failed
         _print_usage(fleet)
         with anyio.CancelScope() as scope:
-            await stop_on_signals(fleet.drain, scope)
+            await stop_on_signals(fleet.drain, scope, StopSignal())
     return False
 
 
--- a/tests/stopping_entry.py
+++ b/tests/stopping_entry.py
@@ -83,7 +83,8 @@
     and its end on the monotonic clock. Streams that began before `broken_at`
     are broken off then. `stream_fields` are further header fields of streams,
     which end with their connection if they are not `framed`.
-    Requests whose id begins with `faulty` are answered by `fault`.
+    Requests whose id begins with `faulty` are answered by `fault`. `program`
+    has the arguments of the interpreter.
     """
 
     store: MetadataStandin
@@ -103,6 +104,7 @@
     framed: bool = True
     received: list[str] = field(default_factory=list)
     fault: Script | None = None
+    program: tuple[str, ...] = (str(ROOT / 'src/masticwind_platform.py'),)
 
     @property
     def process(self) -> 'subprocess.Popen[bytes]':
@@ -114,7 +116,7 @@
         """Start the process."""
         with self.log_path.open('ab') as log:
             self.popen = subprocess.Popen(
-                [sys.executable, str(ROOT / 'src/masticwind_platform.py')],
+                [sys.executable, *self.program],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -324,8 +326,12 @@
 async def running_stopping_entry(
     shutdown_ms: int = 8000,
     slots: int = 8,
+    program: tuple[str, ...] = (),
 ) -> AsyncIterator[StoppingEntry]:
-    """Run an entry process that serves, and end it at the end of the test."""
+    """Run an entry process that serves, and end it at the end of the test.
+
+    `program` has other arguments of the interpreter.
+    """
     store = MetadataStandin()
     server = WebServer(store.app, Address())
     document = sample_config_document()
@@ -337,6 +343,7 @@
             entry = await _prepare_entry(
                 store, Path(folder), server.port, shutdown_ms
             )
+            entry.program = program or entry.program
             await _start_engines(entry, tasks, slots)
             tasks.start_soon(server.run)
             entry.start()
--- a/tests/test_stop_boundaries.py
+++ b/tests/test_stop_boundaries.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 import anyio
 import pytest
@@ -48,6 +48,7 @@
 )
 from tests.stop_fleet import stopping_fleet
 from tests.stopping_entry import (
+    ROOT,
     CallerAnswer,
     StoppingEntry,
     call_head,
@@ -67,6 +68,7 @@
 GAVE_UP = 504
 UNUSED_URL = 'http://127.0.0.1:1'
 LATEST_CALL_S = 5.8
+BLOCKED_S = 1.2
 
 
 async def _close_without_an_answer(
@@ -171,6 +173,45 @@
     answers.append(await entry.request(call_head('once')))
 
 
+# Runs an entry whose event loop is blocked by a request to be blocked.
+BLOCKED_PROGRAM: Final = f"""
+import sys, time
+sys.path.insert(0, {str(ROOT / 'src')!r})
+from masticwind.platform import main
+from masticwind.platform.headers import PlatformCodec
+decode = PlatformCodec.decode
+def block(codec, scope):
+    req = decode(codec, scope)
+    if getattr(req, 'request_id', '') == 'block':
+        time.sleep({BLOCKED_S})
+    return req
+PlatformCodec.decode = block
+main.main()
+"""
+
+
+async def test_grace_counts_from_the_signal_and_not_from_its_handling() -> None:
+    """Guards against requests without an answer because the event loop was
+    busy when the signal came, so that SIGKILL comes before the entry expects
+    it.
+    """
+    answers: list[CallerAnswer] = []
+    program = ('-c', BLOCKED_PROGRAM)
+    async with running_stopping_entry(3000, program=program) as entry:
+        entry.call_s = 9.0
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_call_in_background, entry, answers)
+            await anyio.sleep(0.3)
+            tasks.start_soon(entry.request, call_head('block'))
+            await anyio.sleep(0.2)
+            entry.signal()
+            await anyio.sleep(3)
+            entry.signal(signal.SIGKILL)
+        await entry.wait_for_exit()
+    assert answers[0].status == GAVE_UP
+    assert answers[0].is_complete
+
+
 async def test_shutdown_time_that_is_over_leaves_no_call_unanswered() -> None:
     """Guards against requests without an answer because a shortened shutdown
     time is already over when the entry reads it.
