--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -55,6 +55,8 @@
         'fresh_connection',
         'repeated',
         'buffered_bytes',
+        'handled_after_ms',
+        'processor_ms',
     )
 )
 ENDPOINT_STATES = frozenset(('serving', 'cold', 'out', 'down'))
