--- a/src/masticwind/entry/crash_gossip.py
+++ b/src/masticwind/entry/crash_gossip.py
@@ -16,7 +16,7 @@
 from masticwind.decoding import parse_msgpack
 from masticwind.errors import ErrorKind, Failure
 from masticwind.protocol.messages import MAX_CRASH_BYTES, MAX_USAGE_CRASHES
-from masticwind.serving.bounds import EntryFleet
+from masticwind.serving.admission.bounds import EntryFleet
 from masticwind.serving.crash_evidence import CrashEvidence
 from masticwind.serving.evidence_link import CrashReport, EvidenceLink
 from masticwind.serving.fingerprints import (
--- /dev/null
+++ b/src/masticwind/serving/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests: what may be sent, and how much of it."""
--- a/src/masticwind/serving/answer_relay.py
+++ b/src/masticwind/serving/answer_relay.py
@@ -13,11 +13,11 @@
 import anyio
 
 from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.admission.byte_budget import Buffer
 from masticwind.serving.attempt_context import (
     AttemptContext,
     superseded_failure,
 )
-from masticwind.serving.byte_budget import Buffer
 from masticwind.serving.interfaces import Reply
 from masticwind.serving.turns import TurnTaker
 
--- a/src/masticwind/serving/attempt.py
+++ b/src/masticwind/serving/attempt.py
@@ -13,7 +13,7 @@
 from masticwind.errors import ErrorKind, Failure, guarantees_not_run
 from masticwind.httpclient import BrokenStreamError
 from masticwind.send_gate import SendCheck
-from masticwind.serving.admission import AdmittedRequest
+from masticwind.serving.admission.requests import AdmittedRequest
 from masticwind.serving.answer_relay import relay_answer
 from masticwind.serving.attempt_context import (
     AttemptContext,
@@ -30,7 +30,7 @@
     Verdict,
 )
 from masticwind.serving.model import RouteKind
-from masticwind.serving.placement import Placement
+from masticwind.serving.placement.placer import Placement
 from masticwind.serving.reservations import (
     OrderWatch,
     ReservationFailure,
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -6,8 +6,11 @@
 import anyio
 
 from masticwind.errors import ErrorKind, Failure
-from masticwind.serving.admission import AdmittedRequest, RequestProgress
-from masticwind.serving.byte_budget import ByteBudget
+from masticwind.serving.admission.byte_budget import ByteBudget
+from masticwind.serving.admission.requests import (
+    AdmittedRequest,
+    RequestProgress,
+)
 from masticwind.serving.endpoint_limits import Permit
 from masticwind.serving.interfaces import (
     AttemptLimits,
@@ -16,7 +19,7 @@
     Reply,
 )
 from masticwind.serving.model import Endpoint
-from masticwind.serving.placement import Placement
+from masticwind.serving.placement.placer import Placement
 from masticwind.serving.turns import TurnQueue
 
 
--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -11,10 +11,13 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
-from masticwind.serving.admission import AdmittedRequest, RequestProgress
+from masticwind.serving.admission.requests import (
+    AdmittedRequest,
+    RequestProgress,
+)
 from masticwind.serving.attempt import attempt_limits, run_attempt
 from masticwind.serving.attempt_context import AttemptContext, AttemptState
-from masticwind.serving.completion_times import CompletionTimes
+from masticwind.serving.costs.completion_times import CompletionTimes
 from masticwind.serving.crash_detector import CrashDetector
 from masticwind.serving.interfaces import CallerAnswer, EndpointNotice
 from masticwind.serving.known_calls import (
@@ -22,9 +25,12 @@
     known_fingerprint,
 )
 from masticwind.serving.model import Endpoint
+from masticwind.serving.placement.request_placer import (
+    PermittedPlacement,
+    RequestPlacer,
+)
 from masticwind.serving.quarantine import RunningPrompt
 from masticwind.serving.relay_dependencies import RelayDependencies
-from masticwind.serving.request_placer import PermittedPlacement, RequestPlacer
 from masticwind.serving.telemetry import prompt_size_label
 
 # Time for which an endpoint may be silent, without an event, while memory of
--- a/src/masticwind/serving/cleanup.py
+++ b/src/masticwind/serving/cleanup.py
@@ -10,16 +10,16 @@
 import anyio
 from loguru import logger
 
-from masticwind.serving.bounds import ColdEndpointLimiter
+from masticwind.serving.admission.bounds import ColdEndpointLimiter
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.directory import EndpointDirectory
 from masticwind.serving.endpoint_limits import EndpointLimits
 from masticwind.serving.endpoint_notices import EndpointNotices
-from masticwind.serving.health import EndpointHealth
 from masticwind.serving.interfaces import EndpointClient
 from masticwind.serving.peers import EntryPeers
+from masticwind.serving.placement.health import EndpointHealth
+from masticwind.serving.placement.suspicions import Suspicions
 from masticwind.serving.settings import LiveSettings
-from masticwind.serving.suspicions import Suspicions
 
 # Longer than any request that was sent to the endpoint before its removal.
 RETENTION_S: Final = 120.0
--- /dev/null
+++ b/src/masticwind/serving/costs/__init__.py
@@ -0,0 +1,1 @@
+"""What requests cost: predictions and what is learned of their errors."""
--- a/src/masticwind/serving/crash_detector.py
+++ b/src/masticwind/serving/crash_detector.py
@@ -15,7 +15,7 @@
 from masticwind.httpclient import ConnectResult
 from masticwind.serving.attempt_context import AttemptContext
 from masticwind.serving.interfaces import EndpointClient
-from masticwind.serving.load_table import LoadTable
+from masticwind.serving.placement.load_table import LoadTable
 from masticwind.serving.telemetry import Telemetry
 
 MAX_CALL_CHECK_S: Final = 0.1
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -20,12 +20,12 @@
 from masticwind.errors import ERROR_RESPONSES, ErrorKind, Failure
 from masticwind.request_exceptions import exception_failure
 from masticwind.serving.active_config import ActiveConfig
-from masticwind.serving.admission import (
+from masticwind.serving.admission.byte_budget import ByteBudget
+from masticwind.serving.admission.requests import (
     AdmittedRequest,
     RequestProgress,
     admit,
 )
-from masticwind.serving.byte_budget import ByteBudget
 from masticwind.serving.freshness import ConfigFreshness
 from masticwind.serving.interfaces import CallerAnswer
 from masticwind.serving.lifetime import Lifetime
--- a/src/masticwind/serving/event_relay.py
+++ b/src/masticwind/serving/event_relay.py
@@ -3,12 +3,12 @@
 from typing import Final
 
 from masticwind.errors import ErrorKind, Failure
-from masticwind.serving.admission import RequestProgress
+from masticwind.serving.admission.byte_budget import Buffer
+from masticwind.serving.admission.requests import RequestProgress
 from masticwind.serving.attempt_context import (
     AttemptContext,
     superseded_failure,
 )
-from masticwind.serving.byte_budget import Buffer
 from masticwind.serving.events import (
     MAX_EVENT_BYTES,
     Event,
--- a/src/masticwind/serving/fingerprints.py
+++ b/src/masticwind/serving/fingerprints.py
@@ -22,6 +22,8 @@
 LENGTH_BYTES: Final = 8
 _PROMPT_KEY: Final = 'prompt:'
 _CALL_KEY: Final = 'call:'
+# Keys of 32 bits.
+MAX_SHORT_KEY: Final = 0xFFFFFFFF
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +57,14 @@
     return RequestFingerprint(whole, tuple(shared_parts))
 
 
+def short_key(*names: str) -> int:
+    """Return a 32-bit key of some names that is the same in all entries.
+
+    Zero stands for unknown, so no key is zero.
+    """
+    return xxhash.xxh32_intdigest('\n'.join(names).encode()) or 1
+
+
 def call_fingerprint(req: CallerRequest, team: str) -> RequestFingerprint:
     """Return the key of a call; this reads the whole body.
 
--- a/src/masticwind/serving/known_calls.py
+++ b/src/masticwind/serving/known_calls.py
@@ -1,6 +1,9 @@
 """The fingerprints of requests that crashes may speak against."""
 
-from masticwind.serving.admission import AdmittedRequest, RequestProgress
+from masticwind.serving.admission.requests import (
+    AdmittedRequest,
+    RequestProgress,
+)
 from masticwind.serving.fingerprints import (
     RequestFingerprint,
     call_fingerprint,
--- a/src/masticwind/serving/peers.py
+++ b/src/masticwind/serving/peers.py
@@ -16,7 +16,7 @@
 from masticwind.decoding import parse_with
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.addresses import parse_ip_address
-from masticwind.serving.bounds import EntryFleet
+from masticwind.serving.admission.bounds import EntryFleet
 from masticwind.serving.datagrams import PeerAddress
 from masticwind.serving.endpoint_limits import PermitAuthorities
 from masticwind.serving.mirror import Mirror, Sink
--- /dev/null
+++ b/src/masticwind/serving/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of requests on endpoints, and what it knows of them."""
--- a/src/masticwind/serving/engine_view.py
+++ b/src/masticwind/serving/placement/engine_view.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from masticwind.budget import MS_PER_S
-from masticwind.serving.latency_model import (
+from masticwind.serving.costs.latency_model import (
     EngineLoad,
     EngineTimes,
     PrefillWork,
@@ -18,9 +18,9 @@
     max_token_gap_ms,
     prefill_ms,
 )
-from masticwind.serving.load_table import Job, engine_load
 from masticwind.serving.model import Endpoint, EngineProfile
-from masticwind.serving.placement import PlacementQuery
+from masticwind.serving.placement.load_table import Job, engine_load
+from masticwind.serving.placement.placer import PlacementQuery
 
 # Share of a target or deadline that a predicted time may use; the rest covers
 # prediction errors.
@@ -42,8 +42,6 @@
 FAILURE_COST_MS: Final = 400.0
 # A round trip between availability zones, rounded up.
 OTHER_ZONE_COST_MS: Final = 2.0
-# Expected remaining time of a request that has exceeded its predicted end.
-OVERDUE_REMAINING_S: Final = 0.3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -111,7 +109,7 @@
         slot_requests=slot_requests,
         slot_wait_ms=max(
             start_wait_ms,
-            _slot_wait_ms(query, profile, jobs, slot_requests),
+            query.costs.slot_wait_ms(jobs, profile.slots, query.now),
         ),
         # Several entries can overcommit an engine, which then preempts.
         free_tokens=max(0, profile.kv_cache_tokens - held_tokens),
@@ -198,20 +196,3 @@
                 1 - LATE_VALUE_SHARE
             )
     return lost_tokens
-
-
-def _slot_wait_ms(
-    query: PlacementQuery,
-    profile: EngineProfile,
-    jobs: tuple[Job, ...],
-    slot_requests: int,
-) -> float:
-    queued = slot_requests - profile.slots
-    if queued < 0:
-        return 0.0
-    end_times = sorted(
-        max(job.end_at, query.now + OVERDUE_REMAINING_S)
-        for job in jobs
-        if job.context_tokens
-    )
-    return (end_times[queued] - query.now) * MS_PER_S
--- a/src/masticwind/serving/health.py
+++ b/src/masticwind/serving/placement/health.py
@@ -23,7 +23,7 @@
 from loguru import logger
 
 from masticwind.serving.model import Endpoint
-from masticwind.serving.suspicions import Suspicions
+from masticwind.serving.placement.suspicions import Suspicions
 
 INITIAL_EXCLUSION_S: Final = 0.5
 MAX_EXCLUSION_S: Final = 4.0
--- a/src/masticwind/serving/load_link.py
+++ b/src/masticwind/serving/placement/load_link.py
@@ -16,10 +16,11 @@
 from loguru import logger
 
 from masticwind.budget import MS_PER_S, boot_time
+from masticwind.serving.costs.latency_model import PrefillWork
 from masticwind.serving.datagrams import PeerAddress, PeerSocket, Receiver
-from masticwind.serving.latency_model import PrefillWork
-from masticwind.serving.load_table import Job, LoadTable
+from masticwind.serving.fingerprints import MAX_SHORT_KEY
 from masticwind.serving.peers import SILENCE_TIMEOUT_S, EntryPeers
+from masticwind.serving.placement.load_table import Job, LoadTable
 
 LOAD: Final = 'load'
 # Changes within this time are sent together.
@@ -38,11 +39,15 @@
 # Bounded integers, so that predictions calculated from the numbers of another
 # entry cannot overflow or yield NaN.
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+ShortKey = Annotated[int, msgspec.Meta(ge=0, le=MAX_SHORT_KEY)]
 Milliseconds = Annotated[int, msgspec.Meta(ge=-MAX_OFFSET_MS, le=MAX_OFFSET_MS)]
 
 
 class JobMessage(msgspec.Struct, array_like=True):
-    """A job as it is sent; times are relative to the time of sending."""
+    """A job as it is sent; times are relative to the time of sending.
+
+    An entry of an earlier release sends no keys.
+    """
 
     job_id: int
     request_id: str
@@ -58,6 +63,8 @@
     value_tokens: Count
     first_token_due_ms: Milliseconds | None
     decoding: bool
+    route_key: ShortKey = 0
+    team_key: ShortKey = 0
 
 
 class LoadUpdate(msgspec.Struct, array_like=True):
@@ -195,6 +202,8 @@
         value_tokens=round(job.value_tokens),
         first_token_due_ms=_first_token_due_ms(job, now),
         decoding=job.decoding,
+        route_key=job.route_key,
+        team_key=job.team_key,
     )
 
 
@@ -221,4 +230,6 @@
         if message.first_token_due_ms is None
         else now + message.first_token_due_ms / MS_PER_S,
         decoding=message.decoding,
+        route_key=message.route_key,
+        team_key=message.team_key,
     )
--- a/src/masticwind/serving/load_table.py
+++ b/src/masticwind/serving/placement/load_table.py
@@ -14,7 +14,7 @@
 
 import anyio
 
-from masticwind.serving.latency_model import EngineLoad, PrefillWork
+from masticwind.serving.costs.latency_model import EngineLoad, PrefillWork
 
 # A job of another entry is ignored this long after its predicted end: the entry
 # has died, or the message about the end of the job was lost.
@@ -33,7 +33,8 @@
     `event_gap_target_ms` is the longest gap between tokens that meets the
     target; zero means that there is no target. `value_tokens` is the value of
     the request in prompt tokens; an output token counts as ten. A first token
-    after `first_token_due_at` is late.
+    after `first_token_due_at` is late. `route_key` and `team_key` are short
+    keys of the route and the team, zero if they are unknown.
     """
 
     job_id: int
@@ -49,6 +50,8 @@
     value_tokens: float = 0
     first_token_due_at: float = math.inf
     decoding: bool = False
+    route_key: int = 0
+    team_key: int = 0
 
     def remaining_prefill(self, now: float) -> PrefillWork:
         """Estimate the part of the prefill that has not run yet."""
--- a/src/masticwind/serving/placement.py
+++ b/src/masticwind/serving/placement/placer.py
@@ -13,9 +13,11 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
-from masticwind.serving.latency_model import PrefillWork
-from masticwind.serving.load_table import Job
+from masticwind.serving.admission.standing import DEFAULT_STANDING, Standing
+from masticwind.serving.costs.latency_model import PrefillWork
+from masticwind.serving.costs.model import STATIC_COSTS, CostModel
 from masticwind.serving.model import Endpoint, Service, TokenCounts
+from masticwind.serving.placement.load_table import Job
 
 # Expected duration of a plain call; predicts the wait in a queue.
 EXPECTED_CALL_MS: Final = 40.0
@@ -41,7 +43,8 @@
     the first event; zero means that there is no target. `permit_waits_ms` has
     the wait for a permit of each endpoint that limits its requests, and
     `pause_waits_ms` the wait for each endpoint that pauses or returns from a
-    pause. With `last_resort`, the candidates are leaving.
+    pause. With `last_resort`, the candidates are leaving. `costs` predicts what
+    requests cost, and `standing` is what the request may ask for at overload.
     """
 
     request_id: str
@@ -59,6 +62,10 @@
     permit_waits_ms: Mapping[str, float] = field(default_factory=dict)
     pause_waits_ms: Mapping[str, float] = field(default_factory=dict)
     last_resort: bool = False
+    route_key: int = 0
+    team_key: int = 0
+    costs: CostModel = STATIC_COSTS
+    standing: Standing = DEFAULT_STANDING
 
     def wait_ms(self, identity: str) -> float:
         """Return the time until an endpoint takes the request."""
--- a/src/masticwind/serving/plans.py
+++ b/src/masticwind/serving/placement/plans.py
@@ -11,7 +11,14 @@
 from dataclasses import dataclass
 from typing import Final
 
-from masticwind.serving.engine_view import (
+from masticwind.serving.costs.latency_model import (
+    PrefillWork,
+    first_token_ms,
+    full_prefill,
+    prefill_ms,
+)
+from masticwind.serving.model import EngineProfile, TokenCounts
+from masticwind.serving.placement.engine_view import (
     LATE_VALUE_SHARE,
     USABLE_TARGET_SHARE,
     EngineView,
@@ -21,14 +28,7 @@
     is_gap_sensitive,
     losses,
 )
-from masticwind.serving.latency_model import (
-    PrefillWork,
-    first_token_ms,
-    full_prefill,
-    prefill_ms,
-)
-from masticwind.serving.model import EngineProfile, TokenCounts
-from masticwind.serving.placement import PlacementQuery
+from masticwind.serving.placement.placer import PlacementQuery
 
 # Value of an output token, in prompt tokens, as callers weigh them.
 OUTPUT_TOKEN_VALUE: Final = 10
--- a/src/masticwind/serving/prompt_placer.py
+++ b/src/masticwind/serving/placement/prompt_placer.py
@@ -23,20 +23,20 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
-from masticwind.serving.engine_view import (
-    USABLE_TARGET_SHARE,
-    EngineView,
-    build_engine_view,
-    free_tokens_of,
-)
-from masticwind.serving.latency_model import (
+from masticwind.serving.costs.latency_model import (
     decode_iteration_ms,
     full_prefill,
     prefill_ms,
 )
-from masticwind.serving.load_table import Job
 from masticwind.serving.model import Endpoint, EngineProfile, TokenCounts
-from masticwind.serving.placement import (
+from masticwind.serving.placement.engine_view import (
+    USABLE_TARGET_SHARE,
+    EngineView,
+    build_engine_view,
+    free_tokens_of,
+)
+from masticwind.serving.placement.load_table import Job
+from masticwind.serving.placement.placer import (
     Deferral,
     HelperPlacement,
     Placement,
@@ -46,7 +46,7 @@
     spread_retry_after_ms,
     waiting_failure,
 )
-from masticwind.serving.plans import (
+from masticwind.serving.placement.plans import (
     MAX_HELPERS,
     RESERVABLE_MEMORY_SHARE,
     UNBLOCKED_ENGINE_SHARE,
@@ -289,6 +289,8 @@
         event_gap_target_ms=query.event_gap_target_ms,
         value_tokens=request_value(tokens),
         first_token_due_at=first_token_due_at,
+        route_key=query.route_key,
+        team_key=query.team_key,
     )
 
 
--- a/src/masticwind/serving/request_placer.py
+++ b/src/masticwind/serving/placement/request_placer.py
@@ -14,18 +14,20 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
-from masticwind.serving.admission import (
+from masticwind.serving.admission.requests import (
     AdmittedRequest,
     RequestProgress,
     draining_failure,
 )
+from masticwind.serving.admission.standing import Standing
 from masticwind.serving.attempt import ANSWER_MARGIN_MS
 from masticwind.serving.attempt_context import AttemptState
-from masticwind.serving.completion_times import CompletionTimes
+from masticwind.serving.costs.completion_times import CompletionTimes
 from masticwind.serving.endpoint_limits import Permit
+from masticwind.serving.fingerprints import short_key
 from masticwind.serving.known_calls import known_fingerprint
 from masticwind.serving.model import Endpoint
-from masticwind.serving.placement import (
+from masticwind.serving.placement.placer import (
     Deferral,
     Placement,
     PlacementQuery,
@@ -319,6 +321,9 @@
             permit_waits_ms=permit_waits_ms,
             pause_waits_ms=pause_waits_ms,
             last_resort=last_resort,
+            route_key=short_key(admitted.route.name),
+            team_key=short_key(admitted.team.name),
+            standing=Standing(priority=admitted.priority),
         )
         restricted = {*permit_waits_ms, *pause_waits_ms}
         if restricted and not candidates:
--- a/src/masticwind/serving/quarantine.py
+++ b/src/masticwind/serving/quarantine.py
@@ -23,8 +23,8 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.admission.bounds import EntryFleet
 from masticwind.serving.attempt_context import AttemptState
-from masticwind.serving.bounds import EntryFleet
 from masticwind.serving.crash_archive import CrashArchive
 from masticwind.serving.crash_evidence import (
     EVIDENCE_TTL_S,
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -3,12 +3,15 @@
 from typing import Final
 
 from masticwind.errors import Failure
-from masticwind.serving.admission import AdmittedRequest, RequestProgress
+from masticwind.serving.admission.requests import (
+    AdmittedRequest,
+    RequestProgress,
+)
 from masticwind.serving.attempt_runner import AttemptRunner, ServedRequest
-from masticwind.serving.completion_times import CompletionTimes
+from masticwind.serving.costs.completion_times import CompletionTimes
 from masticwind.serving.interfaces import CallerAnswer
+from masticwind.serving.placement.request_placer import RequestPlacer
 from masticwind.serving.relay_dependencies import RelayDependencies
-from masticwind.serving.request_placer import RequestPlacer
 from masticwind.serving.request_run import RequestRun, RunDependencies
 
 
--- a/src/masticwind/serving/relay_dependencies.py
+++ b/src/masticwind/serving/relay_dependencies.py
@@ -2,19 +2,19 @@
 
 from dataclasses import dataclass, field
 
-from masticwind.serving.bounds import ColdEndpointLimiter, RetryBudget
-from masticwind.serving.byte_budget import ByteBudget
+from masticwind.serving.admission.bounds import ColdEndpointLimiter, RetryBudget
+from masticwind.serving.admission.byte_budget import ByteBudget
 from masticwind.serving.directory import EndpointDirectory, OperatorState
 from masticwind.serving.endpoint_notices import EndpointNotices
-from masticwind.serving.health import EndpointHealth
 from masticwind.serving.interfaces import EndpointClient
 from masticwind.serving.lifetime import Lifetime
 from masticwind.serving.limit_link import LimitLink
-from masticwind.serving.load_table import LoadTable
-from masticwind.serving.placement import CallPlacer, Placer
-from masticwind.serving.prompt_placer import PromptPlacer
+from masticwind.serving.placement.health import EndpointHealth
+from masticwind.serving.placement.load_table import LoadTable
+from masticwind.serving.placement.placer import CallPlacer, Placer
+from masticwind.serving.placement.prompt_placer import PromptPlacer
+from masticwind.serving.placement.reach import ZoneReachability
 from masticwind.serving.quarantine import Quarantine
-from masticwind.serving.reach import ZoneReachability
 from masticwind.serving.settings import LiveSettings
 from masticwind.serving.telemetry import Telemetry
 from masticwind.serving.turns import TurnQueue
--- a/src/masticwind/serving/request_run.py
+++ b/src/masticwind/serving/request_run.py
@@ -22,6 +22,7 @@
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
 from masticwind.request_exceptions import exception_failure
+from masticwind.serving.admission.bounds import RetryBudget
 from masticwind.serving.attempt import ANSWER_MARGIN_MS
 from masticwind.serving.attempt_race import AttemptLine, AttemptRace
 from masticwind.serving.attempt_runner import (
@@ -29,9 +30,11 @@
     AttemptRunner,
     ServedRequest,
 )
-from masticwind.serving.bounds import RetryBudget
 from masticwind.serving.model import Endpoint
-from masticwind.serving.request_placer import PermittedPlacement, RequestPlacer
+from masticwind.serving.placement.request_placer import (
+    PermittedPlacement,
+    RequestPlacer,
+)
 
 # Range of the intervals at which a successor of a silent attempt is looked for.
 MIN_SEARCH_INTERVAL_S: Final = 0.1
--- a/src/masticwind/serving/reservations.py
+++ b/src/masticwind/serving/reservations.py
@@ -35,7 +35,7 @@
     PrefillHelper,
 )
 from masticwind.serving.model import Endpoint
-from masticwind.serving.placement import HelperPlacement, Placement
+from masticwind.serving.placement.placer import HelperPlacement, Placement
 
 # Unused memory may stay reserved for at most four seconds.
 LEASE_MS: Final = 3000
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -9,8 +9,8 @@
 from masticwind.budget import MS_PER_S
 from masticwind.serving.active_config import ActiveConfig
 from masticwind.serving.adapter import PlatformAdapter
-from masticwind.serving.bounds import RetryBudget
-from masticwind.serving.byte_budget import ByteBudget
+from masticwind.serving.admission.bounds import RetryBudget
+from masticwind.serving.admission.byte_budget import ByteBudget
 from masticwind.serving.cleanup import build_cleanup
 from masticwind.serving.config_versions import ConfigVersions
 from masticwind.serving.confirmations import Confirmations
@@ -27,11 +27,11 @@
     no_signal_age,
 )
 from masticwind.serving.limit_link import LimitLink
-from masticwind.serving.load_link import LoadLink
-from masticwind.serving.load_table import LoadTable
 from masticwind.serving.mirror import Mirror, MirrorOptions
 from masticwind.serving.operations import OperationsApp
 from masticwind.serving.peers import EntryPeers, Registrar
+from masticwind.serving.placement.load_link import LoadLink
+from masticwind.serving.placement.load_table import LoadTable
 from masticwind.serving.quarantine import build_quarantine
 from masticwind.serving.relay import Relay
 from masticwind.serving.relay_dependencies import RelayDependencies
--- a/src/masticwind_dev/play/baselines.py
+++ b/src/masticwind_dev/play/baselines.py
@@ -5,10 +5,10 @@
 from typing import Final
 
 from masticwind.errors import Failure
-from masticwind.serving.latency_model import PrefillWork
-from masticwind.serving.load_table import Job
+from masticwind.serving.costs.latency_model import PrefillWork
 from masticwind.serving.model import Endpoint
-from masticwind.serving.placement import (
+from masticwind.serving.placement.load_table import Job
+from masticwind.serving.placement.placer import (
     Placement,
     PlacementQuery,
     Placer,
--- a/src/masticwind_dev/play/engines.py
+++ b/src/masticwind_dev/play/engines.py
@@ -14,7 +14,7 @@
 from typing import Final
 
 from masticwind.budget import MS_PER_S
-from masticwind.serving.latency_model import (
+from masticwind.serving.costs.latency_model import (
     PrefillWork,
     decode_iteration_ms,
     prefill_ms,
--- a/src/masticwind_dev/play/main.py
+++ b/src/masticwind_dev/play/main.py
@@ -11,7 +11,7 @@
 
 import cyclopts
 
-from masticwind.serving.prompt_placer import PromptPlacer
+from masticwind.serving.placement.prompt_placer import PromptPlacer
 from masticwind_dev.play.baselines import least_outstanding, round_robin
 from masticwind_dev.play.simulation import (
     REQUEST_CLASSES,
--- a/src/masticwind_dev/play/simulation.py
+++ b/src/masticwind_dev/play/simulation.py
@@ -16,21 +16,21 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import Failure
+from masticwind.serving.costs.latency_model import full_prefill
 from masticwind.serving.endpoint_limits import (
     EndpointLimits,
     PermitAuthorities,
 )
 from masticwind.serving.endpoint_notices import EndpointNotices
 from masticwind.serving.interfaces import EndpointNotice
-from masticwind.serving.latency_model import full_prefill
-from masticwind.serving.load_table import Job, LoadTable
 from masticwind.serving.model import (
     Endpoint,
     EngineProfile,
     Service,
     TokenCounts,
 )
-from masticwind.serving.placement import (
+from masticwind.serving.placement.load_table import Job, LoadTable
+from masticwind.serving.placement.placer import (
     Deferral,
     Placement,
     PlacementQuery,
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -17,6 +17,7 @@
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.interfaces import EndpointClient
 from masticwind.serving.peers import EntryPeers
+from masticwind.serving.placement.suspicions import Suspicions
 from masticwind.serving.server import DirectEntry
 from masticwind.serving.settings import (
     DirectSettings,
@@ -26,7 +27,6 @@
 )
 from masticwind.serving.store import Item
 from masticwind.serving.store_connection import StoreConnection
-from masticwind.serving.suspicions import Suspicions
 from masticwind.settings import Address
 from masticwind.web import WebServer
 from masticwind_dev import ports
--- a/tests/test_cleanup.py
+++ b/tests/test_cleanup.py
@@ -5,14 +5,14 @@
 
 from masticwind.platform.documents import PlatformDecoder
 from masticwind.platform.endpoints import PlatformEndpointClient
-from masticwind.serving.bounds import ColdEndpointLimiter
+from masticwind.serving.admission.bounds import ColdEndpointLimiter
 from masticwind.serving.cleanup import Cleanup
 from masticwind.serving.directory import EndpointDirectory
 from masticwind.serving.endpoint_limits import EndpointLimits
 from masticwind.serving.endpoint_notices import EndpointNotices
-from masticwind.serving.health import EndpointHealth
 from masticwind.serving.interfaces import EndpointNotice
 from masticwind.serving.peers import EntryPeers
+from masticwind.serving.placement.health import EndpointHealth
 from masticwind.serving.settings import LiveSettings
 from masticwind.serving.store import Item
 from tests.entry_harness import (
--- a/tests/test_completion_times.py
+++ b/tests/test_completion_times.py
@@ -3,7 +3,7 @@
 import math
 import time
 
-from masticwind.serving.completion_times import (
+from masticwind.serving.costs.completion_times import (
     HISTORY,
     MIN_HISTORY,
     CompletionTimes,
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -10,9 +10,9 @@
 import pytest
 
 from masticwind.serving.datagrams import PeerAddress, PeerSocket, Receiver
-from masticwind.serving.load_link import LOAD, LoadLink
-from masticwind.serving.load_table import LoadTable
 from masticwind.serving.peers import EntryPeers
+from masticwind.serving.placement.load_link import LOAD, LoadLink
+from masticwind.serving.placement.load_table import LoadTable
 from tests.entry_harness import free_udp_port, sample_settings
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_direct_bounds.py
+++ b/tests/test_direct_bounds.py
@@ -9,24 +9,24 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from masticwind.serving.bounds import (
+from masticwind.serving.admission.bounds import (
     USED_BOUND_SHARE,
     ColdEndpointLimiter,
     RetryBudget,
 )
 from masticwind.serving.datagrams import PeerAddress
-from masticwind.serving.health import (
-    INITIAL_EXCLUSION_S,
-    MAX_EXCLUSION_S,
-    SOFT_FAILURE_LIMIT,
-    EndpointHealth,
-)
 from masticwind.serving.model import Endpoint
 from masticwind.serving.peers import (
     MAX_UNREGISTERED,
     SILENCE_TIMEOUT_S,
     UNREGISTERED_TTL_S,
 )
+from masticwind.serving.placement.health import (
+    INITIAL_EXCLUSION_S,
+    MAX_EXCLUSION_S,
+    SOFT_FAILURE_LIMIT,
+    EndpointHealth,
+)
 from masticwind.serving.settings import (
     FleetBounds,
     LiveSettings,
--- a/tests/test_limited_load.py
+++ b/tests/test_limited_load.py
@@ -9,7 +9,7 @@
 from types import MappingProxyType
 from typing import Final
 
-from masticwind.serving.prompt_placer import PromptPlacer
+from masticwind.serving.placement.prompt_placer import PromptPlacer
 from masticwind_dev.play.simulation import (
     REQUEST_CLASSES,
     ClassResult,
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -6,16 +6,16 @@
 import anyio
 import pytest
 
+from masticwind.serving.costs.latency_model import PrefillWork
 from masticwind.serving.datagrams import PeerSocket
-from masticwind.serving.latency_model import PrefillWork
-from masticwind.serving.load_link import LoadLink
-from masticwind.serving.load_table import (
+from masticwind.serving.peers import EntryPeers
+from masticwind.serving.placement.load_link import LoadLink
+from masticwind.serving.placement.load_table import (
     STALE_JOB_S,
     Job,
     LoadTable,
     engine_load,
 )
-from masticwind.serving.peers import EntryPeers
 from masticwind.serving.store import Item
 from tests.entry_harness import free_udp_port, sample_settings
 from tests.manual_clock import ManualClock
--- a/tests/test_paused_load.py
+++ b/tests/test_paused_load.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from typing import Final
 
-from masticwind.serving.prompt_placer import PromptPlacer
+from masticwind.serving.placement.prompt_placer import PromptPlacer
 from masticwind_dev.play.simulation import ClassResult, simulate
 from tests.test_limited_load import ENGINES, LOAD, MIN_SERVED, SEEDS
 
--- a/tests/test_placement_load.py
+++ b/tests/test_placement_load.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from masticwind.serving import engine_view, plans, prompt_placer
+from masticwind.serving.placement import engine_view, plans, prompt_placer
 from masticwind_dev.play.baselines import least_outstanding, round_robin
 from masticwind_dev.play.simulation import (
     LARGE_WORKLOAD,
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -1,8 +1,8 @@
 """Exclusion of availability zones that an entry cannot reach."""
 
-from masticwind.serving.health import EndpointHealth
 from masticwind.serving.model import Endpoint
-from masticwind.serving.reach import (
+from masticwind.serving.placement.health import EndpointHealth
+from masticwind.serving.placement.reach import (
     INITIAL_EXCLUSION_S,
     SILENCE_WINDOW_S,
     ZoneReachability,
--- a/tests/test_request_exceptions.py
+++ b/tests/test_request_exceptions.py
@@ -19,8 +19,8 @@
     AttemptLimits,
     Reply,
 )
+from masticwind.serving.placement.request_placer import RequestPlacer
 from masticwind.serving.relay import Relay
-from masticwind.serving.request_placer import RequestPlacer
 from tests.entry_harness import (
     API_KEY,
     ENGINE_SERVICE,
--- a/tests/test_request_run.py
+++ b/tests/test_request_run.py
@@ -9,14 +9,14 @@
 
 from masticwind.budget import Budget
 from masticwind.errors import ErrorKind, Failure
-from masticwind.serving.admission import RequestProgress, admit
+from masticwind.serving.admission.bounds import RetryBudget
+from masticwind.serving.admission.requests import RequestProgress, admit
 from masticwind.serving.attempt_context import AttemptState
 from masticwind.serving.attempt_runner import (
     AttemptDecisions,
     AttemptRunner,
     ServedRequest,
 )
-from masticwind.serving.bounds import RetryBudget
 from masticwind.serving.interfaces import CallerAnswer
 from masticwind.serving.model import (
     NO_CONFIG,
@@ -26,7 +26,10 @@
     Service,
     WeightedService,
 )
-from masticwind.serving.request_placer import PermittedPlacement, RequestPlacer
+from masticwind.serving.placement.request_placer import (
+    PermittedPlacement,
+    RequestPlacer,
+)
 from masticwind.serving.request_run import RequestRun, RunDependencies
 from masticwind.serving.settings import LiveSettings
 from tests.entry_harness import sample_settings
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -11,6 +11,7 @@
 
 from masticwind.errors import ErrorKind, Failure
 from masticwind.httpclient import ConnectResult
+from masticwind.serving.costs.latency_model import PrefillWork
 from masticwind.serving.interfaces import (
     Attempt,
     AttemptLimits,
@@ -19,15 +20,14 @@
     OrderReply,
     Reply,
 )
-from masticwind.serving.latency_model import PrefillWork
-from masticwind.serving.load_table import Job
 from masticwind.serving.model import Endpoint, Service, TokenCounts
-from masticwind.serving.placement import (
+from masticwind.serving.placement.load_table import Job
+from masticwind.serving.placement.placer import (
     HelperPlacement,
     Placement,
     PlacementQuery,
 )
-from masticwind.serving.prompt_placer import PromptPlacer
+from masticwind.serving.placement.prompt_placer import PromptPlacer
 from masticwind.serving.reservations import (
     LEASE_MS,
     RENEW_INTERVAL_S,
--- a/tests/test_suspicions.py
+++ b/tests/test_suspicions.py
@@ -8,24 +8,24 @@
 
 from masticwind.platform.main import platform_adapter
 from masticwind.serving.datagrams import PeerAddress, PeerSocket
-from masticwind.serving.health import EndpointHealth
 from masticwind.serving.model import Endpoint, Service, TokenCounts
 from masticwind.serving.peers import EntryPeers
-from masticwind.serving.placement import (
+from masticwind.serving.placement.health import EndpointHealth
+from masticwind.serving.placement.placer import (
     CallPlacer,
     Placement,
     PlacementQuery,
     Placer,
 )
-from masticwind.serving.prompt_placer import PromptPlacer
-from masticwind.serving.server import DirectEntry
-from masticwind.serving.settings import LiveSettings, StoreSettings
-from masticwind.serving.suspicions import (
+from masticwind.serving.placement.prompt_placer import PromptPlacer
+from masticwind.serving.placement.suspicions import (
     INITIAL_SUSPICION_S,
     MAX_SUSPICION_S,
     Suspicion,
     Suspicions,
 )
+from masticwind.serving.server import DirectEntry
+from masticwind.serving.settings import LiveSettings, StoreSettings
 from masticwind.settings import Address
 from masticwind.web import WebServer
 from masticwind_dev.play.simulation import LARGE_WORKLOAD
--- a/tests/test_versions_between_steps.py
+++ b/tests/test_versions_between_steps.py
@@ -15,8 +15,8 @@
 import pytest
 
 from masticwind.serving import endpoint_limits
-from masticwind.serving.placement import Deferral, PlacementQuery
-from masticwind.serving.prompt_placer import PromptPlacer
+from masticwind.serving.placement.placer import Deferral, PlacementQuery
+from masticwind.serving.placement.prompt_placer import PromptPlacer
 from masticwind.serving.settings import FleetBounds
 from masticwind_dev.standins.raw_endpoint import (
     LAST_CHUNK,
