--- a/src/masticwind/ctl/main.py
+++ b/src/masticwind/ctl/main.py
@@ -33,6 +33,7 @@
 from masticwind.ctl.explain import explain
 from masticwind.ctl.held import held_app
 from masticwind.ctl.limits import limits_app
+from masticwind.ctl.route import route_app
 from masticwind.ctl.table import format_status
 from masticwind.errors import ErrorKind, Failure
 from masticwind.settings import PlatformSettings
@@ -53,6 +54,7 @@
 )
 cli.command(held_app)
 cli.command(limits_app)
+cli.command(route_app)
 
 
 @cyclopts.Parameter(name='*')
--- a/src/masticwind/ctl/table.py
+++ b/src/masticwind/ctl/table.py
@@ -18,14 +18,14 @@
     return [
         f'generation {number}',
         '',
-        *_format_table(('PROCESS', 'GENERATION', ''), _process_rows(status)),
+        *format_table(('PROCESS', 'GENERATION', ''), _process_rows(status)),
         '',
-        *_format_table(
+        *format_table(
             ('ZONE', 'ENDPOINT', 'STATE', 'RUNNING', 'QUEUED', 'MEMORY FREE'),
             _endpoint_rows(status['zones']),
         ),
         '',
-        *_format_table(
+        *format_table(
             ('TIER', 'SERVED', 'OTHER', 'LAST MINUTE'),
             _tier_rows(status['service_last_minute']),
         ),
@@ -64,7 +64,8 @@
         yield tier, outcomes.get(SERVED, 0), sum(failures.values()), kinds
 
 
-def _format_table(header: Row, rows: Iterable[Row]) -> list[str]:
+def format_table(header: Row, rows: Iterable[Row]) -> list[str]:
+    """Return the lines of a table with aligned columns."""
     cells = [[str(cell) for cell in row] for row in (header, *rows)]
     column_widths = [
         max(map(len, column)) for column in zip(*cells, strict=True)
