--- a/src/masticwind/serving/admission/requests.py
+++ b/src/masticwind/serving/admission/requests.py
@@ -109,8 +109,9 @@
     The answer is not `is_resumable` once a part of it has been passed on that
     another attempt could not continue.
     `denied_endpoints` did not grant a permit to send it. `passed_over_for` has
-    the causes for which endpoints were not used. `predicted_ms` is the
-    predicted time of the current attempt, and `is_sent` tells whether an
+    the causes for which endpoints were not used. In `cut_zone_pairs`, a lead of
+    the first zone could not use a helper of the second one. `predicted_ms` is
+    the predicted time of the current attempt, and `is_sent` tells whether an
     endpoint may have received it. `call_fingerprint` is made when it is needed.
     `config_version` is the version under which the request was admitted, and
     `last_refusal` the kind of the last placement that was refused.
@@ -121,6 +122,7 @@
     excluded_endpoints: set[str] = field(default_factory=set)
     denied_endpoints: set[str] = field(default_factory=set)
     passed_over_for: set[str] = field(default_factory=set)
+    cut_zone_pairs: set[tuple[str, str]] = field(default_factory=set)
     candidate_count: int = 0
     predicted_ms: float = 0
     is_sent: bool = False
@@ -171,6 +173,11 @@
         else:
             self.record_possible_run(lead)
 
+    def record_helper_fault(self, lead: Endpoint, helper: Endpoint) -> None:
+        """Record that a lead has refused the request because of a helper."""
+        if lead.zone != helper.zone:
+            self.cut_zone_pairs.add((lead.zone, helper.zone))
+
     def record_possible_run(self, lead: Endpoint) -> None:
         """Record that an endpoint may have run the request; it gets no other
         attempt.
--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -25,6 +25,7 @@
     known_fingerprint,
 )
 from masticwind.serving.model import Endpoint
+from masticwind.serving.placement.placer import Placement
 from masticwind.serving.placement.request_placer import (
     PermittedPlacement,
     RequestPlacer,
@@ -119,9 +120,7 @@
             on_silence=partial(
                 self._record_silence, served, permitted, decisions
             ),
-            on_event=partial(
-                self._record_event, placement.lead, job_ids, running
-            ),
+            on_event=partial(self._record_event, placement, job_ids, running),
             on_answer=partial(
                 self._record_notice, permitted, deps.notices.clock()
             ),
@@ -170,7 +169,7 @@
         if failure.silent:
             deps.reach.record_silence(at_fault)
         else:
-            deps.reach.record_answer(at_fault)
+            self._record_reply(state, lead, progress)
         if failure.kind is ErrorKind.REVOKED:
             deps.directory.remove(
                 at_fault.identity, 'another endpoint has its address'
@@ -231,6 +230,22 @@
             events=permitted.state.event_count,
         ).info('attempt_superseded')
 
+    def _record_reply(
+        self, state: AttemptState, lead: Endpoint, progress: RequestProgress
+    ) -> None:
+        """Record who has replied, and the helper that a reply names.
+
+        The refusal of a lead says nothing good of the helper that it names.
+        """
+        deps = self._deps
+        at_fault = state.at_fault or lead
+        if state.reply is None or at_fault.identity == lead.identity:
+            deps.reach.record_answer(at_fault)
+            return
+        deps.reach.record_answer(lead)
+        deps.helper_faults.record_fault(lead, at_fault)
+        progress.record_helper_fault(lead, at_fault)
+
     def _claim(self, state: AttemptState, decisions: AttemptDecisions) -> bool:
         """Let an attempt write to the caller, if no other one has done so."""
         state.silent = False
@@ -366,8 +381,14 @@
         notices.observe(endpoint, notice, sent_at=-math.inf)
 
     def _record_event(
-        self, lead: Endpoint, job_ids: Iterable[int], running: RunningPrompt
+        self,
+        placement: Placement,
+        job_ids: Iterable[int],
+        running: RunningPrompt,
     ) -> None:
         self._deps.load_table.record_first_token(job_ids)
-        self._deps.reach.record_answer(lead)
+        self._deps.reach.record_answer(placement.lead)
+        self._deps.helper_faults.record_success(
+            placement.lead, (helper.endpoint for helper in placement.helpers)
+        )
         self._deps.quarantine.record_events(running)
--- a/src/masticwind/serving/placement/explanation.py
+++ b/src/masticwind/serving/placement/explanation.py
@@ -108,7 +108,8 @@
             remaining_ms=round(query.remaining_ms),
             endpoints=endpoints,
         )
-    wait_ms = retry_after_ms = 0
+    wait_ms = 0
+    retry_after_ms = 0
     if isinstance(decision, Deferral):
         wait_ms = round(decision.wait_ms)
     else:
--- a/src/masticwind/serving/placement/placer.py
+++ b/src/masticwind/serving/placement/placer.py
@@ -17,6 +17,7 @@
 from masticwind.serving.costs.latency_model import PrefillWork
 from masticwind.serving.costs.model import STATIC_COSTS, CostModel
 from masticwind.serving.model import Endpoint, Service, TokenCounts
+from masticwind.serving.placement.helper_faults import ZonePair
 from masticwind.serving.placement.load_table import Job
 
 # Expected duration of a plain call; predicts the wait in a queue.
@@ -43,8 +44,10 @@
     the first event; zero means that there is no target. `permit_waits_ms` has
     the wait for a permit of each endpoint that limits its requests, and
     `pause_waits_ms` the wait for each endpoint that pauses or returns from a
-    pause. With `last_resort`, the candidates are leaving. `costs` predicts what
-    requests cost, and `standing` is what the request may ask for at overload.
+    pause. With `last_resort`, the candidates are leaving. `barred_helpers`
+    prefill no parts, and in `cut_zone_pairs` a lead of the first zone can use
+    no helper of the second one. `costs` predicts what requests cost, and
+    `standing` is what the request may ask for at overload.
     """
 
     request_id: str
@@ -64,6 +67,8 @@
     last_resort: bool = False
     route_key: int = 0
     team_key: int = 0
+    barred_helpers: frozenset[str] = frozenset()
+    cut_zone_pairs: frozenset[ZonePair] = frozenset()
     costs: CostModel = STATIC_COSTS
     standing: Standing = DEFAULT_STANDING
 
@@ -77,12 +82,19 @@
     def may_help(self, identity: str) -> bool:
         """Tell whether an endpoint may prefill parts of prompts for others.
 
-        It neither limits its requests, pauses nor leaves.
+        It neither limits its requests, pauses nor leaves, and no lead has
+        just refused a prompt because of it.
         """
         return not self.last_resort and not (
-            identity in self.permit_waits_ms or identity in self.pause_waits_ms
+            identity in self.permit_waits_ms
+            or identity in self.pause_waits_ms
+            or identity in self.barred_helpers
         )
 
+    def may_help_lead(self, lead: Endpoint, helper: Endpoint) -> bool:
+        """Tell whether a lead can use a helper of this zone."""
+        return (lead.zone, helper.zone) not in self.cut_zone_pairs
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HelperPlacement:
--- a/src/masticwind/serving/placement/plans.py
+++ b/src/masticwind/serving/placement/plans.py
@@ -171,10 +171,10 @@
         for engine in engines
     }
     ranked = sorted(engines, key=lambda engine: costs[engine.endpoint.identity])
-    lead = _select_lead(tokens, ranked, part_count)
+    lead = _select_lead(query, tokens, ranked, part_count)
     if lead is None:
         return None
-    selected = _select_engines(ranked, lead, part_count)
+    selected = _select_engines(query, ranked, lead, part_count)
     if len(selected) < part_count:
         return None
     first_ms = _first_token_ms(profile, selected, part)
@@ -207,6 +207,7 @@
 
 
 def _select_lead(
+    query: PlacementQuery,
     tokens: TokenCounts,
     ranked: Sequence[EngineView],
     part_count: int,
@@ -224,7 +225,7 @@
     # The helpers hold a part of the KV cache under reservations.
     lead = max(lead_candidates[:part_count], key=free_tokens_of)
     capacity_tokens = int(lead.free_tokens * LEAD_MEMORY_SHARE)
-    helpers = _select_engines(ranked, lead, part_count)[1:]
+    helpers = _select_engines(query, ranked, lead, part_count)[1:]
     capacity_tokens += sum(
         int(helper.free_tokens * RESERVABLE_MEMORY_SHARE) for helper in helpers
     )
@@ -232,6 +233,7 @@
 
 
 def _select_engines(
+    query: PlacementQuery,
     ranked: Sequence[EngineView],
     lead: EngineView,
     part_count: int,
@@ -240,7 +242,11 @@
     enough of them.
     """
     helpers = [
-        engine for engine in ranked if engine is not lead and engine.may_help
+        engine
+        for engine in ranked
+        if engine is not lead
+        and engine.may_help
+        and query.may_help_lead(lead.endpoint, engine.endpoint)
     ]
     return [lead, *helpers[: part_count - 1]]
 
--- a/src/masticwind/serving/placement/request_placer.py
+++ b/src/masticwind/serving/placement/request_placer.py
@@ -321,6 +321,9 @@
             permit_waits_ms=permit_waits_ms,
             pause_waits_ms=pause_waits_ms,
             last_resort=last_resort,
+            barred_helpers=deps.helper_faults.barred_helpers(),
+            cut_zone_pairs=deps.helper_faults.cut_zone_pairs()
+            | progress.cut_zone_pairs,
             route_key=short_key(admitted.route.name),
             team_key=short_key(admitted.team.name),
             standing=Standing(priority=admitted.priority),
--- a/src/masticwind/serving/relay_dependencies.py
+++ b/src/masticwind/serving/relay_dependencies.py
@@ -10,6 +10,7 @@
 from masticwind.serving.lifetime import Lifetime
 from masticwind.serving.limit_link import LimitLink
 from masticwind.serving.placement.health import EndpointHealth
+from masticwind.serving.placement.helper_faults import HelperFaults
 from masticwind.serving.placement.load_table import LoadTable
 from masticwind.serving.placement.placer import CallPlacer, Placer
 from masticwind.serving.placement.prompt_placer import PromptPlacer
@@ -39,6 +40,7 @@
     lifetime: Lifetime
     byte_budget: ByteBudget
     reach: ZoneReachability = field(default_factory=ZoneReachability)
+    helper_faults: HelperFaults = field(default_factory=HelperFaults)
     turns: TurnQueue = field(default_factory=TurnQueue)
     call_placer: Placer = field(default_factory=CallPlacer)
     prompt_placer: Placer = field(default_factory=PromptPlacer)
