--- a/src/masticwind/errors.py
+++ b/src/masticwind/errors.py
@@ -62,7 +62,8 @@
 
     The caller should wait `retry_after_ms` before it retries; zero means that
     the time is unknown. `silent` means that nothing at all was received from
-    the other side before the timeout. `unasked` means that what was received
+    the other side before the timeout, and `refused` that a new connection was
+    refused or reset. `unasked` means that what was received
     on a reused connection belongs to an earlier request.
     """
 
@@ -71,6 +72,7 @@
     retry_after_ms: int = 0
     silent: bool = False
     unasked: bool = False
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/masticwind/http_calls.py
+++ b/src/masticwind/http_calls.py
@@ -55,3 +55,17 @@
             reason=f'no complete answer within {self.limits.timeout_s:.3g} s',
             silent=not self.answered,
         )
+
+
+def is_refused(exc: BaseException) -> bool:
+    """Tell whether the peer has refused or reset a connection.
+
+    Libraries wrap the error of the system, which has other causes as well, such
+    as a network that is unreachable.
+    """
+    cause: BaseException | None = exc
+    while cause is not None:
+        if isinstance(cause, ConnectionRefusedError | ConnectionResetError):
+            return True
+        cause = cause.__cause__ or cause.__context__
+    return False
--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -19,7 +19,7 @@
 
 from masticwind.connection_reuse import ConnectionReuse
 from masticwind.errors import ErrorKind, Failure
-from masticwind.http_calls import CallLimits, CallProgress
+from masticwind.http_calls import CallLimits, CallProgress, is_refused
 from masticwind.http_limits import (
     LimitedConnection,
     end_head_limit,
@@ -445,6 +445,7 @@
         reason=f'{type(exc).__name__}: {exc}',
         silent=isinstance(exc, httpcore.TimeoutException),
         unasked=isinstance(exc, UnaskedBytesError),
+        refused=isinstance(exc, httpcore.ConnectError) and is_refused(exc),
     )
 
 
--- a/src/masticwind/serving/admission/bounds.py
+++ b/src/masticwind/serving/admission/bounds.py
@@ -6,6 +6,7 @@
 """
 
 import abc
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -39,6 +40,14 @@
             self._times.popleft()
         return len(self._times)
 
+    def time_until_at_most(self, count: int) -> float:
+        """Return the seconds until the window has at most so many events."""
+        excess = self.count() - count
+        if excess <= 0:
+            return 0.0
+        last_excess_at = self._times[excess - 1]
+        return max(0.0, last_excess_at + self._window_s - self._clock())
+
 
 class WindowCounters:
     """Sliding window counters by name.
@@ -181,6 +190,23 @@
             return self.allows(endpoint, cold_per_s)
         return self._allows_top_ranked(endpoint, int(fleet_rate))
 
+    def available_in_s(self, endpoint: str, cold_per_s: float) -> float:
+        """Return the time until `allows_last_resort` allows a request.
+
+        It is infinite if only other entries may send to the endpoint.
+        """
+        if cold_per_s <= 0:
+            return 0.0
+        counter = self._recent_requests.counter(endpoint)
+        fleet_rate = self._fleet_rate(cold_per_s)
+        entry_count = self._fleet.count()
+        if entry_count <= fleet_rate * USED_BOUND_SHARE:
+            share = int(fleet_rate * USED_BOUND_SHARE / entry_count)
+            return counter.time_until_at_most(share - 1)
+        if self._fleet.rank_for(endpoint) < int(fleet_rate):
+            return counter.time_until_at_most(0)
+        return math.inf
+
     def record_request(self, endpoint: str) -> None:
         """Count a request to an endpoint."""
         self._recent_requests.counter(endpoint).record()
--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -25,6 +25,7 @@
     known_fingerprint,
 )
 from masticwind.serving.model import Endpoint
+from masticwind.serving.placement.reported_endpoints import NewsKind
 from masticwind.serving.placement.request_placer import (
     PermittedPlacement,
     RequestPlacer,
@@ -172,6 +173,7 @@
         else:
             deps.reach.record_answer(at_fault)
         if failure.kind is ErrorKind.REVOKED:
+            deps.news.report(at_fault, NewsKind.REPLACED)
             deps.directory.remove(
                 at_fault.identity, 'another endpoint has its address'
             )
@@ -184,12 +186,7 @@
             and not state.asks_pause
             and not state.unasked
         ):
-            deps.health.record_failure(
-                at_fault.identity,
-                failure.reason,
-                connection_failed=failure.kind in _BROKEN_CONNECTION_KINDS
-                and not state.unverified,
-            )
+            self._record_unhealthy(at_fault, failure, state)
 
     def record_metrics(
         self,
@@ -210,6 +207,7 @@
     def record_success(self, lead: Endpoint) -> None:
         """Record that an endpoint has served a request."""
         self._deps.health.record_success(lead.identity)
+        self._deps.news.record_success(lead)
         self._deps.reach.record_answer(lead)
 
     def record_superseded(
@@ -231,6 +229,21 @@
             events=permitted.state.event_count,
         ).info('attempt_superseded')
 
+    def _record_unhealthy(
+        self, endpoint: Endpoint, failure: Failure, state: AttemptState
+    ) -> None:
+        """Hold a failed attempt against an endpoint."""
+        reported = failure.refused and self._deps.news.report(
+            endpoint, NewsKind.REFUSED
+        )
+        self._deps.health.record_failure(
+            endpoint.identity,
+            failure.reason,
+            connection_failed=failure.kind in _BROKEN_CONNECTION_KINDS
+            and not state.unverified,
+            reported=reported,
+        )
+
     def _claim(self, state: AttemptState, decisions: AttemptDecisions) -> bool:
         """Let an attempt write to the caller, if no other one has done so."""
         state.silent = False
@@ -350,6 +363,8 @@
         lead = permitted.placement.lead
         self._deps.limit_link.observe(lead, permitted.permit, notice)
         self._deps.notices.observe(lead, notice, sent_at)
+        if notice is not None:
+            self._deps.news.record_life(lead.identity)
 
     def _record_endless(self, lead: Endpoint) -> None:
         """Record a very long answer, during which the caller has left."""
@@ -369,5 +384,6 @@
         self, lead: Endpoint, job_ids: Iterable[int], running: RunningPrompt
     ) -> None:
         self._deps.load_table.record_first_token(job_ids)
+        self._deps.news.record_life(lead.identity)
         self._deps.reach.record_answer(lead)
         self._deps.quarantine.record_events(running)
--- a/src/masticwind/serving/cleanup.py
+++ b/src/masticwind/serving/cleanup.py
@@ -17,9 +17,12 @@
 from masticwind.serving.endpoint_notices import EndpointNotices
 from masticwind.serving.interfaces import EndpointClient
 from masticwind.serving.peers import EntryPeers
+from masticwind.serving.placement.endpoint_news import EndpointNews
 from masticwind.serving.placement.health import EndpointHealth
+from masticwind.serving.placement.reported_endpoints import ReportedEndpoints
 from masticwind.serving.placement.suspicions import Suspicions
 from masticwind.serving.settings import LiveSettings
+from masticwind.serving.telemetry import Telemetry
 
 # Longer than any request that was sent to the endpoint before its removal.
 RETENTION_S: Final = 120.0
@@ -35,6 +38,7 @@
     cold_limiter: ColdEndpointLimiter
     limits: EndpointLimits
     notices: EndpointNotices
+    news: EndpointNews
     endpoint_client: EndpointClient
 
     async def run(self) -> None:
@@ -51,28 +55,49 @@
             self.health.forget(endpoint.identity)
             self.cold_limiter.forget(endpoint.identity)
             self.notices.forget(endpoint.identity)
+            self.news.reported.forget(endpoint)
             if not self.directory.has_address(endpoint.address):
                 await self.endpoint_client.close_idle(endpoint)
             logger.bind(endpoint=endpoint.identity).debug('endpoint_forgotten')
 
 
-def build_cleanup(
+def build_news(
     settings: LiveSettings,
     peer_socket: PeerSocket,
     peers: EntryPeers,
     *,
     directory: EndpointDirectory,
+    telemetry: Telemetry,
+) -> EndpointNews:
+    """Create the exchange of reports about endpoints."""
+    return EndpointNews(
+        peer_socket,
+        peers,
+        settings,
+        reported=ReportedEndpoints(directory),
+        suspicions=Suspicions(peer_socket, peers, settings.zone),
+        telemetry=telemetry,
+    )
+
+
+def build_cleanup(
+    settings: LiveSettings,
+    peers: EntryPeers,
+    *,
+    directory: EndpointDirectory,
     limits: EndpointLimits,
+    news: EndpointNews,
     endpoint_client: EndpointClient,
 ) -> Cleanup:
     """Create the components that keep state for each endpoint."""
     return Cleanup(
         directory=directory,
         health=EndpointHealth(
-            Suspicions(peer_socket, peers, settings.zone),
+            news.suspicions, is_doubtful=news.reported.is_doubtful
         ),
         cold_limiter=ColdEndpointLimiter(settings, peers),
         limits=limits,
         notices=EndpointNotices(settings),
+        news=news,
         endpoint_client=endpoint_client,
     )
--- a/src/masticwind/serving/directory.py
+++ b/src/masticwind/serving/directory.py
@@ -148,6 +148,18 @@
         registered = self._registered.get(identity)
         return None if registered is None else registered.endpoint
 
+    def find_process(
+        self, identity: str, started_at_ms: int
+    ) -> Endpoint | None:
+        """Return a process that is registered or was removed recently."""
+        known = self.find(identity)
+        if known is not None and known.started_at_ms == started_at_ms:
+            return known
+        removed = self._removed.get(identity)
+        if removed is None or removed.endpoint.started_at_ms != started_at_ms:
+            return None
+        return removed.endpoint
+
     def identities(self) -> Container[str]:
         """Return the identities of the endpoints in the directory."""
         return self._registered.keys()
--- a/src/masticwind/serving/operations.py
+++ b/src/masticwind/serving/operations.py
@@ -3,7 +3,8 @@
 `GET /held` lists the parts of prompts that are held, `POST /held/release?part=`
 releases one in all entries, `GET /limits` lists the endpoints that limit their
 requests, leave or have asked for a pause, and every other path answers with
-the metrics. Releasing needs the operators' token of the settings.
+the metrics, whose gauges are read at each scrape. Releasing needs the
+operators' token of the settings.
 """
 
 import hmac
@@ -11,7 +12,10 @@
 from http import HTTPStatus
 from typing import Final
 
+from masticwind.budget import MS_PER_S
 from masticwind.errors import ErrorKind, Failure
+from masticwind.serving.cleanup import Cleanup
+from masticwind.serving.edge import EdgeApp, EdgeDependencies
 from masticwind.serving.endpoint_limits import EndpointLimits
 from masticwind.serving.endpoint_notices import EndpointNotices
 from masticwind.serving.quarantine import Quarantine
@@ -102,3 +106,65 @@
                 )
             )
         return json_response(HTTPStatus.OK, {'released': part})
+
+
+def add_request_gauges(app: EdgeApp, deps: EdgeDependencies) -> None:
+    """Add the gauges of requests and of what they hold."""
+    add_gauge = deps.telemetry.add_gauge
+    add_gauge(
+        'masticwind_requests_running',
+        'Requests in progress',
+        lambda: app.running_requests,
+    )
+    add_gauge(
+        'masticwind_buffered_bytes',
+        'Bytes that are kept until they can be passed on',
+        lambda: deps.byte_budget.used_bytes,
+    )
+    add_gauge(
+        'masticwind_stopping_seconds',
+        'Time since the signal to stop, zero before it',
+        lambda: (deps.lifetime.stopping_for_ms() or 0) / MS_PER_S,
+    )
+    add_gauge(
+        'masticwind_config_version',
+        'Version of the configuration in force',
+        lambda: deps.active_config.config.version,
+    )
+
+
+def add_endpoint_gauges(
+    telemetry: Telemetry, cleanup: Cleanup, quarantine: Quarantine
+) -> None:
+    """Add the gauges of what is known of endpoints."""
+    add_gauge = telemetry.add_gauge
+    add_gauge(
+        'masticwind_endpoints',
+        'Endpoints that are known',
+        cleanup.directory.count,
+    )
+    add_gauge(
+        'masticwind_limited_endpoints',
+        'Endpoints that limit their requests',
+        cleanup.limits.count,
+    )
+    add_gauge(
+        'masticwind_leaving_endpoints',
+        'Endpoints that have said that they leave',
+        cleanup.notices.leaving_count,
+    )
+    add_gauge(
+        'masticwind_paused_endpoints',
+        'Endpoints that have asked for a pause',
+        cleanup.notices.paused_count,
+    )
+    add_gauge(
+        'masticwind_doubtful_endpoints',
+        'Endpoints that may have ended with others of their zone',
+        cleanup.news.reported.doubtful_count,
+    )
+    add_gauge(
+        'masticwind_held_prompt_parts',
+        'Parts whose prompts are rejected, and whole prompts',
+        quarantine.held_count,
+    )
--- a/src/masticwind/serving/placement/health.py
+++ b/src/masticwind/serving/placement/health.py
@@ -41,6 +41,8 @@
 SOFT_FAILURE_LIMIT: Final = 3
 # Failure share of an endpoint that other entries could not reach.
 SUSPECTED_FAILURE_SHARE: Final = 1.0
+# Failure share of an endpoint that may have ended with others of its zone.
+DOUBTFUL_FAILURE_SHARE: Final = 1.0
 
 
 @dataclass(slots=True)
@@ -51,6 +53,11 @@
     updated_at: float = 0
 
 
+def _never(_endpoint: Endpoint) -> bool:
+    """Tell that no endpoint is doubtful; the default."""
+    return False
+
+
 class EndpointHealth:
     """Records failures of endpoints and excludes those that fail."""
 
@@ -58,7 +65,10 @@
         self,
         suspicions: Suspicions,
         clock: Callable[[], float] = time.monotonic,
+        *,
+        is_doubtful: Callable[[Endpoint], bool] = _never,
     ) -> None:
+        self._is_doubtful: Final = is_doubtful
         self._suspicions: Final = suspicions
         self._clock: Final = clock
         self._records: Final[dict[str, _Record]] = {}
@@ -68,6 +78,13 @@
         record = self._records.get(endpoint)
         return record is not None and record.excluded_until > self._clock()
 
+    def excluded_for_s(self, endpoint: str) -> float:
+        """Return the time until an exclusion ends; zero without one."""
+        record = self._records.get(endpoint)
+        if record is None:
+            return 0.0
+        return max(0.0, record.excluded_until - self._clock())
+
     def failure_shares(self, endpoints: Iterable[Endpoint]) -> dict[str, float]:
         """Return the recent share of failures of endpoints that have any.
 
@@ -79,6 +96,8 @@
             share = 0.0 if record is None else self._present_share(record)
             if self._suspicions.is_suspected(endpoint.identity):
                 share = SUSPECTED_FAILURE_SHARE
+            if self._is_doubtful(endpoint):
+                share = max(share, DOUBTFUL_FAILURE_SHARE)
             if share > 0:
                 shares[endpoint.identity] = share
         return shares
@@ -96,11 +115,17 @@
         record.updated_at = self._clock()
 
     def record_failure(
-        self, endpoint: str, reason: str, *, connection_failed: bool
+        self,
+        endpoint: str,
+        reason: str,
+        *,
+        connection_failed: bool,
+        reported: bool = False,
     ) -> None:
         """Record a request that got no answer, or a failed or damaged one.
 
         `connection_failed` says that the connection broke or could not be made.
+        The other entries are told of that unless it has been `reported`.
         """
         record = self._records.setdefault(endpoint, _Record())
         share = self._present_share(record)
@@ -109,7 +134,8 @@
         record.updated_at = self._clock()
         counted = record.consecutive_failures
         if connection_failed:
-            self._suspicions.report(endpoint)
+            if not reported:
+                self._suspicions.report(endpoint)
         else:
             counted -= SOFT_FAILURE_LIMIT - 1
         if counted > 0:
--- a/src/masticwind/serving/placement/load_table.py
+++ b/src/masticwind/serving/placement/load_table.py
@@ -69,6 +69,9 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self.clock: Final = clock
+        # Called with the identity of an endpoint when a job of another entry
+        # begins to decode there.
+        self.on_decoding: Callable[[str], None] = _ignore_decoding
         self._ids: Final = itertools.count(1)
         self._own_jobs: Final[dict[int, Job]] = {}
         self._jobs_by_entry: Final[dict[str, dict[int, Job]]] = {}
@@ -139,11 +142,17 @@
         With `replace_all`, jobs that the update does not name are removed.
         """
         entry_jobs = self._jobs_by_entry.setdefault(entry, {})
+        known_jobs = entry_jobs
         if replace_all:
+            known_jobs = entry_jobs.copy()
             entry_jobs.clear()
         for job in jobs:
             if job.job_id not in entry_jobs and not job.decoding:
                 self._delay_queued_prefills(job)
+            known = known_jobs.get(job.job_id)
+            # A full update repeats jobs that have been decoding for a while.
+            if job.decoding and known is not None and not known.decoding:
+                self.on_decoding(job.endpoint_id)
             entry_jobs[job.job_id] = job
         for job_id in ended_ids:
             entry_jobs.pop(job_id, None)
@@ -182,6 +191,10 @@
         self._change_event.set()
 
 
+def _ignore_decoding(_endpoint_id: str) -> None:
+    """Do nothing; the listener until another one is set."""
+
+
 def engine_load(jobs: Iterable[Job], now: float) -> EngineLoad:
     """Return the load that these jobs put on an engine."""
     context_tokens: list[int] = []
--- a/src/masticwind/serving/placement/request_placer.py
+++ b/src/masticwind/serving/placement/request_placer.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import random
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Final
@@ -27,6 +28,10 @@
 from masticwind.serving.fingerprints import short_key
 from masticwind.serving.known_calls import known_fingerprint
 from masticwind.serving.model import Endpoint
+from masticwind.serving.placement.candidates import (
+    Availability,
+    CandidateFinder,
+)
 from masticwind.serving.placement.placer import (
     Deferral,
     Placement,
@@ -39,6 +44,12 @@
 MAX_PERMIT_DENIALS: Final = 3
 # A sound endpoint may fall silent for this time and go on.
 SOUND_SILENCE_S: Final = 1.6
+# Longest wait for an endpoint, as a share of the first event target.
+MAX_AVAILABILITY_WAIT_SHARE: Final = 1 / 8
+# Covers the rounding of clocks, so that the endpoint is available.
+AVAILABILITY_MARGIN_MS: Final = 2.0
+# Callers return spread over this share of the wait after its end.
+AVAILABILITY_SPREAD_SHARE: Final = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +73,7 @@
     ) -> None:
         self._deps: Final = deps
         self._completion_times: Final = completion_times
+        self._candidates: Final = CandidateFinder(deps)
 
     async def place(
         self,
@@ -93,7 +105,7 @@
             )
             outcome = 'denied' if permit is None else 'granted'
             self._deps.telemetry.permits.labels(outcome).inc()
-            if permit is not None and self._is_still_usable(
+            if permit is not None and self._candidates.is_still_usable(
                 admitted, progress, placement.lead
             ):
                 return PermittedPlacement(placement, permit, last_resort)
@@ -191,27 +203,6 @@
         wait_s = min(remaining_ms, max(known_ms, slack_ms)) / MS_PER_S
         return min(wait_s, self._deps.lifetime.remaining_s())
 
-    def _is_still_usable(
-        self,
-        admitted: AdmittedRequest,
-        progress: RequestProgress,
-        endpoint: Endpoint,
-    ) -> bool:
-        """Tell whether an endpoint may get a request that has waited."""
-        service = admitted.service
-        notices = self._deps.notices
-        if notices.find_obstacle(endpoint, last_resort=True):
-            return False
-        if notices.wait_ms(endpoint, admitted.priority):
-            return False
-        return (
-            self._deps.directory.is_usable(endpoint)
-            and self._is_eligible(admitted, progress, endpoint)
-            and self._deps.cold_limiter.allows_last_resort(
-                endpoint.identity, service.cold_per_s
-            )
-        )
-
     async def _place_with_deferrals(
         self,
         admitted: AdmittedRequest,
@@ -220,6 +211,9 @@
         deferred_ms = 0.0
         while True:
             placement = self._place_once(admitted, progress)
+            available = self._first_available(admitted, progress, placement)
+            if available is not None:
+                placement = _wait_or_refuse(admitted, available, deferred_ms)
             if not isinstance(placement, Deferral):
                 break
             if placement.wait_ms / MS_PER_S > self._deps.lifetime.remaining_s():
@@ -230,6 +224,8 @@
                 self._deps.telemetry.deferrals.inc()
             deferred_ms += placement.wait_ms
             await anyio.sleep(placement.wait_ms / MS_PER_S)
+            if available is not None:
+                progress.excluded_endpoints.discard(available.endpoint.identity)
         self._log_placement(admitted, progress, placement, deferred_ms)
         if not isinstance(placement, Failure) and self.outlasts_process(
             admitted,
@@ -239,6 +235,21 @@
             return draining_failure()
         return placement
 
+    def _first_available(
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+        placement: Placement | Deferral | Failure,
+    ) -> Availability | None:
+        """Return when a request for which there is no endpoint may get one."""
+        if (
+            self._deps.news.enabled
+            and isinstance(placement, Failure)
+            and placement.kind is ErrorKind.NO_CAPACITY
+        ):
+            return self._candidates.first_available(admitted, progress)
+        return None
+
     def _log_placement(
         self,
         admitted: AdmittedRequest,
@@ -286,9 +297,9 @@
         )
         if rejection is not None:
             return rejection
-        candidates, helpers = self._find_candidates(admitted, progress)
-        permit_waits_ms = self._permit_waits_ms(admitted)
-        pause_waits_ms = self._pause_waits_ms(admitted, progress)
+        candidates, helpers = self._candidates.find(admitted, progress)
+        permit_waits_ms = self._candidates.permit_waits_ms(admitted)
+        pause_waits_ms = self._candidates.pause_waits_ms(admitted, progress)
         candidates = [
             endpoint
             for endpoint in candidates
@@ -298,7 +309,7 @@
         ]
         last_resort = not candidates
         if last_resort:
-            candidates = self._find_leaving(admitted, progress)
+            candidates = self._candidates.find_leaving(admitted, progress)
         progress.candidate_count = len(candidates)
         query = PlacementQuery(
             request_id=admitted.req.request_id,
@@ -332,134 +343,29 @@
             return deps.call_placer.place(query)
         return deps.prompt_placer.place(query)
 
-    def _permit_waits_ms(self, admitted: AdmittedRequest) -> dict[str, float]:
-        """Return the waits for permits of the endpoints that need them."""
-        limits = self._deps.limit_link.limits
-        if not limits.count():
-            return {}
-        return {
-            endpoint.identity: limits.wait_ms(endpoint)
-            for endpoint in self._deps.directory.endpoints(
-                admitted.service.name
-            )
-            if limits.find(endpoint) is not None
-            and not self._deps.notices.is_leaving(endpoint)
-        }
-
-    def _pause_waits_ms(
-        self, admitted: AdmittedRequest, progress: RequestProgress
-    ) -> dict[str, float]:
-        """Return the waits for the endpoints that pause or return from it."""
-        notices = self._deps.notices
-        if notices.is_empty():
-            return {}
-        waits_ms = {
-            endpoint.identity: notices.wait_ms(endpoint, admitted.priority)
-            for endpoint in self._deps.directory.endpoints(
-                admitted.service.name
-            )
-            if notices.is_returning(endpoint)
-            and not notices.is_leaving(endpoint)
-        }
-        if any(waits_ms.values()):
-            self._count_passed_over(progress, 'pause')
-        return waits_ms
-
-    def _find_leaving(
-        self, admitted: AdmittedRequest, progress: RequestProgress
-    ) -> list[Endpoint]:
-        """Return leaving endpoints for a request that has no other one.
-
-        They may end under it, so it must be one that may be repeated.
-        """
-        if not admitted.route.repeatable or self._deps.notices.is_empty():
-            return []
-        return [
-            endpoint
-            for endpoint in self._deps.directory.endpoints(
-                admitted.service.name
-            )
-            if self._deps.notices.is_last_resort(endpoint)
-            and self._is_still_usable(admitted, progress, endpoint)
-        ]
-
-    def _count_passed_over(self, progress: RequestProgress, cause: str) -> None:
-        """Count a request once for each cause."""
-        if cause not in progress.passed_over_for:
-            progress.passed_over_for.add(cause)
-            self._deps.telemetry.passed_over.labels(cause).inc()
 
-    def _find_candidates(
-        self,
-        admitted: AdmittedRequest,
-        progress: RequestProgress,
-    ) -> tuple[list[Endpoint], list[Endpoint]]:
-        """Return the endpoints that may run the request, and further ones that
-        may only prefill a part of its prompt.
-
-        Endpoints that fail or cannot be reached are used only if there are no
-        others. Prefilling a part of a prompt does not count as a request, so
-        the rate limit of cold endpoints does not apply to it.
-        """
-        cold_limiter = self._deps.cold_limiter
-        cold_per_s = admitted.service.cold_per_s
-        usable: list[Endpoint] = []
-        healthy: list[Endpoint] = []
-        rate_limited: list[Endpoint] = []
-        for endpoint in self._deps.directory.endpoints(admitted.service.name):
-            if not self._is_eligible(admitted, progress, endpoint):
-                continue
-            if self._deps.notices.is_leaving(endpoint):
-                self._count_passed_over(progress, 'leaving')
-                continue
-            if cold_limiter.allows(endpoint.identity, cold_per_s):
-                usable.append(endpoint)
-                if self._is_healthy(endpoint):
-                    healthy.append(endpoint)
-            else:
-                rate_limited.append(endpoint)
-        if usable:
-            helpers = [
-                helper for helper in rate_limited if self._is_healthy(helper)
-            ]
-            return healthy or usable, helpers
-        last_resort = [
-            candidate
-            for candidate in rate_limited
-            if cold_limiter.allows_last_resort(candidate.identity, cold_per_s)
-        ]
-        return last_resort, []
+def _wait_or_refuse(
+    admitted: AdmittedRequest, available: Availability, deferred_ms: float
+) -> Deferral | Failure:
+    """Let a request wait for its only endpoint, or refuse it at once.
 
-    def _is_eligible(
-        self,
-        admitted: AdmittedRequest,
-        progress: RequestProgress,
-        endpoint: Endpoint,
-    ) -> bool:
-        deps = self._deps
-        if endpoint.zone in deps.operator_state.evacuated_zones:
-            return False
-        if endpoint.identity in progress.excluded_endpoints:
-            return False
-        return self._in_home_region(admitted, endpoint)
-
-    def _is_healthy(self, endpoint: Endpoint) -> bool:
-        deps = self._deps
-        if deps.reach.is_excluded(endpoint.zone):
-            return False
-        return not deps.health.is_excluded(endpoint.identity)
-
-    def _in_home_region(
-        self, admitted: AdmittedRequest, endpoint: Endpoint
-    ) -> bool:
-        region = self._deps.settings.region_of(endpoint.zone)
-        for home_regions in (
-            admitted.route.home_regions,
-            admitted.team.home_regions,
-        ):
-            if home_regions and region not in home_regions:
-                return False
-        return True
+    A longer wait would use up the time in which its caller may return. Callers
+    that are refused together are told to return one after another.
+    """
+    target_ms = admitted.route.first_event_target_ms
+    if not target_ms:
+        target_ms = admitted.remaining_s() * MS_PER_S
+    wait_ms = available.wait_ms + AVAILABILITY_MARGIN_MS
+    reason = f'{available.endpoint.identity} is available in {wait_ms:.0f} ms'
+    if deferred_ms + wait_ms <= target_ms * MAX_AVAILABILITY_WAIT_SHARE:
+        return Deferral(wait_ms, reason)
+    return Failure(
+        kind=ErrorKind.NO_CAPACITY,
+        reason=f'no endpoint is available for this request, {reason}',
+        retry_after_ms=int(
+            wait_ms * random.uniform(1, 1 + AVAILABILITY_SPREAD_SHARE)
+        ),
+    )
 
 
 def _may_need_permit(
--- a/src/masticwind/serving/relay_dependencies.py
+++ b/src/masticwind/serving/relay_dependencies.py
@@ -9,6 +9,7 @@
 from masticwind.serving.interfaces import EndpointClient
 from masticwind.serving.lifetime import Lifetime
 from masticwind.serving.limit_link import LimitLink
+from masticwind.serving.placement.endpoint_news import EndpointNews
 from masticwind.serving.placement.health import EndpointHealth
 from masticwind.serving.placement.load_table import LoadTable
 from masticwind.serving.placement.placer import CallPlacer, Placer
@@ -34,6 +35,7 @@
     cold_limiter: ColdEndpointLimiter
     limit_link: LimitLink
     notices: EndpointNotices
+    news: EndpointNews
     quarantine: Quarantine
     telemetry: Telemetry
     lifetime: Lifetime
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -11,7 +11,7 @@
 from masticwind.serving.adapter import PlatformAdapter
 from masticwind.serving.admission.bounds import RetryBudget
 from masticwind.serving.admission.byte_budget import ByteBudget
-from masticwind.serving.cleanup import build_cleanup
+from masticwind.serving.cleanup import build_cleanup, build_news
 from masticwind.serving.config_versions import ConfigVersions
 from masticwind.serving.confirmations import Confirmations
 from masticwind.serving.datagrams import PeerSocket
@@ -28,7 +28,11 @@
 )
 from masticwind.serving.limit_link import LimitLink
 from masticwind.serving.mirror import Mirror, MirrorOptions
-from masticwind.serving.operations import OperationsApp
+from masticwind.serving.operations import (
+    OperationsApp,
+    add_endpoint_gauges,
+    add_request_gauges,
+)
 from masticwind.serving.peers import EntryPeers, Registrar
 from masticwind.serving.placement.load_link import LoadLink
 from masticwind.serving.placement.load_table import LoadTable
@@ -132,12 +136,21 @@
             ),
         )
         self._limit_link: Final = LimitLink(self._peer_socket, self._peers)
-        self._cleanup: Final = build_cleanup(
+        self._telemetry: Final = Telemetry()
+        news = build_news(
             settings,
             self._peer_socket,
             self._peers,
             directory=self._directory,
+            telemetry=self._telemetry,
+        )
+        self._load_table.on_decoding = news.record_life
+        self._cleanup: Final = build_cleanup(
+            settings,
+            self._peers,
+            directory=self._directory,
             limits=self._limit_link.limits,
+            news=news,
             endpoint_client=adapter.endpoint_client,
         )
         self._quarantine: Final = build_quarantine(
@@ -153,13 +166,24 @@
             settings,
             self._versions.age_s,
         )
-        self._telemetry: Final = Telemetry()
         self._lifetime: Final = Lifetime()
         self._byte_budget: Final = ByteBudget(
             cfg.memory_mb or DEFAULT_MEMORY_MB
         )
-        self._app: Final = EdgeApp(self._edge_dependencies())
-        self._add_gauges()
+        edge_dependencies = self._edge_dependencies()
+        self._app: Final = EdgeApp(edge_dependencies)
+        add_request_gauges(self._app, edge_dependencies)
+        add_endpoint_gauges(self._telemetry, self._cleanup, self._quarantine)
+        self._telemetry.add_gauge(
+            'masticwind_config_age_seconds',
+            'Time since the configuration was last confirmed',
+            self._versions.age_s,
+        )
+        self._telemetry.add_gauge(
+            'masticwind_entries',
+            'Entries that are registered',
+            self._peers.count,
+        )
         self._server: Final = WebServer(
             self._app,
             parse_address(cfg.listen),
@@ -325,6 +349,7 @@
                 cold_limiter=self._cleanup.cold_limiter,
                 limit_link=self._limit_link,
                 notices=self._cleanup.notices,
+                news=self._cleanup.news,
                 quarantine=self._quarantine,
                 telemetry=self._telemetry,
                 lifetime=self._lifetime,
@@ -341,64 +366,6 @@
             byte_budget=self._byte_budget,
         )
 
-    def _add_gauges(self) -> None:
-        add_gauge = self._telemetry.add_gauge
-        add_gauge(
-            'masticwind_requests_running',
-            'Requests in progress',
-            lambda: self._app.running_requests,
-        )
-        add_gauge(
-            'masticwind_buffered_bytes',
-            'Bytes that are kept until they can be passed on',
-            lambda: self.buffered_bytes,
-        )
-        add_gauge(
-            'masticwind_stopping_seconds',
-            'Time since the signal to stop, zero before it',
-            lambda: (self._lifetime.stopping_for_ms() or 0) / MS_PER_S,
-        )
-        add_gauge(
-            'masticwind_config_version',
-            'Version of the configuration in force',
-            lambda: self._active_config.config.version,
-        )
-        add_gauge(
-            'masticwind_config_age_seconds',
-            'Time since the configuration was last confirmed',
-            self._versions.age_s,
-        )
-        add_gauge(
-            'masticwind_endpoints',
-            'Endpoints that are known',
-            lambda: self.endpoint_count,
-        )
-        add_gauge(
-            'masticwind_entries',
-            'Entries that are registered',
-            self._peers.count,
-        )
-        add_gauge(
-            'masticwind_limited_endpoints',
-            'Endpoints that limit their requests',
-            self._limit_link.limits.count,
-        )
-        add_gauge(
-            'masticwind_leaving_endpoints',
-            'Endpoints that have said that they leave',
-            self._cleanup.notices.leaving_count,
-        )
-        add_gauge(
-            'masticwind_paused_endpoints',
-            'Endpoints that have asked for a pause',
-            self._cleanup.notices.paused_count,
-        )
-        add_gauge(
-            'masticwind_held_prompt_parts',
-            'Parts whose prompts are rejected, and whole prompts',
-            self._quarantine.held_count,
-        )
-
     def _connection_limits(self) -> ConnectionLimits:
         limits = self._active_config.config.limits
         return ConnectionLimits(
--- a/src/masticwind/serving/telemetry.py
+++ b/src/masticwind/serving/telemetry.py
@@ -54,7 +54,7 @@
         )
         self.deferrals: Final = Counter(
             'masticwind_deferrals',
-            'Prompts that waited for a better placement',
+            'Requests that waited for a better placement or an endpoint',
             registry=self._registry,
         )
         self.crashes: Final = Counter(
@@ -68,6 +68,12 @@
             ('outcome',),
             registry=self._registry,
         )
+        self.endpoint_news: Final = Counter(
+            'masticwind_endpoint_news',
+            'Endpoints that were reported as gone by any entry',
+            ('what',),
+            registry=self._registry,
+        )
         self.passed_over: Final = Counter(
             'masticwind_requests_passed_over',
             'Requests that were not sent to some endpoints, by the cause',
--- a/tests/test_cleanup.py
+++ b/tests/test_cleanup.py
@@ -6,7 +6,8 @@
 from masticwind.platform.documents import PlatformDecoder
 from masticwind.platform.endpoints import PlatformEndpointClient
 from masticwind.serving.admission.bounds import ColdEndpointLimiter
-from masticwind.serving.cleanup import Cleanup
+from masticwind.serving.cleanup import Cleanup, build_news
+from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.directory import EndpointDirectory
 from masticwind.serving.endpoint_limits import EndpointLimits
 from masticwind.serving.endpoint_notices import EndpointNotices
@@ -15,6 +16,7 @@
 from masticwind.serving.placement.health import EndpointHealth
 from masticwind.serving.settings import LiveSettings
 from masticwind.serving.store import Item
+from masticwind.serving.telemetry import Telemetry
 from tests.entry_harness import (
     isolated_suspicions,
     registration_json,
@@ -46,6 +48,13 @@
         cold_limiter=ColdEndpointLimiter(LiveSettings(cfg), peers),
         limits=limits,
         notices=notices,
+        news=build_news(
+            LiveSettings(cfg),
+            PeerSocket(cfg),
+            peers,
+            directory=directory,
+            telemetry=Telemetry(),
+        ),
         endpoint_client=PlatformEndpointClient(),
     )
     for number in range(3):
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -52,6 +52,22 @@
     assert not table.jobs_by_endpoint()
 
 
+def test_first_tokens_of_other_entries_are_passed_on_once() -> None:
+    """Guards against endpoints that have ended but seem alive, because full
+    updates repeat their jobs.
+    """
+    table = LoadTable(ManualClock())
+    begun: list[str] = []
+    table.on_decoding = begun.append
+    decoding = replace(JOB, decoding=True)
+    table.update_entry('other', [decoding], (), replace_all=True)
+    assert not begun
+    table.update_entry('other', [JOB], (), replace_all=True)
+    for replace_all in (True, False, True):
+        table.update_entry('other', [decoding], (), replace_all=replace_all)
+    assert begun == ['e1']
+
+
 def test_helper_jobs_end_at_the_first_token() -> None:
     """Guards against helpers that seem busy while the lead decodes."""
     table = LoadTable(ManualClock())
