--- a/src/masticwind/serving/admission/requests.py
+++ b/src/masticwind/serving/admission/requests.py
@@ -103,7 +103,8 @@
     """Attempts and events of one request.
 
     `may_have_run_at` has the endpoints that may have run it, and
-    `excluded_endpoints` those that get no further attempt.
+    `excluded_endpoints` those that get no further attempt. Of these, the
+    `unreached_endpoints` gave no connection, so nothing was sent to them.
     `candidate_count` is the number of candidates of the last placement.
     `last_event_id` is the id of the last event that the caller has received.
     The answer is not `is_resumable` once a part of it has been passed on that
@@ -119,6 +120,7 @@
     attempts: int = 0
     may_have_run_at: set[str] = field(default_factory=set)
     excluded_endpoints: set[str] = field(default_factory=set)
+    unreached_endpoints: set[str] = field(default_factory=set)
     denied_endpoints: set[str] = field(default_factory=set)
     passed_over_for: set[str] = field(default_factory=set)
     candidate_count: int = 0
@@ -165,12 +167,19 @@
         """Record a failed attempt, and the endpoint at fault."""
         self.is_sent = False
         self.excluded_endpoints.add(at_fault.identity)
+        if failure.kind is ErrorKind.NO_CAPACITY:
+            self.unreached_endpoints.add(at_fault.identity)
         if guarantees_not_run(failure.kind):
             # It may have been silent before it refused.
             self.may_have_run_at.discard(lead.identity)
         else:
             self.record_possible_run(lead)
 
+    def readmit(self, identity: str) -> None:
+        """Allow another attempt at an endpoint that was not reached."""
+        self.excluded_endpoints.discard(identity)
+        self.unreached_endpoints.discard(identity)
+
     def record_possible_run(self, lead: Endpoint) -> None:
         """Record that an endpoint may have run the request; it gets no other
         attempt.
--- a/src/masticwind/serving/placement/candidates.py
+++ b/src/masticwind/serving/placement/candidates.py
@@ -1,11 +1,10 @@
-"""Finds the endpoints that may get a request, and when there will be one.
+"""Finds the endpoints that may get a request, or the first one that will.
 
 The rules of the operators and the endpoints decide which ones may. What is
 known of their health only decides which ones are used while there are others.
 """
 
 import math
-from dataclasses import dataclass
 from typing import Final
 
 from masticwind.budget import MS_PER_S
@@ -14,17 +13,10 @@
     RequestProgress,
 )
 from masticwind.serving.model import Endpoint
+from masticwind.serving.placement.availability import Availability
 from masticwind.serving.relay_dependencies import RelayDependencies
 
 
-@dataclass(frozen=True, slots=True)
-class Availability:
-    """When an endpoint may get a request that no other endpoint may get."""
-
-    endpoint: Endpoint
-    wait_ms: float
-
-
 class CandidateFinder:
     """Finds candidates among the endpoints that this entry knows."""
 
@@ -191,6 +183,9 @@
         )
         if endpoint.identity not in progress.excluded_endpoints:
             return wait_s
+        if endpoint.identity not in progress.unreached_endpoints:
+            # An attempt there may still wait for its connection.
+            return math.inf
         excluded_s = deps.health.excluded_for_s(endpoint.identity)
         return max(wait_s, excluded_s) if excluded_s else math.inf
 
--- a/src/masticwind/serving/placement/request_placer.py
+++ b/src/masticwind/serving/placement/request_placer.py
@@ -5,7 +5,6 @@
 """
 
 import math
-import random
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Final
@@ -28,10 +27,11 @@
 from masticwind.serving.fingerprints import short_key
 from masticwind.serving.known_calls import known_fingerprint
 from masticwind.serving.model import Endpoint
-from masticwind.serving.placement.candidates import (
+from masticwind.serving.placement.availability import (
     Availability,
-    CandidateFinder,
+    wait_or_refuse,
 )
+from masticwind.serving.placement.candidates import CandidateFinder
 from masticwind.serving.placement.placer import (
     Deferral,
     Placement,
@@ -44,12 +44,6 @@
 MAX_PERMIT_DENIALS: Final = 3
 # A sound endpoint may fall silent for this time and go on.
 SOUND_SILENCE_S: Final = 1.6
-# Longest wait for an endpoint, as a share of the first event target.
-MAX_AVAILABILITY_WAIT_SHARE: Final = 1 / 8
-# Covers the rounding of clocks, so that the endpoint is available.
-AVAILABILITY_MARGIN_MS: Final = 2.0
-# Callers return spread over this share of the wait after its end.
-AVAILABILITY_SPREAD_SHARE: Final = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,7 +207,7 @@
             placement = self._place_once(admitted, progress)
             available = self._first_available(admitted, progress, placement)
             if available is not None:
-                placement = _wait_or_refuse(admitted, available, deferred_ms)
+                placement = wait_or_refuse(admitted, available, deferred_ms)
             if not isinstance(placement, Deferral):
                 break
             if placement.wait_ms / MS_PER_S > self._deps.lifetime.remaining_s():
@@ -225,7 +219,7 @@
             deferred_ms += placement.wait_ms
             await anyio.sleep(placement.wait_ms / MS_PER_S)
             if available is not None:
-                progress.excluded_endpoints.discard(available.endpoint.identity)
+                progress.readmit(available.endpoint.identity)
         self._log_placement(admitted, progress, placement, deferred_ms)
         if not isinstance(placement, Failure) and self.outlasts_process(
             admitted,
@@ -344,30 +338,6 @@
         return deps.prompt_placer.place(query)
 
 
-def _wait_or_refuse(
-    admitted: AdmittedRequest, available: Availability, deferred_ms: float
-) -> Deferral | Failure:
-    """Let a request wait for its only endpoint, or refuse it at once.
-
-    A longer wait would use up the time in which its caller may return. Callers
-    that are refused together are told to return one after another.
-    """
-    target_ms = admitted.route.first_event_target_ms
-    if not target_ms:
-        target_ms = admitted.remaining_s() * MS_PER_S
-    wait_ms = available.wait_ms + AVAILABILITY_MARGIN_MS
-    reason = f'{available.endpoint.identity} is available in {wait_ms:.0f} ms'
-    if deferred_ms + wait_ms <= target_ms * MAX_AVAILABILITY_WAIT_SHARE:
-        return Deferral(wait_ms, reason)
-    return Failure(
-        kind=ErrorKind.NO_CAPACITY,
-        reason=f'no endpoint is available for this request, {reason}',
-        retry_after_ms=int(
-            wait_ms * random.uniform(1, 1 + AVAILABILITY_SPREAD_SHARE)
-        ),
-    )
-
-
 def _may_need_permit(
     progress: RequestProgress,
     endpoint: Endpoint,
