--- a/tests/test_decoding_guard.py
+++ b/tests/test_decoding_guard.py
@@ -24,7 +24,7 @@
         'protocol/codec.py',
         'serving/copies.py',
         'serving/datagrams.py',
-        'settings.py',
+        'settings_file.py',
     )
 )
 DECODERS: Final = frozenset(
