--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -26,6 +26,7 @@
 )
 from masticwind.serving.model import Endpoint
 from masticwind.serving.placement.placer import Placement
+from masticwind.serving.placement.reported_endpoints import NewsKind
 from masticwind.serving.placement.request_placer import (
     PermittedPlacement,
     RequestPlacer,
@@ -171,6 +172,7 @@
         else:
             self._record_reply(state, lead, progress)
         if failure.kind is ErrorKind.REVOKED:
+            deps.news.report(at_fault, NewsKind.REPLACED)
             deps.directory.remove(
                 at_fault.identity, 'another endpoint has its address'
             )
@@ -183,12 +185,7 @@
             and not state.asks_pause
             and not state.unasked
         ):
-            deps.health.record_failure(
-                at_fault.identity,
-                failure.reason,
-                connection_failed=failure.kind in _BROKEN_CONNECTION_KINDS
-                and not state.unverified,
-            )
+            self._record_unhealthy(at_fault, failure, state)
 
     def record_metrics(
         self,
@@ -209,6 +206,7 @@
     def record_success(self, lead: Endpoint) -> None:
         """Record that an endpoint has served a request."""
         self._deps.health.record_success(lead.identity)
+        self._deps.news.record_success(lead)
         self._deps.reach.record_answer(lead)
 
     def record_superseded(
@@ -246,6 +244,21 @@
         deps.helper_faults.record_fault(lead, at_fault)
         progress.record_helper_fault(lead, at_fault)
 
+    def _record_unhealthy(
+        self, endpoint: Endpoint, failure: Failure, state: AttemptState
+    ) -> None:
+        """Hold a failed attempt against an endpoint."""
+        reported = failure.refused and self._deps.news.report(
+            endpoint, NewsKind.REFUSED
+        )
+        self._deps.health.record_failure(
+            endpoint.identity,
+            failure.reason,
+            connection_failed=failure.kind in _BROKEN_CONNECTION_KINDS
+            and not state.unverified,
+            reported=reported,
+        )
+
     def _claim(self, state: AttemptState, decisions: AttemptDecisions) -> bool:
         """Let an attempt write to the caller, if no other one has done so."""
         state.silent = False
@@ -365,6 +378,8 @@
         lead = permitted.placement.lead
         self._deps.limit_link.observe(lead, permitted.permit, notice)
         self._deps.notices.observe(lead, notice, sent_at)
+        if notice is not None:
+            self._deps.news.record_life(lead.identity)
 
     def _record_endless(self, lead: Endpoint) -> None:
         """Record a very long answer, during which the caller has left."""
@@ -391,4 +406,5 @@
         self._deps.helper_faults.record_success(
             placement.lead, (helper.endpoint for helper in placement.helpers)
         )
+        self._deps.news.record_life(placement.lead.identity)
         self._deps.quarantine.record_events(running)
