--- a/src/masticwind/serving/admission/requests.py
+++ b/src/masticwind/serving/admission/requests.py
@@ -114,6 +114,8 @@
     endpoint may have received it. `call_fingerprint` is made when it is needed.
     `config_version` is the version under which the request was admitted, and
     `last_refusal` the kind of the last placement that was refused.
+    `return_key` recognizes the request after a refusal, and one that was
+    refused before and promised room `has_returned`.
     """
 
     attempts: int = 0
@@ -126,6 +128,8 @@
     is_sent: bool = False
     config_version: int | None = None
     last_refusal: ErrorKind | None = None
+    return_key: int = 0
+    has_returned: bool = False
     call_fingerprint: RequestFingerprint | None = None
     last_event_id: int | None = None
     is_resumable: bool = True
--- a/src/masticwind/serving/placement/load_link.py
+++ b/src/masticwind/serving/placement/load_link.py
@@ -19,6 +19,7 @@
 from masticwind.serving.costs.latency_model import PrefillWork
 from masticwind.serving.datagrams import PeerAddress, PeerSocket, Receiver
 from masticwind.serving.fingerprints import MAX_SHORT_KEY
+from masticwind.serving.model import LOWEST_PRIORITY
 from masticwind.serving.peers import SILENCE_TIMEOUT_S, EntryPeers
 from masticwind.serving.placement.load_table import Job, LoadTable
 
@@ -40,13 +41,14 @@
 # entry cannot overflow or yield NaN.
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 ShortKey = Annotated[int, msgspec.Meta(ge=0, le=MAX_SHORT_KEY)]
+Priority = Annotated[int, msgspec.Meta(ge=0, le=LOWEST_PRIORITY)]
 Milliseconds = Annotated[int, msgspec.Meta(ge=-MAX_OFFSET_MS, le=MAX_OFFSET_MS)]
 
 
 class JobMessage(msgspec.Struct, array_like=True):
     """A job as it is sent; times are relative to the time of sending.
 
-    An entry of an earlier release sends no keys.
+    An entry of an earlier release sends no keys and no priority.
     """
 
     job_id: int
@@ -65,6 +67,7 @@
     decoding: bool
     route_key: ShortKey = 0
     team_key: ShortKey = 0
+    priority: Priority = LOWEST_PRIORITY
 
 
 class LoadUpdate(msgspec.Struct, array_like=True):
@@ -204,6 +207,7 @@
         decoding=job.decoding,
         route_key=job.route_key,
         team_key=job.team_key,
+        priority=job.priority,
     )
 
 
@@ -232,4 +236,5 @@
         decoding=message.decoding,
         route_key=message.route_key,
         team_key=message.team_key,
+        priority=message.priority,
     )
--- a/src/masticwind/serving/placement/load_table.py
+++ b/src/masticwind/serving/placement/load_table.py
@@ -15,6 +15,7 @@
 import anyio
 
 from masticwind.serving.costs.latency_model import EngineLoad, PrefillWork
+from masticwind.serving.model import LOWEST_PRIORITY
 
 # A job of another entry is ignored this long after its predicted end: the entry
 # has died, or the message about the end of the job was lost.
@@ -34,7 +35,8 @@
     target; zero means that there is no target. `value_tokens` is the value of
     the request in prompt tokens; an output token counts as ten. A first token
     after `first_token_due_at` is late. `route_key` and `team_key` are short
-    keys of the route and the team, zero if they are unknown.
+    keys of the route and the team, zero if they are unknown. `priority` is 0
+    for the most urgent requests.
     """
 
     job_id: int
@@ -52,6 +54,7 @@
     decoding: bool = False
     route_key: int = 0
     team_key: int = 0
+    priority: int = LOWEST_PRIORITY
 
     def remaining_prefill(self, now: float) -> PrefillWork:
         """Estimate the part of the prefill that has not run yet."""
--- a/src/masticwind/serving/placement/placer.py
+++ b/src/masticwind/serving/placement/placer.py
@@ -45,6 +45,7 @@
     `pause_waits_ms` the wait for each endpoint that pauses or returns from a
     pause. With `last_resort`, the candidates are leaving. `costs` predicts what
     requests cost, and `standing` is what the request may ask for at overload.
+    `return_key` recognizes the request if it comes back; zero if it cannot be.
     """
 
     request_id: str
@@ -66,6 +67,7 @@
     team_key: int = 0
     costs: CostModel = STATIC_COSTS
     standing: Standing = DEFAULT_STANDING
+    return_key: int = 0
 
     def wait_ms(self, identity: str) -> float:
         """Return the time until an endpoint takes the request."""
--- a/src/masticwind/serving/placement/prompt_placer.py
+++ b/src/masticwind/serving/placement/prompt_placer.py
@@ -22,7 +22,14 @@
 from typing import Final
 
 from masticwind.budget import MS_PER_S
-from masticwind.errors import ErrorKind, Failure
+from masticwind.errors import Failure
+from masticwind.serving.admission.overload import (
+    OverloadPolicy,
+    PlannedRequest,
+    Refuse,
+    RefuseLate,
+    ServeLate,
+)
 from masticwind.serving.costs.latency_model import (
     decode_iteration_ms,
     full_prefill,
@@ -43,7 +50,6 @@
     PlacementQuery,
     Placer,
     no_endpoint_failure,
-    spread_retry_after_ms,
     waiting_failure,
 )
 from masticwind.serving.placement.plans import (
@@ -57,9 +63,6 @@
     request_value,
 )
 
-# Once this share of all slots is in use, requests that would miss their target
-# are refused instead of queued.
-OVERLOAD_SLOT_SHARE: Final = 0.5
 # Bounds of the delay before a deferred prompt is placed again.
 MIN_DEFERRAL_MS: Final = 10.0
 MAX_DEFERRAL_MS: Final = 100.0
@@ -73,8 +76,13 @@
 class PromptPlacer(Placer):
     """Chooses the engines that prefill a prompt, and how many of them."""
 
-    def __init__(self, rng: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        rng: random.Random | None = None,
+        overload: OverloadPolicy | None = None,
+    ) -> None:
         self._rng: Final = rng or random.Random()
+        self._overload: Final = overload or RefuseLate(self._rng)
 
     def place(self, query: PlacementQuery) -> Placement | Deferral | Failure:
         """Use the plan with the highest net value, defer, or refuse."""
@@ -85,23 +93,27 @@
         engines = self._view_engines(query, profile, tokens)
         plan = best_plan(query, profile, tokens, engines)
         if plan is None:
-            return self._refusal('the engines have no memory for this prompt')
+            return self._overload.refuse(
+                query, 'the engines have no memory for this prompt'
+            ).failure
         if _waits_too_long_to_start(query, plan):
             return waiting_failure(query, plan.engines[0].endpoint.identity)
-        if _overloaded(query, profile, engines, plan):
-            return self._refusal(
-                f'the first token would take {plan.first_token_ms:.0f} ms',
-                plan.first_token_ms
-                - query.first_event_target_ms * USABLE_TARGET_SHARE,
-            )
+        planned = PlannedRequest(
+            query=query, profile=profile, engines=engines, plan=plan
+        )
+        decision = self._overload.decide(planned)
+        if isinstance(decision, Refuse):
+            return decision.failure
         deferral = _deferral(query, profile, tokens, plan)
-        if deferral is not None:
+        if deferral is not None and not isinstance(decision, ServeLate):
             return deferral
         if plan.net_value_tokens < 0:
-            return self._refusal(
+            return self._overload.refuse(
+                query,
                 f'others would lose {plan.lost_tokens:.0f} tokens',
                 plan.first_token_ms,
-            )
+            ).failure
+        self._overload.record_placement(planned)
         return _build_placement(query, profile, tokens, plan)
 
     def _view_engines(
@@ -127,13 +139,6 @@
         ]
         return lead_candidates + helper_views
 
-    def _refusal(self, reason: str, excess_ms: float = 0) -> Failure:
-        return Failure(
-            kind=ErrorKind.OVERLOADED,
-            reason=reason,
-            retry_after_ms=spread_retry_after_ms(excess_ms, self._rng),
-        )
-
 
 def _waits_too_long_to_start(query: PlacementQuery, plan: Plan) -> bool:
     """Tell whether to refuse a request since it would wait for a permit or for
@@ -150,33 +155,6 @@
     return plan.first_token_ms - wait_ms <= usable_ms < plan.first_token_ms
 
 
-def _overloaded(
-    query: PlacementQuery,
-    profile: EngineProfile,
-    engines: Sequence[EngineView],
-    plan: Plan,
-) -> bool:
-    """Tell whether to refuse a request instead of queueing it.
-
-    If many slots are in use and the request would miss its target, a queue
-    makes all later requests late as well. A refused caller retries, while
-    admitted ones are served in time.
-    """
-    if plan.first_token_ms > query.remaining_ms:
-        return True
-    if not query.first_event_target_ms:
-        return False
-    if plan.first_token_ms <= query.first_event_target_ms * USABLE_TARGET_SHARE:
-        return False
-    # Engines that take no request now have no slot for it.
-    engines = [engine for engine in engines if not engine.start_wait_ms]
-    slots = profile.slots * len(engines)
-    used_slots = sum(
-        min(engine.slot_requests, profile.slots) for engine in engines
-    )
-    return used_slots >= slots * OVERLOAD_SLOT_SHARE
-
-
 def _deferral(
     query: PlacementQuery,
     profile: EngineProfile,
@@ -291,6 +269,7 @@
         first_token_due_at=first_token_due_at,
         route_key=query.route_key,
         team_key=query.team_key,
+        priority=query.standing.priority,
     )
 
 
--- a/src/masticwind/serving/placement/request_placer.py
+++ b/src/masticwind/serving/placement/request_placer.py
@@ -19,7 +19,7 @@
     RequestProgress,
     draining_failure,
 )
-from masticwind.serving.admission.standing import Standing
+from masticwind.serving.admission.return_promises import find_standing
 from masticwind.serving.attempt import ANSWER_MARGIN_MS
 from masticwind.serving.attempt_context import AttemptState
 from masticwind.serving.costs.completion_times import CompletionTimes
@@ -323,7 +323,8 @@
             last_resort=last_resort,
             route_key=short_key(admitted.route.name),
             team_key=short_key(admitted.team.name),
-            standing=Standing(priority=admitted.priority),
+            standing=find_standing(admitted, progress, deps.promises),
+            return_key=progress.return_key,
         )
         restricted = {*permit_waits_ms, *pause_waits_ms}
         if restricted and not candidates:
--- a/src/masticwind/serving/relay_dependencies.py
+++ b/src/masticwind/serving/relay_dependencies.py
@@ -4,6 +4,7 @@
 
 from masticwind.serving.admission.bounds import ColdEndpointLimiter, RetryBudget
 from masticwind.serving.admission.byte_budget import ByteBudget
+from masticwind.serving.admission.return_promises import PromiseBook
 from masticwind.serving.directory import EndpointDirectory, OperatorState
 from masticwind.serving.endpoint_notices import EndpointNotices
 from masticwind.serving.interfaces import EndpointClient
@@ -22,7 +23,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RelayDependencies:
-    """Collaborators of the relay and its parts."""
+    """Collaborators of the relay and its parts.
+
+    Without `promises`, no request is recognized when it comes back.
+    """
 
     settings: LiveSettings
     directory: EndpointDirectory
@@ -42,3 +46,4 @@
     turns: TurnQueue = field(default_factory=TurnQueue)
     call_placer: Placer = field(default_factory=CallPlacer)
     prompt_placer: Placer = field(default_factory=PromptPlacer)
+    promises: PromiseBook | None = None
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -9,8 +9,7 @@
 from masticwind.budget import MS_PER_S
 from masticwind.serving.active_config import ActiveConfig
 from masticwind.serving.adapter import PlatformAdapter
-from masticwind.serving.admission.bounds import RetryBudget
-from masticwind.serving.admission.byte_budget import ByteBudget
+from masticwind.serving.admission.parts import build_admission
 from masticwind.serving.cleanup import build_cleanup
 from masticwind.serving.config_versions import ConfigVersions
 from masticwind.serving.confirmations import Confirmations
@@ -35,11 +34,7 @@
 from masticwind.serving.quarantine import build_quarantine
 from masticwind.serving.relay import Relay
 from masticwind.serving.relay_dependencies import RelayDependencies
-from masticwind.serving.settings import (
-    DEFAULT_MEMORY_MB,
-    LiveSettings,
-    parse_address,
-)
+from masticwind.serving.settings import LiveSettings, parse_address
 from masticwind.serving.store_connection import StoreConnection
 from masticwind.serving.supervision import supervise
 from masticwind.serving.telemetry import Telemetry
@@ -153,10 +148,10 @@
             self._versions.age_s,
         )
         self._telemetry: Final = Telemetry()
-        self._lifetime: Final = Lifetime()
-        self._byte_budget: Final = ByteBudget(
-            cfg.memory_mb or DEFAULT_MEMORY_MB
+        self._admission: Final = build_admission(
+            settings, self._peer_socket, self._peers, self._telemetry
         )
+        self._lifetime: Final = Lifetime()
         self._app: Final = EdgeApp(self._edge_dependencies())
         self._add_gauges()
         self._server: Final = WebServer(
@@ -187,7 +182,7 @@
     @property
     def buffered_bytes(self) -> int:
         """Bytes that are kept until they can be passed on."""
-        return self._byte_budget.used_bytes
+        return self._admission.byte_budget.used_bytes
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -306,7 +301,7 @@
     def _edge_dependencies(self) -> EdgeDependencies:
         adapter = self._adapter
         settings = self._settings
-        entries = self._peers.count
+        admission = self._admission
         relay = Relay(
             RelayDependencies(
                 settings=settings,
@@ -315,14 +310,16 @@
                 health=self._cleanup.health,
                 load_table=self._load_table,
                 endpoint_client=adapter.endpoint_client,
-                retry_budget=RetryBudget(settings, entries),
+                retry_budget=admission.retry_budget,
                 cold_limiter=self._cleanup.cold_limiter,
                 limit_link=self._limit_link,
                 notices=self._cleanup.notices,
                 quarantine=self._quarantine,
                 telemetry=self._telemetry,
                 lifetime=self._lifetime,
-                byte_budget=self._byte_budget,
+                byte_budget=admission.byte_budget,
+                prompt_placer=admission.prompt_placer,
+                promises=admission.promises,
             )
         )
         return EdgeDependencies(
@@ -332,7 +329,7 @@
             relay=relay,
             telemetry=self._telemetry,
             lifetime=self._lifetime,
-            byte_budget=self._byte_budget,
+            byte_budget=admission.byte_budget,
         )
 
     def _add_gauges(self) -> None:
@@ -387,6 +384,11 @@
             'Endpoints that have asked for a pause',
             self._cleanup.notices.paused_count,
         )
+        add_gauge(
+            'masticwind_return_promises',
+            'Callers that were refused and promised room',
+            self._admission.promise_count,
+        )
         add_gauge(
             'masticwind_held_prompt_parts',
             'Parts whose prompts are rejected, and whole prompts',
--- a/src/masticwind/serving/settings.py
+++ b/src/masticwind/serving/settings.py
@@ -1,7 +1,7 @@
 """Settings of an entry in direct serving."""
 
 from dataclasses import dataclass, field, replace
-from typing import Annotated, Final
+from typing import Annotated, Final, Literal
 
 import msgspec
 
@@ -17,6 +17,9 @@
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=100)]
 SlackRequests = Annotated[float, msgspec.Meta(ge=0, le=MAX_SLACK_REQUESTS)]
 MemoryMb = Annotated[float, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)]
+# Who is refused when there is no room for all: every late request, or the one
+# with the weakest claim.
+OverloadPolicyName = Literal['refuse_late', 'fair']
 HostPort = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
 
 
@@ -60,6 +63,7 @@
     zero disables the metrics server. Without an `operator_token`, no held
     part of a prompt can be released. `memory_mb` is the memory of the machine,
     from which the limit of buffered bytes follows; zero stands for the default.
+    `overload` names the policy by which prompts are refused at overload.
     """
 
     node: Name
@@ -74,6 +78,7 @@
     log_level: LogLevel = 'info'
     operator_token: str = ''
     memory_mb: MemoryMb = DEFAULT_MEMORY_MB
+    overload: OverloadPolicyName = 'refuse_late'
 
 
 def parse_address(text: HostPort) -> Address:
--- a/src/masticwind/serving/telemetry.py
+++ b/src/masticwind/serving/telemetry.py
@@ -74,6 +74,12 @@
             ('cause',),
             registry=self._registry,
         )
+        self.overload_decisions: Final = Counter(
+            'masticwind_overload_decisions',
+            'Prompts that there was no room for, or that came back',
+            ('decision',),
+            registry=self._registry,
+        )
         self.first_event: Final = Histogram(
             'masticwind_first_event_seconds',
             'Time from admission to the first event or the answer',
--- a/src/masticwind_dev/play/simulation.py
+++ b/src/masticwind_dev/play/simulation.py
@@ -16,12 +16,15 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import Failure
+from masticwind.serving.admission.return_promises import PromiseBook
+from masticwind.serving.admission.standing import Standing
 from masticwind.serving.costs.latency_model import full_prefill
 from masticwind.serving.endpoint_limits import (
     EndpointLimits,
     PermitAuthorities,
 )
 from masticwind.serving.endpoint_notices import EndpointNotices
+from masticwind.serving.fingerprints import short_key
 from masticwind.serving.interfaces import EndpointNotice
 from masticwind.serving.model import (
     Endpoint,
@@ -39,6 +42,7 @@
 from masticwind.serving.settings import (
     DirectSettings,
     LiveSettings,
+    OverloadPolicyName,
     StoreSettings,
 )
 from masticwind_dev.play.engines import (
@@ -46,6 +50,7 @@
     SimulatedRequest,
     SimulationClock,
 )
+from masticwind_dev.play.returns import exchanged_books, fair_placers
 
 # The engines of the users' workloads.
 ENGINE_PROFILE: Final = EngineProfile(
@@ -80,7 +85,7 @@
 
     The prompt tokens and the iterations of a request are drawn from log-normal
     distributions. A request that meets its targets earns `value`, and a late
-    one `late_value`.
+    one `late_value`. All requests of a class are of one team.
     """
 
     requests_per_s: float
@@ -94,10 +99,11 @@
     value: float
     late_value: float
     priority: int = 0
+    team: str = ''
 
     @property
     def abandon_ms(self) -> float:
-        """Time to the first event after which the caller gives up."""
+        """Time to the first event after which the caller leaves a stream."""
         return max(
             2000, 4 * self.first_event_target_ms, 8 * self.event_gap_target_ms
         )
@@ -164,7 +170,8 @@
     Each entry places its requests on its own. Its load table receives changes
     to the jobs of the other entries after `update_delay_s`. The first engines
     limit their requests to `limits_per_s`. The first `pausing_engines` refuse
-    requests for `pause_s` from `pause_at_s` on, and ask for a pause.
+    requests for `pause_s` from `pause_at_s` on, and ask for a pause. With
+    `overload: fair`, the entries exchange promises, with the same delay.
     """
 
     engine_count: int = 14
@@ -184,6 +191,7 @@
     pausing_engines: int = 0
     pause_at_s: float = 0
     pause_s: float = 0
+    overload: OverloadPolicyName = 'refuse_late'
 
 
 # The users' largest deployment, scaled down.
@@ -240,13 +248,16 @@
 class ClassResult:
     """Totals over the requests of one class.
 
-    `max_value` is earned if all of them meet their targets.
+    `max_value` is earned if all of them meet their targets. `refused` counts
+    first refusals, and `refused_again` those of callers that came back.
     """
 
     requests: int = 0
     on_target: int = 0
     late: int = 0
     unserved: int = 0
+    refused: int = 0
+    refused_again: int = 0
     max_value: float = 0
     earned_value: float = 0
     first_event_ms: list[float] = field(default_factory=list)
@@ -264,6 +275,9 @@
     tokens: TokenCounts
     iterations: int
     started_at: float
+    sent_at: float = 0
+    return_key: int = 0
+    has_returned: bool = False
     retries_left: int = MAX_CALLER_RETRIES
     denied_endpoints: set[str] = field(default_factory=set)
 
@@ -344,11 +358,14 @@
         placers: Sequence[Placer],
         workload: Workload,
         seed: int,
+        books: Sequence[PromiseBook],
+        clock: SimulationClock,
     ) -> None:
         self._placers: Final = placers
+        self._books: Final = books
         self._workload: Final = workload
         self._random: Final = random.Random(seed)
-        self._clock: Final = SimulationClock()
+        self._clock: Final = clock
         self._load_tables: Final = _LoadTables(self._clock, workload)
         self._engines: Final = {
             f'e{number}': SimulatedEngine(workload.profile, self._clock)
@@ -446,6 +463,7 @@
             tokens=tokens,
             iterations=iterations,
             started_at=now,
+            return_key=sum(one.requests for one in self.class_results.values()),
         )
 
     def _lognormal(self, mean: float, sigma: float) -> float:
@@ -454,9 +472,20 @@
     def _schedule(self, request: _CallerRequest, sent_at: float) -> None:
         entry = self._random.randrange(self._workload.entry_count)
         self._clock.schedule(
-            sent_at, lambda: self._place(request, sent_at, entry)
+            sent_at, lambda: self._arrive(request, sent_at, entry)
         )
 
+    def _arrive(
+        self, request: _CallerRequest, sent_at: float, entry: int
+    ) -> None:
+        request = replace(request, sent_at=sent_at)
+        if self._books and request.retries_left < MAX_CALLER_RETRIES:
+            request = replace(
+                request,
+                has_returned=self._books[entry].consume(request.return_key),
+            )
+        self._place(request, sent_at, entry)
+
     def _place(
         self, request: _CallerRequest, sent_at: float, entry: int
     ) -> None:
@@ -501,6 +530,12 @@
                     for endpoint in self._endpoints
                     if self._notices[entry].is_returning(endpoint)
                 },
+                team_key=short_key(request_class.team),
+                standing=Standing(
+                    priority=request_class.priority,
+                    returning=request.has_returned,
+                ),
+                return_key=request.return_key,
             )
         )
         if isinstance(placement, Deferral):
@@ -557,8 +592,14 @@
         remaining_s = request.request_class.deadline_ms / MS_PER_S - (
             now - request.started_at
         )
-        if not request.retries_left or wait_s > remaining_s / 3:
-            self.class_results[request.class_name].unserved += 1
+        result = self.class_results[request.class_name]
+        if not request.retries_left:
+            result.refused_again += 1
+            result.unserved += 1
+            return
+        result.refused += 1
+        if wait_s > remaining_s / 3:
+            result.unserved += 1
             return
         retry = _CallerRequest(
             class_name=request.class_name,
@@ -566,6 +607,7 @@
             tokens=request.tokens,
             iterations=request.iterations,
             started_at=request.started_at,
+            return_key=request.return_key,
             retries_left=request.retries_left - 1,
         )
         self._schedule(retry, now + wait_s)
@@ -630,11 +672,12 @@
         first_event_ms = (
             simulated.first_token_at - request.started_at
         ) * MS_PER_S
+        stream_ms = (simulated.first_token_at - request.sent_at) * MS_PER_S
         total_ms = (simulated.ended_at - request.started_at) * MS_PER_S
         longest_gap_ms = simulated.longest_gap_s * MS_PER_S
         result.first_event_ms.append(first_event_ms)
         if (
-            first_event_ms > request_class.abandon_ms
+            stream_ms > request_class.abandon_ms
             or total_ms > request_class.deadline_ms
         ):
             result.unserved += 1
@@ -655,14 +698,23 @@
 ) -> dict[str, ClassResult]:
     """Simulate a workload and return the results by request class.
 
-    `make_placer` returns the placer of one entry. Placers must draw random
-    numbers only from the given source, so that a run can be repeated.
+    `make_placer` returns the placer of one entry; with `overload: fair`, the
+    entries have prompt placers. Placers must draw random numbers only from the
+    given source, so that a run can be repeated.
     """
     seed_source = random.Random(seed)
-    placers = [
-        make_placer(random.Random(seed_source.random()))
-        for _ in range(workload.entry_count)
+    rngs = [
+        random.Random(seed_source.random()) for _ in range(workload.entry_count)
     ]
-    simulation = _Simulation(placers, workload, seed)
+    clock = SimulationClock()
+    books: list[PromiseBook] = []
+    if workload.overload == 'fair':
+        books = exchanged_books(
+            clock, workload.entry_count, workload.update_delay_s
+        )
+        placers = fair_placers(books, rngs)
+    else:
+        placers = [make_placer(rng) for rng in rngs]
+    simulation = _Simulation(placers, workload, seed, books, clock)
     simulation.run()
     return simulation.class_results
--- a/tests/test_placement_load.py
+++ b/tests/test_placement_load.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from masticwind.serving.admission import overload
 from masticwind.serving.placement import engine_view, plans, prompt_placer
 from masticwind_dev.play.baselines import least_outstanding, round_robin
 from masticwind_dev.play.simulation import (
@@ -133,7 +134,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a queue that makes all requests late under overload."""
-    monkeypatch.setattr(prompt_placer, '_overloaded', lambda *_args: False)
+    monkeypatch.setattr(overload, '_overloaded', lambda *_args: False)
     queued = _simulate(prompt_placer.PromptPlacer, HIGH_LOAD)
     assert _earned_share(high_load) > _earned_share(queued)
     assert high_load['short'].on_target > queued['short'].on_target
