--- a/src/masticwind/serving/admission/fair_overload.py
+++ b/src/masticwind/serving/admission/fair_overload.py
@@ -6,7 +6,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Final, TypeAlias
 
@@ -27,6 +27,7 @@
     ReturnSchedule,
 )
 from masticwind.serving.admission.team_shares import TeamShares
+from masticwind.serving.model import Endpoint, EngineProfile
 from masticwind.serving.placement.engine_view import USABLE_TARGET_SHARE
 from masticwind.serving.placement.placer import PlacementQuery
 
@@ -43,6 +44,9 @@
 # the time that the answer takes to reach them. Longest hint without a deadline.
 HONOURED_SHARE: Final = 0.32
 MAX_HINT_MS: Final = 10_000.0
+# Engines with a free slot that are added to a sample without any. Several, so
+# that the entries do not all choose the same one.
+MAX_ADDED_ENGINES: Final = 4
 # Hints without a promise lie in this last part of the honoured time.
 HINT_SPREAD_SHARE: Final = 0.2
 
@@ -83,6 +87,23 @@
         self._loads: Final = FleetLoadReader()
         self._contentions: Final[dict[str, _Contention]] = {}
 
+    def extend_sample(
+        self,
+        query: PlacementQuery,
+        profile: EngineProfile,
+        sampled: Sequence[Endpoint],
+    ) -> Sequence[Endpoint]:
+        """Add some engines with a free slot if the sample has none."""
+        if any(_has_free_slot(query, profile, one) for one in sampled):
+            return sampled
+        free = [
+            endpoint
+            for endpoint in query.candidates
+            if _has_free_slot(query, profile, endpoint)
+        ]
+        added = self._rng.sample(free, min(MAX_ADDED_ENGINES, len(free)))
+        return [*sampled, *added]
+
     def decide(self, planned: PlannedRequest) -> ServeLate | Refuse | None:
         """Decide by the claim of the request and the room that is left."""
         query = planned.query
@@ -157,7 +178,7 @@
             return 'others would lose'
         if contention.over_share:
             return None
-        if not planned.is_split and self._schedule.has_room(
+        if not planned.is_long and self._schedule.has_room(
             query.service.name, load
         ):
             return None
@@ -230,11 +251,11 @@
     def _find_return_ms(self, planned: PlannedRequest) -> float | None:
         """Return when there is room for the caller, None if it is unknown.
 
-        A prompt that is split waits for prefills, of which slots tell nothing.
+        A long prompt waits for prefills, of which slots tell nothing.
         """
         query = planned.query
         load = self._loads.last(query.service.name)
-        if load is None or planned.is_split or not query.return_key:
+        if load is None or planned.is_long or not query.return_key:
             return None
         limit_ms = _honoured_ms(query)
         if planned.excess_ms > limit_ms:
@@ -247,14 +268,26 @@
         return max(wait_ms, planned.excess_ms)
 
 
+def _has_free_slot(
+    query: PlacementQuery, profile: EngineProfile, endpoint: Endpoint
+) -> bool:
+    if query.wait_ms(endpoint.identity):
+        return False
+    jobs = query.jobs_by_endpoint.get(endpoint.identity, ())
+    if len(jobs) < profile.slots:
+        return True
+    # Helper jobs hold no slot.
+    return sum(job.context_tokens > 0 for job in jobs) < profile.slots
+
+
 def _has_free_place(planned: PlannedRequest) -> bool:
     """Tell whether one of the engines would begin with the request at once:
     it has a slot, and no other prompt to prefill first.
 
-    A prompt that is split needs several engines: it has a place while few
-    slots are in use.
+    A long prompt needs several engines: it has a place while few slots are in
+    use.
     """
-    if planned.is_split:
+    if planned.is_long:
         return not has_many_used_slots(planned)
     return any(
         engine.may_lead
--- a/src/masticwind/serving/admission/overload.py
+++ b/src/masticwind/serving/admission/overload.py
@@ -12,7 +12,8 @@
 from typing import Final
 
 from masticwind.errors import ErrorKind, Failure
-from masticwind.serving.model import EngineProfile
+from masticwind.serving.costs.latency_model import full_prefill, prefill_ms
+from masticwind.serving.model import Endpoint, EngineProfile
 from masticwind.serving.placement.engine_view import (
     USABLE_TARGET_SHARE,
     EngineView,
@@ -21,7 +22,7 @@
     PlacementQuery,
     spread_retry_after_ms,
 )
-from masticwind.serving.placement.plans import Plan
+from masticwind.serving.placement.plans import BLOCKING_PREFILL_MS, Plan
 
 # Once this share of all slots is in use, requests that would miss their target
 # are refused instead of queued.
@@ -44,9 +45,16 @@
         return 0 < target_ms < self.plan.first_token_ms
 
     @property
-    def is_split(self) -> bool:
-        """Whether several engines share the prefill."""
-        return len(self.plan.engines) > 1
+    def is_long(self) -> bool:
+        """Whether the prefill of the prompt would occupy an engine for long.
+
+        Such a prompt waits for prefills rather than for a slot.
+        """
+        tokens = self.query.tokens
+        if tokens is None:
+            return False
+        full_prefill_ms = prefill_ms(self.profile, full_prefill(tokens.prompt))
+        return full_prefill_ms > BLOCKING_PREFILL_MS
 
     @property
     def excess_ms(self) -> float:
@@ -80,6 +88,15 @@
 class OverloadPolicy(abc.ABC):
     """Decides which requests are refused when there is no room for all."""
 
+    @abc.abstractmethod
+    def extend_sample(
+        self,
+        query: PlacementQuery,
+        profile: EngineProfile,
+        sampled: Sequence[Endpoint],
+    ) -> Sequence[Endpoint]:
+        """Return the engines to plan with, among them the `sampled` ones."""
+
     @abc.abstractmethod
     def decide(self, planned: PlannedRequest) -> ServeLate | Refuse | None:
         """Decide on a request; None places it by its plan, or defers it."""
@@ -108,6 +125,15 @@
     def __init__(self, rng: random.Random | None = None) -> None:
         self._rng: Final = rng or random.Random()
 
+    def extend_sample(
+        self,
+        query: PlacementQuery,
+        profile: EngineProfile,
+        sampled: Sequence[Endpoint],
+    ) -> Sequence[Endpoint]:
+        """Return the sample: a refusal does not look at other engines."""
+        return sampled
+
     def decide(self, planned: PlannedRequest) -> Refuse | None:
         """Refuse a late request while half of the slots are in use."""
         if not _overloaded(planned):
--- a/src/masticwind/serving/admission/return_schedule.py
+++ b/src/masticwind/serving/admission/return_schedule.py
@@ -21,12 +21,11 @@
 BURST_S: Final = 4.0
 # Resolution of a promised time.
 STEP_S: Final = 0.1
-# Share of the capacity that may be promised. In simulations, 0.9 promised room
-# that was not there while all slots were in use, at the cost of others.
-RELIABLE_SHARE: Final = 0.7
-# Demand, as a share of the capacity, up to which late requests are served. A
-# queue costs later requests their targets unless it ends soon.
-LATE_DEMAND_SHARE: Final = 0.5
+# Shares of the capacity up to which late requests are served, and returns
+# promised room. What is served late takes slots from requests that would have
+# been in time: in simulations, shares of 0.7 and 0.9 earned less.
+LATE_SHARE: Final = 0.5
+PROMISED_SHARE: Final = 0.6
 # A retry costs a connection and a round trip, so no earlier one is asked for.
 MIN_RETURN_MS: Final = 100.0
 # Largest share of refused requests that is used to scale the demand.
@@ -90,7 +89,7 @@
         demand = self._demands.get(service)
         if demand is None:
             return False
-        return demand.current_per_s < load.capacity_per_s * LATE_DEMAND_SHARE
+        return demand.current_per_s < load.capacity_per_s * LATE_SHARE
 
     def find_return_ms(
         self, service: str, load: FleetLoad, promised: int, limit_ms: float
@@ -104,7 +103,7 @@
         if demand is None:
             return None
         needed = load.waiting + promised + 1
-        capacity_per_s = load.capacity_per_s * RELIABLE_SHARE
+        capacity_per_s = load.capacity_per_s * PROMISED_SHARE
         excess_per_s = demand.current_per_s - demand.usual_per_s
         room = 0.0
         for step in range(1, int(limit_ms / MS_PER_S / STEP_S) + 1):
--- a/src/masticwind/serving/placement/prompt_placer.py
+++ b/src/masticwind/serving/placement/prompt_placer.py
@@ -128,7 +128,9 @@
         if max_parts(profile, tokens) > 1:
             helpers = query.helpers
         elif len(candidates) > SAMPLED_ENGINES:
-            candidates = self._rng.sample(candidates, SAMPLED_ENGINES)
+            candidates = self._overload.extend_sample(
+                query, profile, self._rng.sample(candidates, SAMPLED_ENGINES)
+            )
         lead_candidates = [
             build_engine_view(query, profile, endpoint)
             for endpoint in candidates
