--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -23,6 +23,7 @@
     DirectSettings,
     FleetBounds,
     LiveSettings,
+    OverloadPolicyName,
     StoreSettings,
 )
 from masticwind.serving.store import Item
@@ -328,6 +329,7 @@
     document: dict[str, Any] | None = None,
     bounds: FleetBounds | None = None,
     endpoint_client: EndpointClient | None = None,
+    overload: OverloadPolicyName = 'refuse_late',
 ) -> AsyncIterator[EntryHarness]:
     """Run a store and an entry; the test starts the endpoints."""
     store = MetadataStandin()
@@ -335,6 +337,7 @@
     cfg = sample_settings(
         store=StoreSettings(address=f'127.0.0.1:{server.port}'),
         bounds=bounds or FleetBounds(),
+        overload=overload,
     )
     adapter = platform_adapter(cfg)
     if endpoint_client is not None:
--- a/tests/test_fair_overload.py
+++ b/tests/test_fair_overload.py
@@ -1,9 +1,11 @@
 """Decisions on late prompts: teams, urgency, returns and room to come."""
 
+import json
 import math
 import random
 from collections import Counter
 from dataclasses import replace
+from pathlib import Path
 from typing import Final
 
 import pytest
@@ -30,6 +32,8 @@
     PlacementQuery,
 )
 from masticwind.serving.placement.prompt_placer import PromptPlacer
+from masticwind.serving.settings import DirectSettings
+from masticwind.settings import read_settings
 from masticwind_dev.play.simulation import ENGINE_PROFILE
 from tests.manual_clock import ManualClock
 
@@ -263,3 +267,21 @@
     assert fair_level(costs, frozenset(), equal_weight, 101) == math.inf
     by_weight = fair_level(costs, {1, 2}, lambda team: 3 - team or 1, 100)
     assert by_weight == 30
+
+
+def test_unknown_policy_is_reported_by_its_field(tmp_path: Path) -> None:
+    """Guards against a mistake in the settings that is not named."""
+    path = tmp_path / 'entry.yaml'
+    fields = {
+        'node': 'n',
+        'zone': 'z',
+        'listen': '127.0.0.1:1',
+        'ready': '127.0.0.1:2',
+        'store': {'address': '127.0.0.1:3'},
+    }
+    path.write_text(json.dumps({**fields, 'overload': 'fair'}))
+    assert not isinstance(read_settings(path, DirectSettings), Failure)
+    path.write_text(json.dumps({**fields, 'overload': 'most'}))
+    failure = read_settings(path, DirectSettings)
+    assert isinstance(failure, Failure)
+    assert 'overload' in failure.reason
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -124,6 +124,9 @@
             first_token_at=now + 1,
             end_at=now + 2,
             first_token_due_at=now + 3,
+            route_key=1,
+            team_key=2,
+            priority=3,
         )
         job_ids = tables[0].add([job])
         with anyio.fail_after(2):
@@ -136,6 +139,9 @@
         assert learned.first_token_due_at == pytest.approx(
             job.first_token_due_at, abs=0.1
         )
+        assert learned.route_key == job.route_key
+        assert learned.team_key == job.team_key
+        assert learned.priority == job.priority
         tables[0].remove(job_ids)
         with anyio.fail_after(2):
             while tables[1].jobs_by_endpoint():
--- a/tests/test_return_promises.py
+++ b/tests/test_return_promises.py
@@ -2,6 +2,7 @@
 
 import json
 from dataclasses import replace
+from http import HTTPStatus
 from typing import Any, Final
 
 import anyio
@@ -24,6 +25,8 @@
     find_standing,
     return_fingerprint,
 )
+from masticwind.serving.admission.return_schedule import ReturnSchedule
+from masticwind.serving.costs.latency_model import PrefillWork
 from masticwind.serving.datagrams import PeerAddress, PeerSocket
 from masticwind.serving.model import (
     CallerRequest,
@@ -33,13 +36,19 @@
     Team,
 )
 from masticwind.serving.peers import EntryPeers
+from masticwind.serving.placement.load_table import Job
 from masticwind.serving.server import DirectEntry
 from masticwind.serving.settings import LiveSettings, StoreSettings
 from masticwind.settings import Address
 from masticwind.web import WebServer
 from masticwind_dev.standins.metadata import MetadataStandin
 from tests.entry_harness import (
+    ENGINE_SERVICE,
+    ENGINE_SETTINGS,
+    answer_with_events,
     free_udp_port,
+    prompt_headers,
+    running_entry,
     sample_config_document,
     sample_settings,
 )
@@ -185,6 +194,53 @@
     assert not find_standing(admitted, RequestProgress(), None).returning
 
 
+async def test_refused_caller_is_served_when_it_comes_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against promises that the request path does not make or use: the
+    only engine is full, also when the caller comes back with another id.
+    """
+    monkeypatch.setattr(ReturnSchedule, 'find_return_ms', lambda *_args: 50.0)
+    monkeypatch.setattr(ReturnSchedule, 'has_room', lambda *_args: False)
+    async with running_entry(overload='fair') as harness:
+        await harness.start_endpoint('e-1', answer_with_events, ENGINE_SERVICE)
+        await harness.wait_until_endpoints_known()
+        table = harness.entry._load_table
+        now = table.clock()
+        table.add(
+            Job(
+                job_id=0,
+                request_id=f'other-{number}',
+                endpoint_id='e-1',
+                prefill=PrefillWork(0, 0),
+                context_tokens=1000,
+                held_tokens=1000,
+                started_at=now,
+                first_token_at=now,
+                end_at=now + 1,
+                decoding=True,
+            )
+            for number in range(int(ENGINE_SETTINGS['slots']))
+        )
+        refused = await harness.request(
+            '/chat/a', method='POST', headers=prompt_headers()
+        )
+        assert refused.status == HTTPStatus.SERVICE_UNAVAILABLE
+        wait_s = float(refused.headers['retry-after'])
+        assert 0 < wait_s <= 1
+        await anyio.sleep(wait_s)
+        served = await harness.request(
+            '/chat/a',
+            method='POST',
+            request_id='second',
+            headers=prompt_headers(),
+        )
+        assert served.status == HTTPStatus.OK
+        assert [req.headers['x-attempt-id'] for req in harness.received] == [
+            'second'
+        ]
+
+
 async def test_promises_reach_the_other_entries() -> None:
     """Guards against entries with `overload: fair` that do not exchange their
     promises.
