--- a/src/masticwind/serving/placement/placer.py
+++ b/src/masticwind/serving/placement/placer.py
@@ -47,7 +47,8 @@
     pause. With `last_resort`, the candidates are leaving. `barred_helpers`
     prefill no parts, and in `cut_zone_pairs` a lead of the first zone can use
     no helper of the second one. `costs` predicts what requests cost, and
-    `standing` is what the request may ask for at overload.
+    `standing` is what the request may ask for at overload. `return_key`
+    recognizes the request if it comes back; zero if it cannot be.
     """
 
     request_id: str
@@ -71,6 +72,7 @@
     cut_zone_pairs: frozenset[ZonePair] = frozenset()
     costs: CostModel = STATIC_COSTS
     standing: Standing = DEFAULT_STANDING
+    return_key: int = 0
 
     def wait_ms(self, identity: str) -> float:
         """Return the time until an endpoint takes the request."""
