--- a/tests/stopping_entry.py
+++ b/tests/stopping_entry.py
@@ -104,6 +104,7 @@
     framed: bool = True
     received: list[str] = field(default_factory=list)
     fault: Script | None = None
+    memory_mb: float = 232
     program: tuple[str, ...] = (str(ROOT / 'src/masticwind_platform.py'),)
 
     @property
@@ -131,7 +132,7 @@
             'listen': f'127.0.0.1:{self.port}',
             'ready': '127.0.0.1:0',
             'peer_port': self.peer_port,
-            'memory_mb': 232,
+            'memory_mb': self.memory_mb,
             'store': {'address': f'127.0.0.1:{self.store_port}'},
             'bounds': {'shutdown_ms': shutdown_ms},
         }
@@ -327,10 +328,12 @@
     shutdown_ms: int = 8000,
     slots: int = 8,
     program: tuple[str, ...] = (),
+    memory_mb: float = 232,
 ) -> AsyncIterator[StoppingEntry]:
     """Run an entry process that serves, and end it at the end of the test.
 
-    `program` has other arguments of the interpreter.
+    `program` has other arguments of the interpreter. `memory_mb` is a setting
+    of the entry.
     """
     store = MetadataStandin()
     server = WebServer(store.app, Address())
@@ -341,7 +344,7 @@
     with TemporaryDirectory(prefix='masticwind-stop-') as folder:
         async with anyio.create_task_group() as tasks:
             entry = await _prepare_entry(
-                store, Path(folder), server.port, shutdown_ms
+                store, Path(folder), server.port, shutdown_ms, memory_mb
             )
             entry.program = program or entry.program
             await _start_engines(entry, tasks, slots)
@@ -364,6 +367,7 @@
     folder: Path,
     store_port: int,
     shutdown_ms: int,
+    memory_mb: float,
 ) -> StoppingEntry:
     # Stays bound, so that no other process gets the port before the entry.
     reserved_port = socket.socket()
@@ -377,6 +381,7 @@
         reserved_port.getsockname()[1],
         await free_udp_port(),
         reserved_port,
+        memory_mb=memory_mb,
     )
     entry.write_settings(shutdown_ms)
     return entry
