--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -18,6 +18,7 @@
 from masticwind.entry.relay import Relay
 from masticwind.entry.router import RoutingView
 from masticwind.entry.tier_outcomes import TierOutcomeCounter
+from masticwind.metrics import Metric
 from masticwind.peer_identity import PeerIdentity
 from masticwind.planner.runner import Planner
 from masticwind.serving.crash_evidence import CrashEvidence
@@ -30,6 +31,7 @@
 )
 from masticwind.telemetry import make_telemetry
 from masticwind.web import WebServer
+from masticwind.web_callers import derive_limits
 from masticwind.web_protocol import WRITE_STALL_TIMEOUT_S
 
 DRAIN_POLL_INTERVAL_S: Final = 0.05
@@ -103,7 +105,12 @@
                 tier_counter,
             ),
         )
-        self._server: Final = WebServer(self.app, cfg.listen)
+        self._server: Final = WebServer(
+            self.app,
+            cfg.listen,
+            caller_limits=derive_limits(cfg.memory_mb, cfg.max_fds),
+        )
+        self.metrics.add_gauge_source(self._record_callers)
 
     @property
     def port(self) -> int:
@@ -139,6 +146,13 @@
                 await anyio.sleep(DRAIN_POLL_INTERVAL_S)
         await self._close(exit_at)
 
+    def _record_callers(self) -> None:
+        callers = self._server.callers
+        self.metrics.gauge(Metric.CALLER_CONNECTIONS, callers.count)
+        self.metrics.gauge(Metric.CALLER_KEPT_BYTES, callers.kept_bytes)
+        for cause, number in callers.take_closed().items():
+            self.metrics.count(Metric.CALLERS_CLOSED, number, cause.value)
+
     async def _run(self) -> None:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.pool.run)
--- a/src/masticwind/logs.py
+++ b/src/masticwind/logs.py
@@ -14,11 +14,12 @@
 import sys
 from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 from loguru import logger
 
+from masticwind.log_limits import LineLimiter
 from masticwind.log_writer import LineWriter
 
 if TYPE_CHECKING:
@@ -51,7 +52,15 @@
 
 
 class _LibraryLogHandler(logging.Handler):
-    """Forwards log records of libraries to loguru."""
+    """Forwards log records of libraries to loguru.
+
+    Warnings are limited for each library, as callers can cause them at will:
+    one for each request that is no HTTP, for example.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._limiter: Final = LineLimiter()
 
     def emit(self, record: logging.LogRecord) -> None:
         level = record.levelname
@@ -59,7 +68,13 @@
         # The cancellation of a request at shutdown is not an error.
         if isinstance(exc, asyncio.CancelledError):
             level = 'DEBUG'
-        logger.opt(exception=exc).bind(library=record.name).log(
+        left_out: int | None = 0
+        if level == 'WARNING':
+            left_out = self._limiter.left_out(record.name)
+        if left_out is None:
+            return
+        log = logger.opt(exception=exc).bind(library=record.name)
+        log.bind(left_out=left_out).log(
             level,
             record.getMessage(),
         )
--- a/src/masticwind/protocol/listener.py
+++ b/src/masticwind/protocol/listener.py
@@ -1,8 +1,9 @@
 """Accepts inner connections, and serves accepted and dialed ones."""
 
 import abc
+import asyncio
 import time
-from typing import Final
+from typing import Any, Final
 
 import anyio
 from loguru import logger
@@ -11,12 +12,14 @@
 from masticwind.budget import MS_PER_S
 from masticwind.config.current import CurrentConfig
 from masticwind.errors import ErrorKind, Failure
+from masticwind.log_limits import LineLimiter
 from masticwind.peer_identity import PeerIdentity
 from masticwind.protocol.channel import Channel, authenticate
 from masticwind.protocol.codec import MAX_HANDSHAKE_BYTES
 from masticwind.protocol.messages import AnyMessage, Load
 from masticwind.settings import Address, PeerSettings
 from masticwind.sockets import listen_tcp
+from masticwind.web_callers import derive_limits
 
 # Frames in flight on a lost connection are read for this long.
 READ_AFTER_SILENCE_S: Final = 1.5
@@ -26,6 +29,56 @@
 MAX_CONCURRENT_HANDSHAKES: Final = 1024
 
 
+class CountedConnection(ServerConnection):
+    """A connection that is closed at once if too many are open.
+
+    Only their handshake tells whether they come from peers.
+    """
+
+    def __init__(
+        self, counter: 'ConnectionCounter', *args: Any, **kwargs: Any
+    ) -> None:
+        super().__init__(*args, **kwargs)
+        self._counter: Final = counter
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection."""
+        super().connection_made(transport)
+        self._counter.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Count the connection no more."""
+        self._counter.discard(self)
+        super().connection_lost(exc)
+
+
+class ConnectionCounter:
+    """The open connections of a listener, handshakes included."""
+
+    def __init__(self, max_connections: int) -> None:
+        self._max_connections: Final = max_connections
+        self._connections: Final[set[CountedConnection]] = set()
+
+    @property
+    def count(self) -> int:
+        """The number of open connections."""
+        return len(self._connections)
+
+    def connect(self, *args: Any, **kwargs: Any) -> CountedConnection:
+        """Return a new connection."""
+        return CountedConnection(self, *args, **kwargs)
+
+    def add(self, conn: CountedConnection) -> None:
+        """Count a connection, or abort it."""
+        self._connections.add(conn)
+        if len(self._connections) > self._max_connections:
+            conn.transport.abort()
+
+    def discard(self, conn: CountedConnection) -> None:
+        """Count a connection no more."""
+        self._connections.discard(conn)
+
+
 class PeerHandler(abc.ABC):
     """Handles the events and messages of a process's inner connections."""
 
@@ -164,17 +217,24 @@
         self._config: Final = config
         self._handler: Final = handler
         self._handshake_count = 0
+        self._log_limiter: Final = LineLimiter()
+        self.connections: Final = ConnectionCounter(
+            derive_limits().max_connections
+        )
         self._channels: Final[set[Channel]] = set()
         self._socket: Final = listen_tcp(address)
         self.port: Final = int(self._socket.getsockname()[1])
 
     async def run(self) -> None:
         """Accept connections until cancelled."""
+        # Declared as a class, but only called.
+        connect: Any = self.connections.connect
         async with serve(
             self._accept,
             sock=self._socket,
             compression=None,
             ping_interval=None,
+            create_connection=connect,
             max_size=MAX_HANDSHAKE_BYTES,
             open_timeout=self._cfg.connect_timeout_ms / MS_PER_S,
             close_timeout=1,
@@ -202,10 +262,13 @@
     async def _accept(self, conn: ServerConnection) -> None:
         channel = await self._authenticate(conn)
         if isinstance(channel, Failure):
-            logger.bind(
-                address=str(conn.remote_address),
-                reason=channel.reason,
-            ).warning('peer_refused')
+            left_out = self._log_limiter.left_out('peer_refused')
+            if left_out is not None:
+                logger.bind(
+                    address=str(conn.remote_address),
+                    reason=channel.reason,
+                    left_out=left_out,
+                ).warning('peer_refused')
             conn.transport.abort()
             return
         self._channels.add(channel)
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -18,6 +18,7 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ERROR_RESPONSES, ErrorKind, Failure
+from masticwind.log_limits import LineLimiter
 from masticwind.request_exceptions import exception_failure
 from masticwind.serving.active_config import ActiveConfig
 from masticwind.serving.admission.byte_budget import ByteBudget
@@ -50,6 +51,20 @@
 RETRY_JITTER_SHARE: Final = 0.5
 
 
+# Failures that callers can cause at will, without a route or a key.
+CALLER_FAULTS: Final = frozenset(
+    (
+        ErrorKind.BAD_REQUEST,
+        ErrorKind.BODY_TIMEOUT,
+        ErrorKind.CANCELLED,
+        ErrorKind.FORBIDDEN,
+        ErrorKind.NOT_FOUND,
+        ErrorKind.TOO_LARGE,
+        ErrorKind.UNAUTHENTICATED,
+    )
+)
+
+
 class CallerCodec(abc.ABC):
     """Translates between a wire format and the types of `model`."""
 
@@ -169,6 +184,7 @@
     def __init__(self, deps: EdgeDependencies) -> None:
         self._deps: Final = deps
         self._in_progress: Final[set[RequestInProgress]] = set()
+        self._log_limiter: Final = LineLimiter()
         self.running_requests = 0
 
     async def __call__(
@@ -273,22 +289,27 @@
         if failure is None:
             return
         failure = _with_retry_hint(failure)
-        logger.bind(
-            request_id=request_id,
-            config_version=self._deps.active_config.config.version,
-            admitted_version=progress.config_version,
-            config_age_s=_finite_age_s(self._deps.freshness.age_s()),
-            attempts=progress.attempts,
-            may_have_run_at=sorted(progress.may_have_run_at),
-            events=progress.event_count,
-            last_event_ms_ago=progress.silence_ms(),
-            kind=failure.kind.value,
-            reason=failure.reason,
-            retry_after_ms=failure.retry_after_ms,
-            held_ms=round((time.monotonic() - received_at) * MS_PER_S),
-            broken_off=answer.started,
-            stopping_for_ms=self._deps.lifetime.stopping_for_ms(),
-        ).info('request_failed')
+        left_out: int | None = 0
+        if failure.kind in CALLER_FAULTS and not progress.attempts:
+            left_out = self._log_limiter.left_out(failure.kind)
+        if left_out is not None:
+            logger.bind(
+                request_id=request_id,
+                config_version=self._deps.active_config.config.version,
+                config_age_s=_finite_age_s(self._deps.freshness.age_s()),
+                admitted_version=progress.config_version,
+                attempts=progress.attempts,
+                may_have_run_at=sorted(progress.may_have_run_at),
+                events=progress.event_count,
+                last_event_ms_ago=progress.silence_ms(),
+                kind=failure.kind.value,
+                reason=failure.reason,
+                retry_after_ms=failure.retry_after_ms,
+                held_ms=round((time.monotonic() - received_at) * MS_PER_S),
+                broken_off=answer.started,
+                stopping_for_ms=self._deps.lifetime.stopping_for_ms(),
+                left_out=left_out,
+            ).info('request_failed')
         # The server closes the connection of an unfinished answer, so that a
         # caller cannot take it for a complete one.
         if answer.started or answer.given_up:
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -11,6 +11,10 @@
 from masticwind.serving.adapter import PlatformAdapter
 from masticwind.serving.admission.bounds import RetryBudget
 from masticwind.serving.admission.byte_budget import ByteBudget
+from masticwind.serving.caller_server import (
+    build_caller_server,
+    build_operators_server,
+)
 from masticwind.serving.cleanup import build_cleanup
 from masticwind.serving.config_versions import ConfigVersions
 from masticwind.serving.confirmations import Confirmations
@@ -51,7 +55,6 @@
     json_response,
     send_response,
 )
-from masticwind.web_protocol import ConnectionLimits
 
 # A change ends a watch call at once. A watch that misses a change is cancelled
 # when other entries report the change, so a long wait only saves calls.
@@ -159,14 +162,11 @@
         )
         self._app: Final = EdgeApp(self._edge_dependencies())
         self._add_gauges()
-        self._server: Final = WebServer(
-            self._app,
-            parse_address(cfg.listen),
-            self._connection_limits,
+        self._server: Final = build_caller_server(
+            self._app, cfg, self._active_config, self._telemetry
         )
-        self._ready_server: Final = WebServer(
-            self._answer_ready,
-            parse_address(cfg.ready),
+        self._ready_server: Final = build_operators_server(
+            self._answer_ready, cfg.ready
         )
 
     @property
@@ -282,7 +282,6 @@
     def _metrics_server(self) -> WebServer:
         cfg = self._settings.cfg
         host = parse_address(cfg.listen).host
-        address = parse_address(f'{host}:{cfg.metrics_port}')
         app = OperationsApp(
             self._settings,
             self._telemetry,
@@ -290,7 +289,7 @@
             self._limit_link.limits,
             self._cleanup.notices,
         )
-        return WebServer(app, address)
+        return build_operators_server(app, f'{host}:{cfg.metrics_port}')
 
     async def _wait_until_loaded(self) -> None:
         """Wait for the mirrors to load; callers wait in the listen backlog."""
@@ -393,14 +392,6 @@
             self._quarantine.held_count,
         )
 
-    def _connection_limits(self) -> ConnectionLimits:
-        limits = self._active_config.config.limits
-        return ConnectionLimits(
-            max_header_bytes=limits.max_header_bytes,
-            header_timeout_s=limits.header_timeout_ms / MS_PER_S,
-            idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
-        )
-
     async def _answer_ready(
         self,
         scope: Scope,
--- a/src/masticwind/serving/settings.py
+++ b/src/masticwind/serving/settings.py
@@ -13,10 +13,13 @@
 # One terabyte.
 MAX_MEMORY_MB: Final = 1_048_576
 DEFAULT_MEMORY_MB: Final = 256.0
+# The kernel allows no process more by default.
+MAX_DESCRIPTORS: Final = 1_048_576
 
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=100)]
 SlackRequests = Annotated[float, msgspec.Meta(ge=0, le=MAX_SLACK_REQUESTS)]
 MemoryMb = Annotated[float, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)]
+DescriptorCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_DESCRIPTORS)]
 HostPort = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
 
 
@@ -59,7 +62,10 @@
     port for messages between entries, such as their load. A `metrics_port` of
     zero disables the metrics server. Without an `operator_token`, no held
     part of a prompt can be released. `memory_mb` is the memory of the machine,
-    from which the limit of buffered bytes follows; zero stands for the default.
+    from which the limits of buffered bytes and of what is kept for callers
+    follow; zero stands for the default. `max_fds` is the number of descriptors
+    of the process, which limits callers' connections; zero stands for what the
+    system allows.
     """
 
     node: Name
@@ -74,6 +80,7 @@
     log_level: LogLevel = 'info'
     operator_token: str = ''
     memory_mb: MemoryMb = DEFAULT_MEMORY_MB
+    max_fds: DescriptorCount = 0
 
 
 def parse_address(text: HostPort) -> Address:
--- a/src/masticwind/serving/telemetry.py
+++ b/src/masticwind/serving/telemetry.py
@@ -4,7 +4,7 @@
 Every metric is listed in docs/METRICS.md.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Mapping
 from http import HTTPStatus
 from typing import Final
 
@@ -15,9 +15,14 @@
     Histogram,
     generate_latest,
 )
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
 from masticwind.web import Receive, Response, Scope, Send, send_response
 
+# A source for each label value.
+CounterSources = Mapping[str, Callable[[], float]]
+
 TEXT_TYPE: Final = b'text/plain; version=0.0.4; charset=utf-8'
 # Histogram buckets in seconds, close together around the first event targets
 # of routes, which are 0.15 to 3 s.
@@ -35,6 +40,27 @@
     return 'medium' if prompt_tokens <= MAX_MEDIUM_PROMPT_TOKENS else 'long'
 
 
+class _SourceCounter(Collector):
+    """A counter whose values are read at each scrape."""
+
+    def __init__(
+        self, name: str, text: str, label: str, sources: CounterSources
+    ) -> None:
+        self._name: Final = name
+        self._text: Final = text
+        self._label: Final = label
+        self._sources: Final = sources
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Return the values of all labels."""
+        family = CounterMetricFamily(
+            self._name, self._text, labels=[self._label]
+        )
+        for label_value, source in self._sources.items():
+            family.add_metric([label_value], source())
+        yield family
+
+
 class Telemetry:
     """Metrics of one process, served on a separate address."""
 
@@ -92,6 +118,12 @@
         gauge = Gauge(name, text, registry=self._registry)
         gauge.set_function(source)
 
+    def add_counter(
+        self, name: str, text: str, label: str, sources: CounterSources
+    ) -> None:
+        """Add a counter that is read from a source for each label value."""
+        self._registry.register(_SourceCounter(name, text, label, sources))
+
     async def serve(
         self,
         _scope: Scope,
--- a/src/masticwind/settings.py
+++ b/src/masticwind/settings.py
@@ -110,6 +110,9 @@
 
     Before it drains, an entry fails its health check for `announce_ms` while
     it still serves, so that the load balancer moves callers away first.
+    `memory_mb` is the memory of the process, from which the limits on callers
+    follow. `max_fds` is the number of its descriptors; zero stands for what the
+    system allows.
     """
 
     node: Name
@@ -126,6 +129,8 @@
         msgspec.Meta(ge=1024, le=1_073_741_824),
     ] = 33_554_432
     body_timeout_ms: PositiveMs = 10_000
+    memory_mb: Annotated[float, msgspec.Meta(ge=1, le=1_048_576)] = 1024.0
+    max_fds: Annotated[int, msgspec.Meta(ge=0, le=1_048_576)] = 0
     announce_ms: PositiveMs = 2000
     drain_timeout_ms: PositiveMs = 600_000
     routing: Literal[
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -23,6 +23,11 @@
 from masticwind.errors import ERROR_RESPONSES, ErrorKind, Failure
 from masticwind.settings import Address
 from masticwind.sockets import listen_tcp
+from masticwind.web_callers import (
+    AggregateLimits,
+    CallerConnections,
+    derive_limits,
+)
 from masticwind.web_framing import VERSION_WITHOUT_CHUNKS
 from masticwind.web_protocol import (
     CONNECTION_KEY,
@@ -247,7 +252,11 @@
         app: App,
         address: Address,
         limits: Callable[[], ConnectionLimits] = ConnectionLimits,
+        caller_limits: AggregateLimits | None = None,
     ) -> None:
+        self.callers: Final = CallerConnections(
+            caller_limits or derive_limits()
+        )
         self.close_after_response = False
         self._app: Final = app
         self._stopped: Final = anyio.Event()
@@ -258,7 +267,9 @@
                 socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
             )
         self.port: Final = int(self._socket.getsockname()[1])
-        protocol: Any = partial(LimitedProtocol, limits=limits)
+        protocol: Any = partial(
+            LimitedProtocol, limits=limits, callers=self.callers
+        )
         self._server: Final = _Server(
             uvicorn.Config(
                 self._serve,
@@ -270,6 +281,7 @@
                 log_config=None,
                 access_log=False,
                 server_header=False,
+                backlog=self.callers.limits.backlog,
             )
         )
 
@@ -341,7 +353,9 @@
             send = UnchunkedSend(conn, send)
         try:
             await self._app(
-                scope, receive, partial(self._send_message, conn, send)
+                scope,
+                partial(self._receive, conn, receive),
+                partial(self._send_message, conn, send),
             )
         finally:
             if isinstance(send, UnchunkedSend):
@@ -350,10 +364,19 @@
     async def _send_message(
         self, conn: LimitedProtocol, send: Send, message: dict[str, Any]
     ) -> None:
-        if (
-            self.close_after_response
-            and message['type'] == 'http.response.start'
-            and not conn.has_next_request
-        ):
+        is_start = message['type'] == 'http.response.start'
+        if is_start and self._closes_after_response(conn):
             message['headers'] = [*message['headers'], CLOSE_HEADER]
         await send(message)
+        self.callers.record_kept(conn)
+
+    def _closes_after_response(self, conn: LimitedProtocol) -> bool:
+        is_ending = self.close_after_response or conn.is_shutting_down
+        return is_ending and not conn.has_next_request
+
+    async def _receive(
+        self, conn: LimitedProtocol, receive: Receive
+    ) -> dict[str, Any]:
+        message = await receive()
+        self.callers.record_kept(conn)
+        return message
--- /dev/null
+++ b/src/masticwind/web_callers.py
@@ -0,0 +1,193 @@
+"""Limits on the connections of all callers of a server together.
+
+Each connection has limits of its own. Many of them together could still use up
+the memory or the descriptors of a process, so their number and what is kept for
+them is limited in sum.
+"""
+
+import enum
+import resource
+from collections import Counter
+from dataclasses import dataclass
+from itertools import islice
+from typing import Final, Protocol
+
+from loguru import logger
+
+from masticwind.log_limits import LineLimiter
+from masticwind.sockets import LISTEN_BACKLOG
+from masticwind.web_input import TurnQueue
+
+BYTES_PER_MB: Final = 1_048_576
+DEFAULT_MEMORY_MB: Final = 256.0
+# Descriptors for files, the store, peers and listening sockets.
+RESERVED_FDS: Final = 200
+# The rest is shared by callers and endpoints: a request needs one of each.
+CALLERS_SHARE: Final = 0.5
+MIN_CONNECTIONS: Final = 16
+# Share of the memory for the objects of connections, and what one of them with
+# a request in progress takes.
+CONNECTIONS_SHARE: Final = 0.25
+CONNECTION_BYTES: Final = 32_768
+# Share of the memory for what callers have sent and do not read.
+KEPT_SHARE: Final = 0.15
+# How many connections are looked at to find one that may be closed.
+MAX_SEARCHED: Final = 64
+
+
+class CloseCause(enum.StrEnum):
+    """Why the limits closed a connection."""
+
+    # It was idle, or its head was incomplete, and others were waiting.
+    UNUSED = 'unused'
+    # All connections had requests in progress.
+    REFUSED = 'refused'
+    # It kept the most when too much was kept.
+    KEPT = 'kept'
+
+
+@dataclass(frozen=True, slots=True)
+class AggregateLimits:
+    """How many connections may be open, and what is kept for them in sum."""
+
+    max_connections: int
+    max_kept_bytes: int
+
+    @property
+    def backlog(self) -> int:
+        """Connections that wait to be accepted, all of which are at once."""
+        return min(LISTEN_BACKLOG, max(1, self.max_connections // 2))
+
+
+def derive_limits(memory_mb: float = 0, max_fds: int = 0) -> AggregateLimits:
+    """Return the limits of a process; zero stands for a default.
+
+    `max_fds` is the number of descriptors of the process, by default what the
+    system allows it.
+    """
+    memory_bytes = (memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB
+    by_memory = memory_bytes * CONNECTIONS_SHARE / CONNECTION_BYTES
+    by_fds = (_count_fds(max_fds) - RESERVED_FDS) * CALLERS_SHARE
+    return AggregateLimits(
+        max_connections=max(MIN_CONNECTIONS, int(min(by_memory, by_fds))),
+        max_kept_bytes=int(memory_bytes * KEPT_SHARE),
+    )
+
+
+def _count_fds(max_fds: int) -> float:
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        return max_fds or float('inf')
+    return min(allowed, max_fds or allowed)
+
+
+class LimitedConnection(Protocol):
+    """What the limits need of a connection."""
+
+    @property
+    def is_replaceable(self) -> bool:
+        """Whether it can be closed at once without a loss for its caller."""
+
+    def count_kept_bytes(self) -> int:
+        """Return the bytes that are kept for its caller."""
+
+    def close_for_limit(self) -> None:
+        """Close it at once."""
+
+
+class CallerConnections:
+    """The connections of all callers of a server."""
+
+    def __init__(self, limits: AggregateLimits) -> None:
+        self.turns: Final = TurnQueue()
+        self.closed: Final = Counter[CloseCause]()
+        self._taken: Final = Counter[CloseCause]()
+        self.limits: Final = limits
+        self._kept: Final[dict[LimitedConnection, int]] = {}
+        self._kept_bytes = 0
+        self._log_limiter: Final = LineLimiter()
+        # Connections without a request in progress, the longest idle first.
+        self._unused: Final[dict[LimitedConnection, None]] = {}
+
+    @property
+    def count(self) -> int:
+        """The number of open connections."""
+        return len(self._kept)
+
+    @property
+    def kept_bytes(self) -> int:
+        """The bytes that are kept for all callers, as last recorded."""
+        return self._kept_bytes
+
+    def take_closed(self) -> Counter[CloseCause]:
+        """Return how many were closed since the last call."""
+        fresh = self.closed - self._taken
+        self._taken.update(fresh)
+        return fresh
+
+    def add(self, conn: LimitedConnection) -> None:
+        """Add a connection, and close one if there are too many."""
+        self._kept[conn] = 0
+        self._unused[conn] = None
+        if len(self._kept) <= self.limits.max_connections:
+            return
+        replaced = self._find_replaceable()
+        if replaced is None or replaced is conn:
+            self._close(conn, CloseCause.REFUSED)
+        else:
+            self._close(replaced, CloseCause.UNUSED)
+
+    def discard(self, conn: LimitedConnection) -> None:
+        """Forget a connection that has ended."""
+        self._kept_bytes -= self._kept.pop(conn, 0)
+        self._unused.pop(conn, None)
+
+    def record_request(self, conn: LimitedConnection) -> None:
+        """Note that a request is in progress from now on."""
+        self._unused.pop(conn, None)
+
+    def record_answer(self, conn: LimitedConnection) -> None:
+        """Note that no request is in progress any more."""
+        if conn in self._kept:
+            self._unused[conn] = None
+
+    def record_kept(self, conn: LimitedConnection) -> None:
+        """Note what is kept for a caller now.
+
+        If the sum is over its limit, connections that keep most are closed.
+        """
+        if conn not in self._kept:
+            return
+        self._update(conn)
+        if self._kept_bytes <= self.limits.max_kept_bytes:
+            return
+        for other in self._kept:
+            self._update(other)
+        while self._kept_bytes > self.limits.max_kept_bytes:
+            largest = max(self._kept, key=self._kept.__getitem__)
+            self._close(largest, CloseCause.KEPT)
+
+    def _update(self, conn: LimitedConnection) -> None:
+        kept_bytes = conn.count_kept_bytes()
+        self._kept_bytes += kept_bytes - self._kept[conn]
+        self._kept[conn] = kept_bytes
+
+    def _find_replaceable(self) -> LimitedConnection | None:
+        for conn in islice(self._unused, MAX_SEARCHED):
+            if conn.is_replaceable:
+                return conn
+        # The caller of this one may not have received its last answer.
+        return next(iter(self._unused), None)
+
+    def _close(self, conn: LimitedConnection, cause: CloseCause) -> None:
+        self.discard(conn)
+        self.closed[cause] += 1
+        left_out = self._log_limiter.left_out(cause)
+        if left_out is not None:
+            logger.bind(
+                cause=cause.value,
+                connections=self.count,
+                kept_bytes=self._kept_bytes,
+                left_out=left_out,
+            ).warning('caller_closed')
+        conn.close_for_limit()
--- a/src/masticwind/web_framing.py
+++ b/src/masticwind/web_framing.py
@@ -24,6 +24,13 @@
         # The read that has the end of the head is no overhead.
         self._is_read_counted = True
 
+    @property
+    def missing_bytes(self) -> int | None:
+        """The content that has not arrived; None if it is sent in chunks."""
+        if self._declared is None:
+            return None
+        return self._declared - self._content_bytes
+
     def add_content(self, size: int) -> None:
         """Count content."""
         self._content_bytes += size
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -12,12 +12,15 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from masticwind.web_callers import CallerConnections
 from masticwind.web_framing import (
     BodySize,
     check_head,
     find_declared_length,
 )
+from masticwind.web_input import InputFlow, RequestInput
 from masticwind.web_parser import RequestParser
+from masticwind.web_timers import ConnectionTimer
 from masticwind.web_transport import CallerTransport
 
 # Where the scope of a request has its `LimitedProtocol`.
@@ -30,7 +33,6 @@
 MAX_REQUEST_LINE_BYTES: Final = 8192
 # The connection of a caller that reads nothing for this long is aborted.
 WRITE_STALL_TIMEOUT_S: Final = 30.0
-UNREAD_RECHECK_S: Final = 0.05
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,41 +53,39 @@
     """One HTTP connection of a caller.
 
     `limits` is called for each request head, so that a new configuration
-    applies to the next request of an open connection.
+    applies to the next request of an open connection. Nothing is parsed behind
+    the request in progress.
     """
 
     def __init__(
         self,
         *args: Any,
         limits: Callable[[], ConnectionLimits],
+        callers: CallerConnections,
         **kwargs: Any,
     ) -> None:
         super().__init__(*args, **kwargs)
         self.parser = RequestParser(self)  # type: ignore[assignment]
+        self._callers: Final = callers
+        self.input: RequestInput
+        # The server ends, and serves only requests that have arrived.
+        self.is_shutting_down = False
         self._body_size = BodySize(declared=0)
-        self._current_limits: Final = limits
-        self._limits = limits()
+        self._timer: Final = ConnectionTimer(
+            self.loop, limits, self.close_unused
+        )
         self._head_bytes = 0
         self._in_head = True
-        self._has_head_begun = False
         self._awaits_body = False
-        self._refusal: str | None = None
-        # Ends the head that is being read, or else the idle time.
-        self._timer: asyncio.TimerHandle | None = None
-        self._head_since = 0.0
-        self._idle_since = 0.0
-        self._idle_timeout_s = 0.0
         self._write_timer: asyncio.TimerHandle | None = None
         self._conn: CallerTransport
-        # The request before the current one.
-        self._earlier_cycle: Any = None
 
     @property
     def has_next_request(self) -> bool:
         """Whether bytes of another request than the current one are here."""
-        if self.pipeline or self._head_bytes or self._refusal is not None:
+        if self._head_bytes:
             return True
-        return not self._awaits_body and self._conn.has_unread_bytes
+        return not self._awaits_body and self._has_unparsed_bytes
 
     @property
     def has_request(self) -> bool:
@@ -106,48 +106,43 @@
         """Start the idle timeout of the new connection."""
         self._conn = CallerTransport(transport, self.loop)
         super().connection_made(self._conn)
-        self._reset_head()
-        self._start_idle_timer()
+        flow = InputFlow(self._conn)
+        self.flow = flow
+        self.input = RequestInput(self, flow, self._callers.turns, self.loop)
+        self._timer.start_idle()
+        self._callers.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the timers."""
-        self._stop_timer()
+        """Stop the timers, and forget what is kept."""
+        self._timer.stop()
         self._stop_write_timer()
+        self.input.clear()
+        self._callers.discard(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Parse data; close the connection if a request head is too large."""
+        """Parse data, or keep it until the request in progress has ended."""
         if self._conn.is_closing():
             self._conn.discard(len(data))
             return
-        if self._refusal is not None:
-            return
-        self._has_head_begun = False
-        super().data_received(data)
-        if not self._in_head:
-            self._body_size.end_read(len(data))
-            max_bytes = self._max_header_bytes()
-            if (
-                self._awaits_body
-                and self._body_size.overhead > max_bytes
-                and not self._is_refused
-            ):
-                self.send_400_response('Chunk framing is too large.')
-            return
-        # Of data in which the head begins, only its first byte is certain.
-        self._head_bytes += 1 if self._has_head_begun else len(data)
-        max_bytes = self._max_header_bytes() + MAX_REQUEST_LINE_BYTES
-        if self._head_bytes > max_bytes and not self._is_refused:
-            self.send_400_response('Request head is too large.')
+        self.input.add(data)
+
+    def end_parsing(self) -> None:
+        """Count what is kept, which is nothing behind the last request."""
+        if self._conn.is_closing():
+            self.input.clear()
+        self._callers.record_kept(self)
 
     def on_message_begin(self) -> None:
         """Start the limits of the next request head."""
+        if self.has_request:
+            # The parser turns this into a response with status 400.
+            raise ValueError('the request in progress has not ended')
         super().on_message_begin()
         self.scope['extensions'] = {EXTENSION: {CONNECTION_KEY: self}}
-        self._reset_head()
-        self._has_head_begun = True
-        self._head_since = self.loop.time()
-        self._start_timer(self._limits.header_timeout_s, self._end_head)
+        self._head_bytes = 0
+        self._in_head = True
+        self._timer.start_head()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Reject too many or too large headers, also within one chunk.
@@ -159,7 +154,10 @@
             return
         super().on_header(name, value)
         size = sum(len(key) + len(text) for key, text in self.headers)
-        if len(self.headers) > MAX_HEADERS or size > self._max_header_bytes():
+        if (
+            len(self.headers) > MAX_HEADERS
+            or size > self._timer.max_header_bytes
+        ):
             # The parser turns this into a response with status 400.
             raise ValueError('request head is too large')
 
@@ -173,41 +171,31 @@
         self._in_head = False
         self._head_bytes = 0
         self._body_size = BodySize(find_declared_length(self.headers))
-        self._stop_timer()
-        earlier_cycle = self.cycle
+        self._timer.stop()
         # This fails for a target without a path.
         super().on_headers_complete()
-        self._earlier_cycle = earlier_cycle
         self._awaits_body = True
+        self._callers.record_request(self)
 
     def send_400_response(self, msg: str) -> None:
-        """Refuse a request once those before it have been answered."""
-        if self._awaits_body and self.pipeline:
-            # Its head has been read, but those before it are not answered.
-            self.pipeline.popleft()
-            self.cycle = self._earlier_cycle
-            self._awaits_body = False
-        elif self._awaits_body and self.cycle.response_started:
+        """Refuse a request, unless a response to it has begun."""
+        is_answered = self._awaits_body and self.cycle.response_started
+        if is_answered or (self.has_request and not self._awaits_body):
             # Its caller would take a refusal for the next answer.
             self.transport.close()
-            return
-        if self.has_request and not self._awaits_body:
-            self._refusal = msg
-            self._stop_timer()
         else:
             super().send_400_response(msg)
 
     def on_response_complete(self) -> None:
-        """Start the idle timeout, or send a refusal that has waited."""
+        """Start the idle timeout, and let the next request be parsed."""
         super().on_response_complete()
         # The timer of this class also knows heads and new limits.
         self._unset_keepalive_if_required()
-        if self.has_request or self._conn.is_closing():
-            return
-        if self._refusal is not None:
-            self.send_400_response(self._refusal)
-        elif self.is_idle:
-            self._start_idle_timer()
+        self._callers.record_answer(self)
+        if not self._conn.is_closing():
+            self._timer.start_idle()
+            self.input.await_turn()
+        self.end_parsing()
 
     def close_unused(self) -> None:
         """Close a connection that has no request in progress.
@@ -220,8 +208,8 @@
             return
         if self._awaits_body:
             self._conn.close()
-        elif self._conn.has_unread_bytes:
-            self._start_timer(UNREAD_RECHECK_S, self.close_unused)
+        elif self._has_unparsed_bytes:
+            self._timer.close_later()
         elif self._conn.is_delivered:
             self._conn.close_unread()
         else:
@@ -233,17 +221,31 @@
         Only undelivered answers and unread bytes are waited for.
         """
         self.close_unused()
-        if self._awaits_body or self._conn.has_unread_bytes:
+        if self._awaits_body or self._has_unparsed_bytes:
             return
         if self._conn.is_delivered:
             self._conn.close_unread()
 
     def shutdown(self) -> None:
         """Close the connection after the request in progress."""
-        if self.has_request:
+        self.is_shutting_down = True
+        if not self.has_request:
+            self.close_unused()
+        elif not self.has_next_request:
             super().shutdown()
+
+    def close_for_limit(self) -> None:
+        """Close the connection at once, as callers together reach a limit."""
+        if self.is_replaceable:
+            self._conn.close_unread()
         else:
-            self.close_unused()
+            self._conn.abort()
+
+    def count_kept_bytes(self) -> int:
+        """Return the bytes that are kept for the caller."""
+        kept_bytes = self.input.kept_bytes + self._head_bytes
+        kept_bytes += self._conn.get_write_buffer_size()
+        return kept_bytes + len(self.cycle.body) if self.cycle else kept_bytes
 
     def on_body(self, body: bytes) -> None:
         """Count the bytes of the body."""
@@ -260,7 +262,7 @@
         self._body_size.check_end()
         self._awaits_body = False
         if self.is_idle:
-            self._start_idle_timer()
+            self._timer.start_idle()
         super().on_message_complete()
 
     def pause_writing(self) -> None:
@@ -278,64 +280,48 @@
         super().resume_writing()
 
     @property
-    def _is_refused(self) -> bool:
-        return self._refusal is not None or self._conn.is_closing()
-
-    def _reset_head(self) -> None:
-        self._head_bytes = 0
-        self._in_head = True
-        self._limits = self._current_limits()
+    def is_replaceable(self) -> bool:
+        """Whether the connection can be closed without a loss.
 
-    def _start_idle_timer(self) -> None:
-        self._idle_since = self.loop.time()
-        self._idle_timeout_s = self._current_limits().idle_timeout_s
-        self._start_timer(self._idle_timeout_s, self._end_idle)
-
-    def _end_idle(self) -> None:
-        """Close the connection, unless a new limit leaves it more time."""
-        timeout_s = max(
-            self._idle_timeout_s, self._current_limits().idle_timeout_s
-        )
-        left_s = self._idle_since + timeout_s - self.loop.time()
-        if left_s > 0:
-            self._start_timer(left_s, self._end_idle)
-        else:
-            self.close_unused()
-
-    def _start_timer(
-        self, timeout_s: float, callback: Callable[[], None]
-    ) -> None:
-        self._stop_timer()
-        self._timer = self.loop.call_later(timeout_s, callback)
+        Its caller has received all answers, and no whole request has arrived.
+        """
+        if self.has_request or self._awaits_body or self._has_unparsed_bytes:
+            return False
+        return self._conn.is_delivered
 
-    def _end_head(self) -> None:
-        """Close the connection, unless an earlier request is in progress or a
-        new limit leaves the head more time.
+    @property
+    def may_parse(self) -> bool:
+        """Whether the next bytes belong to the current request, or begin one
+        while none is in progress.
         """
-        timeout_s = max(
-            self._limits.header_timeout_s,
-            self._current_limits().header_timeout_s,
-        )
-        if self.has_request:
-            self._start_timer(timeout_s, self._end_head)
-            return
-        left_s = self._head_since + timeout_s - self.loop.time()
-        if left_s > 0:
-            self._start_timer(left_s, self._end_head)
-        else:
-            self.close_unused()
+        if self._conn.is_closing():
+            return False
+        return self._awaits_body or not self.has_request
 
-    def _max_header_bytes(self) -> int:
-        """Return the larger of the limits since the head began."""
-        return max(
-            self._limits.max_header_bytes,
-            self._current_limits().max_header_bytes,
-        )
+    @property
+    def missing_body_bytes(self) -> int | None:
+        """What is missing of the body; None if it is sent in chunks."""
+        return self._body_size.missing_bytes if self._awaits_body else 0
+
+    def parse_slice(self, content: bytes) -> None:
+        """Parse bytes; refuse the request if its head is too large."""
+        HttpToolsProtocol.data_received(self, content)
+        max_bytes = self._timer.max_header_bytes
+        refusal = ''
+        if self._in_head:
+            self._head_bytes += len(content)
+            if self._head_bytes > max_bytes + MAX_REQUEST_LINE_BYTES:
+                refusal = 'Request head is too large.'
+        else:
+            self._body_size.end_read(len(content))
+            if self._awaits_body and self._body_size.overhead > max_bytes:
+                refusal = 'Chunk framing is too large.'
+        if refusal and not self._conn.is_closing():
+            self.send_400_response(refusal)
 
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+    @property
+    def _has_unparsed_bytes(self) -> bool:
+        return bool(self.input) or self._conn.has_unread_bytes
 
     def _stop_write_timer(self) -> None:
         if self._write_timer is not None:
--- /dev/null
+++ b/src/masticwind/web_timers.py
@@ -0,0 +1,89 @@
+"""Time limits of one connection of a caller."""
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from masticwind.web_protocol import ConnectionLimits
+
+UNREAD_RECHECK_S: Final = 0.05
+
+
+class ConnectionTimer:
+    """Ends the head that is being read, or else the idle time.
+
+    `close` is called then. Limits that have changed meanwhile leave a caller
+    the longer time and the larger head.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        current_limits: Callable[[], 'ConnectionLimits'],
+        close: Callable[[], None],
+    ) -> None:
+        self._loop: Final = loop
+        self._current_limits: Final = current_limits
+        self._close: Final = close
+        # The limits when the head began.
+        self._limits = current_limits()
+        self._timer: asyncio.TimerHandle | None = None
+        self._since = 0.0
+        self._idle_timeout_s = 0.0
+
+    @property
+    def max_header_bytes(self) -> int:
+        """The larger of the limits since the head began."""
+        return max(
+            self._limits.max_header_bytes,
+            self._current_limits().max_header_bytes,
+        )
+
+    def start_head(self) -> None:
+        """Limit the time of a head that begins now."""
+        self._limits = self._current_limits()
+        self._since = self._loop.time()
+        self._start(self._limits.header_timeout_s, self._end_head)
+
+    def start_idle(self) -> None:
+        """Limit the time until the next head begins."""
+        self._since = self._loop.time()
+        self._idle_timeout_s = self._current_limits().idle_timeout_s
+        self._start(self._idle_timeout_s, self._end_idle)
+
+    def close_later(self) -> None:
+        """Close the connection soon, unless a head begins before."""
+        self._start(UNREAD_RECHECK_S, self._close)
+
+    def stop(self) -> None:
+        """Stop the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _start(self, timeout_s: float, callback: Callable[[], None]) -> None:
+        self.stop()
+        self._timer = self._loop.call_later(timeout_s, callback)
+
+    def _end_head(self) -> None:
+        timeout_s = max(
+            self._limits.header_timeout_s,
+            self._current_limits().header_timeout_s,
+        )
+        self._close_after(timeout_s, self._end_head)
+
+    def _end_idle(self) -> None:
+        timeout_s = max(
+            self._idle_timeout_s, self._current_limits().idle_timeout_s
+        )
+        self._close_after(timeout_s, self._end_idle)
+
+    def _close_after(
+        self, timeout_s: float, callback: Callable[[], None]
+    ) -> None:
+        left_s = self._since + timeout_s - self._loop.time()
+        if left_s > 0:
+            self._start(left_s, callback)
+        else:
+            self._close()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -29,7 +29,7 @@
         'zones': {'zone-a': 'region-a'},
         'listen': {'front': '127.0.0.1:0', 'ready_addr': '127.0.0.1:0'},
         'port_range': [0, 0],
-        'limits': {'memory_mb': 300},
+        'limits': {'memory_mb': 300, 'max_fds': 4100},
         'provider': {
             'addr': '127.0.0.1:1',
             'writes_per_s': 400,
@@ -74,6 +74,7 @@
     assert not isinstance(cfg, Failure), cfg
     assert cfg.bounds.shutdown_ms == 8000
     assert cfg.memory_mb == 300
+    assert cfg.max_fds == 4100
     assert cfg.store.address == '127.0.0.1:1'
 
 
