--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
-from typing import Any, Final
+from typing import Final
 
 import anyio
 from loguru import logger
@@ -27,10 +27,10 @@
     RequestProgress,
     admit,
 )
+from masticwind.serving.asgi_answer import AsgiAnswer
 from masticwind.serving.freshness import ConfigFreshness
-from masticwind.serving.interfaces import CallerAnswer
 from masticwind.serving.lifetime import Lifetime
-from masticwind.serving.model import CallerRequest, Headers
+from masticwind.serving.model import CallerRequest
 from masticwind.serving.relay import Relay
 from masticwind.serving.telemetry import Telemetry
 from masticwind.web import (
@@ -77,81 +77,6 @@
         """Encode a failure as a response."""
 
 
-class AsgiAnswer(CallerAnswer):
-    """Writes an answer through an ASGI server.
-
-    Once it has been given up, whatever is written to it is dropped.
-    """
-
-    def __init__(self, send: Send) -> None:
-        self._send: Final = send
-        self._started = False
-        self._given_up = False
-        self._finished = False
-
-    @property
-    def finished(self) -> bool:
-        """Whether the whole answer has been written."""
-        return self._finished
-
-    @property
-    def started(self) -> bool:
-        """Whether the status and headers have been written."""
-        return self._started
-
-    @property
-    def given_up(self) -> bool:
-        """Whether `give_up` has been called."""
-        return self._given_up
-
-    async def give_up(self, response: Response) -> None:
-        """End the answer; write a response if it has not started."""
-        self._given_up = True
-        if not self._started:
-            await send_response(self._send, response)
-
-    async def start(
-        self,
-        status: int,
-        headers: Headers,
-        length: int | None,
-    ) -> None:
-        """Write the status and headers."""
-        header_list = list(headers)
-        if length is not None:
-            header_list.append((b'content-length', str(length).encode()))
-        await self._send_unless_given_up(
-            {
-                'type': 'http.response.start',
-                'status': status,
-                'headers': header_list,
-            }
-        )
-        # Only now, because a cancellation may end the wait to send it.
-        self._started = not self._given_up
-
-    async def write(self, content: bytes) -> None:
-        """Write a part of the body."""
-        await self._send_unless_given_up(
-            {
-                'type': 'http.response.body',
-                'body': content,
-                'more_body': True,
-            }
-        )
-
-    async def finish(self) -> None:
-        """End the body as complete."""
-        self._finished = not self._given_up
-        await self._send_unless_given_up(
-            {'type': 'http.response.body', 'body': b''}
-        )
-
-    async def _send_unless_given_up(self, message: dict[str, Any]) -> None:
-        if not self._given_up:
-            await self._send(message)
-
-
 @dataclass(frozen=True, slots=True)
 class EdgeDependencies:
     """Collaborators of the edge application."""
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -368,7 +368,9 @@
         if is_start and self._closes_after_response(conn):
             message['headers'] = [*message['headers'], CLOSE_HEADER]
         await send(message)
-        self.callers.record_kept(conn)
+        # The end of an answer is recorded by the connection.
+        if message.get('more_body'):
+            self.callers.record_kept(conn)
 
     def _closes_after_response(self, conn: LimitedProtocol) -> bool:
         is_ending = self.close_after_response or conn.is_shutting_down
@@ -378,5 +380,6 @@
         self, conn: LimitedProtocol, receive: Receive
     ) -> dict[str, Any]:
         message = await receive()
-        self.callers.record_kept(conn)
+        if message.get('body'):
+            self.callers.record_kept(conn)
         return message
--- a/src/masticwind/web_input.py
+++ b/src/masticwind/web_input.py
@@ -12,14 +12,13 @@
 
 from uvicorn.protocols.http.flow_control import FlowControl
 
+from masticwind.web_chunks import ChunkSlices
+
 # Reading pauses while more than this is not parsed. One read adds up to
 # `uvloop`'s buffer of 256 KB.
 MAX_UNPARSED_BYTES: Final = 65_536
-# Heads and chunked bodies end with this, and the parser accepts no other line
-# ends.
+# Heads end with this, and the parser accepts no other line ends.
 TERMINATOR: Final = b'\r\n\r\n'
-# A shorter slice of a chunked body limits the chunks that are parsed at once.
-CHUNKED_SLICE_BYTES: Final = 4096
 # Slices and chunks that one connection may parse before others get a turn.
 MAX_PIECES_PER_TURN: Final = 512
 
@@ -58,16 +57,21 @@
         """Take up to `max_bytes`, which are not searched for a terminator."""
         return self._take(self._offset + max_bytes)
 
-    def take_to_terminator(self, max_bytes: int) -> bytes:
-        """Take up to `max_bytes`, and nothing behind the first terminator."""
+    def take_chunks(self, slices: ChunkSlices) -> tuple[bytes, int]:
+        """Take the next slice of a chunked body, and count its chunks."""
+        end, count = slices.find_end(self._content, self._offset)
+        return self._take(end), count
+
+    def take_to_terminator(self) -> bytes:
+        """Take everything, but nothing behind the first terminator."""
         begin = self._content[self._offset : self._offset + len(TERMINATOR) - 1]
         spanning = (self._tail + begin).find(TERMINATOR)
         if spanning >= 0:
             length = spanning + len(TERMINATOR) - len(self._tail)
             return self._take(self._offset + length)
-        end = self._offset + max_bytes
-        found = self._content.find(TERMINATOR, self._offset, end)
-        return self._take(found + len(TERMINATOR) if found >= 0 else end)
+        found = self._content.find(TERMINATOR, self._offset)
+        end = found + len(TERMINATOR) if found >= 0 else len(self._content)
+        return self._take(end)
 
     def _take(self, end: int) -> bytes:
         if not self._offset and end >= len(self._content):
@@ -184,6 +188,8 @@
         # Whether the rest waits for a turn, and what was parsed in this one.
         self._awaits_turn = False
         self._pieces = 0
+        # Of the chunked body that is being read.
+        self._chunk_slices: ChunkSlices | None = None
 
     def __bool__(self) -> bool:
         """Return whether bytes are not parsed."""
@@ -201,10 +207,6 @@
             self._parse()
         self._limit_reading()
 
-    def count_chunk(self) -> None:
-        """Count a chunk that has been parsed."""
-        self._pieces += 1
-
     def await_turn(self) -> None:
         """Parse what is kept in a later iteration of the event loop."""
         if self._buffer and not self._awaits_turn:
@@ -238,8 +240,12 @@
 
     def _take_slice(self) -> bytes:
         missing_bytes = self._owner.missing_body_bytes
+        if missing_bytes is None:
+            self._chunk_slices = self._chunk_slices or ChunkSlices()
+            content, chunks = self._buffer.take_chunks(self._chunk_slices)
+            self._pieces += chunks
+            return content
+        self._chunk_slices = None
         if missing_bytes:
             return self._buffer.take(missing_bytes)
-        if missing_bytes is None:
-            return self._buffer.take_to_terminator(CHUNKED_SLICE_BYTES)
-        return self._buffer.take_to_terminator(len(self._buffer))
+        return self._buffer.take_to_terminator()
--- a/src/masticwind/web_parser.py
+++ b/src/masticwind/web_parser.py
@@ -1,11 +1,9 @@
 """Parser of callers' requests."""
 
-from typing import TYPE_CHECKING, Any, Final
+from typing import Any, Final
 
 import httptools
-
-if TYPE_CHECKING:
-    from masticwind.web_protocol import LimitedProtocol
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 
 class RequestParser:
@@ -18,7 +16,7 @@
     once. CONNECT is refused, as all that follows it is meant for a tunnel.
     """
 
-    def __init__(self, protocol: 'LimitedProtocol') -> None:
+    def __init__(self, protocol: HttpToolsProtocol) -> None:
         self._protocol: Final = protocol
         self._url = b''
         self._headers: list[tuple[bytes, bytes]] = []
@@ -86,10 +84,6 @@
             # The parser turns this into a response with status 400.
             raise ValueError('CONNECT is not served')
 
-    def on_chunk_header(self) -> None:
-        """Report the begin of a chunk."""
-        self._protocol.input.count_chunk()
-
     def on_body(self, body: bytes) -> None:
         """Report a part of the body."""
         self._protocol.on_body(body)
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -29,8 +29,9 @@
 # Whether the target has a query; it may be empty, which ASGI cannot say.
 QUERY_KEY: Final = 'has_query'
 MAX_HEADERS: Final = 128
-# Includes the separators between headers.
 MAX_REQUEST_LINE_BYTES: Final = 8192
+# Colon, space and line end of each header, and the empty line.
+MAX_SEPARATOR_BYTES: Final = 4 * MAX_HEADERS + 2
 # The connection of a caller that reads nothing for this long is aborted.
 WRITE_STALL_TIMEOUT_S: Final = 30.0
 
@@ -67,7 +68,7 @@
         super().__init__(*args, **kwargs)
         self.parser = RequestParser(self)  # type: ignore[assignment]
         self._callers: Final = callers
-        self.input: RequestInput
+        self._input: RequestInput
         # The server ends, and serves only requests that have arrived.
         self.is_shutting_down = False
         self._body_size = BodySize(declared=0)
@@ -108,7 +109,7 @@
         super().connection_made(self._conn)
         flow = InputFlow(self._conn)
         self.flow = flow
-        self.input = RequestInput(self, flow, self._callers.turns, self.loop)
+        self._input = RequestInput(self, flow, self._callers.turns, self.loop)
         self._timer.start_idle()
         self._callers.add(self)
 
@@ -116,7 +117,7 @@
         """Stop the timers, and forget what is kept."""
         self._timer.stop()
         self._stop_write_timer()
-        self.input.clear()
+        self._input.clear()
         self._callers.discard(self)
         super().connection_lost(exc)
 
@@ -125,12 +126,12 @@
         if self._conn.is_closing():
             self._conn.discard(len(data))
             return
-        self.input.add(data)
+        self._input.add(data)
 
     def end_parsing(self) -> None:
         """Count what is kept, which is nothing behind the last request."""
         if self._conn.is_closing():
-            self.input.clear()
+            self._input.clear()
         self._callers.record_kept(self)
 
     def on_message_begin(self) -> None:
@@ -154,10 +155,7 @@
             return
         super().on_header(name, value)
         size = sum(len(key) + len(text) for key, text in self.headers)
-        if (
-            len(self.headers) > MAX_HEADERS
-            or size > self._timer.max_header_bytes
-        ):
+        if len(self.headers) > MAX_HEADERS or not self._timer.allows(size):
             # The parser turns this into a response with status 400.
             raise ValueError('request head is too large')
 
@@ -194,7 +192,7 @@
         self._callers.record_answer(self)
         if not self._conn.is_closing():
             self._timer.start_idle()
-            self.input.await_turn()
+            self._input.await_turn()
         self.end_parsing()
 
     def close_unused(self) -> None:
@@ -243,7 +241,7 @@
 
     def count_kept_bytes(self) -> int:
         """Return the bytes that are kept for the caller."""
-        kept_bytes = self.input.kept_bytes + self._head_bytes
+        kept_bytes = self._input.kept_bytes + self._head_bytes
         kept_bytes += self._conn.get_write_buffer_size()
         return kept_bytes + len(self.cycle.body) if self.cycle else kept_bytes
 
@@ -306,22 +304,23 @@
     def parse_slice(self, content: bytes) -> None:
         """Parse bytes; refuse the request if its head is too large."""
         HttpToolsProtocol.data_received(self, content)
-        max_bytes = self._timer.max_header_bytes
         refusal = ''
         if self._in_head:
             self._head_bytes += len(content)
-            if self._head_bytes > max_bytes + MAX_REQUEST_LINE_BYTES:
+            beside_bytes = MAX_REQUEST_LINE_BYTES + MAX_SEPARATOR_BYTES
+            if not self._timer.allows(self._head_bytes - beside_bytes):
                 refusal = 'Request head is too large.'
         else:
             self._body_size.end_read(len(content))
-            if self._awaits_body and self._body_size.overhead > max_bytes:
+            overhead = self._body_size.overhead
+            if self._awaits_body and not self._timer.allows(overhead):
                 refusal = 'Chunk framing is too large.'
         if refusal and not self._conn.is_closing():
             self.send_400_response(refusal)
 
     @property
     def _has_unparsed_bytes(self) -> bool:
-        return bool(self.input) or self._conn.has_unread_bytes
+        return bool(self._input) or self._conn.has_unread_bytes
 
     def _stop_write_timer(self) -> None:
         if self._write_timer is not None:
--- a/src/masticwind/web_timers.py
+++ b/src/masticwind/web_timers.py
@@ -1,4 +1,4 @@
-"""Time limits of one connection of a caller."""
+"""Limits of the heads and the idle times of one connection of a caller."""
 
 import asyncio
 from collections.abc import Callable
@@ -32,10 +32,11 @@
         self._since = 0.0
         self._idle_timeout_s = 0.0
 
-    @property
-    def max_header_bytes(self) -> int:
-        """The larger of the limits since the head began."""
-        return max(
+    def allows(self, header_bytes: int) -> bool:
+        """Whether the larger limit since the head began allows a size."""
+        if header_bytes <= 0:
+            return True
+        return header_bytes <= max(
             self._limits.max_header_bytes,
             self._current_limits().max_header_bytes,
         )
--- a/tests/test_web_input.py
+++ b/tests/test_web_input.py
@@ -10,6 +10,7 @@
 
 from masticwind.settings import Address
 from masticwind.web import WebServer, json_response, read_body, send_response
+from masticwind.web_chunks import ChunkSlices
 from masticwind.web_input import MAX_UNPARSED_BYTES, InputBuffer, TurnQueue
 from masticwind.web_protocol import LimitedProtocol
 from tests.stopping_entry import connect, receive_or_end
@@ -115,13 +116,61 @@
     for begin in range(0, len(content), step):
         buffer.append(content[begin : begin + step])
         while buffer:
-            slices.append(buffer.take_to_terminator(1000))
+            slices.append(buffer.take_to_terminator())
     assert b''.join(slices) == content
     ends = [len(b''.join(slices[: count + 1])) for count in range(len(slices))]
     assert len(first) in ends
     assert not len(buffer)
 
 
+@pytest.mark.parametrize('step', [1, 2, 3, 7, 5000])
+@pytest.mark.parametrize(
+    'body',
+    [
+        chunked('/', []),
+        chunked('/', [b'x' for _ in range(200)]),
+        chunked('/', [b'\r\n\r\n', b'0\r\n\r\n' * 9, b'x' * 3000]),
+        b'003;a="b"\r\nabc\r\n0;c\r\nX-Trailer: a\r\n\r\n',
+        b'%b3\r\nabc\r\n0\r\n\r\n' % (b'0' * 50),
+        b'x\r\nnot a chunk\r\n\r\n',
+    ],
+)
+async def test_slices_of_chunks_end_with_their_body(
+    body: bytes, step: int
+) -> None:
+    """Guards against a slice that holds the end of a body and the begin of the
+    next request, wherever reads end and whatever the chunks contain.
+    """
+    if body.startswith(b'POST'):
+        body = body.partition(b'\r\n\r\n')[2]
+    slices = ChunkSlices()
+    buffer = InputBuffer()
+    content = body + CLOSING
+    taken = 0
+    for begin in range(0, len(content), step):
+        buffer.append(content[begin : begin + step])
+        while buffer and taken < len(body):
+            taken += len(buffer.take_chunks(slices)[0])
+        if taken >= len(body):
+            break
+    assert taken == len(body)
+
+
+async def test_content_of_chunks_is_not_searched_for_ends() -> None:
+    """Guards against a body of line ends that takes a thousand times the
+    processor time of any other one, as each of them ends a slice.
+    """
+    body = b'\r\n\r\n' * 100_000
+    buffer = InputBuffer()
+    buffer.append(chunked('/', [body]).partition(b'\r\n\r\n')[2])
+    slices = ChunkSlices()
+    count = 0
+    while buffer:
+        buffer.take_chunks(slices)
+        count += 1
+    assert count <= 3
+
+
 async def test_only_the_request_in_progress_is_parsed() -> None:
     """Guards against a process that keeps every request of a read as parsed
     objects, which take a hundred times the memory.
