--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -2,18 +2,25 @@
 
 import resource
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any
 
 import anyio
 import pytest
+from prometheus_client import generate_latest
 
+from masticwind.config.current import CurrentConfig
 from masticwind.log_limits import MAX_BURST_LINES, LineLimiter
-from masticwind.settings import Address
+from masticwind.peer_identity import PeerIdentity
+from masticwind.protocol import listener
+from masticwind.settings import Address, PeerSettings
 from masticwind.web import WebServer, json_response, send_response
 from masticwind.web_callers import AggregateLimits, CloseCause, derive_limits
+from tests.entry_harness import running_entry
+from tests.log_records import collected_log_records, count_events
 from tests.manual_clock import ManualClock
 from tests.stopping_entry import connect, read_answer, receive_or_end
+from tests.test_connections import RecordingHandler
 
 pytestmark = pytest.mark.anyio
 
@@ -153,6 +160,80 @@
         assert not server.callers.closed
 
 
+async def test_lines_of_strange_requests_are_limited_and_all_are_counted() -> (
+    None
+):
+    """Guards against callers without a route that produce log lines without
+    end, and against requests that neither lines nor metrics show.
+    """
+    sent = int(MAX_BURST_LINES) + 50
+    with collected_log_records() as records:
+        async with running_entry() as harness:
+            async with await connect(harness.entry.port) as conn:
+                await conn.send(head('/nowhere') * sent)
+                received = b''
+                with anyio.fail_after(10):
+                    while received.count(b'HTTP/1.1 ') < sent:
+                        received += await conn.receive()
+            telemetry = harness.entry._telemetry
+            counted = [
+                sample.value
+                for metric in telemetry.requests.collect()
+                for sample in metric.samples
+                if sample.name.endswith('_total')
+            ]
+        lines = count_events(records)['request_failed']
+    # The time of the test allows some more than the burst.
+    assert MAX_BURST_LINES <= lines < sent
+    assert sum(counted) == sent
+
+
+async def test_connections_of_callers_are_in_the_metrics() -> None:
+    """Guards against limits whose effect operators cannot see."""
+    async with running_entry() as harness:
+        async with await connect(harness.entry.port) as conn:
+            await conn.send(head('/nowhere')[:20])
+            await anyio.sleep(0.1)
+            text = generate_latest(harness.entry._telemetry._registry).decode()
+    assert 'masticwind_caller_connections 1.0' in text
+    assert 'masticwind_caller_kept_bytes 20.0' in text
+    for cause in CloseCause:
+        name = 'masticwind_caller_connections_closed_total'
+        assert f'{name}{{cause="{cause}"}} 0.0' in text
+
+
+async def test_listener_of_peers_closes_connections_above_its_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against connections without a handshake that use up the
+    descriptors of an agent or an entry.
+    """
+    monkeypatch.setattr(
+        listener, 'derive_limits', lambda: AggregateLimits(3, LARGE_KEPT)
+    )
+    peers = listener.Listener(
+        PeerIdentity(role='agent', name='a', zone='z'),
+        Address(),
+        PeerSettings(secrets=('first',), connect_timeout_ms=10_000),
+        CurrentConfig(),
+        RecordingHandler(),
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(peers.run)
+        async with AsyncExitStack() as stack:
+            for _ in range(3):
+                await stack.enter_async_context(await connect(peers.port))
+            await anyio.sleep(0.1)
+            async with await connect(peers.port) as refused:
+                with anyio.fail_after(2):
+                    assert not await receive_or_end(refused)
+            assert peers.connections.count == 3
+        with anyio.fail_after(2):
+            while peers.connections.count:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+
+
 def test_lines_that_callers_cause_are_limited_for_each_kind() -> None:
     """Guards against lines about strange requests that displace all others."""
     clock = ManualClock()
