--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -193,7 +193,10 @@
     async with running_entry() as harness:
         async with await connect(harness.entry.port) as conn:
             await conn.send(head('/nowhere')[:20])
-            await anyio.sleep(0.1)
+            callers = harness.entry._server.callers
+            with anyio.fail_after(5):
+                while not callers.kept_bytes:
+                    await anyio.sleep(0.01)
             text = generate_latest(harness.entry._telemetry._registry).decode()
     assert 'masticwind_caller_connections 1.0' in text
     assert 'masticwind_caller_kept_bytes 20.0' in text
--- a/tests/test_web_input.py
+++ b/tests/test_web_input.py
@@ -1,5 +1,6 @@
 """Input of callers that is kept until the request in progress has ended."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -11,7 +12,13 @@
 from masticwind.settings import Address
 from masticwind.web import WebServer, json_response, read_body, send_response
 from masticwind.web_chunks import ChunkSlices
-from masticwind.web_input import MAX_UNPARSED_BYTES, InputBuffer, TurnQueue
+from masticwind.web_input import (
+    MAX_UNPARSED_BYTES,
+    InputBuffer,
+    InputFlow,
+    RequestInput,
+    TurnQueue,
+)
 from masticwind.web_protocol import LimitedProtocol
 from tests.stopping_entry import connect, receive_or_end
 
@@ -54,9 +61,9 @@
         body = await read_body(receive, BODY_LIMIT, 10)
         assert isinstance(body, bytes)
         self.bodies.append((scope['path'], body))
-        if scope['path'] == '/held':
+        if scope['path'] in {'/held', '/late'}:
             await self.release.wait()
-        if scope['path'] == '/left':
+        if scope['path'] in {'/left', '/late'}:
             event = await receive()
             assert event['type'] == 'http.disconnect'
             self.disconnected.set()
@@ -90,6 +97,13 @@
         tasks.cancel_scope.cancel()
 
 
+async def send_for_a_while(conn: anyio.abc.SocketStream) -> None:
+    """Send requests until the server does not read any more."""
+    with anyio.move_on_after(1):
+        while True:
+            await conn.send(head() * 1000)
+
+
 def served_statuses(count: int) -> list[bytes]:
     """Return the statuses of requests that were all served."""
     return [b'200' for _ in range(count)]
@@ -188,18 +202,19 @@
     assert [path for path, _ in served.bodies][-2:] == ['/', '/last']
 
 
-async def test_reading_pauses_while_enough_is_not_parsed() -> None:
+@pytest.mark.parametrize('path', ['/left', '/late'])
+async def test_reading_pauses_while_enough_is_not_parsed(path: str) -> None:
     """Guards against requests without end that are kept behind one that is in
     progress, and against reading that an application resumes.
     """
     most_bytes = MAX_UNPARSED_BYTES + 262_144
     async with serving() as served:
         async with await connect(served.server.port) as conn:
-            await conn.send(head('/left') + head())
-            with anyio.move_on_after(1):
-                while True:
-                    await conn.send(head() * 1000)
-            assert served.bodies == [('/left', b'')]
+            await conn.send(head(path) + head())
+            await send_for_a_while(conn)
+            served.release.set()
+            await send_for_a_while(conn)
+            assert served.bodies == [(path, b'')]
             assert served.conn.count_kept_bytes() <= most_bytes
             assert served.server.callers.kept_bytes <= most_bytes
 
@@ -271,6 +286,54 @@
             assert await read_statuses(conn) == served_statuses(3)
 
 
+class ChunkedOwner:
+    """A connection on which a chunked body is read."""
+
+    may_parse = True
+    missing_body_bytes = None
+
+    def parse_slice(self, content: bytes) -> None:
+        """Ignore a slice."""
+
+    def end_parsing(self) -> None:
+        """Ignore the end of a turn."""
+
+
+class FakeTransport(asyncio.Transport):
+    """Knows only whether reading is paused."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_paused = False
+
+    def pause_reading(self) -> None:
+        """Pause."""
+        self.is_paused = True
+
+    def resume_reading(self) -> None:
+        """Resume."""
+        self.is_paused = False
+
+
+async def test_reading_pauses_while_a_turn_is_awaited() -> None:
+    """Guards against a body of tiny chunks that is read without end while
+    other connections have their turns.
+    """
+    loop: Any = ManualLoop()
+    transport = FakeTransport()
+    chunk_input = RequestInput(
+        ChunkedOwner(), InputFlow(transport), TurnQueue(), loop
+    )
+    for _ in range(20):
+        chunk_input.add(b'1\r\nx\r\n' * 1000)
+    assert transport.is_paused
+    while loop.due:
+        callback, args = loop.due.pop()
+        callback(*args)
+    assert not chunk_input
+    assert not transport.is_paused
+
+
 async def test_turns_are_shared_among_connections() -> None:
     """Guards against one connection that parses all of its input before
     another one has its turn.
