--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -11,13 +11,14 @@
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
-from typing import Any, Final
+from typing import Final
 
 import anyio
 from loguru import logger
 
 from masticwind.budget import MS_PER_S
 from masticwind.errors import ERROR_RESPONSES, ErrorKind, Failure
+from masticwind.log_limits import LineLimiter
 from masticwind.request_exceptions import exception_failure
 from masticwind.serving.active_config import ActiveConfig
 from masticwind.serving.admission.byte_budget import ByteBudget
@@ -26,10 +27,10 @@
     RequestProgress,
     admit,
 )
+from masticwind.serving.asgi_answer import AsgiAnswer
 from masticwind.serving.freshness import ConfigFreshness
-from masticwind.serving.interfaces import CallerAnswer
 from masticwind.serving.lifetime import Lifetime
-from masticwind.serving.model import CallerRequest, Headers
+from masticwind.serving.model import CallerRequest
 from masticwind.serving.relay import Relay
 from masticwind.serving.telemetry import Telemetry
 from masticwind.web import (
@@ -50,6 +51,20 @@
 RETRY_JITTER_SHARE: Final = 0.5
 
 
+# Failures that callers can cause at will, without a route or a key.
+CALLER_FAULTS: Final = frozenset(
+    (
+        ErrorKind.BAD_REQUEST,
+        ErrorKind.BODY_TIMEOUT,
+        ErrorKind.CANCELLED,
+        ErrorKind.FORBIDDEN,
+        ErrorKind.NOT_FOUND,
+        ErrorKind.TOO_LARGE,
+        ErrorKind.UNAUTHENTICATED,
+    )
+)
+
+
 class CallerCodec(abc.ABC):
     """Translates between a wire format and the types of `model`."""
 
@@ -62,81 +77,6 @@
         """Encode a failure as a response."""
 
 
-class AsgiAnswer(CallerAnswer):
-    """Writes an answer through an ASGI server.
-
-    Once it has been given up, whatever is written to it is dropped.
-    """
-
-    def __init__(self, send: Send) -> None:
-        self._send: Final = send
-        self._started = False
-        self._given_up = False
-        self._finished = False
-
-    @property
-    def finished(self) -> bool:
-        """Whether the whole answer has been written."""
-        return self._finished
-
-    @property
-    def started(self) -> bool:
-        """Whether the status and headers have been written."""
-        return self._started
-
-    @property
-    def given_up(self) -> bool:
-        """Whether `give_up` has been called."""
-        return self._given_up
-
-    async def give_up(self, response: Response) -> None:
-        """End the answer; write a response if it has not started."""
-        self._given_up = True
-        if not self._started:
-            await send_response(self._send, response)
-
-    async def start(
-        self,
-        status: int,
-        headers: Headers,
-        length: int | None,
-    ) -> None:
-        """Write the status and headers."""
-        header_list = list(headers)
-        if length is not None:
-            header_list.append((b'content-length', str(length).encode()))
-        await self._send_unless_given_up(
-            {
-                'type': 'http.response.start',
-                'status': status,
-                'headers': header_list,
-            }
-        )
-        # Only now, because a cancellation may end the wait to send it.
-        self._started = not self._given_up
-
-    async def write(self, content: bytes) -> None:
-        """Write a part of the body."""
-        await self._send_unless_given_up(
-            {
-                'type': 'http.response.body',
-                'body': content,
-                'more_body': True,
-            }
-        )
-
-    async def finish(self) -> None:
-        """End the body as complete."""
-        self._finished = not self._given_up
-        await self._send_unless_given_up(
-            {'type': 'http.response.body', 'body': b''}
-        )
-
-    async def _send_unless_given_up(self, message: dict[str, Any]) -> None:
-        if not self._given_up:
-            await self._send(message)
-
-
 @dataclass(frozen=True, slots=True)
 class EdgeDependencies:
     """Collaborators of the edge application."""
@@ -169,6 +109,7 @@
     def __init__(self, deps: EdgeDependencies) -> None:
         self._deps: Final = deps
         self._in_progress: Final[set[RequestInProgress]] = set()
+        self._log_limiter: Final = LineLimiter()
         self.running_requests = 0
 
     async def __call__(
@@ -273,22 +214,27 @@
         if failure is None:
             return
         failure = _with_retry_hint(failure)
-        logger.bind(
-            request_id=request_id,
-            config_version=self._deps.active_config.config.version,
-            admitted_version=progress.config_version,
-            config_age_s=_finite_age_s(self._deps.freshness.age_s()),
-            attempts=progress.attempts,
-            may_have_run_at=sorted(progress.may_have_run_at),
-            events=progress.event_count,
-            last_event_ms_ago=progress.silence_ms(),
-            kind=failure.kind.value,
-            reason=failure.reason,
-            retry_after_ms=failure.retry_after_ms,
-            held_ms=round((time.monotonic() - received_at) * MS_PER_S),
-            broken_off=answer.started,
-            stopping_for_ms=self._deps.lifetime.stopping_for_ms(),
-        ).info('request_failed')
+        left_out: int | None = 0
+        if failure.kind in CALLER_FAULTS and not progress.attempts:
+            left_out = self._log_limiter.left_out(failure.kind)
+        if left_out is not None:
+            logger.bind(
+                request_id=request_id,
+                config_version=self._deps.active_config.config.version,
+                config_age_s=_finite_age_s(self._deps.freshness.age_s()),
+                admitted_version=progress.config_version,
+                attempts=progress.attempts,
+                may_have_run_at=sorted(progress.may_have_run_at),
+                events=progress.event_count,
+                last_event_ms_ago=progress.silence_ms(),
+                kind=failure.kind.value,
+                reason=failure.reason,
+                retry_after_ms=failure.retry_after_ms,
+                held_ms=round((time.monotonic() - received_at) * MS_PER_S),
+                broken_off=answer.started,
+                stopping_for_ms=self._deps.lifetime.stopping_for_ms(),
+                left_out=left_out,
+            ).info('request_failed')
         # The server closes the connection of an unfinished answer, so that a
         # caller cannot take it for a complete one.
         if answer.started or answer.given_up:
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -10,6 +10,10 @@
 from masticwind.serving.active_config import ActiveConfig
 from masticwind.serving.adapter import PlatformAdapter
 from masticwind.serving.admission.parts import build_admission
+from masticwind.serving.caller_server import (
+    build_caller_server,
+    build_operators_server,
+)
 from masticwind.serving.cleanup import build_cleanup, build_news
 from masticwind.serving.config_versions import ConfigVersions
 from masticwind.serving.confirmations import Confirmations
@@ -50,7 +54,6 @@
     json_response,
     send_response,
 )
-from masticwind.web_protocol import ConnectionLimits
 
 # A change ends a watch call at once. A watch that misses a change is cancelled
 # when other entries report the change, so a long wait only saves calls.
@@ -184,14 +187,11 @@
             'Callers that were refused and promised room',
             self._admission.promise_count,
         )
-        self._server: Final = WebServer(
-            self._app,
-            parse_address(cfg.listen),
-            self._connection_limits,
+        self._server: Final = build_caller_server(
+            self._app, cfg, self._active_config, self._telemetry
         )
-        self._ready_server: Final = WebServer(
-            self._answer_ready,
-            parse_address(cfg.ready),
+        self._ready_server: Final = build_operators_server(
+            self._answer_ready, cfg.ready
         )
 
     @property
@@ -312,7 +312,6 @@
     def _metrics_server(self) -> WebServer:
         cfg = self._settings.cfg
         host = parse_address(cfg.listen).host
-        address = parse_address(f'{host}:{cfg.metrics_port}')
         app = OperationsApp(
             self._settings,
             self._telemetry,
@@ -320,7 +319,7 @@
             self._limit_link.limits,
             self._cleanup.notices,
         )
-        return WebServer(app, address)
+        return build_operators_server(app, f'{host}:{cfg.metrics_port}')
 
     async def _wait_until_loaded(self) -> None:
         """Wait for the mirrors to load; callers wait in the listen backlog."""
@@ -368,14 +367,6 @@
             byte_budget=admission.byte_budget,
         )
 
-    def _connection_limits(self) -> ConnectionLimits:
-        limits = self._active_config.config.limits
-        return ConnectionLimits(
-            max_header_bytes=limits.max_header_bytes,
-            header_timeout_s=limits.header_timeout_ms / MS_PER_S,
-            idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
-        )
-
     async def _answer_ready(
         self,
         scope: Scope,
--- a/src/masticwind/serving/settings.py
+++ b/src/masticwind/serving/settings.py
@@ -13,6 +13,8 @@
 # One terabyte.
 MAX_MEMORY_MB: Final = 1_048_576
 DEFAULT_MEMORY_MB: Final = 256.0
+# The kernel allows no process more by default.
+MAX_DESCRIPTORS: Final = 1_048_576
 
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=100)]
 SlackRequests = Annotated[float, msgspec.Meta(ge=0, le=MAX_SLACK_REQUESTS)]
@@ -20,6 +22,7 @@
 # Who is refused when there is no room for all: every late request, or the one
 # with the weakest claim.
 OverloadPolicyName = Literal['refuse_late', 'fair']
+DescriptorCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_DESCRIPTORS)]
 HostPort = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
 
 
@@ -65,6 +68,10 @@
     from which the limit of buffered bytes follows; zero stands for the default.
     With `endpoint_news`, entries tell each other of endpoints that are gone.
     `overload` names the policy by which prompts are refused at overload.
+    from which the limits of buffered bytes and of what is kept for callers
+    follow; zero stands for the default. `max_fds` is the number of descriptors
+    of the process, which limits callers' connections; zero stands for what the
+    system allows.
     """
 
     node: Name
@@ -81,6 +88,7 @@
     memory_mb: MemoryMb = DEFAULT_MEMORY_MB
     endpoint_news: bool = False
     overload: OverloadPolicyName = 'refuse_late'
+    max_fds: DescriptorCount = 0
 
 
 def parse_address(text: HostPort) -> Address:
