--- a/src/masticwind/web_callers.py
+++ b/src/masticwind/web_callers.py
@@ -7,6 +7,7 @@
 
 import enum
 import resource
+import time
 from collections import Counter
 from dataclasses import dataclass
 from itertools import islice
@@ -31,6 +32,9 @@
 CONNECTION_BYTES: Final = 32_768
 # Share of the memory for what callers have sent and do not read.
 KEPT_SHARE: Final = 0.15
+# A body that arrives for longer may be given up for a new connection. One of
+# 4 MB takes 1.7 s on a link of 20 Mbit/s.
+SLOW_BODY_S: Final = 2.0
 # How many connections are looked at to find one that may be closed.
 MAX_SEARCHED: Final = 64
 
@@ -40,6 +44,8 @@
 
     # It was idle, or its head was incomplete, and others were waiting.
     UNUSED = 'unused'
+    # Its body had not arrived for long, and others were waiting.
+    SLOW = 'slow'
     # All connections had requests in progress.
     REFUSED = 'refused'
     # It kept the most when too much was kept.
@@ -108,6 +114,8 @@
         self._log_limiter: Final = LineLimiter()
         # Connections without a request in progress, the longest idle first.
         self._unused: Final[dict[LimitedConnection, None]] = {}
+        # Since when bodies of requests in progress arrive, the longest first.
+        self._bodies_since: Final[dict[LimitedConnection, float]] = {}
 
     @property
     def count(self) -> int:
@@ -127,27 +135,31 @@
 
     def add(self, conn: LimitedConnection) -> None:
         """Add a connection, and close one if there are too many."""
+        if len(self._kept) >= self.limits.max_connections:
+            self._make_room()
         self._kept[conn] = 0
         self._unused[conn] = None
-        if len(self._kept) <= self.limits.max_connections:
-            return
-        replaced = self._find_replaceable()
-        if replaced is None or replaced is conn:
+        if len(self._kept) > self.limits.max_connections:
             self._close(conn, CloseCause.REFUSED)
-        else:
-            self._close(replaced, CloseCause.UNUSED)
 
     def discard(self, conn: LimitedConnection) -> None:
         """Forget a connection that has ended."""
         self._kept_bytes -= self._kept.pop(conn, 0)
         self._unused.pop(conn, None)
+        self._bodies_since.pop(conn, None)
 
     def record_request(self, conn: LimitedConnection) -> None:
         """Note that a request is in progress from now on."""
         self._unused.pop(conn, None)
+        self._bodies_since[conn] = time.monotonic()
+
+    def record_body(self, conn: LimitedConnection) -> None:
+        """Note that the body of a request has arrived."""
+        self._bodies_since.pop(conn, None)
 
     def record_answer(self, conn: LimitedConnection) -> None:
         """Note that no request is in progress any more."""
+        self._bodies_since.pop(conn, None)
         if conn in self._kept:
             self._unused[conn] = None
 
@@ -172,7 +184,23 @@
         self._kept_bytes += kept_bytes - self._kept[conn]
         self._kept[conn] = kept_bytes
 
-    def _find_replaceable(self) -> LimitedConnection | None:
+    def _make_room(self) -> None:
+        """Close a connection for a new one, if one can be closed."""
+        unused = self._find_unused()
+        slow = self._find_slow()
+        if unused is not None:
+            self._close(unused, CloseCause.UNUSED)
+        elif slow is not None:
+            self._close(slow, CloseCause.SLOW)
+
+    def _find_slow(self) -> LimitedConnection | None:
+        conn = next(iter(self._bodies_since), None)
+        if conn is None:
+            return None
+        elapsed_s = time.monotonic() - self._bodies_since[conn]
+        return conn if elapsed_s > SLOW_BODY_S else None
+
+    def _find_unused(self) -> LimitedConnection | None:
         for conn in islice(self._unused, MAX_SEARCHED):
             if conn.is_replaceable:
                 return conn
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -259,6 +259,7 @@
         # The parser turns a `ValueError` into a response with status 400.
         self._body_size.check_end()
         self._awaits_body = False
+        self._callers.record_body(self)
         if self.is_idle:
             self._timer.start_idle()
         super().on_message_complete()
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -113,6 +113,32 @@
             assert (await read_answer(later)).status == 200
 
 
+async def test_body_that_has_not_arrived_for_long_makes_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against callers that cannot connect because others never complete
+    their bodies; a request whose body has arrived is not ended for them.
+    """
+    monkeypatch.setattr('masticwind.web_callers.SLOW_BODY_S', 0.3)
+    async with limited_server(AggregateLimits(2, LARGE_KEPT)) as server:
+        async with (
+            await connect(server.port) as busy,
+            await connect(server.port) as slow,
+        ):
+            await busy.send(head('/held'))
+            await slow.send(head('/held', 1000))
+            await anyio.sleep(0.1)
+            async with await connect(server.port) as early:
+                assert not await receive_or_end(early)
+            await anyio.sleep(0.3)
+            async with await connect(server.port) as later:
+                await later.send(head())
+                assert (await read_answer(later)).status == 200
+                assert not await receive_or_end(slow)
+                assert server.callers.count == 2
+    assert server.callers.closed == {CloseCause.REFUSED: 1, CloseCause.SLOW: 1}
+
+
 async def test_connection_that_keeps_most_is_closed() -> None:
     """Guards against callers that together fill the memory, each within the
     limit of one connection, and against an honest one that pays for it.
