--- a/src/masticwind/serving/placement/helper_faults.py
+++ b/src/masticwind/serving/placement/helper_faults.py
@@ -87,9 +87,8 @@
             self._helpers.pop(helper.identity, None)
             pair = self._pairs.pop((lead.zone, helper.zone), None)
             if pair is not None and pair.duration_s:
-                logger.bind(lead_zone=lead.zone, helper_zone=helper.zone).info(
-                    'helper_zone_usable'
-                )
+                log = logger.bind(lead_zone=lead.zone, helper_zone=helper.zone)
+                log.info('helper_zone_usable')
 
     def barred_helpers(self) -> frozenset[str]:
         """Return the helpers that get no parts at present."""
--- a/src/masticwind/serving/settings.py
+++ b/src/masticwind/serving/settings.py
@@ -65,13 +65,12 @@
     port for messages between entries, such as their load. A `metrics_port` of
     zero disables the metrics server. Without an `operator_token`, no held
     part of a prompt can be released. `memory_mb` is the memory of the machine,
-    from which the limit of buffered bytes follows; zero stands for the default.
-    With `endpoint_news`, entries tell each other of endpoints that are gone.
-    `overload` names the policy by which prompts are refused at overload.
     from which the limits of buffered bytes and of what is kept for callers
     follow; zero stands for the default. `max_fds` is the number of descriptors
     of the process, which limits callers' connections; zero stands for what the
-    system allows.
+    system allows. With `endpoint_news`, entries tell each other of endpoints
+    that are gone. `overload` names the policy by which prompts are refused at
+    overload.
     """
 
     node: Name
@@ -86,9 +85,9 @@
     log_level: LogLevel = 'info'
     operator_token: str = ''
     memory_mb: MemoryMb = DEFAULT_MEMORY_MB
+    max_fds: DescriptorCount = 0
     endpoint_news: bool = False
     overload: OverloadPolicyName = 'refuse_late'
-    max_fds: DescriptorCount = 0
 
 
 def parse_address(text: HostPort) -> Address:
--- a/tests/news_entry.py
+++ b/tests/news_entry.py
@@ -18,6 +18,7 @@
 )
 from masticwind.serving.attempt_runner import AttemptRunner
 from masticwind.serving.costs.completion_times import CompletionTimes
+from masticwind.serving.costs.model import STATIC_COSTS
 from masticwind.serving.datagrams import PeerAddress, PeerSocket
 from masticwind.serving.directory import EndpointDirectory
 from masticwind.serving.endpoint_notices import EndpointNotices
@@ -34,6 +35,7 @@
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.placement.endpoint_news import EndpointNews
 from masticwind.serving.placement.health import EndpointHealth
+from masticwind.serving.placement.helper_faults import HelperFaults
 from masticwind.serving.placement.placer import CallPlacer, Placement
 from masticwind.serving.placement.prompt_placer import PromptPlacer
 from masticwind.serving.placement.reach import ZoneReachability
@@ -161,10 +163,13 @@
                 jobs_by_endpoint=world.jobs, clock=clock
             ),
             endpoint_client=SimpleNamespace(close_idle=_close_idle),
+            helper_faults=HelperFaults(clock),
             telemetry=self.telemetry,
             lifetime=SimpleNamespace(remaining_s=lambda: math.inf),
             call_placer=CallPlacer(),
             prompt_placer=PromptPlacer(world.rng),
+            promises=None,
+            costs=STATIC_COSTS,
         )
         relay_deps = cast(RelayDependencies, deps)
         self.placer = RequestPlacer(relay_deps, CompletionTimes())
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -20,6 +20,7 @@
 SOURCE = ''.join(
     path.read_text() for path in (ROOT / 'src' / 'masticwind').rglob('*.py')
 )
+SERVING_METRICS = frozenset(re.findall(r"'(masticwind_[a-z_]+)'", SOURCE))
 SPAN_NAMES = frozenset(re.findall(r"'((?:entry|agent)\.[a-z]+)'", SOURCE))
 # All other commands on the page must be programs of this project.
 SHELL_TOOLS = frozenset(('head', 'curl', 'export', 'kill', 'printf', 'jq'))
@@ -57,6 +58,12 @@
         'buffered_bytes',
         'handled_after_ms',
         'processor_ms',
+        'left_out',
+        'cause',
+        'unused',
+        'refused',
+        'kept',
+        'slow',
     )
 )
 ENDPOINT_STATES = frozenset(('serving', 'cold', 'out', 'down'))
@@ -101,7 +108,13 @@
         re.findall(r"\.(?:info|warning|error)\('([a-z_]+)'\)", SOURCE),
     )
     known = keys | metrics | kinds | events | SPAN_NAMES
-    known |= HTTP_HEADERS | LOG_FIELDS | ENDPOINT_STATES | SETTING_VALUES
+    known |= (
+        SERVING_METRICS
+        | HTTP_HEADERS
+        | LOG_FIELDS
+        | ENDPOINT_STATES
+        | SETTING_VALUES
+    )
     known |= {command for command in ctl.cli if not command.startswith('-')}
     names = re.findall(r'`([a-z][a-z_]*(?:\.[a-z_]+)*)`', text)
     assert len(names) > 50
