Count a response without a length as complete only once the request is received

An endpoint that fails within an upload can send a FIN and reset the connection as the upload goes on. If the rest of the upload was still in the kernel, the client took the part of the response before the FIN as complete. Now it waits until the kernel of the endpoint has acknowledged the request, and fails on a reset.

The stand-in endpoint can answer before it has read the body.

--- a/src/masticwind/http_limits.py
+++ b/src/masticwind/http_limits.py
@@ -12,9 +12,11 @@
 from contextlib import suppress
 from typing import Any, Final
 
+import anyio
 import httpcore
 from anyio.lowlevel import checkpoint
 
+from masticwind.request_delivery import is_delivered
 from masticwind.send_gate import SendGate
 
 # Includes the informational responses before it.
@@ -30,6 +32,8 @@
 # What the kernel keeps of a response that is not read yet. The event loop
 # reads all of it before it can be paused.
 RECEIVE_BUFFER_BYTES: Final = 131_072
+# Interval at which a request that is still on its way is checked.
+DELIVERY_POLL_INTERVAL_S: Final = 0.01
 
 _STATUS_BYTES: Final = len(b'HTTP/1.1 1')
 _INFORMATIONAL: Final = re.compile(b'HTTP/[0-9][.][0-9] 1')
@@ -85,6 +89,9 @@
         self._unread = b''
         self._head_bytes = 0
         self._informational = InformationalCounter()
+        self._read_timeout_s: float | None = None
+        self._has_ended = False
+        self._is_closed = False
         self.head_complete = False
 
     @property
@@ -97,9 +104,11 @@
         if self.has_unread:
             await checkpoint()
         else:
+            self._read_timeout_s = timeout
             self._unread = await self._stream.read(
                 max(max_bytes, BUFFER_BYTES), timeout
             )
+            self._has_ended = not self.has_unread
         size_bytes = min(max_bytes, self._read_bytes)
         content = self._unread[:size_bytes]
         self._unread = self._unread[size_bytes:]
@@ -123,8 +132,29 @@
         else:
             self._read_bytes = min(MAX_READ_BYTES, 2 * self._read_bytes)
 
+    async def check_end(self) -> None:
+        """Check that the end of the connection is that of the response.
+
+        A server that fails within a request ends the connection, too, and
+        resets it as the rest of the request arrives. So this waits until the
+        request has been received. Raises `ReadError` or `ReadTimeout`.
+        """
+        if not self._has_ended:
+            return
+        try:
+            with anyio.fail_after(self._read_timeout_s):
+                while not self._is_request_delivered():
+                    await anyio.sleep(DELIVERY_POLL_INTERVAL_S)
+        except TimeoutError as exc:
+            raise httpcore.ReadTimeout(
+                'the connection ended before the request was received'
+            ) from exc
+        except OSError as exc:
+            raise httpcore.ReadError(str(exc)) from exc
+
     async def aclose(self) -> None:
         """Close the connection."""
+        self._is_closed = True
         await self._stream.aclose()
 
     async def start_tls(
@@ -143,6 +173,11 @@
         """Return a property of the connection."""
         return self._stream.get_extra_info(info)
 
+    def _is_request_delivered(self) -> bool:
+        if self._is_closed:
+            raise ConnectionAbortedError('closed before the end of a response')
+        return is_delivered(self.get_extra_info('socket'))
+
     def _check_head(self, content: bytes) -> None:
         self._head_bytes += len(content)
         if self._head_bytes > MAX_HEAD_BYTES:
@@ -220,12 +255,18 @@
 
 
 async def iterate_body(response: httpcore.Response) -> AsyncIterator[bytes]:
-    """Return the chunks of a body, and adapt the size of reads to them."""
+    """Return the chunks of a body, and adapt the size of reads to them.
+
+    Raises `ReadError` or `ReadTimeout` if the connection has ended before the
+    request was received.
+    """
     stream = response.extensions['network_stream']
     async for chunk in response.aiter_stream():
         if isinstance(stream, HeadLimitedStream):
             stream.record_chunk(len(chunk))
         yield chunk
+    if isinstance(stream, HeadLimitedStream):
+        await stream.check_end()
 
 
 async def join_chunks(
--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -388,7 +388,7 @@
             kind=ErrorKind.OUTCOME_UNKNOWN,
             reason='the head contains parts of another response',
         )
-    body = await join_chunks(response.aiter_stream(), max_body_bytes)
+    body = await join_chunks(iterate_body(response), max_body_bytes)
     if body is None:
         return Failure(
             kind=ErrorKind.OUTCOME_UNKNOWN,
@@ -419,7 +419,7 @@
             yield chunk
     except _CONNECTION_ERRORS as exc:
         raise BrokenStreamError(
-            type(exc).__name__,
+            ': '.join(filter(None, (type(exc).__name__, str(exc)))),
             silent=isinstance(exc, httpcore.TimeoutException),
         ) from exc
 
--- a/src/masticwind_dev/standins/raw_endpoint.py
+++ b/src/masticwind_dev/standins/raw_endpoint.py
@@ -5,8 +5,10 @@
 the answer to another request.
 """
 
+import socket
+import struct
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 import anyio
@@ -14,6 +16,10 @@
 from anyio import abc as anyio_abc
 
 MAX_READ_BYTES: Final = 65_536
+# Closing a socket resets its connection if there is no time to linger.
+NO_LINGER: Final = struct.pack('ii', 1, 0)
+# What the kernel takes of a body that is not read.
+RECEIVE_BUFFER_BYTES: Final = 8192
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,10 +62,27 @@
         self.closed = True
         await self.stream.aclose()
 
+    async def reset(self) -> None:
+        """Reset the connection."""
+        sock = self.stream.extra(anyio_abc.SocketAttribute.raw_socket)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        await self.close()
+
+    async def read_to_end(self) -> int:
+        """Return how many bytes are received until the sender closes."""
+        received_bytes = 0
+        while content := await _receive_or_eof(self.stream):
+            received_bytes += len(content)
+        return received_bytes
+
 
 Script = Callable[[ReceivedRequest, RawConnection], Awaitable[None]]
 
 
+def _reads_body(_head: ReceivedRequest) -> bool:
+    return False
+
+
 def encode_head(
     req: ReceivedRequest, status: int, headers: tuple[str, ...]
 ) -> bytes:
@@ -107,9 +130,14 @@
 
 @dataclass(slots=True)
 class RawEndpoint:
-    """Listens on a free port of the loopback interface."""
+    """Listens on a free port of the loopback interface.
+
+    The script is called before the body is read if `answers_early` is true for
+    the head of the request.
+    """
 
     script: Script
+    answers_early: Callable[[ReceivedRequest], bool] = _reads_body
     received: list[ReceivedRequest] = field(default_factory=list)
     # Requests whose caller closed the connection before the end of the answer.
     abandoned_requests: int = 0
@@ -125,6 +153,10 @@
     ) -> None:
         """Serve until cancelled or crashed."""
         listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        if self.answers_early is not _reads_body:
+            listener.extra(anyio_abc.SocketAttribute.raw_socket).setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
         self.port = listener.extra(anyio_abc.SocketAttribute.local_port)
         task_status.started()
         self._listener = listener
@@ -149,7 +181,9 @@
         async with stream:
             while not conn.closed:
                 try:
-                    req = await _read_request(parser, stream, connection_number)
+                    req = await self._read_request(
+                        parser, stream, connection_number
+                    )
                 except h11.RemoteProtocolError:
                     # The sender closed the connection within a request.
                     return
@@ -163,6 +197,37 @@
                     return
                 parser = h11.Connection(h11.SERVER)
 
+    async def _read_request(
+        self,
+        parser: h11.Connection,
+        stream: anyio_abc.SocketStream,
+        connection_number: int,
+    ) -> ReceivedRequest | None:
+        request = await _read_event(parser, stream)
+        if not isinstance(request, h11.Request):
+            return None
+        req = _to_request(request, connection_number)
+        if self.answers_early(req):
+            return req
+        body = b''
+        event = await _read_event(parser, stream)
+        while isinstance(event, h11.Data):
+            body += bytes(event.data)
+            event = await _read_event(parser, stream)
+        if not isinstance(event, h11.EndOfMessage):
+            return None
+        return replace(req, body=body)
+
+
+async def _read_event(
+    parser: h11.Connection, stream: anyio_abc.SocketStream
+) -> object:
+    event = parser.next_event()
+    while event is h11.NEED_DATA:
+        parser.receive_data(await _receive_or_eof(stream))
+        event = parser.next_event()
+    return event
+
 
 async def _receive_or_eof(stream: anyio_abc.SocketStream) -> bytes:
     try:
@@ -171,36 +236,14 @@
         return b''
 
 
-async def _read_request(
-    parser: h11.Connection,
-    stream: anyio_abc.SocketStream,
-    connection_number: int,
-) -> ReceivedRequest | None:
-    request: h11.Request | None = None
-    body = b''
-    while True:
-        event = parser.next_event()
-        if event is h11.NEED_DATA:
-            parser.receive_data(await _receive_or_eof(stream))
-            continue
-        if isinstance(event, h11.Request):
-            request = event
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage) and request is not None:
-            return _to_request(request, body, connection_number)
-        else:
-            return None
-
-
 def _to_request(
-    request: h11.Request, body: bytes, connection_number: int
+    request: h11.Request, connection_number: int
 ) -> ReceivedRequest:
     headers = {name.decode(): text.decode() for name, text in request.headers}
     return ReceivedRequest(
         request.method.decode(),
         request.target.decode(),
         headers,
-        body,
+        b'',
         connection_number,
     )
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -223,6 +223,16 @@
     ) -> RawEndpoint:
         """Start an endpoint and register it."""
         endpoint = RawEndpoint(script)
+        return await self.add_endpoint(identity, endpoint, service, **fields)
+
+    async def add_endpoint(
+        self,
+        identity: str,
+        endpoint: RawEndpoint,
+        service: str = CALL_SERVICE,
+        **fields: Any,
+    ) -> RawEndpoint:
+        """Run an endpoint and register it."""
         await self.tasks.start(endpoint.run)
         self.endpoints[identity] = endpoint
         self.register(identity, service, **fields)
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -1,7 +1,5 @@
 """Answers without a length or chunks, and answers without an end."""
 
-import socket
-import struct
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -49,10 +47,7 @@
 
 async def reset(conn: RawConnection) -> None:
     """Reset the connection."""
-    sock = conn.stream.extra(anyio_abc.SocketAttribute.raw_socket)
-    no_linger = struct.pack('ii', 1, 0)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
-    await conn.close()
+    await conn.reset()
 
 
 def unframed_stream(
