Take no answer with a status above 599 from a service beside an agent

The HTTP parser accepts statuses up to 999, and HttpClient.request passed them on: a service's 600 became the recorded result of a call, which the entry's server cannot send. Now it is a failure with an unknown outcome, as in direct serving.

--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -63,6 +63,9 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_PROBE_INTERVAL_S),
 )
 
+# The HTTP parser accepts three digits from 200.
+MAX_STATUS: Final = 599
+
 # The time of a `Keep-Alive` header, up to thirty years.
 _SECONDS: Final = re.compile('[0-9]{1,9}')
 _NOT_SENT_ERRORS: Final = (
@@ -388,6 +391,11 @@
             kind=ErrorKind.OUTCOME_UNKNOWN,
             reason='the head contains parts of another response',
         )
+    if response.status > MAX_STATUS:
+        return Failure(
+            kind=ErrorKind.OUTCOME_UNKNOWN,
+            reason=f'{response.status} is not the status of a response',
+        )
     body = await join_chunks(iterate_body(response), max_body_bytes)
     if body is None:
         return Failure(
