Deliver an endpoint's failure if another request takes the last retry

The relay dropped the failure while the retry budget still had a retry, and the budget could be spent by the time of the next attempt; the caller then got a failure of the entry, without a seal. Now the retry is taken before the failure is dropped.

--- a/src/masticwind/serving/answer_relay.py
+++ b/src/masticwind/serving/answer_relay.py
@@ -48,7 +48,7 @@
                 ),
             )
         failed = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        if failed and context.may_retry_elsewhere():
+        if failed and context.leave_to_retry():
             return Failure(
                 kind=ErrorKind.INTERNAL,
                 reason=f'the endpoint failed with status {reply.status}',
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -84,19 +84,19 @@
 class AttemptContext:
     """The parameters of an attempt, and its state.
 
-    `number` counts the attempts of the request from 1. `may_retry_elsewhere`
-    tells whether another endpoint may run the request if this attempt fails
-    now. `acquire_resend` asks for sending this attempt to its endpoint once
-    more. `claim` asks for the right to write to the caller, which
-    ends the other attempts; it is refused to one that has been ended itself.
-    `on_silence` is called when the endpoint becomes silent. `on_event` is
-    called for each batch of events before it is sent to the caller, and
-    `on_answer` with what the endpoint says of itself, as in `Reply`;
-    `on_order_reply` likewise for a reservation on a helper. `on_endless` is
-    called if the caller has left during a very long answer. `find_obstacle` is
-    called right before the request is sent. It returns the reason why it must
-    not be sent any more, or ''. What is kept of the answer counts in
-    `byte_budget`, and a long one waits for its `turns`.
+    `number` counts the attempts of the request from 1. `leave_to_retry` tells
+    whether another attempt is to answer the request if this attempt fails now,
+    which takes a retry of the budget. `acquire_resend` asks for sending this
+    attempt to its endpoint once more. `claim` asks for the right to write to
+    the caller, which ends the other attempts; it is refused to one that has
+    been ended itself. `on_silence` is called when the endpoint becomes silent.
+    `on_event` is called for each batch of events before it is sent to the
+    caller, and `on_answer` with what the endpoint says of itself, as in
+    `Reply`; `on_order_reply` likewise for a reservation on a helper.
+    `on_endless` is called if the caller has left during a very long answer.
+    `find_obstacle` is called right before the request is sent. It returns the
+    reason why it must not be sent any more, or ''. What is kept of the answer
+    counts in `byte_budget`, and a long one waits for its `turns`.
     """
 
     admitted: AdmittedRequest
@@ -105,7 +105,7 @@
     answer: CallerAnswer
     limits: AttemptLimits
     number: int
-    may_retry_elsewhere: Callable[[], bool]
+    leave_to_retry: Callable[[], bool]
     acquire_resend: Callable[[], bool]
     claim: Callable[[], bool]
     on_silence: Callable[[], None]
--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -60,6 +60,7 @@
     """What an attempt asks of its request, as in `AttemptContext`."""
 
     may_retry_elsewhere: Callable[[], bool]
+    leave_to_retry: Callable[[], bool]
     acquire_resend: Callable[[], bool]
     claim: Callable[[], bool]
     on_silence: Callable[[], None]
@@ -111,7 +112,7 @@
             answer=served.answer,
             limits=attempt_limits(admitted, placement),
             number=progress.attempts,
-            may_retry_elsewhere=decisions.may_retry_elsewhere,
+            leave_to_retry=decisions.leave_to_retry,
             acquire_resend=partial(
                 self._acquire_resend, served, permitted, decisions
             ),
--- a/src/masticwind/serving/request_run.py
+++ b/src/masticwind/serving/request_run.py
@@ -60,6 +60,8 @@
         self._served: Final = served
         self._race: Final = AttemptRace()
         self._current: Final[dict[AttemptLine, PermittedPlacement]] = {}
+        # Lines that have taken a retry of the budget for their next attempt.
+        self._with_retry: Final[set[AttemptLine]] = set()
         # Of the line that has ended last.
         self._outcome: Failure | None = None
 
@@ -150,9 +152,11 @@
             return False, False
         await self._attempts.record_failure(permitted, failure, progress)
         is_alone = not self._race.has_running_others(line)
-        if goes_on and is_alone:
+        has_retry = line in self._with_retry
+        self._with_retry.discard(line)
+        if goes_on and is_alone and not has_retry:
             goes_on = self._try_acquire_retry()
-        return goes_on, is_alone
+        return goes_on, is_alone or has_retry
 
     async def _place(
         self, line: AttemptLine, *, has_retry: bool
@@ -195,6 +199,7 @@
     ) -> AttemptDecisions:
         return AttemptDecisions(
             may_retry_elsewhere=partial(self._may_retry_elsewhere, lead),
+            leave_to_retry=partial(self._leave_to_retry, line, lead),
             acquire_resend=partial(self._acquire_resend, line),
             claim=partial(self._race.claim, line),
             on_silence=partial(self._handle_silence, tasks, line),
@@ -223,6 +228,21 @@
             return False
         return self._retry_budget.has_retry(admitted.service.name)
 
+    def _leave_to_retry(self, line: AttemptLine, lead: Endpoint) -> bool:
+        """Tell whether another attempt is to replace the failure of `lead`.
+
+        The next attempt of the line has its retry of the budget then: another
+        request could take the last one meanwhile.
+        """
+        if not self._may_retry_elsewhere(lead):
+            return False
+        if self._race.has_running_others(line):
+            return True
+        if self._try_acquire_retry():
+            self._with_retry.add(line)
+            return True
+        return False
+
     def _acquire_resend(self, line: AttemptLine) -> bool:
         """Let the attempt of a line be sent to its endpoint once more, which
         takes a retry of the budget.
--- a/tests/test_direct_answers.py
+++ b/tests/test_direct_answers.py
@@ -10,6 +10,7 @@
 import pytest
 
 from masticwind.errors import Failure
+from masticwind.serving.admission.bounds import RetryBudget
 from masticwind_dev.standins.raw_endpoint import (
     LAST_CHUNK,
     RawConnection,
@@ -221,6 +222,25 @@
         assert answer.headers['x-server-seal'] == '3e1b.07'
 
 
+async def test_failure_is_forwarded_if_the_last_retry_is_taken(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a failure of the entry in place of the one that the
+    endpoint sent, when another request takes the last retry of the budget.
+    """
+    monkeypatch.setattr(RetryBudget, 'has_retry', lambda *_: True)
+    monkeypatch.setattr(RetryBudget, 'try_acquire', lambda *_: False)
+    async with running_entry() as harness:
+        script = first_then(answer_failure, answer_failure)
+        await harness.start_endpoint('i-1', script)
+        await harness.start_endpoint('i-2', script)
+        await _warm_up(harness)
+        answer = await harness.request('/read/a')
+        assert (answer.status, answer.body) == (500, b'failed')
+        assert answer.headers['x-server-seal'] == '3e1b.07'
+        assert _count_attempts(harness) == 1
+
+
 async def test_refusal_caused_by_a_helper_keeps_the_leading_endpoint() -> None:
     """Guards against a healthy engine that is excluded because an engine that
     helps it has gone. The refusal names the endpoint at fault.
