--- a/src/masticwind/httpclient.py
+++ b/src/masticwind/httpclient.py
@@ -63,6 +63,9 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_PROBE_INTERVAL_S),
 )
 
+# The HTTP parser accepts three digits from 200.
+MAX_STATUS: Final = 599
+
 # The time of a `Keep-Alive` header, up to thirty years.
 _SECONDS: Final = re.compile('[0-9]{1,9}')
 _NOT_SENT_ERRORS: Final = (
@@ -388,7 +391,12 @@
             kind=ErrorKind.OUTCOME_UNKNOWN,
             reason='the head contains parts of another response',
         )
-    body = await join_chunks(response.aiter_stream(), max_body_bytes)
+    if response.status > MAX_STATUS:
+        return Failure(
+            kind=ErrorKind.OUTCOME_UNKNOWN,
+            reason=f'{response.status} is not the status of a response',
+        )
+    body = await join_chunks(iterate_body(response), max_body_bytes)
     if body is None:
         return Failure(
             kind=ErrorKind.OUTCOME_UNKNOWN,
@@ -419,7 +427,7 @@
             yield chunk
     except _CONNECTION_ERRORS as exc:
         raise BrokenStreamError(
-            type(exc).__name__,
+            ': '.join(filter(None, (type(exc).__name__, str(exc)))),
             silent=isinstance(exc, httpcore.TimeoutException),
         ) from exc
 
