--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -135,15 +135,17 @@
             permit=permitted.permit,
             state=state,
         )
-        try:
-            with self._completion_times.measure(
-                admitted.service.name, placement.total_ms
-            ) as timed:
+        with self._completion_times.measure(
+            admitted.service.name, placement.total_ms
+        ) as timed:
+            try:
                 failure = await run_attempt(deps.endpoint_client, context)
                 timed.completed = failure is None
-        finally:
-            deps.load_table.remove(job_ids)
-            deps.quarantine.end(running)
+            finally:
+                deps.load_table.remove(
+                    job_ids, completed=timed.completed and _sent_all(context)
+                )
+                deps.quarantine.end(running)
         await self._record_outcome(context, running, failure)
         return failure
 
@@ -371,3 +373,11 @@
         self._deps.load_table.record_first_token(job_ids)
         self._deps.reach.record_answer(lead)
         self._deps.quarantine.record_events(running)
+
+
+def _sent_all(context: AttemptContext) -> bool:
+    """Tell whether an attempt has sent all events of its answer.
+
+    One that resumes an answer is predicted to take as long as a whole one.
+    """
+    return context.state.event_count == context.progress.event_count
--- a/src/masticwind/serving/placement/load_link.py
+++ b/src/masticwind/serving/placement/load_link.py
@@ -7,7 +7,6 @@
 
 import math
 import secrets
-from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Annotated, Final
 
@@ -20,7 +19,11 @@
 from masticwind.serving.datagrams import PeerAddress, PeerSocket, Receiver
 from masticwind.serving.fingerprints import MAX_SHORT_KEY
 from masticwind.serving.peers import SILENCE_TIMEOUT_S, EntryPeers
-from masticwind.serving.placement.load_table import Job, LoadTable
+from masticwind.serving.placement.load_table import (
+    Job,
+    LoadChanges,
+    LoadTable,
+)
 
 LOAD: Final = 'load'
 # Changes within this time are sent together.
@@ -70,6 +73,8 @@
 class LoadUpdate(msgspec.Struct, array_like=True):
     """Jobs that are new or changed, and the ids of jobs that ended.
 
+    `completed_ids` are those of the ended jobs whose requests were served; an
+    entry of an earlier release sends none.
     With `complete`, it replaces all jobs that are known of the sender; further
     messages add the rest if there are many jobs.
     """
@@ -80,6 +85,7 @@
     complete: bool
     jobs: list[JobMessage]
     ended_ids: list[int]
+    completed_ids: list[int] = []
 
 
 @dataclass(slots=True)
@@ -134,18 +140,20 @@
             [_from_message(job, now) for job in message.jobs],
             message.ended_ids,
             replace_all=message.complete,
+            completed_ids=message.completed_ids,
         )
 
     async def _send_changes(self) -> None:
         while True:
-            changed, ended_ids = await self._load_table.wait_for_changes()
-            self._send(changed, ended_ids, complete=False)
+            changes = await self._load_table.wait_for_changes()
+            self._send(changes, complete=False)
             await anyio.sleep(BATCH_INTERVAL_S)
 
     async def _send_all(self) -> None:
         while True:
             await anyio.sleep(FULL_UPDATE_INTERVAL_S)
-            self._send(self._load_table.own_jobs(), (), complete=True)
+            all_jobs = list(self._load_table.own_jobs())
+            self._send(LoadChanges(all_jobs, [], []), complete=True)
 
     async def _remove_silent_entries(self) -> None:
         while True:
@@ -158,18 +166,12 @@
                     )
                     logger.bind(entry=entry).info('entry_silent')
 
-    def _send(
-        self,
-        jobs: Iterable[Job],
-        ended_ids: Iterable[int],
-        *,
-        complete: bool,
-    ) -> None:
+    def _send(self, changes: LoadChanges, *, complete: bool) -> None:
         peers = self._peers.others()
         if not peers:
             return
-        messages = [_to_message(job, self._load_table.clock()) for job in jobs]
-        ended = list(ended_ids)
+        now = self._load_table.clock()
+        messages = [_to_message(job, now) for job in changes.jobs]
         is_first = True
         while is_first or messages:
             self._sequence += 1
@@ -179,7 +181,8 @@
                 sequence=self._sequence,
                 complete=complete and is_first,
                 jobs=messages[:MAX_JOBS_PER_DATAGRAM],
-                ended_ids=ended if is_first else [],
+                ended_ids=changes.ended_ids if is_first else [],
+                completed_ids=changes.completed_ids if is_first else [],
             )
             messages = messages[MAX_JOBS_PER_DATAGRAM:]
             is_first = False
--- a/src/masticwind/serving/placement/load_table.py
+++ b/src/masticwind/serving/placement/load_table.py
@@ -5,10 +5,11 @@
 decodes, a helper only prefills.
 """
 
+import abc
 import itertools
 import math
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable, Mapping
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -64,15 +65,71 @@
         return self.prefill.scaled(min(1.0, max(MIN_REMAINING_SHARE, share)))
 
 
+class JobObserver(abc.ABC):
+    """Is told of the jobs of all entries, as far as their messages tell.
+
+    `entry` is the name of another entry, or '' for this one; `now` is the time
+    of the load table's clock.
+    """
+
+    @abc.abstractmethod
+    def begin(self, entry: str, job: Job) -> None:
+        """Record a job that is new here; it may decode already."""
+
+    @abc.abstractmethod
+    def record_first_token(self, entry: str, job: Job, now: float) -> None:
+        """Record that a job has begun to decode."""
+
+    @abc.abstractmethod
+    def end(self, entry: str, job: Job, now: float, *, completed: bool) -> None:
+        """Record that a job is gone; its request may have failed, or the
+        message about its end was lost, unless it has `completed`.
+        """
+
+
+class IgnoringObserver(JobObserver):
+    """Learns nothing."""
+
+    def begin(self, entry: str, job: Job) -> None:
+        """Ignore the job."""
+
+    def record_first_token(self, entry: str, job: Job, now: float) -> None:
+        """Ignore the job."""
+
+    def end(self, entry: str, job: Job, now: float, *, completed: bool) -> None:
+        """Ignore the job."""
+
+
+IGNORING_OBSERVER: Final = IgnoringObserver()
+
+
+@dataclass(frozen=True, slots=True)
+class LoadChanges:
+    """The jobs that are new or changed, and the ids of ended ones.
+
+    `completed_ids` are those of the ended ones whose requests were served.
+    """
+
+    jobs: list[Job]
+    ended_ids: list[int]
+    completed_ids: list[int]
+
+
 class LoadTable:
     """Jobs of this entry and of all other entries."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        observer: JobObserver = IGNORING_OBSERVER,
+    ) -> None:
         self.clock: Final = clock
+        self._observer: Final = observer
         self._ids: Final = itertools.count(1)
         self._own_jobs: Final[dict[int, Job]] = {}
         self._jobs_by_entry: Final[dict[str, dict[int, Job]]] = {}
         self._changed_ids: Final[set[int]] = set()
+        self._completed_ids: Final[set[int]] = set()
         self._change_event = anyio.Event()
 
     def add(self, jobs: Iterable[Job]) -> tuple[int, ...]:
@@ -82,6 +139,7 @@
             job_id = next(self._ids)
             self._delay_queued_prefills(job)
             self._own_jobs[job_id] = replace(job, job_id=job_id)
+            self._observer.begin('', self._own_jobs[job_id])
             job_ids.append(job_id)
         self._mark_changed(job_ids)
         return tuple(job_ids)
@@ -94,25 +152,34 @@
                 continue
             if job.context_tokens:
                 self._own_jobs[job_id] = replace(job, decoding=True)
+                self._observer.record_first_token('', job, self.clock())
             else:
                 self._own_jobs.pop(job_id)
+                self._observer.end('', job, self.clock(), completed=False)
             self._mark_changed((job_id,))
 
-    def remove(self, job_ids: Iterable[int]) -> None:
-        """Remove the jobs of a request that has ended."""
+    def remove(
+        self, job_ids: Iterable[int], *, completed: bool = False
+    ) -> None:
+        """Remove the jobs of a request that has ended.
+
+        It has `completed` if its whole answer was passed on.
+        """
         for job_id in job_ids:
-            if self._own_jobs.pop(job_id, None) is not None:
-                self._mark_changed((job_id,))
+            job = self._own_jobs.pop(job_id, None)
+            if job is None:
+                continue
+            if completed:
+                self._completed_ids.add(job_id)
+            self._mark_changed((job_id,))
+            self._observer.end('', job, self.clock(), completed=completed)
 
     def own_jobs(self) -> tuple[Job, ...]:
         """Return the jobs of this entry."""
         return tuple(self._own_jobs.values())
 
-    async def wait_for_changes(self) -> tuple[list[Job], list[int]]:
-        """Wait for changes to this entry's jobs since the last call.
-
-        Returns the jobs that are new or changed, and the ids of ended ones.
-        """
+    async def wait_for_changes(self) -> LoadChanges:
+        """Wait for changes to this entry's jobs since the last call."""
         await self._change_event.wait()
         self._change_event = anyio.Event()
         changed: list[Job] = []
@@ -123,8 +190,10 @@
                 ended_ids.append(job_id)
                 continue
             changed.append(job)
+        completed_ids = list(self._completed_ids)
         self._changed_ids.clear()
-        return changed, ended_ids
+        self._completed_ids.clear()
+        return LoadChanges(changed, ended_ids, completed_ids)
 
     def update_entry(
         self,
@@ -133,12 +202,14 @@
         ended_ids: Iterable[int],
         *,
         replace_all: bool,
+        completed_ids: Iterable[int] = (),
     ) -> None:
         """Apply an update of another entry.
 
         With `replace_all`, jobs that the update does not name are removed.
         """
         entry_jobs = self._jobs_by_entry.setdefault(entry, {})
+        known_jobs = dict(entry_jobs)
         if replace_all:
             entry_jobs.clear()
         for job in jobs:
@@ -147,6 +218,7 @@
             entry_jobs[job.job_id] = job
         for job_id in ended_ids:
             entry_jobs.pop(job_id, None)
+        self._observe_update(entry, known_jobs, frozenset(completed_ids))
 
     def jobs_by_endpoint(self) -> dict[str, list[Job]]:
         """Return all jobs by the identity of their endpoint."""
@@ -160,6 +232,26 @@
                     by_endpoint.setdefault(job.endpoint_id, []).append(job)
         return by_endpoint
 
+    def _observe_update(
+        self,
+        entry: str,
+        known_jobs: Mapping[int, Job],
+        completed_ids: Container[int],
+    ) -> None:
+        """Tell the observer what an update has changed."""
+        now = self.clock()
+        entry_jobs = self._jobs_by_entry[entry]
+        for job_id, job in entry_jobs.items():
+            known = known_jobs.get(job_id)
+            if known is None:
+                self._observer.begin(entry, job)
+            elif job.decoding and not known.decoding:
+                self._observer.record_first_token(entry, job, now)
+        for job_id, known in known_jobs.items():
+            if job_id not in entry_jobs:
+                completed = job_id in completed_ids
+                self._observer.end(entry, known, now, completed=completed)
+
     def _delay_queued_prefills(self, helper_job: Job) -> None:
         """Delay the other prefills of an engine by a new helper job.
 
--- a/src/masticwind/serving/placement/request_placer.py
+++ b/src/masticwind/serving/placement/request_placer.py
@@ -323,6 +323,7 @@
             last_resort=last_resort,
             route_key=short_key(admitted.route.name),
             team_key=short_key(admitted.team.name),
+            costs=deps.costs,
             standing=Standing(priority=admitted.priority),
         )
         restricted = {*permit_waits_ms, *pause_waits_ms}
--- a/src/masticwind/serving/relay_dependencies.py
+++ b/src/masticwind/serving/relay_dependencies.py
@@ -4,6 +4,7 @@
 
 from masticwind.serving.admission.bounds import ColdEndpointLimiter, RetryBudget
 from masticwind.serving.admission.byte_budget import ByteBudget
+from masticwind.serving.costs.model import STATIC_COSTS, CostModel
 from masticwind.serving.directory import EndpointDirectory, OperatorState
 from masticwind.serving.endpoint_notices import EndpointNotices
 from masticwind.serving.interfaces import EndpointClient
@@ -42,3 +43,4 @@
     turns: TurnQueue = field(default_factory=TurnQueue)
     call_placer: Placer = field(default_factory=CallPlacer)
     prompt_placer: Placer = field(default_factory=PromptPlacer)
+    costs: CostModel = STATIC_COSTS
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -14,6 +14,7 @@
 from masticwind.serving.cleanup import build_cleanup
 from masticwind.serving.config_versions import ConfigVersions
 from masticwind.serving.confirmations import Confirmations
+from masticwind.serving.costs.wiring import build_load_and_costs
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.directory import (
     EndpointDirectory,
@@ -31,7 +32,6 @@
 from masticwind.serving.operations import OperationsApp
 from masticwind.serving.peers import EntryPeers, Registrar
 from masticwind.serving.placement.load_link import LoadLink
-from masticwind.serving.placement.load_table import LoadTable
 from masticwind.serving.quarantine import build_quarantine
 from masticwind.serving.relay import Relay
 from masticwind.serving.relay_dependencies import RelayDependencies
@@ -84,7 +84,10 @@
         self._adapter: Final = adapter
         self._draining = False
         self._active_config: Final = ActiveConfig()
-        self._load_table: Final = LoadTable()
+        self._telemetry: Final = Telemetry()
+        costs = build_load_and_costs(cfg, self._telemetry)
+        self._costs: Final = costs.model
+        self._load_table: Final = costs.load_table
         self._peers: Final = EntryPeers(cfg)
         self._peer_socket: Final = PeerSocket(cfg)
         self._operator_state: Final = OperatorState(
@@ -152,7 +155,6 @@
             settings,
             self._versions.age_s,
         )
-        self._telemetry: Final = Telemetry()
         self._lifetime: Final = Lifetime()
         self._byte_budget: Final = ByteBudget(
             cfg.memory_mb or DEFAULT_MEMORY_MB
@@ -323,6 +325,7 @@
                 telemetry=self._telemetry,
                 lifetime=self._lifetime,
                 byte_budget=self._byte_budget,
+                costs=self._costs,
             )
         )
         return EdgeDependencies(
--- a/src/masticwind/serving/settings.py
+++ b/src/masticwind/serving/settings.py
@@ -60,6 +60,7 @@
     zero disables the metrics server. Without an `operator_token`, no held
     part of a prompt can be released. `memory_mb` is the memory of the machine,
     from which the limit of buffered bytes follows; zero stands for the default.
+    With `learned_costs`, placements go by what requests have cost so far.
     """
 
     node: Name
@@ -74,6 +75,7 @@
     log_level: LogLevel = 'info'
     operator_token: str = ''
     memory_mb: MemoryMb = DEFAULT_MEMORY_MB
+    learned_costs: bool = False
 
 
 def parse_address(text: HostPort) -> Address:
--- a/src/masticwind_dev/play/engines.py
+++ b/src/masticwind_dev/play/engines.py
@@ -72,11 +72,13 @@
     """One engine.
 
     `lead_parts` are prefills of requests that this engine leads, and
-    `helper_parts` those for other lead engines.
+    `helper_parts` those for other lead engines. `time_factor` is how much
+    longer it takes than its profile says.
     """
 
     profile: EngineProfile
     clock: SimulationClock
+    time_factor: float = 1.0
     queued: list[_PrefillPart] = field(default_factory=list)
     lead_parts: list[_PrefillPart] = field(default_factory=list)
     helper_parts: list[_PrefillPart] = field(default_factory=list)
@@ -155,7 +157,7 @@
         else:
             duration_ms += self.profile.step_ms
         self.clock.schedule(
-            self.clock.now + duration_ms / MS_PER_S,
+            self.clock.now + duration_ms * self.time_factor / MS_PER_S,
             lambda: self._complete_iteration(finished, decoding),
         )
 
--- a/src/masticwind_dev/play/simulation.py
+++ b/src/masticwind_dev/play/simulation.py
@@ -17,11 +17,14 @@
 from masticwind.budget import MS_PER_S
 from masticwind.errors import Failure
 from masticwind.serving.costs.latency_model import full_prefill
+from masticwind.serving.costs.learned import LearnedCostModel
+from masticwind.serving.costs.model import STATIC_COSTS, CostModel
 from masticwind.serving.endpoint_limits import (
     EndpointLimits,
     PermitAuthorities,
 )
 from masticwind.serving.endpoint_notices import EndpointNotices
+from masticwind.serving.fingerprints import short_key
 from masticwind.serving.interfaces import EndpointNotice
 from masticwind.serving.model import (
     Endpoint,
@@ -29,7 +32,11 @@
     Service,
     TokenCounts,
 )
-from masticwind.serving.placement.load_table import Job, LoadTable
+from masticwind.serving.placement.load_table import (
+    IGNORING_OBSERVER,
+    Job,
+    LoadTable,
+)
 from masticwind.serving.placement.placer import (
     Deferral,
     Placement,
@@ -164,7 +171,10 @@
     Each entry places its requests on its own. Its load table receives changes
     to the jobs of the other entries after `update_delay_s`. The first engines
     limit their requests to `limits_per_s`. The first `pausing_engines` refuse
-    requests for `pause_s` from `pause_at_s` on, and ask for a pause.
+    requests for `pause_s` from `pause_at_s` on, and ask for a pause. The actual
+    output lengths differ from the callers' estimates by `estimate_sigma`, and
+    the speeds of the engines from the profile by `engine_speed_sigma`, both of
+    a log-normal distribution. `learned_costs` sets which cost model is used.
     """
 
     engine_count: int = 14
@@ -184,6 +194,9 @@
     pausing_engines: int = 0
     pause_at_s: float = 0
     pause_s: float = 0
+    learned_costs: bool = False
+    estimate_sigma: float = 0.5
+    engine_speed_sigma: float = 0
 
 
 # The users' largest deployment, scaled down.
@@ -240,13 +253,15 @@
 class ClassResult:
     """Totals over the requests of one class.
 
-    `max_value` is earned if all of them meet their targets.
+    `max_value` is earned if all of them meet their targets. `refusals` counts
+    those of callers that come back, too.
     """
 
     requests: int = 0
     on_target: int = 0
     late: int = 0
     unserved: int = 0
+    refusals: int = 0
     max_value: float = 0
     earned_value: float = 0
     first_event_ms: list[float] = field(default_factory=list)
@@ -273,11 +288,20 @@
 
     def __init__(self, clock: SimulationClock, workload: Workload) -> None:
         self._clock: Final = clock
+        self._costs: Final = [
+            LearnedCostModel(self._now) if workload.learned_costs else None
+            for _ in range(workload.entry_count)
+        ]
         self._update_delay_s: Final = workload.update_delay_s
         self._load_tables: Final = [
-            LoadTable(self._now) for _ in range(workload.entry_count)
+            LoadTable(self._now, costs or IGNORING_OBSERVER)
+            for costs in self._costs
         ]
 
+    def costs(self, entry: int) -> CostModel:
+        """Return the cost model of an entry."""
+        return self._costs[entry] or STATIC_COSTS
+
     def jobs_by_endpoint(self, entry: int) -> dict[str, list[Job]]:
         """Return the jobs in the load table of an entry."""
         return self._load_tables[entry].jobs_by_endpoint()
@@ -295,7 +319,7 @@
 
     def remove(self, entry: int, job_ids: tuple[int, ...]) -> None:
         """Remove the jobs of a request that has ended."""
-        self._load_tables[entry].remove(job_ids)
+        self._load_tables[entry].remove(job_ids, completed=True)
         self._send_update(entry, job_ids)
 
     def _send_update(self, entry: int, job_ids: tuple[int, ...]) -> None:
@@ -320,7 +344,11 @@
         for number, load_table in enumerate(self._load_tables):
             if number != entry:
                 load_table.update_entry(
-                    str(entry), changed, ended_ids, replace_all=False
+                    str(entry),
+                    changed,
+                    ended_ids,
+                    replace_all=False,
+                    completed_ids=ended_ids,
                 )
 
 
@@ -350,8 +378,14 @@
         self._random: Final = random.Random(seed)
         self._clock: Final = SimulationClock()
         self._load_tables: Final = _LoadTables(self._clock, workload)
+        # A source of its own, so that equal seeds give equal requests.
+        speed_random = random.Random(seed)
         self._engines: Final = {
-            f'e{number}': SimulatedEngine(workload.profile, self._clock)
+            f'e{number}': SimulatedEngine(
+                workload.profile,
+                self._clock,
+                speed_random.lognormvariate(0, workload.engine_speed_sigma),
+            )
             for number in range(workload.engine_count)
         }
         self._endpoints: Final = [
@@ -425,7 +459,9 @@
             1, int(self._lognormal(request_class.mean_iterations, 0.6))
         )
         # Callers' estimates of output lengths are inaccurate.
-        estimated_iterations = iterations * self._random.lognormvariate(0, 0.5)
+        estimated_iterations = iterations * self._random.lognormvariate(
+            0, self._workload.estimate_sigma
+        )
         tokens = TokenCounts(
             prompt=max(16, prompt),
             max_output=int(
@@ -501,6 +537,8 @@
                     for endpoint in self._endpoints
                     if self._notices[entry].is_returning(endpoint)
                 },
+                route_key=short_key(request.class_name),
+                costs=self._load_tables.costs(entry),
             )
         )
         if isinstance(placement, Deferral):
@@ -552,6 +590,7 @@
     def _handle_refusal(
         self, request: _CallerRequest, failure: Failure
     ) -> None:
+        self.class_results[request.class_name].refusals += 1
         now = self._clock.now
         wait_s = failure.retry_after_ms / MS_PER_S
         remaining_s = request.request_class.deadline_ms / MS_PER_S - (
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -74,6 +74,7 @@
     assert not isinstance(cfg, Failure), cfg
     assert cfg.bounds.shutdown_ms == 8000
     assert cfg.memory_mb == 300
+    assert cfg.learned_costs
     assert cfg.store.address == '127.0.0.1:1'
 
 
