--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -143,7 +143,8 @@
                 timed.completed = failure is None
             finally:
                 deps.load_table.remove(
-                    job_ids, completed=timed.completed and _sent_all(context)
+                    job_ids,
+                    _output_tokens(context) if timed.completed else None,
                 )
                 deps.quarantine.end(running)
         await self._record_outcome(context, running, failure)
@@ -375,9 +376,15 @@
         self._deps.quarantine.record_events(running)
 
 
-def _sent_all(context: AttemptContext) -> bool:
-    """Tell whether an attempt has sent all events of its answer.
+def _output_tokens(context: AttemptContext) -> int | None:
+    """Return how many tokens a served attempt has passed on, as far as its
+    events tell, and None if it has resumed an answer.
 
-    One that resumes an answer is predicted to take as long as a whole one.
+    An engine writes an event in each iteration. One that resumes an answer is
+    predicted to take as long as a whole one, so nothing is learned from it.
     """
-    return context.state.event_count == context.progress.event_count
+    events = context.state.event_count
+    if events != context.progress.event_count:
+        return None
+    engine = context.admitted.service.engine
+    return 0 if engine is None else events * engine.steps_per_iteration
--- a/src/masticwind/serving/cleanup.py
+++ b/src/masticwind/serving/cleanup.py
@@ -4,7 +4,8 @@
 since streams may still run on its connections and it may register again.
 """
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Final
 
 import anyio
@@ -28,7 +29,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Cleanup:
-    """Holds the components that keep state for each endpoint."""
+    """Holds the components that keep state for each endpoint.
+
+    `forget_callbacks` are called with the identity of a removed endpoint.
+    """
 
     directory: EndpointDirectory
     health: EndpointHealth
@@ -36,6 +40,7 @@
     limits: EndpointLimits
     notices: EndpointNotices
     endpoint_client: EndpointClient
+    forget_callbacks: list[Callable[[str], None]] = field(default_factory=list)
 
     async def run(self) -> None:
         """Remove expired state periodically until cancelled."""
@@ -51,6 +56,8 @@
             self.health.forget(endpoint.identity)
             self.cold_limiter.forget(endpoint.identity)
             self.notices.forget(endpoint.identity)
+            for forget in self.forget_callbacks:
+                forget(endpoint.identity)
             if not self.directory.has_address(endpoint.address):
                 await self.endpoint_client.close_idle(endpoint)
             logger.bind(endpoint=endpoint.identity).debug('endpoint_forgotten')
--- a/src/masticwind/serving/costs/model.py
+++ b/src/masticwind/serving/costs/model.py
@@ -38,6 +38,10 @@
     ) -> int:
         """Return the number of output tokens to plan with."""
 
+    @abc.abstractmethod
+    def forget(self, endpoint: str) -> None:
+        """Discard what is known of an endpoint that is gone."""
+
 
 class StaticCostModel(CostModel):
     """Takes every prediction for true."""
@@ -60,6 +64,9 @@
         """Return that each endpoint is as fast as its profile says."""
         return 1.0
 
+    def forget(self, endpoint: str) -> None:
+        """Do nothing, since nothing is known of an endpoint."""
+
     def expected_output(
         self, tokens: TokenCounts, route_key: int, team_key: int
     ) -> int:
--- a/src/masticwind/serving/costs/ratios.py
+++ b/src/masticwind/serving/costs/ratios.py
@@ -97,17 +97,6 @@
     return tuple(points)
 
 
-def median_ratio(shares: Sequence[float]) -> float:
-    """Return the ratio that half of the jobs exceed."""
-    below = 0.0
-    for number, share in enumerate(shares):
-        if below + share >= 1 / 2:
-            inside = (1 / 2 - below) / share
-            return _EDGES[number] * math.exp2(inside / BINS_PER_OCTAVE)
-        below += share
-    return _EDGES[-1]
-
-
 def _prior_below(ratio: float) -> float:
     deviations = math.log(ratio / PRIOR_MEDIAN) / math.log(PRIOR_SPREAD)
     return (1 + math.erf(deviations / math.sqrt(2))) / 2
--- a/src/masticwind/serving/placement/engine_view.py
+++ b/src/masticwind/serving/placement/engine_view.py
@@ -55,7 +55,8 @@
     cost that does not depend on the prefill. An engine that may not lead can
     only prefill parts of prompts for others. `start_wait_ms` is the wait for a
     permit if the engine limits its requests, or for the end of a pause that it
-    has asked for; such an engine prefills nothing for others.
+    has asked for; such an engine prefills nothing for others. `speed_factor` is
+    how much longer it takes than its profile says.
     """
 
     endpoint: Endpoint
@@ -70,6 +71,16 @@
     may_lead: bool = True
     may_help: bool = True
     start_wait_ms: float = 0
+    speed_factor: float = 1.0
+
+    @property
+    def target_factor(self) -> float:
+        """The factor of predicted times, by which requests are refused.
+
+        That of an idle engine is at most 1, so that no request is refused
+        which the engine could serve if it is faster than it seemed.
+        """
+        return self.speed_factor if self.jobs else min(1.0, self.speed_factor)
 
 
 def build_engine_view(
@@ -118,6 +129,7 @@
         may_lead=may_lead,
         may_help=query.may_help(endpoint.identity),
         start_wait_ms=start_wait_ms,
+        speed_factor=query.costs.speed_factor(endpoint.identity),
     )
 
 
@@ -141,7 +153,12 @@
 
     Losses of other requests count as one millisecond for each token.
     """
-    total_ms = first_token_ms(profile, engine.times, prefill)
+    first_ms = first_token_ms(profile, engine.times, prefill)
+    total_ms = first_ms * engine.speed_factor
+    if not engine.jobs and engine.speed_factor > 1:
+        # An idle engine that seems slow is preferred to a late answer.
+        usable_ms = query.first_event_target_ms * USABLE_TARGET_SHARE
+        total_ms = min(total_ms, max(first_ms, usable_ms))
     total_ms += engine.penalty_ms + engine.slot_wait_ms
     if engine.jobs:
         total_ms += sum(losses(query, profile, engine, prefill).values())
@@ -160,9 +177,8 @@
     running_ms = (
         times.pending_prefill_ms / 2 if times.decode_iteration_ms else 0.0
     )
-    return running_ms + first_token_ms(
-        profile, times.without_pending_prefill(), prefill
-    )
+    first_ms = first_token_ms(profile, times.without_pending_prefill(), prefill)
+    return (running_ms + first_ms) * engine.target_factor
 
 
 def losses(
@@ -179,7 +195,8 @@
     late already loses nothing more.
     """
     gap_ms = max_token_gap_ms(profile, engine.times, prefill)
-    prefill_s = prefill_ms(profile, prefill) / MS_PER_S
+    gap_ms *= engine.speed_factor
+    prefill_s = prefill_ms(profile, prefill) * engine.speed_factor / MS_PER_S
     lost_tokens: dict[str, float] = {}
     for job in engine.jobs:
         if job.decoding:
--- a/src/masticwind/serving/placement/load_link.py
+++ b/src/masticwind/serving/placement/load_link.py
@@ -37,11 +37,15 @@
 # One day, the largest accepted distance of a time from now. No request takes
 # this long.
 MAX_OFFSET_MS: Final = 86_400_000
+PERCENT: Final = 100
+MAX_PERCENT: Final = 1000
 
 
 # Bounded integers, so that predictions calculated from the numbers of another
 # entry cannot overflow or yield NaN.
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+# Learned factors, which are between 0.5 and 4.
+Percent = Annotated[int, msgspec.Meta(ge=1, le=MAX_PERCENT)]
 ShortKey = Annotated[int, msgspec.Meta(ge=0, le=MAX_SHORT_KEY)]
 Milliseconds = Annotated[int, msgspec.Meta(ge=-MAX_OFFSET_MS, le=MAX_OFFSET_MS)]
 
@@ -49,7 +53,7 @@
 class JobMessage(msgspec.Struct, array_like=True):
     """A job as it is sent; times are relative to the time of sending.
 
-    An entry of an earlier release sends no keys.
+    An entry of an earlier release sends none of the fields with a default.
     """
 
     job_id: int
@@ -68,13 +72,16 @@
     decoding: bool
     route_key: ShortKey = 0
     team_key: ShortKey = 0
+    speed_percent: Percent = 100
+    output_percent: Percent = 100
+    expected_output: Count = 0
 
 
 class LoadUpdate(msgspec.Struct, array_like=True):
     """Jobs that are new or changed, and the ids of jobs that ended.
 
-    `completed_ids` are those of the ended jobs whose requests were served; an
-    entry of an earlier release sends none.
+    `outputs` has the ids of the ended jobs whose requests were served, and the
+    numbers of their output tokens; an entry of an earlier release sends none.
     With `complete`, it replaces all jobs that are known of the sender; further
     messages add the rest if there are many jobs.
     """
@@ -85,7 +92,7 @@
     complete: bool
     jobs: list[JobMessage]
     ended_ids: list[int]
-    completed_ids: list[int] = []
+    outputs: list[tuple[int, Count]] = []
 
 
 @dataclass(slots=True)
@@ -140,7 +147,7 @@
             [_from_message(job, now) for job in message.jobs],
             message.ended_ids,
             replace_all=message.complete,
-            completed_ids=message.completed_ids,
+            outputs=dict(message.outputs),
         )
 
     async def _send_changes(self) -> None:
@@ -153,7 +160,7 @@
         while True:
             await anyio.sleep(FULL_UPDATE_INTERVAL_S)
             all_jobs = list(self._load_table.own_jobs())
-            self._send(LoadChanges(all_jobs, [], []), complete=True)
+            self._send(LoadChanges(all_jobs, []), complete=True)
 
     async def _remove_silent_entries(self) -> None:
         while True:
@@ -182,7 +189,7 @@
                 complete=complete and is_first,
                 jobs=messages[:MAX_JOBS_PER_DATAGRAM],
                 ended_ids=changes.ended_ids if is_first else [],
-                completed_ids=changes.completed_ids if is_first else [],
+                outputs=list(changes.outputs.items()) if is_first else [],
             )
             messages = messages[MAX_JOBS_PER_DATAGRAM:]
             is_first = False
@@ -207,9 +214,16 @@
         decoding=job.decoding,
         route_key=job.route_key,
         team_key=job.team_key,
+        speed_percent=_to_percent(job.speed_factor),
+        output_percent=_to_percent(job.output_factor),
+        expected_output=job.expected_output,
     )
 
 
+def _to_percent(factor: float) -> int:
+    return min(MAX_PERCENT, max(1, round(factor * PERCENT)))
+
+
 def _first_token_due_ms(job: Job, now: float) -> int | None:
     if math.isinf(job.first_token_due_at):
         return None
@@ -235,4 +249,7 @@
         decoding=message.decoding,
         route_key=message.route_key,
         team_key=message.team_key,
+        speed_factor=message.speed_percent / PERCENT,
+        output_factor=message.output_percent / PERCENT,
+        expected_output=message.expected_output,
     )
--- a/src/masticwind/serving/placement/load_table.py
+++ b/src/masticwind/serving/placement/load_table.py
@@ -9,8 +9,9 @@
 import itertools
 import math
 import time
-from collections.abc import Callable, Container, Iterable, Mapping
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from types import MappingProxyType
 from typing import Final
 
 import anyio
@@ -35,7 +36,10 @@
     target; zero means that there is no target. `value_tokens` is the value of
     the request in prompt tokens; an output token counts as ten. A first token
     after `first_token_due_at` is late. `route_key` and `team_key` are short
-    keys of the route and the team, zero if they are unknown.
+    keys of the route and the team, zero if they are unknown. The predicted
+    times include `speed_factor` of the endpoint and an output of
+    `expected_output` tokens, zero if that is unknown; the caller's estimate
+    was multiplied by `output_factor`.
     """
 
     job_id: int
@@ -53,6 +57,9 @@
     decoding: bool = False
     route_key: int = 0
     team_key: int = 0
+    speed_factor: float = 1.0
+    output_factor: float = 1.0
+    expected_output: int = 0
 
     def remaining_prefill(self, now: float) -> PrefillWork:
         """Estimate the part of the prefill that has not run yet."""
@@ -81,9 +88,14 @@
         """Record that a job has begun to decode."""
 
     @abc.abstractmethod
-    def end(self, entry: str, job: Job, now: float, *, completed: bool) -> None:
-        """Record that a job is gone; its request may have failed, or the
-        message about its end was lost, unless it has `completed`.
+    def end(
+        self, entry: str, job: Job, now: float, output_tokens: int | None
+    ) -> None:
+        """Record that a job is gone.
+
+        `output_tokens` is None if its request failed, or if the message about
+        its end was lost, and zero if the request was served with an output of
+        unknown length.
         """
 
 
@@ -96,10 +108,13 @@
     def record_first_token(self, entry: str, job: Job, now: float) -> None:
         """Ignore the job."""
 
-    def end(self, entry: str, job: Job, now: float, *, completed: bool) -> None:
+    def end(
+        self, entry: str, job: Job, now: float, output_tokens: int | None
+    ) -> None:
         """Ignore the job."""
 
 
+NO_OUTPUTS: Final[Mapping[int, int]] = MappingProxyType({})
 IGNORING_OBSERVER: Final = IgnoringObserver()
 
 
@@ -107,12 +122,13 @@
 class LoadChanges:
     """The jobs that are new or changed, and the ids of ended ones.
 
-    `completed_ids` are those of the ended ones whose requests were served.
+    `outputs` has the number of output tokens of each ended one whose request
+    was served, zero if it is unknown.
     """
 
     jobs: list[Job]
     ended_ids: list[int]
-    completed_ids: list[int]
+    outputs: dict[int, int] = field(default_factory=dict)
 
 
 class LoadTable:
@@ -129,7 +145,7 @@
         self._own_jobs: Final[dict[int, Job]] = {}
         self._jobs_by_entry: Final[dict[str, dict[int, Job]]] = {}
         self._changed_ids: Final[set[int]] = set()
-        self._completed_ids: Final[set[int]] = set()
+        self._outputs: Final[dict[int, int]] = {}
         self._change_event = anyio.Event()
 
     def add(self, jobs: Iterable[Job]) -> tuple[int, ...]:
@@ -155,24 +171,25 @@
                 self._observer.record_first_token('', job, self.clock())
             else:
                 self._own_jobs.pop(job_id)
-                self._observer.end('', job, self.clock(), completed=False)
+                self._observer.end('', job, self.clock(), None)
             self._mark_changed((job_id,))
 
     def remove(
-        self, job_ids: Iterable[int], *, completed: bool = False
+        self, job_ids: Iterable[int], output_tokens: int | None = None
     ) -> None:
         """Remove the jobs of a request that has ended.
 
-        It has `completed` if its whole answer was passed on.
+        `output_tokens` is None unless its whole answer was passed on, and zero
+        if the length of its output is unknown.
         """
         for job_id in job_ids:
             job = self._own_jobs.pop(job_id, None)
             if job is None:
                 continue
-            if completed:
-                self._completed_ids.add(job_id)
+            if output_tokens is not None:
+                self._outputs[job_id] = output_tokens
             self._mark_changed((job_id,))
-            self._observer.end('', job, self.clock(), completed=completed)
+            self._observer.end('', job, self.clock(), output_tokens)
 
     def own_jobs(self) -> tuple[Job, ...]:
         """Return the jobs of this entry."""
@@ -190,10 +207,10 @@
                 ended_ids.append(job_id)
                 continue
             changed.append(job)
-        completed_ids = list(self._completed_ids)
+        outputs = dict(self._outputs)
         self._changed_ids.clear()
-        self._completed_ids.clear()
-        return LoadChanges(changed, ended_ids, completed_ids)
+        self._outputs.clear()
+        return LoadChanges(changed, ended_ids, outputs)
 
     def update_entry(
         self,
@@ -202,11 +219,12 @@
         ended_ids: Iterable[int],
         *,
         replace_all: bool,
-        completed_ids: Iterable[int] = (),
+        outputs: Mapping[int, int] = NO_OUTPUTS,
     ) -> None:
         """Apply an update of another entry.
 
         With `replace_all`, jobs that the update does not name are removed.
+        `outputs` is as in `LoadChanges`.
         """
         entry_jobs = self._jobs_by_entry.setdefault(entry, {})
         known_jobs = dict(entry_jobs)
@@ -218,7 +236,7 @@
             entry_jobs[job.job_id] = job
         for job_id in ended_ids:
             entry_jobs.pop(job_id, None)
-        self._observe_update(entry, known_jobs, frozenset(completed_ids))
+        self._observe_update(entry, known_jobs, outputs)
 
     def jobs_by_endpoint(self) -> dict[str, list[Job]]:
         """Return all jobs by the identity of their endpoint."""
@@ -236,7 +254,7 @@
         self,
         entry: str,
         known_jobs: Mapping[int, Job],
-        completed_ids: Container[int],
+        outputs: Mapping[int, int],
     ) -> None:
         """Tell the observer what an update has changed."""
         now = self.clock()
@@ -249,8 +267,7 @@
                 self._observer.record_first_token(entry, job, now)
         for job_id, known in known_jobs.items():
             if job_id not in entry_jobs:
-                completed = job_id in completed_ids
-                self._observer.end(entry, known, now, completed=completed)
+                self._observer.end(entry, known, now, outputs.get(job_id))
 
     def _delay_queued_prefills(self, helper_job: Job) -> None:
         """Delay the other prefills of an engine by a new helper job.
--- a/src/masticwind/serving/placement/plans.py
+++ b/src/masticwind/serving/placement/plans.py
@@ -251,7 +251,7 @@
     part: PrefillWork,
 ) -> float:
     lead, *helpers = selected
-    first_ms = first_token_ms(profile, lead.times, part)
+    first_ms = first_token_ms(profile, lead.times, part) * lead.target_factor
     for engine in helpers:
         first_ms = max(first_ms, helper_prefill_ms(profile, engine, part))
     return first_ms + lead.slot_wait_ms
--- a/src/masticwind/serving/placement/prompt_placer.py
+++ b/src/masticwind/serving/placement/prompt_placer.py
@@ -82,6 +82,7 @@
         tokens = query.tokens
         if profile is None or tokens is None or not query.candidates:
             return no_endpoint_failure()
+        tokens = _expected_tokens(query, tokens)
         engines = self._view_engines(query, profile, tokens)
         plan = best_plan(query, profile, tokens, engines)
         if plan is None:
@@ -272,8 +273,11 @@
         )
     iterations = math.ceil(tokens.expected_output / profile.steps_per_iteration)
     context_tokens = (*lead.load.decode_context_tokens, tokens.prompt)
-    total_ms = plan.first_token_ms + iterations * decode_iteration_ms(
-        profile, context_tokens
+    total_ms = (
+        plan.first_token_ms
+        + iterations
+        * decode_iteration_ms(profile, context_tokens)
+        * lead.speed_factor
     )
     needed_tokens = tokens.prompt + tokens.max_output
     return Job(
@@ -291,9 +295,29 @@
         first_token_due_at=first_token_due_at,
         route_key=query.route_key,
         team_key=query.team_key,
+        speed_factor=lead.speed_factor,
+        output_factor=_output_factor(query, tokens),
+        expected_output=tokens.expected_output,
     )
 
 
+def _expected_tokens(query: PlacementQuery, tokens: TokenCounts) -> TokenCounts:
+    """Return the counts with the output length to plan with."""
+    expected_output = query.costs.expected_output(
+        tokens, query.route_key, query.team_key
+    )
+    if expected_output == tokens.expected_output:
+        return tokens
+    return replace(tokens, expected_output=expected_output)
+
+
+def _output_factor(query: PlacementQuery, tokens: TokenCounts) -> float:
+    """Return by what the caller's estimate was multiplied."""
+    if query.tokens is None or not query.tokens.expected_output:
+        return 1.0
+    return tokens.expected_output / query.tokens.expected_output
+
+
 def _helper_job(lead: Job, helper: HelperPlacement) -> Job:
     return replace(
         lead,
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -142,6 +142,7 @@
             limits=self._limit_link.limits,
             endpoint_client=adapter.endpoint_client,
         )
+        self._cleanup.forget_callbacks.append(self._costs.forget)
         self._quarantine: Final = build_quarantine(
             self._peer_socket,
             self._peers,
--- a/src/masticwind/serving/telemetry.py
+++ b/src/masticwind/serving/telemetry.py
@@ -22,6 +22,7 @@
 # Histogram buckets in seconds, close together around the first event targets
 # of routes, which are 0.15 to 3 s.
 FIRST_EVENT_BUCKETS: Final = (0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 1.5, 3, 6, 12)
+ERROR_RATIO_BUCKETS: Final = (0.25, 0.5, 0.7, 1, 1.4, 2, 3, 4, 8)
 MAX_SHORT_PROMPT_TOKENS: Final = 24_000
 MAX_MEDIUM_PROMPT_TOKENS: Final = 110_000
 
@@ -82,6 +83,14 @@
             registry=self._registry,
         )
 
+        self.prediction_error: Final = Histogram(
+            'masticwind_prediction_error_ratio',
+            'Actual times of prompts as multiples of the predicted ones',
+            ('size', 'time', 'prediction'),
+            buckets=ERROR_RATIO_BUCKETS,
+            registry=self._registry,
+        )
+
     def add_gauge(
         self,
         name: str,
--- a/src/masticwind_dev/play/simulation.py
+++ b/src/masticwind_dev/play/simulation.py
@@ -317,12 +317,16 @@
         self._load_tables[entry].record_first_token(job_ids)
         self._send_update(entry, job_ids)
 
-    def remove(self, entry: int, job_ids: tuple[int, ...]) -> None:
-        """Remove the jobs of a request that has ended."""
-        self._load_tables[entry].remove(job_ids, completed=True)
-        self._send_update(entry, job_ids)
+    def remove(
+        self, entry: int, job_ids: tuple[int, ...], output_tokens: int
+    ) -> None:
+        """Remove the jobs of a request that was served."""
+        self._load_tables[entry].remove(job_ids, output_tokens)
+        self._send_update(entry, job_ids, output_tokens)
 
-    def _send_update(self, entry: int, job_ids: tuple[int, ...]) -> None:
+    def _send_update(
+        self, entry: int, job_ids: tuple[int, ...], output_tokens: int = 0
+    ) -> None:
         if len(self._load_tables) == 1:
             return
         own_jobs = {
@@ -332,23 +336,25 @@
         ended_ids = [job_id for job_id in job_ids if job_id not in own_jobs]
         self._clock.schedule(
             self._clock.now + self._update_delay_s,
-            lambda: self._apply_update(entry, changed, ended_ids),
+            lambda: self._apply_update(
+                entry, changed, dict.fromkeys(ended_ids, output_tokens)
+            ),
         )
 
     def _now(self) -> float:
         return self._clock.now
 
     def _apply_update(
-        self, entry: int, changed: list[Job], ended_ids: list[int]
+        self, entry: int, changed: list[Job], outputs: dict[int, int]
     ) -> None:
         for number, load_table in enumerate(self._load_tables):
             if number != entry:
                 load_table.update_entry(
                     str(entry),
                     changed,
-                    ended_ids,
+                    outputs,
                     replace_all=False,
-                    completed_ids=ended_ids,
+                    outputs=outputs,
                 )
 
 
@@ -663,7 +669,8 @@
         entry: int,
         job_ids: tuple[int, ...],
     ) -> None:
-        self._load_tables.remove(entry, job_ids)
+        steps = self._workload.profile.steps_per_iteration
+        self._load_tables.remove(entry, job_ids, request.iterations * steps)
         request_class = request.request_class
         result = self.class_results[request.class_name]
         first_event_ms = (
--- a/tests/test_slot_waits.py
+++ b/tests/test_slot_waits.py
@@ -139,7 +139,7 @@
         job_ids = table.add([started])
         table.record_first_token(job_ids)
         clock.now += STREAM_S * ratio
-        table.remove(job_ids, completed=True)
+        table.remove(job_ids, 0)
 
 
 def test_wait_follows_the_durations_of_a_route() -> None:
@@ -199,7 +199,7 @@
     table = LoadTable(clock, model)
     table.update_entry('entry-2', [JOB], (), replace_all=True)
     clock.now += STREAM_S
-    table.update_entry('entry-2', (), [1], replace_all=False, completed_ids=[1])
+    table.update_entry('entry-2', (), [1], replace_all=False, outputs={1: 0})
     assert model.key_count() == 1
 
 
@@ -212,7 +212,7 @@
     )
     update = msgspec.convert(fields[:-1], LoadUpdate)
     assert update.ended_ids == [4]
-    assert not update.completed_ids
+    assert not update.outputs
 
 
 def test_number_of_learned_keys_is_bounded() -> None:
