--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -328,6 +328,8 @@
     document: dict[str, Any] | None = None,
     bounds: FleetBounds | None = None,
     endpoint_client: EndpointClient | None = None,
+    *,
+    learned_costs: bool = False,
 ) -> AsyncIterator[EntryHarness]:
     """Run a store and an entry; the test starts the endpoints."""
     store = MetadataStandin()
@@ -335,6 +337,7 @@
     cfg = sample_settings(
         store=StoreSettings(address=f'127.0.0.1:{server.port}'),
         bounds=bounds or FleetBounds(),
+        learned_costs=learned_costs,
     )
     adapter = platform_adapter(cfg)
     if endpoint_client is not None:
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -7,6 +7,7 @@
 import pytest
 
 from masticwind.serving.costs.latency_model import PrefillWork
+from masticwind.serving.costs.learned import LearnedCostModel
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.placement.load_link import LoadLink
@@ -91,10 +92,11 @@
 async def test_entries_exchange_their_jobs() -> None:
     """Guards against two entries that place requests on the same engine
     because neither knows the other's jobs, and against ended jobs that stay in
-    the tables of other entries.
+    the tables of other entries, or whose outputs they are not told.
     """
+    model = LearnedCostModel()
     ports = [await free_udp_port(), await free_udp_port()]
-    tables = [LoadTable(), LoadTable()]
+    tables = [LoadTable(), LoadTable(observer=model)]
     async with anyio.create_task_group() as tasks:
         for number, port in enumerate(ports):
             cfg = sample_settings(f'entry-{number}', peer_port=port)
@@ -136,10 +138,15 @@
         assert learned.first_token_due_at == pytest.approx(
             job.first_token_due_at, abs=0.1
         )
-        tables[0].remove(job_ids)
+        tables[0].record_first_token(job_ids)
+        with anyio.fail_after(2):
+            while not tables[1].jobs_by_endpoint()['e1'][0].decoding:
+                await anyio.sleep(0.01)
+        tables[0].remove(job_ids, output_tokens=46)
         with anyio.fail_after(2):
             while tables[1].jobs_by_endpoint():
                 await anyio.sleep(0.01)
+        assert model.key_count() == 1
         tasks.cancel_scope.cancel()
 
 
