--- a/src/masticwind/serving/placement/load_link.py
+++ b/src/masticwind/serving/placement/load_link.py
@@ -30,7 +30,7 @@
 BATCH_INTERVAL_S: Final = 0.005
 FULL_UPDATE_INTERVAL_S: Final = 1.0
 # Keeps a datagram below 1,400 bytes.
-MAX_JOBS_PER_DATAGRAM: Final = 16
+MAX_JOBS_PER_DATAGRAM: Final = 14
 # Largest accepted count. No prompt has this many tokens, or this many millions
 # of token pairs, so a larger number comes from a faulty sender.
 MAX_COUNT: Final = 1_000_000_000
