--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -136,15 +136,18 @@
             permit=permitted.permit,
             state=state,
         )
-        try:
-            with self._completion_times.measure(
-                admitted.service.name, placement.total_ms
-            ) as timed:
+        with self._completion_times.measure(
+            admitted.service.name, placement.total_ms
+        ) as timed:
+            try:
                 failure = await run_attempt(deps.endpoint_client, context)
                 timed.completed = failure is None
-        finally:
-            deps.load_table.remove(job_ids)
-            deps.quarantine.end(running)
+            finally:
+                deps.load_table.remove(
+                    job_ids,
+                    _output_tokens(context) if timed.completed else None,
+                )
+                deps.quarantine.end(running)
         await self._record_outcome(context, running, failure)
         return failure
 
@@ -409,3 +412,17 @@
         )
         self._deps.news.record_life(placement.lead.identity)
         self._deps.quarantine.record_events(running)
+
+
+def _output_tokens(context: AttemptContext) -> int | None:
+    """Return how many tokens a served attempt has passed on, as far as its
+    events tell, and None if it has resumed an answer.
+
+    An engine writes an event in each iteration. One that resumes an answer is
+    predicted to take as long as a whole one, so nothing is learned from it.
+    """
+    events = context.state.event_count
+    if events != context.progress.event_count:
+        return None
+    engine = context.admitted.service.engine
+    return 0 if engine is None else events * engine.steps_per_iteration
--- a/src/masticwind/serving/placement/load_link.py
+++ b/src/masticwind/serving/placement/load_link.py
@@ -7,7 +7,6 @@
 
 import math
 import secrets
-from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Annotated, Final
 
@@ -21,25 +20,33 @@
 from masticwind.serving.fingerprints import MAX_SHORT_KEY
 from masticwind.serving.model import LOWEST_PRIORITY
 from masticwind.serving.peers import SILENCE_TIMEOUT_S, EntryPeers
-from masticwind.serving.placement.load_table import Job, LoadTable
+from masticwind.serving.placement.load_table import (
+    Job,
+    LoadChanges,
+    LoadTable,
+)
 
 LOAD: Final = 'load'
 # Changes within this time are sent together.
 BATCH_INTERVAL_S: Final = 0.005
 FULL_UPDATE_INTERVAL_S: Final = 1.0
 # Keeps a datagram below 1,400 bytes.
-MAX_JOBS_PER_DATAGRAM: Final = 16
+MAX_JOBS_PER_DATAGRAM: Final = 14
 # Largest accepted count. No prompt has this many tokens, or this many millions
 # of token pairs, so a larger number comes from a faulty sender.
 MAX_COUNT: Final = 1_000_000_000
 # One day, the largest accepted distance of a time from now. No request takes
 # this long.
 MAX_OFFSET_MS: Final = 86_400_000
+PERCENT: Final = 100
+MAX_PERCENT: Final = 1000
 
 
 # Bounded integers, so that predictions calculated from the numbers of another
 # entry cannot overflow or yield NaN.
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+# Learned factors, which are between 0.5 and 4.
+Percent = Annotated[int, msgspec.Meta(ge=1, le=MAX_PERCENT)]
 ShortKey = Annotated[int, msgspec.Meta(ge=0, le=MAX_SHORT_KEY)]
 Priority = Annotated[int, msgspec.Meta(ge=0, le=LOWEST_PRIORITY)]
 Milliseconds = Annotated[int, msgspec.Meta(ge=-MAX_OFFSET_MS, le=MAX_OFFSET_MS)]
@@ -48,7 +55,7 @@
 class JobMessage(msgspec.Struct, array_like=True):
     """A job as it is sent; times are relative to the time of sending.
 
-    An entry of an earlier release sends no keys and no priority.
+    An entry of an earlier release sends none of the fields with a default.
     """
 
     job_id: int
@@ -68,11 +75,16 @@
     route_key: ShortKey = 0
     team_key: ShortKey = 0
     priority: Priority = LOWEST_PRIORITY
+    speed_percent: Percent = 100
+    output_percent: Percent = 100
+    expected_output: Count = 0
 
 
 class LoadUpdate(msgspec.Struct, array_like=True):
     """Jobs that are new or changed, and the ids of jobs that ended.
 
+    `outputs` has the ids of the ended jobs whose requests were served, and the
+    numbers of their output tokens; an entry of an earlier release sends none.
     With `complete`, it replaces all jobs that are known of the sender; further
     messages add the rest if there are many jobs.
     """
@@ -83,6 +95,7 @@
     complete: bool
     jobs: list[JobMessage]
     ended_ids: list[int]
+    outputs: list[tuple[int, Count]] = []
 
 
 @dataclass(slots=True)
@@ -137,18 +150,20 @@
             [_from_message(job, now) for job in message.jobs],
             message.ended_ids,
             replace_all=message.complete,
+            outputs=dict(message.outputs),
         )
 
     async def _send_changes(self) -> None:
         while True:
-            changed, ended_ids = await self._load_table.wait_for_changes()
-            self._send(changed, ended_ids, complete=False)
+            changes = await self._load_table.wait_for_changes()
+            self._send(changes, complete=False)
             await anyio.sleep(BATCH_INTERVAL_S)
 
     async def _send_all(self) -> None:
         while True:
             await anyio.sleep(FULL_UPDATE_INTERVAL_S)
-            self._send(self._load_table.own_jobs(), (), complete=True)
+            all_jobs = list(self._load_table.own_jobs())
+            self._send(LoadChanges(all_jobs, []), complete=True)
 
     async def _remove_silent_entries(self) -> None:
         while True:
@@ -161,18 +176,12 @@
                     )
                     logger.bind(entry=entry).info('entry_silent')
 
-    def _send(
-        self,
-        jobs: Iterable[Job],
-        ended_ids: Iterable[int],
-        *,
-        complete: bool,
-    ) -> None:
+    def _send(self, changes: LoadChanges, *, complete: bool) -> None:
         peers = self._peers.others()
         if not peers:
             return
-        messages = [_to_message(job, self._load_table.clock()) for job in jobs]
-        ended = list(ended_ids)
+        now = self._load_table.clock()
+        messages = [_to_message(job, now) for job in changes.jobs]
         is_first = True
         while is_first or messages:
             self._sequence += 1
@@ -182,7 +191,8 @@
                 sequence=self._sequence,
                 complete=complete and is_first,
                 jobs=messages[:MAX_JOBS_PER_DATAGRAM],
-                ended_ids=ended if is_first else [],
+                ended_ids=changes.ended_ids if is_first else [],
+                outputs=list(changes.outputs.items()) if is_first else [],
             )
             messages = messages[MAX_JOBS_PER_DATAGRAM:]
             is_first = False
@@ -208,9 +218,16 @@
         route_key=job.route_key,
         team_key=job.team_key,
         priority=job.priority,
+        speed_percent=_to_percent(job.speed_factor),
+        output_percent=_to_percent(job.output_factor),
+        expected_output=job.expected_output,
     )
 
 
+def _to_percent(factor: float) -> int:
+    return min(MAX_PERCENT, max(1, round(factor * PERCENT)))
+
+
 def _first_token_due_ms(job: Job, now: float) -> int | None:
     if math.isinf(job.first_token_due_at):
         return None
@@ -237,4 +254,7 @@
         route_key=message.route_key,
         team_key=message.team_key,
         priority=message.priority,
+        speed_factor=message.speed_percent / PERCENT,
+        output_factor=message.output_percent / PERCENT,
+        expected_output=message.expected_output,
     )
--- a/src/masticwind/serving/placement/load_table.py
+++ b/src/masticwind/serving/placement/load_table.py
@@ -5,11 +5,13 @@
 decodes, a helper only prefills.
 """
 
+import abc
 import itertools
 import math
 import time
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from types import MappingProxyType
 from typing import Final
 
 import anyio
@@ -36,7 +38,9 @@
     the request in prompt tokens; an output token counts as ten. A first token
     after `first_token_due_at` is late. `route_key` and `team_key` are short
     keys of the route and the team, zero if they are unknown. `priority` is 0
-    for the most urgent requests.
+    for the most urgent requests. The predicted times include `speed_factor` of
+    the endpoint and an output of `expected_output` tokens, zero if that is
+    unknown; the caller's estimate was multiplied by `output_factor`.
     """
 
     job_id: int
@@ -55,6 +59,9 @@
     route_key: int = 0
     team_key: int = 0
     priority: int = LOWEST_PRIORITY
+    speed_factor: float = 1.0
+    output_factor: float = 1.0
+    expected_output: int = 0
 
     def remaining_prefill(self, now: float) -> PrefillWork:
         """Estimate the part of the prefill that has not run yet."""
@@ -67,18 +74,83 @@
         return self.prefill.scaled(min(1.0, max(MIN_REMAINING_SHARE, share)))
 
 
+class JobObserver(abc.ABC):
+    """Is told of the jobs of all entries, as far as their messages tell.
+
+    `entry` is the name of another entry, or '' for this one; `now` is the time
+    of the load table's clock.
+    """
+
+    @abc.abstractmethod
+    def begin(self, entry: str, job: Job) -> None:
+        """Record a job that is new here; it may decode already."""
+
+    @abc.abstractmethod
+    def record_first_token(self, entry: str, job: Job, now: float) -> None:
+        """Record that a job has begun to decode."""
+
+    @abc.abstractmethod
+    def end(
+        self, entry: str, job: Job, now: float, output_tokens: int | None
+    ) -> None:
+        """Record that a job is gone.
+
+        `output_tokens` is None if its request failed, or if the message about
+        its end was lost, and zero if the request was served with an output of
+        unknown length.
+        """
+
+
+class IgnoringObserver(JobObserver):
+    """Learns nothing."""
+
+    def begin(self, entry: str, job: Job) -> None:
+        """Ignore the job."""
+
+    def record_first_token(self, entry: str, job: Job, now: float) -> None:
+        """Ignore the job."""
+
+    def end(
+        self, entry: str, job: Job, now: float, output_tokens: int | None
+    ) -> None:
+        """Ignore the job."""
+
+
+NO_OUTPUTS: Final[Mapping[int, int]] = MappingProxyType({})
+IGNORING_OBSERVER: Final = IgnoringObserver()
+
+
+@dataclass(frozen=True, slots=True)
+class LoadChanges:
+    """The jobs that are new or changed, and the ids of ended ones.
+
+    `outputs` has the number of output tokens of each ended one whose request
+    was served, zero if it is unknown.
+    """
+
+    jobs: list[Job]
+    ended_ids: list[int]
+    outputs: dict[int, int] = field(default_factory=dict)
+
+
 class LoadTable:
     """Jobs of this entry and of all other entries."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        observer: JobObserver = IGNORING_OBSERVER,
+    ) -> None:
         self.clock: Final = clock
         # Called with the identity of an endpoint when a job of another entry
         # begins to decode there.
         self.on_decoding: Callable[[str], None] = _ignore_decoding
+        self._observer: Final = observer
         self._ids: Final = itertools.count(1)
         self._own_jobs: Final[dict[int, Job]] = {}
         self._jobs_by_entry: Final[dict[str, dict[int, Job]]] = {}
         self._changed_ids: Final[set[int]] = set()
+        self._outputs: Final[dict[int, int]] = {}
         self._change_event = anyio.Event()
 
     def add(self, jobs: Iterable[Job]) -> tuple[int, ...]:
@@ -88,6 +160,7 @@
             job_id = next(self._ids)
             self._delay_queued_prefills(job)
             self._own_jobs[job_id] = replace(job, job_id=job_id)
+            self._observer.begin('', self._own_jobs[job_id])
             job_ids.append(job_id)
         self._mark_changed(job_ids)
         return tuple(job_ids)
@@ -100,25 +173,35 @@
                 continue
             if job.context_tokens:
                 self._own_jobs[job_id] = replace(job, decoding=True)
+                self._observer.record_first_token('', job, self.clock())
             else:
                 self._own_jobs.pop(job_id)
+                self._observer.end('', job, self.clock(), None)
             self._mark_changed((job_id,))
 
-    def remove(self, job_ids: Iterable[int]) -> None:
-        """Remove the jobs of a request that has ended."""
+    def remove(
+        self, job_ids: Iterable[int], output_tokens: int | None = None
+    ) -> None:
+        """Remove the jobs of a request that has ended.
+
+        `output_tokens` is None unless its whole answer was passed on, and zero
+        if the length of its output is unknown.
+        """
         for job_id in job_ids:
-            if self._own_jobs.pop(job_id, None) is not None:
-                self._mark_changed((job_id,))
+            job = self._own_jobs.pop(job_id, None)
+            if job is None:
+                continue
+            if output_tokens is not None:
+                self._outputs[job_id] = output_tokens
+            self._mark_changed((job_id,))
+            self._observer.end('', job, self.clock(), output_tokens)
 
     def own_jobs(self) -> tuple[Job, ...]:
         """Return the jobs of this entry."""
         return tuple(self._own_jobs.values())
 
-    async def wait_for_changes(self) -> tuple[list[Job], list[int]]:
-        """Wait for changes to this entry's jobs since the last call.
-
-        Returns the jobs that are new or changed, and the ids of ended ones.
-        """
+    async def wait_for_changes(self) -> LoadChanges:
+        """Wait for changes to this entry's jobs since the last call."""
         await self._change_event.wait()
         self._change_event = anyio.Event()
         changed: list[Job] = []
@@ -129,8 +212,10 @@
                 ended_ids.append(job_id)
                 continue
             changed.append(job)
+        outputs = dict(self._outputs)
         self._changed_ids.clear()
-        return changed, ended_ids
+        self._outputs.clear()
+        return LoadChanges(changed, ended_ids, outputs)
 
     def update_entry(
         self,
@@ -139,15 +224,16 @@
         ended_ids: Iterable[int],
         *,
         replace_all: bool,
+        outputs: Mapping[int, int] = NO_OUTPUTS,
     ) -> None:
         """Apply an update of another entry.
 
         With `replace_all`, jobs that the update does not name are removed.
+        `outputs` is as in `LoadChanges`.
         """
         entry_jobs = self._jobs_by_entry.setdefault(entry, {})
-        known_jobs = entry_jobs
+        known_jobs = dict(entry_jobs)
         if replace_all:
-            known_jobs = entry_jobs.copy()
             entry_jobs.clear()
         for job in jobs:
             if job.job_id not in entry_jobs and not job.decoding:
@@ -159,6 +245,7 @@
             entry_jobs[job.job_id] = job
         for job_id in ended_ids:
             entry_jobs.pop(job_id, None)
+        self._observe_update(entry, known_jobs, outputs)
 
     def jobs_by_endpoint(self) -> dict[str, list[Job]]:
         """Return all jobs by the identity of their endpoint."""
@@ -172,6 +259,25 @@
                     by_endpoint.setdefault(job.endpoint_id, []).append(job)
         return by_endpoint
 
+    def _observe_update(
+        self,
+        entry: str,
+        known_jobs: Mapping[int, Job],
+        outputs: Mapping[int, int],
+    ) -> None:
+        """Tell the observer what an update has changed."""
+        now = self.clock()
+        entry_jobs = self._jobs_by_entry[entry]
+        for job_id, job in entry_jobs.items():
+            known = known_jobs.get(job_id)
+            if known is None:
+                self._observer.begin(entry, job)
+            elif job.decoding and not known.decoding:
+                self._observer.record_first_token(entry, job, now)
+        for job_id, known in known_jobs.items():
+            if job_id not in entry_jobs:
+                self._observer.end(entry, known, now, outputs.get(job_id))
+
     def _delay_queued_prefills(self, helper_job: Job) -> None:
         """Delay the other prefills of an engine by a new helper job.
 
--- a/src/masticwind/serving/placement/request_placer.py
+++ b/src/masticwind/serving/placement/request_placer.py
@@ -331,6 +331,7 @@
             | progress.cut_zone_pairs,
             route_key=short_key(admitted.route.name),
             team_key=short_key(admitted.team.name),
+            costs=deps.costs,
             standing=find_standing(admitted, progress, deps.promises),
             return_key=progress.return_key,
         )
--- a/src/masticwind/serving/relay_dependencies.py
+++ b/src/masticwind/serving/relay_dependencies.py
@@ -5,6 +5,7 @@
 from masticwind.serving.admission.bounds import ColdEndpointLimiter, RetryBudget
 from masticwind.serving.admission.byte_budget import ByteBudget
 from masticwind.serving.admission.return_promises import PromiseBook
+from masticwind.serving.costs.model import STATIC_COSTS, CostModel
 from masticwind.serving.directory import EndpointDirectory, OperatorState
 from masticwind.serving.endpoint_notices import EndpointNotices
 from masticwind.serving.interfaces import EndpointClient
@@ -51,3 +52,4 @@
     call_placer: Placer = field(default_factory=CallPlacer)
     prompt_placer: Placer = field(default_factory=PromptPlacer)
     promises: PromiseBook | None = None
+    costs: CostModel = STATIC_COSTS
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -17,6 +17,7 @@
 from masticwind.serving.cleanup import build_cleanup, build_news
 from masticwind.serving.config_versions import ConfigVersions
 from masticwind.serving.confirmations import Confirmations
+from masticwind.serving.costs.wiring import build_load_and_costs
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.directory import (
     EndpointDirectory,
@@ -38,7 +39,6 @@
 )
 from masticwind.serving.peers import EntryPeers, Registrar
 from masticwind.serving.placement.load_link import LoadLink
-from masticwind.serving.placement.load_table import LoadTable
 from masticwind.serving.quarantine import build_quarantine
 from masticwind.serving.relay import Relay
 from masticwind.serving.relay_dependencies import RelayDependencies
@@ -87,7 +87,10 @@
         self._draining = False
         self._serving: Final = anyio.Event()
         self._active_config: Final = ActiveConfig()
-        self._load_table: Final = LoadTable()
+        self._telemetry: Final = Telemetry()
+        costs = build_load_and_costs(cfg, self._telemetry)
+        self._costs: Final = costs.model
+        self._load_table: Final = costs.load_table
         self._peers: Final = EntryPeers(cfg)
         self._peer_socket: Final = PeerSocket(cfg)
         self._operator_state: Final = OperatorState(
@@ -134,7 +137,6 @@
             ),
         )
         self._limit_link: Final = LimitLink(self._peer_socket, self._peers)
-        self._telemetry: Final = Telemetry()
         news = build_news(
             settings,
             self._peer_socket,
@@ -151,6 +153,7 @@
             news=news,
             endpoint_client=adapter.endpoint_client,
         )
+        self._cleanup.forget_callbacks.append(self._costs.forget)
         self._quarantine: Final = build_quarantine(
             self._peer_socket,
             self._peers,
@@ -355,6 +358,7 @@
                 byte_budget=admission.byte_budget,
                 prompt_placer=admission.prompt_placer,
                 promises=admission.promises,
+                costs=self._costs,
             )
         )
         return EdgeDependencies(
--- a/src/masticwind/serving/settings.py
+++ b/src/masticwind/serving/settings.py
@@ -70,7 +70,8 @@
     of the process, which limits callers' connections; zero stands for what the
     system allows. With `endpoint_news`, entries tell each other of endpoints
     that are gone. `overload` names the policy by which prompts are refused at
-    overload.
+    overload. With `learned_costs`, placements go by what requests have cost so
+    far.
     """
 
     node: Name
@@ -88,6 +89,7 @@
     max_fds: DescriptorCount = 0
     endpoint_news: bool = False
     overload: OverloadPolicyName = 'refuse_late'
+    learned_costs: bool = False
 
 
 def parse_address(text: HostPort) -> Address:
--- a/src/masticwind_dev/play/simulation.py
+++ b/src/masticwind_dev/play/simulation.py
@@ -19,6 +19,8 @@
 from masticwind.serving.admission.return_promises import PromiseBook
 from masticwind.serving.admission.standing import Standing
 from masticwind.serving.costs.latency_model import full_prefill
+from masticwind.serving.costs.learned import LearnedCostModel
+from masticwind.serving.costs.model import STATIC_COSTS, CostModel
 from masticwind.serving.endpoint_limits import (
     EndpointLimits,
     PermitAuthorities,
@@ -32,7 +34,11 @@
     Service,
     TokenCounts,
 )
-from masticwind.serving.placement.load_table import Job, LoadTable
+from masticwind.serving.placement.load_table import (
+    IGNORING_OBSERVER,
+    Job,
+    LoadTable,
+)
 from masticwind.serving.placement.placer import (
     Deferral,
     Placement,
@@ -172,6 +178,10 @@
     limit their requests to `limits_per_s`. The first `pausing_engines` refuse
     requests for `pause_s` from `pause_at_s` on, and ask for a pause. With
     `overload: fair`, the entries exchange promises, with the same delay.
+    requests for `pause_s` from `pause_at_s` on, and ask for a pause. The actual
+    output lengths differ from the callers' estimates by `estimate_sigma`, and
+    the speeds of the engines from the profile by `engine_speed_sigma`, both of
+    a log-normal distribution. `learned_costs` sets which cost model is used.
     """
 
     engine_count: int = 14
@@ -192,6 +202,9 @@
     pause_at_s: float = 0
     pause_s: float = 0
     overload: OverloadPolicyName = 'refuse_late'
+    learned_costs: bool = False
+    estimate_sigma: float = 0.5
+    engine_speed_sigma: float = 0
 
 
 # The users' largest deployment, scaled down.
@@ -250,6 +263,8 @@
 
     `max_value` is earned if all of them meet their targets. `refused` counts
     first refusals, and `refused_again` those of callers that came back.
+    `max_value` is earned if all of them meet their targets. `refusals` counts
+    those of callers that come back, too.
     """
 
     requests: int = 0
@@ -258,6 +273,7 @@
     unserved: int = 0
     refused: int = 0
     refused_again: int = 0
+    refusals: int = 0
     max_value: float = 0
     earned_value: float = 0
     first_event_ms: list[float] = field(default_factory=list)
@@ -287,11 +303,20 @@
 
     def __init__(self, clock: SimulationClock, workload: Workload) -> None:
         self._clock: Final = clock
+        self._costs: Final = [
+            LearnedCostModel(self._now) if workload.learned_costs else None
+            for _ in range(workload.entry_count)
+        ]
         self._update_delay_s: Final = workload.update_delay_s
         self._load_tables: Final = [
-            LoadTable(self._now) for _ in range(workload.entry_count)
+            LoadTable(self._now, costs or IGNORING_OBSERVER)
+            for costs in self._costs
         ]
 
+    def costs(self, entry: int) -> CostModel:
+        """Return the cost model of an entry."""
+        return self._costs[entry] or STATIC_COSTS
+
     def jobs_by_endpoint(self, entry: int) -> dict[str, list[Job]]:
         """Return the jobs in the load table of an entry."""
         return self._load_tables[entry].jobs_by_endpoint()
@@ -307,12 +332,16 @@
         self._load_tables[entry].record_first_token(job_ids)
         self._send_update(entry, job_ids)
 
-    def remove(self, entry: int, job_ids: tuple[int, ...]) -> None:
-        """Remove the jobs of a request that has ended."""
-        self._load_tables[entry].remove(job_ids)
-        self._send_update(entry, job_ids)
+    def remove(
+        self, entry: int, job_ids: tuple[int, ...], output_tokens: int
+    ) -> None:
+        """Remove the jobs of a request that was served."""
+        self._load_tables[entry].remove(job_ids, output_tokens)
+        self._send_update(entry, job_ids, output_tokens)
 
-    def _send_update(self, entry: int, job_ids: tuple[int, ...]) -> None:
+    def _send_update(
+        self, entry: int, job_ids: tuple[int, ...], output_tokens: int = 0
+    ) -> None:
         if len(self._load_tables) == 1:
             return
         own_jobs = {
@@ -322,19 +351,25 @@
         ended_ids = [job_id for job_id in job_ids if job_id not in own_jobs]
         self._clock.schedule(
             self._clock.now + self._update_delay_s,
-            lambda: self._apply_update(entry, changed, ended_ids),
+            lambda: self._apply_update(
+                entry, changed, dict.fromkeys(ended_ids, output_tokens)
+            ),
         )
 
     def _now(self) -> float:
         return self._clock.now
 
     def _apply_update(
-        self, entry: int, changed: list[Job], ended_ids: list[int]
+        self, entry: int, changed: list[Job], outputs: dict[int, int]
     ) -> None:
         for number, load_table in enumerate(self._load_tables):
             if number != entry:
                 load_table.update_entry(
-                    str(entry), changed, ended_ids, replace_all=False
+                    str(entry),
+                    changed,
+                    outputs,
+                    replace_all=False,
+                    outputs=outputs,
                 )
 
 
@@ -367,8 +402,14 @@
         self._random: Final = random.Random(seed)
         self._clock: Final = clock
         self._load_tables: Final = _LoadTables(self._clock, workload)
+        # A source of its own, so that equal seeds give equal requests.
+        speed_random = random.Random(seed)
         self._engines: Final = {
-            f'e{number}': SimulatedEngine(workload.profile, self._clock)
+            f'e{number}': SimulatedEngine(
+                workload.profile,
+                self._clock,
+                speed_random.lognormvariate(0, workload.engine_speed_sigma),
+            )
             for number in range(workload.engine_count)
         }
         self._endpoints: Final = [
@@ -442,7 +483,9 @@
             1, int(self._lognormal(request_class.mean_iterations, 0.6))
         )
         # Callers' estimates of output lengths are inaccurate.
-        estimated_iterations = iterations * self._random.lognormvariate(0, 0.5)
+        estimated_iterations = iterations * self._random.lognormvariate(
+            0, self._workload.estimate_sigma
+        )
         tokens = TokenCounts(
             prompt=max(16, prompt),
             max_output=int(
@@ -536,6 +579,8 @@
                     returning=request.has_returned,
                 ),
                 return_key=request.return_key,
+                route_key=short_key(request.class_name),
+                costs=self._load_tables.costs(entry),
             )
         )
         if isinstance(placement, Deferral):
@@ -587,6 +632,7 @@
     def _handle_refusal(
         self, request: _CallerRequest, failure: Failure
     ) -> None:
+        self.class_results[request.class_name].refusals += 1
         now = self._clock.now
         wait_s = failure.retry_after_ms / MS_PER_S
         remaining_s = request.request_class.deadline_ms / MS_PER_S - (
@@ -666,7 +712,8 @@
         entry: int,
         job_ids: tuple[int, ...],
     ) -> None:
-        self._load_tables.remove(entry, job_ids)
+        steps = self._workload.profile.steps_per_iteration
+        self._load_tables.remove(entry, job_ids, request.iterations * steps)
         request_class = request.request_class
         result = self.class_results[request.class_name]
         first_event_ms = (
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -340,6 +340,8 @@
     bounds: FleetBounds | None = None,
     endpoint_client: EndpointClient | None = None,
     overload: OverloadPolicyName = 'refuse_late',
+    *,
+    learned_costs: bool = False,
 ) -> AsyncIterator[EntryHarness]:
     """Run a store and an entry; the test starts the endpoints."""
     store = MetadataStandin()
@@ -348,6 +350,7 @@
         store=StoreSettings(address=f'127.0.0.1:{server.port}'),
         bounds=bounds or FleetBounds(),
         overload=overload,
+        learned_costs=learned_costs,
     )
     adapter = platform_adapter(cfg)
     if endpoint_client is not None:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -75,6 +75,7 @@
     assert cfg.bounds.shutdown_ms == 8000
     assert cfg.memory_mb == 300
     assert cfg.max_fds == 4100
+    assert cfg.learned_costs
     assert cfg.store.address == '127.0.0.1:1'
 
 
