--- a/src/masticwind/web_callers.py
+++ b/src/masticwind/web_callers.py
@@ -32,9 +32,9 @@
 CONNECTION_BYTES: Final = 32_768
 # Share of the memory for what callers have sent and do not read.
 KEPT_SHARE: Final = 0.15
-# A body that arrives for longer may be given up for a new connection. One of
-# 4 MB takes 1.7 s on a link of 20 Mbit/s.
-SLOW_BODY_S: Final = 2.0
+# A caller that takes longer for a body, or to receive its last answer, may be
+# given up for a new connection. 4 MB take 1.7 s on a link of 20 Mbit/s.
+SLOW_CALLER_S: Final = 2.0
 # How many connections are looked at to find one that may be closed.
 MAX_SEARCHED: Final = 64
 
@@ -44,7 +44,8 @@
 
     # It was idle, or its head was incomplete, and others were waiting.
     UNUSED = 'unused'
-    # Its body had not arrived for long, and others were waiting.
+    # Its body, or its last answer, had not arrived for long, and others were
+    # waiting.
     SLOW = 'slow'
     # All connections had requests in progress.
     REFUSED = 'refused'
@@ -101,6 +102,10 @@
         """Close it at once."""
 
 
+# Since when connections are in some state, the longest first.
+_Since = dict[LimitedConnection, float]
+
+
 class CallerConnections:
     """The connections of all callers of a server."""
 
@@ -113,9 +118,9 @@
         self._kept_bytes = 0
         self._log_limiter: Final = LineLimiter()
         # Connections without a request in progress, the longest idle first.
-        self._unused: Final[dict[LimitedConnection, None]] = {}
+        self._unused: Final[_Since] = {}
         # Since when bodies of requests in progress arrive, the longest first.
-        self._bodies_since: Final[dict[LimitedConnection, float]] = {}
+        self._bodies: Final[_Since] = {}
 
     @property
     def count(self) -> int:
@@ -138,7 +143,7 @@
         if len(self._kept) >= self.limits.max_connections:
             self._make_room()
         self._kept[conn] = 0
-        self._unused[conn] = None
+        self._unused[conn] = time.monotonic()
         if len(self._kept) > self.limits.max_connections:
             self._close(conn, CloseCause.REFUSED)
 
@@ -146,22 +151,22 @@
         """Forget a connection that has ended."""
         self._kept_bytes -= self._kept.pop(conn, 0)
         self._unused.pop(conn, None)
-        self._bodies_since.pop(conn, None)
+        self._bodies.pop(conn, None)
 
     def record_request(self, conn: LimitedConnection) -> None:
         """Note that a request is in progress from now on."""
         self._unused.pop(conn, None)
-        self._bodies_since[conn] = time.monotonic()
+        self._bodies[conn] = time.monotonic()
 
     def record_body(self, conn: LimitedConnection) -> None:
         """Note that the body of a request has arrived."""
-        self._bodies_since.pop(conn, None)
+        self._bodies.pop(conn, None)
 
     def record_answer(self, conn: LimitedConnection) -> None:
         """Note that no request is in progress any more."""
-        self._bodies_since.pop(conn, None)
+        self._bodies.pop(conn, None)
         if conn in self._kept:
-            self._unused[conn] = None
+            self._unused[conn] = time.monotonic()
 
     def record_kept(self, conn: LimitedConnection) -> None:
         """Note what is kept for a caller now.
@@ -186,26 +191,17 @@
 
     def _make_room(self) -> None:
         """Close a connection for a new one, if one can be closed."""
-        unused = self._find_unused()
-        slow = self._find_slow()
-        if unused is not None:
-            self._close(unused, CloseCause.UNUSED)
-        elif slow is not None:
-            self._close(slow, CloseCause.SLOW)
-
-    def _find_slow(self) -> LimitedConnection | None:
-        conn = next(iter(self._bodies_since), None)
-        if conn is None:
-            return None
-        elapsed_s = time.monotonic() - self._bodies_since[conn]
-        return conn if elapsed_s > SLOW_BODY_S else None
-
-    def _find_unused(self) -> LimitedConnection | None:
         for conn in islice(self._unused, MAX_SEARCHED):
             if conn.is_replaceable:
-                return conn
-        # The caller of this one may not have received its last answer.
-        return next(iter(self._unused), None)
+                self._close(conn, CloseCause.UNUSED)
+                return
+        # Nothing of a body has been sent on. An answer that its caller has not
+        # received may be lost, so it comes last.
+        for since in (self._bodies, self._unused):
+            slow = _find_slow(since)
+            if slow is not None:
+                self._close(slow, CloseCause.SLOW)
+                return
 
     def _close(self, conn: LimitedConnection, cause: CloseCause) -> None:
         self.discard(conn)
@@ -219,3 +215,10 @@
                 left_out=left_out,
             ).warning('caller_closed')
         conn.close_for_limit()
+
+
+def _find_slow(since: _Since) -> LimitedConnection | None:
+    conn = next(iter(since), None)
+    if conn is None or time.monotonic() - since[conn] <= SLOW_CALLER_S:
+        return None
+    return conn
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -119,7 +119,7 @@
     """Guards against callers that cannot connect because others never complete
     their bodies; a request whose body has arrived is not ended for them.
     """
-    monkeypatch.setattr('masticwind.web_callers.SLOW_BODY_S', 0.3)
+    monkeypatch.setattr('masticwind.web_callers.SLOW_CALLER_S', 0.3)
     async with limited_server(AggregateLimits(2, LARGE_KEPT)) as server:
         async with (
             await connect(server.port) as busy,
@@ -139,6 +139,28 @@
     assert server.callers.closed == {CloseCause.REFUSED: 1, CloseCause.SLOW: 1}
 
 
+async def test_answer_that_is_not_received_for_long_makes_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against callers that keep connections by reading no answers, and
+    against an answer that a new connection cuts at once.
+    """
+    monkeypatch.setattr('masticwind.web_callers.SLOW_CALLER_S', 0.3)
+    async with limited_server(AggregateLimits(1, LARGE_KEPT)) as server:
+        async with await connect(server.port, 4096) as unread:
+            await unread.send(head('/large'))
+            # Without a first read, the client's event loop would read on.
+            await unread.receive(1000)
+            await anyio.sleep(0.1)
+            async with await connect(server.port) as early:
+                assert not await receive_or_end(early)
+            await anyio.sleep(0.4)
+            async with await connect(server.port) as later:
+                await later.send(head())
+                assert (await read_answer(later)).status == 200
+    assert server.callers.closed == {CloseCause.REFUSED: 1, CloseCause.SLOW: 1}
+
+
 async def test_connection_that_keeps_most_is_closed() -> None:
     """Guards against callers that together fill the memory, each within the
     limit of one connection, and against an honest one that pays for it.
