Patch the clock of a suspension test where it is used now

The check itself is unchanged; without the deadline's clock in AdmittedRequest.remaining_s the test fails.

--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -47,7 +47,7 @@
             return time.clock_gettime(time.CLOCK_BOOTTIME) + SUSPENDED_S
 
         monkeypatch.setattr(
-            'masticwind.serving.admission.boot_time', after_suspension
+            'masticwind.serving.admission.requests.boot_time', after_suspension
         )
         answer = await harness.request(
             '/order/a', method='POST', timeout_ms=3000
