--- a/tests/test_direct_answers.py
+++ b/tests/test_direct_answers.py
@@ -134,7 +134,10 @@
     """Guards against an order that runs twice, a false "not run", and a faulty
     answer that is forwarded as a success.
     """
-    async with running_entry() as harness:
+    # The limit of the route alone would allow another attempt.
+    document = sample_config_document()
+    document['routes'][1]['max_attempts'] = 2
+    async with running_entry(document) as harness:
         script = first_then(faulty_answer, answer_completely)
         await harness.start_endpoint('i-1', script)
         await harness.start_endpoint('i-2', script)
