--- a/tests/news_entry.py
+++ b/tests/news_entry.py
@@ -18,7 +18,6 @@
 )
 from masticwind.serving.attempt_runner import AttemptRunner
 from masticwind.serving.costs import completion_times
-from masticwind.serving.costs import model as cost_model
 from masticwind.serving.datagrams import PeerAddress, PeerSocket
 from masticwind.serving.directory import EndpointDirectory
 from masticwind.serving.endpoint_notices import EndpointNotices
@@ -168,7 +167,7 @@
             call_placer=CallPlacer(),
             prompt_placer=PromptPlacer(world.rng),
             promises=None,
-            costs=cost_model.STATIC_COSTS,
+            costs=RelayDependencies.__dataclass_fields__['costs'].default,
         )
         relay_deps = cast(RelayDependencies, deps)
         self.placer = RequestPlacer(
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -169,7 +169,7 @@
             while tables[1].jobs_by_endpoint():
                 await anyio.sleep(0.01)
         # The route, and the team on it.
-    assert model.key_count() == 2
+        assert model.key_count() == 2
         tasks.cancel_scope.cancel()
 
 
