--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -29,6 +29,7 @@
     derive_limits,
 )
 from masticwind.web_framing import VERSION_WITHOUT_CHUNKS
+from masticwind.web_input import RECEIVE_BUFFER_BYTES
 from masticwind.web_protocol import (
     CONNECTION_KEY,
     EXTENSION,
@@ -48,9 +49,6 @@
 CLOSE_HEADER: Final = (b'connection', b'close')
 # Decoding a larger body on the event loop would delay other requests.
 INLINE_DECODE_BYTES: Final = 262_144
-# What the kernel keeps of a body that is not read yet, for each connection. The
-# event loop reads all of it before it can be paused.
-RECEIVE_BUFFER_BYTES: Final = 131_072
 NO_LINGER: Final = struct.pack('ii', 1, 0)
 CLOSE_POLL_INTERVAL_S: Final = 0.02
 
--- a/src/masticwind/web_input.py
+++ b/src/masticwind/web_input.py
@@ -17,6 +17,9 @@
 # Reading pauses while more than this is not parsed. One read adds up to
 # `uvloop`'s buffer of 256 KB.
 MAX_UNPARSED_BYTES: Final = 65_536
+# What the kernel keeps of a connection's input that is not read yet. The event
+# loop reads all of it before it can be paused.
+RECEIVE_BUFFER_BYTES: Final = 131_072
 # Heads end with this, and the parser accepts no other line ends.
 TERMINATOR: Final = b'\r\n\r\n'
 # Slices and chunks that one connection may parse before others get a turn.
@@ -98,6 +101,11 @@
         super().__init__(transport)
         self._is_held = False
 
+    @property
+    def is_held(self) -> bool:
+        """Whether reading is paused since enough is not parsed."""
+        return self._is_held
+
     def hold_reading(self) -> None:
         """Pause reading until `release_reading`."""
         if not self._is_held:
@@ -200,6 +208,11 @@
         """The memory of what is not parsed."""
         return self._buffer.kept_bytes
 
+    @property
+    def is_held(self) -> bool:
+        """Whether reading is paused since enough is not parsed."""
+        return self._flow.is_held
+
     def add(self, content: bytes) -> None:
         """Parse bytes, or keep them until the request in progress has ended."""
         self._buffer.append(content)
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -18,7 +18,7 @@
     check_head,
     find_declared_length,
 )
-from masticwind.web_input import InputFlow, RequestInput
+from masticwind.web_input import RECEIVE_BUFFER_BYTES, InputFlow, RequestInput
 from masticwind.web_parser import RequestParser
 from masticwind.web_timers import ConnectionTimer
 from masticwind.web_transport import CallerTransport
@@ -240,9 +240,15 @@
             self._conn.abort()
 
     def count_kept_bytes(self) -> int:
-        """Return the bytes that are kept for the caller."""
+        """Return the bytes that are kept for the caller.
+
+        Those of the kernel count in the memory of some platforms. They are few
+        unless reading is held.
+        """
         kept_bytes = self._input.kept_bytes + self._head_bytes
         kept_bytes += self._conn.get_write_buffer_size()
+        if self._input.is_held:
+            kept_bytes += RECEIVE_BUFFER_BYTES
         return kept_bytes + len(self.cycle.body) if self.cycle else kept_bytes
 
     def on_body(self, body: bytes) -> None:
