--- a/src/masticwind/decoding.py
+++ b/src/masticwind/decoding.py
@@ -10,7 +10,7 @@
         return report
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 from typing import Final, TypeVar
 
@@ -47,6 +47,16 @@
     return parse_with(decode, content, kind)
 
 
+def parse_fields(
+    fields: Mapping[str, object],
+    result_type: type[_Result],
+    kind: ErrorKind,
+) -> _Result | Failure:
+    """Convert fields whose values are text, such as those of a query."""
+    convert = partial(msgspec.convert, type=result_type, strict=False)
+    return parse_with(convert, fields, kind)
+
+
 def parse_with(
     decode: Callable[[_Source], _Result],
     source: _Source,
--- a/src/masticwind/serving/admission/fair_overload.py
+++ b/src/masticwind/serving/admission/fair_overload.py
@@ -4,10 +4,11 @@
 knows them. One that knows less sees more room, and refuses less.
 """
 
+import copy
 import math
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final, TypeAlias
 
 from loguru import logger
@@ -53,6 +54,10 @@
 RecordDecision: TypeAlias = Callable[[str], None]
 
 
+def _ignore_decision(_decision: str) -> None:
+    """Record nothing."""
+
+
 @dataclass(slots=True)
 class _Contention:
     """The teams over their share in a service, and when that was computed.
@@ -65,6 +70,16 @@
     contended_at: float = -math.inf
 
 
+@dataclass(frozen=True, slots=True)
+class _Observed:
+    """What the policy has seen of the demand and the teams."""
+
+    shares: TeamShares = field(default_factory=TeamShares)
+    schedule: ReturnSchedule = field(default_factory=ReturnSchedule)
+    loads: FleetLoadReader = field(default_factory=FleetLoadReader)
+    contentions: dict[str, _Contention] = field(default_factory=dict)
+
+
 class FairOverload(OverloadPolicy):
     """Refuses first what has the weakest claim to the room that is left.
 
@@ -78,14 +93,26 @@
         record_decision: RecordDecision,
         rng: random.Random | None = None,
         shares: TeamShares | None = None,
+        observed: _Observed | None = None,
     ) -> None:
         self._promises: Final = promises
         self._record_decision: Final = record_decision
         self._rng: Final = rng or random.Random()
-        self._shares: Final = shares or TeamShares()
-        self._schedule: Final = ReturnSchedule()
-        self._loads: Final = FleetLoadReader()
-        self._contentions: Final[dict[str, _Contention]] = {}
+        # A preview has a copy, and logs nothing.
+        self._is_preview: Final = observed is not None
+        self._observed: Final = observed or _Observed(shares or TeamShares())
+        self._shares: Final = self._observed.shares
+        self._schedule: Final = self._observed.schedule
+        self._loads: Final = self._observed.loads
+        self._contentions: Final = self._observed.contentions
+
+    def preview(self) -> 'FairOverload':
+        """Return a copy whose decisions change nothing and are not logged."""
+        return FairOverload(
+            self._promises.copy(),
+            _ignore_decision,
+            observed=copy.deepcopy(self._observed),
+        )
 
     def extend_sample(
         self,
@@ -139,10 +166,11 @@
         self._schedule.record(query.now, refused=False)
         if query.standing.returning:
             self._record_decision('returned')
-            logger.bind(
-                request_id=query.request_id,
-                first_event_ms=round(planned.plan.first_token_ms),
-            ).info('return_served')
+            if not self._is_preview:
+                logger.bind(
+                    request_id=query.request_id,
+                    first_event_ms=round(planned.plan.first_token_ms),
+                ).info('return_served')
         elif planned.is_late:
             self._record_decision('served_late')
 
@@ -238,6 +266,8 @@
         refusal = Refuse(reason, int(wait_ms))
         returning = query.standing.returning
         self._record_decision('refused_again' if returning else 'refused')
+        if self._is_preview:
+            return refusal
         logger.bind(
             request_id=query.request_id,
             reason=reason,
--- a/src/masticwind/serving/admission/overload.py
+++ b/src/masticwind/serving/admission/overload.py
@@ -110,6 +110,12 @@
         It may be possible in `excess_ms`.
         """
 
+    @abc.abstractmethod
+    def preview(self) -> 'OverloadPolicy':
+        """Return a policy that decides alike, and whose decisions have no
+        effect on later ones.
+        """
+
     @abc.abstractmethod
     def record_placement(self, planned: PlannedRequest) -> None:
         """Record that a request is placed by its plan."""
@@ -148,6 +154,10 @@
         """Refuse a request; its caller retries within a few seconds."""
         return Refuse(reason, spread_retry_after_ms(excess_ms, self._rng))
 
+    def preview(self) -> 'RefuseLate':
+        """Return this policy, which keeps no state."""
+        return self
+
     def record_placement(self, planned: PlannedRequest) -> None:
         """Ignore placements, on which no decision depends."""
 
--- a/src/masticwind/serving/admission/return_promises.py
+++ b/src/masticwind/serving/admission/return_promises.py
@@ -53,6 +53,10 @@
 Announce: TypeAlias = Callable[[ReturnMessage], None]
 
 
+def _announce_nothing(_message: ReturnMessage) -> None:
+    """Tell no other entry."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Promise:
     """Room from `due_at` until `expires_at`, on this process's clock."""
@@ -117,6 +121,12 @@
         self._remove_expired(self._clock())
         return len(self._promises)
 
+    def copy(self) -> 'PromiseBook':
+        """Return a book with the same promises that announces nothing."""
+        copied = PromiseBook(_announce_nothing, self._clock)
+        copied._promises.update(self._promises)
+        return copied
+
     def is_empty(self) -> bool:
         """Tell whether there is no promise."""
         return not self._promises
--- a/src/masticwind/serving/operations.py
+++ b/src/masticwind/serving/operations.py
@@ -8,17 +8,22 @@
 """
 
 import hmac
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import Final
 
 from masticwind.budget import MS_PER_S
+from masticwind.decoding import parse_fields
 from masticwind.errors import ErrorKind, Failure
 from masticwind.serving.cleanup import Cleanup
 from masticwind.serving.edge import EdgeApp, EdgeDependencies
 from masticwind.serving.endpoint_limits import EndpointLimits
 from masticwind.serving.endpoint_notices import EndpointNotices
 from masticwind.serving.quarantine import Quarantine
+from masticwind.serving.route_explainer import (
+    RequestDescription,
+    RouteExplainer,
+)
 from masticwind.serving.settings import LiveSettings
 from masticwind.serving.telemetry import Telemetry
 from masticwind.web import (
@@ -36,6 +41,7 @@
 HELD_PATH: Final = '/held'
 RELEASE_PATH: Final = '/held/release'
 LIMITS_PATH: Final = '/limits'
+ROUTE_PATH: Final = '/route'
 BEARER_PREFIX: Final = 'Bearer '
 
 
@@ -49,12 +55,14 @@
         quarantine: Quarantine,
         limits: EndpointLimits,
         notices: EndpointNotices,
+        explainer: RouteExplainer,
     ) -> None:
         self._settings: Final = settings
         self._telemetry: Final = telemetry
         self._quarantine: Final = quarantine
         self._limits: Final = limits
         self._notices: Final = notices
+        self._explainer: Final = explainer
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -64,6 +72,7 @@
             ('GET', HELD_PATH): self._list_held,
             ('POST', RELEASE_PATH): self._release,
             ('GET', LIMITS_PATH): self._list_limits,
+            ('GET', ROUTE_PATH): self._explain_route,
         }
         answer = answers.get((scope['method'], scope['path']))
         if answer is None:
@@ -86,6 +95,15 @@
             },
         )
 
+    def _explain_route(self, scope: Scope) -> Response:
+        description = _decode_description(query_parameters(scope))
+        if isinstance(description, Failure):
+            return failure_response(description)
+        explained = self._explainer.explain(description)
+        if isinstance(explained, Failure):
+            return failure_response(explained)
+        return json_response(HTTPStatus.OK, explained)
+
     def _release(self, scope: Scope) -> Response:
         token = self._settings.cfg.operator_token
         given = request_header(scope, b'authorization')
@@ -108,6 +126,18 @@
         return json_response(HTTPStatus.OK, {'released': part})
 
 
+def _decode_description(
+    fields: Mapping[str, str],
+) -> RequestDescription | Failure:
+    given: dict[str, object] = {
+        name: text for name, text in fields.items() if text
+    }
+    given['parts'] = [
+        part for part in fields.get('parts', '').split(',') if part
+    ]
+    return parse_fields(given, RequestDescription, ErrorKind.BAD_REQUEST)
+
+
 def add_request_gauges(app: EdgeApp, deps: EdgeDependencies) -> None:
     """Add the gauges of requests and of what they hold."""
     add_gauge = deps.telemetry.add_gauge
--- a/src/masticwind/serving/placement/placer.py
+++ b/src/masticwind/serving/placement/placer.py
@@ -136,6 +136,12 @@
 class Placer(abc.ABC):
     """A strategy for choosing endpoints."""
 
+    def preview(self) -> 'Placer':
+        """Return a placer that decides alike, and whose placements have no
+        effect on later ones.
+        """
+        return self
+
     @abc.abstractmethod
     def place(self, query: PlacementQuery) -> Placement | Deferral | Failure:
         """Choose endpoints; a `Failure` refuses the request."""
--- a/src/masticwind/serving/placement/prompt_placer.py
+++ b/src/masticwind/serving/placement/prompt_placer.py
@@ -84,6 +84,10 @@
         self._rng: Final = rng or random.Random()
         self._overload: Final = overload or RefuseLate(self._rng)
 
+    def preview(self) -> 'PromptPlacer':
+        """Return a placer whose placements have no effect on later ones."""
+        return PromptPlacer(overload=self._overload.preview())
+
     def place(self, query: PlacementQuery) -> Placement | Deferral | Failure:
         """Use the plan with the highest net value, defer, or refuse."""
         profile = query.service.engine
--- a/src/masticwind/serving/placement/request_placer.py
+++ b/src/masticwind/serving/placement/request_placer.py
@@ -19,7 +19,10 @@
     RequestProgress,
     draining_failure,
 )
-from masticwind.serving.admission.return_promises import find_standing
+from masticwind.serving.admission.return_promises import (
+    PromiseBook,
+    find_standing,
+)
 from masticwind.serving.attempt import ANSWER_MARGIN_MS
 from masticwind.serving.attempt_context import AttemptState
 from masticwind.serving.costs.completion_times import CompletionTimes
@@ -36,6 +39,7 @@
     Deferral,
     Placement,
     PlacementQuery,
+    Placer,
     waiting_failure,
 )
 from masticwind.serving.relay_dependencies import RelayDependencies
@@ -172,6 +176,21 @@
             )
         return obstacle
 
+    def placer_for(self, admitted: AdmittedRequest) -> Placer:
+        """Return the placer of a request, by what it asks for."""
+        if admitted.service.engine is None or admitted.req.tokens is None:
+            return self._deps.call_placer
+        return self._deps.prompt_placer
+
+    def preview_query(
+        self, admitted: AdmittedRequest, progress: RequestProgress
+    ) -> PlacementQuery:
+        """Collect what a placement depends on; no promise is used up."""
+        promises = self._deps.promises
+        return self._build_query(
+            admitted, progress, None if promises is None else promises.copy()
+        )
+
     def _find_registered_obstacle(self, endpoint: Endpoint) -> str:
         """Return why an endpoint must not be used by the store's data."""
         deps = self._deps
@@ -291,6 +310,21 @@
         )
         if rejection is not None:
             return rejection
+        query = self._build_query(admitted, progress, deps.promises)
+        restricted = {*query.permit_waits_ms, *query.pause_waits_ms}
+        if restricted and not query.candidates:
+            return waiting_failure(query, min(restricted, key=query.wait_ms))
+        return self.placer_for(admitted).place(query)
+
+    def _build_query(
+        self,
+        admitted: AdmittedRequest,
+        progress: RequestProgress,
+        promises: PromiseBook | None,
+    ) -> PlacementQuery:
+        """Collect what a placement of a request depends on."""
+        deps = self._deps
+        remaining_ms = admitted.remaining_s() * MS_PER_S
         candidates, helpers = self._candidates.find(admitted, progress)
         permit_waits_ms = self._candidates.permit_waits_ms(admitted)
         pause_waits_ms = self._candidates.pause_waits_ms(admitted, progress)
@@ -305,7 +339,7 @@
         if last_resort:
             candidates = self._candidates.find_leaving(admitted, progress)
         progress.candidate_count = len(candidates)
-        query = PlacementQuery(
+        return PlacementQuery(
             request_id=admitted.req.request_id,
             service=admitted.service,
             candidates=candidates,
@@ -332,15 +366,9 @@
             route_key=short_key(admitted.route.name),
             team_key=short_key(admitted.team.name),
             costs=deps.costs,
-            standing=find_standing(admitted, progress, deps.promises),
+            standing=find_standing(admitted, progress, promises),
             return_key=progress.return_key,
         )
-        restricted = {*permit_waits_ms, *pause_waits_ms}
-        if restricted and not candidates:
-            return waiting_failure(query, min(restricted, key=query.wait_ms))
-        if admitted.service.engine is None or admitted.req.tokens is None:
-            return deps.call_placer.place(query)
-        return deps.prompt_placer.place(query)
 
 
 def _may_need_permit(
--- a/src/masticwind/serving/relay.py
+++ b/src/masticwind/serving/relay.py
@@ -20,11 +20,11 @@
 
     def __init__(self, deps: RelayDependencies) -> None:
         completion_times = CompletionTimes()
-        placer = RequestPlacer(deps, completion_times)
+        self.placer: Final = RequestPlacer(deps, completion_times)
         self._run_deps: Final = RunDependencies(
             retry_budget=deps.retry_budget,
-            placer=placer,
-            attempts=AttemptRunner(deps, placer, completion_times),
+            placer=self.placer,
+            attempts=AttemptRunner(deps, self.placer, completion_times),
         )
 
     async def serve(
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -42,6 +42,7 @@
 from masticwind.serving.quarantine import build_quarantine
 from masticwind.serving.relay import Relay
 from masticwind.serving.relay_dependencies import RelayDependencies
+from masticwind.serving.route_explainer import RouteExplainer
 from masticwind.serving.settings import LiveSettings, parse_address
 from masticwind.serving.store_connection import StoreConnection
 from masticwind.serving.supervision import supervise
@@ -321,6 +322,7 @@
             self._quarantine,
             self._limit_link.limits,
             self._cleanup.notices,
+            RouteExplainer(self._active_config, self._relay.placer),
         )
         return build_operators_server(app, f'{host}:{cfg.metrics_port}')
 
@@ -339,7 +341,7 @@
         adapter = self._adapter
         settings = self._settings
         admission = self._admission
-        relay = Relay(
+        self._relay = Relay(
             RelayDependencies(
                 settings=settings,
                 directory=self._directory,
@@ -365,7 +367,7 @@
             codec=adapter.codec,
             active_config=self._active_config,
             freshness=self._freshness,
-            relay=relay,
+            relay=self._relay,
             telemetry=self._telemetry,
             lifetime=self._lifetime,
             byte_budget=admission.byte_budget,
--- a/tests/test_fair_overload.py
+++ b/tests/test_fair_overload.py
@@ -138,6 +138,21 @@
     assert fleet.decisions == {'refused': 1}
 
 
+def test_preview_of_a_refusal_changes_nothing() -> None:
+    """Guards against an explanation that counts, promises room or makes the
+    next refusals earlier.
+    """
+    fleet = _Fleet(age_s=0.5)
+    placer, preview = fleet.placer, fleet.placer.preview()
+    fleet.placer = preview
+    assert isinstance(fleet.place(), Failure)
+    assert not fleet.decisions
+    assert fleet.book.is_empty()
+    fleet.placer = placer
+    assert isinstance(fleet.place(), Failure)
+    assert fleet.decisions == {'refused': 1}
+
+
 def test_refused_caller_is_promised_the_room_to_come() -> None:
     """Guards against returns that are refused though room was predictable."""
     fleet = _Fleet()
