--- a/src/masticwind/serving/cleanup.py
+++ b/src/masticwind/serving/cleanup.py
@@ -18,8 +18,12 @@
 from masticwind.serving.endpoint_notices import EndpointNotices
 from masticwind.serving.interfaces import EndpointClient
 from masticwind.serving.peers import EntryPeers
-from masticwind.serving.placement.endpoint_news import EndpointNews
+from masticwind.serving.placement.endpoint_news import (
+    EndpointNews,
+    LifeObserver,
+)
 from masticwind.serving.placement.health import EndpointHealth
+from masticwind.serving.placement.load_table import JobObservers
 from masticwind.serving.placement.reported_endpoints import ReportedEndpoints
 from masticwind.serving.placement.suspicions import Suspicions
 from masticwind.serving.settings import LiveSettings
@@ -74,10 +78,14 @@
     peers: EntryPeers,
     *,
     directory: EndpointDirectory,
+    observers: JobObservers,
     telemetry: Telemetry,
 ) -> EndpointNews:
-    """Create the exchange of reports about endpoints."""
-    return EndpointNews(
+    """Create the exchange of reports about endpoints.
+
+    Jobs that begin to decode are signs of life.
+    """
+    news = EndpointNews(
         peer_socket,
         peers,
         settings,
@@ -85,6 +93,8 @@
         suspicions=Suspicions(peer_socket, peers, settings.zone),
         telemetry=telemetry,
     )
+    observers.add(LifeObserver(news))
+    return news
 
 
 def build_cleanup(
--- a/src/masticwind/serving/placement/endpoint_news.py
+++ b/src/masticwind/serving/placement/endpoint_news.py
@@ -19,6 +19,7 @@
 from masticwind.serving.datagrams import PeerAddress, PeerSocket, Receiver
 from masticwind.serving.model import Endpoint
 from masticwind.serving.peers import EntryPeers
+from masticwind.serving.placement.load_table import Job, JobObserver
 from masticwind.serving.placement.reported_endpoints import (
     NewsKind,
     ReportedEndpoints,
@@ -132,3 +133,26 @@
                 zone=endpoint.zone,
                 doubtful=self.reported.doubtful_count(),
             ).info('endpoint_reported')
+
+
+class LifeObserver(JobObserver):
+    """Takes the first tokens of other entries' jobs for signs of life."""
+
+    def __init__(self, news: EndpointNews) -> None:
+        self._news: Final = news
+
+    def begin(self, entry: str, job: Job) -> None:
+        """Ignore a job that has been sent but not answered."""
+
+    def record_first_token(self, entry: str, job: Job, now: float) -> None:
+        """Record that the endpoint of a job has answered.
+
+        This entry records its own answers when they arrive.
+        """
+        if entry:
+            self._news.record_life(job.endpoint_id)
+
+    def end(
+        self, entry: str, job: Job, now: float, output_tokens: int | None
+    ) -> None:
+        """Ignore the end, which may be a failure."""
--- a/src/masticwind/serving/placement/load_table.py
+++ b/src/masticwind/serving/placement/load_table.py
@@ -101,23 +101,35 @@
         """
 
 
-class IgnoringObserver(JobObserver):
-    """Learns nothing."""
+class JobObservers(JobObserver):
+    """Passes on what it is told to any number of observers."""
+
+    def __init__(self) -> None:
+        self._observers: Final[list[JobObserver]] = []
+
+    def add(self, observer: JobObserver) -> None:
+        """Add an observer, which is told of what happens from now on."""
+        self._observers.append(observer)
 
     def begin(self, entry: str, job: Job) -> None:
-        """Ignore the job."""
+        """Tell all observers of a new job."""
+        for observer in self._observers:
+            observer.begin(entry, job)
 
     def record_first_token(self, entry: str, job: Job, now: float) -> None:
-        """Ignore the job."""
+        """Tell all observers of a job that decodes."""
+        for observer in self._observers:
+            observer.record_first_token(entry, job, now)
 
     def end(
         self, entry: str, job: Job, now: float, output_tokens: int | None
     ) -> None:
-        """Ignore the job."""
+        """Tell all observers of a job that is gone."""
+        for observer in self._observers:
+            observer.end(entry, job, now, output_tokens)
 
 
 NO_OUTPUTS: Final[Mapping[int, int]] = MappingProxyType({})
-IGNORING_OBSERVER: Final = IgnoringObserver()
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,13 +151,12 @@
     def __init__(
         self,
         clock: Callable[[], float] = time.monotonic,
-        observer: JobObserver = IGNORING_OBSERVER,
+        observer: JobObserver | None = None,
     ) -> None:
         self.clock: Final = clock
-        # Called with the identity of an endpoint when a job of another entry
-        # begins to decode there.
-        self.on_decoding: Callable[[str], None] = _ignore_decoding
-        self._observer: Final = observer
+        self.observers: Final = JobObservers()
+        if observer is not None:
+            self.observers.add(observer)
         self._ids: Final = itertools.count(1)
         self._own_jobs: Final[dict[int, Job]] = {}
         self._jobs_by_entry: Final[dict[str, dict[int, Job]]] = {}
@@ -160,7 +171,7 @@
             job_id = next(self._ids)
             self._delay_queued_prefills(job)
             self._own_jobs[job_id] = replace(job, job_id=job_id)
-            self._observer.begin('', self._own_jobs[job_id])
+            self.observers.begin('', self._own_jobs[job_id])
             job_ids.append(job_id)
         self._mark_changed(job_ids)
         return tuple(job_ids)
@@ -173,10 +184,10 @@
                 continue
             if job.context_tokens:
                 self._own_jobs[job_id] = replace(job, decoding=True)
-                self._observer.record_first_token('', job, self.clock())
+                self.observers.record_first_token('', job, self.clock())
             else:
                 self._own_jobs.pop(job_id)
-                self._observer.end('', job, self.clock(), None)
+                self.observers.end('', job, self.clock(), None)
             self._mark_changed((job_id,))
 
     def remove(
@@ -194,7 +205,7 @@
             if output_tokens is not None:
                 self._outputs[job_id] = output_tokens
             self._mark_changed((job_id,))
-            self._observer.end('', job, self.clock(), output_tokens)
+            self.observers.end('', job, self.clock(), output_tokens)
 
     def own_jobs(self) -> tuple[Job, ...]:
         """Return the jobs of this entry."""
@@ -238,10 +249,6 @@
         for job in jobs:
             if job.job_id not in entry_jobs and not job.decoding:
                 self._delay_queued_prefills(job)
-            known = known_jobs.get(job.job_id)
-            # A full update repeats jobs that have been decoding for a while.
-            if job.decoding and known is not None and not known.decoding:
-                self.on_decoding(job.endpoint_id)
             entry_jobs[job.job_id] = job
         for job_id in ended_ids:
             entry_jobs.pop(job_id, None)
@@ -271,12 +278,13 @@
         for job_id, job in entry_jobs.items():
             known = known_jobs.get(job_id)
             if known is None:
-                self._observer.begin(entry, job)
+                self.observers.begin(entry, job)
             elif job.decoding and not known.decoding:
-                self._observer.record_first_token(entry, job, now)
+                # A full update repeats jobs that have been decoding already.
+                self.observers.record_first_token(entry, job, now)
         for job_id, known in known_jobs.items():
             if job_id not in entry_jobs:
-                self._observer.end(entry, known, now, outputs.get(job_id))
+                self.observers.end(entry, known, now, outputs.get(job_id))
 
     def _delay_queued_prefills(self, helper_job: Job) -> None:
         """Delay the other prefills of an engine by a new helper job.
@@ -300,10 +308,6 @@
         self._change_event.set()
 
 
-def _ignore_decoding(_endpoint_id: str) -> None:
-    """Do nothing; the listener until another one is set."""
-
-
 def engine_load(jobs: Iterable[Job], now: float) -> EngineLoad:
     """Return the load that these jobs put on an engine."""
     context_tokens: list[int] = []
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -143,9 +143,9 @@
             self._peer_socket,
             self._peers,
             directory=self._directory,
+            observers=self._load_table.observers,
             telemetry=self._telemetry,
         )
-        self._load_table.on_decoding = news.record_life
         self._cleanup: Final = build_cleanup(
             settings,
             self._peers,
--- a/src/masticwind_dev/play/simulation.py
+++ b/src/masticwind_dev/play/simulation.py
@@ -35,7 +35,6 @@
     TokenCounts,
 )
 from masticwind.serving.placement.load_table import (
-    IGNORING_OBSERVER,
     Job,
     LoadTable,
 )
@@ -309,8 +308,7 @@
         ]
         self._update_delay_s: Final = workload.update_delay_s
         self._load_tables: Final = [
-            LoadTable(self._now, costs or IGNORING_OBSERVER)
-            for costs in self._costs
+            LoadTable(self._now, costs) for costs in self._costs
         ]
 
     def costs(self, entry: int) -> CostModel:
--- a/tests/test_cleanup.py
+++ b/tests/test_cleanup.py
@@ -14,6 +14,7 @@
 from masticwind.serving.interfaces import EndpointNotice
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.placement.health import EndpointHealth
+from masticwind.serving.placement.load_table import JobObservers
 from masticwind.serving.settings import LiveSettings
 from masticwind.serving.store import Item
 from masticwind.serving.telemetry import Telemetry
@@ -53,6 +54,7 @@
             PeerSocket(cfg),
             peers,
             directory=directory,
+            observers=JobObservers(),
             telemetry=Telemetry(),
         ),
         endpoint_client=PlatformEndpointClient(),
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -1,7 +1,8 @@
 """The load table, and the exchange of jobs among entries."""
 
 from dataclasses import replace
-from typing import Final
+from types import SimpleNamespace
+from typing import Final, cast
 
 import anyio
 import pytest
@@ -10,6 +11,10 @@
 from masticwind.serving.costs.learned import LearnedCostModel
 from masticwind.serving.datagrams import PeerSocket
 from masticwind.serving.peers import EntryPeers
+from masticwind.serving.placement.endpoint_news import (
+    EndpointNews,
+    LifeObserver,
+)
 from masticwind.serving.placement.load_link import LoadLink
 from masticwind.serving.placement.load_table import (
     STALE_JOB_S,
@@ -59,7 +64,8 @@
     """
     table = LoadTable(ManualClock())
     begun: list[str] = []
-    table.on_decoding = begun.append
+    news = cast(EndpointNews, SimpleNamespace(record_life=begun.append))
+    table.observers.add(LifeObserver(news))
     decoding = replace(JOB, decoding=True)
     table.update_entry('other', [decoding], (), replace_all=True)
     assert not begun
