--- a/src/masticwind_dev/soak/environment.py
+++ b/src/masticwind_dev/soak/environment.py
@@ -27,6 +27,7 @@
 from masticwind.web import WebServer
 from masticwind_dev.faults.proxy import TcpProxy
 from masticwind_dev.ports import free_tcp_port, free_udp_port
+from masticwind_dev.soak.deployed_parts import DEPLOYED_PARTS
 from masticwind_dev.standins.limit_audit import LimitAudit
 from masticwind_dev.standins.metadata import MetadataStandin, StoreCopy
 from masticwind_dev.standins.raw_endpoint import (
@@ -306,6 +307,7 @@
             'listen': f'127.0.0.1:{port}',
             'ready': '127.0.0.1:0',
             'peer_port': self._peer_port,
+            **DEPLOYED_PARTS,
             'store': {'address': f'127.0.0.1:{self.store_proxy.port}'},
             'bounds': {
                 'shutdown_ms': SHUTDOWN_MS,
--- a/src/masticwind_dev/soak/stop_entries.py
+++ b/src/masticwind_dev/soak/stop_entries.py
@@ -20,6 +20,7 @@
 
 from masticwind.budget import MS_PER_S
 from masticwind_dev.ports import free_udp_port
+from masticwind_dev.soak.deployed_parts import DEPLOYED_PARTS
 from masticwind_dev.soak.environment import ROOT
 from masticwind_dev.soak.stop_records import Instance, StopRecords
 
@@ -295,6 +296,7 @@
             'listen': f'127.0.0.1:{instance.port}',
             'ready': f'127.0.0.1:{instance.ready_port}',
             'peer_port': self._peer_port,
+            **DEPLOYED_PARTS,
             'store': {'address': f'127.0.0.1:{store_port}'},
             'bounds': {'shutdown_ms': int(shutdown_s * MS_PER_S)},
         }
