--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -383,7 +383,7 @@
         self._deps.limit_link.observe(lead, permitted.permit, notice)
         self._deps.notices.observe(lead, notice, sent_at)
         if notice is not None:
-            self._deps.news.record_life(lead.identity)
+            self._deps.news.record_liveness(lead.identity)
 
     def _record_endless(self, lead: Endpoint) -> None:
         """Record a very long answer, during which the caller has left."""
@@ -410,7 +410,7 @@
         self._deps.helper_faults.record_success(
             placement.lead, (helper.endpoint for helper in placement.helpers)
         )
-        self._deps.news.record_life(placement.lead.identity)
+        self._deps.news.record_liveness(placement.lead.identity)
         self._deps.quarantine.record_events(running)
 
 
--- a/src/masticwind/serving/cleanup.py
+++ b/src/masticwind/serving/cleanup.py
@@ -20,7 +20,7 @@
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.placement.endpoint_news import (
     EndpointNews,
-    LifeObserver,
+    LivenessObserver,
 )
 from masticwind.serving.placement.health import EndpointHealth
 from masticwind.serving.placement.load_table import JobObservers
@@ -93,7 +93,7 @@
         suspicions=Suspicions(peer_socket, peers, settings.zone),
         telemetry=telemetry,
     )
-    observers.add(LifeObserver(news))
+    observers.add(LivenessObserver(news))
     return news
 
 
--- a/src/masticwind/serving/placement/endpoint_news.py
+++ b/src/masticwind/serving/placement/endpoint_news.py
@@ -113,10 +113,10 @@
             self.suspicions.receive(suspicion, sender)
         self._record(endpoint, kind, message.zone)
 
-    def record_life(self, identity: str) -> None:
+    def record_liveness(self, identity: str) -> None:
         """Record an answer or an event of an endpoint, here or elsewhere."""
         if self.enabled:
-            self.reported.record_life(identity)
+            self.reported.record_liveness(identity)
 
     def record_success(self, endpoint: Endpoint) -> None:
         """Record that an endpoint has served a request of this entry."""
@@ -135,7 +135,7 @@
             ).info('endpoint_reported')
 
 
-class LifeObserver(JobObserver):
+class LivenessObserver(JobObserver):
     """Takes the first tokens of other entries' jobs for signs of life."""
 
     def __init__(self, news: EndpointNews) -> None:
@@ -150,7 +150,7 @@
         This entry records its own answers when they arrive.
         """
         if entry:
-            self._news.record_life(job.endpoint_id)
+            self._news.record_liveness(job.endpoint_id)
 
     def end(
         self, entry: str, job: Job, now: float, output_tokens: int | None
--- a/src/masticwind/serving/placement/reported_endpoints.py
+++ b/src/masticwind/serving/placement/reported_endpoints.py
@@ -94,7 +94,7 @@
             self._doubt(group, endpoint, now)
         return is_new
 
-    def record_life(self, identity: str) -> None:
+    def record_liveness(self, identity: str) -> None:
         """Record that any entry has had an answer or an event of an endpoint.
 
         It proves the endpoint unless it is reported again.
@@ -127,7 +127,7 @@
             logger.bind(endpoint=endpoint.identity, zone=endpoint.zone).info(
                 'endpoint_proved'
             )
-        self.record_life(endpoint.identity)
+        self.record_liveness(endpoint.identity)
 
     def is_replaced(self, endpoint: Endpoint) -> bool:
         """Tell whether the process of an endpoint is reported as replaced."""
--- a/tests/news_fleet.py
+++ b/tests/news_fleet.py
@@ -169,7 +169,7 @@
         jobs[jobs.index(job)] = decoding
         for other in self.entries:
             delay_s = 0 if other is entry else DATAGRAM_S + EVENT_INTERVAL_S / 9
-            self.at(delay_s, other.news.record_life, job.endpoint_id)
+            self.at(delay_s, other.news.record_liveness, job.endpoint_id)
         self._pass_event(entry, decoding)
 
     def _pass_event(self, entry: NewsEntry, job: Job) -> None:
@@ -179,7 +179,7 @@
         if self.clock.now >= job.end_at:
             jobs.remove(job)
             return
-        entry.news.record_life(job.endpoint_id)
+        entry.news.record_liveness(job.endpoint_id)
         self.at(EVENT_INTERVAL_S, self._pass_event, entry, job)
 
 
--- a/tests/test_endpoint_news.py
+++ b/tests/test_endpoint_news.py
@@ -257,11 +257,11 @@
         assert not _doubtful(entry, endpoints)
         entry.news.report(endpoint, NewsKind.REPLACED)
         if not number:
-            entry.news.record_life(names[3])
+            entry.news.record_liveness(names[3])
         fleet.clock.now += 0.1
     # All of the zone but the one that has given a sign of life since.
     assert _doubtful(entry, endpoints) == {*names[:3], *names[4:8]}
-    entry.news.record_life(names[5])
+    entry.news.record_liveness(names[5])
     newcomer = fleet.add_engines(1, ZONES[1])[0]
     endpoints.append(newcomer)
     # A process that registers later is alive, and one that is proved stays so,
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -13,7 +13,7 @@
 from masticwind.serving.peers import EntryPeers
 from masticwind.serving.placement.endpoint_news import (
     EndpointNews,
-    LifeObserver,
+    LivenessObserver,
 )
 from masticwind.serving.placement.load_link import LoadLink
 from masticwind.serving.placement.load_table import (
@@ -64,8 +64,8 @@
     """
     table = LoadTable(ManualClock())
     begun: list[str] = []
-    news = cast(EndpointNews, SimpleNamespace(record_life=begun.append))
-    table.observers.add(LifeObserver(news))
+    news = cast(EndpointNews, SimpleNamespace(record_liveness=begun.append))
+    table.observers.add(LivenessObserver(news))
     decoding = replace(JOB, decoding=True)
     table.update_entry('other', [decoding], (), replace_all=True)
     assert not begun
