--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -35,7 +35,9 @@
     which another one is tried; `silence_counted` tells whether that has been
     held against it. An attempt has `expired` if its endpoint was
     silent for longer than it may hold memory of others. `at_fault` is the
-    endpoint that a refusal names. Cancelling `scope` recalls the attempt.
+    endpoint that a refusal names. It `has_used_helpers` once its first event
+    has come, with which they have read their parts. Cancelling `scope` recalls
+    the attempt.
     """
 
     answer_begun: bool = False
@@ -49,6 +51,7 @@
     expired: bool = False
     at_fault: Endpoint | None = None
     event_count: int = 0
+    has_used_helpers: bool = False
     scope: anyio.CancelScope | None = None
 
     def forget_answer(self) -> None:
--- a/src/masticwind/serving/attempt_runner.py
+++ b/src/masticwind/serving/attempt_runner.py
@@ -122,7 +122,9 @@
             on_silence=partial(
                 self._record_silence, served, permitted, decisions
             ),
-            on_event=partial(self._record_event, placement, job_ids, running),
+            on_event=partial(
+                self._record_event, placement, job_ids, running, state
+            ),
             on_answer=partial(
                 self._record_notice, permitted, deps.notices.clock()
             ),
@@ -404,12 +406,17 @@
         placement: Placement,
         job_ids: Iterable[int],
         running: RunningPrompt,
+        state: AttemptState,
     ) -> None:
         self._deps.load_table.record_first_token(job_ids)
         self._deps.reach.record_answer(placement.lead)
-        self._deps.helper_faults.record_success(
-            placement.lead, (helper.endpoint for helper in placement.helpers)
-        )
+        if not state.has_used_helpers:
+            # Later events come from the lead alone.
+            state.has_used_helpers = True
+            self._deps.helper_faults.record_success(
+                placement.lead,
+                (helper.endpoint for helper in placement.helpers),
+            )
         self._deps.news.record_liveness(placement.lead.identity)
         self._deps.quarantine.record_events(running)
 
--- a/tests/test_helper_faults.py
+++ b/tests/test_helper_faults.py
@@ -1,8 +1,14 @@
 """Helpers that leads cannot use, and the zones of such helpers."""
 
+from types import SimpleNamespace
+from typing import cast
+from unittest.mock import Mock
+
 import pytest
 
 from masticwind.serving.admission.requests import RequestProgress
+from masticwind.serving.attempt_context import AttemptState
+from masticwind.serving.attempt_runner import AttemptRunner
 from masticwind.serving.model import Endpoint, Service, TokenCounts
 from masticwind.serving.placement.helper_faults import (
     INITIAL_EXCLUSION_S,
@@ -117,3 +123,25 @@
     assert faults.cut_zone_pairs()
     faults.record_success(LEAD, DARK[:1])
     assert not faults.cut_zone_pairs()
+
+
+def test_only_the_first_event_of_a_stream_proves_its_helpers() -> None:
+    """Guards against a zone that has gone dark but seems usable, because a
+    stream whose helpers read their parts before goes on at its lead.
+    """
+    faults = HelperFaults(ManualClock())
+    placement = _place_long_prompt(faults, RequestProgress())
+    runner = Mock(_deps=SimpleNamespace(helper_faults=faults, **_ignoring()))
+    state = AttemptState()
+    for expected in (False, True):
+        for helper in DARK[:2]:
+            faults.record_fault(LEAD, helper)
+        AttemptRunner._record_event(
+            cast(AttemptRunner, runner), placement, (), Mock(), state
+        )
+        assert bool(faults.cut_zone_pairs()) is expected
+
+
+def _ignoring() -> dict[str, Mock]:
+    names = ('load_table', 'reach', 'news', 'quarantine')
+    return {name: Mock() for name in names}
