--- a/tests/stopping_entry.py
+++ b/tests/stopping_entry.py
@@ -38,6 +38,7 @@
     CALL_SERVICE,
     ENGINE_SERVICE,
     HOST,
+    free_tcp_port,
     free_udp_port,
     registration_json,
     sample_config_document,
@@ -106,6 +107,8 @@
     fault: Script | None = None
     memory_mb: float = 232
     program: tuple[str, ...] = (str(ROOT / 'src/masticwind_platform.py'),)
+    ready_port: int = 0
+    metrics_port: int = 0
 
     @property
     def process(self) -> 'subprocess.Popen[bytes]':
@@ -130,7 +133,8 @@
             'node': 'entry-1',
             'zone': 'zone-a',
             'listen': f'127.0.0.1:{self.port}',
-            'ready': '127.0.0.1:0',
+            'ready': f'127.0.0.1:{self.ready_port}',
+            'metrics_port': self.metrics_port,
             'peer_port': self.peer_port,
             'memory_mb': self.memory_mb,
             'store': {'address': f'127.0.0.1:{self.store_port}'},
@@ -382,6 +386,8 @@
         await free_udp_port(),
         reserved_port,
         memory_mb=memory_mb,
+        ready_port=await free_tcp_port(),
+        metrics_port=await free_tcp_port(),
     )
     entry.write_settings(shutdown_ms)
     return entry
