Release the input of a connection as a limit closes it

The sum of what is kept forgot a connection at the moment of its close, but its bytes stayed until the event loop reported its end, in a later iteration. With many readable connections in one iteration, each read passed the limit, closed a connection and freed nothing.

close_for_limit now discards the input itself. What has been closed is not counted as held any more, since its socket is about to be closed.

--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -233,11 +233,16 @@
             super().shutdown()
 
     def close_for_limit(self) -> None:
-        """Close the connection at once, as callers together reach a limit."""
+        """Close the connection at once, as callers together reach a limit.
+
+        Its input is released now: until the event loop reports the end of the
+        connection, further reads may have taken the same memory again.
+        """
         if self.is_replaceable:
             self._conn.close_unread()
         else:
             self._conn.abort()
+        self._input.clear()
 
     def count_kept_bytes(self) -> int:
         """Return the bytes that are kept for the caller.
@@ -247,7 +252,7 @@
         """
         kept_bytes = self._input.kept_bytes + self._head_bytes
         kept_bytes += self._conn.get_write_buffer_size()
-        if self._input.is_held:
+        if self._input.is_held and not self._conn.is_closing():
             kept_bytes += RECEIVE_BUFFER_BYTES
         return kept_bytes + len(self.cycle.body) if self.cycle else kept_bytes
 
