Close the connections of callers in the order of blame

With too much kept in sum, the connection that kept most was closed. A body keeps more than 56 KB in the moment of a read, while the bytes of the others stayed.

Each connection now tells what it keeps behind a request in progress, what of an answer that is not read, and what of a request that arrives. Closing goes on until a tenth is free, as the connections were counted and searched again for each read.

The timer of unread answers has moved to web_timers.py, where a test now patches its time.

--- a/src/masticwind/entry/server.py
+++ b/src/masticwind/entry/server.py
@@ -32,7 +32,7 @@
 from masticwind.telemetry import make_telemetry
 from masticwind.web import WebServer
 from masticwind.web_callers import derive_limits
-from masticwind.web_protocol import WRITE_STALL_TIMEOUT_S
+from masticwind.web_timers import WRITE_STALL_TIMEOUT_S
 
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 # Time before the end of a drain in which requests that cannot end are
--- a/src/masticwind/web_callers.py
+++ b/src/masticwind/web_callers.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 import resource
 import time
 from collections import Counter
@@ -35,6 +36,8 @@
 # A caller that takes longer for a body, or to receive its last answer, may be
 # given up for a new connection. 4 MB take 1.7 s on a link of 20 Mbit/s.
 SLOW_CALLER_S: Final = 2.0
+# What is left of the kept bytes once too many have been kept.
+RELIEVED_SHARE: Final = 0.9
 # How many connections are looked at to find one that may be closed.
 MAX_SEARCHED: Final = 64
 
@@ -49,10 +52,24 @@
     SLOW = 'slow'
     # All connections had requests in progress.
     REFUSED = 'refused'
-    # It kept the most when too much was kept.
+    # Too much was kept, and its caller was the most to blame.
     KEPT = 'kept'
 
 
+class _Blame(enum.IntEnum):
+    """Why a connection is closed for what is kept; the first are closed first.
+
+    It keeps more behind a request in progress than the share of a connection,
+    or its answer is not read, or it keeps little behind a request or of an
+    answer, or nothing but a request that arrives.
+    """
+
+    AHEAD = 0
+    STALLED = 1
+    KEEPS_LITTLE = 2
+    ARRIVING = 3
+
+
 @dataclass(frozen=True, slots=True)
 class AggregateLimits:
     """How many connections may be open, and what is kept for them in sum."""
@@ -60,6 +77,11 @@
     max_connections: int
     max_kept_bytes: int
 
+    @property
+    def fair_share_bytes(self) -> int:
+        """What can be kept for each of as many connections as are allowed."""
+        return self.max_kept_bytes // self.max_connections
+
     @property
     def backlog(self) -> int:
         """Connections that wait to be accepted, all of which are at once."""
@@ -88,6 +110,26 @@
     return min(allowed, max_fds or allowed)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeptBytes:
+    """The bytes that are kept for a caller.
+
+    Those `ahead` are behind the request in progress, and those `unread` are of
+    an answer. What is left belongs to a request that arrives. `stalled_at` is
+    that of the `WriteTimer`.
+    """
+
+    ahead: int = 0
+    unread: int = 0
+    arriving: int = 0
+    stalled_at: float = math.inf
+
+    @property
+    def total(self) -> int:
+        """All bytes."""
+        return self.ahead + self.unread + self.arriving
+
+
 class LimitedConnection(Protocol):
     """What the limits need of a connection."""
 
@@ -95,8 +137,8 @@
     def is_replaceable(self) -> bool:
         """Whether it can be closed at once without a loss for its caller."""
 
-    def count_kept_bytes(self) -> int:
-        """Return the bytes that are kept for its caller."""
+    def find_kept(self) -> KeptBytes:
+        """Return what is kept for its caller."""
 
     def close_for_limit(self) -> None:
         """Close it at once."""
@@ -114,7 +156,7 @@
         self.closed: Final = Counter[CloseCause]()
         self._taken: Final = Counter[CloseCause]()
         self.limits: Final = limits
-        self._kept: Final[dict[LimitedConnection, int]] = {}
+        self._kept: Final[dict[LimitedConnection, KeptBytes]] = {}
         self._kept_bytes = 0
         self._log_limiter: Final = LineLimiter()
         # Connections without a request in progress, the longest idle first.
@@ -142,14 +184,14 @@
         """Add a connection, and close one if there are too many."""
         if len(self._kept) >= self.limits.max_connections:
             self._make_room()
-        self._kept[conn] = 0
+        self._kept[conn] = KeptBytes()
         self._unused[conn] = time.monotonic()
         if len(self._kept) > self.limits.max_connections:
             self._close(conn, CloseCause.REFUSED)
 
     def discard(self, conn: LimitedConnection) -> None:
         """Forget a connection that has ended."""
-        self._kept_bytes -= self._kept.pop(conn, 0)
+        self._kept_bytes -= self._kept.pop(conn, KeptBytes()).total
         self._unused.pop(conn, None)
         self._bodies.pop(conn, None)
 
@@ -171,7 +213,8 @@
     def record_kept(self, conn: LimitedConnection) -> None:
         """Note what is kept for a caller now.
 
-        If the sum is over its limit, connections that keep most are closed.
+        If the sum is over its limit, connections are closed, in the order of
+        `_close_rank`, until there is room for others.
         """
         if conn not in self._kept:
             return
@@ -180,14 +223,27 @@
             return
         for other in self._kept:
             self._update(other)
-        while self._kept_bytes > self.limits.max_kept_bytes:
-            largest = max(self._kept, key=self._kept.__getitem__)
-            self._close(largest, CloseCause.KEPT)
+        if self._kept_bytes > self.limits.max_kept_bytes:
+            self._close_most_to_blame()
 
     def _update(self, conn: LimitedConnection) -> None:
-        kept_bytes = conn.count_kept_bytes()
-        self._kept_bytes += kept_bytes - self._kept[conn]
-        self._kept[conn] = kept_bytes
+        kept = conn.find_kept()
+        self._kept_bytes += kept.total - self._kept[conn].total
+        self._kept[conn] = kept
+
+    def _close_most_to_blame(self) -> None:
+        fair_share_bytes = self.limits.fair_share_bytes
+        ranks = {
+            conn: _close_rank(kept, fair_share_bytes)
+            for conn, kept in self._kept.items()
+            if kept.total
+        }
+        # Counting all connections for each read would take the time of others.
+        enough_bytes = int(self.limits.max_kept_bytes * RELIEVED_SHARE)
+        for conn in sorted(ranks, key=ranks.__getitem__):
+            if self._kept_bytes <= enough_bytes:
+                return
+            self._close(conn, CloseCause.KEPT)
 
     def _make_room(self) -> None:
         """Close a connection for a new one, if one can be closed."""
@@ -217,6 +273,24 @@
         conn.close_for_limit()
 
 
+def _close_rank(
+    kept: KeptBytes, fair_share_bytes: int
+) -> tuple[_Blame, float, int]:
+    """Return where a connection stands in the order of closing.
+
+    A request whose body arrives comes last. Two requests on one connection,
+    and an answer that is read slowly, come late: they keep little, or their
+    caller has read some of it not long ago.
+    """
+    if kept.ahead > fair_share_bytes:
+        return _Blame.AHEAD, 0, -kept.ahead
+    if kept.stalled_at < math.inf:
+        return _Blame.STALLED, kept.stalled_at, -kept.unread
+    if kept.ahead or kept.unread:
+        return _Blame.KEEPS_LITTLE, 0, -kept.ahead - kept.unread
+    return _Blame.ARRIVING, 0, -kept.arriving
+
+
 def _find_slow(since: _Since) -> LimitedConnection | None:
     conn = next(iter(since), None)
     if conn is None or time.monotonic() - since[conn] <= SLOW_CALLER_S:
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -12,7 +12,7 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from masticwind.web_callers import CallerConnections
+from masticwind.web_callers import CallerConnections, KeptBytes
 from masticwind.web_framing import (
     BodySize,
     check_head,
@@ -20,7 +20,7 @@
 )
 from masticwind.web_input import RECEIVE_BUFFER_BYTES, InputFlow, RequestInput
 from masticwind.web_parser import RequestParser
-from masticwind.web_timers import ConnectionTimer
+from masticwind.web_timers import ConnectionTimer, WriteTimer
 from masticwind.web_transport import CallerTransport
 
 # Where the scope of a request has its `LimitedProtocol`.
@@ -32,8 +32,6 @@
 MAX_REQUEST_LINE_BYTES: Final = 8192
 # Colon, space and line end of each header, and the empty line.
 MAX_SEPARATOR_BYTES: Final = 4 * MAX_HEADERS + 2
-# The connection of a caller that reads nothing for this long is aborted.
-WRITE_STALL_TIMEOUT_S: Final = 30.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -78,7 +76,7 @@
         self._head_bytes = 0
         self._in_head = True
         self._awaits_body = False
-        self._write_timer: asyncio.TimerHandle | None = None
+        self._write_timer: WriteTimer
         self._conn: CallerTransport
 
     @property
@@ -106,6 +104,7 @@
     ) -> None:
         """Start the idle timeout of the new connection."""
         self._conn = CallerTransport(transport, self.loop)
+        self._write_timer = WriteTimer(self.loop, self._conn.abort)
         super().connection_made(self._conn)
         flow = InputFlow(self._conn)
         self.flow = flow
@@ -116,7 +115,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timers, and forget what is kept."""
         self._timer.stop()
-        self._stop_write_timer()
+        self._write_timer.stop()
         self._input.clear()
         self._callers.discard(self)
         super().connection_lost(exc)
@@ -244,17 +243,29 @@
             self._conn.abort()
         self._input.clear()
 
-    def count_kept_bytes(self) -> int:
-        """Return the bytes that are kept for the caller.
+    def find_kept(self) -> KeptBytes:
+        """Return what is kept for the caller.
 
-        Those of the kernel count in the memory of some platforms. They are few
+        Bytes of the kernel count in the memory of some platforms. They are few
         unless reading is held.
         """
-        kept_bytes = self._input.kept_bytes + self._head_bytes
-        kept_bytes += self._conn.get_write_buffer_size()
+        unparsed = self._input.kept_bytes
         if self._input.is_held and not self._conn.is_closing():
-            kept_bytes += RECEIVE_BUFFER_BYTES
-        return kept_bytes + len(self.cycle.body) if self.cycle else kept_bytes
+            unparsed += RECEIVE_BUFFER_BYTES
+        is_ahead = self.has_request and not self._awaits_body
+        arriving = self._head_bytes
+        if self.cycle is not None:
+            arriving += len(self.cycle.body)
+        return KeptBytes(
+            ahead=unparsed if is_ahead else 0,
+            unread=self._conn.get_write_buffer_size(),
+            arriving=arriving if is_ahead else arriving + unparsed,
+            stalled_at=self._write_timer.stalled_at,
+        )
+
+    def count_kept_bytes(self) -> int:
+        """Return the bytes that are kept for the caller."""
+        return self.find_kept().total
 
     def on_body(self, body: bytes) -> None:
         """Count the bytes of the body."""
@@ -278,15 +289,11 @@
     def pause_writing(self) -> None:
         """Start the write timeout: the caller does not read its response."""
         super().pause_writing()
-        self._stop_write_timer()
-        self._write_timer = self.loop.call_later(
-            WRITE_STALL_TIMEOUT_S,
-            self.transport.abort,
-        )
+        self._write_timer.start()
 
     def resume_writing(self) -> None:
         """Stop the write timeout: the caller reads again."""
-        self._stop_write_timer()
+        self._write_timer.end()
         super().resume_writing()
 
     @property
@@ -333,8 +340,3 @@
     @property
     def _has_unparsed_bytes(self) -> bool:
         return bool(self._input) or self._conn.has_unread_bytes
-
-    def _stop_write_timer(self) -> None:
-        if self._write_timer is not None:
-            self._write_timer.cancel()
-            self._write_timer = None
--- a/src/masticwind/web_timers.py
+++ b/src/masticwind/web_timers.py
@@ -1,6 +1,8 @@
-"""Limits of the heads and the idle times of one connection of a caller."""
+"""Time limits of one connection of a caller: heads, idle times, answers."""
 
 import asyncio
+import math
+import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
@@ -8,6 +10,10 @@
     from masticwind.web_protocol import ConnectionLimits
 
 UNREAD_RECHECK_S: Final = 0.05
+# The connection of a caller that reads nothing for this long is aborted.
+WRITE_STALL_TIMEOUT_S: Final = 30.0
+# `WriteTimer.stalled_at` of a caller that has read nothing of its answer.
+NOTHING_READ: Final = 0.0
 
 
 class ConnectionTimer:
@@ -88,3 +94,41 @@
             self._start(left_s, callback)
         else:
             self._close()
+
+
+class WriteTimer:
+    """Ends a connection whose caller does not read its answer.
+
+    `stalled_at` is the time of the monotonic clock since which the caller has
+    read nothing while an answer waits for it, `NOTHING_READ` if it has read
+    nothing before either, and infinite while no answer waits.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, abort: Callable[[], None]
+    ) -> None:
+        self.stalled_at = math.inf
+        self._loop: Final = loop
+        self._abort: Final = abort
+        self._has_been_read = False
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Note that the answer waits for its caller."""
+        self.stop()
+        self.stalled_at = (
+            time.monotonic() if self._has_been_read else NOTHING_READ
+        )
+        self._timer = self._loop.call_later(WRITE_STALL_TIMEOUT_S, self._abort)
+
+    def end(self) -> None:
+        """Note that the caller has read."""
+        self.stop()
+        self.stalled_at = math.inf
+        self._has_been_read = True
+
+    def stop(self) -> None:
+        """Stop the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- a/tests/test_web_limits.py
+++ b/tests/test_web_limits.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from masticwind import web_protocol
+from masticwind import web_protocol, web_timers
 from masticwind.settings import Address
 from masticwind.web import WebServer, json_response, send_response
 
@@ -122,7 +122,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against responses buffered for a caller that never reads."""
-    monkeypatch.setattr(web_protocol, 'WRITE_STALL_TIMEOUT_S', 0.3)
+    monkeypatch.setattr(web_timers, 'WRITE_STALL_TIMEOUT_S', 0.3)
     async with running_server() as server:
         stream = await anyio.connect_tcp('127.0.0.1', server.port)
         await stream.send(b'GET /endless HTTP/1.1\r\nhost: x\r\n\r\n')
