Close requests that have stopped arriving before those on their way

Among requests that arrive, the connection that kept most was closed. Callers that stop within a head of 30 KB keep it for header_timeout_ms, and an ordinary upload keeps 64 KB or more in the moment of a read, so that the upload was closed for them (found by reading the new order, then by the test).

The connection of which nothing has arrived for the longest is now closed first. The test failed before and passes.

--- a/src/masticwind/web_callers.py
+++ b/src/masticwind/web_callers.py
@@ -116,13 +116,14 @@
 
     Those `ahead` are behind the request in progress, and those `unread` are of
     an answer. What is left belongs to a request that arrives. `stalled_at` is
-    that of the `WriteTimer`.
+    that of the `WriteTimer`, and `received_at` the time of the last read.
     """
 
     ahead: int = 0
     unread: int = 0
     arriving: int = 0
     stalled_at: float = math.inf
+    received_at: float = 0.0
 
     @property
     def total(self) -> int:
@@ -278,9 +279,9 @@
 ) -> tuple[_Blame, float, int]:
     """Return where a connection stands in the order of closing.
 
-    A request whose body arrives comes last. Two requests on one connection,
-    and an answer that is read slowly, come late: they keep little, or their
-    caller has read some of it not long ago.
+    A request that arrives comes last, unless nothing of it has come for long.
+    Two requests on one connection, and an answer that is read slowly, come
+    late: they keep little, or their caller has read some of it not long ago.
     """
     if kept.ahead > fair_share_bytes:
         return _Blame.AHEAD, 0, -kept.ahead
@@ -288,7 +289,7 @@
         return _Blame.STALLED, kept.stalled_at, -kept.unread
     if kept.ahead or kept.unread:
         return _Blame.KEEPS_LITTLE, 0, -kept.ahead - kept.unread
-    return _Blame.ARRIVING, 0, -kept.arriving
+    return _Blame.ARRIVING, kept.received_at, -kept.arriving
 
 
 def _find_slow(since: _Since) -> LimitedConnection | None:
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Final
@@ -77,6 +78,7 @@
         self._in_head = True
         self._awaits_body = False
         self._write_timer: WriteTimer
+        self._received_at = 0.0
         self._conn: CallerTransport
 
     @property
@@ -125,6 +127,7 @@
         if self._conn.is_closing():
             self._conn.discard(len(data))
             return
+        self._received_at = time.monotonic()
         self._input.add(data)
 
     def end_parsing(self) -> None:
@@ -261,6 +264,7 @@
             unread=self._conn.get_write_buffer_size(),
             arriving=arriving if is_ahead else arriving + unparsed,
             stalled_at=self._write_timer.stalled_at,
+            received_at=self._received_at,
         )
 
     def count_kept_bytes(self) -> int:
--- a/tests/test_close_order.py
+++ b/tests/test_close_order.py
@@ -29,6 +29,9 @@
 AHEAD_CALLERS: Final = 900
 ORDINARY_CALLERS: Final = 5
 MAX_KEPT_BYTES: Final = 47_185_920
+# With heads of 30 KB, they keep a little less than is allowed.
+STOPPED_CALLERS: Final = 1570
+STOPPED_HEAD: Final = b'GET /a HTTP/1.1\r\nx-pad: %b' % (b'a' * 30_000)
 LIMITS: Final = AggregateLimits(1950, MAX_KEPT_BYTES)
 
 
@@ -262,3 +265,25 @@
             kept_bytes += conn.protocol.count_kept_bytes()
         assert any(conn.aborted for conn in conns)
         assert kept_bytes <= MAX_KEPT_BYTES
+
+
+async def test_ordinary_request_is_not_closed_for_requests_that_stop() -> None:
+    """Guards against a body on its way that is closed, as it keeps most in the
+    moment of a read, while others have stopped within their heads.
+    """
+    server = StubServer(LIMITS)
+    async with AsyncExitStack() as stack:
+        others = [
+            await stack.enter_async_context(server.connect())
+            for _ in range(STOPPED_CALLERS)
+        ]
+        for conn in others:
+            await _send(conn, STOPPED_HEAD)
+        upload = await stack.enter_async_context(server.connect())
+        await _send(upload, _head('/upload', BODY_BYTES) + b'x' * BODY_BYTES)
+        await anyio.sleep(0.01)
+        assert server.callers.kept_bytes <= MAX_KEPT_BYTES
+        assert any(conn.aborted for conn in others)
+        assert not all(conn.aborted for conn in others)
+        assert not upload.aborted
+        assert server.received == [BODY_BYTES]
