Give callers' connections a narrow receive buffer

What the kernel has received counts in the memory of a process on the platform. Each connection had a receive buffer of 128 KB, of which the kernel fills up to 250 KB, so that 300 callers who send ahead took 57 MB beside what the process had read (106 to 129 MB of 96 MB in test_caller_crowds.py). A read also returned all of it at once, and the sum of what is kept was only checked after the read.

A connection now begins with 8 KB, of which the kernel fills 12 KB (arm64, 6.18), and gets 64 KB with the first body that does not fit, as long as 5% of memory_mb allow it; beyond that an unused connection is closed, or the body arrives through the narrow buffer. Buffers are never made smaller again: 20 MB then took 265 s rather than 0.01 s in a trial on loopback, as the kernel receives a few bytes at a time (0.12 s with 8 KB from the start).

--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -29,7 +29,6 @@
     derive_limits,
 )
 from masticwind.web_framing import VERSION_WITHOUT_CHUNKS
-from masticwind.web_input import RECEIVE_BUFFER_BYTES
 from masticwind.web_protocol import (
     CONNECTION_KEY,
     EXTENSION,
@@ -37,6 +36,7 @@
     ConnectionLimits,
     LimitedProtocol,
 )
+from masticwind.web_transport import NARROW_BUFFER_BYTES
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -262,7 +262,7 @@
         # Where the system refuses, its own limit holds.
         with contextlib.suppress(OSError):
             self._socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+                socket.SOL_SOCKET, socket.SO_RCVBUF, NARROW_BUFFER_BYTES
             )
         self.port: Final = int(self._socket.getsockname()[1])
         protocol: Any = partial(
--- a/src/masticwind/web_callers.py
+++ b/src/masticwind/web_callers.py
@@ -10,6 +10,7 @@
 import resource
 import time
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 from itertools import islice
 from typing import Final, Protocol
@@ -19,6 +20,7 @@
 from masticwind.log_limits import LineLimiter
 from masticwind.sockets import LISTEN_BACKLOG
 from masticwind.web_input import TurnQueue
+from masticwind.web_transport import KEPT_BY_WIDE_BYTES
 
 BYTES_PER_MB: Final = 1_048_576
 DEFAULT_MEMORY_MB: Final = 256.0
@@ -33,6 +35,8 @@
 CONNECTION_BYTES: Final = 32_768
 # Share of the memory for what callers have sent and do not read.
 KEPT_SHARE: Final = 0.15
+# Share of the memory for what the kernel keeps in wide receive buffers.
+WIDE_BUFFERS_SHARE: Final = 0.05
 # A caller that takes longer for a body, or to receive its last answer, may be
 # given up for a new connection. 4 MB take 1.7 s on a link of 20 Mbit/s.
 SLOW_CALLER_S: Final = 2.0
@@ -76,6 +80,8 @@
 
     max_connections: int
     max_kept_bytes: int
+    # Connections with a wide receive buffer.
+    max_wide_buffers: int = 16
 
     @property
     def fair_share_bytes(self) -> int:
@@ -100,6 +106,9 @@
     return AggregateLimits(
         max_connections=max(MIN_CONNECTIONS, int(min(by_memory, by_fds))),
         max_kept_bytes=int(memory_bytes * KEPT_SHARE),
+        max_wide_buffers=int(
+            memory_bytes * WIDE_BUFFERS_SHARE / KEPT_BY_WIDE_BYTES
+        ),
     )
 
 
@@ -164,6 +173,8 @@
         self._unused: Final[_Since] = {}
         # Since when bodies of requests in progress arrive, the longest first.
         self._bodies: Final[_Since] = {}
+        # Connections with a wide receive buffer, the first ones first.
+        self._wide: Final[dict[LimitedConnection, None]] = {}
 
     @property
     def count(self) -> int:
@@ -195,6 +206,26 @@
         self._kept_bytes -= self._kept.pop(conn, KeptBytes()).total
         self._unused.pop(conn, None)
         self._bodies.pop(conn, None)
+        self._wide.pop(conn, None)
+
+    def has_wide_buffer(self, conn: LimitedConnection) -> bool:
+        """Whether a connection has a wide receive buffer."""
+        return conn in self._wide
+
+    def try_widen_buffer(self, conn: LimitedConnection) -> bool:
+        """Return whether a connection gets a wide receive buffer.
+
+        It keeps it until its end. An unused connection is closed for it, as
+        callers could otherwise keep all of them by a body each.
+        """
+        if conn in self._wide or conn not in self._kept:
+            return False
+        if len(self._wide) >= self.limits.max_wide_buffers:
+            self._close_unused(self._wide)
+        if len(self._wide) >= self.limits.max_wide_buffers:
+            return False
+        self._wide[conn] = None
+        return True
 
     def record_request(self, conn: LimitedConnection) -> None:
         """Note that a request is in progress from now on."""
@@ -248,10 +279,8 @@
 
     def _make_room(self) -> None:
         """Close a connection for a new one, if one can be closed."""
-        for conn in islice(self._unused, MAX_SEARCHED):
-            if conn.is_replaceable:
-                self._close(conn, CloseCause.UNUSED)
-                return
+        if self._close_unused(self._unused):
+            return
         # Nothing of a body has been sent on. An answer that its caller has not
         # received may be lost, so it comes last.
         for since in (self._bodies, self._unused):
@@ -260,6 +289,14 @@
                 self._close(slow, CloseCause.SLOW)
                 return
 
+    def _close_unused(self, conns: Iterable[LimitedConnection]) -> bool:
+        """Close the first connection that is unused; return if there is one."""
+        for conn in islice(conns, MAX_SEARCHED):
+            if conn.is_replaceable:
+                self._close(conn, CloseCause.UNUSED)
+                return True
+        return False
+
     def _close(self, conn: LimitedConnection, cause: CloseCause) -> None:
         self.discard(conn)
         self.closed[cause] += 1
--- a/src/masticwind/web_input.py
+++ b/src/masticwind/web_input.py
@@ -14,12 +14,9 @@
 
 from masticwind.web_chunks import ChunkSlices
 
-# Reading pauses while more than this is not parsed. One read adds up to
-# `uvloop`'s buffer of 256 KB.
+# Reading pauses while more than this is not parsed. One read adds what the
+# kernel has kept.
 MAX_UNPARSED_BYTES: Final = 65_536
-# What the kernel keeps of a connection's input that is not read yet. The event
-# loop reads all of it before it can be paused.
-RECEIVE_BUFFER_BYTES: Final = 131_072
 # Heads end with this, and the parser accepts no other line ends.
 TERMINATOR: Final = b'\r\n\r\n'
 # Slices and chunks that one connection may parse before others get a turn.
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -19,10 +19,14 @@
     check_head,
     find_declared_length,
 )
-from masticwind.web_input import RECEIVE_BUFFER_BYTES, InputFlow, RequestInput
+from masticwind.web_input import InputFlow, RequestInput
 from masticwind.web_parser import RequestParser
 from masticwind.web_timers import ConnectionTimer, WriteTimer
-from masticwind.web_transport import CallerTransport
+from masticwind.web_transport import (
+    KEPT_BY_NARROW_BYTES,
+    KEPT_BY_WIDE_BYTES,
+    CallerTransport,
+)
 
 # Where the scope of a request has its `LimitedProtocol`.
 EXTENSION: Final = 'masticwind'
@@ -176,6 +180,10 @@
         super().on_headers_complete()
         self._awaits_body = True
         self._callers.record_request(self)
+        body_bytes = self._body_size.missing_bytes
+        is_long = body_bytes is None or body_bytes > KEPT_BY_NARROW_BYTES
+        if is_long and self._callers.try_widen_buffer(self):
+            self._conn.widen_receive_buffer()
 
     def send_400_response(self, msg: str) -> None:
         """Refuse a request, unless a response to it has begun."""
@@ -254,7 +262,11 @@
         """
         unparsed = self._input.kept_bytes
         if self._input.is_held and not self._conn.is_closing():
-            unparsed += RECEIVE_BUFFER_BYTES
+            unparsed += (
+                KEPT_BY_WIDE_BYTES
+                if self._callers.has_wide_buffer(self)
+                else KEPT_BY_NARROW_BYTES
+            )
         is_ahead = self.has_request and not self._awaits_body
         arriving = self._head_bytes
         if self.cycle is not None:
--- a/src/masticwind/web_transport.py
+++ b/src/masticwind/web_transport.py
@@ -7,9 +7,11 @@
 
 import asyncio
 import fcntl
+import socket
 import struct
 import termios
 from collections.abc import Iterable
+from contextlib import suppress
 from typing import Any, Final
 
 # A closed connection is aborted if its caller has not received everything
@@ -20,6 +22,14 @@
 MAX_DISCARDED_BYTES: Final = 524_288
 LINGER_POLL_INTERVAL_S: Final = 0.05
 COUNT_FORMAT: Final = 'i'
+# Receive buffers of the kernel for a caller's connection. All connections have
+# a narrow one. A wide one lets a body arrive at a fair rate over a long way: at
+# 100 ms, a narrow one passes 120 KB/s.
+NARROW_BUFFER_BYTES: Final = 8192
+WIDE_BUFFER_BYTES: Final = 65_536
+# The kernel keeps up to twice the size of a receive buffer.
+KEPT_BY_NARROW_BYTES: Final = 2 * NARROW_BUFFER_BYTES
+KEPT_BY_WIDE_BYTES: Final = 2 * WIDE_BUFFER_BYTES
 
 
 class CallerTransport(asyncio.Transport):
@@ -81,6 +91,23 @@
         """
         self._transport.close()
 
+    def widen_receive_buffer(self) -> None:
+        """Let the kernel keep more of what the caller sends.
+
+        There is no way back: with a buffer that is made smaller, the kernel
+        receives a few bytes at a time.
+        """
+        sock = self._transport.get_extra_info('socket')
+        # Where the system refuses, its own limit holds.
+        with suppress(OSError):
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, WIDE_BUFFER_BYTES
+            )
+            # Some kernels keep to the window of the first buffer otherwise.
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_WINDOW_CLAMP, WIDE_BUFFER_BYTES
+            )
+
     def abort(self) -> None:
         """Close the connection and discard what has not been sent."""
         self._transport.abort()
