Count and bound what a relay keeps of an answer that is not read

Only the write buffer of the caller's connection counted in the sum of what is kept. Behind it stood up to 64 KB of the start of the answer, which stayed referenced while the rest was passed on, a read of up to 256 KB, and as much in the receive buffer of the endpoint's connection.

The start is released once it has been written. A connection whose answer waits counts what its relay keeps, at the moment at which writing pauses, and callers that have read nothing for the longest are closed first.

--- a/src/masticwind/http_limits.py
+++ b/src/masticwind/http_limits.py
@@ -29,9 +29,9 @@
 # The event loop reads at most this much at once. Whatever it has read is taken
 # over, so that bytes behind a response are noticed.
 BUFFER_BYTES: Final = 262_144
-# What the kernel keeps of a response that is not read yet. The event loop
-# reads all of it before it can be paused.
-RECEIVE_BUFFER_BYTES: Final = 131_072
+# The receive buffer of a connection, of which the kernel fills up to twice as
+# much. The event loop reads all of it before it can be paused.
+RECEIVE_BUFFER_BYTES: Final = 32_768
 # Interval at which a request that is still on its way is checked.
 DELIVERY_POLL_INTERVAL_S: Final = 0.01
 
--- a/src/masticwind/serving/answer_relay.py
+++ b/src/masticwind/serving/answer_relay.py
@@ -38,6 +38,22 @@
 async def relay_answer(context: AttemptContext, reply: Reply) -> Failure | None:
     """Relay an answer; None means that it has been sent to its end."""
     turn_taker = TurnTaker(context.turns)
+    is_whole = await _relay_start(context, reply, turn_taker)
+    if isinstance(is_whole, Failure):
+        return is_whole
+    if not is_whole:
+        await _pass_on(context, reply, turn_taker)
+    await context.answer.finish()
+    return None
+
+
+async def _relay_start(
+    context: AttemptContext, reply: Reply, turn_taker: TurnTaker
+) -> bool | Failure:
+    """Relay the start of a body; return whether it is the whole body.
+
+    The start is released here, as a slow caller may take long for the rest.
+    """
     with context.byte_budget.open_buffer() as buffer:
         start = await _read_start(reply.chunks, buffer, turn_taker)
         if context.answer.started:
@@ -59,10 +75,7 @@
         context.progress.is_resumable = start.is_whole
         await context.answer.start(reply.status, reply.headers, length)
         await context.answer.write(start.content)
-    if not start.is_whole:
-        await _pass_on(context, reply, turn_taker)
-    await context.answer.finish()
-    return None
+        return start.is_whole
 
 
 async def _read_start(
--- a/src/masticwind/web_protocol.py
+++ b/src/masticwind/web_protocol.py
@@ -36,6 +36,11 @@
 MAX_HEADERS: Final = 128
 MAX_REQUEST_LINE_BYTES: Final = 8192
 # Colon, space and line end of each header, and the empty line.
+# What a relay keeps of an answer that its caller does not read: in the receive
+# buffer of its endpoint's connection, of the last read, and in the HTTP parser,
+# each up to the same size.
+RELAYED_READ_BYTES: Final = 65_536
+KEPT_BY_RELAY_BYTES: Final = 3 * RELAYED_READ_BYTES
 MAX_SEPARATOR_BYTES: Final = 4 * MAX_HEADERS + 2
 
 
@@ -267,13 +272,16 @@
                 if self._callers.has_wide_buffer(self)
                 else KEPT_BY_NARROW_BYTES
             )
+        unread = self._conn.get_write_buffer_size()
+        if self.has_request and self.flow.write_paused:
+            unread += KEPT_BY_RELAY_BYTES
         is_ahead = self.has_request and not self._awaits_body
         arriving = self._head_bytes
         if self.cycle is not None:
             arriving += len(self.cycle.body)
         return KeptBytes(
             ahead=unparsed if is_ahead else 0,
-            unread=self._conn.get_write_buffer_size(),
+            unread=unread,
             arriving=arriving if is_ahead else arriving + unparsed,
             stalled_at=self._write_timer.stalled_at,
             received_at=self._received_at,
@@ -306,6 +314,7 @@
         """Start the write timeout: the caller does not read its response."""
         super().pause_writing()
         self._write_timer.start()
+        self._callers.record_kept(self)
 
     def resume_writing(self) -> None:
         """Stop the write timeout: the caller reads again."""
