Limit the bodies of all requests of masticwind-entry together

Each body was limited to max_body_bytes (32 MB), but not all of them together: 300 callers with a key that stop after 1 MB of a prompt took 411 and 412 MB of 160 MB (test_caller_crowds.py[stopped-prompts]), and a thousand would end a process with the default of 1 GB.

Bodies of model requests and calls now count in one ByteBudget until their requests end, 30% of memory_mb: 307 MB by default, some 70 prompts of a million tokens. A body beyond it is refused with 503 and a hint to retry, not run; direct serving, which already refused it, now gives the same hint. ByteBudget has moved out of serving/, as both interfaces use it.

--- a/src/masticwind/serving/admission/byte_budget.py
+++ b/src/masticwind/byte_budget.py
@@ -49,10 +49,13 @@
 
 
 class ByteBudget:
-    """The bytes that all requests of a process may buffer together."""
+    """The bytes that all requests of a process may buffer together.
 
-    def __init__(self, memory_mb: float) -> None:
-        self._total_bytes: Final = int(memory_mb * BYTES_PER_MB * BUFFER_SHARE)
+    They are a `share` of the memory of its machine.
+    """
+
+    def __init__(self, memory_mb: float, share: float = BUFFER_SHARE) -> None:
+        self._total_bytes: Final = int(memory_mb * BYTES_PER_MB * share)
         self._used_bytes = 0
 
     @property
--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -6,6 +6,7 @@
 from typing import Any, Final
 
 from masticwind.budget import MS_PER_S, Budget, boot_time
+from masticwind.byte_budget import ByteBudget
 from masticwind.config.current import CurrentConfig
 from masticwind.engines.base import Done
 from masticwind.entry.admin import PATH_PREFIX as ADMIN_PREFIX
@@ -49,6 +50,8 @@
 
 BEARER_PREFIX: Final = 'bearer '
 REQUESTS_PREFIX: Final = '/v1/requests/'
+# Share of the memory for the bodies of requests in progress.
+BODIES_SHARE: Final = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +79,7 @@
     def __init__(self, deps: AppDependencies) -> None:
         self._deps: Final = deps
         self._body_decoder: Final = ChatBodyDecoder()
+        self._byte_budget: Final = ByteBudget(deps.cfg.memory_mb, BODIES_SHARE)
         self._outcomes: Final = RecentOutcomes()
         self._calls: Final = ServiceCalls(
             CallDependencies(
@@ -103,7 +107,11 @@
         active = self.stop.start_request()
         metrics.gauge(Metric.REQUESTS_ACTIVE, len(self.stop))
         try:
-            with metrics.timed(Metric.REQUEST_TIME):
+            with (
+                metrics.timed(Metric.REQUEST_TIME),
+                self._byte_budget.open_buffer() as buffer,
+            ):
+                active.buffer = buffer
                 await self._serve(
                     scope, receive, partial(_send_message, send, active), active
                 )
@@ -256,6 +264,7 @@
             receive,
             cfg.max_body_bytes,
             cfg.body_timeout_ms / MS_PER_S,
+            active.try_buffer,
         )
         if isinstance(body, Failure):
             return body
--- a/src/masticwind/entry/stop.py
+++ b/src/masticwind/entry/stop.py
@@ -18,6 +18,7 @@
 from loguru import logger
 
 from masticwind.budget import MS_PER_S, Budget, boot_time
+from masticwind.byte_budget import Buffer
 from masticwind.engines.base import Done
 from masticwind.errors import ErrorKind, Failure
 
@@ -44,7 +45,8 @@
     run or have run, several of which can be in progress. `answering` is set
     once the outcome is known, so that only the answer is left to be written.
     `response_started` is set once the status has been sent. `team` and `tier`
-    are those of the caller, once it is known.
+    are those of the caller, once it is known. What is kept of its body counts
+    in `buffer`, until the request ends.
     """
 
     cut_at_s: float = math.inf
@@ -55,6 +57,7 @@
     uncertain_attempts: int = 0
     answering: bool = False
     writer: AnswerWriter | None = None
+    buffer: Buffer | None = None
     started_s: float = field(default_factory=boot_time)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
@@ -63,6 +66,10 @@
         """Whether the request may run or have run."""
         return self.uncertain_attempts > 0
 
+    def try_buffer(self, size_bytes: int) -> bool:
+        """Return whether the process may keep so many more bytes."""
+        return self.buffer is None or self.buffer.try_grow(size_bytes)
+
     def limit_budget(self, budget: Budget) -> Budget:
         """Return a budget that ends no later than this process."""
         return Budget(min(budget.deadline, self.cut_at_s))
--- a/src/masticwind/serving/admission/parts.py
+++ b/src/masticwind/serving/admission/parts.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from masticwind.byte_budget import ByteBudget
 from masticwind.serving.admission.bounds import RetryBudget
-from masticwind.serving.admission.byte_budget import ByteBudget
 from masticwind.serving.admission.fair_overload import FairOverload
 from masticwind.serving.admission.return_promises import (
     PromiseBook,
--- a/src/masticwind/serving/answer_relay.py
+++ b/src/masticwind/serving/answer_relay.py
@@ -12,8 +12,8 @@
 
 import anyio
 
+from masticwind.byte_budget import Buffer
 from masticwind.errors import ErrorKind, Failure
-from masticwind.serving.admission.byte_budget import Buffer
 from masticwind.serving.attempt_context import (
     AttemptContext,
     superseded_failure,
--- a/src/masticwind/serving/attempt_context.py
+++ b/src/masticwind/serving/attempt_context.py
@@ -5,8 +5,8 @@
 
 import anyio
 
+from masticwind.byte_budget import ByteBudget
 from masticwind.errors import ErrorKind, Failure
-from masticwind.serving.admission.byte_budget import ByteBudget
 from masticwind.serving.admission.requests import (
     AdmittedRequest,
     RequestProgress,
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -17,11 +17,11 @@
 from loguru import logger
 
 from masticwind.budget import MS_PER_S
+from masticwind.byte_budget import ByteBudget
 from masticwind.errors import ERROR_RESPONSES, ErrorKind, Failure
 from masticwind.log_limits import LineLimiter
 from masticwind.request_exceptions import exception_failure
 from masticwind.serving.active_config import ActiveConfig
-from masticwind.serving.admission.byte_budget import ByteBudget
 from masticwind.serving.admission.requests import (
     AdmittedRequest,
     RequestProgress,
--- a/src/masticwind/serving/event_relay.py
+++ b/src/masticwind/serving/event_relay.py
@@ -2,8 +2,8 @@
 
 from typing import Final
 
+from masticwind.byte_budget import Buffer
 from masticwind.errors import ErrorKind, Failure
-from masticwind.serving.admission.byte_budget import Buffer
 from masticwind.serving.admission.requests import RequestProgress
 from masticwind.serving.attempt_context import (
     AttemptContext,
--- a/src/masticwind/serving/relay_dependencies.py
+++ b/src/masticwind/serving/relay_dependencies.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from masticwind.byte_budget import ByteBudget
 from masticwind.serving.admission.bounds import ColdEndpointLimiter, RetryBudget
-from masticwind.serving.admission.byte_budget import ByteBudget
 from masticwind.serving.admission.return_promises import PromiseBook
 from masticwind.serving.costs.model import STATIC_COSTS, CostModel
 from masticwind.serving.directory import EndpointDirectory, OperatorState
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -49,6 +49,8 @@
 CLOSE_HEADER: Final = (b'connection', b'close')
 # Decoding a larger body on the event loop would delay other requests.
 INLINE_DECODE_BYTES: Final = 262_144
+# Bodies that stop arriving are given up within some seconds.
+NO_MEMORY_RETRY_AFTER_MS: Final = 1000
 NO_LINGER: Final = struct.pack('ii', 1, 0)
 CLOSE_POLL_INTERVAL_S: Final = 0.02
 
@@ -140,15 +142,25 @@
     return dict(parse_qsl(scope['query_string'].decode('latin-1')))
 
 
-def _always(_size_bytes: int) -> bool:
+def any_size(_size_bytes: int) -> bool:
+    """Return that a body of any size may be kept."""
     return True
 
 
+def no_memory_failure() -> Failure:
+    """Return the failure of a request whose body cannot be kept."""
+    return Failure(
+        kind=ErrorKind.OVERLOADED,
+        reason='the process has no memory for the body',
+        retry_after_ms=NO_MEMORY_RETRY_AFTER_MS,
+    )
+
+
 async def read_body(
     receive: Receive,
     limit_bytes: int,
     timeout_s: float,
-    try_buffer: Callable[[int], bool] = _always,
+    try_buffer: Callable[[int], bool] = any_size,
 ) -> bytes | Failure:
     """Read a request body.
 
@@ -174,10 +186,7 @@
                     reason=f'the body is over {limit_bytes} bytes',
                 )
             if not try_buffer(len(chunk)):
-                return Failure(
-                    kind=ErrorKind.OVERLOADED,
-                    reason='the process has no memory for the body',
-                )
+                return no_memory_failure()
             chunks.append(chunk)
             if not event.get('more_body'):
                 return b''.join(chunks)
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from masticwind.serving.admission.byte_budget import ByteBudget
+from masticwind.byte_budget import ByteBudget
 from masticwind_dev.standins.raw_endpoint import (
     RawConnection,
     ReceivedRequest,
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -11,7 +11,7 @@
     rule,
 )
 
-from masticwind.serving.admission.byte_budget import Buffer, ByteBudget
+from masticwind.byte_budget import Buffer, ByteBudget
 
 
 def _has_buffers(machine: 'ByteBudgetMachine') -> bool:
--- a/tests/test_chat_body.py
+++ b/tests/test_chat_body.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from masticwind.byte_budget import BYTES_PER_MB, ByteBudget
 from masticwind.entry import json_text
 from masticwind.entry.chat_body import (
     MAX_MESSAGES_AND_PARTS,
@@ -161,3 +162,21 @@
     outcome = await read_large_body(receive, 1000, 5)
     assert isinstance(outcome, Failure)
     assert outcome.kind is ErrorKind.TOO_LARGE
+
+
+async def test_reading_stops_if_the_process_has_no_memory() -> None:
+    """Guards against callers whose bodies, each within the limit, together
+    take the memory of the machine.
+    """
+    budget = ByteBudget(1, share=1000 / BYTES_PER_MB)
+    event = {'type': 'http.request', 'body': b'x' * 600, 'more_body': True}
+
+    async def receive() -> dict[str, Any]:
+        return event
+
+    with budget.open_buffer() as buffer:
+        outcome = await read_large_body(receive, 10_000, 5, buffer.try_grow)
+    assert isinstance(outcome, Failure)
+    assert outcome.kind is ErrorKind.OVERLOADED
+    assert outcome.retry_after_ms
+    assert not budget.used_bytes
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -12,7 +12,7 @@
 import pytest
 from anyio.abc import TaskGroup
 
-from masticwind.serving.admission.byte_budget import BUFFER_SHARE
+from masticwind.byte_budget import BUFFER_SHARE
 from masticwind_dev.standins.raw_endpoint import (
     RawConnection,
     ReceivedRequest,
