Derive the limits on callers from a sum that fits the memory

docs/LIMITS.md said that an entry of 200 MB takes 185 MB at worst. With the costs measured on arm64, 8 KB for a connection without a request and 60 KB more with one (300 connections each, one run), the old shares allow 305 MB of 200 MB, and 150 MB of 96 MB: nothing limited the requests in progress but the number of connections, which were reckoned at 32 KB.

masticwind.memory_shares now has all shares. Requests in progress get a quarter of memory_mb at 64 KB each (1,200 of 300 MB); those beyond are refused with 503 and Retry-After when their heads have been read, before anything is sent. Where the shares leave less than 49 MB to the process itself, they are shares of less; on machines of 186 MB and more all other limits stay as they were.

--- a/src/masticwind/byte_budget.py
+++ b/src/masticwind/byte_budget.py
@@ -14,10 +14,7 @@
 from contextlib import contextmanager
 from typing import Final
 
-BYTES_PER_MB: Final = 1_048_576
-# Share of a machine's memory. A buffered byte is present up to three times:
-# as received, joined, and in the buffer of the other connection.
-BUFFER_SHARE: Final = 0.1
+from masticwind.memory_shares import BUFFERS_SHARE, BYTES_PER_MB
 
 
 class Buffer:
@@ -54,7 +51,7 @@
     They are a `share` of the memory of its machine.
     """
 
-    def __init__(self, memory_mb: float, share: float = BUFFER_SHARE) -> None:
+    def __init__(self, memory_mb: float, share: float = BUFFERS_SHARE) -> None:
         self._total_bytes: Final = int(memory_mb * BYTES_PER_MB * share)
         self._used_bytes = 0
 
--- a/src/masticwind/serving/admission/parts.py
+++ b/src/masticwind/serving/admission/parts.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from masticwind.byte_budget import ByteBudget
+from masticwind.memory_shares import shared_memory_mb
 from masticwind.serving.admission.bounds import RetryBudget
 from masticwind.serving.admission.fair_overload import FairOverload
 from masticwind.serving.admission.return_promises import (
@@ -55,7 +56,9 @@
             ).inc(),
         )
     return AdmissionParts(
-        byte_budget=ByteBudget(cfg.memory_mb or DEFAULT_MEMORY_MB),
+        byte_budget=ByteBudget(
+            shared_memory_mb(cfg.memory_mb or DEFAULT_MEMORY_MB)
+        ),
         retry_budget=RetryBudget(settings, peers.count),
         prompt_placer=PromptPlacer(overload=policy),
         promises=promises,
--- a/src/masticwind/serving/caller_server.py
+++ b/src/masticwind/serving/caller_server.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from masticwind.budget import MS_PER_S
+from masticwind.memory_shares import BYTES_PER_MB
 from masticwind.serving.active_config import ActiveConfig
 from masticwind.serving.settings import (
     DEFAULT_MEMORY_MB,
@@ -14,7 +15,6 @@
 from masticwind.serving.telemetry import Telemetry
 from masticwind.web import App, WebServer
 from masticwind.web_callers import (
-    BYTES_PER_MB,
     AggregateLimits,
     CallerConnections,
     CloseCause,
@@ -31,6 +31,11 @@
 )
 
 
+def caller_limits(cfg: DirectSettings) -> AggregateLimits:
+    """Return the limits of all callers together."""
+    return derive_limits(cfg.memory_mb or DEFAULT_MEMORY_MB, cfg.max_fds)
+
+
 def build_caller_server(
     app: App,
     cfg: DirectSettings,
@@ -42,7 +47,7 @@
         app,
         parse_address(cfg.listen),
         partial(_connection_limits, active_config),
-        derive_limits(cfg.memory_mb or DEFAULT_MEMORY_MB, cfg.max_fds),
+        caller_limits(cfg),
     )
     _add_metrics(telemetry, server.callers)
     return server
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -79,7 +79,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EdgeDependencies:
-    """Collaborators of the edge application."""
+    """Collaborators of the edge application.
+
+    Requests beyond `max_requests` in progress are refused.
+    """
 
     codec: CallerCodec
     active_config: ActiveConfig
@@ -88,6 +91,7 @@
     telemetry: Telemetry
     lifetime: Lifetime
     byte_budget: ByteBudget
+    max_requests: int
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -201,6 +205,8 @@
             req = self._deps.codec.decode(scope)
             if isinstance(req, Failure):
                 failure = req
+            elif self.running_requests > self._deps.max_requests:
+                failure = _too_many_failure(self._deps.max_requests)
             else:
                 request_id = req.request_id
                 progress.last_event_id = req.resume_after
@@ -324,6 +330,13 @@
         )
 
 
+def _too_many_failure(max_requests: int) -> Failure:
+    return Failure(
+        kind=ErrorKind.OVERLOADED,
+        reason=f'{max_requests} requests are in progress',
+    )
+
+
 def _finite_age_s(age_s: float) -> float | None:
     """Return a rounded age for the logs; None before the first copy."""
     return round(age_s, 3) if math.isfinite(age_s) else None
--- a/src/masticwind/serving/server.py
+++ b/src/masticwind/serving/server.py
@@ -13,6 +13,7 @@
 from masticwind.serving.caller_server import (
     build_caller_server,
     build_operators_server,
+    caller_limits,
 )
 from masticwind.serving.cleanup import build_cleanup, build_news
 from masticwind.serving.config_versions import ConfigVersions
@@ -371,6 +372,7 @@
             telemetry=self._telemetry,
             lifetime=self._lifetime,
             byte_budget=admission.byte_budget,
+            max_requests=caller_limits(settings.cfg).max_requests,
         )
 
     async def _answer_ready(
--- a/src/masticwind/web_callers.py
+++ b/src/masticwind/web_callers.py
@@ -18,25 +18,26 @@
 from loguru import logger
 
 from masticwind.log_limits import LineLimiter
+from masticwind.memory_shares import (
+    BYTES_PER_MB,
+    CONNECTION_BYTES,
+    CONNECTIONS_SHARE,
+    KEPT_SHARE,
+    REQUEST_BYTES,
+    REQUESTS_SHARE,
+    WIDE_BUFFERS_SHARE,
+    shared_memory_mb,
+)
 from masticwind.sockets import LISTEN_BACKLOG
 from masticwind.web_input import TurnQueue
 from masticwind.web_transport import KEPT_BY_WIDE_BYTES
 
-BYTES_PER_MB: Final = 1_048_576
 DEFAULT_MEMORY_MB: Final = 256.0
 # Descriptors for files, the store, peers and listening sockets.
 RESERVED_FDS: Final = 200
 # The rest is shared by callers and endpoints: a request needs one of each.
 CALLERS_SHARE: Final = 0.5
 MIN_CONNECTIONS: Final = 16
-# Share of the memory for the objects of connections, and what one of them with
-# a request in progress takes.
-CONNECTIONS_SHARE: Final = 0.25
-CONNECTION_BYTES: Final = 32_768
-# Share of the memory for what callers have sent and do not read.
-KEPT_SHARE: Final = 0.15
-# Share of the memory for what the kernel keeps in wide receive buffers.
-WIDE_BUFFERS_SHARE: Final = 0.05
 # A caller that takes longer for a body, or to receive its last answer, may be
 # given up for a new connection. 4 MB take 1.7 s on a link of 20 Mbit/s.
 SLOW_CALLER_S: Final = 2.0
@@ -82,6 +83,8 @@
     max_kept_bytes: int
     # Connections with a wide receive buffer.
     max_wide_buffers: int = 16
+    # Requests in progress; the application refuses those beyond.
+    max_requests: int = 1024
 
     @property
     def fair_share_bytes(self) -> int:
@@ -100,7 +103,9 @@
     `max_fds` is the number of descriptors of the process, by default what the
     system allows it.
     """
-    memory_bytes = (memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB
+    memory_bytes = (
+        shared_memory_mb(memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB
+    )
     by_memory = memory_bytes * CONNECTIONS_SHARE / CONNECTION_BYTES
     by_fds = (_count_fds(max_fds) - RESERVED_FDS) * CALLERS_SHARE
     return AggregateLimits(
@@ -109,6 +114,7 @@
         max_wide_buffers=int(
             memory_bytes * WIDE_BUFFERS_SHARE / KEPT_BY_WIDE_BYTES
         ),
+        max_requests=int(memory_bytes * REQUESTS_SHARE / REQUEST_BYTES),
     )
 
 
--- a/tests/test_chat_body.py
+++ b/tests/test_chat_body.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from masticwind.byte_budget import BYTES_PER_MB, ByteBudget
+from masticwind.byte_budget import ByteBudget
 from masticwind.entry import json_text
 from masticwind.entry.chat_body import (
     MAX_MESSAGES_AND_PARTS,
@@ -16,6 +16,7 @@
     read_large_body,
 )
 from masticwind.errors import ErrorKind, Failure
+from masticwind.memory_shares import BYTES_PER_MB
 from masticwind.web import INLINE_DECODE_BYTES
 
 BACKSLASH = 0x5C
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -12,7 +12,7 @@
 import pytest
 from anyio.abc import TaskGroup
 
-from masticwind.byte_budget import BUFFER_SHARE
+from masticwind.memory_shares import BUFFERS_SHARE
 from masticwind_dev.standins.raw_endpoint import (
     RawConnection,
     ReceivedRequest,
@@ -192,4 +192,4 @@
     assert len(refused) > CALLERS / 2
     assert after.status == 200
     assert not any(one.startswith('body') for one in entry.received)
-    assert growth_mb <= MAX_GROWTH_MB + MACHINE_MB * BUFFER_SHARE
+    assert growth_mb <= MAX_GROWTH_MB + MACHINE_MB * BUFFERS_SHARE
