Give up bodies that have stopped arriving for those of others

Callers that stop within a body keep what has arrived of it for 10 s. A tenth of memory_mb is for all bodies, so that a few callers of 4 MB each took it from everybody: any other body, even of one byte, was refused with 503 while they lasted. The refusals were true, but ordinary callers got nothing else.

The budget now takes the bytes back from bodies of which nothing has come for 0.5 s, the longest ago first, if another needs them. What has arrived is dropped at once, and its caller gets 503 with Retry-After, as nothing of an incomplete body has been sent. Both interfaces read bodies by one function for this, read_large_body, which has moved to web.py.

test_body_is_served_while_others_have_stopped_arriving failed before (503, one run) and passes.

--- a/src/masticwind/byte_budget.py
+++ b/src/masticwind/byte_budget.py
@@ -8,14 +8,23 @@
     with budget.open_buffer() as buffer:
         if not buffer.try_grow(len(chunk)):
             return Failure(...)
+
+What has arrived of a body may be discarded for others once nothing more has
+come for a while, so that callers that stop do not take everything.
 """
 
-from collections.abc import Iterator
+import time
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Final
 
 from masticwind.memory_shares import BUFFERS_SHARE, BYTES_PER_MB
 
+# Of a budget that does not limit anything.
+UNLIMITED_MB: Final = 1_000_000_000_000
+# A body of which nothing has come for longer may be given up for others.
+STALLED_BODY_S: Final = 0.5
+
 
 class Buffer:
     """The bytes that one part of a request has taken from the budget."""
@@ -23,14 +32,38 @@
     def __init__(self, budget: 'ByteBudget') -> None:
         self._budget: Final = budget
         self._size_bytes = 0
+        self._discard: Callable[[], None] | None = None
 
     def try_grow(self, size_bytes: int) -> bool:
         """Take bytes, unless they would exceed the budget."""
+        if self._discard is not None:
+            self._budget.record_growth(self)
+        self._budget.reclaim(size_bytes)
         if not self._budget.try_take(size_bytes):
             return False
         self._size_bytes += size_bytes
         return True
 
+    @contextmanager
+    def reclaimable(self, discard: Callable[[], None]) -> Iterator[None]:
+        """Let the budget take the bytes back if nothing is added for long.
+
+        `discard` is called first, and has to drop them at once.
+        """
+        self._discard = discard
+        self._budget.record_growth(self)
+        try:
+            yield
+        finally:
+            self._discard = None
+            self._budget.end_reclaimable(self)
+
+    def reclaim(self) -> None:
+        """Discard the bytes and return them to the budget."""
+        if self._discard is not None:
+            self._discard()
+        self.release()
+
     def try_hold(self, size_bytes: int) -> bool:
         """Hold exactly so many bytes, unless they would exceed the budget."""
         if size_bytes > self._size_bytes:
@@ -54,6 +87,9 @@
     def __init__(self, memory_mb: float, share: float = BUFFERS_SHARE) -> None:
         self._total_bytes: Final = int(memory_mb * BYTES_PER_MB * share)
         self._used_bytes = 0
+        # When something has come for each reclaimable buffer, the longest ago
+        # first.
+        self._grown_at: Final[dict[Buffer, float]] = {}
 
     @property
     def total_bytes(self) -> int:
@@ -76,7 +112,7 @@
 
     def try_take(self, size_bytes: int) -> bool:
         """Take bytes from the budget, unless they exceed it."""
-        if self._used_bytes + size_bytes > self._total_bytes:
+        if not self._has_room(size_bytes):
             return False
         self._used_bytes += size_bytes
         return True
@@ -84,3 +120,25 @@
     def give_back(self, size_bytes: int) -> None:
         """Return bytes to the budget."""
         self._used_bytes -= size_bytes
+
+    def record_growth(self, buffer: Buffer) -> None:
+        """Note that more has come for a reclaimable buffer."""
+        self._grown_at.pop(buffer, None)
+        self._grown_at[buffer] = time.monotonic()
+
+    def end_reclaimable(self, buffer: Buffer) -> None:
+        """Note that a buffer must be kept from now on."""
+        self._grown_at.pop(buffer, None)
+
+    def reclaim(self, size_bytes: int) -> None:
+        """Make room for bytes by those of bodies that have stopped arriving."""
+        now = time.monotonic()
+        while self._grown_at and not self._has_room(size_bytes):
+            buffer, grown_at = next(iter(self._grown_at.items()))
+            if now - grown_at <= STALLED_BODY_S:
+                return
+            self._grown_at.pop(buffer)
+            buffer.reclaim()
+
+    def _has_room(self, size_bytes: int) -> bool:
+        return self._used_bytes + size_bytes <= self._total_bytes
--- a/src/masticwind/entry/app.py
+++ b/src/masticwind/entry/app.py
@@ -24,7 +24,6 @@
 from masticwind.entry.chat_body import (
     ChatBodyDecoder,
     ChatRequest,
-    read_large_body,
 )
 from masticwind.entry.chat_writer import ChatWriter
 from masticwind.entry.claims import Claims
@@ -44,6 +43,7 @@
     Send,
     failure_response,
     json_response,
+    read_large_body,
     request_header,
     send_response,
 )
@@ -264,7 +264,7 @@
             receive,
             cfg.max_body_bytes,
             cfg.body_timeout_ms / MS_PER_S,
-            active.try_buffer,
+            active.buffer,
         )
         if isinstance(body, Failure):
             return body
--- a/src/masticwind/entry/calls.py
+++ b/src/masticwind/entry/calls.py
@@ -116,7 +116,7 @@
             receive,
             min(MAX_CALL_BODY_BYTES, cfg.max_body_bytes),
             cfg.body_timeout_ms / MS_PER_S,
-            active.try_buffer,
+            active.buffer,
         )
         if isinstance(body, Failure):
             return CallResponse(body)
--- a/src/masticwind/entry/chat_body.py
+++ b/src/masticwind/entry/chat_body.py
@@ -5,7 +5,6 @@
 bytes of the prompt are kept.
 """
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Annotated, Final, Literal
 
@@ -16,12 +15,7 @@
 from masticwind.entry.json_text import QUOTE, append_json_string
 from masticwind.errors import ErrorKind, Failure
 from masticwind.tokens import prefix_hashes
-from masticwind.web import (
-    INLINE_DECODE_BYTES,
-    Receive,
-    any_size,
-    no_memory_failure,
-)
+from masticwind.web import INLINE_DECODE_BYTES
 
 MAX_MODEL_CHARS: Final = 128
 # The decoder holds the interpreter lock, so that more threads decode no
@@ -101,44 +95,6 @@
         )
 
 
-async def read_large_body(
-    receive: Receive,
-    limit_bytes: int,
-    timeout_s: float,
-    try_buffer: Callable[[int], bool] = any_size,
-) -> bytearray | Failure:
-    """Read a request body into one buffer.
-
-    `try_buffer` tells whether the process may keep so many more bytes. Returns
-    a `Failure` of kind `too_large`, `body_timeout`, `overloaded` or
-    `cancelled`.
-    """
-    body = bytearray()
-    with anyio.move_on_after(timeout_s):
-        while True:
-            event = await receive()
-            if event['type'] == 'http.disconnect':
-                return Failure(
-                    kind=ErrorKind.CANCELLED,
-                    reason='caller disconnected',
-                )
-            chunk = event.get('body', b'')
-            if len(body) + len(chunk) > limit_bytes:
-                return Failure(
-                    kind=ErrorKind.TOO_LARGE,
-                    reason=f'the body is over {limit_bytes} bytes',
-                )
-            if not try_buffer(len(chunk)):
-                return no_memory_failure()
-            body += chunk
-            if not event.get('more_body'):
-                return body
-    return Failure(
-        kind=ErrorKind.BODY_TIMEOUT,
-        reason=f'the body did not arrive within {timeout_s:g} s',
-    )
-
-
 def _decode(body: bytearray | bytes) -> ChatRequest | Failure:
     # Quotes in a string are escaped, so that text within a string cannot match.
     if body.count(b'"role"') + body.count(b'"text"') > MAX_MESSAGES_AND_PARTS:
--- a/src/masticwind/entry/stop.py
+++ b/src/masticwind/entry/stop.py
@@ -66,10 +66,6 @@
         """Whether the request may run or have run."""
         return self.uncertain_attempts > 0
 
-    def try_buffer(self, size_bytes: int) -> bool:
-        """Return whether the process may keep so many more bytes."""
-        return self.buffer is None or self.buffer.try_grow(size_bytes)
-
     def limit_budget(self, budget: Budget) -> Budget:
         """Return a budget that ends no later than this process."""
         return Budget(min(budget.deadline, self.cut_at_s))
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -274,7 +274,7 @@
                 receive,
                 deps.active_config.config.limits.max_body_bytes,
                 min(BODY_TIMEOUT_S, admitted.remaining_s()),
-                buffer.try_grow,
+                buffer,
             )
             if isinstance(body, Failure):
                 return body
--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -19,6 +19,7 @@
 from loguru import logger
 
 from masticwind.budget import MS_PER_S
+from masticwind.byte_budget import UNLIMITED_MB, Buffer, ByteBudget
 from masticwind.decoding import parse_json
 from masticwind.errors import ERROR_RESPONSES, ErrorKind, Failure
 from masticwind.settings_file import Address
@@ -142,11 +143,6 @@
     return dict(parse_qsl(scope['query_string'].decode('latin-1')))
 
 
-def any_size(_size_bytes: int) -> bool:
-    """Return that a body of any size may be kept."""
-    return True
-
-
 def no_memory_failure() -> Failure:
     """Return the failure of a request whose body cannot be kept."""
     return Failure(
@@ -160,17 +156,58 @@
     receive: Receive,
     limit_bytes: int,
     timeout_s: float,
-    try_buffer: Callable[[int], bool] = any_size,
+    buffer: Buffer | None = None,
 ) -> bytes | Failure:
-    """Read a request body.
+    """Read a request body, as `read_large_body` does."""
+    body = await read_large_body(receive, limit_bytes, timeout_s, buffer)
+    return body if isinstance(body, Failure) else bytes(body)
+
+
+async def read_large_body(
+    receive: Receive,
+    limit_bytes: int,
+    timeout_s: float,
+    buffer: Buffer | None = None,
+) -> bytearray | Failure:
+    """Read a request body into one array, which counts in `buffer`.
 
-    `try_buffer` tells whether the process may keep so many more bytes. Returns
-    a `Failure` of kind `too_large`, `body_timeout`, `overloaded` or
-    `cancelled`.
+    Without a buffer, it does not count. Returns a `Failure` of kind
+    `too_large`, `body_timeout`, `overloaded` or `cancelled`; also `overloaded`
+    if the body stops arriving and its memory is needed for others.
     """
-    chunks: list[bytes] = []
-    size = 0
-    with anyio.move_on_after(timeout_s):
+    scope = anyio.CancelScope(deadline=anyio.current_time() + timeout_s)
+    buffer = buffer or Buffer(ByteBudget(UNLIMITED_MB))
+    body = _ArrivingBody(limit_bytes, buffer, scope)
+    with scope, buffer.reclaimable(body.discard):
+        return await body.read(receive)
+    if body.is_discarded:
+        return no_memory_failure()
+    return Failure(
+        kind=ErrorKind.BODY_TIMEOUT,
+        reason=f'the body did not arrive within {timeout_s:g} s',
+    )
+
+
+class _ArrivingBody:
+    """A body that arrives, unless its memory is needed for others."""
+
+    def __init__(
+        self, limit_bytes: int, buffer: Buffer, scope: anyio.CancelScope
+    ) -> None:
+        self.is_discarded = False
+        self._limit_bytes: Final = limit_bytes
+        self._buffer: Final = buffer
+        self._scope: Final = scope
+        self._content: Final = bytearray()
+
+    def discard(self) -> None:
+        """Drop what has arrived, and end the reading."""
+        self.is_discarded = True
+        self._content.clear()
+        self._scope.cancel()
+
+    async def read(self, receive: Receive) -> bytearray | Failure:
+        """Read to the end of the body."""
         while True:
             event = await receive()
             if event['type'] == 'http.disconnect':
@@ -179,21 +216,17 @@
                     reason='caller disconnected',
                 )
             chunk = event.get('body', b'')
-            size += len(chunk)
-            if size > limit_bytes:
+            if len(self._content) + len(chunk) > self._limit_bytes:
                 return Failure(
                     kind=ErrorKind.TOO_LARGE,
-                    reason=f'the body is over {limit_bytes} bytes',
+                    reason=f'the body is over {self._limit_bytes} bytes',
                 )
-            if not try_buffer(len(chunk)):
+            # It may have been discarded while this event was on its way.
+            if self.is_discarded or not self._buffer.try_grow(len(chunk)):
                 return no_memory_failure()
-            chunks.append(chunk)
+            self._content += chunk
             if not event.get('more_body'):
-                return b''.join(chunks)
-    return Failure(
-        kind=ErrorKind.BODY_TIMEOUT,
-        reason=f'the body did not arrive within {timeout_s:g} s',
-    )
+                return self._content
 
 
 async def decode_json(body: bytes, kind: type[_Content]) -> _Content | Failure:
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -1,5 +1,7 @@
 """Bodies of callers while the process has no memory left for them."""
 
+from contextlib import AsyncExitStack, suppress
+
 import anyio
 import pytest
 
@@ -16,6 +18,7 @@
     caller_headers,
     running_entry,
 )
+from tests.stopping_entry import call_head, connect
 
 pytestmark = pytest.mark.anyio
 
@@ -85,3 +88,30 @@
         with anyio.fail_after(2):
             while harness.entry.buffered_bytes:
                 await anyio.sleep(0.005)
+
+
+async def test_body_is_served_while_others_have_stopped_arriving() -> None:
+    """Guards against callers that stop within their bodies, which take the
+    memory for bodies from everybody else.
+    """
+    async with running_entry() as harness:
+        await harness.start_endpoint('i-1', answer_completely)
+        await harness.wait_until_served('/read/a', request_id='warm')
+        budget = harness.entry._admission.byte_budget
+        stopped_bytes = budget.total_bytes // 10
+        async with AsyncExitStack() as stack:
+            for number in range(12):
+                conn = await connect(harness.entry.port)
+                await stack.enter_async_context(conn)
+                head = call_head(f'stopped-{number}', '/read/a')
+                length = b'Content-Length: %d' % (stopped_bytes + 1)
+                head = head.replace(b'Content-Length: 0', length)
+                with suppress(anyio.BrokenResourceError):
+                    await conn.send(head + b'x' * stopped_bytes)
+            await anyio.sleep(1)
+            served = await harness.request('/order/a', method='POST', body=b'x')
+            large = await harness.request(
+                '/order/a', method='POST', body=b'x' * 200_000
+            )
+    assert served.status == 200
+    assert large.status == 200
--- a/tests/test_chat_body.py
+++ b/tests/test_chat_body.py
@@ -13,11 +13,10 @@
     MAX_MESSAGES_AND_PARTS,
     ChatBodyDecoder,
     ChatRequest,
-    read_large_body,
 )
 from masticwind.errors import ErrorKind, Failure
 from masticwind.memory_shares import BYTES_PER_MB
-from masticwind.web import INLINE_DECODE_BYTES
+from masticwind.web import INLINE_DECODE_BYTES, read_large_body
 
 BACKSLASH = 0x5C
 ESCAPE = bytes((BACKSLASH, ord('u')))
@@ -176,7 +175,7 @@
         return event
 
     with budget.open_buffer() as buffer:
-        outcome = await read_large_body(receive, 10_000, 5, buffer.try_grow)
+        outcome = await read_large_body(receive, 10_000, 5, buffer)
     assert isinstance(outcome, Failure)
     assert outcome.kind is ErrorKind.OVERLOADED
     assert outcome.retry_after_ms
