--- a/src/masticwind/web.py
+++ b/src/masticwind/web.py
@@ -224,7 +224,7 @@
             # It may have been discarded while this event was on its way.
             if self.is_discarded or not self._buffer.try_grow(len(chunk)):
                 return no_memory_failure()
-            self._content += chunk
+            self._content.extend(chunk)
             if not event.get('more_body'):
                 return self._content
 
