Give up stopped bodies before requests are refused for their number

The limit on requests in progress counts those whose body has not arrived: 1,200 callers that stop within a body would have had every other request refused with 503 for 10 s, and again and again (found in the read-through of this change).

A request beyond the limit now takes the place of one whose body has stopped arriving for 0.5 s, the longest ago first.

--- a/src/masticwind/byte_budget.py
+++ b/src/masticwind/byte_budget.py
@@ -38,7 +38,7 @@
         """Take bytes, unless they would exceed the budget."""
         if self._discard is not None:
             self._budget.record_growth(self)
-        self._budget.reclaim(size_bytes)
+        self._budget.make_room(size_bytes)
         if not self._budget.try_take(size_bytes):
             return False
         self._size_bytes += size_bytes
@@ -130,15 +130,23 @@
         """Note that a buffer must be kept from now on."""
         self._grown_at.pop(buffer, None)
 
-    def reclaim(self, size_bytes: int) -> None:
-        """Make room for bytes by those of bodies that have stopped arriving."""
-        now = time.monotonic()
-        while self._grown_at and not self._has_room(size_bytes):
-            buffer, grown_at = next(iter(self._grown_at.items()))
-            if now - grown_at <= STALLED_BODY_S:
+    def make_room(self, size_bytes: int) -> None:
+        """Give up bodies that have stopped arriving, until bytes fit."""
+        while not self._has_room(size_bytes):
+            if not self.reclaim_stalled():
                 return
-            self._grown_at.pop(buffer)
-            buffer.reclaim()
+
+    def reclaim_stalled(self) -> bool:
+        """Give up one body that has stopped arriving; return if there is one.
+
+        Its request ends soon after.
+        """
+        buffer, grown_at = next(iter(self._grown_at.items()), (None, 0))
+        if buffer is None or time.monotonic() - grown_at <= STALLED_BODY_S:
+            return False
+        self._grown_at.pop(buffer)
+        buffer.reclaim()
+        return True
 
     def _has_room(self, size_bytes: int) -> bool:
         return self._used_bytes + size_bytes <= self._total_bytes
--- a/src/masticwind/serving/edge.py
+++ b/src/masticwind/serving/edge.py
@@ -205,7 +205,7 @@
             req = self._deps.codec.decode(scope)
             if isinstance(req, Failure):
                 failure = req
-            elif self.running_requests > self._deps.max_requests:
+            elif self._has_too_many_requests():
                 failure = _too_many_failure(self._deps.max_requests)
             else:
                 request_id = req.request_id
@@ -248,6 +248,15 @@
         if failure.kind is not ErrorKind.CANCELLED:
             await send_response(send, self._deps.codec.encode(failure))
 
+    def _has_too_many_requests(self) -> bool:
+        """Return whether a new request has to be refused.
+
+        A body that has stopped arriving is given up for it.
+        """
+        if self.running_requests <= self._deps.max_requests:
+            return False
+        return not self._deps.byte_budget.reclaim_stalled()
+
     async def _serve_until_given_up(
         self, in_progress: RequestInProgress, receive: Receive
     ) -> Failure | None:
--- a/tests/test_memory_shares.py
+++ b/tests/test_memory_shares.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from masticwind.byte_budget import ByteBudget
+from masticwind.byte_budget import STALLED_BODY_S, ByteBudget
 from masticwind.memory_shares import (
     BYTES_PER_MB,
     IDLE_CONNECTION_BYTES,
@@ -16,7 +16,8 @@
 from masticwind.web_callers import derive_limits
 from masticwind.web_transport import KEPT_BY_NARROW_BYTES, KEPT_BY_WIDE_BYTES
 from masticwind_dev.standins.raw_endpoint import RawConnection, ReceivedRequest
-from tests.entry_harness import running_entry
+from tests.entry_harness import answer_completely, running_entry
+from tests.stopping_entry import call_head, connect, read_answer
 
 pytestmark = pytest.mark.anyio
 
@@ -73,3 +74,25 @@
         assert float(refused.headers['retry-after']) > 0
         assert len(harness.received) == 1
         assert (await harness.request('/read/a')).status == 200
+
+
+async def test_body_that_stops_does_not_keep_others_from_the_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests in progress that never arrive completely, so
+    that all others are refused.
+    """
+    monkeypatch.setattr(
+        'masticwind.web_callers.REQUEST_BYTES', 64 * BYTES_PER_MB
+    )
+    async with running_entry() as harness:
+        await harness.start_endpoint('a', answer_completely)
+        await harness.wait_until_served('/read/a')
+        async with await connect(harness.entry.port) as conn:
+            head = call_head('stopped', '/read/a')
+            await conn.send(
+                head.replace(b'Content-Length: 0', b'Content-Length: 9')
+            )
+            await anyio.sleep(2 * STALLED_BODY_S)
+            assert (await harness.request('/read/a')).status == 200
+            assert (await read_answer(conn)).status == 503
